retrier: a property test that sees rare faults

Cause: with one request in each of 100 checks the property test passed a variant that sent lost sales again unsettled.

--- a/retrier/request_test.go
+++ b/retrier/request_test.go
@@ -157,50 +157,60 @@
 	}
 }
 
+// requestsPerCheck makes each check strong enough to see a fault that needs one
+// request in two hundred, as two lost answers of a sale in a row.
+const requestsPerCheck = 200
+
 func TestNoRepeatUnlessProvenNotRun(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{}
-		b := NewBudget(BudgetRate{Burst: rapid.IntRange(1, 9).Draw(t, "burst")})
-		r := &Request{
-			Statement: Statement{
-				Read:       rapid.Bool().Draw(t, "read"),
-				Repeatable: rapid.Bool().Draw(t, "repeatable"),
-				Bound:      rapid.Bool().Draw(t, "bound"),
-				Named:      rapid.Bool().Draw(t, "named"),
-			},
-			Latest:   start.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "latest")) * time.Millisecond),
-			Deadline: start.Add(500 * time.Millisecond),
-			Seed:     rapid.Uint64().Draw(t, "seed"),
+		for range requestsPerCheck {
+			checkOneRequest(t)
 		}
-		p := Policy{Attempts: 4}
-		now, sends := start, 1
-		d := p.Decide(r, b, w.attempt(t), now)
-		for d.Action != Finish {
-			now = d.At
-			if d.Action == Settle {
-				d = p.Settled(r, b, w.settle(t), now)
-				continue
-			}
-			sends++
-			if now.After(r.Latest) {
-				t.Fatalf("sent after the last moment that can be in time")
-			}
-			d = p.Decide(r, b, w.attempt(t), now)
+	})
+}
+
+func checkOneRequest(t *rapid.T) {
+	w := &world{}
+	b := NewBudget(BudgetRate{Burst: rapid.IntRange(1, 9).Draw(t, "burst")})
+	r := &Request{
+		Statement: Statement{
+			Read:       rapid.Bool().Draw(t, "read"),
+			Repeatable: rapid.Bool().Draw(t, "repeatable"),
+			Bound:      rapid.Bool().Draw(t, "bound"),
+			Named:      rapid.Bool().Draw(t, "named"),
+		},
+		Latest:   start.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "latest")) * time.Millisecond),
+		Deadline: start.Add(500 * time.Millisecond),
+		Seed:     rapid.Uint64().Draw(t, "seed"),
+	}
+	p := Policy{Attempts: 4}
+	now, sends := start, 1
+	d := p.Decide(r, b, w.attempt(t), now)
+	for d.Action != Finish {
+		now = d.At
+		if d.Action == Settle {
+			d = p.Settled(r, b, w.settle(t), now)
+			continue
 		}
-		once := !r.Statement.Read && !r.Statement.Repeatable
-		switch {
-		case once && w.runs > 1:
-			t.Fatalf("a statement that may not be repeated ran %d times", w.runs)
-		case d.Outcome.Kind == NotRun && w.runs > 0:
-			t.Fatalf("told not run, but ran %d times", w.runs)
-		case d.Outcome.Kind == Done && w.runs == 0:
-			t.Fatalf("told done, but never ran")
-		case sends > p.Attempts:
-			t.Fatalf("%d attempts", sends)
-		case r.Statement.Bound && sends > 1:
-			t.Fatalf("a statement of a transaction was sent again")
+		sends++
+		if now.After(r.Latest) {
+			t.Fatalf("sent after the last moment that can be in time")
 		}
-	})
+		d = p.Decide(r, b, w.attempt(t), now)
+	}
+	once := !r.Statement.Read && !r.Statement.Repeatable
+	switch {
+	case once && w.runs > 1:
+		t.Fatalf("a statement that may not be repeated ran %d times", w.runs)
+	case d.Outcome.Kind == NotRun && w.runs > 0:
+		t.Fatalf("told not run, but ran %d times", w.runs)
+	case d.Outcome.Kind == Done && w.runs == 0:
+		t.Fatalf("told done, but never ran")
+	case sends > p.Attempts:
+		t.Fatalf("%d attempts", sends)
+	case r.Statement.Bound && sends > 1:
+		t.Fatalf("a statement of a transaction was sent again")
+	}
 }
 
 // Symptom: retries keep a group overloaded after its fault is over.
