--- a/internal/faker/upstream/run.go
+++ b/internal/faker/upstream/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -256,51 +255,6 @@
 	}
 }
 
-// pause is the sum of all pg_sleep calls in the list.
-func (c *call) pause(st valuesStmt) (time.Duration, error) {
-	var sum time.Duration
-	for _, e := range st.exprs {
-		if e.call != "pg_sleep" || len(e.args) != 1 {
-			continue
-		}
-		v, err := c.operand(e.args[0], nil, nil)
-		if err != nil {
-			return 0, err
-		}
-		seconds, err := strconv.ParseFloat(v.text, 64)
-		if err != nil {
-			return 0, fail(codeBadParameter, "pg_sleep: not a number")
-		}
-		sum += time.Duration(seconds * float64(time.Second))
-	}
-	return sum, nil
-}
-
-func (c *call) values(st valuesStmt) (*result, error) {
-	cells, err := c.cells(st.exprs)
-	if err != nil {
-		return nil, err
-	}
-	return &result{columns: valueColumns(st, c.params), rows: [][]value{cells}, tag: "SELECT 1"}, nil
-}
-
-func valueColumns(st valuesStmt, params []value) []column {
-	list := make([]column, len(st.exprs))
-	for i, e := range st.exprs {
-		list[i] = column{name: "?column?", kind: max(e.literal.kind, kindText)}
-		if e.call != "" {
-			list[i].name = e.call
-		}
-		if e.param > 0 && e.param <= len(params) {
-			list[i].kind = max(params[e.param-1].kind, kindText)
-		}
-		if e.plus != nil {
-			list[i].kind = kindInt
-		}
-	}
-	return list
-}
-
 func (s *session) observe(sql string) {
 	if s.up.Observe != nil {
 		s.up.Observe(s.pid, sql)
