--- /dev/null
+++ b/promoter/grant.go
@@ -0,0 +1,215 @@
+package promoter
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// answerBy is how long a call to the platform may stay unanswered.
+const answerBy = 2 * time.Second
+
+// grant is what the proxy knows of the group's record, and its one call to the
+// platform under way.
+type grant struct {
+	record  Record
+	version uint64
+	// loaded: the platform has answered at least once. stale: read it again.
+	loaded bool
+	stale  bool
+	// pending is the record being written; its nonce settles a lost answer.
+	pending Record
+	// open: a call is under way, given up at answerAt.
+	open     bool
+	answerAt time.Time
+	// retryAt is the earliest time of the next call.
+	retryAt  time.Time
+	failures int
+	writes   int
+	// missing is since when the holders should be others.
+	missing time.Time
+}
+
+// takeRecord takes a newer version of the record from anywhere.
+func (g *Group) takeRecord(r Record, version uint64) {
+	if version == 0 || version <= g.grant.version {
+		return
+	}
+	g.grant.record = r
+	g.grant.version = version
+	g.grant.missing = time.Time{}
+	g.see(r.Term)
+	g.adopt(r.Primary, r.Term, "recorded in the platform")
+}
+
+func (g *Group) loaded(ev Loaded) {
+	if ev.Outcome != Done {
+		g.callFailed()
+		return
+	}
+	g.callDone()
+	settled := ev.Version > g.grant.version && ev.Record.Nonce != "" &&
+		ev.Record.Nonce == g.grant.pending.Nonce
+	g.takeRecord(ev.Record, ev.Version)
+	if settled {
+		g.tell("", "the record has changed")
+	}
+}
+
+func (g *Group) saved(ev Saved) {
+	switch {
+	case ev.Nonce != g.grant.pending.Nonce:
+		// The answer to a write given up long ago; only its record counts.
+		if ev.Outcome != Lost {
+			g.takeRecord(ev.Record, ev.Version)
+		}
+	case ev.Outcome == Lost:
+		// It may have taken effect. Reading back shows by the nonce; until then
+		// this proxy doesn't act as if it held the grant.
+		g.grant.stale = true
+		g.callFailed()
+	default:
+		g.callDone()
+		g.takeRecord(ev.Record, ev.Version)
+		if ev.Outcome == Done {
+			g.tell("", "the record has changed")
+		}
+	}
+}
+
+func (g *Group) callDone() {
+	g.grant.open = false
+	g.grant.loaded = true
+	g.grant.stale = false
+	g.grant.failures = 0
+	g.grant.retryAt = g.now
+}
+
+// callFailed backs off, up to half as long again by a share of the own name, so
+// that the fleet doesn't call in step after an outage.
+func (g *Group) callFailed() {
+	g.grant.open = false
+	pause := g.set.Backoff << min(g.grant.failures, 10)
+	pause = min(pause, g.set.BackoffMax)
+	jitter := xxhash.Sum64String(g.Self+strconv.Itoa(g.grant.failures)) % uint64(pause/2+1)
+	g.grant.failures++
+	g.grant.retryAt = g.now.Add(pause + time.Duration(jitter))
+}
+
+// claim keeps the record right: it reads it, creates it, replaces holders that
+// are gone, and writes down a new primary.
+func (g *Group) claim() {
+	gr := &g.grant
+	if gr.open {
+		if g.now.Before(gr.answerAt) {
+			g.wake(gr.answerAt)
+			return
+		}
+		gr.stale = true
+		g.callFailed()
+	}
+	if !gr.loaded || gr.stale {
+		if g.mayCall() {
+			g.emit(Load{Reason: "the group's record isn't known for sure"})
+		}
+		return
+	}
+	want, reason, ok := g.wanted()
+	if !ok || !g.mayCall() {
+		return
+	}
+	gr.writes++
+	want.Nonce = g.Self + "/" + strconv.Itoa(gr.writes)
+	gr.pending = want
+	g.emit(Save{Record: want, Version: gr.version, Reason: reason})
+}
+
+func (g *Group) mayCall() bool {
+	if g.now.Before(g.grant.retryAt) {
+		g.wake(g.grant.retryAt)
+		return false
+	}
+	g.grant.open = true
+	g.grant.answerAt = g.now.Add(answerBy)
+	g.wake(g.grant.answerAt)
+	return true
+}
+
+// wanted returns the record as this proxy should write it, if it should.
+func (g *Group) wanted() (Record, string, bool) {
+	r := g.grant.record
+	if g.grant.version != 0 && r.Term.Less(g.term) && g.rank() == 0 {
+		r.Primary, r.Term = g.primary, g.term
+		return r, "a new primary was promoted", true
+	}
+	if !g.writesGrant() {
+		g.grant.missing = time.Time{}
+		return r, "", false
+	}
+	holders := g.pick()
+	oldGrant := r.Epoch < g.highest.Epoch
+	if !oldGrant && slices.Equal(holders, r.Holders()) {
+		g.grant.missing = time.Time{}
+		return r, "", false
+	}
+	if g.grant.missing.IsZero() {
+		g.grant.missing = g.now
+	}
+	if due := g.grant.missing.Add(g.set.Grant); g.grant.version != 0 && !oldGrant && g.now.Before(due) {
+		g.wake(due)
+		return r, "", false
+	}
+	r.Epoch = max(r.Epoch, g.highest.Epoch) + 1
+	r.Leader, r.Deputies = holders[0], holders[1:]
+	if r.Term.Less(g.term) {
+		r.Primary, r.Term = g.primary, g.term
+	}
+	return r, "holders have gone, come or are too old", true
+}
+
+// writesGrant reports whether this proxy is the one to change the holders: the
+// first live holder, or with none left the first in rendezvous order. Were it
+// everyone's task, a zone's loss would bring one write from each proxy.
+func (g *Group) writesGrant() bool {
+	if len(g.live) == 0 {
+		return false
+	}
+	for _, id := range g.grant.record.Holders() {
+		if g.isLive(id) {
+			return id == g.Self
+		}
+	}
+	return g.live[0].ID == g.Self
+}
+
+// pick returns the holders as they should be: the recorded ones that live keep
+// their order, so that leadership doesn't move without need; free places go to
+// the next in rendezvous order, from zones without a holder first.
+func (g *Group) pick() []string {
+	var picked []string
+	zones := make(map[string]bool)
+	take := func(m Member) {
+		if len(picked) < g.set.Holders && !slices.Contains(picked, m.ID) {
+			picked = append(picked, m.ID)
+			zones[m.Zone] = true
+		}
+	}
+	for _, id := range g.grant.record.Holders() {
+		for _, m := range g.live {
+			if m.ID == id {
+				take(m)
+			}
+		}
+	}
+	for _, m := range g.live {
+		if !zones[m.Zone] {
+			take(m)
+		}
+	}
+	for _, m := range g.live {
+		take(m)
+	}
+	return picked
+}
