--- /dev/null
+++ b/cmd/basildale/cli_test.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"basildale.example/basildale/examples"
+)
+
+// command runs one command line and returns its exit code and output.
+func command(t *testing.T, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	var out, err bytes.Buffer
+	code = run(context.Background(), args, &out, &err)
+	return code, out.String(), err.String()
+}
+
+func TestExitCodes(t *testing.T) {
+	dir := t.TempDir()
+	good := filepath.Join(dir, "good.yaml")
+	data, err := examples.Files.ReadFile("damplinjerne.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(good, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	bad := filepath.Join(dir, "bad.yaml")
+	if err := os.WriteFile(bad, append(data, "colour: green\n"...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, tc := range []struct {
+		name   string
+		args   []string
+		code   int
+		stdout string
+		stderr string
+	}{
+		{"help", []string{"--help"}, exitDone, "Exit codes: 0 done", ""},
+		{"help of a command", []string{"check", "--help"}, exitDone, "Exits with 2", ""},
+		{"version", []string{"version"}, exitDone, "basildale ", ""},
+		{"no command", nil, exitUsage, "", "--help"},
+		{"unknown command", []string{"chekc"}, exitUsage, "", "chekc"},
+		{"right settings", []string{"check", good}, exitDone, "all settings are right", ""},
+		{"right settings as JSON", []string{"check", "-o", "json", good}, exitDone, "[]", ""},
+		{"wrong settings", []string{"check", bad}, exitUsage, "bad.yaml:27: colour is not a setting, allowed are", "1 wrong settings"},
+		{"wrong settings as JSON", []string{"check", "-o", "json", bad}, exitUsage, `"line": 27`, "1 wrong settings"},
+		{"no file", []string{"check", filepath.Join(dir, "none")}, exitUsage, "", "no such file"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			code, stdout, stderr := command(t, tc.args...)
+			is.Equal(code, tc.code)
+			is.True(strings.Contains(stdout, tc.stdout)) // the output says it
+			is.True(strings.Contains(stderr, tc.stderr)) // the errors say it
+		})
+	}
+}
