--- /dev/null
+++ b/adapter/keeper/client.go
@@ -0,0 +1,174 @@
+package keeper
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
+)
+
+// Defaults of a Client, and the bound of one answer.
+const (
+	DefaultRate  = 20              // calls a second
+	DefaultBurst = 40              // calls at once
+	callTimeout  = 5 * time.Second // of a call whose context has no deadline
+	maxAnswer    = 8 << 20         // bytes
+	maxValue     = 1 << 20         // bytes of one value, by the contract
+	idlePerHost  = 8               // connections kept open
+)
+
+// Client is one process's way to the platform. Set the fields before the first
+// call; all methods are safe for use by several goroutines.
+type Client struct {
+	// Addrs are the platform's addresses, at least one. A call that certainly
+	// had no effect at one goes on to the next.
+	Addrs []netip.AddrPort
+	// Rate is the budget of this process in calls a second, Burst what it may
+	// spend at once. Zero means DefaultRate and DefaultBurst.
+	Rate  rate.Limit
+	Burst int
+	// Transport carries the calls; nil means one of its own.
+	Transport http.RoundTripper
+
+	once    sync.Once
+	budget  *rate.Limiter
+	client  *http.Client
+	current atomic.Uint32 // index into Addrs of the address that last worked
+}
+
+func (c *Client) setup() {
+	limit, burst := c.Rate, c.Burst
+	if limit == 0 {
+		limit = DefaultRate
+	}
+	if burst == 0 {
+		burst = DefaultBurst
+	}
+	c.budget = rate.NewLimiter(limit, burst)
+	transport := c.Transport
+	if transport == nil {
+		transport = &http.Transport{MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: time.Minute}
+	}
+	c.client = &http.Client{Transport: transport}
+}
+
+// request is one call. Path and query are escaped already.
+type request struct {
+	method string
+	path   string
+	match  uint64
+	body   []byte
+	out    any // what a 200 is decoded into; nil to skip it
+}
+
+// changes reports whether the call can have an effect.
+func (r *request) changes() bool { return r.method != http.MethodGet }
+
+// do makes one call at the address that last worked, and at the others in turn
+// while it certainly had no effect.
+func (c *Client) do(ctx context.Context, r *request) error {
+	c.once.Do(c.setup)
+	if len(c.Addrs) == 0 {
+		return errors.Wrap(ErrDown, "no address is set")
+	}
+	var err error
+	for range c.Addrs {
+		at := c.current.Load()
+		if err = c.budget.Wait(ctx); err != nil {
+			return errors.Wrapf(ErrDown, "budget of calls is spent: %v", err)
+		}
+		err = c.try(ctx, c.Addrs[int(at)%len(c.Addrs)], r)
+		if !errors.Is(err, ErrDown) {
+			return err
+		}
+		c.current.CompareAndSwap(at, at+1)
+	}
+	return err
+}
+
+// try makes the call once at addr.
+func (c *Client) try(ctx context.Context, addr netip.AddrPort, r *request) error {
+	// A change is certain to have had no effect only while no connection has
+	// been handed to it: the transport may have written it from then on, and a
+	// broken connection doesn't say how far the platform has read.
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+addr.String()+r.path, bytes.NewReader(r.body))
+	if err != nil {
+		return errors.Wrapf(ErrRefused, "%v", err)
+	}
+	if r.changes() {
+		req.Header.Set("If-Match", strconv.FormatUint(r.match, 10))
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return failed(r, sent.Load(), err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err != nil {
+		return failed(r, true, err)
+	}
+	if len(body) > maxAnswer {
+		return ErrLarge
+	}
+	return judge(r, resp.StatusCode, body)
+}
+
+// failed names the outcome of a call without an answer.
+func failed(r *request, sent bool, cause error) error {
+	if r.changes() && sent {
+		return errors.Wrapf(ErrLost, "%s %s: %v", r.method, r.path, cause)
+	}
+	return errors.Wrapf(ErrDown, "%s %s: %v", r.method, r.path, cause)
+}
+
+// judge names the outcome of an answer.
+func judge(r *request, status int, body []byte) error {
+	switch status {
+	case http.StatusOK:
+		if r.out == nil {
+			return nil
+		}
+		if err := json.Unmarshal(body, r.out); err != nil {
+			return failed(r, true, err)
+		}
+		return nil
+	case http.StatusConflict:
+		conflict := &ConflictError{}
+		if err := json.Unmarshal(body, &conflict.Current); err != nil {
+			return errors.Wrapf(ErrConflict, "and the answer can't be read: %v", err)
+		}
+		return conflict
+	case http.StatusNotFound:
+		return errors.Wrapf(ErrMissing, "%s", r.path)
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return errors.Wrapf(ErrDown, "%s %s: status %d", r.method, r.path, status)
+	case http.StatusBadRequest, http.StatusMethodNotAllowed, http.StatusRequestEntityTooLarge:
+		return errors.Wrapf(ErrRefused, "%s %s: %s", r.method, r.path, bytes.TrimSpace(body[:min(len(body), 200)]))
+	default:
+		return failed(r, true, errors.Newf("status %d", status))
+	}
+}
+
+// timed gives a context without a deadline one, so that no call waits for ever
+// on a platform that has stopped answering.
+func timed(ctx context.Context, extra time.Duration) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, callTimeout+extra)
+}
--- /dev/null
+++ b/adapter/keeper/object.go
@@ -0,0 +1,151 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// PageItems is how many items one call asks for at most.
+const PageItems = 500
+
+// fitItems is how many items fit into one answer however large they are.
+const fitItems = maxAnswer/maxValue - 1
+
+// Object is one stored value. Version is the store's version at the object's
+// last change. Deleted is set only in what a watch returns.
+type Object struct {
+	Kind    string          `json:"kind"`
+	Name    string          `json:"name"`
+	Version uint64          `json:"version"`
+	Value   json.RawMessage `json:"value,omitempty"`
+	Deleted bool            `json:"deleted,omitempty"`
+}
+
+// Page is the answer to a list or a watch. For a watch, Version is where the
+// next one goes on.
+type Page struct {
+	Items   []Object `json:"items"`
+	Version uint64   `json:"version"`
+}
+
+// Instance is one line of the platform's list of instances, which lags.
+type Instance struct {
+	Name    string         `json:"name"`
+	Role    string         `json:"role"`  // proxy or upstream
+	Group   string         `json:"group"` // of an upstream
+	Zone    string         `json:"zone"`
+	Address netip.AddrPort `json:"address"`
+	State   string         `json:"state"` // live or leaving
+}
+
+func objectPath(kind, name string) string {
+	return "/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
+
+// Get returns one object, or ErrMissing.
+func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
+	ctx, cancel := timed(ctx, 0)
+	defer cancel()
+	var o Object
+	err := c.do(ctx, &request{method: http.MethodGet, path: objectPath(kind, name), out: &o})
+	return o, err
+}
+
+// Put stores value as JSON if the object's version is match; 0 means that it
+// must not exist. It returns the object at its new version.
+func (c *Client) Put(ctx context.Context, kind, name string, match uint64, value any) (Object, error) {
+	ctx, cancel := timed(ctx, 0)
+	defer cancel()
+	body, err := json.Marshal(struct {
+		Value any `json:"value"`
+	}{value})
+	if err != nil {
+		return Object{}, errors.Wrapf(ErrRefused, "%v", err)
+	}
+	var o Object
+	err = c.do(ctx, &request{method: http.MethodPut, path: objectPath(kind, name), match: match, body: body, out: &o})
+	return o, err
+}
+
+// Delete removes the object if its version is match.
+func (c *Client) Delete(ctx context.Context, kind, name string, match uint64) error {
+	ctx, cancel := timed(ctx, 0)
+	defer cancel()
+	return c.do(ctx, &request{method: http.MethodDelete, path: objectPath(kind, name), match: match})
+}
+
+// List returns up to limit objects of a kind with names past after, by name. It
+// may return fewer where they are large; an empty page is the end.
+func (c *Client) List(ctx context.Context, kind, after string, limit int) (Page, error) {
+	ctx, cancel := timed(ctx, 0)
+	defer cancel()
+	path := "/objects/" + url.PathEscape(kind) + "?after=" + url.QueryEscape(after)
+	return c.page(ctx, path, limit)
+}
+
+// All returns every object of a kind, by name, in pages.
+func (c *Client) All(ctx context.Context, kind string) ([]Object, error) {
+	var all []Object
+	after := ""
+	for {
+		p, err := c.List(ctx, kind, after, PageItems)
+		if err != nil {
+			return nil, err
+		}
+		if len(p.Items) == 0 {
+			return all, nil
+		}
+		all = append(all, p.Items...)
+		after = p.Items[len(p.Items)-1].Name
+	}
+}
+
+// Watch returns what changed in a kind since version after, in the order of the
+// versions, waiting up to wait for it.
+func (c *Client) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (Page, error) {
+	ctx, cancel := timed(ctx, wait)
+	defer cancel()
+	path := "/watch?kind=" + url.QueryEscape(kind) +
+		"&after=" + strconv.FormatUint(after, 10) +
+		"&wait=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	return c.page(ctx, path, PageItems)
+}
+
+// page asks for up to limit items, and once more for as many as always fit when
+// the answer is over the bound.
+func (c *Client) page(ctx context.Context, path string, limit int) (Page, error) {
+	p, err := c.pageOf(ctx, path, max(1, min(limit, PageItems)))
+	if errors.Is(err, ErrLarge) && limit > fitItems {
+		return c.pageOf(ctx, path, fitItems)
+	}
+	return p, err
+}
+
+func (c *Client) pageOf(ctx context.Context, path string, limit int) (Page, error) {
+	var p Page
+	err := c.do(ctx, &request{method: http.MethodGet, path: path + "&limit=" + strconv.Itoa(limit), out: &p})
+	return p, err
+}
+
+// Instances returns the list of instances, of one availability zone or, for "",
+// of all.
+func (c *Client) Instances(ctx context.Context, zone string) ([]Instance, error) {
+	ctx, cancel := timed(ctx, 0)
+	defer cancel()
+	var page struct {
+		Items []Instance `json:"items"`
+	}
+	path := "/instances"
+	if zone != "" {
+		path += "?zone=" + url.QueryEscape(zone)
+	}
+	err := c.do(ctx, &request{method: http.MethodGet, path: path, out: &page})
+	return page.Items, err
+}
--- a/internal/faker/platform/platform.go
+++ b/internal/faker/platform/platform.go
@@ -31,6 +31,7 @@
 	instances instances
 	once      sync.Once
 	mux       *http.ServeMux
+	listener  net.Listener
 	server    *http.Server
 	addr      netip.AddrPort
 }
@@ -45,6 +46,7 @@
 	if err != nil {
 		return errors.Wrap(err, "platform: own address")
 	}
+	p.listener = ln
 	p.server = &http.Server{Handler: p, ReadHeaderTimeout: time.Minute}
 	go func() { _ = p.server.Serve(ln) }() // ends by Close with ErrServerClosed
 	return nil
@@ -59,6 +61,9 @@
 	if p.server == nil {
 		return nil
 	}
+	// The server knows of its listener only once its goroutine runs; a dial
+	// could be taken after Close without this.
+	p.listener.Close()
 	return errors.Wrap(p.server.Close(), "platform: close")
 }
 
