adapter/messenger: requests between proxies over JSON-RPC

Cause: the proxies need one way to ask each other for liveness, marks, configuration, suspicion, cancels, explanations and connection shares.

Change: thirteen typed methods over sourcegraph/jsonrpc2 on TCP, one connection for each pair of peers, opened on demand and closed when idle. Messages and requests in flight are bounded, each request carries its deadline, ids are never used twice, answers after the deadline reach nobody, bytes are counted for each method and direction.

Conclusion: membership, configuration and the rest can build on the typed calls.

--- /dev/null
+++ b/adapter/messenger/messages.go
@@ -0,0 +1,166 @@
+package messenger
+
+import (
+	"encoding/json"
+	"net/netip"
+
+	"basildale.example/basildale/membership"
+	"basildale.example/basildale/tracker"
+)
+
+// Method is the name of a request between proxies.
+type Method string
+
+// The methods that a proxy answers.
+const (
+	MethodPing     Method = "ping"
+	MethodProbe    Method = "pingreq"
+	MethodSync     Method = "sync"
+	MethodPutMarks Method = "marks.put"
+	MethodGetMarks Method = "marks.get"
+	MethodHave     Method = "config.have"
+	MethodGet      Method = "config.get"
+	MethodSuspect  Method = "suspect"
+	MethodPrimary  Method = "primary"
+	MethodCancel   Method = "cancel"
+	MethodLeave    Method = "leave"
+	MethodExplain  Method = "explain"
+	MethodShare    Method = "share"
+)
+
+// Empty is the answer to a request that asks for nothing back.
+type Empty struct{}
+
+// Ping asks whether a member lives. From is what the sender says of itself,
+// Digest sums up its view, Updates are statements about others.
+type Ping struct {
+	From    membership.Member   `json:"from"`
+	Digest  uint64              `json:"digest"`
+	Updates []membership.Member `json:"updates,omitempty"`
+}
+
+// Ack answers a Ping with the same things about the one that was asked.
+type Ack struct {
+	From    membership.Member   `json:"from"`
+	Digest  uint64              `json:"digest"`
+	Updates []membership.Member `json:"updates,omitempty"`
+}
+
+// Probe asks a third member to ping Target on behalf of the sender.
+type Probe struct {
+	From   membership.Member `json:"from"`
+	Target membership.Member `json:"target"`
+}
+
+// Probed answers a Probe. Target is what the target said of itself if OK.
+type Probed struct {
+	OK     bool              `json:"ok"`
+	Target membership.Member `json:"target"`
+}
+
+// Sync asks for one bucket of the receiver's view. Digest sums up the sender's
+// own bucket.
+type Sync struct {
+	Bucket  int    `json:"bucket"`
+	Buckets int    `json:"buckets"`
+	Digest  uint64 `json:"digest"`
+}
+
+// Synced answers a Sync: nothing if the digests are the same, otherwise all
+// members of the bucket.
+type Synced struct {
+	Members []membership.Member `json:"members,omitempty"`
+}
+
+// SessionMark is how far one session must be able to see in one group.
+type SessionMark struct {
+	Session string       `json:"session"`
+	Group   string       `json:"group"`
+	Mark    tracker.Mark `json:"mark"`
+}
+
+// PutMarks hands marks to the proxy that keeps them for these sessions.
+type PutMarks struct {
+	Marks []SessionMark `json:"marks"`
+}
+
+// GetMarks asks for the marks of sessions.
+type GetMarks struct {
+	Sessions []string `json:"sessions"`
+}
+
+// Marks answers GetMarks. A session without a mark here is left out.
+type Marks struct {
+	Marks []SessionMark `json:"marks,omitempty"`
+}
+
+// Have tells which configuration the sender holds. The payload belongs to
+// package configurator.
+type Have struct {
+	Payload json.RawMessage `json:"payload"`
+}
+
+// Get asks for configuration. The payload belongs to package configurator.
+type Get struct {
+	Payload json.RawMessage `json:"payload"`
+}
+
+// Got answers Get and Have. The payload belongs to package configurator.
+type Got struct {
+	Payload json.RawMessage `json:"payload,omitempty"`
+}
+
+// SuspectReport tells the leader of a group that the primary Upstream of Term
+// doesn't answer, as seen from Zone.
+type SuspectReport struct {
+	Group    string         `json:"group"`
+	Term     tracker.Term   `json:"term"`
+	Zone     string         `json:"zone"`
+	Upstream netip.AddrPort `json:"upstream"`
+}
+
+// PrimaryAnnounce tells that Primary leads the group at Term.
+type PrimaryAnnounce struct {
+	Group   string         `json:"group"`
+	Term    tracker.Term   `json:"term"`
+	Primary netip.AddrPort `json:"primary"`
+}
+
+// CancelForward passes on a caller's request to cancel, to the proxy that holds
+// the session with this key.
+type CancelForward struct {
+	Key []byte `json:"key"`
+}
+
+// Leave tells that the sender has begun to stop.
+type Leave struct {
+	From membership.Member `json:"from"`
+}
+
+// ExplainQuery asks for recent decisions about Subject, the newest first, at
+// most Limit of them.
+type ExplainQuery struct {
+	Subject string `json:"subject"`
+	Limit   int    `json:"limit,omitempty"`
+}
+
+// Explanation answers ExplainQuery. The payload belongs to package controller.
+type Explanation struct {
+	Payload json.RawMessage `json:"payload,omitempty"`
+}
+
+// ShareRequest asks the leader of a group for Want of the connections that
+// Upstream takes. Have is what the sender holds now.
+type ShareRequest struct {
+	Group    string         `json:"group"`
+	Upstream netip.AddrPort `json:"upstream"`
+	Have     int            `json:"have"`
+	Want     int            `json:"want"`
+}
+
+// ShareGrant answers ShareRequest: the sender may hold Grant connections until
+// the lease of TTL milliseconds, counted from its request, is over.
+type ShareGrant struct {
+	Grant int   `json:"grant"`
+	TTL   int64 `json:"ttl"`
+}
--- /dev/null
+++ b/adapter/messenger/messenger_test.go
@@ -0,0 +1,211 @@
+package messenger
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"basildale.example/basildale/tracker"
+)
+
+func echo(_ context.Context, _ Peer, q ExplainQuery) (Explanation, error) {
+	return Explanation{Payload: []byte(`"` + q.Subject + `"`)}, nil
+}
+
+func TestCallsShareOneConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var n network
+		a := n.join(t, 1, Handler{Explain: echo})
+		b := n.join(t, 2, Handler{Explain: echo})
+		ctx, cancel := within(time.Second)
+		defer cancel()
+		var wg sync.WaitGroup
+		for _, subject := range strings.Fields("a b c d e f g h") {
+			wg.Go(func() {
+				got, err := a.Explain(ctx, testAddr(2), ExplainQuery{Subject: subject})
+				is.NoErr(err)
+				is.Equal(string(got.Payload), `"`+subject+`"`) // each its own answer
+			})
+		}
+		wg.Wait()
+		_, err := b.Explain(ctx, testAddr(1), ExplainQuery{Subject: "back"})
+		is.NoErr(err)
+		is.Equal(n.dials, 1) // both directions on the one that a opened
+		synctest.Wait()
+		out := metrics.GetOrRegisterCounter("messenger.explain.out", a.Metrics).Count()
+		in := metrics.GetOrRegisterCounter("messenger.explain.in", b.Metrics).Count()
+		is.True(out > 0)
+		is.Equal(out, in) // what a counts as sent, b counts as received
+		time.Sleep(2 * DefaultIdleTimeout)
+		is.Equal(a.Links()+b.Links(), 0) // closed when idle
+		_, err = b.Explain(context.Background(), testAddr(1), ExplainQuery{Subject: "again"})
+		is.NoErr(err)
+		is.Equal(n.dials, 2) // and opened again on demand
+	})
+}
+
+func TestBothDialAtOnce(t *testing.T) {
+	// Symptom: calls between two peers fail with a closed connection.
+	// Sequence: both dial each other at the same moment; each closes the
+	// connection that it likes less.
+	// Cause: the two sides choose differently.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var n network
+		a := n.join(t, 1, Handler{Explain: echo})
+		b := n.join(t, 2, Handler{Explain: echo})
+		ctx, cancel := within(time.Second)
+		defer cancel()
+		var wg sync.WaitGroup
+		for range 4 {
+			wg.Go(func() {
+				_, err := a.Explain(ctx, testAddr(2), ExplainQuery{Subject: "x"})
+				is.NoErr(err)
+			})
+			wg.Go(func() {
+				_, err := b.Explain(ctx, testAddr(1), ExplainQuery{Subject: "y"})
+				is.NoErr(err)
+			})
+		}
+		wg.Wait()
+		for range 2 * DefaultIdleTimeout / time.Second {
+			_, err := a.Explain(context.Background(), testAddr(2), ExplainQuery{Subject: "x"})
+			is.NoErr(err)
+			_, err = b.Explain(context.Background(), testAddr(1), ExplainQuery{Subject: "y"})
+			is.NoErr(err)
+			time.Sleep(time.Second)
+		}
+		is.Equal(a.Links(), 1)
+		is.Equal(b.Links(), 1)
+	})
+}
+
+func TestLateAnswerReachesNobody(t *testing.T) {
+	// Symptom: a request gets the answer of an earlier one.
+	// Sequence: a request runs into its deadline; its answer comes while the
+	// next one waits.
+	// Cause: ids are used twice, or the answer is handed to whoever waits.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var n network
+		a := n.join(t, 1, Handler{})
+		slow := func(ctx context.Context, p Peer, q ExplainQuery) (Explanation, error) {
+			if q.Subject == "slow" {
+				time.Sleep(1500 * time.Millisecond)
+			}
+			return echo(ctx, p, q)
+		}
+		b := n.join(t, 2, Handler{Explain: slow})
+		b.CallTimeout = time.Hour
+		ping := func(d time.Duration, subject string) (Explanation, error) {
+			ctx, cancel := within(d)
+			defer cancel()
+			return a.Explain(ctx, testAddr(2), ExplainQuery{Subject: subject})
+		}
+		late := make(chan error)
+		go func() {
+			_, err := ping(time.Second, "slow")
+			late <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		_, err := ping(time.Second, "quick") // shows that the link isn't silent
+		is.NoErr(err)
+		is.True(errors.Is(<-late, ErrDeadline))
+		for range 10 {
+			got, err := ping(time.Second, "next")
+			is.NoErr(err)
+			is.Equal(string(got.Payload), `"next"`)
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.Equal(n.dials, 1)
+	})
+}
+
+func TestBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var n network
+		release := make(chan struct{})
+		a := n.join(t, 1, Handler{})
+		a.MaxInFlight, a.MaxMessage = 2, 2000
+		b := n.join(t, 2, Handler{Explain: func(ctx context.Context, p Peer, q ExplainQuery) (Explanation, error) {
+			if q.Subject == "hold" {
+				<-release
+			}
+			return echo(ctx, p, q)
+		}})
+		b.MaxInFlight, b.MaxMessage = 1, 1000
+		call := func(subject string) error {
+			_, err := a.Explain(context.Background(), testAddr(2), ExplainQuery{Subject: subject})
+			return err
+		}
+		held := make(chan error)
+		go func() { held <- call("hold") }()
+		synctest.Wait()
+		is.True(errors.Is(call("more"), ErrBusy)) // b serves one at a time
+		go func() { held <- call("hold") }()
+		synctest.Wait()
+		is.True(errors.Is(<-held, ErrBusy))
+		close(release)
+		is.NoErr(<-held)
+		is.True(errors.Is(call(strings.Repeat("x", 3000)), ErrSize))   // refused here
+		is.True(errors.Is(call(strings.Repeat("x", 1500)), ErrClosed)) // b closes
+		is.NoErr(call("small"))                                        // on a new connection
+	})
+}
+
+func TestSilentPeer(t *testing.T) {
+	// Symptom: every call to a peer runs into its deadline for many minutes.
+	// Sequence: the peer's host vanishes without closing its connections; a new
+	// process starts at the same address.
+	// Cause: the old connection is kept although nothing comes in on it.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var n network
+		a := n.join(t, 1, Handler{})
+		stuck := n.join(t, 2, Handler{Explain: func(ctx context.Context, _ Peer, _ ExplainQuery) (Explanation, error) {
+			<-ctx.Done()
+			return Explanation{}, ctx.Err()
+		}})
+		ctx, cancel := within(time.Second)
+		defer cancel()
+		_, err := a.Explain(ctx, testAddr(2), ExplainQuery{Subject: "x"})
+		is.True(errors.Is(err, ErrDeadline))
+		stuck.Close()
+		n.run(t, &Messenger{Self: Peer{Addr: testAddr(2), Start: 2}, Keys: a.Keys, Handler: Handler{Explain: echo}, Dial: n.dial})
+		_, err = a.Explain(context.Background(), testAddr(2), ExplainQuery{Subject: "x"})
+		is.NoErr(err)
+	})
+}
+
+func TestMarksTravel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var n network
+		kept := make(chan []SessionMark, 1)
+		n.join(t, 2, Handler{
+			PutMarks: func(_ context.Context, _ Peer, q PutMarks) (Empty, error) {
+				kept <- q.Marks
+				return Empty{}, nil
+			},
+			GetMarks: func(context.Context, Peer, GetMarks) (Marks, error) {
+				return Marks{Marks: <-kept}, nil
+			},
+		})
+		a := n.join(t, 1, Handler{})
+		want := []SessionMark{{Session: "kiosk-7", Group: "billet-db-2", Mark: tracker.Mark{Term: tracker.Term{Epoch: 3, Seq: 1}, Pos: 1042}}}
+		_, err := a.PutMarks(context.Background(), testAddr(2), PutMarks{Marks: want})
+		is.NoErr(err)
+		got, err := a.GetMarks(context.Background(), testAddr(2), GetMarks{Sessions: []string{"kiosk-7"}})
+		is.NoErr(err)
+		is.Equal(got.Marks, want)
+	})
+}
--- /dev/null
+++ b/membership/doc.go
@@ -0,0 +1,2 @@
+// Package membership knows which proxies of the fleet live.
+package membership
