cmd/basildale: status, explain and drain ask a running process

Cause: operators need to see what a process sees and why it decided, and to stop it without cutting a request. An unknown lag is told apart from none.

--- a/adapter/reporter/messages.go
+++ b/adapter/reporter/messages.go
@@ -41,8 +41,9 @@
 	Address netip.AddrPort `json:"address"`
 	Role    string         `json:"role"`
 	Mark    string         `json:"mark,omitempty"`
-	// Behind is how old its data may be; negative when that is unknown.
-	Behind Seconds `json:"behind"`
+	// Behind is how old its data may be; nil when that is unknown, which is not
+	// the same as up to date.
+	Behind *Seconds `json:"behind,omitempty"`
 	// Breaker is closed, open or probing.
 	Breaker string `json:"breaker,omitempty"`
 	// Open counts connections, Share how many this process may open.
--- a/adapter/reporter/reporter_test.go
+++ b/adapter/reporter/reporter_test.go
@@ -111,7 +111,7 @@
 	status := Status{
 		Name: "vejle-1", State: "ready", At: at, Preset: "ordinary", Version: 4,
 		Groups: []Group{{Name: "billet-db-1", Term: "3.1", Upstreams: []Upstream{{
-			Name: "a", Address: netip.MustParseAddrPort("10.1.1.1:5432"), Role: "replica", Behind: Seconds(1500 * time.Microsecond),
+			Name: "a", Address: netip.MustParseAddrPort("10.1.1.1:5432"), Role: "replica", Behind: new(Seconds(1500 * time.Microsecond)),
 		}}}},
 	}
 	decision := Decision{At: at, Part: "router", Action: "primary", Reason: "mark not reached", Session: "s1"}
--- a/cmd/basildale/cli.go
+++ b/cmd/basildale/cli.go
@@ -28,6 +28,9 @@
 // cli is the command line.
 type cli struct {
 	Check   checkCmd   `cmd:"" help:"Check a settings file and name every wrong setting with its line."`
+	Status  statusCmd  `cmd:"" help:"Show what a running process sees: groups, upstreams, peers, preset."`
+	Explain explainCmd `cmd:"" help:"Show decisions of a running process with their reasons."`
+	Drain   drainCmd   `cmd:"" help:"Stop a running process gracefully."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
