loader: who the process is to upstreams; layout: shares of tests and decisions

Cause: an upstream asks who connects, and the settings had no answer. Contributors need one command for the shares of tests and of decision code. Change: settings login.user and login.password (a file); TestShares states both shares and fails when tests are a third or more.

--- a/cmd/basildale/cli_test.go
+++ b/cmd/basildale/cli_test.go
@@ -49,8 +49,8 @@
 		{"unknown command", []string{"chekc"}, exitUsage, "", "chekc"},
 		{"right settings", []string{"check", good}, exitDone, "all settings are right", ""},
 		{"right settings as JSON", []string{"check", "-o", "json", good}, exitDone, "[]", ""},
-		{"wrong settings", []string{"check", bad}, exitUsage, "bad.yaml:27: colour is not a setting, allowed are", "1 wrong settings"},
-		{"wrong settings as JSON", []string{"check", "-o", "json", bad}, exitUsage, `"line": 27`, "1 wrong settings"},
+		{"wrong settings", []string{"check", bad}, exitUsage, "bad.yaml:32: colour is not a setting, allowed are", "1 wrong settings"},
+		{"wrong settings as JSON", []string{"check", "-o", "json", bad}, exitUsage, `"line": 32`, "1 wrong settings"},
 		{"no file", []string{"check", filepath.Join(dir, "none")}, exitUsage, "", "no such file"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- /dev/null
+++ b/internal/layout/shares_test.go
@@ -0,0 +1,37 @@
+package layout_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestShares states how many lines are tests and how many are decisions:
+//
+//	go test -v -run TestShares ./internal/layout
+func TestShares(t *testing.T) {
+	is := is.New(t)
+	var code, tests, deciding int
+	goFiles(t, func(path string) {
+		src, err := os.ReadFile(filepath.Join(root, path))
+		is.NoErr(err)
+		lines := bytes.Count(src, []byte("\n"))
+		switch {
+		case strings.HasSuffix(path, "_test.go"):
+			tests += lines
+		case isDecision(path):
+			deciding += lines
+			code += lines
+		default:
+			code += lines
+		}
+	})
+	all := code + tests
+	t.Logf("lines of Go: %d; tests: %d (%d %% of all); decision packages: %d (%d %% of what isn't tests)",
+		all, tests, 100*tests/all, deciding, 100*deciding/code)
+	is.True(3*tests < all) // tests are a third or more
+}
--- a/loader/checker.go
+++ b/loader/checker.go
@@ -46,6 +46,7 @@
 		{"platform", false, c.platform(s)},
 		{"tls", false, c.tls(&s.TLS)},
 		{"secret", false, c.secret(&s.Secret)},
+		{"login", false, c.login(&s.Login)},
 		{"limits", false, c.limits(&s.Limits)},
 		{"stop", false, c.span(&s.Stop, minStop, maxStop)},
 		{"log", false, c.level(&s.Log)},
@@ -104,6 +105,19 @@
 	}
 }
 
+func (c *checker) login(l *Login) func(string, ast.Node) {
+	return func(path string, n ast.Node) {
+		var data []byte
+		c.mapping(path, n, []field{
+			{"user", false, c.text(&l.User)},
+			{"password", false, c.file(&l.Password, &data)},
+		})
+		if data != nil && len(data) == 0 {
+			c.fail(n, path+".password is an empty file", "allowed is a file that holds the password")
+		}
+	}
+}
+
 func (c *checker) limits(l *Limits) func(string, ast.Node) {
 	return func(path string, n ast.Node) {
 		c.mapping(path, n, []field{
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -34,6 +34,7 @@
 		open:   read,
 	}
 	s := Settings{
+		Login: Login{User: DefaultUser},
 		Limits: Limits{
 			Message: DefaultMessage,
 			Pending: DefaultPending,
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -9,6 +9,7 @@
 
 // Defaults of the settings that may be left out.
 const (
+	DefaultUser    = "basildale"
 	DefaultMessage = 16 << 20
 	DefaultPending = 200
 	DefaultCallers = 8000
@@ -40,6 +41,8 @@
 	// Secret is the path of the file with the key that all peers share; empty
 	// when peers authenticate by mutual TLS or not at all.
 	Secret string
+	// Login is who the process is to upstreams.
+	Login Login
 	// Limits bound what callers can make the process hold.
 	Limits Limits
 	// Stop is how long a graceful stop may wait for work in flight.
@@ -71,6 +74,15 @@
 	CA   string
 }
 
+// Login is who the process is to upstreams.
+type Login struct {
+	// User is the name of the role.
+	User string
+	// Password is the path of the file that holds the password; empty when
+	// upstreams ask for none.
+	Password string
+}
+
 // Limits bound what callers can make the process hold.
 type Limits struct {
 	// Message is the greatest length of one PostgreSQL message, in bytes.
