--- /dev/null
+++ b/cmd/basildale/docs_test.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/alecthomas/kong"
+	"github.com/matryer/is"
+
+	"basildale.example/basildale/meter"
+)
+
+const root = "../.."
+
+// pages returns the text of README and docs by file.
+func pages(t *testing.T) map[string]string {
+	t.Helper()
+	files, err := filepath.Glob(root + "/docs/*.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	texts := make(map[string]string)
+	for _, file := range append(files, root+"/README.md", root+"/CONTRIBUTING.md") {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		texts[filepath.Base(file)] = string(data)
+	}
+	return texts
+}
+
+// model builds the command line without leaving the process.
+func model(t *testing.T) *kong.Kong {
+	t.Helper()
+	k, err := parser(io.Discard, io.Discard, func(int) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// Symptom: a command copied from a page fails with a usage error.
+// Sequence: a flag is renamed, the page isn't.
+// Cause: nothing read the page.
+func TestDocumentedCommandsParse(t *testing.T) {
+	line := regexp.MustCompile(`(?m)^    (?:basildale|go run \./cmd/basildale)[ ]+([^#\n]+)`)
+	found := 0
+	for page, text := range pages(t) {
+		for _, match := range line.FindAllStringSubmatch(text, -1) {
+			found++
+			t.Run(page+" "+match[1], func(t *testing.T) {
+				is := is.New(t)
+				_, err := model(t).Parse(strings.Fields(match[1]))
+				is.NoErr(err)
+			})
+		}
+	}
+	if found < 5 {
+		t.Fatalf("only %d commands found in the pages", found)
+	}
+}
+
+// Symptom: an operator can't find out what a command, flag or metric means.
+// Sequence: it was added to the program.
+// Cause: the page for operators was forgotten.
+func TestOperatorsPageNamesEverything(t *testing.T) {
+	is := is.New(t)
+	page := pages(t)["OPERATORS.md"]
+	var missing []string
+	need := func(text string) {
+		if !strings.Contains(page, text) {
+			missing = append(missing, text)
+		}
+	}
+	for _, cmd := range model(t).Model.Children {
+		need("`basildale " + cmd.Name)
+		for _, flag := range cmd.Flags {
+			if flag.Name != "help" {
+				need("`--" + flag.Name)
+			}
+		}
+	}
+	for _, metric := range []string{meter.WaitSeconds, meter.UpstreamSeconds, meter.TotalSeconds, meter.Outcomes, meter.Routes} {
+		need("`" + metric + "`")
+	}
+	is.Equal(missing, nil) // not on the page
+}
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -139,3 +139,28 @@
 		is.True(!ok) // not a size
 	}
 }
+
+// Symptom: an operator can't find out what a setting means.
+// Sequence: the setting was added.
+// Cause: the page for operators was forgotten.
+func TestOperatorsPageNamesEverySetting(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../docs/OPERATORS.md")
+	is.NoErr(err)
+	_, problems := Check("x", []byte("?: 1\nlimits: {?: 1}\ntls: {?: 1}"), nil)
+	named := 0
+	for _, p := range problems {
+		prefix, found := strings.CutSuffix(p.Wrong, "? is not a setting")
+		if !found {
+			continue
+		}
+		for _, key := range strings.Split(strings.TrimPrefix(p.Allowed, "allowed are "), ", ") {
+			if key == "limits" || key == "tls" {
+				continue // their own keys are looked for
+			}
+			named++
+			is.True(strings.Contains(string(page), "`"+prefix+key+"`")) // the page names prefix and key
+		}
+	}
+	is.True(named > 15) // the problems list the settings
+}
