--- /dev/null
+++ b/configurator/plan_test.go
@@ -0,0 +1,184 @@
+package configurator
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// golden compares text with a file of testdata.
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	path := "testdata/" + name
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(string(want), got); d != "" {
+		t.Errorf("%s (-want +got):\n%s", name, d)
+	}
+}
+
+func parse(t *testing.T, path string) []Document {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	docs, err := Parse(path, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return docs
+}
+
+const example = "../docs/examples/damplinjerne.yaml"
+
+// fleet returns the example's objects as they are stored, versions from 1.
+func fleet(t *testing.T) []Object {
+	t.Helper()
+	changes, err := Plan(nil, parse(t, example))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &Applier{Writer: "anna", Nonce: "n0"}
+	var objects []Object
+	for cmd := a.Start(changes); cmd != nil; {
+		put := cmd.(Put)
+		o := Object{Name: put.Name, Version: uint64(len(objects) + 1), Value: put.Value}
+		objects = append(objects, o)
+		cmd = a.Handle(PutDone{Version: o.Version})
+	}
+	return objects
+}
+
+func stored(t *testing.T) Set {
+	t.Helper()
+	set, problems := NewSet(fleet(t))
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	return set
+}
+
+func TestProblems(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile("testdata/problems.yaml")
+	is.NoErr(err)
+	docs, err := Parse("problems.yaml", data)
+	is.True(err != nil)
+	text := err.Error() + "\n-- of those that could be read\n"
+	_, err = Plan(nil, docs)
+	is.True(err != nil)
+	golden(t, "problems.golden", text+err.Error()+"\n")
+	is.True(!strings.Contains(text+err.Error(), "hunter2")) // it may be a password
+}
+
+func TestReferences(t *testing.T) {
+	_, err := Plan(stored(t), parse(t, "testdata/references.yaml"))
+	golden(t, "references.golden", fmt.Sprintln(err))
+}
+
+func TestBrokenYAML(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse("f.yaml", []byte("kind: pool\nname: [\n"))
+	is.True(strings.HasPrefix(err.Error(), "f.yaml:2: "))
+	docs, err := Parse("f.yaml", []byte("# nothing\n---\n"))
+	is.NoErr(err)
+	is.Equal(len(docs), 0)
+}
+
+// The order of writes and what is shown to the operator.
+func TestPlan(t *testing.T) {
+	is := is.New(t)
+	changes, err := Plan(nil, parse(t, example))
+	is.NoErr(err)
+	var b strings.Builder
+	show := func(title string, changes []Change) {
+		fmt.Fprintln(&b, "--", title)
+		for _, c := range changes {
+			fmt.Fprintln(&b, c.Action, c.ID, "at", c.Match)
+			for _, f := range c.Fields {
+				if c.Action == Update {
+					fmt.Fprintln(&b, "  ", f)
+				}
+			}
+		}
+	}
+	show("all new", changes)
+	set := stored(t)
+	changes, err = Plan(set, parse(t, example))
+	is.NoErr(err)
+	show("the same again", changes)
+	changes, err = Plan(set, parse(t, "testdata/change.yaml"))
+	is.NoErr(err)
+	show("changed", changes)
+	use, ok, err := UsePreset(set, "christmas")
+	is.NoErr(err)
+	is.True(ok)
+	show("preset use", []Change{use})
+	_, ok, err = UsePreset(set, "everyday")
+	is.NoErr(err)
+	is.True(!ok) // in force already
+	_, _, err = UsePreset(set, "easter")
+	fmt.Fprintln(&b, "-- preset use easter")
+	fmt.Fprintln(&b, err)
+	golden(t, "plan.golden", b.String())
+}
+
+// Every prefix of the writes is a configuration that can be in force: a crash of
+// the operator's command between any two of them leaves no workspace without a
+// preset and no reference without its object.
+func TestPrefixes(t *testing.T) {
+	is := is.New(t)
+	objects := fleet(t)
+	for n := range len(objects) + 1 {
+		set, _ := NewSet(objects[:n])
+		c := Build(set, uint64(n))
+		is.Equal(len(c.Problems), 0)
+		for _, w := range c.Workspaces {
+			is.True(w.Preset != nil)
+		}
+	}
+}
+
+func TestConfig(t *testing.T) {
+	is := is.New(t)
+	c := Build(stored(t), 12)
+	name, g, ok := c.GroupOf("kiosk", "seats2")
+	is.True(ok)
+	is.Equal(name, "billet-db-2")
+	is.Equal(g.Connections, 35)
+	_, _, ok = c.GroupOf("stranger", "seats2")
+	is.True(!ok)
+	l, ok := c.LimitsOf("handheld")
+	is.True(ok)
+	is.Equal(fmt.Sprint(l), "{lookup 1 4 200 1.5s 5s false true}")
+}
+
+// Symptom: a workspace without any limits. Sequence: one operator removes a
+// preset while another puts it in force; each change is right by itself. Cause:
+// the removal took the content away.
+func TestRemovedPresetStaysInForce(t *testing.T) {
+	is := is.New(t)
+	set := stored(t)
+	gone := set[ID{KindPreset, "everyday"}]
+	gone.Removed = true
+	set[gone.ID] = gone
+	c := Build(set, 13)
+	is.Equal(c.Workspaces["damplinjerne"].Name, "everyday")
+	is.True(len(c.Workspaces["damplinjerne"].Preset.Classes) > 0)
+	is.Equal(len(c.Problems), 1)
+}
