explorer: every reachable state of the promotion protocol within bounds

Cause: fencing, promotion and confirmation were argued, not shown. Interleavings of two leaders with late and doubled messages are too many to test one by one.

Change: a small breadth-first exploration over upstreams as the contract has them, two leaders that run the real choice of terms and candidates, and writes acknowledged by the real rule. Seven ways to break the protocol are each caught, with the trace kept in a golden file. Attempt, NextTerm and Quorum are exported for it.

--- a/promoter/group.go
+++ b/promoter/group.go
@@ -36,7 +36,7 @@
 
 	suspicion suspicion
 	grant     grant
-	attempt   *attempt
+	attempt   *Attempt
 	move      *move
 	// waitUntil keeps this holder from acting: another one claimed, or the own
 	// try was refused.
@@ -234,7 +234,7 @@
 		return
 	}
 	g.see(term)
-	if g.attempt != nil && !term.Less(g.attempt.term) {
+	if g.attempt != nil && !term.Less(g.attempt.Term) {
 		g.attempt = nil
 	}
 	g.suspicion.reset(g.now, primary == g.primary)
--- a/promoter/promoter_test.go
+++ b/promoter/promoter_test.go
@@ -27,13 +27,13 @@
 		}
 		used := make(map[tracker.Term]bool)
 		for place := range width {
-			term, ok := nextTerm(epoch, place, seen)
+			term, ok := NextTerm(epoch, place, seen)
 			if !ok || !seen.Less(term) || used[term] || int(term.Seq%width) != place {
 				r.Fatalf("place %d over %v: %v %v", place, seen, term, ok)
 			}
 			used[term] = true
 		}
-		if _, ok := nextTerm(epoch, 0, tracker.Term{Epoch: epoch + 1}); ok {
+		if _, ok := NextTerm(epoch, 0, tracker.Term{Epoch: epoch + 1}); ok {
 			r.Fatal("an old grant gave a term above a later epoch")
 		}
 	})
@@ -66,17 +66,17 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			a := newAttempt(tracker.Term{Epoch: 1, Seq: 8}, []netip.AddrPort{addr(1), addr(2), addr(3)})
+			a := NewAttempt(tracker.Term{Epoch: 1, Seq: 8}, []netip.AddrPort{addr(1), addr(2), addr(3)})
 			if c.suspect > 0 {
-				a.suspect = addr(c.suspect)
+				a.Suspect = addr(c.suspect)
 			}
 			if c.target > 0 {
-				a.target = addr(c.target)
+				a.Target = addr(c.target)
 			}
 			for i, pos := range c.marks {
-				a.fenced(addr(i), mark(pos))
+				a.NoteFence(addr(i), mark(pos))
 			}
-			got, ok := a.choose(c.settled)
+			got, ok := a.Choose(c.settled)
 			is.Equal(ok, c.want > 0)
 			if ok {
 				is.Equal(got, addr(c.want))
@@ -88,9 +88,9 @@
 func TestQuorumMeetsEveryPair(t *testing.T) {
 	is := is.New(t)
 	for n := 2; n <= 7; n++ {
-		is.True(quorum(n)+2 > n)        // shares one with the two copies of a write
-		is.True(2*quorum(n) > n)        // shares one with another quorum
-		is.True(n < 3 || quorum(n) < n) // one of three or more may be gone
+		is.True(Quorum(n)+2 > n)        // shares one with the two copies of a write
+		is.True(2*Quorum(n) > n)        // shares one with another quorum
+		is.True(n < 3 || Quorum(n) < n) // one of three or more may be gone
 	}
 }
 
--- a/promoter/record.go
+++ b/promoter/record.go
@@ -39,9 +39,9 @@
 // place returns the index of id among the holders, or -1.
 func (r Record) place(id string) int { return slices.Index(r.Holders(), id) }
 
-// nextTerm returns the lowest term of the holder at place in the record's epoch
+// NextTerm returns the lowest term of the holder at place in the record's epoch
 // that is above seen. It fails when seen is of a later epoch: the grant is old.
-func nextTerm(epoch uint32, place int, seen tracker.Term) (tracker.Term, bool) {
+func NextTerm(epoch uint32, place int, seen tracker.Term) (tracker.Term, bool) {
 	if seen.Epoch > epoch || place < 0 || place >= width {
 		return tracker.Term{}, false
 	}
--- a/promoter/replace.go
+++ b/promoter/replace.go
@@ -85,7 +85,7 @@
 // own grant is too old for one.
 func (g *Group) replace(suspect, target netip.AddrPort, reason string) bool {
 	place := g.grant.record.place(g.Self)
-	term, ok := nextTerm(g.grant.record.Epoch, place, g.highest)
+	term, ok := NextTerm(g.grant.record.Epoch, place, g.highest)
 	if !ok {
 		g.grant.stale = true
 		g.waitUntil = g.now.Add(g.set.Vacancy)
@@ -93,9 +93,9 @@
 		return false
 	}
 	g.see(term)
-	g.attempt = newAttempt(term, g.addrs())
-	g.attempt.suspect = suspect
-	g.attempt.target = target
+	g.attempt = NewAttempt(term, g.addrs())
+	g.attempt.Suspect = suspect
+	g.attempt.Target = target
 	g.attempt.reason = reason
 	g.report(term, reason)
 	g.fence()
@@ -105,9 +105,9 @@
 // fence orders every upstream that hasn't answered yet.
 func (g *Group) fence() {
 	a := g.attempt
-	for _, b := range a.ballots {
-		if !b.fenced {
-			g.emit(Fence{Upstream: b.upstream, Term: a.term, Reason: a.reason})
+	for _, b := range a.Ballots {
+		if !b.Fenced {
+			g.emit(Fence{Upstream: b.Upstream, Term: a.Term, Reason: a.reason})
 		}
 	}
 	a.retryAt = g.now.Add(g.set.Retry)
@@ -119,16 +119,16 @@
 	if a == nil {
 		return
 	}
-	if a.candidate.IsValid() {
+	if a.Candidate.IsValid() {
 		g.drivePromotion()
 		return
 	}
-	if all, _ := a.count(); all >= quorum(len(a.ballots)) && a.settleAt.IsZero() {
+	if all, _ := a.count(); all >= Quorum(len(a.Ballots)) && a.settleAt.IsZero() {
 		a.settleAt = g.now.Add(g.set.Settle)
 	}
 	settled := !a.settleAt.IsZero() && !g.now.Before(a.settleAt)
-	if candidate, ok := a.choose(settled); ok {
-		a.candidate = candidate
+	if candidate, ok := a.Choose(settled); ok {
+		a.Candidate = candidate
 		a.promoteBy = g.now.Add(g.set.Promote)
 		g.promote("furthest of a fenced majority")
 		return
@@ -147,7 +147,7 @@
 		g.attempt = nil
 		g.waitUntil = time.Time{}
 		g.vacant = time.Time{}
-		g.replace(a.suspect, netip.AddrPort{}, "the promoted upstream didn't answer")
+		g.replace(a.Suspect, netip.AddrPort{}, "the promoted upstream didn't answer")
 		return
 	}
 	if !g.now.Before(a.retryAt) {
@@ -161,7 +161,7 @@
 	a := g.attempt
 	a.retryAt = g.now.Add(g.set.Retry)
 	g.wake(a.retryAt)
-	g.emit(Promote{Upstream: a.candidate, Term: a.term, Reason: reason})
+	g.emit(Promote{Upstream: a.Candidate, Term: a.Term, Reason: reason})
 }
 
 // stepped takes the answer to an order.
@@ -175,7 +175,7 @@
 		return
 	}
 	a := g.attempt
-	if a == nil || a.term != ev.Term {
+	if a == nil || a.Term != ev.Term {
 		return
 	}
 	switch {
@@ -183,8 +183,8 @@
 		g.yield(ev)
 	case ev.Outcome != Done:
 	case ev.Step == Fencing:
-		a.fenced(ev.Upstream, ev.State.Mark)
-	case ev.Step == Promoting && ev.Upstream == a.candidate:
+		a.NoteFence(ev.Upstream, ev.State.Mark)
+	case ev.Step == Promoting && ev.Upstream == a.Candidate:
 		g.promoted(a)
 	}
 }
@@ -192,7 +192,7 @@
 // yield ends the attempt because an upstream has a higher term. A leader that
 // was paused finds out here that others went on without it.
 func (g *Group) yield(ev Stepped) {
-	if g.attempt.candidate.IsValid() && ev.Step == Fencing {
+	if g.attempt.Candidate.IsValid() && ev.Step == Fencing {
 		// A fence that was sent twice, or late: the promotion decides.
 		return
 	}
@@ -201,8 +201,8 @@
 	g.emit(Probe{Upstream: ev.Upstream, Reason: "it refused " + ev.Term.String() + ": learn its term"})
 }
 
-func (g *Group) promoted(a *attempt) {
+func (g *Group) promoted(a *Attempt) {
 	g.attempt = nil
-	g.adopt(a.candidate, a.term, "promoted: "+a.reason)
+	g.adopt(a.Candidate, a.Term, "promoted: "+a.reason)
 	g.announce = repeat{at: g.now, left: announcements}
 }
--- a/promoter/suspicion.go
+++ b/promoter/suspicion.go
@@ -205,7 +205,7 @@
 			return true
 		}
 	}
-	return !g.primary.IsValid() && seen >= quorum(len(g.upstreams)) && seen > 0
+	return !g.primary.IsValid() && seen >= Quorum(len(g.upstreams)) && seen > 0
 }
 
 // report sends the own view to the other holders.
