--- /dev/null
+++ b/pooler/pool.go
@@ -0,0 +1,258 @@
+package pooler
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrClosed reports a pool that was closed.
+var ErrClosed = errors.New("pooler: closed")
+
+// Pool is a set of connections of type C. Set the exported fields before the
+// first use and change Limit only by SetLimit.
+type Pool[C any] struct {
+	// Limit is the greatest number of connections open at once; 0 allows none.
+	Limit int
+	// Dial opens a connection. It runs without the pool's lock.
+	Dial func(ctx context.Context) (C, error)
+	// Close ends a connection. It runs without the pool's lock.
+	Close func(C)
+
+	mu     sync.Mutex
+	idle   []C
+	open   int
+	line   []*waiter[C]
+	closed bool
+}
+
+// waiter is one who waits in line. Its channel has room for one grant.
+type waiter[C any] struct {
+	granted chan grant[C]
+}
+
+// grant is a warm connection, or the leave to dial one.
+type grant[C any] struct {
+	conn C
+	warm bool
+	err  error
+}
+
+// Stats counts a pool's connections and those who wait for one.
+type Stats struct {
+	Limit   int
+	Open    int
+	Idle    int
+	Waiting int
+}
+
+// Get returns a connection that belongs to the one who asks until Put or
+// Discard. It takes a warm one, opens one within the limit, or waits until ctx
+// ends. The error is that of ctx or of Dial, or ErrClosed.
+func (p *Pool[C]) Get(ctx context.Context) (C, error) {
+	g, w := p.ask()
+	if w != nil {
+		var err error
+		if g, err = p.wait(ctx, w); err != nil {
+			var none C
+			return none, err
+		}
+	}
+	return p.use(ctx, g)
+}
+
+// ask takes a grant at once or joins the line.
+func (p *Pool[C]) ask() (grant[C], *waiter[C]) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return grant[C]{err: ErrClosed}, nil
+	}
+	if n := len(p.idle); n > 0 && p.open <= p.Limit {
+		return grant[C]{conn: p.pop(), warm: true}, nil
+	}
+	if p.open < p.Limit {
+		p.open++
+		return grant[C]{}, nil
+	}
+	w := &waiter[C]{granted: make(chan grant[C], 1)}
+	p.line = append(p.line, w)
+	return grant[C]{}, w
+}
+
+func (p *Pool[C]) pop() C {
+	var none C
+	n := len(p.idle) - 1
+	c := p.idle[n]
+	p.idle[n] = none
+	p.idle = p.idle[:n]
+	return c
+}
+
+func (p *Pool[C]) wait(ctx context.Context, w *waiter[C]) (grant[C], error) {
+	select {
+	case g := <-w.granted:
+		return g, nil
+	case <-ctx.Done():
+	}
+	if p.leave(w) {
+		return grant[C]{}, errors.Wrap(ctx.Err(), "pooler: wait for a connection")
+	}
+	// A grant was made while ctx ended. Dropping it would lose a connection
+	// for good, so it is taken.
+	return <-w.granted, nil
+}
+
+// leave takes w out of the line. It returns false when w has a grant already.
+func (p *Pool[C]) leave(w *waiter[C]) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, o := range p.line {
+		if o == w {
+			p.line = append(p.line[:i], p.line[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pool[C]) use(ctx context.Context, g grant[C]) (C, error) {
+	if g.warm || g.err != nil {
+		return g.conn, g.err
+	}
+	c, err := p.Dial(ctx)
+	if err != nil {
+		p.drop()
+		return c, errors.Wrap(err, "pooler: dial")
+	}
+	return c, nil
+}
+
+// Put gives a connection back to be used again.
+func (p *Pool[C]) Put(c C) {
+	if !p.keep(c) {
+		p.Discard(c)
+	}
+}
+
+// keep hands c to the first in line or makes it idle. It returns false when
+// the pool is closed or above its limit.
+func (p *Pool[C]) keep(c C) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.open > p.Limit {
+		return false
+	}
+	if len(p.line) > 0 {
+		p.next().granted <- grant[C]{conn: c, warm: true}
+		return true
+	}
+	p.idle = append(p.idle, c)
+	return true
+}
+
+func (p *Pool[C]) next() *waiter[C] {
+	w := p.line[0]
+	p.line[0] = nil
+	p.line = p.line[1:]
+	return w
+}
+
+// Discard closes a connection that must not be used again and frees its place.
+func (p *Pool[C]) Discard(c C) {
+	p.Close(c)
+	p.drop()
+}
+
+// drop frees one place and lets those in line dial while there is room.
+func (p *Pool[C]) drop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+	p.admit()
+}
+
+func (p *Pool[C]) admit() {
+	for len(p.line) > 0 && p.open < p.Limit {
+		p.open++
+		p.next().granted <- grant[C]{}
+	}
+}
+
+// Warm opens connections until n are open or the limit is reached, and leaves
+// them idle, so that later owners don't wait for dialing.
+func (p *Pool[C]) Warm(ctx context.Context, n int) error {
+	for p.reserve(n) {
+		c, err := p.use(ctx, grant[C]{})
+		if err != nil {
+			return err
+		}
+		p.Put(c)
+	}
+	return nil
+}
+
+func (p *Pool[C]) reserve(n int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.open >= min(n, p.Limit) {
+		return false
+	}
+	p.open++
+	return true
+}
+
+// SetLimit changes the limit. Idle connections above it are closed at once,
+// those in use when they come back.
+func (p *Pool[C]) SetLimit(n int) {
+	p.mu.Lock()
+	p.Limit = n
+	cut := p.trim()
+	p.admit()
+	p.mu.Unlock()
+	for _, c := range cut {
+		p.Close(c)
+	}
+}
+
+func (p *Pool[C]) trim() []C {
+	var cut []C
+	for p.open > p.Limit && len(p.idle) > 0 {
+		cut = append(cut, p.pop())
+		p.open--
+	}
+	return cut
+}
+
+// Flush closes all idle connections, for instance when their upstream is gone.
+func (p *Pool[C]) Flush() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.open -= len(idle)
+	p.admit()
+	p.mu.Unlock()
+	for _, c := range idle {
+		p.Close(c)
+	}
+}
+
+// Stop closes the pool: idle connections at once, others when they come back;
+// those in line get ErrClosed.
+func (p *Pool[C]) Stop() {
+	p.mu.Lock()
+	p.closed = true
+	for len(p.line) > 0 {
+		p.next().granted <- grant[C]{err: ErrClosed}
+	}
+	p.mu.Unlock()
+	p.Flush()
+}
+
+// Stats returns the pool's counts.
+func (p *Pool[C]) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Stats{Limit: p.Limit, Open: p.open, Idle: len(p.idle), Waiting: len(p.line)}
+}
--- /dev/null
+++ b/pooler/pool_test.go
@@ -0,0 +1,142 @@
+package pooler
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+type numbers struct {
+	next   int
+	closed map[int]bool
+	fail   error
+}
+
+func (n *numbers) pool(limit int) *Pool[int] {
+	n.closed = map[int]bool{}
+	return &Pool[int]{
+		Limit: limit,
+		Dial: func(context.Context) (int, error) {
+			n.next++
+			return n.next, n.fail
+		},
+		Close: func(c int) { n.closed[c] = true },
+	}
+}
+
+func TestGetReusesWarm(t *testing.T) {
+	is := is.New(t)
+	n := &numbers{}
+	p := n.pool(2)
+	is.NoErr(p.Warm(t.Context(), 2))
+	a, err := p.Get(t.Context())
+	is.NoErr(err)
+	p.Put(a)
+	b, err := p.Get(t.Context())
+	is.NoErr(err)
+	is.Equal(a, b)
+	p.Discard(b)
+	is.True(n.closed[b])
+	is.Equal(p.Stats(), Stats{Limit: 2, Open: 1, Idle: 1})
+}
+
+// Symptom: a caller waits for ever for a connection. Sequence: the limit is
+// reached and nobody gives one back. Cause: waiting must end with the context.
+func TestGetWaitsUntilDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := (&numbers{}).pool(1)
+		c, err := p.Get(t.Context())
+		is.NoErr(err)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = p.Get(ctx)
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		is.Equal(p.Stats().Waiting, 0)
+		p.Put(c)
+		is.Equal(p.Stats().Idle, 1)
+	})
+}
+
+// Symptom: the pool shrinks to nothing over a day. Sequence: dialing fails
+// again and again. Cause: a failed dial must free its place.
+func TestFailedDialFreesPlace(t *testing.T) {
+	is := is.New(t)
+	n := &numbers{fail: errors.New("refused")}
+	p := n.pool(1)
+	for range 3 {
+		_, err := p.Get(t.Context())
+		is.True(errors.Is(err, n.fail))
+	}
+	is.Equal(p.Stats().Open, 0)
+}
+
+func TestShrinkAndStop(t *testing.T) {
+	is := is.New(t)
+	n := &numbers{}
+	p := n.pool(3)
+	is.NoErr(p.Warm(t.Context(), 3))
+	a, err := p.Get(t.Context())
+	is.NoErr(err)
+	p.SetLimit(1)
+	is.Equal(p.Stats(), Stats{Limit: 1, Open: 1})
+	p.SetLimit(0)
+	p.Put(a)
+	is.True(n.closed[a])
+	p.Stop()
+	_, err = p.Get(t.Context())
+	is.True(errors.Is(err, ErrClosed))
+}
+
+// TestOneOwner checks in any order of steps that no connection has two owners,
+// that the limit holds for new ones and that nothing leaks.
+func TestOneOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := &numbers{}
+		p := n.pool(3)
+		owned := map[int]bool{}
+		done, cancel := context.WithCancel(context.Background())
+		cancel()
+		take := func() (c int, ok bool) {
+			for c = range owned {
+				delete(owned, c)
+				return c, true
+			}
+			return 0, false
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"get": func(t *rapid.T) {
+				c, err := p.Get(done)
+				if err != nil {
+					return
+				}
+				if owned[c] || n.closed[c] {
+					t.Fatalf("connection %d given twice or after its end", c)
+				}
+				owned[c] = true
+			},
+			"put": func(*rapid.T) {
+				if c, ok := take(); ok {
+					p.Put(c)
+				}
+			},
+			"discard": func(*rapid.T) {
+				if c, ok := take(); ok {
+					p.Discard(c)
+				}
+			},
+			"limit": func(t *rapid.T) { p.SetLimit(rapid.IntRange(0, 4).Draw(t, "limit")) },
+			"": func(t *rapid.T) {
+				s := p.Stats()
+				if s.Open != len(owned)+s.Idle || s.Waiting != 0 || s.Idle > s.Limit {
+					t.Fatalf("%+v with %d owned", s, len(owned))
+				}
+			},
+		})
+	})
+}
