cmd/basildale: load, the generator as a command

**Cause**: operators and the demo need the load generator from the command line, with a verdict that a script can read.

**Conclusion**: not yet run against proxies.

--- a/cmd/basildale/cli.go
+++ b/cmd/basildale/cli.go
@@ -31,6 +31,7 @@
 	Status  statusCmd  `cmd:"" help:"Show what a running process sees: groups, upstreams, peers, preset."`
 	Explain explainCmd `cmd:"" help:"Show decisions of a running process with their reasons."`
 	Drain   drainCmd   `cmd:"" help:"Stop a running process gracefully."`
+	Load    loadCmd    `cmd:"" help:"Put load on PostgreSQL addresses and count what breaks."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
