--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -24,7 +24,7 @@
 // decisions lists the packages that are pure functions of state, event and time.
 var decisions = []string{
 	"breaker", "checker", "classifier", "configurator", "confirmer", "controller",
-	"framer", "leaver", "limiter", "membership", "pooler", "promoter", "retrier",
+	"framer", "leaver", "limiter", "marker", "membership", "pooler", "promoter", "retrier",
 	"router", "tracker",
 }
 
