limiter: shares of an upstream's connections that never pass its limit

Cause: proxies with different views of who is there, or paused past any timeout, together opened more connections than an upstream takes.

Change: views in one record per group, replaced by conditional update; a member uses the least of its shares over all views not retired, and retires them when all members confirm the newer one or are proven gone. No clock is involved.

Conclusion: safe for any pause and loss; during an outage of the platform nobody joins.

--- /dev/null
+++ b/limiter/doc.go
@@ -0,0 +1,2 @@
+// Package limiter keeps the load of upstreams within what they take.
+package limiter
--- /dev/null
+++ b/limiter/shares_test.go
@@ -0,0 +1,285 @@
+package limiter
+
+import (
+	"flag"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const (
+	up       = "10.0.0.1:5432"
+	smallCap = 4
+)
+
+// fault names a broken variant of the protocol that the search must catch.
+type fault int
+
+const (
+	sound         fault = iota
+	silenceIsGone       // a member that doesn't answer is taken for gone
+	confirmEarly        // a view is confirmed before its surplus is closed
+	dropViews           // the record keeps only the newest view
+	growAtOnce          // the newest view alone counts
+	retireEarly         // a member retires views before closing its own surplus
+)
+
+// scope bounds a search.
+type scope struct {
+	deaths int          // members that may end
+	sets   [][][]Member // for each change after the first view, the members it may lead to
+	cold   bool         // nobody has read the first view yet
+}
+
+// fleet is one state of the search: three members, the platform's record with
+// its history, and what each has confirmed. Messages need no state of their own:
+// a confirmation may arrive at any moment after it was sent, or never.
+type fleet struct {
+	members [3]Shares
+	open    [3]int
+	sent    [3]uint64
+	dead    [3]bool
+	history []Record
+	scope   *scope
+}
+
+// explorer holds what a search reuses from state to state.
+type explorer struct {
+	seen    map[string]struct{}
+	queue   []fleet
+	scratch fleet
+	buf     []byte
+}
+
+// visit queues the scratch state if it is new.
+func (e *explorer) visit() {
+	e.buf = e.scratch.key(e.buf[:0])
+	if _, ok := e.seen[string(e.buf)]; ok {
+		return
+	}
+	e.seen[string(e.buf)] = struct{}{}
+	e.queue = append(e.queue, e.scratch.clone())
+}
+
+// step visits the state that change makes of f.
+func (e *explorer) step(f *fleet, change func(*fleet)) {
+	own := e.scratch.members
+	e.scratch = *f
+	for i := range own {
+		e.scratch.members[i].peers = append(own[i].peers[:0], f.members[i].peers...)
+	}
+	e.scratch.history = slices.Clip(f.history)
+	change(&e.scratch)
+	e.visit()
+}
+
+func member(i int) Member { return Member{Name: string(rune('a' + i))} }
+
+func newFleet(sc *scope) fleet {
+	f := fleet{scope: sc, history: []Record{{Views: []View{{Seq: 1, Limit: smallCap, Members: []Member{member(0), member(1)}}}}}}
+	for i := range f.members {
+		f.members[i].Self = member(i)
+	}
+	for i := range ab {
+		if sc.cold {
+			break
+		}
+		f.members[i].See(f.history[0])
+		f.open[i] = f.members[i].Allowed(up)
+		f.confirm(i, sound)
+	}
+	return f
+}
+
+func (f *fleet) clone() fleet {
+	n := *f
+	for i := range n.members {
+		n.members[i].peers = slices.Clone(n.members[i].peers)
+	}
+	n.history = slices.Clip(n.history)
+	return n
+}
+
+// key tells states apart. What a dead member knew is of no matter.
+func (f *fleet) key(b []byte) []byte {
+	for i := range f.members {
+		m := &f.members[i]
+		if f.dead[i] {
+			b = append(b, 'x', byte(f.sent[i]))
+			continue
+		}
+		b = append(b, byte(m.record.Last()), byte(m.base), byte(f.open[i]), byte(f.sent[i]))
+		for _, p := range m.peers {
+			b = append(b, p.member.Name[0], byte(p.seq))
+			if p.gone {
+				b = append(b, 'g')
+			}
+		}
+	}
+	for _, r := range f.history {
+		for _, v := range r.Views {
+			b = append(b, '|', byte(v.Seq), byte(len(v.Members)), v.Members[0].Name[0])
+		}
+		b = append(b, '/')
+	}
+	return b
+}
+
+func (f *fleet) deaths() (n int) {
+	for _, dead := range f.dead {
+		if dead {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) total() int { return f.open[0] + f.open[1] + f.open[2] }
+
+func (f *fleet) allowed(i int, broken fault) int {
+	m := &f.members[i]
+	if views := m.record.Views; broken == growAtOnce && len(views) > 0 {
+		return views[len(views)-1].Share(up, m.Self)
+	}
+	return m.Allowed(up)
+}
+
+// steps visits every state that one event leads to. Events that change
+// nothing are left out.
+func (f *fleet) steps(broken fault, e *explorer) {
+	for i := range f.members {
+		if f.dead[i] {
+			continue
+		}
+		m := &f.members[i]
+		for _, r := range f.history { // a read of the record, also an old one from a peer
+			if r.Last() > m.record.Last() {
+				e.step(f, func(n *fleet) { n.members[i].See(r) })
+			}
+		}
+		if allowed := f.allowed(i, broken); allowed != f.open[i] {
+			e.step(f, func(n *fleet) { n.open[i] = allowed }) // opens, or closes its surplus
+		}
+		if own := f.members[i].peer(m.Self).seq; own < m.record.Last() {
+			e.step(f, func(n *fleet) { n.confirm(i, broken) })
+		}
+		if f.deaths() < f.scope.deaths {
+			e.step(f, func(n *fleet) { n.dead[i], n.open[i] = true, 0 })
+		}
+		f.messages(i, broken, e)
+		f.proposals(i, broken, e)
+	}
+}
+
+// confirm lets member i tell the others which view it keeps to.
+func (f *fleet) confirm(i int, broken fault) {
+	m := &f.members[i]
+	open := f.open[i]
+	if broken == confirmEarly {
+		open = 0
+	}
+	f.sent[i] = m.Confirm(map[string]int{up: open})
+	if broken == retireEarly {
+		m.peer(m.Self).seq = m.record.Last()
+		m.retire()
+	}
+}
+
+// messages covers what member i may hear next.
+func (f *fleet) messages(i int, broken fault, e *explorer) {
+	for j := range f.members {
+		if j == i {
+			continue
+		}
+		p := *f.members[i].peer(member(j))
+		if f.sent[j] > p.seq {
+			e.step(f, func(n *fleet) { n.members[i].Hear(member(j), n.sent[j]) })
+		}
+		if !p.gone && (f.dead[j] || broken == silenceIsGone) {
+			e.step(f, func(n *fleet) { n.members[i].Gone(member(j)) })
+		}
+	}
+}
+
+// proposals covers a change of members by each member that has seen the newest
+// record; the conditional update refuses all others.
+func (f *fleet) proposals(i int, broken fault, e *explorer) {
+	last := f.history[len(f.history)-1]
+	if f.members[i].record.Last() != last.Last() || len(f.history) > len(f.scope.sets) {
+		return
+	}
+	for _, set := range f.scope.sets[len(f.history)-1] {
+		next, ok := f.members[i].Propose(smallCap, set)
+		if !ok {
+			continue
+		}
+		if broken == dropViews {
+			next.Views = next.Views[len(next.Views)-1:]
+		}
+		e.step(f, func(n *fleet) { n.history = append(n.history, next) })
+	}
+}
+
+// search visits every reachable state and returns how many there are, and the
+// greatest sum of open connections. It stops at a sum above the limit.
+func search(sc *scope, broken fault) (states, most int) {
+	e := &explorer{seen: make(map[string]struct{}), scratch: newFleet(sc)}
+	e.visit()
+	for len(e.queue) > 0 && most <= smallCap {
+		f := e.queue[len(e.queue)-1]
+		e.queue = e.queue[:len(e.queue)-1]
+		most = max(most, f.total())
+		f.steps(broken, e)
+	}
+	return len(e.seen), most
+}
+
+var (
+	ab  = []Member{member(0), member(1)}
+	bc  = []Member{member(1), member(2)}
+	abc = []Member{member(0), member(1), member(2)}
+)
+
+// exhaustive widens the search to all changes and deaths at once: some 5.5
+// million states, two minutes.
+var exhaustive = flag.Bool("exhaustive", false, "search the whole space of the shares")
+
+// Symptom: an upstream refuses connections although every proxy keeps its share.
+// Sequence: members come, go, pause and die in any order, read old records, and
+// their messages are lost or late; every interleaving is visited.
+// Cause: a member grows before another has shrunk.
+func TestSharesNeverPassTheLimit(t *testing.T) {
+	scopes := map[string]scope{
+		"replaced, then joined": {sets: [][][]Member{{bc}, {abc}}},
+		"joined, then one goes": {sets: [][][]Member{{abc}, {ab}}},
+		"one dies":              {deaths: 1, sets: [][][]Member{{bc, abc}}},
+	}
+	if *exhaustive {
+		scopes = map[string]scope{"all": {deaths: 1, cold: true, sets: [][][]Member{{ab, bc, abc}, {ab, bc, abc}}}}
+	}
+	for name, sc := range scopes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			states, most := search(&sc, sound)
+			t.Logf("%d states, at most %d of %d connections", states, most, smallCap)
+			is.New(t).Equal(most, smallCap) // reached, and not passed
+		})
+	}
+}
+
+func TestSearchCatchesBrokenVariants(t *testing.T) {
+	for broken, name := range map[fault]string{
+		silenceIsGone: "silence is taken for gone",
+		confirmEarly:  "confirmed before closing",
+		dropViews:     "the record keeps only the newest view",
+		growAtOnce:    "growing at once",
+		retireEarly:   "retiring before closing",
+	} {
+		t.Run(name, func(t *testing.T) {
+			states, most := search(&scope{sets: [][][]Member{{bc, abc}, {bc, abc}}}, broken)
+			t.Logf("caught after %d states", states)
+			is.New(t).True(most > smallCap)
+		})
+	}
+}
