controller, coordinator: one control goroutine, and a fleet that replaces a primary

Cause: membership, configuration, promotion and tracking were state machines that nobody joined; nothing replaced a primary outside of their own tests. Change: controller joins them as one state machine with typed events and commands and a ring of reasons; coordinator runs it and carries its commands out over the platform, the peers and the upstreams. The peers' messages about suspicion and primaries carry what the promoter needs. Ruled out: letting each part run in a goroutine of its own, since a change of members has to reach the promoter and the relay before the next event does.

--- a/adapter/messenger/messages.go
+++ b/adapter/messenger/messages.go
@@ -110,20 +110,31 @@
 	Payload json.RawMessage `json:"payload,omitempty"`
 }
 
-// SuspectReport tells the leader of a group that the primary Upstream of Term
-// doesn't answer, as seen from Zone.
+// SuspectReport tells whether the sender, seen from Zone, suspects the primary
+// Upstream of Term. From names the run of the sender's process. Claim is the
+// term at which the sender is replacing the primary, or zero.
 type SuspectReport struct {
 	Group    string         `json:"group"`
-	Term     tracker.Term   `json:"term"`
+	From     string         `json:"from"`
 	Zone     string         `json:"zone"`
 	Upstream netip.AddrPort `json:"upstream"`
+	Term     tracker.Term   `json:"term"`
+	Suspect  bool           `json:"suspect,omitempty"`
+	Claim    tracker.Term   `json:"claim,omitzero"`
 }
 
-// PrimaryAnnounce tells that Primary leads the group at Term.
+// PrimaryAnnounce tells that Primary leads the group at Term. Record is the
+// group's record as the sender knows it at Version, and belongs to package
+// promoter; Version is 0 if it knows none. Hold asks to hold new writes for that
+// many milliseconds from now.
 type PrimaryAnnounce struct {
-	Group   string         `json:"group"`
-	Term    tracker.Term   `json:"term"`
-	Primary netip.AddrPort `json:"primary"`
+	Group   string          `json:"group"`
+	From    string          `json:"from"`
+	Term    tracker.Term    `json:"term"`
+	Primary netip.AddrPort  `json:"primary"`
+	Record  json.RawMessage `json:"record,omitempty"`
+	Version uint64          `json:"version,omitempty"`
+	Hold    int64           `json:"hold,omitempty"`
 }
 
 // CancelForward passes on a caller's request to cancel, to the proxy that holds
