--- a/internal/contract/upstream_test.go
+++ b/internal/contract/upstream_test.go
@@ -130,15 +130,21 @@
 
 func (f *fixture) connect(i int) *pgconn.PgConn {
 	f.t.Helper()
-	config, err := pgconn.ParseConfig("postgres://" + user() + "@" + f.addrs[i].String() + "/app?sslmode=disable")
-	f.is.NoErr(err)
-	config.Password = os.Getenv("BASILDALE_CONTRACT_PASSWORD")
-	conn, err := pgconn.ConnectConfig(f.ctx, config)
+	conn, err := dial(f.ctx, f.addrs[i])
 	f.is.NoErr(err)
 	f.t.Cleanup(func() { _ = conn.Close(context.Background()) })
 	return conn
 }
 
+func dial(ctx context.Context, addr netip.AddrPort) (*pgconn.PgConn, error) {
+	config, err := pgconn.ParseConfig("postgres://" + user() + "@" + addr.String() + "/app?sslmode=disable")
+	if err != nil {
+		return nil, err
+	}
+	config.Password = os.Getenv("BASILDALE_CONTRACT_PASSWORD")
+	return pgconn.ConnectConfig(ctx, config)
+}
+
 func (f *fixture) exec(conn *pgconn.PgConn, sql string) error {
 	return conn.Exec(f.ctx, sql).Close()
 }
