--- a/router/reason.go
+++ b/router/reason.go
@@ -42,7 +42,7 @@
 		PrimaryAge:          "primary: replicas too old",
 		PrimaryAgeUnknown:   "primary: age of replicas unknown",
 		PrimaryNoReplica:    "primary: no replica usable",
-		PrimaryReplicasBusy: "primary: replicas too busy for the deadline",
+		PrimaryReplicasBusy: "primary: replicas too busy",
 		ReplicaInZone:       "replica: in zone",
 		ReplicaElsewhere:    "replica: none in zone",
 		ReplicaFaster:       "replica: faster than the one in zone",
--- a/router/router.go
+++ b/router/router.go
@@ -30,9 +30,10 @@
 	Age time.Duration
 	// Deadline is when the caller must have the answer. Zero means never.
 	Deadline time.Time
-	// Patience is until when the read may wait for a replica to pass the mark,
-	// even if the primary could answer sooner. Zero means that it waits only
-	// where that is expected to be faster.
+	// Patience is until when the read may wait for a replica, to pass the mark or
+	// to have a slot free, though the primary could answer sooner. Zero means that
+	// it waits for the mark only where that is expected to be faster, and for a
+	// slot as long as the deadline allows.
 	Patience time.Time
 	// Barred are upstreams not to be used, as those tried before.
 	Barred Mask
@@ -75,7 +76,12 @@
 	s := survey{r: r, snap: snap, load: load, now: now}
 	s.look()
 	if s.count > 0 {
-		return s.pick()
+		d := s.pick()
+		if !s.impatient(d.Target) {
+			return d
+		}
+		s.busy = s.count
+		return s.primary()
 	}
 	if d, ok := s.wait(); ok {
 		return d
@@ -119,6 +125,20 @@
 	return Decision{Action: Wait, Reason: WaitReplica, Target: s.next, Until: s.passes}, true
 }
 
+// impatient reports whether the read would wait for a slot at replica i past its
+// patience, and the primary would answer sooner.
+func (s *survey) impatient(i int) bool {
+	if s.r.Patience.IsZero() {
+		return false
+	}
+	wait, service := s.load.expect(i, s.now)
+	start := s.now.Add(wait)
+	if !start.After(s.r.Patience) {
+		return false
+	}
+	return s.atPrimary().Before(start.Add(service + s.snap.Upstreams[i].RTT))
+}
+
 // atPrimary returns when the primary would have answered. Without a primary that
 // is never.
 func (s *survey) atPrimary() time.Time {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -63,6 +63,8 @@
 		{"age on none", Request{Known: true, Age: 10 * time.Millisecond}, nil, Decision{Go, PrimaryAge, 0, time.Time{}}},
 		{"age lost in the queue", Request{Known: true, Age: 50 * time.Millisecond}, func(l *Load) { crowd(l, 1, 40) }, Decision{Go, PrimaryAge, 0, time.Time{}}},
 		{"replicas too busy for the deadline", late, func(l *Load) { crowd(l, 1, 5); crowd(l, 2, 5) }, Decision{Go, PrimaryReplicasBusy, 0, time.Time{}}},
+		{"replicas too busy for the patience", Request{Known: true, Patience: at(1008)}, func(l *Load) { crowd(l, 1, 5); crowd(l, 2, 5) }, Decision{Go, PrimaryReplicasBusy, 0, time.Time{}}},
+		{"the primary is busier still", Request{Known: true, Patience: at(1008)}, func(l *Load) { crowd(l, 0, 9); crowd(l, 1, 5); crowd(l, 2, 5) }, Decision{Go, ReplicaInZone, 1, time.Time{}}},
 		{"all too busy", late, func(l *Load) { crowd(l, 0, 5); crowd(l, 1, 5); crowd(l, 2, 5) }, Decision{Refuse, RefuseLate, tracker.None, time.Time{}}},
 		{"deadline over", Request{Known: true, Deadline: at(999)}, nil, Decision{Refuse, RefuseLate, tracker.None, time.Time{}}},
 		{"written by an unknown primary", Request{Known: true, Mark: tracker.Mark{Term: tracker.Term{Epoch: 2}}}, nil, Decision{Wait, WaitPrimary, tracker.None, time.Time{}}},
