membership: who lives, leaves or is dead, by bounded probing

Cause: leaders of groups, watchers of the configuration and homes of sessions are chosen among the live proxies, and the platform's list of them lags.

Change: a pure state machine. The platform's list says only where to look.

--- /dev/null
+++ b/membership/measure_test.go
@@ -0,0 +1,130 @@
+package membership
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// learned returns how long after since each running process took the member at
+// the address of gone for dead, sorted.
+func (f *fleet) learned(gone *proc, since time.Time) []time.Duration {
+	first := make(map[*proc]time.Duration)
+	for _, c := range f.changes {
+		if c.Member.Addr != gone.view.Self.Addr || c.Member.Health != Dead || c.at.Before(since) {
+			continue
+		}
+		if _, ok := first[c.by]; !ok {
+			first[c.by] = c.at.Sub(since)
+		}
+	}
+	var out []time.Duration
+	for _, d := range first {
+		out = append(out, d)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func quantile(ds []time.Duration, q float64) time.Duration {
+	if len(ds) == 0 {
+		return -1
+	}
+	return ds[int(q*float64(len(ds)-1))].Round(10 * time.Millisecond)
+}
+
+// traffic runs the fleet for d and returns bytes and messages a second for each
+// process, and the most bytes a second of any one.
+func (f *fleet) traffic(d time.Duration) (mean, most, messages float64) {
+	for _, p := range f.procs {
+		p.bytes = 0
+	}
+	f.messages = 0
+	f.run(d)
+	total := 0
+	for _, p := range f.procs {
+		total += p.bytes
+		most = max(most, float64(p.bytes)/d.Seconds())
+	}
+	procs := float64(len(f.procs)) * d.Seconds()
+	return float64(total) / procs, most, float64(f.messages) / procs
+}
+
+// TestMeasure repeats the figures of docs/MEASURES.md on membership. They are
+// exact: virtual time and fixed seeds.
+func TestMeasure(t *testing.T) {
+	var out strings.Builder
+	for _, n := range []int{9, 90, 900, 2500} {
+		measure(&out, n)
+	}
+	golden(t, "testdata/measure.golden", out.String())
+}
+
+func measure(out *strings.Builder, n int) {
+	f := newFleet(n, 1)
+	f.warm()
+	f.run(5 * time.Second)
+	idle, most, messages := f.traffic(10 * time.Second)
+	fmt.Fprintf(out, "%d processes\n", n)
+	fmt.Fprintf(out, "  idle: %.0f bytes/s each, at most %.0f, %.2f messages/s sent each\n", idle, most, messages)
+
+	hosts := 3
+	if n > 1000 {
+		hosts = 1 // keeps the test short
+	}
+	var first, learned []time.Duration
+	for i := range hosts {
+		since := f.now
+		f.vanish(f.procs[i*2])
+		f.run(12 * time.Second)
+		l := f.learned(f.procs[i*2], since)
+		first = append(first, l[0])
+		learned = append(learned, l...)
+	}
+	slices.Sort(first)
+	slices.Sort(learned)
+	fmt.Fprintf(out, "  host vanishes: first knows after %v to %v; all: median %v, 99th %v, last %v\n",
+		quantile(first, 0), quantile(first, 1), quantile(learned, 0.5), quantile(learned, 0.99), quantile(learned, 1))
+
+	const restarts = 2
+	var spent float64
+	f.run(10 * time.Second)
+	quiet, _, _ := f.traffic(6 * time.Second)
+	for i := range restarts {
+		p := f.procs[i*2+1]
+		f.give(p, Leave{})
+		a, _, _ := f.traffic(2 * time.Second)
+		f.give(p, Stop{})
+		f.boot(p, uint64(2000+i))
+		b, _, _ := f.traffic(13 * time.Second)
+		spent += 2*a + 13*b - 15*quiet
+	}
+	fmt.Fprintf(out, "  announced restart: %.0f bytes more for each process\n", spent/restarts)
+
+	f.loss = 0.02
+	before := f.reasons(Silent)
+	f.run(20 * time.Second)
+	fmt.Fprintf(out, "  2 %% of messages lost: %d false deaths and %d suspicions in 20 s of %d processes\n", f.deaths(), f.reasons(Silent)-before, n)
+}
+
+func golden(t *testing.T, path, got string) {
+	t.Helper()
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("%s differs, got:\n%s", path, got)
+	}
+}
--- /dev/null
+++ b/membership/seek.go
@@ -0,0 +1,84 @@
+package membership
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// eagerContacts is how many listed addresses a process tries in each interval
+// while it knows nobody.
+const eagerContacts = 3
+
+// list takes in the platform's list. It says where to look, not who lives.
+func (v *View) list(ev Listed) {
+	before := v.listed
+	v.listed = make(map[netip.AddrPort]Instance, len(ev.Instances))
+	for _, in := range ev.Instances {
+		v.listed[in.Addr] = in
+		if e := v.members[in.Addr]; (e == nil || e.Health == Dead) && in.Addr != v.Self.Addr {
+			v.lose(in.Addr)
+		}
+	}
+	for addr := range before {
+		if _, ok := v.listed[addr]; !ok && v.members[addr] == nil {
+			v.unlose(addr)
+		}
+	}
+}
+
+// lose adds an address to those that are tried now and then. They are kept
+// sorted, so that the same events give the same commands.
+func (v *View) lose(a netip.AddrPort) {
+	i, found := slices.BinarySearchFunc(v.lost, a, netip.AddrPort.Compare)
+	if !found {
+		v.lost = slices.Insert(v.lost, i, a)
+	}
+}
+
+func (v *View) unlose(a netip.AddrPort) {
+	if i, found := slices.BinarySearchFunc(v.lost, a, netip.AddrPort.Compare); found {
+		v.lost = slices.Delete(v.lost, i, i+1)
+	}
+}
+
+// seek tries lost addresses: one in each period, or a few in each interval while
+// this process knows nobody.
+func (v *View) seek(now time.Time) {
+	if len(v.lost) == 0 || now.Before(v.contact) {
+		return
+	}
+	if v.live == 0 {
+		for range min(eagerContacts, len(v.lost)) {
+			v.ping(v.lost[v.rng.IntN(len(v.lost))], attempt, 0, now)
+		}
+		return
+	}
+	v.contact = now.Add(v.set.Period)
+	if a, ok := v.chooseLost(now); ok {
+		v.ping(a, attempt, 0, now)
+	}
+}
+
+// chooseLost picks a lost address at random from those that are this process's
+// to try. If everybody tried them all, a host that comes back would be met by a
+// connection from each process of the fleet at once, so in each minute a hash
+// picks a few processes for each address.
+func (v *View) chooseLost(now time.Time) (netip.AddrPort, bool) {
+	minute := byte(now.Unix() / int64(time.Minute/time.Second))
+	share := ^uint64(0) / uint64(v.live+1)
+	first := v.rng.IntN(len(v.lost))
+	for i := range v.lost {
+		a := v.lost[(first+i)%len(v.lost)]
+		if e := v.members[a]; e != nil && e.Leaving {
+			if _, listed := v.listed[a]; !listed {
+				continue // it said that it would end, and the platform agrees
+			}
+		}
+		h := hashAddr(a, minute) ^ hashAddr(v.Self.Addr, minute)
+		if v.live+1 <= v.set.Contacts || mix(h) < share*uint64(v.set.Contacts) {
+			return a, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
