--- /dev/null
+++ b/relayer/answer.go
@@ -0,0 +1,203 @@
+package relayer
+
+import (
+	"bytes"
+
+	"basildale.example/basildale/classifier"
+	"basildale.example/basildale/framer"
+	"basildale.example/basildale/retrier"
+	"basildale.example/basildale/tracker"
+)
+
+const markParameter = "basildale.mark"
+
+// answer gathers the answer of the attempt under way and passes on what may
+// leave. The error is that of the caller's connection.
+func (s *Session) answer(u *unit) (retrier.Outcome, error) {
+	s.answering = true
+	for {
+		if s.ownAnswers(u) {
+			return s.finish(u), nil
+		}
+		h, err := s.up.Head()
+		if err != nil {
+			return s.lost(u, false), nil //nolint:nilerr // the loss is an outcome
+		}
+		if h.Size > bufferSize && (h.Type == 'D' || h.Type == 'V') {
+			if err := s.stream(h.Size); err != nil && !s.cutOff {
+				return retrier.Outcome{}, err
+			}
+			if s.cutOff {
+				return s.lost(u, false), nil //nolint:nilerr // the loss is an outcome
+			}
+			continue
+		}
+		f, err := s.up.Frame(h)
+		if err != nil {
+			return s.lost(u, false), nil //nolint:nilerr // the loss is an outcome
+		}
+		ended, err := s.frame(u, f)
+		if err != nil {
+			return retrier.Outcome{}, err
+		}
+		if s.up == nil {
+			return u.refused, nil
+		}
+		if ended {
+			return s.finish(u), nil
+		}
+	}
+}
+
+// frame handles one frame of an answer. ended is true after the last.
+func (s *Session) frame(u *unit, f framer.Frame) (ended bool, err error) {
+	if u.swallow > 0 {
+		return false, s.preludeFrame(u, f)
+	}
+	switch f.Type {
+	case 'Z':
+		if len(f.Body()) == 1 {
+			s.tx = f.Body()[0]
+		}
+		return true, nil
+	case 'E':
+		return s.errorFrame(u, f)
+	case 'S':
+		s.noteMark(u, f)
+		return false, s.gather(f)
+	case 'A':
+		return false, nil // a notification: it may be meant for an earlier caller
+	case 'G', 'H', 'W':
+		u.refused = s.lost(u, false) // a COPY that was not seen in the text
+		return false, nil
+	case 'C':
+		u.tag = append(u.tag[:0], f.Body()...)
+	}
+	if len(u.ops) > 0 && u.advance(f.Type) {
+		return false, nil
+	}
+	return false, s.gather(f)
+}
+
+// preludeFrame handles the answer to the proxy's own statements.
+func (s *Session) preludeFrame(u *unit, f framer.Frame) error {
+	switch f.Type {
+	case 'Z':
+		u.swallow--
+	case 'S':
+		if !isMark(f) {
+			return s.gather(f)
+		}
+	case 'E':
+		// The unit has been sent with the prelude and has run without its
+		// settings or its term. What it did is not known.
+		message := "setting up the connection failed: " + errorField(f.Body(), 'M')
+		code := errorField(f.Body(), 'C')
+		if !u.request.Read() {
+			code = retrier.StateUnknown
+		}
+		s.clearOut()
+		s.discardUpstream()
+		return &protocolError{code, message}
+	}
+	return nil
+}
+
+// errorFrame handles an error of the upstream. Errors that say something of the
+// upstream and not of the statement become an outcome; others are the answer.
+func (s *Session) errorFrame(u *unit, f framer.Frame) (ended bool, err error) {
+	u.failed = true
+	if len(u.ops) > 0 && u.ops[0].mode == opFault {
+		s.writeFault(u.items[u.ops[0].item].fault)
+		s.dropOps(u)
+		return !u.sync, nil
+	}
+	s.dropOps(u)
+	code := errorField(f.Body(), 'C')
+	o, known := retrier.FromSQLState(code)
+	if code == "25006" && s.to.Primary {
+		known = false // the caller's own read-only transaction
+	}
+	if known && o.Kind == retrier.Unknown {
+		u.refused = s.lost(u, false)
+		return false, nil
+	}
+	if known && !s.streamed && !s.mayHaveCommitted(u) {
+		u.refused, u.told = o, true
+		return !u.sync, nil
+	}
+	return !u.sync, s.gather(f)
+}
+
+// mayHaveCommitted reports whether an earlier statement of a failed unit can
+// have ended a transaction for good.
+func (s *Session) mayHaveCommitted(u *unit) bool {
+	return u.request.Statement.Count > 1 && u.request.Statement.Kinds.Has(classifier.Commit)
+}
+
+func isMark(f framer.Frame) bool {
+	name, _, ok := cstring(f.Body())
+	return ok && string(name) == markParameter
+}
+
+// noteMark keeps the mark that the upstream reports after a commit.
+func (s *Session) noteMark(u *unit, f framer.Frame) {
+	if !isMark(f) {
+		return
+	}
+	value := bytes.TrimRight(f.Body()[len(markParameter)+1:], "\x00")
+	m, err := tracker.ParseMark(string(value))
+	if err != nil {
+		return
+	}
+	u.mark = m
+}
+
+// finish ends an answered attempt: a write waits for its confirmation.
+func (s *Session) finish(u *unit) retrier.Outcome {
+	s.answering = false
+	if u.told {
+		return u.refused
+	}
+	if !u.mark.IsZero() {
+		if o := s.confirm(u); o.Kind != retrier.Done {
+			u.final = true
+			return o
+		}
+	}
+	s.followSettings(u)
+	if u.sync {
+		s.writeReady()
+	}
+	return retrier.Outcome{Kind: retrier.Done}
+}
+
+func (s *Session) confirm(u *unit) retrier.Outcome {
+	if s.notes.Mark.Less(u.mark) {
+		s.notes.Mark = u.mark
+	}
+	if s.relay.Confirm == nil {
+		return retrier.Outcome{Kind: retrier.Done}
+	}
+	return s.relay.Confirm(s.relay.ctx, s.to, u.mark, &u.request)
+}
+
+// followSettings follows the settings that a finished unit has made. Those made
+// inside a transaction count from its commit on.
+func (s *Session) followSettings(u *unit) {
+	if len(u.sets) > 0 && !u.failed {
+		s.pending = append(s.pending, string(u.sets))
+	}
+	if s.tx != txIdle || len(s.pending) == 0 {
+		return
+	}
+	pending := s.pending
+	s.pending = nil
+	if u.failed || bytes.HasPrefix(u.tag, []byte("ROLLBACK")) {
+		return
+	}
+	for _, text := range pending {
+		s.settings.applyAll([]byte(text))
+	}
+	s.up.settings.copyOf(&s.settings)
+}
--- /dev/null
+++ b/relayer/drain.go
@@ -0,0 +1,31 @@
+package relayer
+
+import "time"
+
+// Drain takes no new sessions, ends each one between its requests with 57P01,
+// and waits until all have ended or the deadline has passed. Requests in flight
+// and open transactions go on. It returns the number of sessions left.
+func (r *Relay) Drain(deadline time.Time) (left int) {
+	r.once.Do(r.prepare)
+	list, empty := r.sessions.dismiss()
+	for _, s := range list {
+		s.leave.Store(true)
+		s.wake()
+	}
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-empty:
+	case <-timer.C:
+	}
+	return r.sessions.count()
+}
+
+// Stop ends what sessions wait for. Connections are closed by their listener.
+func (r *Relay) Stop() {
+	r.once.Do(r.prepare)
+	r.cancel()
+}
+
+// Sessions returns the number of sessions.
+func (r *Relay) Sessions() int { return r.sessions.count() }
--- /dev/null
+++ b/relayer/simple.go
@@ -0,0 +1,227 @@
+package relayer
+
+import (
+	"bytes"
+
+	"basildale.example/basildale/classifier"
+	"basildale.example/basildale/framer"
+	"basildale.example/basildale/retrier"
+)
+
+// simple carries out a simple query.
+func (s *Session) simple(f framer.Frame) error {
+	text, ok := bytes.CutSuffix(f.Body(), []byte{0})
+	if !ok {
+		return &protocolError{codeProtocol, "query without its end"}
+	}
+	text, own, err := s.ownStatements(text)
+	if err != nil {
+		return err
+	}
+	st := classifier.Classify(text)
+	if st.Kind == classifier.Empty {
+		return s.empty(own)
+	}
+	if s.orphaned {
+		return s.mourn(st.Kind)
+	}
+	if tag := localTag(&st); tag != "" {
+		return s.local(&st, tag)
+	}
+	if f := refusal(&st); f != nil {
+		return s.answerFault(f)
+	}
+	u := &unit{simple: true, sync: true, raw: f.Raw}
+	if own {
+		u.raw = appendQuery(nil, text)
+	}
+	s.open(u, st)
+	if st.Kinds.Has(classifier.Set) || st.Kinds.Has(classifier.Reset) {
+		u.sets = text
+	}
+	return s.perform(u)
+}
+
+// ownStatements carries out the statements at the start of a text that are
+// meant for the proxy, and returns what is left.
+func (s *Session) ownStatements(text []byte) (rest []byte, own bool, err error) {
+	for {
+		st, rest := classifier.Next(text)
+		if !isNote(&st) {
+			return text, own, nil
+		}
+		own = true
+		answer, f := s.note(&st)
+		if f != nil {
+			return nil, true, s.answerFault(f)
+		}
+		s.openOut()
+		s.out = append(s.out, answer...)
+		text = rest
+	}
+}
+
+// empty answers a text without statements, or what is left when all were the
+// proxy's own.
+func (s *Session) empty(own bool) error {
+	if len(s.out) == 0 && own {
+		return nil // answered by an error
+	}
+	if !own {
+		s.openOut()
+		s.out = append(s.out, 'I', 0, 0, 0, 4)
+	}
+	s.writeReady()
+	return s.flush()
+}
+
+// isNote reports whether a statement sets or shows an annotation.
+func isNote(st *classifier.Statement) bool {
+	switch st.Kind {
+	case classifier.Set, classifier.Reset, classifier.Read:
+		return len(st.Name) > len(notePrefix) && bytes.EqualFold(st.Name[:len(notePrefix)], []byte(notePrefix))
+	default:
+		return false
+	}
+}
+
+// note carries out SET, RESET or SHOW of an annotation and returns the answer.
+func (s *Session) note(st *classifier.Statement) (answer []byte, f *fault) {
+	name := string(st.Name)
+	switch st.Kind {
+	case classifier.Read:
+		value, f := s.notes.show(name)
+		if f != nil {
+			return nil, f
+		}
+		return appendTag(appendRow(appendColumn(nil, name), value), "SHOW"), nil
+	case classifier.Reset:
+		return appendTag(nil, "RESET"), s.notes.set(name, "")
+	default:
+		value, ok := st.Setting()
+		if !ok {
+			return nil, &fault{code: codeInvalidValue, message: "invalid value for " + name}
+		}
+		return appendTag(nil, "SET"), s.notes.set(name, string(value))
+	}
+}
+
+// appendColumn appends the description of a row with one text.
+func appendColumn(b []byte, name string) []byte {
+	const textOID = 25
+	start := len(b)
+	b = append(b, 'T', 0, 0, 0, 0, 0, 1)
+	b = append(b, name...)
+	b = append(b, 0)
+	b = append(b, 0, 0, 0, 0, 0, 0, 0, 0, 0, textOID, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 0)
+	putLength(b, start)
+	return b
+}
+
+func appendRow(b []byte, value string) []byte {
+	start := len(b)
+	n := len(value)
+	b = append(b, 'D', 0, 0, 0, 0, 0, 1, byte(n>>24), byte(n>>16), byte(n>>8), byte(n))
+	b = append(b, value...)
+	putLength(b, start)
+	return b
+}
+
+func appendQuery(b, text []byte) []byte {
+	start := len(b)
+	b = append(b, 'Q', 0, 0, 0, 0)
+	b = append(b, text...)
+	b = append(b, 0)
+	putLength(b, start)
+	return b
+}
+
+// localTag returns the tag of a statement that the proxy carries out itself,
+// because the session and not the connection has what it changes.
+func localTag(st *classifier.Statement) string {
+	switch st.Kind {
+	case classifier.Discard:
+		return "DISCARD ALL"
+	case classifier.Deallocate:
+		return "DEALLOCATE"
+	default:
+		return ""
+	}
+}
+
+// local carries out DISCARD and DEALLOCATE.
+func (s *Session) local(st *classifier.Statement, tag string) error {
+	if s.tx == txFailed {
+		return s.answerFault(&fault{code: codeInTransaction, message: "current transaction is aborted"})
+	}
+	s.carryOut(st)
+	s.writeTag(tag)
+	s.writeReady()
+	return s.flush()
+}
+
+func (s *Session) carryOut(st *classifier.Statement) {
+	switch {
+	case st.Kind == classifier.Discard:
+		s.settings, s.statements = settings{}, statements{}
+		s.notes = Notes{Session: s.notes.Session, Mark: s.notes.Mark}
+	case len(st.Name) == 0:
+		s.statements = statements{}
+	default:
+		s.statements.drop(st.Name)
+	}
+}
+
+// refusal returns why a statement can't be passed on, nil when it can.
+func refusal(st *classifier.Statement) *fault {
+	refuse := func(what, hint string) *fault {
+		return &fault{code: retrier.StateForbidden, message: "refused: " + what + " isn't supported", hint: hint}
+	}
+	has := st.Kinds.Has
+	switch {
+	case has(classifier.Copy):
+		return refuse("COPY", "Use INSERT with several rows, or SELECT.")
+	case has(classifier.Listen):
+		return refuse("LISTEN", "Connections are shared between callers.")
+	case has(classifier.Prepare), has(classifier.Execute):
+		return refuse("PREPARE in SQL", "Prepare statements by the extended protocol, as drivers do.")
+	case st.Count > 1 && (has(classifier.Discard) || has(classifier.Deallocate)):
+		return refuse("DISCARD or DEALLOCATE among other statements", "Send it alone.")
+	case has(classifier.Set) && bytes.EqualFold(st.Name, []byte("characteristics")):
+		return refuse("SET SESSION CHARACTERISTICS", "Set default_transaction_isolation or default_transaction_read_only.")
+	default:
+		return nil
+	}
+}
+
+// mourn answers statements of a transaction whose connection is lost.
+func (s *Session) mourn(kind classifier.Kind) error {
+	if kind != classifier.Commit && kind != classifier.Rollback {
+		return s.answerFault(orphanFault())
+	}
+	s.orphaned, s.tx = false, txIdle
+	s.writeTag("ROLLBACK")
+	s.writeReady()
+	return s.flush()
+}
+
+func orphanFault() *fault {
+	return &fault{
+		code:    codeInTransaction,
+		message: "current transaction is aborted: its connection was lost and it has not run",
+		hint:    "End it by ROLLBACK and start again.",
+	}
+}
+
+// failTransaction makes an open transaction a failed one after an error of the
+// proxy's own. The upstream knows nothing of that error and would commit, so
+// its side is rolled back now.
+func (s *Session) failTransaction() {
+	s.tx = txFailed
+	s.orphaned = true
+	if s.up.rollback() {
+		s.releaseUpstream()
+		return
+	}
+	s.discardUpstream()
+}
--- /dev/null
+++ b/relayer/unit.go
@@ -0,0 +1,287 @@
+package relayer
+
+import (
+	"time"
+
+	"basildale.example/basildale/classifier"
+	"basildale.example/basildale/framer"
+	"basildale.example/basildale/retrier"
+	"basildale.example/basildale/tracker"
+)
+
+// unit is a piece of work that is carried out whole: a simple query, or the
+// messages of an extended batch up to its Sync or Flush.
+type unit struct {
+	simple  bool
+	sync    bool   // its answer ends with ReadyForQuery
+	raw     []byte // a simple query's message
+	items   []item // an extended batch's messages
+	request Request
+	retry   retrier.Request
+	sets    []byte // SET and RESET statements, to be followed when it is done
+	message string // why it was refused
+	final   bool   // the outcome stands: nothing more can be tried
+	commits bool   // may end a transaction for good, so a lost answer is in doubt
+
+	// Of the attempt under way.
+	flight  []byte
+	ops     []op
+	swallow int  // ReadyForQuery messages of the proxy's own statements to come
+	placed  bool // it had a connection
+	began   bool // in a transaction already when it was sent
+	mark    tracker.Mark
+	tag     []byte // the last CommandComplete's tag
+	refused retrier.Outcome
+	told    bool // refused is set: the upstream's error proves that it has not run
+	failed  bool // the upstream answered with an error
+}
+
+// open prepares a unit that has just arrived.
+func (s *Session) open(u *unit, st classifier.Statement) {
+	now := time.Now()
+	budget := s.relay.Limits.Unit
+	if s.notes.Budget > 0 {
+		budget = s.notes.Budget
+	}
+	u.request = Request{
+		Account:   &s.account,
+		Statement: st,
+		Notes:     &s.notes,
+		Arrived:   now,
+		Deadline:  now.Add(budget),
+		Remote:    s.caller.Remote(),
+	}
+	read := st.Kind == classifier.Read
+	u.commits = !read && (s.tx == txIdle || st.Kinds.Has(classifier.Commit) || st.Count > 1)
+	u.retry = retrier.Request{
+		Statement: retrier.Statement{
+			Read:       read,
+			Repeatable: s.notes.Repeat,
+			Booking:    s.notes.Class == Booking,
+			Named:      !read,
+		},
+		Latest:   u.request.Deadline,
+		Deadline: u.request.Deadline,
+		Seed:     uint64(now.UnixNano()),
+	}
+}
+
+// perform carries a unit out, however many attempts it takes. An error ends the
+// session.
+func (s *Session) perform(u *unit) error {
+	for {
+		u.retry.Statement.Bound = s.up != nil
+		outcome, err := s.attempt(u)
+		if err != nil {
+			return err
+		}
+		if s.relay.Observe != nil && u.placed {
+			s.relay.Observe(s.to, &u.request, outcome)
+		}
+		if outcome.Kind == retrier.Done {
+			return s.succeed(u)
+		}
+		again, err := s.follow(u, outcome)
+		if !again || err != nil {
+			return err
+		}
+	}
+}
+
+// attempt sends a unit once and gathers its answer.
+func (s *Session) attempt(u *unit) (retrier.Outcome, error) {
+	u.placed = s.up != nil
+	if !u.placed {
+		if refusal := s.place(u); refusal != nil {
+			u.message = refusal.Message
+			return refusal.Outcome, nil
+		}
+	}
+	u.placed = true
+	u.began = s.tx != txIdle
+	u.mark, u.tag, u.told, u.failed = tracker.Mark{}, u.tag[:0], false, false
+	s.streamed, s.cutOff = false, false
+	s.up.SetDeadline(u.request.Deadline)
+	s.prelude(u)
+	s.load(u)
+	sent, err := s.up.Send(u.flight)
+	if err != nil {
+		return s.lost(u, sent == 0), nil //nolint:nilerr // the loss is an outcome
+	}
+	return s.answer(u)
+}
+
+// place finds a connection for a unit.
+func (s *Session) place(u *unit) *Refusal {
+	target, refusal := s.relay.Route(s.relay.ctx, &u.request)
+	if refusal != nil {
+		return refusal
+	}
+	up, refusal := s.relay.Acquire(s.relay.ctx, target, &u.request)
+	if refusal != nil {
+		return refusal
+	}
+	s.up, s.to = up, target
+	s.target.Store(up)
+	s.request = ""
+	return nil
+}
+
+// prelude begins the attempt's flight with the proxy's own statements: the
+// session's settings where the connection's differ, and the term and request
+// ID of a write. They go out with the unit and cost no round trip.
+func (s *Session) prelude(u *unit) {
+	u.flight, u.swallow = u.flight[:0], 0
+	if s.tx != txIdle || s.batch {
+		return
+	}
+	start := len(u.flight)
+	u.flight = append(u.flight, 'Q', 0, 0, 0, 0)
+	text := len(u.flight)
+	if !s.up.settings.equal(&s.settings) {
+		u.flight = appendChanges(u.flight, &s.up.settings, &s.settings)
+		s.up.settings.copyOf(&s.settings)
+	}
+	if s.to.Primary && !u.request.Read() {
+		s.name(u)
+	}
+	if len(u.flight) == text {
+		u.flight = u.flight[:start]
+		return
+	}
+	u.flight = append(u.flight, 0)
+	putLength(u.flight, start)
+	u.swallow = 1
+}
+
+// name appends the term, unless the connection has it, and a request ID.
+func (s *Session) name(u *unit) {
+	if s.up.term != s.to.Term && s.to.Term != (tracker.Term{}) {
+		s.up.term = s.to.Term
+		u.flight = append(u.flight, "SET basildale.term='"...)
+		u.flight = append(u.flight, s.to.Term.String()...)
+		u.flight = append(u.flight, "';"...)
+	}
+	s.request = s.relay.ids.take()
+	u.flight = append(u.flight, "SET basildale.request='"...)
+	u.flight = append(u.flight, s.request...)
+	u.flight = append(u.flight, "';"...)
+}
+
+// load appends the unit's own messages to the flight.
+func (s *Session) load(u *unit) {
+	if u.simple {
+		u.flight = append(u.flight, u.raw...)
+		s.up.unnamed = body{} // a simple query drops the unnamed statement
+		return
+	}
+	s.loadBatch(u)
+}
+
+// succeed lets the answer of a finished unit go out.
+func (s *Session) succeed(u *unit) error {
+	if err := s.flush(); err != nil {
+		return err
+	}
+	s.batch = !u.sync
+	s.skipping = u.failed && !u.sync
+	if u.sync {
+		if s.tx == txIdle {
+			s.releaseUpstream()
+		}
+	}
+	return nil
+}
+
+// lost gives up the upstream connection of an attempt. unsent means that the
+// upstream has seen nothing of it.
+func (s *Session) lost(u *unit, unsent bool) retrier.Outcome {
+	s.discardUpstream()
+	switch {
+	case unsent:
+		return retrier.Outcome{Kind: retrier.NotRun, Cause: retrier.NeverSent}
+	case u.began && !u.commits:
+		// Its transaction has seen no COMMIT and its connection is closed, so
+		// that nothing of it can take effect any more.
+		return retrier.Outcome{Kind: retrier.NotRun, Cause: retrier.Aborted}
+	default:
+		return retrier.Outcome{Kind: retrier.Unknown, Cause: retrier.Lost}
+	}
+}
+
+// releaseUpstream gives the connection back after a transaction.
+func (s *Session) releaseUpstream() {
+	up, to := s.up, s.to
+	if up == nil {
+		return
+	}
+	s.detach()
+	healthy := !up.spoiled.Load() && up.Buffered() == 0
+	if !healthy {
+		up.Close()
+	}
+	up.Rest()
+	s.relay.Release(to, up, healthy)
+}
+
+// discardUpstream closes the connection: what may still arrive on it belongs
+// to nobody.
+func (s *Session) discardUpstream() {
+	up, to := s.up, s.to
+	if up == nil {
+		return
+	}
+	s.detach()
+	up.Close()
+	s.relay.Release(to, up, false)
+}
+
+// detach takes the connection away from cancel requests first. One that is
+// under way is waited for: it would else hit the next owner's statement.
+func (s *Session) detach() {
+	s.cancelling.Lock()
+	s.target.Store(nil)
+	s.up, s.answering = nil, false
+	s.cancelling.Unlock()
+}
+
+// abandonUpstream gives up the connection of a session that ends. An open
+// transaction is rolled back so that the connection stays warm; when that
+// doesn't work at once it is closed.
+func (s *Session) abandonUpstream() {
+	if s.up == nil {
+		return
+	}
+	if s.answering || s.batch || s.tx == txIdle || !s.up.rollback() {
+		s.discardUpstream()
+		return
+	}
+	s.releaseUpstream()
+}
+
+// rollbackTime bounds the rollback of a transaction whose caller has gone.
+const rollbackTime = time.Second
+
+func (u *Upstream) rollback() bool {
+	u.SetDeadline(time.Now().Add(rollbackTime))
+	if _, err := u.Send([]byte("Q\x00\x00\x00\x0dROLLBACK\x00")); err != nil {
+		return false
+	}
+	for {
+		f, err := u.next()
+		if err != nil {
+			return false
+		}
+		if f.Type == 'Z' {
+			return len(f.Body()) == 1 && f.Body()[0] == txIdle
+		}
+	}
+}
+
+func (u *Upstream) next() (framer.Frame, error) {
+	h, err := u.Head()
+	if err != nil {
+		return framer.Frame{}, err
+	}
+	return u.Frame(h)
+}
--- /dev/null
+++ b/server/pools.go
@@ -0,0 +1,152 @@
+package server
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/adapter/dialer"
+	"basildale.example/basildale/pooler"
+	"basildale.example/basildale/relayer"
+	"basildale.example/basildale/retrier"
+)
+
+// place names one upstream of a group.
+type place struct {
+	group   string
+	address netip.AddrPort
+}
+
+// pool is the connections to one upstream.
+type pool struct {
+	pooler.Pool[*relayer.Upstream]
+	least int // connections to keep warm
+}
+
+// pools are the connections to all upstreams.
+type pools struct {
+	mu  sync.RWMutex
+	all map[place]*pool
+}
+
+const (
+	defaultConnections = 4
+	// retryAfter is what a caller is told when an upstream has no connection
+	// for it.
+	retryAfter = 100 * time.Millisecond
+)
+
+func (p *pools) add(groups []Group) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.all = map[place]*pool{}
+	for _, g := range groups {
+		for _, a := range g.Upstreams {
+			p.all[place{g.Name, a}] = newPool(g, a)
+		}
+	}
+}
+
+func newPool(g Group, address netip.AddrPort) *pool {
+	d := &dialer.Dialer{User: g.User, Password: g.Password, Database: g.Database}
+	if d.Database == "" {
+		d.Database = g.Name
+	}
+	if d.User == "" {
+		d.User = "basildale"
+	}
+	limit := g.Connections
+	if limit == 0 {
+		limit = defaultConnections
+	}
+	return &pool{
+		Pool: pooler.Pool[*relayer.Upstream]{
+			Limit: limit,
+			Dial: func(ctx context.Context) (*relayer.Upstream, error) {
+				c, err := d.Dial(ctx, address)
+				if err != nil {
+					return nil, err
+				}
+				return relayer.NewUpstream(c), nil
+			},
+			Close: func(u *relayer.Upstream) { u.Terminate() },
+		},
+		least: g.Warm,
+	}
+}
+
+func (p *pools) get(group string, address netip.AddrPort) *pool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.all[place{group, address}]
+}
+
+// warm opens the connections that are to be warm at the start. An upstream that
+// can't be reached now is tried again when it is needed.
+func (p *pools) warm(ctx context.Context, log *zap.Logger) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	var done sync.WaitGroup
+	for at, one := range p.all {
+		done.Go(func() {
+			if err := one.Warm(ctx, one.least); err != nil {
+				log.Warn("server: warming connections failed", zap.Stringer("upstream", at.address), zap.Error(err))
+			}
+		})
+	}
+	done.Wait()
+}
+
+// acquire takes a connection for one transaction. Idle connections that have
+// died are dropped, so that no statement is sent into one.
+func (p *pools) acquire(ctx context.Context, t relayer.Target, r *relayer.Request) (*relayer.Upstream, *relayer.Refusal) {
+	one := p.get(t.Group, t.Address)
+	if one == nil {
+		return nil, refuse(retrier.Refused, "no such upstream")
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	for {
+		u, err := one.Get(ctx)
+		switch {
+		case errors.Is(err, context.DeadlineExceeded):
+			return nil, refuse(retrier.Late, "no connection was free before the deadline")
+		case err != nil:
+			return nil, refuse(retrier.Refused, "the upstream can't be reached")
+		case u.Alive():
+			return u, nil
+		}
+		one.Discard(u)
+	}
+}
+
+func refuse(cause retrier.Cause, message string) *relayer.Refusal {
+	return &relayer.Refusal{
+		Outcome: retrier.Outcome{Kind: retrier.NotRun, Cause: cause, Back: time.Now().Add(retryAfter)},
+		Message: message,
+	}
+}
+
+func (p *pools) release(t relayer.Target, u *relayer.Upstream, healthy bool) {
+	one := p.get(t.Group, t.Address)
+	switch {
+	case one == nil:
+		u.Close()
+	case healthy:
+		one.Put(u)
+	default:
+		one.Discard(u)
+	}
+}
+
+func (p *pools) stop() {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, one := range p.all {
+		one.Stop()
+	}
+}
