--- a/internal/contract/doc.go
+++ b/internal/contract/doc.go
@@ -9,6 +9,10 @@
 //	BASILDALE_CONTRACT_USER=app BASILDALE_CONTRACT_PASSWORD=... \
 //	go test ./internal/contract -run Upstream
 //
+//	BASILDALE_CONTRACT_CALLERS=10.0.1.1:5432,10.0.1.2:5432 \
+//	go test ./internal/contract -run Caller
+//
 // The upstreams are one database group of three that nobody else uses: the suite
-// fences and promotes them and writes to a table named contract_rows.
+// fences and promotes them and writes to a table named contract_rows. The callers'
+// addresses are two ways to the same group; that suite writes to the same table.
 package contract
--- a/internal/contract/upstream_test.go
+++ b/internal/contract/upstream_test.go
@@ -46,6 +46,10 @@
 		t.Cleanup(g.Close)
 		return g.Addrs()
 	}
+	return parseAddrs(t, given)
+}
+
+func parseAddrs(t *testing.T, given string) []netip.AddrPort {
 	var list []netip.AddrPort
 	for _, text := range strings.Split(given, ",") {
 		addr, err := netip.ParseAddrPort(text)
--- a/internal/faker/upstream/session.go
+++ b/internal/faker/upstream/session.go
@@ -209,6 +209,8 @@
 		return s.sync()
 	case *pgproto3.Terminate:
 		return false
+	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+		// COPY has been refused and the client is still sending.
 	default:
 		return s.extended(fail("08P01", "unexpected message"))
 	}
