adapter/commander: a wait that is given up keeps the connection

**Cause**: a write needs one confirmation, so the wait at the other replica is given up each time; its query ran in that waiter's context and took the shared connection with it, and the next command paid 10 to 30 ms for a new one.

**Change**: one goroutine for each upstream asks for all waiters, in a context of its own; a waiter ends at its own time also behind another's query. The contract case first waits until the replica holds all.

**Conclusion**: the connection lives as long as the upstream does.

--- a/adapter/commander/commander_test.go
+++ b/adapter/commander/commander_test.go
@@ -47,9 +47,11 @@
 	is.Equal(answer.Role, tracker.Fenced)
 	_, err = c.Follow(t.Context(), replica.Addr(), term, g.Upstreams[0].Addr())
 	is.NoErr(err)
-	is.Equal(replica.Counts().Opened, int64(1))
 	cancel()
 	waits.Wait()
+	_, err = c.State(t.Context(), replica.Addr())
+	is.NoErr(err)
+	is.Equal(replica.Counts().Opened, int64(1)) // a wait that is given up keeps it
 }
 
 func TestWaitsEndAtTheirOwnMarks(t *testing.T) {
@@ -72,6 +74,26 @@
 	waits.Wait()
 }
 
+func TestWaitEndsInTimeWithTheState(t *testing.T) {
+	is := is.New(t)
+	g, c := start(t, upstream.Options{Size: 2})
+	far := tracker.Mark{Term: tracker.Term{Epoch: 9}}
+	var patient sync.WaitGroup
+	ctx, cancel := context.WithCancel(t.Context())
+	patient.Go(func() {
+		_, err := c.Wait(ctx, g.Upstreams[1].Addr(), far, time.Now().Add(time.Hour))
+		is.True(errors.Is(err, commander.ErrLost))
+	})
+	for _, until := range []time.Time{{}, time.Now().Add(time.Millisecond)} {
+		answer, err := c.Wait(ctx, g.Upstreams[1].Addr(), far, until)
+		is.NoErr(err)
+		is.Equal(answer.Role, tracker.Replica)
+		is.True(!answer.Confirms(far))
+	}
+	cancel()
+	patient.Wait()
+}
+
 func TestFaults(t *testing.T) {
 	term := tracker.Term{Epoch: 2}
 	fence := func(ctx context.Context, c *commander.Commander, addr netip.AddrPort) error {
--- a/adapter/commander/link.go
+++ b/adapter/commander/link.go
@@ -2,24 +2,12 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgconn"
-
-	"basildale.example/basildale/tracker"
 )
 
-// slice is the longest that one query waits for a mark. A fence may have to wait
-// for it, so it is short beside the time in which a primary is replaced.
-const slice = 50 * time.Millisecond
-
-// slack is how long before the context's deadline a wait's query ends, so that
-// its answer arrives and the connection can be used again.
-const slack = 10 * time.Millisecond
-
 // SQLSTATEs of the contract.
 const (
 	codeStaleTerm = "BD001"
@@ -34,27 +22,18 @@
 	// in order, so nobody is overtaken for ever.
 	turn chan struct{}
 	conn *pgconn.PgConn // guarded by turn
-	// lead is held by the one waiter that asks for all. Without it a command would
-	// stand in line behind every waiter, a slice each: a fence came seconds late.
-	lead chan struct{}
 
 	mu     sync.Mutex
 	closed bool
 	stop   context.CancelFunc // ends the command that runs now
 	wanted map[*waiter]struct{}
-}
-
-// waiter wants to know when the upstream's log has reached a mark.
-type waiter struct {
-	mark   tracker.Mark
-	answer chan Answer
+	asking bool // somebody asks for all in wanted
 }
 
 func newLink(connect func(context.Context) (*pgconn.PgConn, error)) *link {
 	return &link{
 		connect: connect,
 		turn:    make(chan struct{}, 1),
-		lead:    make(chan struct{}, 1),
 		wanted:  make(map[*waiter]struct{}),
 	}
 }
@@ -177,95 +156,3 @@
 		// Whoever holds the turn sees closed before it sends, or after it.
 	}
 }
-
-func (l *link) wait(ctx context.Context, mark tracker.Mark, until time.Time) (Answer, error) {
-	w := &waiter{mark: mark, answer: make(chan Answer, 1)}
-	l.want(w)
-	defer l.unwant(w)
-	for {
-		select {
-		case a := <-w.answer:
-			return a, nil
-		case l.lead <- struct{}{}:
-		case <-ctx.Done():
-			return Answer{}, unsent(ctx)
-		}
-		a, err := l.round(ctx, w, until)
-		<-l.lead
-		if err != nil || !a.Mark.Less(mark) || !time.Now().Before(until) {
-			return a, err
-		}
-	}
-}
-
-// round is one turn of the waiter that leads.
-func (l *link) round(ctx context.Context, w *waiter, until time.Time) (Answer, error) {
-	select {
-	case a := <-w.answer:
-		return a, nil
-	default:
-	}
-	select {
-	case l.turn <- struct{}{}:
-	case <-ctx.Done():
-		return Answer{}, unsent(ctx)
-	}
-	defer func() { <-l.turn }()
-	return l.ask(ctx, until)
-}
-
-// ask waits in the upstream for the lowest mark wanted, for one slice at most,
-// and hands the answer to all whose mark is reached.
-func (l *link) ask(ctx context.Context, until time.Time) (Answer, error) {
-	span := min(time.Until(until), slice)
-	if deadline, ok := ctx.Deadline(); ok {
-		span = min(span, time.Until(deadline)-slack)
-	}
-	ms := strconv.FormatInt(max(span.Milliseconds(), 0), 10)
-	row, err := l.send(ctx, "SELECT * FROM basildale_wait('"+l.lowest().String()+"', '"+ms+"')")
-	if err != nil {
-		return Answer{}, err
-	}
-	a, err := parseAnswer(row)
-	if err == nil {
-		l.publish(a)
-	}
-	return a, err
-}
-
-func (l *link) want(w *waiter) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.wanted[w] = struct{}{}
-}
-
-func (l *link) unwant(w *waiter) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.wanted, w)
-}
-
-// lowest is called by a waiter, so there is at least one.
-func (l *link) lowest() tracker.Mark {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var low tracker.Mark
-	first := true
-	for w := range l.wanted {
-		if first || w.mark.Less(low) {
-			low, first = w.mark, false
-		}
-	}
-	return low
-}
-
-func (l *link) publish(a Answer) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for w := range l.wanted {
-		if !a.Mark.Less(w.mark) {
-			w.answer <- a
-			delete(l.wanted, w)
-		}
-	}
-}
--- a/internal/contract/upstream_cases_test.go
+++ b/internal/contract/upstream_cases_test.go
@@ -101,7 +101,7 @@
 
 func staleFence(f *fixture) {
 	for _, i := range []int{0, 1} {
-		before := f.state(i)
+		before := f.reach(i, f.state(0).Mark) // nothing is under way any more
 		for _, term := range []tracker.Term{{}, f.term} {
 			_, err := f.control.Fence(f.ctx, f.addrs[i], term)
 			f.is.True(errors.Is(err, commander.ErrStale))
