--- a/relayer/settings.go
+++ b/relayer/settings.go
@@ -76,22 +76,30 @@
 }
 
 // appendChanges appends the statements that turn the settings have into want.
-func appendChanges(b []byte, have, want *settings) []byte {
+// reset is true when all settings were reset, the proxy's own among them.
+func appendChanges(b []byte, have, want *settings) (_ []byte, reset bool) {
 	for _, h := range have.list {
-		if _, found := want.find(h.name); !found {
-			b = append(b, "RESET "...)
+		if _, found := want.find(h.name); found {
+			continue
+		}
+		reset = true
+		if h.name == "role" || h.name == "session authorization" {
+			b = append(b, "RESET "...) // RESET ALL leaves them alone
 			b = append(b, h.name...)
 			b = append(b, ';')
 		}
 	}
+	if reset {
+		b = append(b, "RESET ALL;"...)
+	}
 	for _, w := range want.list {
-		if i, found := have.find(w.name); found && have.list[i].text == w.text {
+		if i, found := have.find(w.name); !reset && found && have.list[i].text == w.text {
 			continue
 		}
 		b = append(b, w.text...)
 		b = append(b, ';')
 	}
-	return b
+	return b, reset
 }
 
 func (l *settings) equal(o *settings) bool { return slices.Equal(l.list, o.list) }
--- a/relayer/unit.go
+++ b/relayer/unit.go
@@ -139,7 +139,10 @@
 	u.flight = append(u.flight, 'Q', 0, 0, 0, 0)
 	text := len(u.flight)
 	if !s.up.settings.equal(&s.settings) {
-		u.flight = appendChanges(u.flight, &s.up.settings, &s.settings)
+		var reset bool
+		if u.flight, reset = appendChanges(u.flight, &s.up.settings, &s.settings); reset {
+			s.up.term = tracker.Term{}
+		}
 		s.up.settings.copyOf(&s.settings)
 	}
 	if s.to.Primary && !u.request.Read() {
