relayer, server: outcomes of lost, late and refused units

**Cause** A lost connection says nothing about the statement sent into it; only proof may turn that into not run. **Change** server has the retrier's policy with a budget for each group as its plain default; a request counts its attempts; lost writes are settled only where the seam is there.

--- a/relayer/follow.go
+++ b/relayer/follow.go
@@ -35,6 +35,7 @@
 	}
 	s.releaseUpstream()
 	s.wait(d.At)
+	u.request.Attempt++
 	if d.Avoid {
 		u.request.Avoid = s.to.Address
 	}
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -52,6 +52,8 @@
 	// Arrived and Deadline bound the unit.
 	Arrived  time.Time
 	Deadline time.Time
+	// Attempt counts the attempts before this one.
+	Attempt int
 	// Avoid is an upstream that has just failed the unit; the zero value is none.
 	Avoid netip.AddrPort
 	// Remote is the caller's address.
@@ -119,7 +121,8 @@
 	Observe func(t Target, r *Request, o retrier.Outcome)
 	// Decide says what follows on an attempt; nil never tries again.
 	Decide func(group string, r *retrier.Request, o retrier.Outcome) retrier.Decision
-	// Settle asks the primary what became of a request ID.
+	// Settle asks the primary what became of a request ID. It may say done only
+	// when a replica has confirmed the mark. Nil leaves lost writes unknown.
 	Settle func(ctx context.Context, group, id string, r *Request) retrier.Settlement
 	// Settled says what follows on a settling step.
 	Settled func(group string, r *retrier.Request, s retrier.Settlement) retrier.Decision
--- a/relayer/unit.go
+++ b/relayer/unit.go
@@ -58,7 +58,7 @@
 			Read:       read,
 			Repeatable: s.notes.Repeat,
 			Booking:    s.notes.Class == Booking,
-			Named:      !read,
+			Named:      !read && s.relay.Settle != nil,
 		},
 		Latest:   u.request.Deadline,
 		Deadline: u.request.Deadline,
--- a/server/server.go
+++ b/server/server.go
@@ -70,6 +70,7 @@
 	relay    *relayer.Relay
 	pools    pools
 	fixed    fixed
+	retries  retries
 }
 
 const defaultGrace = 30 * time.Second
@@ -122,6 +123,7 @@
 	}
 	s.pools.add(s.Groups)
 	s.fixed.set(s.Groups)
+	s.retries.set(s.Groups)
 	s.defaults()
 	s.relay = &relayer.Relay{
 		Index:         s.Index,
@@ -149,6 +151,10 @@
 	if s.Control.Route == nil {
 		s.Control.Route = s.fixed.route
 	}
+	if s.Control.Decide == nil {
+		s.Control.Decide, s.Control.Settled = s.retries.decide, s.retries.settled
+		s.Control.Route = s.retries.counted(s.Control.Route)
+	}
 	if s.Control.Release == nil {
 		s.Control.Release = func(relayer.Target) {}
 	}
