--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -148,7 +148,9 @@
 func (r *Relay) Open(c Caller) *Session {
 	r.once.Do(r.prepare)
 	s := &Session{relay: r, caller: c}
+	s.timer = time.AfterFunc(r.Limits.Login, func() { _ = c.Close() })
 	if !r.sessions.add(s, r.Limits.Strangers) {
+		s.timer.Stop()
 		return nil
 	}
 	return s
--- a/relayer/session.go
+++ b/relayer/session.go
@@ -40,12 +40,15 @@
 // Session is one caller connection. Readable and Closed may be called by any
 // goroutine; all else belongs to the session's worker.
 type Session struct {
-	relay  *Relay
-	caller Caller
-	worker atomic.Uint32
-	gone   atomic.Bool
-	leave  atomic.Bool // end between requests: the proxy stops
-	key    Key
+	relay   *Relay
+	caller  Caller
+	worker  atomic.Uint32
+	timer   *time.Timer             // ends a login that takes too long
+	waiting atomic.Pointer[tlsLink] // a TLS handshake under way
+	login   *login
+	gone    atomic.Bool
+	leave   atomic.Bool // end between requests: the proxy stops
+	key     Key
 
 	cancelling sync.Mutex // held while a cancel request for target is under way
 	target     atomic.Pointer[Upstream]
@@ -90,6 +93,9 @@
 
 // wake starts the worker, or tells a running one to look again.
 func (s *Session) wake() {
+	if l := s.waiting.Load(); l != nil {
+		l.wake()
+	}
 	for {
 		switch s.worker.Load() {
 		case workerIdle:
@@ -206,6 +212,7 @@
 	}
 	s.complain(err)
 	s.phase = phaseEnded
+	s.timer.Stop()
 	s.abandonUpstream()
 	s.relay.sessions.remove(s)
 	s.caller.Flush(time.Now().Add(flushTime))
