--- a/cmd/basildale/cli.go
+++ b/cmd/basildale/cli.go
@@ -32,6 +32,7 @@
 	Explain explainCmd `cmd:"" help:"Show decisions of a running process with their reasons."`
 	Drain   drainCmd   `cmd:"" help:"Stop a running process gracefully."`
 	Load    loadCmd    `cmd:"" help:"Put load on PostgreSQL addresses and count what breaks."`
+	Demo    demoCmd    `cmd:"" help:"Show the whole system at work in one process."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- a/cmd/basildale/cli_test.go
+++ b/cmd/basildale/cli_test.go
@@ -3,13 +3,17 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"basildale.example/basildale/checker"
+	"basildale.example/basildale/demonstrator"
 	"basildale.example/basildale/examples"
 )
 
@@ -21,6 +25,18 @@
 	return code, out.String(), err.String()
 }
 
+// Symptom: a script goes on although the demonstration lost a booking.
+// Sequence: a count is not 0 at the end.
+// Cause: the exit code looks only at errors.
+func TestBrokenPromisesExitWithOne(t *testing.T) {
+	is := is.New(t)
+	for _, counts := range []checker.Counts{{Lost: 1}, {Doubled: 1}, {Stale: 1}, {Cut: 1}, {Mixed: 1}} {
+		is.Equal(report(io.Discard, verdict(&demonstrator.Report{Counts: counts}, nil)), exitFailed)
+	}
+	is.Equal(report(io.Discard, verdict(&demonstrator.Report{}, nil)), exitDone)
+	is.Equal(report(io.Discard, verdict(nil, errors.New("no port"))), exitFailed)
+}
+
 func TestExitCodes(t *testing.T) {
 	dir := t.TempDir()
 	good := filepath.Join(dir, "good.yaml")
--- /dev/null
+++ b/demonstrator/callers.go
@@ -0,0 +1,189 @@
+package demonstrator
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"basildale.example/basildale/checker"
+	"basildale.example/basildale/generator"
+)
+
+// The load on each group: small beside what the groups can carry, since the
+// whole demonstration shares one machine.
+const (
+	rate         = 60 // requests a second
+	bookings     = 0.35
+	transactions = 0.1
+	sessions     = 24
+	moveEvery    = 6
+	inTime       = time.Second
+)
+
+// callers are the callers of one deployment, with the ledger of what they were
+// told.
+type callers struct {
+	stage    *stage
+	seed     uint64
+	ledger   checker.Ledger
+	gap      gap
+	progress progress
+}
+
+func newCallers(s *stage, requests int, seed uint64) *callers {
+	c := &callers{stage: s, seed: seed}
+	c.progress.each = requests
+	c.progress.all = requests * len(s.groups)
+	c.progress.wake = make(chan struct{}, 1)
+	return c
+}
+
+// progress counts requests that have ended.
+type progress struct {
+	each  int // requests to each group
+	all   int // requests to all groups
+	ended atomic.Int64
+	wake  chan struct{}
+}
+
+func (p *progress) done() {
+	p.ended.Add(1)
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// wait returns when a share of all requests has ended, false when ctx has first.
+// Only one goroutine may wait.
+func (p *progress) wait(ctx context.Context, share float64) bool {
+	for float64(p.ended.Load()) < share*float64(p.all) {
+		select {
+		case <-p.wake:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// gap measures the time without a completed write around a fault: from the last
+// booking that was done before it to the first one after.
+type gap struct {
+	mu     sync.Mutex
+	last   time.Time
+	before time.Time // the last booking done when the fault began
+	after  time.Time // the first one done since
+	fault  time.Time
+}
+
+// done records a booking of the watched group that was done at a time.
+func (g *gap) done(at time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if at.After(g.last) {
+		g.last = at
+	}
+	if !g.fault.IsZero() && g.after.IsZero() && at.After(g.fault) {
+		g.after = at
+	}
+}
+
+// measured returns the gap, and false while it isn't over or never began.
+func (g *gap) measured() (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.before.IsZero() || g.after.IsZero() {
+		return 0, false
+	}
+	return g.after.Sub(g.before), true
+}
+
+// run lets callers use all groups and returns what became of their requests, all
+// groups together.
+func (c *callers) run(ctx context.Context) (map[generator.Class]generator.ClassReport, error) {
+	reports := make([]*generator.Report, len(c.stage.groups))
+	failed := make([]error, len(c.stage.groups))
+	var running sync.WaitGroup
+	for i := range c.stage.groups {
+		running.Go(func() {
+			g := c.generator(i)
+			reports[i], failed[i] = g.Run(ctx, time.Now().Add(limit))
+		})
+	}
+	running.Wait()
+	if err := errors.Join(failed...); err != nil {
+		return nil, errors.Wrapf(err, "demonstrator: callers of %s", c.stage.Name)
+	}
+	return sum(reports), nil
+}
+
+func (c *callers) generator(i int) generator.Generator {
+	g := generator.Generator{
+		Addrs:        c.stage.addresses(),
+		User:         "family",
+		Database:     c.stage.Groups[i].Name,
+		Group:        c.stage.Groups[i].Name,
+		Rate:         rate,
+		Bookings:     bookings,
+		Transactions: transactions,
+		Sessions:     sessions,
+		Moves:        generator.Move,
+		Every:        moveEvery,
+		Timeout:      inTime,
+		Name:         c.stage.Groups[i].Name,
+		Ledger:       &c.ledger,
+		Seed:         c.seed + uint64(i),
+		Requests:     c.progress.each,
+	}
+	g.Done = func(e generator.Event) {
+		c.progress.done()
+		if i == faulty && e.Class == generator.Booking && e.Outcome == generator.Done {
+			c.gap.done(e.End)
+		}
+	}
+	return g
+}
+
+// faulty is the group whose primary is cut off.
+const faulty = 0
+
+// audit compares the ledger with what the primaries hold.
+func (c *callers) audit() (checker.Report, error) {
+	var rows []checker.Row
+	for i, g := range c.stage.groups {
+		primary := g.Primary()
+		if primary == nil {
+			return checker.Report{}, errors.Newf("demonstrator: %s has no primary at the end", c.stage.Groups[i].Name)
+		}
+		for _, r := range primary.Rows("bookings") {
+			rows = append(rows, checker.Row{Group: c.stage.Groups[i].Name, ID: r[0], Seat: r[1], Session: r[2]})
+		}
+	}
+	return c.ledger.Audit(rows), nil
+}
+
+// sum adds up the classes of several reports. Quantiles can't be added, so each
+// is the greatest.
+func sum(reports []*generator.Report) map[generator.Class]generator.ClassReport {
+	all := make(map[generator.Class]generator.ClassReport)
+	for _, r := range reports {
+		for name, c := range r.Classes {
+			t := all[name]
+			t.Total += c.Total
+			t.Done += c.Done
+			t.NotRun += c.NotRun
+			t.Unknown += c.Unknown
+			t.Failed += c.Failed
+			t.Missed += c.Missed
+			t.Intime += c.Intime
+			t.Latency.P50 = max(t.Latency.P50, c.Latency.P50)
+			t.Latency.P99 = max(t.Latency.P99, c.Latency.P99)
+			all[name] = t
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/demonstrator/demonstrator.go
@@ -0,0 +1,77 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/internal/faker/upstream"
+)
+
+// Demo is one demonstration. Out must be set; the rest of the zero value works.
+type Demo struct {
+	// Out gets what happens and the table at the end.
+	Out io.Writer
+	// Log gets the proxies' lines; nil means none.
+	Log *zap.Logger
+	// Hold keeps everything up, with an address and a connection string for
+	// each deployment, until the context ends.
+	Hold bool
+	// Requests is how many requests come to each group; zero means
+	// DefaultRequests.
+	Requests int
+	// Seed decides the callers' requests.
+	Seed uint64
+	// BeforeCheck, when set, may spoil what the groups hold before it is compared
+	// with what callers were told. It is called once for each deployment.
+	BeforeCheck func(groups []*upstream.Group)
+}
+
+// Run runs the demonstration. The report is meaningful only without an error.
+func (d *Demo) Run(ctx context.Context) (*Report, error) {
+	log := d.Log
+	if log == nil {
+		log = zap.NewNop()
+	}
+	say := &narrator{out: d.Out, start: time.Now(), now: time.Now}
+	deployments, err := Deployments()
+	if err != nil {
+		return nil, err
+	}
+	var stages []*stage
+	defer func() {
+		for _, s := range stages {
+			s.close()
+		}
+	}()
+	for _, deployment := range deployments {
+		s, err := openStage(ctx, deployment, log)
+		stages = append(stages, s)
+		if err != nil {
+			return nil, err
+		}
+		say.say(s.Name, "%d proxies in %d availability zones before %d groups of %d upstreams",
+			len(s.proxies), len(s.Zones), len(s.groups), len(s.groups[0].Upstreams))
+	}
+	if d.Hold {
+		d.hold(ctx, stages)
+		return &Report{}, nil
+	}
+	return d.play(ctx, say, stages)
+}
+
+// hold prints how to connect and waits until ctx ends.
+func (d *Demo) hold(ctx context.Context, stages []*stage) {
+	for _, s := range stages {
+		fmt.Fprintf(d.Out, "\n%s\n", s.Name)
+		for _, p := range s.proxies {
+			fmt.Fprintf(d.Out, "  %-18s %s\n", p.name, p.server.Bound())
+		}
+		fmt.Fprintf(d.Out, "  psql '%s'\n", s.url(0, s.Groups[0].Name))
+	}
+	fmt.Fprintln(d.Out, "\nInterrupt to end.")
+	<-ctx.Done()
+}
--- /dev/null
+++ b/demonstrator/demonstrator_test.go
@@ -0,0 +1,96 @@
+package demonstrator
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/matryer/is"
+
+	"basildale.example/basildale/internal/faker/upstream"
+)
+
+// requests is how many come to each group in a test.
+const requests = 60
+
+func TestShortDemonstrationKeepsEveryPromise(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	d := &Demo{Out: &out, Requests: requests, Seed: 1}
+	report, err := d.Run(context.Background())
+	is.NoErr(err)
+	is.True(strings.HasSuffix(out.String(), "\nlost 0 doubled 0 stale 0 cut 0 mixed 0\n")) // the last line
+	is.True(report.Counts.Zero())
+	is.Equal(len(report.Outcomes), 2)
+	for _, o := range report.Outcomes {
+		is.Equal(o.Classes[0].Sent+o.Classes[1].Sent, 3*requests) // every request is accounted for
+		is.True(o.Classes[0].Sent > 0)
+		is.True(o.Reads > 0)
+	}
+	for _, missing := range report.Missing {
+		is.True(strings.Contains(out.String(), "not shown yet: "+missing)) // no silent gap
+	}
+}
+
+// Symptom: a booking was acknowledged and is gone, and the demonstration says
+// that all is well.
+// Sequence: callers book, a row disappears from the group, the ledger is
+// compared.
+// Cause: a checker that looks only at what the proxies say of themselves.
+func TestBrokenPromiseIsCounted(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	d := &Demo{Out: &out, Requests: requests, BeforeCheck: func(groups []*upstream.Group) {
+		conn, err := pgconn.Connect(context.Background(), "postgres://x@"+groups[0].Primary().Addr().String()+"/x?sslmode=disable")
+		is.NoErr(err)
+		defer func() { _ = conn.Close(context.Background()) }()
+		rows := groups[0].Primary().Rows("bookings")
+		_, err = conn.Exec(context.Background(), "DELETE FROM bookings WHERE id = '"+rows[0][0]+"'").ReadAll()
+		is.NoErr(err)
+	}}
+	report, err := d.Run(context.Background())
+	is.NoErr(err)
+	is.Equal(report.Counts.Lost, 2) // one in each deployment
+	is.True(strings.HasSuffix(out.String(), "\n"+report.Counts.String()+"\n"))
+}
+
+func TestDeploymentsHaveTheirRealSizes(t *testing.T) {
+	is := is.New(t)
+	list, err := Deployments()
+	is.NoErr(err)
+	is.Equal(len(list), 2)
+	for i, want := range []struct {
+		zones       int
+		connections int
+	}{{3, 35}, {4, 60}} {
+		is.Equal(len(list[i].Zones), want.zones)
+		is.Equal(len(list[i].Groups), 3)
+		is.Equal(list[i].Groups[0].Upstreams[0].Connections, want.connections)
+	}
+}
+
+func TestHoldEndsWithItsContext(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	out := &signalWriter{want: "Interrupt to end.", found: cancel}
+	_, err := (&Demo{Out: out, Hold: true}).Run(ctx)
+	is.NoErr(err)
+	is.True(strings.Contains(out.String(), "psql 'postgres://family@127.0.0.1:"))
+}
+
+// signalWriter calls found once want has been written.
+type signalWriter struct {
+	bytes.Buffer
+	want  string
+	found func()
+}
+
+func (w *signalWriter) Write(p []byte) (int, error) {
+	n, err := w.Buffer.Write(p)
+	if strings.Contains(w.String(), w.want) {
+		w.found()
+	}
+	return n, err
+}
--- /dev/null
+++ b/demonstrator/play.go
@@ -0,0 +1,128 @@
+package demonstrator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"basildale.example/basildale/generator"
+)
+
+// DefaultRequests is how many requests come to each group when none are set:
+// some 24 s at the rate of the callers.
+const DefaultRequests = 24 * rate
+
+// limit ends a demonstration that doesn't come to its end by itself, for
+// instance because nothing is answered any more.
+const limit = 40 * time.Second
+
+// act is one thing that happens, when a share of all requests has ended.
+type act struct {
+	at    float64
+	title string // what is listed as not shown when do is nil
+	do    func(ctx context.Context, c *callers) error
+}
+
+// play lets callers come and things happen, in all deployments at once, and
+// checks what is left.
+func (d *Demo) play(ctx context.Context, say *narrator, stages []*stage) (*Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	requests := d.Requests
+	if requests == 0 {
+		requests = DefaultRequests
+	}
+	outcomes := make([]Outcome, len(stages))
+	failed := make([]error, len(stages))
+	acts := d.acts(say)
+	var running sync.WaitGroup
+	for i, s := range stages {
+		running.Go(func() {
+			c := newCallers(s, requests, d.Seed+uint64(i)*uint64(len(s.groups)))
+			outcomes[i], failed[i] = d.perform(ctx, say, c, acts)
+		})
+	}
+	running.Wait()
+	if err := errors.Join(failed...); err != nil {
+		return nil, err
+	}
+	report := &Report{Outcomes: outcomes}
+	for _, a := range acts {
+		if a.do == nil {
+			report.Missing = append(report.Missing, a.title)
+		}
+	}
+	report.add()
+	return report, report.Print(d.Out)
+}
+
+// perform shows one deployment.
+func (d *Demo) perform(ctx context.Context, say *narrator, c *callers, acts []act) (Outcome, error) {
+	say.say(c.stage.Name, "%d callers book and look up, and move to another proxy every %d requests", sessions*len(c.stage.groups), moveEvery)
+	var classes map[generator.Class]generator.ClassReport
+	loaded := make(chan error, 1)
+	go func() {
+		var err error
+		classes, err = c.run(ctx)
+		loaded <- err
+	}()
+	err := follow(ctx, c, acts)
+	if err := errors.Join(err, <-loaded); err != nil {
+		return Outcome{}, err
+	}
+	if d.BeforeCheck != nil {
+		d.BeforeCheck(c.stage.groups)
+	}
+	audit, err := c.audit()
+	if err != nil {
+		return Outcome{}, err
+	}
+	say.say(c.stage.Name, "checked %d bookings that were acknowledged, %d not run, %d unknown: %s",
+		audit.Acknowledged, audit.Refused, audit.Unknown, audit.Counts)
+	for _, f := range audit.Findings {
+		say.say(c.stage.Name, "broken: %s: %s", f.Kind, f.Text)
+	}
+	return c.outcome(classes, audit.Counts), nil
+}
+
+// follow carries out the acts, each when its share of the requests has ended.
+func follow(ctx context.Context, c *callers, acts []act) error {
+	for _, a := range acts {
+		if a.do == nil {
+			continue
+		}
+		if !c.progress.wait(ctx, a.at) {
+			return errors.Wrap(ctx.Err(), "demonstrator: too few requests were answered")
+		}
+		if err := a.do(ctx, c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// acts returns what happens, in order. One without a function isn't shown yet.
+func (d *Demo) acts(say *narrator) []act {
+	const (
+		cutAt  = 0.25
+		stopAt = 0.6
+	)
+	return []act{
+		{cutAt, "reads by replicas, and a primary that is cut off and replaced", nil},
+		{stopAt, "a proxy that stops gracefully", stopProxy(say)},
+		{stopAt, "a preset that changes", nil},
+	}
+}
+
+// stopProxy returns the act in which one proxy stops gracefully.
+func stopProxy(say *narrator) func(context.Context, *callers) error {
+	return func(_ context.Context, c *callers) error {
+		p := c.stage.proxies[len(c.stage.proxies)/2]
+		say.say(c.stage.Name, "proxy %s begins a graceful stop", p.name)
+		p.stop()
+		say.say(c.stage.Name, "proxy %s is gone", p.name)
+		return nil
+	}
+}
--- a/generator/generator.go
+++ b/generator/generator.go
@@ -55,6 +55,9 @@
 	Bookings float64
 	// Transactions is the share of bookings made as a transaction of two rows.
 	Transactions float64
+	// Requests ends the load after so many, if its end in time doesn't; zero means
+	// that only time ends it.
+	Requests int
 	// Sessions is the number of callers.
 	Sessions int
 	// Moves is how sessions use the addresses; empty means Stay.
@@ -183,7 +186,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	at := begin
-	for {
+	for n := 0; g.Requests == 0 || n < g.Requests; n++ {
 		at = at.Add(time.Duration(random.ExpFloat64() / g.Rate * float64(time.Second)))
 		if !at.Before(end) {
 			return
