--- a/marker/event.go
+++ b/marker/event.go
@@ -14,7 +14,7 @@
 
 // Viewed gives the proxies that may be running, this one included, leaving ones
 // too: a name is left out only when its process has ended. Versions rise; the
-// same version has the same members everywhere.
+// same version has the same members everywhere. See [Roster].
 type Viewed struct {
 	Version uint64
 	Members []string
@@ -66,43 +66,45 @@
 
 // Get asks a home for a session's mark.
 type Get struct {
-	Serial uint64
-	Key    tracker.Key
+	Serial uint64      `json:"serial"`
+	Key    tracker.Key `json:"key"`
 }
 
 // Found answers [Get].
 type Found struct {
-	Serial uint64
-	Answer tracker.Answer
+	Serial uint64         `json:"serial"`
+	Answer tracker.Answer `json:"answer"`
 }
 
 // Put tells a home the mark of a write.
 type Put struct {
-	Serial uint64
-	Key    tracker.Key
-	Mark   tracker.Mark
+	Serial uint64       `json:"serial"`
+	Key    tracker.Key  `json:"key"`
+	Mark   tracker.Mark `json:"mark"`
 }
 
 // Taken answers [Put].
-type Taken struct{ Serial uint64 }
+type Taken struct {
+	Serial uint64 `json:"serial"`
+}
 
 // Complete tells a home what a check has found, with the token it gave before.
 type Complete struct {
-	Key   tracker.Key
-	Token uint64
-	Mark  tracker.Mark
+	Key   tracker.Key  `json:"key"`
+	Token uint64       `json:"token"`
+	Mark  tracker.Mark `json:"mark"`
 }
 
 // Ping asks for a promise at the view.
 type Ping struct {
-	Serial  uint64
-	Version uint64
+	Serial  uint64 `json:"serial"`
+	Version uint64 `json:"version"`
 }
 
 // Pong gives it.
 type Pong struct {
-	Serial  uint64
-	Version uint64
+	Serial  uint64 `json:"serial"`
+	Version uint64 `json:"version"`
 }
 
 func (Get) message()      {}
--- a/marker/marker.go
+++ b/marker/marker.go
@@ -119,7 +119,7 @@
 // While it is false they are better refused before they run: this proxy is cut
 // off from the others, or has just joined them.
 func (m *Marker) Ready(now time.Time) bool {
-	return m.standing(now)
+	return m.Settings.CheckOnly || m.standing(now)
 }
 
 func (m *Marker) send(to string, msg Message) {
--- a/marker/reader.go
+++ b/marker/reader.go
@@ -19,7 +19,7 @@
 // read looks for the mark of a read.
 func (m *Marker) read(e Read) {
 	r := &read{Read: e}
-	if e.Key.Session == "" {
+	if e.Key.Session == "" || m.Settings.CheckOnly {
 		m.check(r)
 		return
 	}
--- a/marker/settings.go
+++ b/marker/settings.go
@@ -8,6 +8,9 @@
 	Self string
 	// Seed makes this run's tokens differ from those of an earlier one.
 	Seed uint64
+	// CheckOnly does without homes: named sessions are checked for each read, and
+	// nothing holds a write back. All proxies of a fleet must agree on it.
+	CheckOnly bool
 	// Sessions bounds the sessions known as their home. Default 65536.
 	Sessions int
 	// Lease is how long a promise lasts. It bounds how long the acknowledgement
--- a/marker/writer.go
+++ b/marker/writer.go
@@ -19,7 +19,7 @@
 
 // wrote puts the mark of a write to its session's home.
 func (m *Marker) wrote(e Wrote) {
-	if e.Key.Session == "" {
+	if e.Key.Session == "" || m.Settings.CheckOnly {
 		m.out = append(m.out, Acknowledge{ID: e.ID})
 		return
 	}
--- a/tracker/sessions.go
+++ b/tracker/sessions.go
@@ -15,20 +15,20 @@
 
 // Key names a session of a tenant in one database group.
 type Key struct {
-	Tenant  string
-	Session string
-	Group   string
+	Tenant  string `json:"tenant,omitempty"`
+	Session string `json:"session"`
+	Group   string `json:"group"`
 }
 
 // Answer is what is known of a session's mark.
 type Answer struct {
 	// Mark is the latest mark that was heard of.
-	Mark Mark
+	Mark Mark `json:"mark,omitzero"`
 	// Known says that no acknowledged write of the session is past Mark. When it
 	// is false the mark has to be found by a check of the primary's position.
-	Known bool
+	Known bool `json:"known,omitempty"`
 	// Token goes with the result of that check to [Sessions.Complete].
-	Token uint64
+	Token uint64 `json:"token,omitempty"`
 }
 
 // Sessions holds the marks of sessions, bounded in number. An entry is complete
