--- a/router/doc.go
+++ b/router/doc.go
@@ -9,7 +9,8 @@
 // soon, the read may wait for it up to [Request.Patience]; otherwise it goes to
 // the primary. A read of a session whose mark is not known is asked about first.
 //
-// [Decide] is a function of its arguments. It allocates nothing.
+// [Decide] is a function of its arguments. It allocates nothing. A [Recorder]
+// keeps the latest decisions, to explain them, and counts them by reason.
 //
 // # Usage
 //
@@ -24,4 +25,5 @@
 //	case router.Refuse:
 //		// Tell the caller that the statement has not run.
 //	}
+//	recorder.Add(router.Record{At: now, Group: group, Session: session, Decision: d})
 package router
