measurer: count lookups that ran in the zone of their proxy

Cause: the router's preference for its own zone didn't show against round robin. Change: a column for the share of lookups that stayed in the zone of their proxy.

--- a/internal/measurer/case.go
+++ b/internal/measurer/case.go
@@ -88,6 +88,7 @@
 	Bookings     int
 	OnReplicas   int // lookups that ran on a replica
 	OnPrimary    int // lookups that ran on the primary
+	InZone       int // lookups that ran in the zone of their proxy
 	InTime       int // answers in time, a booking counts two
 	Weight       int // of all statements, a booking counts two
 	Refused      int
@@ -116,8 +117,8 @@
 
 // Header names the columns of [Result.String].
 func Header() string {
-	return fmt.Sprintf("%-14s %-11s %-12s %-11s %8s %6s %8s | %7s %8s %7s %7s %7s %6s | %8s %8s %8s %8s",
-		"way", "use", "trouble", "pick", "patience", "sample", "sessions", "lookups", "replica%", "score%", "wait ms", "p99 ms",
+	return fmt.Sprintf("%-14s %-11s %-12s %-11s %8s %6s %8s | %7s %8s %6s %7s %7s %7s %6s | %8s %8s %8s %8s",
+		"way", "use", "trouble", "pick", "patience", "sample", "sessions", "lookups", "replica%", "zone%", "score%", "wait ms", "p99 ms",
 		"stale", "peer/st", "pings/s", "checks/s", "platf/s")
 }
 
@@ -126,9 +127,9 @@
 func (r *Result) String() string {
 	seconds := r.Length.Seconds()
 	statements := r.Lookups + r.Bookings
-	return fmt.Sprintf("%-14s %-11s %-12s %-11s %8s %6s %8d | %7d %8.1f %7.1f %7.1f %7.0f %6d | %8.2f %8.0f %8.0f %8d",
+	return fmt.Sprintf("%-14s %-11s %-12s %-11s %8s %6s %8d | %7d %8.1f %6.1f %7.1f %7.1f %7.0f %6d | %8.2f %8.0f %8.0f %8d",
 		r.Case.Way, r.Case.Use, r.Case.Trouble, r.Case.Pick, r.Case.Patience, r.Case.Sample, r.Case.Sessions,
-		r.Lookups, r.Share(), r.Score(), milliseconds(r.Wait)/float64(max(r.Lookups, 1)),
+		r.Lookups, r.Share(), percent(r.InZone, r.OnReplicas+r.OnPrimary), r.Score(), milliseconds(r.Wait)/float64(max(r.Lookups, 1)),
 		milliseconds(r.quantile(0.99)), r.Stale,
 		float64(r.PeerMessages)/float64(max(statements, 1)), float64(r.Pings)/seconds,
 		float64(r.Checks)/seconds, 0)
--- a/internal/measurer/route.go
+++ b/internal/measurer/route.go
@@ -161,6 +161,9 @@
 	if st.write {
 		return
 	}
+	if w.proxies[st.proxy].zone == u.index {
+		w.result.InZone++
+	}
 	if u.role == tracker.Primary {
 		w.result.OnPrimary++
 	} else {
