membership: bound what partitions and restart storms cost

Cause: measured storms showed one process sending and receiving up to 97 kB in a second after a partition of 360 processes: all compared their views bucket by bucket in the same order and asked every member of a bucket whose death was in dispute. The test's own timers also stopped after a restart, which hid how long a storm of restarts takes.

Change: a comparison begins at a random bucket, asks at most one disputed member for each, and goes on with another peer when one is busy; a process hands out at most four buckets in half a second. The test fleet restarts its timers. A second golden file holds a lost third, a partition, a storm of restarts and a fresh process at 90 and 360 processes.

Measured: testdata/storms.golden. After a partition of 360: 9093 bytes/s for each process over the first 10 s, at most 25183 in one second of one (before: 96874); one view again after 52 s. All 360 restarted within 60 s: 6755 bytes/s each, one view 47 s after the last. A third lost: the others agree after 48 s.

Conclusion: the averages of the storms stay near 9 kB/s; single seconds pass it.

--- a/membership/command.go
+++ b/membership/command.go
@@ -62,9 +62,11 @@
 	Target Member
 }
 
-// AnswerSync answers the SyncAsked of the same ticket.
+// AnswerSync answers the SyncAsked of the same ticket. Busy means that the asking
+// side is to be refused, so that it turns to another process.
 type AnswerSync struct {
 	Ticket  uint64
+	Busy    bool
 	Members []Member
 }
 
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -108,6 +108,7 @@
 func (f *fleet) load(p *proc, start uint64) {
 	p.view = &View{Self: Member{Addr: p.view.Self.Addr, Start: start, Zone: p.zone}, Seed: f.rng.Uint64()}
 	p.up, p.tickets = true, make(map[uint64]func(Command))
+	p.timer = time.Time{}
 }
 
 func (f *fleet) list() []Instance {
@@ -268,6 +269,9 @@
 	case AnswerProbe:
 		return Relayed{Nonce: nonce, OK: c.OK, Target: c.Target}, size(probedBytes, nil)
 	case AnswerSync:
+		if c.Busy {
+			return Failed{Nonce: nonce}, size(syncedBytes, nil)
+		}
 		return Synced{Nonce: nonce, Members: c.Members}, size(syncedBytes, c.Members)
 	default:
 		panic("not an answer")
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -14,6 +14,7 @@
 	target   netip.AddrPort
 	start    uint64 // of the target as it was believed to be
 	ticket   uint64 // of the Asked that this answers, for a forwarded one
+	turn     int    // of a fetch in its comparison
 	relays   int    // requests to relays without an answer yet
 	deadline time.Time
 }
@@ -190,7 +191,7 @@
 	case forward:
 		v.out = append(v.out, AnswerProbe{Ticket: p.ticket})
 	case fetch:
-		v.compare.active = false
+		v.refetch(p)
 	case again, attempt:
 	}
 }
--- a/membership/view.go
+++ b/membership/view.go
@@ -43,6 +43,7 @@
 	contact    time.Time        // when the next of them is tried
 	sweep      time.Time        // when the dead are looked through
 	compare    comparison
+	served     int // buckets handed out in this interval
 
 	out []Command
 }
@@ -149,6 +150,7 @@
 	if v.tick.Before(now) {
 		v.tick = now.Add(v.interval())
 	}
+	v.served = 0
 	if v.stale {
 		v.choose()
 	}
