--- /dev/null
+++ b/leaver/upstreams_test.go
@@ -0,0 +1,105 @@
+package leaver
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/matryer/is"
+)
+
+func TestUpstreams(t *testing.T) {
+	a, b := netip.MustParseAddrPort("10.0.0.1:5432"), netip.MustParseAddrPort("10.0.0.2:5432")
+	list := func(aLeaves bool) ListRead {
+		return ListRead{Upstreams: []Upstream{{Addr: a, Group: "g", Leaving: aLeaves}, {Addr: b, Group: "g"}}}
+	}
+	type step struct {
+		at   time.Duration
+		ev   UpstreamEvent
+		want []UpstreamCommand // without ReadList
+	}
+	withdraw := []UpstreamCommand{Withdraw{Addr: a, Group: "g"}}
+	move := []UpstreamCommand{MovePrimary{Group: "g", From: a}}
+	tests := []struct {
+		name  string
+		tells string // symptom, sequence, cause
+		steps []step
+	}{
+		{"leaves", "Symptom: work goes to an upstream that leaves.", []step{
+			{0, list(false), nil},
+			{time.Second, list(true), withdraw},
+			{2 * time.Second, list(true), nil},
+		}},
+		{"lists of different age", "Symptom: an upstream gets work and loses it each second. Sequence: two readers whose lists differ in age.", []step{
+			{0, list(true), withdraw},
+			{time.Second, list(false), nil},
+			{2 * time.Second, list(true), nil},
+			{6 * time.Second, list(false), nil},
+			{7 * time.Second, list(true), nil},
+		}},
+		{"comes back", "Symptom: an upstream whose departure was called off stays without work.", []step{
+			{0, list(true), withdraw},
+			{time.Second, list(false), nil},
+			{3 * time.Second, list(false), nil},
+			{6 * time.Second, list(false), []UpstreamCommand{Readmit{Addr: a, Group: "g"}}},
+		}},
+		{"list can't be read", "Symptom: an upstream that leaves gets work again in an outage of the platform.", []step{
+			{0, list(true), withdraw},
+			{time.Second, ListFailed{}, nil},
+			{time.Minute, ListFailed{}, nil},
+			{61 * time.Second, list(true), nil},
+		}},
+		{"vanishes from the list", "Symptom: work goes to an upstream that has left. Sequence: it is listed as leaving, then not at all.", []step{
+			{0, list(true), withdraw},
+			{time.Minute, ListRead{Upstreams: []Upstream{{Addr: b, Group: "g"}}}, nil},
+			{11 * time.Minute, ListRead{Upstreams: []Upstream{{Addr: b, Group: "g"}}}, nil},
+			{12 * time.Minute, list(false), nil}, // another one at its address
+		}},
+		{"primary leaves", "Symptom: writes fail while the primary leaves, or the group is moved twice.", []step{
+			{0, PrimaryIs{Group: "g", Addr: a}, nil},
+			{time.Second, list(true), withdraw},
+			{time.Second, PrimaryIs{Group: "g", Addr: a}, move},
+			{2 * time.Second, PrimaryIs{Group: "g", Addr: a}, nil},
+			{3 * time.Second, MoveFailed{Group: "g"}, nil},
+			{4 * time.Second, PrimaryIs{Group: "g", Addr: a}, move},
+			{5 * time.Second, PrimaryIs{Group: "g", Addr: b}, nil},
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var u Upstreams
+			begin := time.Unix(1_800_000_000, 0)
+			for i, s := range tt.steps {
+				got := u.Handle(s.ev, begin.Add(s.at))
+				if n := len(got); n > 0 && got[n-1] == (ReadList{}) {
+					got = got[:n-1]
+				}
+				if diff := cmp.Diff(s.want, got, cmp.Comparer(func(x, y netip.AddrPort) bool { return x == y })); len(got)+len(s.want) > 0 && diff != "" {
+					t.Errorf("step %d: %s", i, diff)
+				}
+			}
+		})
+	}
+}
+
+func TestListIsReadInTime(t *testing.T) {
+	// Symptom: an upstream gets new work more than two seconds after the list
+	// says that it leaves.
+	// Sequence: readings fail or are answered late.
+	// Cause: the next reading waits for the answer to the last one.
+	is := is.New(t)
+	var u Upstreams
+	now := time.Unix(1_800_000_000, 0)
+	reads := 0
+	for end := now.Add(time.Minute); now.Before(end); {
+		for _, c := range u.Handle(Tick{}, now) {
+			if c == (ReadList{}) {
+				reads++
+			}
+		}
+		is.True(u.Next().Sub(now) <= time.Second)
+		now = u.Next()
+	}
+	is.Equal(reads, 60)
+}
