--- a/adapter/messenger/bytes_test.go
+++ b/adapter/messenger/bytes_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"basildale.example/basildale/internal/faker/network"
 	"basildale.example/basildale/membership"
 )
 
@@ -21,18 +22,18 @@
 func TestBytes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var n network
+		var n network.Network
 		self := membership.Member{Addr: testAddr(2), Start: 1_785_000_000_000 << 10, Zone: "vejle-hal"}
 		full := []membership.Member{self, self, self, self, self, self, self, self}
 		var updates []membership.Member
-		b := n.join(t, 2, Handler{
+		b := join(t, &n, 2, Handler{
 			Ping: func(context.Context, Peer, Ping) (Ack, error) {
 				return Ack{From: self, Digest: 1 << 63, Updates: updates}, nil
 			},
 			Probe: func(context.Context, Peer, Probe) (Probed, error) { return Probed{OK: true, Target: self}, nil },
 			Sync:  func(context.Context, Peer, Sync) (Synced, error) { return Synced{Members: updates}, nil },
 		})
-		a := n.join(t, 1, Handler{})
+		a := join(t, &n, 1, Handler{})
 		a.ids.Store(12_345_678)
 		var out strings.Builder
 		measure := func(name string, method Method, call func(context.Context) error) {
--- a/adapter/messenger/messages.go
+++ b/adapter/messenger/messages.go
@@ -49,13 +49,13 @@
 // Probe asks a third member to ping Target on behalf of the sender.
 type Probe struct {
 	From   membership.Member `json:"from"`
-	Target membership.Member `json:"target"`
+	Target membership.Member `json:"target,omitzero"`
 }
 
 // Probed answers a Probe. Target is what the target said of itself if OK.
 type Probed struct {
 	OK     bool              `json:"ok"`
-	Target membership.Member `json:"target"`
+	Target membership.Member `json:"target,omitzero"`
 }
 
 // Sync asks for one bucket of the receiver's view. Digest sums up the sender's
--- a/adapter/messenger/messenger_test.go
+++ b/adapter/messenger/messenger_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"basildale.example/basildale/internal/faker/network"
 	"basildale.example/basildale/tracker"
 )
 
@@ -22,9 +23,9 @@
 func TestCallsShareOneConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var n network
-		a := n.join(t, 1, Handler{Explain: echo})
-		b := n.join(t, 2, Handler{Explain: echo})
+		var n network.Network
+		a := join(t, &n, 1, Handler{Explain: echo})
+		b := join(t, &n, 2, Handler{Explain: echo})
 		ctx, cancel := within(time.Second)
 		defer cancel()
 		var wg sync.WaitGroup
@@ -38,7 +39,7 @@
 		wg.Wait()
 		_, err := b.Explain(ctx, testAddr(1), ExplainQuery{Subject: "back"})
 		is.NoErr(err)
-		is.Equal(n.dials, 1) // both directions on the one that a opened
+		is.Equal(n.Dials(), 1) // both directions on the one that a opened
 		synctest.Wait()
 		out := metrics.GetOrRegisterCounter("messenger.explain.out", a.Metrics).Count()
 		in := metrics.GetOrRegisterCounter("messenger.explain.in", b.Metrics).Count()
@@ -48,7 +49,7 @@
 		is.Equal(a.Links()+b.Links(), 0) // closed when idle
 		_, err = b.Explain(context.Background(), testAddr(1), ExplainQuery{Subject: "again"})
 		is.NoErr(err)
-		is.Equal(n.dials, 2) // and opened again on demand
+		is.Equal(n.Dials(), 2) // and opened again on demand
 	})
 }
 
@@ -59,9 +60,9 @@
 	// Cause: the two sides choose differently.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var n network
-		a := n.join(t, 1, Handler{Explain: echo})
-		b := n.join(t, 2, Handler{Explain: echo})
+		var n network.Network
+		a := join(t, &n, 1, Handler{Explain: echo})
+		b := join(t, &n, 2, Handler{Explain: echo})
 		ctx, cancel := within(time.Second)
 		defer cancel()
 		var wg sync.WaitGroup
@@ -95,15 +96,15 @@
 	// Cause: ids are used twice, or the answer is handed to whoever waits.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var n network
-		a := n.join(t, 1, Handler{})
+		var n network.Network
+		a := join(t, &n, 1, Handler{})
 		slow := func(ctx context.Context, p Peer, q ExplainQuery) (Explanation, error) {
 			if q.Subject == "slow" {
 				time.Sleep(1500 * time.Millisecond)
 			}
 			return echo(ctx, p, q)
 		}
-		b := n.join(t, 2, Handler{Explain: slow})
+		b := join(t, &n, 2, Handler{Explain: slow})
 		b.CallTimeout = time.Hour
 		ping := func(d time.Duration, subject string) (Explanation, error) {
 			ctx, cancel := within(d)
@@ -125,18 +126,18 @@
 			is.Equal(string(got.Payload), `"next"`)
 			time.Sleep(100 * time.Millisecond)
 		}
-		is.Equal(n.dials, 1)
+		is.Equal(n.Dials(), 1)
 	})
 }
 
 func TestBounds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var n network
+		var n network.Network
 		release := make(chan struct{})
-		a := n.join(t, 1, Handler{})
+		a := join(t, &n, 1, Handler{})
 		a.MaxInFlight, a.MaxMessage = 2, 2000
-		b := n.join(t, 2, Handler{Explain: func(ctx context.Context, p Peer, q ExplainQuery) (Explanation, error) {
+		b := join(t, &n, 2, Handler{Explain: func(ctx context.Context, p Peer, q ExplainQuery) (Explanation, error) {
 			if q.Subject == "hold" {
 				<-release
 			}
@@ -169,9 +170,9 @@
 	// Cause: the old connection is kept although nothing comes in on it.
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var n network
-		a := n.join(t, 1, Handler{})
-		stuck := n.join(t, 2, Handler{Explain: func(ctx context.Context, _ Peer, _ ExplainQuery) (Explanation, error) {
+		var n network.Network
+		a := join(t, &n, 1, Handler{})
+		stuck := join(t, &n, 2, Handler{Explain: func(ctx context.Context, _ Peer, _ ExplainQuery) (Explanation, error) {
 			<-ctx.Done()
 			return Explanation{}, ctx.Err()
 		}})
@@ -180,7 +181,7 @@
 		_, err := a.Explain(ctx, testAddr(2), ExplainQuery{Subject: "x"})
 		is.True(errors.Is(err, ErrDeadline))
 		stuck.Close()
-		n.run(t, &Messenger{Self: Peer{Addr: testAddr(2), Start: 2}, Keys: a.Keys, Handler: Handler{Explain: echo}, Dial: n.dial})
+		run(t, &n, &Messenger{Self: Peer{Addr: testAddr(2), Start: 2}, Keys: a.Keys, Handler: Handler{Explain: echo}, Dial: n.Dial})
 		_, err = a.Explain(context.Background(), testAddr(2), ExplainQuery{Subject: "x"})
 		is.NoErr(err)
 	})
@@ -189,9 +190,9 @@
 func TestMarksTravel(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var n network
+		var n network.Network
 		kept := make(chan []SessionMark, 1)
-		n.join(t, 2, Handler{
+		join(t, &n, 2, Handler{
 			PutMarks: func(_ context.Context, _ Peer, q PutMarks) (Empty, error) {
 				kept <- q.Marks
 				return Empty{}, nil
@@ -200,7 +201,7 @@
 				return Marks{Marks: <-kept}, nil
 			},
 		})
-		a := n.join(t, 1, Handler{})
+		a := join(t, &n, 1, Handler{})
 		want := []SessionMark{{Session: "kiosk-7", Group: "billet-db-2", Mark: tracker.Mark{Term: tracker.Term{Epoch: 3, Seq: 1}, Pos: 1042}}}
 		_, err := a.PutMarks(context.Background(), testAddr(2), PutMarks{Marks: want})
 		is.NoErr(err)
--- a/membership/doc.go
+++ b/membership/doc.go
@@ -51,5 +51,6 @@
 //		}
 //		run(cmds)
 //	}
-//	leaders := view.Order("billet-db-2", 3) // a leader and two deputies
+//	fleet := view.Fleet() // for other goroutines
+//	leaders := fleet.Order("billet-db-2", 3) // a leader and two deputies
 package membership
--- a/membership/fault_test.go
+++ b/membership/fault_test.go
@@ -263,8 +263,8 @@
 	f.run(time.Minute)
 	is.Equal(f.agree(all), "")
 	view := f.procs[0].view
-	is.Equal(len(view.Unlisted()), 1)
-	is.Equal(view.Unlisted()[0].Addr, f.procs[11].view.Self.Addr)
+	is.Equal(len(view.Fleet().Unlisted()), 1)
+	is.Equal(view.Fleet().Unlisted()[0].Addr, f.procs[11].view.Self.Addr)
 	is.Equal(len(view.Gone()), 1)
 	is.Equal(view.Gone()[0], f.procs[3].view.Self.Addr)
 	f.boot(f.procs[3], 3000)
@@ -289,7 +289,7 @@
 	after := view.Order("billet-db-2", 3)
 	is.Equal(after[0].Addr, before[1].Addr) // the deputy follows, the rest moves up
 	is.Equal(after[1].Addr, before[2].Addr)
-	for _, m := range view.OrderZone("zone-1", "watch", 100) {
+	for _, m := range view.Fleet().OrderZone("zone-1", "watch", 100) {
 		is.Equal(m.Zone, "zone-1")
 	}
 	listed := f.list()
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -71,6 +71,7 @@
 		v.Self.Inc = m.Inc + 1
 		v.worse()
 	}
+	v.fleet = nil
 	v.out = append(v.out, Changed{Member: v.Self, Reason: Contradicts})
 }
 
@@ -110,6 +111,7 @@
 
 // note does what follows from any change of an entry.
 func (v *View) note(e *entry, now time.Time, spread bool) {
+	v.fleet = nil
 	if spread {
 		v.news.push(e.Addr)
 	}
--- a/membership/seek.go
+++ b/membership/seek.go
@@ -12,6 +12,7 @@
 
 // list takes in the platform's list. It says where to look, not who lives.
 func (v *View) list(ev Listed) {
+	v.fleet = nil
 	before := v.listed
 	v.listed = make(map[netip.AddrPort]Instance, len(ev.Instances))
 	for _, in := range ev.Instances {
--- a/membership/view.go
+++ b/membership/view.go
@@ -43,7 +43,8 @@
 	contact    time.Time        // when the next of them is tried
 	sweep      time.Time        // when the dead are looked through
 	compare    comparison
-	served     int // buckets handed out in this interval
+	served     int    // buckets handed out in this interval
+	fleet      *Fleet // nil after a change
 
 	out []Command
 }
@@ -181,7 +182,7 @@
 
 // leave tells those who know this process best that it stops or has ended.
 func (v *View) leave(health Health) {
-	v.Self.Leaving = true
+	v.Self.Leaving, v.fleet = true, nil
 	v.Self.Inc++
 	said := v.Self
 	said.Health = health
