--- a/relayer/notes.go
+++ b/relayer/notes.go
@@ -50,6 +50,9 @@
 	Session string
 	// Mark is the latest write that reads must show.
 	Mark tracker.Mark
+	// Known says that no earlier write of a session without a name is past Mark:
+	// its caller has handed the mark over, or the primary was checked.
+	Known bool
 }
 
 // set takes one annotation. The name has its prefix.
@@ -100,7 +103,7 @@
 	case "session":
 		n.Session = ""
 	case "mark":
-		n.Mark = tracker.Mark{}
+		n.Mark, n.Known = tracker.Mark{}, false
 	default:
 		return noSetting(short)
 	}
@@ -128,6 +131,7 @@
 	if n.Mark.Less(m) {
 		n.Mark = m
 	}
+	n.Known = true
 	return true
 }
 
--- a/relayer/simple.go
+++ b/relayer/simple.go
@@ -164,7 +164,7 @@
 	switch {
 	case st.Kind == classifier.Discard:
 		s.settings, s.statements = settings{}, statements{}
-		s.notes = Notes{Session: s.notes.Session, Mark: s.notes.Mark}
+		s.notes = Notes{Session: s.notes.Session, Mark: s.notes.Mark, Known: s.notes.Known}
 	case len(st.Name) == 0:
 		s.statements = statements{}
 	default:
--- a/router/load.go
+++ b/router/load.go
@@ -53,7 +53,10 @@
 // never sent.
 func (l *Load) Done(i int, service time.Duration, now time.Time) {
 	u := &l.usage[i]
-	u.busy.Add(-1)
+	if u.busy.Add(-1) < 0 {
+		// It was counted in a Load that this one has replaced.
+		u.busy.Add(1)
+	}
 	if service <= 0 {
 		return
 	}
