daemon, dispatcher: one proxy process whose sessions read their writes anywhere

Cause: the data path served fixed groups; router, confirmer, finder and retrier decided for nobody, and a session that moved to another proxy could be shown an older state. Change: dispatcher joins sessions with the decisions (routing, admission and confirmation of writes, marks, settling, outcomes to meter and promoter); daemon puts one process together, with enroller and finder over the platform and the peers; the server changes groups and connection shares while it runs, and ends a unit's use of a target that had no connection (the load counted it for ever). The peers' calls put and get of marks go too, for one message that package marker owns. Measured: three daemons, a platform and a group on loopback, lag 30 ms: 12 bookings alternating over three proxies, each read back at both others at once, none missing; 6 bookings read back on fresh connections, none missing; 45 or more of 50 reads of a session on replicas; all bookings acknowledged before a crash of the primary are held by the new one; an open transaction survives a graceful stop.

--- a/adapter/messenger/calls.go
+++ b/adapter/messenger/calls.go
@@ -38,17 +38,10 @@
 	return reply, err
 }
 
-// PutMarks hands marks to the proxy at to.
-func (m *Messenger) PutMarks(ctx context.Context, to netip.AddrPort, req PutMarks) (Empty, error) {
+// Marks hands messages about sessions' marks to the proxy at to.
+func (m *Messenger) Marks(ctx context.Context, to netip.AddrPort, req Marks) (Empty, error) {
 	var reply Empty
-	err := m.call(ctx, to, MethodPutMarks, req, &reply)
-	return reply, err
-}
-
-// GetMarks asks the proxy at to for the marks of sessions.
-func (m *Messenger) GetMarks(ctx context.Context, to netip.AddrPort, req GetMarks) (Marks, error) {
-	var reply Marks
-	err := m.call(ctx, to, MethodGetMarks, req, &reply)
+	err := m.call(ctx, to, MethodMarks, req, &reply)
 	return reply, err
 }
 
--- a/adapter/messenger/handler.go
+++ b/adapter/messenger/handler.go
@@ -20,19 +20,18 @@
 // the peer that the connection was authenticated for. It may run at the same
 // time as others.
 type Handler struct {
-	Ping     func(context.Context, Peer, Ping) (Ack, error)
-	Probe    func(context.Context, Peer, Probe) (Probed, error)
-	Sync     func(context.Context, Peer, Sync) (Synced, error)
-	PutMarks func(context.Context, Peer, PutMarks) (Empty, error)
-	GetMarks func(context.Context, Peer, GetMarks) (Marks, error)
-	Have     func(context.Context, Peer, Have) (Got, error)
-	Get      func(context.Context, Peer, Get) (Got, error)
-	Suspect  func(context.Context, Peer, SuspectReport) (Empty, error)
-	Primary  func(context.Context, Peer, PrimaryAnnounce) (Empty, error)
-	Cancel   func(context.Context, Peer, CancelForward) (Empty, error)
-	Leave    func(context.Context, Peer, Leave) (Empty, error)
-	Explain  func(context.Context, Peer, ExplainQuery) (Explanation, error)
-	Share    func(context.Context, Peer, ShareRequest) (ShareGrant, error)
+	Ping    func(context.Context, Peer, Ping) (Ack, error)
+	Probe   func(context.Context, Peer, Probe) (Probed, error)
+	Sync    func(context.Context, Peer, Sync) (Synced, error)
+	Marks   func(context.Context, Peer, Marks) (Empty, error)
+	Have    func(context.Context, Peer, Have) (Got, error)
+	Get     func(context.Context, Peer, Get) (Got, error)
+	Suspect func(context.Context, Peer, SuspectReport) (Empty, error)
+	Primary func(context.Context, Peer, PrimaryAnnounce) (Empty, error)
+	Cancel  func(context.Context, Peer, CancelForward) (Empty, error)
+	Leave   func(context.Context, Peer, Leave) (Empty, error)
+	Explain func(context.Context, Peer, ExplainQuery) (Explanation, error)
+	Share   func(context.Context, Peer, ShareRequest) (ShareGrant, error)
 }
 
 // dispatch decodes the request of one method and runs the function for it.
@@ -47,12 +46,9 @@
 	case MethodSync:
 		var q Sync
 		return serve(raw, &q, h.Sync != nil, func() (any, error) { return h.Sync(ctx, from, q) })
-	case MethodPutMarks:
-		var q PutMarks
-		return serve(raw, &q, h.PutMarks != nil, func() (any, error) { return h.PutMarks(ctx, from, q) })
-	case MethodGetMarks:
-		var q GetMarks
-		return serve(raw, &q, h.GetMarks != nil, func() (any, error) { return h.GetMarks(ctx, from, q) })
+	case MethodMarks:
+		var q Marks
+		return serve(raw, &q, h.Marks != nil, func() (any, error) { return h.Marks(ctx, from, q) })
 	case MethodHave:
 		var q Have
 		return serve(raw, &q, h.Have != nil, func() (any, error) { return h.Have(ctx, from, q) })
--- a/adapter/messenger/messages.go
+++ b/adapter/messenger/messages.go
@@ -13,19 +13,19 @@
 
 // The methods that a proxy answers.
 const (
-	MethodPing     Method = "ping"
-	MethodProbe    Method = "pingreq"
-	MethodSync     Method = "sync"
-	MethodPutMarks Method = "marks.put"
-	MethodGetMarks Method = "marks.get"
-	MethodHave     Method = "config.have"
-	MethodGet      Method = "config.get"
-	MethodSuspect  Method = "suspect"
-	MethodPrimary  Method = "primary"
-	MethodCancel   Method = "cancel"
-	MethodLeave    Method = "leave"
-	MethodExplain  Method = "explain"
-	MethodShare    Method = "share"
+	MethodPing    Method = "ping"
+	MethodProbe   Method = "pingreq"
+	MethodSync    Method = "sync"
+	MethodMarks   Method = "marks"
+	MethodRoster  Method = "roster"
+	MethodHave    Method = "config.have"
+	MethodGet     Method = "config.get"
+	MethodSuspect Method = "suspect"
+	MethodPrimary Method = "primary"
+	MethodCancel  Method = "cancel"
+	MethodLeave   Method = "leave"
+	MethodExplain Method = "explain"
+	MethodShare   Method = "share"
 )
 
 // Empty is the answer to a request that asks for nothing back.
@@ -72,26 +72,10 @@
 	Members []membership.Member `json:"members,omitempty"`
 }
 
-// SessionMark is how far one session must be able to see in one group.
-type SessionMark struct {
-	Session string       `json:"session"`
-	Group   string       `json:"group"`
-	Mark    tracker.Mark `json:"mark"`
-}
-
-// PutMarks hands marks to the proxy that keeps them for these sessions.
-type PutMarks struct {
-	Marks []SessionMark `json:"marks"`
-}
-
-// GetMarks asks for the marks of sessions.
-type GetMarks struct {
-	Sessions []string `json:"sessions"`
-}
-
-// Marks answers GetMarks. A session without a mark here is left out.
+// Marks carries messages of package marker, which owns the payload. It needs no
+// answer.
 type Marks struct {
-	Marks []SessionMark `json:"marks,omitempty"`
+	Payload json.RawMessage `json:"payload"`
 }
 
 // Have tells which configuration the sender holds. The payload belongs to
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -47,6 +47,8 @@
 	names   []string // of the groups, sorted
 	leaving map[netip.AddrPort]bool
 	adopted bool
+	// proxies are those in the platform's list; nil before it was read.
+	proxies []netip.AddrPort
 	out     []Command
 	now     time.Time
 }
@@ -251,6 +253,10 @@
 }
 
 func (c *Controller) listed(ev Listed) {
+	c.proxies = make([]netip.AddrPort, len(ev.Proxies))
+	for i, p := range ev.Proxies {
+		c.proxies[i] = p.Addr
+	}
 	c.member(membership.Listed{Instances: ev.Proxies})
 	leaving := make(map[netip.AddrPort]bool, len(ev.Leaving))
 	for _, a := range ev.Leaving {
@@ -280,5 +286,8 @@
 // Ready reports whether traffic can be taken: groups are known.
 func (c *Controller) Ready() bool { return len(c.names) > 0 }
 
+// Listed returns the proxies in the platform's list, and whether it was read.
+func (c *Controller) Listed() ([]netip.AddrPort, bool) { return c.proxies, c.proxies != nil }
+
 // Members returns what is believed of the fleet.
 func (c *Controller) Members() []membership.Member { return c.view.Live() }
--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,248 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/matryer/is"
+
+	"basildale.example/basildale/adapter/keeper"
+	"basildale.example/basildale/adapter/reporter"
+	"basildale.example/basildale/coordinator"
+	"basildale.example/basildale/internal/faker/platform"
+	"basildale.example/basildale/internal/faker/upstream"
+	"basildale.example/basildale/loader"
+	"basildale.example/basildale/membership"
+)
+
+var zones = []string{"vejle-hal", "aarhus-hal", "skjern-hal"}
+
+const setup = "CREATE TABLE seats (id int, holder text); INSERT INTO seats (id, holder) VALUES (0, 'nobody')"
+
+// fleet is three daemons before one group, with the platform's stand-in.
+type fleet struct {
+	t        *testing.T
+	platform *platform.Platform
+	group    *upstream.Group
+	daemons  []*Daemon
+	ends     []chan error
+}
+
+func newFleet(t *testing.T, lag time.Duration) *fleet {
+	t.Helper()
+	is := is.New(t)
+	f := &fleet{t: t, platform: &platform.Platform{}}
+	is.NoErr(f.platform.Start())
+	t.Cleanup(func() { _ = f.platform.Close() })
+	var err error
+	f.group, err = upstream.NewGroup(upstream.Options{Size: 3, Lag: lag, Setup: setup})
+	is.NoErr(err)
+	t.Cleanup(f.group.Close)
+	f.configure()
+	key := filepath.Join(t.TempDir(), "key")
+	is.NoErr(os.WriteFile(key, []byte("a key that the fleet shares"), 0o600))
+	var instances []platform.Instance
+	for i, zone := range zones {
+		d := f.daemon(i, zone, key)
+		is.NoErr(d.Listen())
+		f.daemons = append(f.daemons, d)
+		instances = append(instances, platform.Instance{Name: zone, Role: "proxy", Zone: zone, State: "live", Address: d.Peers()})
+	}
+	f.platform.SetInstances(instances)
+	for _, d := range f.daemons {
+		f.run(d)
+	}
+	for _, d := range f.daemons {
+		<-d.Started()
+	}
+	return f
+}
+
+func (f *fleet) daemon(i int, zone, key string) *Daemon {
+	local := netip.MustParseAddrPort("127.0.0.1:0")
+	return &Daemon{
+		Settings: loader.Settings{
+			Name: zone, Zone: zone, Workspace: "dj", Listen: local, Peers: local, Operators: local,
+			Platform: []netip.AddrPort{f.platform.Addr()}, Secret: key, Login: loader.Login{User: "basildale"}, Stop: 10 * time.Second,
+		},
+		Sampling:   coordinator.Sampling{Active: 10 * time.Millisecond, Idle: 20 * time.Millisecond, Within: 200 * time.Millisecond, List: 50 * time.Millisecond},
+		Membership: membership.Settings{Period: 200 * time.Millisecond, Timeout: 100 * time.Millisecond, Suspicion: 300 * time.Millisecond},
+		Lease:      200 * time.Millisecond,
+		Seed:       uint64(i + 1),
+	}
+}
+
+func (f *fleet) run(d *Daemon) {
+	ctx, cancel := context.WithCancel(context.Background())
+	end := make(chan error, 1)
+	go func() { end <- d.Run(ctx) }()
+	f.ends = append(f.ends, end)
+	f.t.Cleanup(func() {
+		cancel()
+		if err := <-end; err != nil {
+			f.t.Error(err)
+		}
+	})
+}
+
+func (f *fleet) configure() {
+	is := is.New(f.t)
+	k := &keeper.Client{Addrs: []netip.AddrPort{f.platform.Addr()}}
+	var ups []map[string]any
+	for i, a := range f.group.Addrs() {
+		ups = append(ups, map[string]any{"name": zones[i], "address": a, "zone": zones[i]})
+	}
+	class := map[string]any{"booking": map[string]any{"weight": 2, "deadline": "2s"}, "lookup": map[string]any{"weight": 1, "deadline": "1s"}}
+	for _, o := range []struct {
+		name string
+		spec map[string]any
+	}{
+		{"preset/ordinary", map[string]any{"workspace": "dj", "classes": class}},
+		{"active/dj", map[string]any{"preset": "ordinary"}},
+		{"workspace/dj", map[string]any{"zones": zones}},
+		{"pool/tickets", map[string]any{"workspace": "dj"}},
+		{"group/billet-db-1", map[string]any{"pool": "tickets", "databases": []string{"billet"}, "slots": 5, "connections": 35, "upstreams": ups}},
+		{"caller/kiosk", map[string]any{"workspace": "dj", "class": "booking"}},
+	} {
+		_, err := k.Put(f.t.Context(), "config", o.name, 0, map[string]any{"spec": o.spec})
+		is.NoErr(err)
+	}
+}
+
+func (f *fleet) connect(i int, more string) *pgx.Conn {
+	f.t.Helper()
+	c, err := pgx.Connect(f.t.Context(), "postgres://kiosk@"+f.daemons[i].Callers().String()+"/billet?sslmode=disable&"+more)
+	is.New(f.t).NoErr(err)
+	f.t.Cleanup(func() { _ = c.Close(context.Background()) })
+	return c
+}
+
+func book(t *testing.T, c *pgx.Conn, id int) error {
+	t.Helper()
+	_, err := c.Exec(t.Context(), "INSERT INTO seats (id, holder) VALUES ($1, $2)", id, "Karen")
+	return err
+}
+
+func holder(t *testing.T, c *pgx.Conn, id int) string {
+	t.Helper()
+	var name string
+	err := c.QueryRow(t.Context(), "SELECT holder FROM seats WHERE id = $1", id).Scan(&name)
+	if err != nil {
+		return err.Error()
+	}
+	return name
+}
+
+// Symptom: a family that has booked at one proxy is told at another that there
+// is no such booking. Sequence: each booking is read back at the next proxy at
+// once, while the replicas lag. Cause: the other proxy doesn't know the mark and
+// takes any replica.
+func TestNamedSessionReadsItsWritesOnEveryProxy(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 30*time.Millisecond)
+	var conns []*pgx.Conn
+	for i := range f.daemons {
+		conns = append(conns, f.connect(i, "basildale.session=family-7"))
+	}
+	for n := range 12 {
+		is.NoErr(book(t, conns[n%3], 100+n))
+		is.Equal(holder(t, conns[(n+1)%3], 100+n), "Karen")
+		is.Equal(holder(t, conns[(n+2)%3], 100+n), "Karen")
+	}
+}
+
+// Symptom: as above, for a caller that names no session. Sequence: it books on
+// one connection and reads on a fresh one to another proxy. Cause: a fresh
+// connection was taken for a fresh session.
+func TestFreshConnectionReadsWhatWasAcknowledgedBefore(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 30*time.Millisecond)
+	writer := f.connect(0, "")
+	for n := range 6 {
+		is.NoErr(book(t, writer, 200+n))
+		is.Equal(holder(t, f.connect(1+n%2, ""), 200+n), "Karen")
+	}
+}
+
+func TestReadsOfASessionReachReplicas(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, time.Millisecond)
+	c := f.connect(0, "")
+	is.NoErr(book(t, c, 300))
+	for range 50 {
+		is.Equal(holder(t, c, 300), "Karen")
+	}
+	onReplicas := f.group.Upstreams[1].Counts().Statements + f.group.Upstreams[2].Counts().Statements
+	is.True(onReplicas >= 45) // reads of 50
+}
+
+// Symptom: a seat that was sold is free again after a failover. Sequence: a sale
+// is acknowledged, the primary dies before a replica has the sale. Cause: the
+// acknowledgement went out before a replica confirmed it.
+func TestAcknowledgedBookingsSurviveTheLossOfThePrimary(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 20*time.Millisecond)
+	c := f.connect(0, "")
+	for n := range 5 {
+		is.NoErr(book(t, c, 400+n))
+	}
+	f.group.Upstreams[0].Crash()
+	next := 500
+	for book(t, c, next) != nil { // every failed booking has another id
+		next++
+	}
+	rows := f.group.Primary().Rows("seats")
+	is.True(f.group.Primary() != f.group.Upstreams[0])
+	held := map[string]bool{}
+	for _, row := range rows {
+		held[row[0]] = true
+	}
+	for n := range 5 {
+		is.True(held[strconv.Itoa(400+n)]) // acknowledged before the crash
+	}
+	is.True(held[strconv.Itoa(next)])
+}
+
+// Symptom: callers lose requests when a proxy is replaced. Sequence: the proxy is
+// told to stop while a transaction is open. Cause: the process ended without
+// waiting for it.
+func TestGracefulStopFinishesWhatIsInFlight(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, time.Millisecond)
+	c := f.connect(2, "")
+	tx, err := c.Begin(t.Context())
+	is.NoErr(err)
+	_, err = tx.Exec(t.Context(), "INSERT INTO seats (id, holder) VALUES (600, 'Ole')")
+	is.NoErr(err)
+	is.True(f.daemons[2].Drain())
+	is.True(!f.daemons[2].Drain()) // one runs already
+	is.NoErr(tx.Commit(t.Context()))
+	is.NoErr(<-f.ends[2])
+	f.ends[2] <- nil
+	is.Equal(holder(t, f.connect(0, ""), 600), "Ole")
+}
+
+func TestStatusAndExplanation(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, time.Millisecond)
+	status, err := f.daemons[0].status(t.Context())
+	is.NoErr(err)
+	is.Equal(status.Preset, "ordinary")
+	is.Equal(status.State, "ready")
+	is.Equal(len(status.Groups), 1)
+	is.Equal(len(status.Groups[0].Upstreams), 3)
+	_, err = json.Marshal(status)
+	is.NoErr(err)
+	list, err := f.daemons[0].explain(t.Context(), reporterQuery("billet-db-1"))
+	is.NoErr(err)
+	is.True(len(list) > 0)
+}
+
+func reporterQuery(group string) reporter.Query { return reporter.Query{Group: group, Limit: 10} }
--- /dev/null
+++ b/daemon/report.go
@@ -0,0 +1,154 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"basildale.example/basildale/adapter/reporter"
+	"basildale.example/basildale/controller"
+	"basildale.example/basildale/membership"
+)
+
+var (
+	errStarting = errors.New("daemon: starting, no configuration is known yet")
+	errLeaving  = errors.New("daemon: leaving")
+	errStopped  = errors.New("daemon: the control side has stopped")
+)
+
+// reporter returns what answers operators.
+func (d *Daemon) reporter() *reporter.Reporter {
+	return &reporter.Reporter{
+		Registry: d.registry,
+		Health:   d.health,
+		Ready:    d.ready,
+		Status:   d.status,
+		Explain:  d.explain,
+		Drain:    d.drainNow,
+		Log:      d.Log,
+	}
+}
+
+// health asks the control goroutine: a process whose control goroutine hangs
+// goes on serving from old views, which nobody would notice otherwise.
+func (d *Daemon) health(context.Context) error {
+	if !d.coordinator.Ask(func(*controller.Controller) {}) {
+		return errStopped
+	}
+	return nil
+}
+
+func (d *Daemon) ready(context.Context) error {
+	select {
+	case <-d.drained:
+		return errLeaving
+	default:
+	}
+	select {
+	case <-d.started:
+		return nil
+	default:
+		return errStarting
+	}
+}
+
+func (d *Daemon) state(ctx context.Context) string {
+	switch err := d.ready(ctx); {
+	case err == nil:
+		return "ready"
+	case errors.Is(err, errLeaving):
+		return "leaving"
+	default:
+		return "starting"
+	}
+}
+
+func (d *Daemon) status(ctx context.Context) (reporter.Status, error) {
+	s := reporter.Status{
+		Name: d.Settings.Name, Zone: d.Settings.Zone, Workspace: d.Settings.Workspace,
+		At: time.Now(), State: d.state(ctx), Platform: "none",
+	}
+	if d.platform != nil {
+		s.Platform = "configured"
+	}
+	var members []membership.Member
+	if !d.coordinator.Ask(func(c *controller.Controller) {
+		s.Version = c.Version()
+		members = c.Members()
+	}) {
+		return s, errStopped
+	}
+	for _, m := range members {
+		s.Peers = append(s.Peers, peer(m))
+	}
+	if r := d.coordinator.Config(); r != nil {
+		s.Preset = d.preset(r)
+		for _, g := range r.Groups {
+			if view := d.coordinator.View(g.Name); view != nil {
+				s.Groups = append(s.Groups, statusOf(view, s.At))
+			}
+		}
+	}
+	return s, nil
+}
+
+func (d *Daemon) preset(r *controller.Reconfigured) string {
+	if r.Config == nil {
+		return ""
+	}
+	if w := r.Config.Workspaces[d.Settings.Workspace]; w != nil {
+		return w.Name
+	}
+	return ""
+}
+
+func peer(m membership.Member) reporter.Peer {
+	p := reporter.Peer{Name: m.Addr.String(), Zone: m.Zone, Address: m.Addr, State: "live"}
+	switch {
+	case m.Leaving:
+		p.State = "leaving"
+	case m.Health != membership.Alive:
+		p.State = m.Health.String()
+	}
+	return p
+}
+
+func statusOf(v *controller.Published, now time.Time) reporter.Group {
+	g := reporter.Group{Name: v.Name, Leader: v.Leader, Term: v.Term.String()}
+	for i, u := range v.Upstreams {
+		one := reporter.Upstream{Name: u.Address.String(), Zone: u.Zone, Address: u.Address}
+		seen := v.Snapshot.Upstreams[i]
+		one.Role, one.Mark = seen.Role.String(), seen.Mark.String()
+		if age, known := v.Snapshot.Age(i, now); known {
+			behind := reporter.Seconds(age)
+			one.Behind = &behind
+		}
+		g.Upstreams = append(g.Upstreams, one)
+	}
+	return g
+}
+
+func (d *Daemon) explain(_ context.Context, q reporter.Query) ([]reporter.Decision, error) {
+	subject := q.Group
+	for _, s := range []string{q.Upstream, q.Session} {
+		if s != "" {
+			subject = s
+		}
+	}
+	var list []reporter.Decision
+	for _, one := range d.coordinator.Explain(subject, q.Limit) {
+		list = append(list, reporter.Decision{
+			At: one.At, Part: one.Part, Action: one.Action, Reason: one.Reason,
+			Session: one.Session, Group: one.Group, Upstream: one.Upstream, Detail: one.Detail,
+		})
+	}
+	return list, nil
+}
+
+func (d *Daemon) drainNow(context.Context) (reporter.Drained, error) {
+	if !d.Drain() {
+		return reporter.Drained{}, reporter.ErrLeaving
+	}
+	return reporter.Drained{State: "leaving", Deadline: time.Now().Add(d.Settings.Stop)}, nil
+}
--- /dev/null
+++ b/dispatcher/control.go
@@ -0,0 +1,18 @@
+package dispatcher
+
+import "basildale.example/basildale/server"
+
+// Seams returns what a server asks its decisions of.
+func (d *Dispatcher) Seams() server.Control {
+	d.once.Do(d.prepare)
+	return server.Control{
+		Login:   d.Login,
+		Route:   d.Route,
+		Release: d.Release,
+		Confirm: d.Confirm,
+		Observe: d.Observe,
+		Decide:  d.Decide,
+		Settle:  d.Settle,
+		Settled: d.Settled,
+	}
+}
--- /dev/null
+++ b/dispatcher/doc.go
@@ -0,0 +1,29 @@
+// Package dispatcher brings each statement to an upstream and its outcome back
+// to where it is counted. It joins the relay of sessions with the packages that
+// decide: router, limiter, confirmer, marker, retrier and breaker.
+//
+// For each database group a [Dispatcher] holds what its traffic shares: the last
+// view that the controller published, the load of each upstream, the writes that
+// wait for their confirmation, and the retry budget. Sessions' goroutines call
+// its methods, which read published values and never wait for the control
+// goroutine.
+//
+// The order of steps of a statement:
+//
+//  1. Login finds the account and its limits under the preset in force.
+//  2. Route asks the router. A write is admitted by the confirmer first, and
+//     held while a planned change of the primary is under way. A read may wait
+//     for a replica.
+//  3. Confirm holds the answer of a write back until a replica has it, and the
+//     session's mark is kept before the answer goes out.
+//  4. Observe gives the outcome to the histograms, to the load, and to the
+//     promoter, which judges the primary by it.
+//  5. Decide, Settle and Settled say what follows on an attempt that brought no
+//     answer.
+//
+// # Usage
+//
+//	d := &dispatcher.Dispatcher{Zone: "vejle-hal", Coordinator: c, Upstreams: commander, Meter: m}
+//	c.OnView = d.OnView
+//	server.Control = d.Control()
+package dispatcher
--- /dev/null
+++ b/dispatcher/observe.go
@@ -0,0 +1,107 @@
+package dispatcher
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"basildale.example/basildale/controller"
+	"basildale.example/basildale/meter"
+	"basildale.example/basildale/promoter"
+	"basildale.example/basildale/relayer"
+	"basildale.example/basildale/retrier"
+	"basildale.example/basildale/router"
+)
+
+const (
+	// tokenIndexBits is how much of a target's token is the upstream's index; the
+	// rest is when the unit was routed, in microseconds since the start.
+	tokenIndexBits = 8
+	// heardEvery is the least time between two events that tell the promoter of
+	// an upstream's answers.
+	heardEvery = 10 * time.Millisecond
+)
+
+func (d *Dispatcher) token(i int, now time.Time) uint64 {
+	return uint64(now.Sub(d.start).Microseconds())<<tokenIndexBits | uint64(i)
+}
+
+func (d *Dispatcher) untoken(token uint64) (i int, at time.Time) {
+	return int(token & (1<<tokenIndexBits - 1)), d.start.Add(time.Duration(token>>tokenIndexBits) * time.Microsecond)
+}
+
+// Release ends a unit's or a transaction's use of an upstream.
+func (d *Dispatcher) Release(t relayer.Target) {
+	v := d.group(t.Group).view.Load()
+	if v == nil {
+		return
+	}
+	i, at := d.untoken(t.Token)
+	if i >= len(v.Upstreams) || v.Upstreams[i].Address != t.Address {
+		return // the group has other upstreams now, and its load starts anew
+	}
+	now := time.Now()
+	v.load.Done(i, now.Sub(at), now)
+}
+
+// Observe takes the outcome of one attempt.
+func (d *Dispatcher) Observe(t relayer.Target, r *relayer.Request, o retrier.Outcome) {
+	now := time.Now()
+	d.measure(t, r, o, now)
+	g := d.group(t.Group)
+	if trouble, ok := troubleOf(o); ok {
+		d.Control.Offer(controller.Promotion{Group: g.name, Event: promoter.Failed{Upstream: t.Address, Trouble: trouble}})
+		return
+	}
+	if o.Kind == retrier.Done && g.tell(t.Address, now.Sub(d.start)) {
+		d.Control.Offer(controller.Promotion{Group: g.name, Event: promoter.Answered{Upstream: t.Address}})
+	}
+}
+
+// tell reports whether the promoter is to hear of an answer: it needs to know
+// that the upstream lives, not each statement.
+func (g *group) tell(a netip.AddrPort, now time.Duration) bool {
+	last, ok := g.heard.Load(a)
+	if !ok {
+		last, _ = g.heard.LoadOrStore(a, new(atomic.Int64))
+	}
+	at := last.(*atomic.Int64)
+	was := at.Load()
+	return int64(now)-was >= int64(heardEvery) && at.CompareAndSwap(was, int64(now))
+}
+
+type seriesKey struct{ tenant, class string }
+
+func (d *Dispatcher) measure(t relayer.Target, r *relayer.Request, o retrier.Outcome, now time.Time) {
+	if d.Meter == nil {
+		return
+	}
+	class := r.Notes.Class.String()
+	if class == "" {
+		class = "other"
+	}
+	_, routed := d.untoken(t.Token)
+	s := d.seriesOf(r.Account.Tenant, class)
+	s.Observe(meter.Timing{Wait: routed.Sub(r.Arrived), Upstream: now.Sub(routed), Total: now.Sub(r.Arrived)})
+	d.Meter.Outcome(r.Account.Tenant, class, o.Kind.String())
+}
+
+// seriesOf finds a series without making its name anew for each statement.
+func (d *Dispatcher) seriesOf(tenant, class string) *meter.Series {
+	key := seriesKey{tenant, class}
+	if s, ok := d.series.Load(key); ok {
+		return s.(*meter.Series)
+	}
+	s, _ := d.series.LoadOrStore(key, d.Meter.Series(tenant, class))
+	return s.(*meter.Series)
+}
+
+// record keeps one decision of the router.
+func (d *Dispatcher) record(r *relayer.Request, decision router.Decision, now time.Time) {
+	if d.Meter != nil {
+		d.Meter.Route(decision.Reason.String())
+	}
+	if d.Recorder != nil {
+		d.Recorder.Add(router.Record{At: now, Group: r.Account.Group, Session: r.Notes.Session, Decision: decision})
+	}
+}
--- a/server/pools.go
+++ b/server/pools.go
@@ -25,6 +25,7 @@
 type pool struct {
 	pooler.Pool[*relayer.Upstream]
 	least int // connections to keep warm
+	made  made
 }
 
 // pools are the connections to all upstreams.
@@ -40,15 +41,48 @@
 	retryAfter = 100 * time.Millisecond
 )
 
-func (p *pools) add(groups []Group) {
+// set makes, keeps, resizes and stops pools so that they are those of the
+// groups. A connection that is in use when its pool stops goes on to the end of
+// its transaction.
+func (p *pools) set(groups []Group) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.all = map[place]*pool{}
+	next := make(map[place]*pool)
 	for _, g := range groups {
 		for _, a := range g.Upstreams {
-			p.all[place{g.Name, a}] = newPool(g, a)
+			at := place{g.Name, a}
+			next[at] = p.keep(at, g)
 		}
 	}
+	for at, old := range p.all {
+		if next[at] != old {
+			old.Stop()
+		}
+	}
+	p.all = next
+}
+
+// keep returns the pool of an upstream, a new one when there is none or when its
+// connections would be made otherwise.
+func (p *pools) keep(at place, g Group) *pool {
+	old := p.all[at]
+	if old == nil || old.made != madeOf(g) {
+		return newPool(g, at.address)
+	}
+	old.SetLimit(limitOf(g))
+	return old
+}
+
+// made is what the connections of a pool are made with.
+type made struct{ user, password, database string }
+
+func madeOf(g Group) made { return made{g.User, g.Password, g.Database} }
+
+func limitOf(g Group) int {
+	if g.Connections == 0 {
+		return defaultConnections
+	}
+	return g.Connections
 }
 
 func newPool(g Group, address netip.AddrPort) *pool {
@@ -59,13 +93,9 @@
 	if d.User == "" {
 		d.User = "basildale"
 	}
-	limit := g.Connections
-	if limit == 0 {
-		limit = defaultConnections
-	}
 	return &pool{
 		Pool: pooler.Pool[*relayer.Upstream]{
-			Limit: limit,
+			Limit: limitOf(g),
 			Dial: func(ctx context.Context) (*relayer.Upstream, error) {
 				c, err := d.Dial(ctx, address)
 				if err != nil {
@@ -76,6 +106,7 @@
 			Close: func(u *relayer.Upstream) { u.Terminate() },
 		},
 		least: g.Warm,
+		made:  madeOf(g),
 	}
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -121,7 +121,7 @@
 	if s.Grace == 0 {
 		s.Grace = defaultGrace
 	}
-	s.pools.add(s.Groups)
+	s.pools.set(s.Groups)
 	s.fixed.set(s.Groups)
 	s.retries.set(s.Groups)
 	s.defaults()
@@ -129,7 +129,7 @@
 		Index:         s.Index,
 		Login:         s.Control.Login,
 		Route:         s.Control.Route,
-		Acquire:       s.pools.acquire,
+		Acquire:       s.acquire,
 		Release:       s.release,
 		Confirm:       s.Control.Confirm,
 		Observe:       s.Control.Observe,
@@ -168,6 +168,23 @@
 	return session
 }
 
+// Configure changes the groups and the shares of their connections. It may be
+// called at any time.
+func (s *Server) Configure(groups []Group) {
+	s.once.Do(s.prepare)
+	s.pools.set(groups)
+}
+
+// acquire takes a connection for a unit. Where there is none, the unit's use of
+// the target ends at once: the router would go on counting it otherwise.
+func (s *Server) acquire(ctx context.Context, t relayer.Target, r *relayer.Request) (*relayer.Upstream, *relayer.Refusal) {
+	u, refusal := s.pools.acquire(ctx, t, r)
+	if refusal != nil {
+		s.Control.Release(t)
+	}
+	return u, refusal
+}
+
 func (s *Server) release(t relayer.Target, u *relayer.Upstream, healthy bool) {
 	s.pools.release(t, u, healthy)
 	s.Control.Release(t)
