--- a/adapter/listener/conn.go
+++ b/adapter/listener/conn.go
@@ -39,8 +39,9 @@
 // Remote returns the caller's address.
 func (c *Conn) Remote() netip.AddrPort { return c.remote }
 
-// Read reads what has arrived, without waiting. It returns 0 and no error when
-// there is nothing now: Readable follows when there is. io.EOF is the end.
+// Read reads what has arrived, without waiting. When it returns less than asked
+// for, nothing more has arrived, and Readable follows when it has; 0 and no
+// error is nothing at all. io.EOF is the end.
 func (c *Conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.nc.Read(p)
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -62,6 +62,16 @@
 	return p.use(ctx, g)
 }
 
+// TryGet returns a warm connection if there is one, without waiting or dialing.
+func (p *Pool[C]) TryGet() (c C, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle) == 0 || p.open > p.Limit {
+		return c, false
+	}
+	return p.pop(), true
+}
+
 // ask takes a grant at once or joins the line.
 func (p *Pool[C]) ask() (grant[C], *waiter[C]) {
 	p.mu.Lock()
@@ -238,6 +248,29 @@
 	}
 }
 
+// Sweep closes the idle connections that are not alive any more. alive runs with
+// the pool's lock and must not wait.
+func (p *Pool[C]) Sweep(alive func(C) bool) {
+	p.mu.Lock()
+	var dead []C
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if alive(c) {
+			kept = append(kept, c)
+		} else {
+			dead = append(dead, c)
+		}
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+	p.open -= len(dead)
+	p.admit()
+	p.mu.Unlock()
+	for _, c := range dead {
+		p.Close(c)
+	}
+}
+
 // Stop closes the pool: idle connections at once, others when they come back;
 // those in line get ErrClosed.
 func (p *Pool[C]) Stop() {
--- a/pooler/pool_test.go
+++ b/pooler/pool_test.go
@@ -120,6 +120,16 @@
 				}
 				owned[c] = true
 			},
+			"try": func(t *rapid.T) {
+				c, ok := p.TryGet()
+				if ok && (owned[c] || n.closed[c]) {
+					t.Fatalf("connection %d given twice or after its end", c)
+				}
+				if ok {
+					owned[c] = true
+				}
+			},
+			"sweep": func(*rapid.T) { p.Sweep(func(c int) bool { return c%2 == 0 }) },
 			"put": func(*rapid.T) {
 				if c, ok := take(); ok {
 					p.Put(c)
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -73,7 +73,7 @@
 	case 'C':
 		u.tag = append(u.tag[:0], f.Body()...)
 	}
-	if len(u.ops) > 0 && u.advance(f.Type) {
+	if u.waits() && u.advance(f.Type) {
 		return false, nil
 	}
 	return false, s.gather(f)
@@ -107,8 +107,8 @@
 // upstream and not of the statement become an outcome; others are the answer.
 func (s *Session) errorFrame(u *unit, f framer.Frame) (ended bool, err error) {
 	u.failed = true
-	if len(u.ops) > 0 && u.ops[0].mode == opFault {
-		s.writeFault(u.items[u.ops[0].item].fault)
+	if u.waits() && u.ops[u.head].mode == opFault {
+		s.writeFault(u.items[u.ops[u.head].item].fault)
 		s.dropOps(u)
 		return !u.sync, nil
 	}
--- a/relayer/batch.go
+++ b/relayer/batch.go
@@ -74,7 +74,9 @@
 	if s.skipping && !sync {
 		return nil
 	}
-	u := &unit{sync: sync}
+	u := s.relay.newUnit()
+	defer s.relay.freeUnit(u)
+	u.sync = sync
 	if !s.skipping {
 		if err := s.items(u, raw); err != nil {
 			return err
--- a/relayer/ops.go
+++ b/relayer/ops.go
@@ -24,7 +24,7 @@
 // loadBatch appends a batch's messages to the flight. Statements go by names of
 // the connection's own and are made again where the connection lacks them.
 func (s *Session) loadBatch(u *unit) {
-	u.ops = u.ops[:0]
+	u.ops, u.head = u.ops[:0], 0
 	for i := range u.items {
 		it := &u.items[i]
 		switch {
@@ -122,13 +122,16 @@
 	return b
 }
 
+// waits reports whether an answer to an op is still to come.
+func (u *unit) waits() bool { return u.head < len(u.ops) }
+
 // advance follows an answer to the op at the head. It returns true when the
 // answer is to be dropped.
 func (u *unit) advance(kind byte) (drop bool) {
-	o := u.ops[0]
+	o := &u.ops[u.head]
 	switch kind {
 	case '1', '2', '3', 'T', 'n', 'C', 'I', 's':
-		u.ops = u.ops[1:]
+		u.head++
 	}
 	return o.mode == opSwallow
 }
@@ -136,13 +139,13 @@
 // ownAnswers gathers the proxy's own answers that are next in line. ended is
 // true when no other answer follows.
 func (s *Session) ownAnswers(u *unit) (ended bool) {
-	for u.swallow == 0 && len(u.ops) > 0 && u.ops[0].mode == opOwn {
+	for u.swallow == 0 && u.waits() && u.ops[u.head].mode == opOwn {
 		s.openOut()
-		s.out = append(s.out, u.ops[0].own...)
+		s.out = append(s.out, u.ops[u.head].own...)
 		s.tail = -1
-		u.ops = u.ops[1:]
+		u.head++
 	}
-	return u.swallow == 0 && !u.simple && !u.sync && len(u.ops) == 0
+	return u.swallow == 0 && !u.simple && !u.sync && !u.waits()
 }
 
 // loadFault sends a message that fails in place of one that the proxy refuses.
@@ -155,7 +158,7 @@
 
 // dropOps follows an error of the upstream: it skips what is left of the batch.
 func (s *Session) dropOps(u *unit) {
-	for i := range u.ops {
+	for i := u.head; i < len(u.ops); i++ {
 		o := &u.ops[i]
 		if o.kind != 'P' || o.mode >= opOwn {
 			continue
@@ -168,5 +171,5 @@
 			s.statements.drop(u.items[o.item].name)
 		}
 	}
-	u.ops = u.ops[:0]
+	u.head = len(u.ops)
 }
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -16,7 +16,8 @@
 
 // Caller is a caller's connection.
 type Caller interface {
-	// Read returns what has arrived without waiting; 0 and no error is nothing.
+	// Read returns what has arrived without waiting; less than asked for means
+	// that there is no more now, 0 and no error that there is nothing.
 	Read(p []byte) (int, error)
 	// Write sends all of p; it waits while the caller doesn't read.
 	Write(p []byte) (int, error)
@@ -137,6 +138,7 @@
 
 	once     sync.Once
 	pool     buffers
+	units    sync.Pool
 	sessions registry
 	ids      identities
 	ctx      context.Context //nolint:containedctx // ends with the relay, not with one call
--- a/relayer/secure.go
+++ b/relayer/secure.go
@@ -34,6 +34,7 @@
 		return errors.Wrap(err, "relayer: TLS")
 	}
 	link.settled = true
+	s.drained = false
 	s.caller = &tlsCaller{Caller: s.caller, conn: conn}
 	return nil
 }
@@ -107,13 +108,24 @@
 	conn *tls.Conn
 }
 
-// Read returns what has arrived and can be decrypted, without waiting.
+// Read returns what has arrived and can be decrypted, without waiting. It fills
+// p as far as it can: a short read means that nothing more has arrived.
 func (c *tlsCaller) Read(p []byte) (int, error) {
-	n, err := c.conn.Read(p)
-	if errors.Is(err, againError{}) {
-		return n, nil
+	total := 0
+	for total < len(p) {
+		n, err := c.conn.Read(p[total:])
+		total += n
+		if errors.Is(err, againError{}) {
+			break
+		}
+		if err != nil && total == 0 {
+			return 0, err
+		}
+		if err != nil {
+			break // seen again at the next call
+		}
 	}
-	return n, err
+	return total, nil //nolint:nilerr // crypto/tls keeps the error
 }
 
 // Write sends p encrypted.
--- a/relayer/session.go
+++ b/relayer/session.go
@@ -56,6 +56,7 @@
 	phase    phase
 	stranger bool // counted among sessions in their startup
 	in       inbox
+	drained  bool   // nothing more has arrived, so far as the last event tells
 	scan     int    // bytes of the inbox known to be whole messages of a batch
 	out      []byte // answer gathered for the caller
 	tail     int    // where in out the end of the answer begins; -1 if it hasn't
@@ -125,6 +126,7 @@
 
 // work handles what has arrived and gives the working space back.
 func (s *Session) work() {
+	s.drained = false
 	for s.phase != phaseEnded {
 		more, err := s.step()
 		if err != nil {
@@ -159,11 +161,16 @@
 
 // read reads once from the caller, with room for a message of size bytes.
 func (s *Session) read(size int) (bool, error) {
-	n, err := s.caller.Read(s.in.room(&s.relay.pool, size))
+	if s.drained {
+		return false, nil
+	}
+	room := s.in.room(&s.relay.pool, size)
+	n, err := s.caller.Read(room)
 	if err != nil {
 		return false, err
 	}
 	s.in.w += n
+	s.drained = n < len(room)
 	return n > 0, nil
 }
 
--- a/relayer/simple.go
+++ b/relayer/simple.go
@@ -31,7 +31,9 @@
 	if f := refusal(&st); f != nil {
 		return s.answerFault(f)
 	}
-	u := &unit{simple: true, sync: true, raw: f.Raw}
+	u := s.relay.newUnit()
+	defer s.relay.freeUnit(u)
+	u.simple, u.sync, u.raw = true, true, f.Raw
 	if own {
 		u.raw = appendQuery(nil, text)
 	}
--- a/relayer/unit.go
+++ b/relayer/unit.go
@@ -26,6 +26,7 @@
 	// Of the attempt under way.
 	flight  []byte
 	ops     []op
+	head    int  // index of the op whose answer is next
 	swallow int  // ReadyForQuery messages of the proxy's own statements to come
 	placed  bool // it had a connection
 	began   bool // in a transaction already when it was sent
@@ -36,6 +37,28 @@
 	failed  bool // the upstream answered with an error
 }
 
+// maxKept bounds the working space that a unit keeps for the next one, in bytes.
+const maxKept = 64 << 10
+
+// newUnit takes a unit out of the store. freeUnit gives it back.
+func (r *Relay) newUnit() *unit {
+	if u, ok := r.units.Get().(*unit); ok {
+		return u
+	}
+	return &unit{}
+}
+
+func (r *Relay) freeUnit(u *unit) {
+	clear(u.items)
+	clear(u.ops)
+	kept := unit{items: u.items[:0], ops: u.ops[:0], flight: u.flight[:0], tag: u.tag[:0]}
+	if cap(u.flight) > maxKept || cap(u.items) > maxKept/64 {
+		return
+	}
+	*u = kept
+	r.units.Put(u)
+}
+
 // open prepares a unit that has just arrived.
 func (s *Session) open(u *unit, st classifier.Statement) {
 	now := time.Now()
@@ -101,7 +124,7 @@
 	u.began = s.tx != txIdle
 	u.mark, u.tag, u.told, u.failed = tracker.Mark{}, u.tag[:0], false, false
 	s.streamed, s.cutOff = false, false
-	s.up.SetDeadline(u.request.Deadline)
+	s.up.bound(u.request.Deadline, s.slack())
 	s.prelude(u)
 	s.load(u)
 	sent, err := s.up.Send(u.flight)
@@ -111,6 +134,16 @@
 	return s.answer(u)
 }
 
+// slack is how much earlier than a unit's deadline its connection may give up.
+// Setting a deadline for each statement costs more than decoding it, so one
+// that a caller has not stated is only set now and then.
+func (s *Session) slack() time.Duration {
+	if s.notes.Budget > 0 {
+		return 0
+	}
+	return s.relay.Limits.Unit / 4
+}
+
 // place finds a connection for a unit.
 func (s *Session) place(u *unit) *Refusal {
 	target, refusal := s.relay.Route(s.relay.ctx, &u.request)
@@ -266,7 +299,7 @@
 const rollbackTime = time.Second
 
 func (u *Upstream) rollback() bool {
-	u.SetDeadline(time.Now().Add(rollbackTime))
+	u.bound(time.Now().Add(rollbackTime), 0)
 	if _, err := u.Send([]byte("Q\x00\x00\x00\x0dROLLBACK\x00")); err != nil {
 		return false
 	}
--- a/relayer/upstream.go
+++ b/relayer/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"basildale.example/basildale/adapter/dialer"
 	"basildale.example/basildale/tracker"
@@ -17,6 +18,7 @@
 type Upstream struct {
 	*dialer.Conn
 
+	deadline time.Time // set on the connection
 	term     tracker.Term
 	settings settings
 	prepared map[body]string
@@ -34,6 +36,16 @@
 	}
 }
 
+// bound sets the connection's deadline, unless one that is at most slack earlier
+// is set already.
+func (u *Upstream) bound(deadline time.Time, slack time.Duration) {
+	if early := deadline.Sub(u.deadline); early >= 0 && early <= slack {
+		return
+	}
+	u.deadline = deadline
+	u.SetDeadline(deadline)
+}
+
 // name returns the statement's name on this connection, if it is there.
 func (u *Upstream) name(b body) (string, bool) {
 	n, ok := u.prepared[b]
--- a/server/pools.go
+++ b/server/pools.go
@@ -139,6 +139,20 @@
 	if one == nil {
 		return nil, refuse(retrier.Refused, "no such upstream")
 	}
+	for {
+		u, ok := one.TryGet()
+		if !ok {
+			return wait(ctx, one, r)
+		}
+		if usable(u, r) {
+			return u, nil
+		}
+		one.Discard(u)
+	}
+}
+
+// wait takes a connection that has to be opened or waited for.
+func wait(ctx context.Context, one *pool, r *relayer.Request) (*relayer.Upstream, *relayer.Refusal) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	for {
@@ -148,13 +162,19 @@
 			return nil, refuse(retrier.Late, "no connection was free before the deadline")
 		case err != nil:
 			return nil, refuse(retrier.Refused, "the upstream can't be reached")
-		case u.Alive():
+		case usable(u, r):
 			return u, nil
 		}
 		one.Discard(u)
 	}
 }
 
+// usable looks whether a connection has died while it was idle. A read isn't
+// worth the look: it may run again elsewhere.
+func usable(u *relayer.Upstream, r *relayer.Request) bool {
+	return r.Read() && r.Attempt == 0 || u.Alive()
+}
+
 func refuse(cause retrier.Cause, message string) *relayer.Refusal {
 	return &relayer.Refusal{
 		Outcome: retrier.Outcome{Kind: retrier.NotRun, Cause: cause, Back: time.Now().Add(retryAfter)},
@@ -170,7 +190,10 @@
 	case healthy:
 		one.Put(u)
 	default:
+		// Where one connection broke, idle ones may have died with it. A read
+		// sent into each would use up the retry budget.
 		one.Discard(u)
+		one.Sweep((*relayer.Upstream).Alive)
 	}
 }
 
