--- a/adapter/listener/conn.go
+++ b/adapter/listener/conn.go
@@ -137,9 +137,12 @@
 // Close ends the connection. What is unsent is dropped.
 func (c *Conn) Close() error { return c.nc.Close() }
 
-// abandon closes a connection that the engine doesn't know yet.
-func (c *Conn) abandon() {
+// abandon says a last word and closes a connection that the engine doesn't know.
+func (c *Conn) abandon(farewell []byte) {
 	c.closed.Store(true)
+	if raw, err := c.nc.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _, _ = syscall.Write(int(fd), farewell) })
+	}
 	_ = c.nc.Close()
 }
 
--- a/adapter/listener/listener.go
+++ b/adapter/listener/listener.go
@@ -34,6 +34,8 @@
 	Address netip.AddrPort
 	// Open makes the handler of a new connection. Nil refuses the connection.
 	Open func(c *Conn) Handler
+	// Farewell is sent to a connection that Open refuses.
+	Farewell []byte
 	// MaxUnsent bounds the bytes of one connection that wait for its caller to
 	// read; 0 means 256 KiB.
 	MaxUnsent int
@@ -118,7 +120,7 @@
 	c := &Conn{nc: nc, remote: remote, maxUnsent: int64(l.MaxUnsent), stall: l.Stall}
 	c.handler = l.Open(c)
 	if c.handler == nil {
-		c.abandon()
+		c.abandon(l.Farewell)
 		return
 	}
 	nc.SetSession(c)
--- a/adapter/listener/listener_test.go
+++ b/adapter/listener/listener_test.go
@@ -104,12 +104,13 @@
 
 func TestRefusedConnectionIsClosed(t *testing.T) {
 	is := is.New(t)
-	l := &Listener{Open: func(*Conn) Handler { return nil }}
+	l := &Listener{Open: func(*Conn) Handler { return nil }, Farewell: []byte("full")}
 	startEcho(t, l)
 	defer l.Stop()
 	c, err := net.Dial("tcp", l.Bound().String())
 	is.NoErr(err)
 	defer c.Close()
-	_, err = c.Read(make([]byte, 1))
-	is.Equal(err, io.EOF)
+	last, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.Equal(string(last), "full")
 }
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -94,6 +94,9 @@
 	Statements int
 	// Unit bounds a unit without a deadline of its own; 0 means one minute.
 	Unit time.Duration
+	// Idle bounds how long an open transaction may wait for its caller's next
+	// statement; 0 means one minute.
+	Idle time.Duration
 	// Login bounds the time until a session is authenticated; 0 means 10 s.
 	Login time.Duration
 	// Strangers is how many sessions may be in their startup at once; 0 means 1024.
@@ -150,7 +153,7 @@
 func (r *Relay) Open(c Caller) *Session {
 	r.once.Do(r.prepare)
 	s := &Session{relay: r, caller: c}
-	s.timer = time.AfterFunc(r.Limits.Login, func() { _ = c.Close() })
+	s.timer = time.AfterFunc(r.Limits.Login, func() { s.overdue(c) })
 	if !r.sessions.add(s, r.Limits.Strangers) {
 		s.timer.Stop()
 		return nil
@@ -158,6 +161,12 @@
 	return s
 }
 
+// Farewell is what a connection is sent that Open refuses.
+func Farewell() []byte {
+	f := fault{severity: "FATAL", code: codeTooMany, message: "too many connections", hint: "Connect again later."}
+	return f.append(nil)
+}
+
 func (r *Relay) prepare() {
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	if r.Log == nil {
@@ -180,6 +189,9 @@
 	if l.Unit == 0 {
 		l.Unit = time.Minute
 	}
+	if l.Idle == 0 {
+		l.Idle = time.Minute
+	}
 	if l.Login == 0 {
 		l.Login = 10 * time.Second
 	}
--- a/relayer/session.go
+++ b/relayer/session.go
@@ -43,11 +43,13 @@
 	relay   *Relay
 	caller  Caller
 	worker  atomic.Uint32
-	timer   *time.Timer             // ends a login that takes too long
+	timer   *time.Timer             // see overdue
+	until   time.Time               // when an open transaction has rested for too long
 	waiting atomic.Pointer[tlsLink] // a TLS handshake under way
 	login   *login
 	gone    atomic.Bool
 	leave   atomic.Bool // end between requests: the proxy stops
+	member  atomic.Bool // logged in
 	key     Key
 
 	cancelling sync.Mutex // held while a cancel request for target is under way
@@ -127,6 +129,7 @@
 // work handles what has arrived and gives the working space back.
 func (s *Session) work() {
 	s.drained = false
+	handled := false
 	for s.phase != phaseEnded {
 		more, err := s.step()
 		if err != nil {
@@ -136,15 +139,42 @@
 		if !more {
 			break
 		}
+		handled = true
 	}
 	s.in.rest(&s.relay.pool)
 	s.restOut()
-	if s.leave.Load() && (s.phase != phaseReady || s.between()) {
-		s.farewell()
-	}
-	if s.gone.Load() {
+	s.rest(handled)
+}
+
+// rest ends a session that is to end now that nothing is left to do, or lets it
+// rest.
+func (s *Session) rest(handled bool) {
+	switch {
+	case s.phase == phaseEnded:
+	case s.gone.Load():
 		s.end(nil)
+	case s.leave.Load() && (s.phase != phaseReady || s.between()):
+		s.farewell(codeShutdown, "the proxy stops: connect again")
+	case s.up == nil:
+		s.until = time.Time{}
+	case handled || s.until.IsZero():
+		// A transaction keeps its connection while its caller thinks. One that
+		// was forgotten would keep it from all others for good.
+		s.until = time.Now().Add(s.relay.Limits.Idle)
+		s.timer.Reset(s.relay.Limits.Idle)
+	case !time.Now().Before(s.until):
+		s.farewell(codeIdle, "the transaction was idle for too long")
+	}
+}
+
+// overdue runs when the session's timer does: a login took too long, or an open
+// transaction has rested for long.
+func (s *Session) overdue(c Caller) {
+	if !s.member.Load() {
+		_ = c.Close()
+		return
 	}
+	s.wake()
 }
 
 // step handles one packet or unit. more is false when the next has not arrived.
@@ -202,12 +232,9 @@
 	return s.up == nil && !s.batch && !s.skipping && len(s.in.bytes()) == 0
 }
 
-// farewell tells an idle caller that the proxy stops and ends the session.
-func (s *Session) farewell() {
-	if s.phase == phaseEnded {
-		return
-	}
-	s.writeFault(&fault{severity: "FATAL", code: codeShutdown, message: "the proxy stops: connect again"})
+// farewell tells a caller that rests why its session ends.
+func (s *Session) farewell(code, message string) {
+	s.writeFault(&fault{severity: "FATAL", code: code, message: message})
 	_ = s.flush()
 	s.end(nil)
 }
--- a/relayer/startup.go
+++ b/relayer/startup.go
@@ -150,6 +150,7 @@
 	s.key.Process = s.relay.sessions.admit(s, s.relay.Index)
 	s.tx = txIdle
 	s.phase = phaseReady
+	s.member.Store(true)
 	s.timer.Stop()
 	s.relay.Log.Debug("relayer: session ready", zap.Stringer("remote", s.caller.Remote()),
 		zap.String("caller", s.account.Caller))
--- a/relayer/unit.go
+++ b/relayer/unit.go
@@ -188,6 +188,7 @@
 	u.flight = append(u.flight, 0)
 	putLength(u.flight, start)
 	u.swallow = 1
+	s.up.unnamed = body{} // a simple query drops the unnamed statement
 }
 
 // name appends the term, unless the connection has it, and a request ID.
@@ -208,7 +209,7 @@
 func (s *Session) load(u *unit) {
 	if u.simple {
 		u.flight = append(u.flight, u.raw...)
-		s.up.unnamed = body{} // a simple query drops the unnamed statement
+		s.up.unnamed = body{} // as in prelude
 		return
 	}
 	s.loadBatch(u)
--- a/server/login_test.go
+++ b/server/login_test.go
@@ -150,9 +150,10 @@
 		defer c.Close()
 		silent = append(silent, c)
 	}
-	for _, c := range silent { // each is closed, the third at once
-		_, err := c.Read(make([]byte, 1))
-		is.Equal(err, io.EOF)
+	for i, c := range silent { // each is closed, the third at once and with a word
+		last, err := io.ReadAll(c)
+		is.NoErr(err)
+		is.Equal(strings.Contains(string(last), "53300"), i == 2)
 	}
 	c, err := pgx.Connect(t.Context(), f.url(""))
 	is.NoErr(err)
--- a/server/outcome_test.go
+++ b/server/outcome_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
@@ -230,3 +231,22 @@
 	}
 	is.Equal(len(f.group.Upstreams[0].Rows("seats")), 2)
 }
+
+// Symptom: an upstream has no free connection although it has nothing to do.
+// Sequence: a caller opens a transaction and forgets it. Cause: a transaction
+// keeps its connection, so it may not rest for ever.
+func TestForgottenTransactionEnds(t *testing.T) {
+	is := is.New(t)
+	f := start(t, upstream.Options{Size: 1}, func(s *Server) {
+		s.Groups[0].Connections = 1
+		s.Limits.Idle = 20 * time.Millisecond
+	})
+	c, other := f.connect(t, ""), f.connect(t, "")
+	_, err := c.Exec(t.Context(), "BEGIN; "+book)
+	is.NoErr(err)
+	_, err = other.Exec(t.Context(), "SELECT 1") // waits until it is over
+	is.NoErr(err)
+	_, err = c.PgConn().ReceiveMessage(t.Context())
+	is.Equal(code(err), "25P03")
+	is.Equal(len(f.group.Upstreams[0].Rows("seats")), 0)
+}
--- a/server/server.go
+++ b/server/server.go
@@ -141,7 +141,12 @@
 		Limits:        s.Limits,
 		Log:           s.Log,
 	}
-	s.listener = &listener.Listener{Address: s.Listen, Open: s.open, Log: s.Log}
+	s.listener = &listener.Listener{
+		Address:  s.Listen,
+		Open:     s.open,
+		Farewell: relayer.Farewell(),
+		Log:      s.Log,
+	}
 }
 
 func (s *Server) defaults() {
