--- a/configurator/check.go
+++ b/configurator/check.go
@@ -16,6 +16,7 @@
 	maxSlots       = 1000
 	maxConnections = 10000
 	maxUpstreams   = 9
+	maxNames       = 1000 // of databases, zones or classes in one object
 	maxWeight      = 100
 	maxQueue       = 100000
 	minDeadline    = Duration(time.Millisecond)
@@ -100,6 +101,7 @@
 	if len(s.Zones) == 0 {
 		f.add("zones", "is missing; allowed: a list of one or more availability zones")
 	}
+	f.between("zones", len(s.Zones), 0, maxNames)
 	for i, z := range s.Zones {
 		f.name(fmt.Sprintf("zones[%d]", i), z)
 	}
@@ -112,6 +114,10 @@
 	if len(s.Databases) == 0 {
 		f.add("databases", "is missing; allowed: a list of one or more databases")
 	}
+	f.between("databases", len(s.Databases), 0, maxNames)
+	for i, d := range s.Databases {
+		f.name(fmt.Sprintf("databases[%d]", i), d)
+	}
 	if n := len(s.Upstreams); n < 1 || n > maxUpstreams {
 		f.add("upstreams", "there are %d; allowed: 1 to %d", n, maxUpstreams)
 	}
@@ -160,6 +166,7 @@
 	if len(s.Classes) == 0 {
 		f.add("classes", "is missing; allowed: one or more classes by name")
 	}
+	f.between("classes", len(s.Classes), 0, maxNames)
 	for _, name := range slices.Sorted(maps.Keys(s.Classes)) {
 		c := s.Classes[name]
 		at := "classes." + name
--- a/configurator/document.go
+++ b/configurator/document.go
@@ -143,6 +143,20 @@
 	s.found = &fieldError{field: field, line: n.GetToken().Position.Line, text: text}
 }
 
+// Document returns the entry as a YAML document that Parse reads.
+func (e *Entry) Document() ([]byte, error) {
+	head, err := yaml.Marshal(struct {
+		Kind    Kind   `yaml:"kind"`
+		Name    string `yaml:"name"`
+		Removed bool   `yaml:"removed,omitempty"`
+	}{e.ID.Kind, e.ID.Name, e.Removed})
+	if err != nil || e.Removed {
+		return head, errors.Wrapf(err, "configurator: document of %s", e.ID)
+	}
+	spec, err := yaml.Marshal(e.Spec)
+	return append(head, spec...), errors.Wrapf(err, "configurator: document of %s", e.ID)
+}
+
 // problem returns what is wrong with a field of the document.
 func (d *Document) problem(field, text string) *fieldError {
 	return &fieldError{field: field, line: d.line(field), text: text}
--- a/configurator/plan_test.go
+++ b/configurator/plan_test.go
@@ -82,6 +82,24 @@
 	is.Equal(len(changes), len(docs))
 }
 
+// What get prints can be given to apply.
+func TestDocumentsRoundTrip(t *testing.T) {
+	is := is.New(t)
+	set := stored(t)
+	var text []byte
+	for _, e := range set {
+		doc, err := e.Document()
+		is.NoErr(err)
+		text = append(append(text, doc...), "---\n"...)
+	}
+	docs, err := Parse("out.yaml", text)
+	is.NoErr(err)
+	is.Equal(len(docs), len(set))
+	changes, err := Plan(set, docs)
+	is.NoErr(err)
+	is.Equal(len(changes), 0)
+}
+
 func TestProblems(t *testing.T) {
 	is := is.New(t)
 	data, err := os.ReadFile("testdata/problems.yaml")
