coordinator: pass on that the platform cut an answer

Cause: the relay takes a run of changes only when it is whole, and was told that every answer is. A proxy of a fleet with more objects than one page would have served without the rest. Change: More goes from the platform's page to the relay; the messages between relays are those of package configurator in place of a second definition. Conclusion: large fleets are read whole.

--- a/coordinator/configuration.go
+++ b/coordinator/configuration.go
@@ -16,22 +16,15 @@
 // errPayload is a message about configuration that can't be read.
 var errPayload = errors.New("coordinator: not a message about configuration")
 
-// relayMessage is what one relay of configurations says to another. One of its
-// fields is set.
-type relayMessage struct {
-	Tell  *configurator.Tell  `json:"tell,omitempty"`
-	Delta *configurator.Delta `json:"delta,omitempty"`
-}
-
 // configure carries out a command of the relay of configurations.
 func (c *Coordinator) configure(cmd configurator.Command) {
 	switch cmd := cmd.(type) {
 	case configurator.Watch:
 		c.within(cmd.Until.Add(sendWithin), func(ctx context.Context) { c.watch(ctx, cmd) })
 	case configurator.TellPeer:
-		c.sendRelay(cmd.Peer, relayMessage{Tell: &cmd.Tell})
+		c.sendRelay(cmd.Peer, cmd.Message())
 	case configurator.SendPeer:
-		c.sendRelay(cmd.Peer, relayMessage{Delta: &cmd.Delta})
+		c.sendRelay(cmd.Peer, cmd.Message())
 	}
 }
 
@@ -45,10 +38,11 @@
 	for _, o := range page.Items {
 		items = append(items, configurator.Object{Name: o.Name, Version: o.Version, Value: o.Value})
 	}
-	c.Tell(controller.Configuration{Event: configurator.WatchAnswered{Seq: cmd.Seq, After: cmd.After, Items: items}})
+	answer := configurator.WatchAnswered{Seq: cmd.Seq, After: cmd.After, Items: items, More: page.More}
+	c.Tell(controller.Configuration{Event: answer})
 }
 
-func (c *Coordinator) sendRelay(to netip.AddrPort, m relayMessage) {
+func (c *Coordinator) sendRelay(to netip.AddrPort, m configurator.Message) {
 	c.send(to, func(ctx context.Context, peers *messenger.Messenger) error {
 		payload, err := json.Marshal(m)
 		if err != nil {
@@ -61,17 +55,14 @@
 
 // have takes a peer's message about configuration.
 func (c *Coordinator) have(_ context.Context, from messenger.Peer, req messenger.Have) (messenger.Got, error) {
-	var m relayMessage
+	var m configurator.Message
 	if err := json.Unmarshal(req.Payload, &m); err != nil {
 		return messenger.Got{}, errors.Mark(err, errPayload)
 	}
-	switch {
-	case m.Tell != nil:
-		c.Tell(controller.Configuration{Event: configurator.PeerTold{Peer: from.Addr, Tell: *m.Tell}})
-	case m.Delta != nil:
-		c.Tell(controller.Configuration{Event: configurator.PeerSent{Peer: from.Addr, Delta: *m.Delta}})
-	default:
+	ev := m.Event(from.Addr)
+	if ev == nil {
 		return messenger.Got{}, errPayload
 	}
+	c.Tell(controller.Configuration{Event: ev})
 	return messenger.Got{}, nil
 }
