--- a/configurator/plan_test.go
+++ b/configurator/plan_test.go
@@ -44,7 +44,7 @@
 	return docs
 }
 
-const example = "../docs/examples/damplinjerne.yaml"
+const example = "../examples/fleet/damplinjerne.yaml"
 
 // exampleObjects returns the example's objects as they are stored, versions from 1.
 func exampleObjects(t *testing.T) []Object {
@@ -73,6 +73,33 @@
 	return set
 }
 
+// Both examples fit into one fleet.
+func TestExamples(t *testing.T) {
+	is := is.New(t)
+	docs := append(parse(t, example), parse(t, "../examples/fleet/quetzaltenango.yaml")...)
+	changes, err := Plan(nil, docs)
+	is.NoErr(err)
+	is.Equal(len(changes), len(docs))
+}
+
+// What get prints can be given to apply.
+func TestDocumentsRoundTrip(t *testing.T) {
+	is := is.New(t)
+	set := stored(t)
+	var text []byte
+	for _, e := range set {
+		doc, err := e.Document()
+		is.NoErr(err)
+		text = append(append(text, doc...), "---\n"...)
+	}
+	docs, err := Parse("out.yaml", text)
+	is.NoErr(err)
+	is.Equal(len(docs), len(set))
+	changes, err := Plan(set, docs)
+	is.NoErr(err)
+	is.Equal(len(changes), 0)
+}
+
 func TestProblems(t *testing.T) {
 	is := is.New(t)
 	data, err := os.ReadFile("testdata/problems.yaml")
