--- a/confirmer/admit.go
+++ b/confirmer/admit.go
@@ -7,6 +7,10 @@
 // silentAfter is how many polls in a row without an answer make a replica silent.
 const silentAfter = 2
 
+// beyond is by how much a wait that is longer than any known one is taken to go
+// on: one that has lasted so long is as likely to last as long again.
+const beyond = 2
+
 // sample notes how long a confirmation took.
 func (g *Group) sample(d time.Duration) {
 	g.delays[g.count%samples] = d
@@ -39,8 +43,8 @@
 	for _, s := range g.delays[:min(g.count, samples)] {
 		d = max(d, s)
 	}
-	if oldest := g.waiting.oldest(); !oldest.IsZero() {
-		d = max(d, now.Sub(oldest))
+	if oldest := g.waiting.oldest(); !oldest.IsZero() && now.Sub(oldest) > d {
+		d = beyond * now.Sub(oldest)
 	}
 	return d
 }
--- a/confirmer/confirmer_test.go
+++ b/confirmer/confirmer_test.go
@@ -145,6 +145,26 @@
 	is.True(g.Admit(now.Add(deadline), now).Admitted)
 }
 
+// Symptom: one core is busy with ticks while replication lags. Sequence: a write
+// is refused; the sample for it waits; another is refused. Cause: Next names a
+// time that has come though Tick can do nothing before the sample's answer.
+func TestTickLeavesNothingDue(t *testing.T) {
+	is := is.New(t)
+	g := ready()
+	now := start
+	g.Wrote(Wrote{ID: 1, Term: one, Mark: at(one, 1), Deadline: now.Add(10 * time.Millisecond)}, now)
+	for range 50 {
+		now = now.Add(10 * time.Millisecond)
+		g.Admit(now.Add(5*time.Millisecond), now)
+		for _, c := range g.Tick(now) {
+			if c.Kind == Sample {
+				g.Wrote(Wrote{Term: one, Mark: at(one, 9)}, now)
+			}
+		}
+		is.True(g.Next().IsZero() || g.Next().After(now))
+	}
+}
+
 func TestSilentReplicasRefuse(t *testing.T) {
 	is := is.New(t)
 	g := ready()
--- a/confirmer/group.go
+++ b/confirmer/group.go
@@ -180,7 +180,7 @@
 			sooner(r.pollAt)
 		}
 	}
-	if g.refused {
+	if g.refused && !g.sampling() {
 		sooner(g.sampled.Add(sampleEvery))
 	}
 	return next
@@ -233,7 +233,7 @@
 		g.end(Unknown, Late, p.id)
 	}
 	if len(kept) < len(g.waiting.items) {
-		g.sample(longest)
+		g.sample(beyond * longest)
 	}
 	g.waiting.items = kept
 	g.waiting.heapify()
--- a/promoter/group.go
+++ b/promoter/group.go
@@ -226,6 +226,10 @@
 	u.seen = g.now
 	u.asked = ev.Sent
 	u.fresh = true
+	if g.term.Less(ev.State.Term) && g.attempt == nil {
+		// Somebody replaces the primary, and the announcement may be lost.
+		g.probeStale(g.set.Probe, "an upstream is at a later term")
+	}
 }
 
 // adopt takes a primary of a later term.
--- a/promoter/repair.go
+++ b/promoter/repair.go
@@ -15,17 +15,22 @@
 )
 
 // repairs reports whether this proxy brings upstreams behind the primary: the
-// first live holder does, and the one that promoted the primary.
+// first live holder and the one that promoted the primary do at once, each other
+// holder after a further delay. Were it the first alone, its death right after a
+// promotion would leave the primary without replicas, and so without
+// acknowledgements, until membership has seen the death.
 func (g *Group) repairs() bool {
-	switch rank := g.rank(); {
-	case rank < 0:
+	rank := g.rank()
+	if rank < 0 {
 		return false
-	case rank == 0:
+	}
+	place := g.grant.record.place(g.Self)
+	if rank == 0 || g.term.Epoch == g.grant.record.Epoch && int(g.term.Seq%width) == place {
 		return true
-	default:
-		place := g.grant.record.place(g.Self)
-		return g.term.Epoch == g.grant.record.Epoch && int(g.term.Seq%width) == place
 	}
+	due := g.adopted.Add(time.Duration(rank) * g.set.Deputy)
+	g.wake(due)
+	return !g.now.Before(due)
 }
 
 // repair announces a new primary again, watches the replicas and makes those
--- a/promoter/settings.go
+++ b/promoter/settings.go
@@ -14,7 +14,9 @@
 	// Floor and Ceiling bound the adaptive silence timeout.
 	Floor   time.Duration
 	Ceiling time.Duration
-	// Deputy is the further delay of each next live holder.
+	// Deputy is the further delay of each next live holder. It need only cover
+	// how far apart the holders hear each other's reports: the first one's claim
+	// makes the others wait.
 	Deputy time.Duration
 	// Retry is the time after which an unanswered step is sent again.
 	Retry time.Duration
@@ -51,7 +53,7 @@
 		Repair:     500 * time.Millisecond,
 		Floor:      250 * time.Millisecond,
 		Ceiling:    time.Second,
-		Deputy:     250 * time.Millisecond,
+		Deputy:     150 * time.Millisecond,
 		Retry:      80 * time.Millisecond,
 		Settle:     40 * time.Millisecond,
 		Promote:    250 * time.Millisecond,
--- a/promoter/suspicion.go
+++ b/promoter/suspicion.go
@@ -78,7 +78,7 @@
 	s := &g.suspicion
 	if g.term.Less(ev.Claim) {
 		g.see(ev.Claim)
-		g.waitUntil = g.now.Add(g.set.Promote + g.set.Vacancy)
+		g.waitUntil = g.now.Add(g.set.Promote)
 	}
 	switch c := ev.Term.Compare(g.term); {
 	case c < 0:
