promoter: an answer from the primary allocates nothing

Cause: each event compared the record with what it should be and counted votes, also when neither had changed.

Change: the record is compared after a change of members, record or term only; votes are counted only while there are any; the holders are kept as a list.

--- a/promoter/grant.go
+++ b/promoter/grant.go
@@ -16,6 +16,11 @@
 type grant struct {
 	record  Record
 	version uint64
+	// holders are those of the record.
+	holders []string
+	// changed: members, record or term have changed since the record was last
+	// compared with what it should be.
+	changed bool
 	// loaded: the platform has answered at least once. stale: read it again.
 	loaded bool
 	stale  bool
@@ -39,6 +44,8 @@
 	}
 	g.grant.record = r
 	g.grant.version = version
+	g.grant.holders = r.Holders()
+	g.grant.changed = true
 	g.grant.missing = time.Time{}
 	g.see(r.Term)
 	g.adopt(r.Primary, r.Term, "recorded in the platform")
@@ -83,6 +90,7 @@
 	g.grant.open = false
 	g.grant.loaded = true
 	g.grant.stale = false
+	g.grant.changed = true
 	g.grant.failures = 0
 	g.grant.retryAt = g.now
 }
@@ -116,7 +124,13 @@
 		}
 		return
 	}
+	if !gr.changed {
+		return
+	}
 	want, reason, ok := g.wanted()
+	if !ok && gr.missing.IsZero() {
+		gr.changed = false
+	}
 	if !ok || !g.mayCall() {
 		return
 	}
@@ -150,7 +164,7 @@
 	}
 	holders := g.pick()
 	oldGrant := r.Epoch < g.highest.Epoch
-	if !oldGrant && slices.Equal(holders, r.Holders()) {
+	if !oldGrant && slices.Equal(holders, g.grant.holders) {
 		g.grant.missing = time.Time{}
 		return r, "", false
 	}
@@ -176,7 +190,7 @@
 	if len(g.live) == 0 {
 		return false
 	}
-	for _, id := range g.grant.record.Holders() {
+	for _, id := range g.grant.holders {
 		if g.isLive(id) {
 			return id == g.Self
 		}
@@ -196,7 +210,7 @@
 			zones[m.Zone] = true
 		}
 	}
-	for _, id := range g.grant.record.Holders() {
+	for _, id := range g.grant.holders {
 		for _, m := range g.live {
 			if m.ID == id {
 				take(m)
--- a/promoter/group.go
+++ b/promoter/group.go
@@ -76,6 +76,7 @@
 	case Tick:
 	case Members:
 		g.live = ev.Live
+		g.grant.changed = true
 	case Upstreams:
 		g.setUpstreams(ev.List)
 	case Answered:
@@ -193,6 +194,7 @@
 func (g *Group) see(t tracker.Term) {
 	if g.highest.Less(t) {
 		g.highest = t
+		g.grant.changed = true
 	}
 }
 
@@ -245,6 +247,7 @@
 	g.primary = primary
 	g.term = term
 	g.adopted = g.now
+	g.grant.changed = true
 	g.vacant = time.Time{}
 	g.hold = time.Time{}
 	for i := range g.upstreams {
--- a/promoter/record.go
+++ b/promoter/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 
 	"basildale.example/basildale/tracker"
 )
@@ -36,9 +35,6 @@
 	return append([]string{r.Leader}, r.Deputies...)
 }
 
-// place returns the index of id among the holders, or -1.
-func (r Record) place(id string) int { return slices.Index(r.Holders(), id) }
-
 // NextTerm returns the lowest term of the holder at place in the record's epoch
 // that is above seen. It fails when seen is of a later epoch: the grant is old.
 func NextTerm(epoch uint32, place int, seen tracker.Term) (tracker.Term, bool) {
--- a/promoter/repair.go
+++ b/promoter/repair.go
@@ -1,6 +1,7 @@
 package promoter
 
 import (
+	"slices"
 	"time"
 
 	"basildale.example/basildale/tracker"
@@ -24,7 +25,7 @@
 	if rank < 0 {
 		return false
 	}
-	place := g.grant.record.place(g.Self)
+	place := slices.Index(g.grant.holders, g.Self)
 	if rank == 0 || g.term.Epoch == g.grant.record.Epoch && int(g.term.Seq%width) == place {
 		return true
 	}
--- a/promoter/replace.go
+++ b/promoter/replace.go
@@ -18,7 +18,7 @@
 // not act.
 func (g *Group) rank() int {
 	rank := 0
-	for i, id := range g.grant.record.Holders() {
+	for i, id := range g.grant.holders {
 		if i > 0 && g.set.NoDeputies {
 			return -1
 		}
@@ -84,7 +84,7 @@
 // replace begins an attempt at a term above all seen. It reports false when the
 // own grant is too old for one.
 func (g *Group) replace(suspect, target netip.AddrPort, reason string) bool {
-	place := g.grant.record.place(g.Self)
+	place := slices.Index(g.grant.holders, g.Self)
 	term, ok := NextTerm(g.grant.record.Epoch, place, g.highest)
 	if !ok {
 		g.grant.stale = true
--- a/promoter/suspicion.go
+++ b/promoter/suspicion.go
@@ -134,6 +134,10 @@
 // countZones sets since by the votes that count now.
 func (g *Group) countZones() {
 	s := &g.suspicion
+	if len(s.votes) == 0 && !s.down {
+		s.since = time.Time{}
+		return
+	}
 	balance := make(map[string]int)
 	for id, v := range s.votes {
 		if !g.now.Before(v.expires) {
@@ -217,7 +221,7 @@
 	s.reportedAt = g.now
 	s.asked = time.Time{}
 	var to []string
-	for _, id := range g.grant.record.Holders() {
+	for _, id := range g.grant.holders {
 		if id != g.Self {
 			to = append(to, id)
 		}
