promoter: a look at the upstreams before the first fence

Cause: a zone cut off for ten seconds took the rest for dead, fenced on and on and recorded holders of its own.

Change: a quorum of upstreams must answer a probe before an attempt and before the holders are changed; an attempt without a quorum ends after a second; the first live holder reads the record once a minute, for what it missed.

--- a/promoter/attempt.go
+++ b/promoter/attempt.go
@@ -31,6 +31,7 @@
 	// settleAt is when a majority that holds the suspect will do; zero until
 	// there is a majority.
 	settleAt  time.Time
+	fenceBy   time.Time
 	promoteBy time.Time
 	reason    string
 }
--- a/promoter/grant.go
+++ b/promoter/grant.go
@@ -11,6 +11,9 @@
 // answerBy is how long a call to the platform may stay unanswered.
 const answerBy = 2 * time.Second
 
+// reachedProbes is for how many probe intervals an upstream counts as reached.
+const reachedProbes = 10
+
 // grant is what the proxy knows of the group's record, and its one call to the
 // platform under way.
 type grant struct {
@@ -33,6 +36,8 @@
 	retryAt  time.Time
 	failures int
 	writes   int
+	// reloadAt is when the record is read again.
+	reloadAt time.Time
 	// missing is since when the holders should be others.
 	missing time.Time
 }
@@ -57,10 +62,12 @@
 		return
 	}
 	g.callDone()
-	settled := ev.Version > g.grant.version && ev.Record.Nonce != "" &&
-		ev.Record.Nonce == g.grant.pending.Nonce
+	own := ev.Record.Nonce != "" && ev.Record.Nonce == g.grant.pending.Nonce
+	news := ev.Version > g.grant.version && (own || g.grant.version != 0)
 	g.takeRecord(ev.Record, ev.Version)
-	if settled {
+	if news {
+		// A write of our own whose answer was lost, or one that others may have
+		// missed as well.
 		g.tell("", "the record has changed")
 	}
 }
@@ -124,7 +131,8 @@
 		}
 		return
 	}
-	if !gr.changed {
+	g.reload()
+	if gr.open || !gr.changed {
 		return
 	}
 	want, reason, ok := g.wanted()
@@ -140,6 +148,28 @@
 	g.emit(Save{Record: want, Version: gr.version, Reason: reason})
 }
 
+// reload reads the record now and then. After a partition each half may have
+// recorded holders of its own, and the half with the older record hears of the
+// newer one by no other way if the announcement was lost.
+func (g *Group) reload() {
+	gr := &g.grant
+	if g.rank() != 0 {
+		gr.reloadAt = time.Time{}
+		return
+	}
+	if gr.reloadAt.IsZero() {
+		gr.reloadAt = g.now.Add(g.set.Reload)
+	}
+	if g.now.Before(gr.reloadAt) {
+		g.wake(gr.reloadAt)
+		return
+	}
+	if g.mayCall() {
+		gr.reloadAt = time.Time{}
+		g.emit(Load{Reason: "it may have been changed unseen"})
+	}
+}
+
 func (g *Group) mayCall() bool {
 	if g.now.Before(g.grant.retryAt) {
 		g.wake(g.grant.retryAt)
@@ -175,6 +205,12 @@
 		g.wake(due)
 		return r, "", false
 	}
+	if g.grant.version != 0 && !g.reaches(g.now.Add(-reachedProbes*g.set.Probe)) {
+		// Cut off with a minority: holders from here could do nothing.
+		g.askAll(g.set.Probe, "may it record holders")
+		g.wake(g.now.Add(g.set.Probe))
+		return r, "", false
+	}
 	r.Epoch = max(r.Epoch, g.highest.Epoch) + 1
 	r.Leader, r.Deputies = holders[0], holders[1:]
 	if r.Term.Less(g.term) {
--- a/promoter/group.go
+++ b/promoter/group.go
@@ -41,6 +41,7 @@
 	// waitUntil keeps this holder from acting: another one claimed, or the own
 	// try was refused.
 	waitUntil time.Time
+	check     check
 	vacant    time.Time
 	hold      time.Time
 	announce  repeat
--- a/promoter/move_test.go
+++ b/promoter/move_test.go
@@ -117,3 +117,25 @@
 	w.runUntil(w.now.Add(10 * time.Second))
 	is.Equal(w.platform.calls, calls) // at rest nothing is called
 }
+
+// Symptom: a healthy primary is replaced three times at the end of a partition,
+// and the recorded holders change every other second during it. Sequence: the
+// former primary's zone is cut off for long; it takes the rest for dead, goes on
+// fencing, and records holders of its own. Cause: acting on suspicion without a
+// look whether enough upstreams can be reached.
+func TestLongPartition(t *testing.T) {
+	for seed := range uint64(4) {
+		is := is.New(t)
+		w := newWorld(seed, options{})
+		w.runUntil(epochStart.Add(warmUp))
+		epoch := w.platform.record.Epoch
+		w.cut(w.primary().zone)
+		w.runUntil(w.now.Add(10 * time.Second))
+		w.heal()
+		w.runUntil(w.now.Add(10 * time.Second))
+		w.checkEnd()
+		is.Equal(w.violations, nil)
+		is.Equal(w.promotions, 1)
+		is.True(w.platform.record.Epoch <= epoch+1)
+	}
+}
--- a/promoter/replace.go
+++ b/promoter/replace.go
@@ -49,6 +49,10 @@
 	if rank < 0 {
 		return
 	}
+	if g.suspicion.down {
+		// Looked at early, this costs no time later.
+		g.checked()
+	}
 	delay := time.Duration(rank) * g.set.Deputy
 	var due time.Time
 	var suspect netip.AddrPort
@@ -64,6 +68,9 @@
 		due = g.vacant.Add(g.set.Vacancy + delay)
 		reason = "nobody is primary in the highest term"
 	default:
+		if !g.suspicion.down {
+			g.check = check{}
+		}
 		return
 	}
 	if due.Before(g.waitUntil) {
@@ -73,6 +80,9 @@
 		g.wake(due)
 		return
 	}
+	if !g.checked() {
+		return
+	}
 	var target netip.AddrPort
 	if !suspect.IsValid() {
 		// Keep the primary if it is still the furthest.
@@ -81,6 +91,55 @@
 	g.replace(suspect, target, reason)
 }
 
+// check is the look at the upstreams before an attempt.
+type check struct {
+	// at is when the present round of questions was sent.
+	at time.Time
+	// missed: a round ended without enough answers.
+	missed bool
+	// passed is when enough answered after that.
+	passed time.Time
+}
+
+// checked reports whether enough upstreams answer now to be fenced. A proxy that
+// is cut off with a minority suspects whoever leads the rest; were it to fence
+// without this look, its fences would go out when the partition heals and take
+// down a healthy primary.
+func (g *Group) checked() bool {
+	c := &g.check
+	fresh := g.set.Retry / 2
+	if c.at.IsZero() || !g.now.Before(c.at.Add(g.set.Retry)) {
+		c.missed = c.missed || !c.at.IsZero() && !g.reaches(c.at.Add(-fresh))
+		c.at = g.now
+		g.askAll(fresh, "do enough answer to be fenced")
+	}
+	g.wake(c.at.Add(g.set.Retry))
+	if !g.reaches(c.at.Add(-fresh)) {
+		c.passed = time.Time{}
+		return false
+	}
+	if !c.missed {
+		return true
+	}
+	// It was cut off until now: the suspect may be about to answer too.
+	if c.passed.IsZero() {
+		c.passed = g.now
+	}
+	g.wake(c.passed.Add(g.set.Settle))
+	return !g.now.Before(c.passed.Add(g.set.Settle))
+}
+
+// reaches reports whether a quorum of upstreams has answered since then.
+func (g *Group) reaches(since time.Time) bool {
+	n := 0
+	for i := range g.upstreams {
+		if u := &g.upstreams[i]; !u.seen.IsZero() && !u.seen.Before(since) {
+			n++
+		}
+	}
+	return n >= Quorum(len(g.upstreams))
+}
+
 // replace begins an attempt at a term above all seen. It reports false when the
 // own grant is too old for one.
 func (g *Group) replace(suspect, target netip.AddrPort, reason string) bool {
@@ -97,6 +156,8 @@
 	g.attempt.Suspect = suspect
 	g.attempt.Target = target
 	g.attempt.reason = reason
+	g.attempt.fenceBy = g.now.Add(g.set.Fence)
+	g.check = check{}
 	g.report(term, reason)
 	g.fence()
 	return true
@@ -133,7 +194,14 @@
 		g.promote("furthest of a fenced majority")
 		return
 	}
+	if !g.now.Before(a.fenceBy) {
+		// Whether there is still cause for it is looked at anew.
+		g.attempt = nil
+		g.wake(g.now.Add(g.set.Retry))
+		return
+	}
 	g.wake(a.settleAt)
+	g.wake(a.fenceBy)
 	if !g.now.Before(a.retryAt) {
 		g.fence()
 	}
--- a/promoter/settings.go
+++ b/promoter/settings.go
@@ -26,12 +26,17 @@
 	// Promote is how long a promotion may stay unanswered before a new term is
 	// begun.
 	Promote time.Duration
+	// Fence is how long an attempt tries to fence a quorum before it is given up.
+	Fence time.Duration
 	// Vacancy is how long a group may be without a primary, through a promotion
 	// that someone else began, before the first holder takes over.
 	Vacancy time.Duration
 	// Grant is how long a recorded holder must be gone before the record is
 	// changed.
 	Grant time.Duration
+	// Reload is the time between readings of the record by the first live holder
+	// of its own view.
+	Reload time.Duration
 	// Backoff and BackoffMax bound the time between calls to a platform that
 	// doesn't answer.
 	Backoff    time.Duration
@@ -57,6 +62,8 @@
 		Retry:      80 * time.Millisecond,
 		Settle:     40 * time.Millisecond,
 		Promote:    250 * time.Millisecond,
+		Fence:      time.Second,
+		Reload:     time.Minute,
 		Vacancy:    300 * time.Millisecond,
 		Grant:      time.Second,
 		Backoff:    100 * time.Millisecond,
@@ -78,6 +85,8 @@
 		{&s.Retry, &d.Retry},
 		{&s.Settle, &d.Settle},
 		{&s.Promote, &d.Promote},
+		{&s.Fence, &d.Fence},
+		{&s.Reload, &d.Reload},
 		{&s.Vacancy, &d.Vacancy},
 		{&s.Grant, &d.Grant},
 		{&s.Backoff, &d.Backoff},
--- a/promoter/suspicion.go
+++ b/promoter/suspicion.go
@@ -296,4 +296,13 @@
 	}
 }
 
+// askAll asks each upstream, the primary too, that wasn't asked for the interval.
+func (g *Group) askAll(interval time.Duration, reason string) {
+	g.probeStale(interval, reason)
+	if at := g.suspicion.probed.Add(interval); g.primary.IsValid() && !g.now.Before(at) {
+		g.suspicion.trouble = true
+		g.probePrimary()
+	}
+}
+
 func (g *Group) probeAll(reason string) { g.probeStale(refusedGap, reason) }
