--- a/promoter/group.go
+++ b/promoter/group.go
@@ -41,6 +41,7 @@
 	// waitUntil keeps this holder from acting: another one claimed, or the own
 	// try was refused.
 	waitUntil time.Time
+	check     check
 	vacant    time.Time
 	hold      time.Time
 	announce  repeat
@@ -76,6 +77,7 @@
 	case Tick:
 	case Members:
 		g.live = ev.Live
+		g.grant.changed = true
 	case Upstreams:
 		g.setUpstreams(ev.List)
 	case Answered:
@@ -193,6 +195,7 @@
 func (g *Group) see(t tracker.Term) {
 	if g.highest.Less(t) {
 		g.highest = t
+		g.grant.changed = true
 	}
 }
 
@@ -226,6 +229,10 @@
 	u.seen = g.now
 	u.asked = ev.Sent
 	u.fresh = true
+	if g.term.Less(ev.State.Term) && g.attempt == nil {
+		// Somebody replaces the primary, and the announcement may be lost.
+		g.probeStale(g.set.Probe, "an upstream is at a later term")
+	}
 }
 
 // adopt takes a primary of a later term.
@@ -241,6 +248,7 @@
 	g.primary = primary
 	g.term = term
 	g.adopted = g.now
+	g.grant.changed = true
 	g.vacant = time.Time{}
 	g.hold = time.Time{}
 	for i := range g.upstreams {
--- a/promoter/settings.go
+++ b/promoter/settings.go
@@ -14,7 +14,9 @@
 	// Floor and Ceiling bound the adaptive silence timeout.
 	Floor   time.Duration
 	Ceiling time.Duration
-	// Deputy is the further delay of each next live holder.
+	// Deputy is the further delay of each next live holder. It need only cover
+	// how far apart the holders hear each other's reports: the first one's claim
+	// makes the others wait.
 	Deputy time.Duration
 	// Retry is the time after which an unanswered step is sent again.
 	Retry time.Duration
@@ -24,12 +26,17 @@
 	// Promote is how long a promotion may stay unanswered before a new term is
 	// begun.
 	Promote time.Duration
+	// Fence is how long an attempt tries to fence a quorum before it is given up.
+	Fence time.Duration
 	// Vacancy is how long a group may be without a primary, through a promotion
 	// that someone else began, before the first holder takes over.
 	Vacancy time.Duration
 	// Grant is how long a recorded holder must be gone before the record is
 	// changed.
 	Grant time.Duration
+	// Reload is the time between readings of the record by the first live holder
+	// of its own view.
+	Reload time.Duration
 	// Backoff and BackoffMax bound the time between calls to a platform that
 	// doesn't answer.
 	Backoff    time.Duration
@@ -51,10 +58,12 @@
 		Repair:     500 * time.Millisecond,
 		Floor:      250 * time.Millisecond,
 		Ceiling:    time.Second,
-		Deputy:     250 * time.Millisecond,
+		Deputy:     150 * time.Millisecond,
 		Retry:      80 * time.Millisecond,
 		Settle:     40 * time.Millisecond,
 		Promote:    250 * time.Millisecond,
+		Fence:      time.Second,
+		Reload:     time.Minute,
 		Vacancy:    300 * time.Millisecond,
 		Grant:      time.Second,
 		Backoff:    100 * time.Millisecond,
@@ -76,6 +85,8 @@
 		{&s.Retry, &d.Retry},
 		{&s.Settle, &d.Settle},
 		{&s.Promote, &d.Promote},
+		{&s.Fence, &d.Fence},
+		{&s.Reload, &d.Reload},
 		{&s.Vacancy, &d.Vacancy},
 		{&s.Grant, &d.Grant},
 		{&s.Backoff, &d.Backoff},
--- a/promoter/suspicion.go
+++ b/promoter/suspicion.go
@@ -59,6 +59,9 @@
 // failed takes trouble from traffic or a probe. Only refusals count by
 // themselves; all other trouble just makes the next probe come at once.
 func (g *Group) failed(ev Failed) {
+	if m := g.move; m != nil && !m.started && ev.Upstream == m.target && ev.Trouble == Refused {
+		g.endMove(Rejected, "the target refuses connections")
+	}
 	if ev.Upstream != g.primary {
 		return
 	}
@@ -78,7 +81,7 @@
 	s := &g.suspicion
 	if g.term.Less(ev.Claim) {
 		g.see(ev.Claim)
-		g.waitUntil = g.now.Add(g.set.Promote + g.set.Vacancy)
+		g.waitUntil = g.now.Add(g.set.Promote)
 	}
 	switch c := ev.Term.Compare(g.term); {
 	case c < 0:
@@ -131,6 +134,10 @@
 // countZones sets since by the votes that count now.
 func (g *Group) countZones() {
 	s := &g.suspicion
+	if len(s.votes) == 0 && !s.down {
+		s.since = time.Time{}
+		return
+	}
 	balance := make(map[string]int)
 	for id, v := range s.votes {
 		if !g.now.Before(v.expires) {
@@ -214,7 +221,7 @@
 	s.reportedAt = g.now
 	s.asked = time.Time{}
 	var to []string
-	for _, id := range g.grant.record.Holders() {
+	for _, id := range g.grant.holders {
 		if id != g.Self {
 			to = append(to, id)
 		}
@@ -289,4 +296,13 @@
 	}
 }
 
+// askAll asks each upstream, the primary too, that wasn't asked for the interval.
+func (g *Group) askAll(interval time.Duration, reason string) {
+	g.probeStale(interval, reason)
+	if at := g.suspicion.probed.Add(interval); g.primary.IsValid() && !g.now.Before(at) {
+		g.suspicion.trouble = true
+		g.probePrimary()
+	}
+}
+
 func (g *Group) probeAll(reason string) { g.probeStale(refusedGap, reason) }
