certifier: authorities taken anew by clients too, one configuration for peers

Cause: a client's configuration kept the authorities of its making, and peers need one configuration for both ends. Change: Client checks the chain and name against the authorities of now and refuses without a name; Mutual serves both ends and asks for a certificate. Conclusion: it can be wired to callers, peers and upstreams.

--- a/adapter/certifier/certifier.go
+++ b/adapter/certifier/certifier.go
@@ -65,16 +65,49 @@
 	}
 }
 
-// Client returns the configuration for one connection to the name or IP number
-// that the other side's certificate must carry.
-func (c *Certifier) Client(name string) *tls.Config {
-	m := c.fresh()
+// Client returns the configuration for opening connections. Whoever uses it sets
+// ServerName, on a clone, to the name or IP number that the other side's
+// certificate must carry; without one every handshake fails.
+func (c *Certifier) Client() *tls.Config {
 	return &tls.Config{
-		MinVersion:   tls.VersionTLS12,
-		ServerName:   name,
-		Certificates: m.chain,
-		RootCAs:      m.pool,
+		MinVersion: tls.VersionTLS12,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			if m := c.fresh(); len(m.chain) > 0 {
+				return &m.chain[0], nil
+			}
+			return new(tls.Certificate), nil
+		},
+		// The standard check would use the authorities of the moment at which the
+		// configuration was made. verify does the same check with those of now.
+		InsecureSkipVerify: true,
+		VerifyConnection:   c.verify,
+	}
+}
+
+// Mutual returns one configuration for both ends of connections between equals,
+// each of which must show a certificate. CA must be set.
+func (c *Certifier) Mutual() *tls.Config {
+	config := c.Client()
+	config.GetConfigForClient = c.Server().GetConfigForClient
+	config.ClientAuth = tls.RequireAndVerifyClientCert
+	return config
+}
+
+// verify checks the other side's certificate against the authorities of now.
+func (c *Certifier) verify(state tls.ConnectionState) error {
+	if state.ServerName == "" {
+		return errors.New("certifier: no name to check the certificate by")
+	}
+	options := x509.VerifyOptions{
+		Roots:         c.fresh().pool,
+		DNSName:       state.ServerName,
+		Intermediates: x509.NewCertPool(),
+	}
+	for _, cert := range state.PeerCertificates[1:] {
+		options.Intermediates.AddCert(cert)
 	}
+	_, err := state.PeerCertificates[0].Verify(options)
+	return errors.Wrap(err, "certifier")
 }
 
 // fresh returns what the files hold now, or held when they were last usable.
--- a/adapter/certifier/certifier_test.go
+++ b/adapter/certifier/certifier_test.go
@@ -179,7 +179,7 @@
 				cert, key = tc.client.issue(dir, "peer", tc.own)
 				client = loaded(t, cert, key, ca)
 			}
-			_, clientErr, serverErr := handshake(t, client.Client(tc.want), server.Server())
+			_, clientErr, serverErr := handshake(t, named(client.Client(), tc.want), server.Server())
 			if tc.wrong == "" {
 				is.NoErr(clientErr)
 				is.NoErr(serverErr)
@@ -191,6 +191,41 @@
 	}
 }
 
+// named is the configuration for a server of that name.
+func named(config *tls.Config, name string) *tls.Config {
+	config.ServerName = name
+	return config
+}
+
+// Symptom: a proxy talks to whoever has any certificate of the authority.
+// Sequence: a client without a name to check. Cause: a handshake that checks the
+// chain and not the name.
+func TestClientWithoutNameIsRefused(t *testing.T) {
+	is := is.New(t)
+	a := newAuthority(t)
+	dir := t.TempDir()
+	ca := a.file(dir)
+	cert, key := a.issue(dir, "proxy", time.Now().Add(time.Hour))
+	_, err, _ := handshake(t, loaded(t, "", "", ca).Client(), loaded(t, cert, key, "").Server())
+	is.True(err != nil)
+}
+
+func TestMutualServesBothEnds(t *testing.T) {
+	is := is.New(t)
+	a := newAuthority(t)
+	dir := t.TempDir()
+	ca := a.file(dir)
+	cert, key := a.issue(dir, "peer", time.Now().Add(time.Hour))
+	both := loaded(t, cert, key, ca).Mutual()
+	name, clientErr, serverErr := handshake(t, named(both.Clone(), "peer"), both)
+	is.NoErr(clientErr)
+	is.NoErr(serverErr)
+	is.Equal(name, "peer")
+	stranger := named(loaded(t, "", "", ca).Client(), "peer")
+	_, clientErr, serverErr = handshake(t, stranger, both)
+	is.True(clientErr != nil && serverErr != nil) // shows no certificate
+}
+
 func text(err error) string {
 	if err == nil {
 		return ""
@@ -212,7 +247,7 @@
 	newCert, newKey := a.issue(next, "second", time.Now().Add(time.Hour))
 	client := loaded(t, "", "", ca)
 	seen := func(want string) string {
-		name, clientErr, serverErr := handshake(t, client.Client(want), server.Server())
+		name, clientErr, serverErr := handshake(t, named(client.Client(), want), server.Server())
 		is.NoErr(clientErr)
 		is.NoErr(serverErr)
 		return name
