dialer, commander: TLS to upstreams, insisted on

Cause: passwords and rows went to upstreams in plain text. Change: the dialer asks for TLS and refuses an upstream without it or with a wrong certificate; both check the upstream's IP number when no name is set. The look at an idle connection reaches through TLS. Conclusion: the daemon can hand the certifier's configuration to both.

--- a/adapter/commander/commander.go
+++ b/adapter/commander/commander.go
@@ -63,7 +63,8 @@
 	User     string
 	Password string
 	Database string
-	// TLS, when set, is used for each connection.
+	// TLS, when set, is used for each connection. Without a name in it the
+	// upstream's certificate must carry its IP number.
 	TLS *tls.Config
 	// Dial opens connections; nil means a plain net.Dialer.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -162,7 +163,12 @@
 		return nil, errors.Wrap(err, "commander: settings")
 	}
 	config.User, config.Password, config.Database = c.User, c.Password, c.Database
-	config.TLSConfig = c.TLS
+	if c.TLS != nil {
+		config.TLSConfig = c.TLS.Clone()
+		if config.TLSConfig.ServerName == "" {
+			config.TLSConfig.ServerName = addr.Addr().String()
+		}
+	}
 	config.Fallbacks = nil
 	config.RuntimeParams = map[string]string{"application_name": "basildale control"}
 	if c.Dial != nil {
--- a/adapter/dialer/dialer.go
+++ b/adapter/dialer/dialer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"net"
 	"net/netip"
@@ -26,6 +27,10 @@
 	Database string
 	// Timeout bounds opening and startup together; 0 means 5 s.
 	Timeout time.Duration
+	// TLS, when set, is asked for and insisted on. Without a name in it the
+	// upstream's certificate must carry its IP number. Cancel requests go in
+	// plain text, as libpq's do: they carry nothing but the key.
+	TLS *tls.Config
 }
 
 // Dial opens a connection to an upstream and goes through its startup.
@@ -40,9 +45,16 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "dialer: open %s", address)
 	}
-	c := &Conn{net: nc, address: address, buf: make([]byte, bufferSize), Parameters: map[string]string{}}
-	stop := context.AfterFunc(ctx, func() { nc.Close() })
+	raw := nc
+	stop := context.AfterFunc(ctx, func() { raw.Close() })
 	defer stop()
+	if d.TLS != nil {
+		if nc, err = d.secure(ctx, raw, address); err != nil {
+			raw.Close()
+			return nil, errors.Wrapf(err, "dialer: start up at %s", address)
+		}
+	}
+	c := &Conn{net: nc, address: address, buf: make([]byte, bufferSize), Parameters: map[string]string{}}
 	if err := d.startup(c); err != nil {
 		nc.Close()
 		return nil, errors.Wrapf(err, "dialer: start up at %s", address)
--- a/adapter/dialer/quiet.go
+++ b/adapter/dialer/quiet.go
@@ -1,6 +1,7 @@
 package dialer
 
 import (
+	"crypto/tls"
 	"net"
 	"syscall"
 )
@@ -10,6 +11,9 @@
 // no bytes and no error is the end of the stream. Neither may be used again: a
 // statement sent there would have an unknown outcome for no need.
 func quiet(conn net.Conn) bool {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn() // a farewell over TLS is bytes here as well
+	}
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
 		return true
