--- a/relayer/upstream.go
+++ b/relayer/upstream.go
@@ -17,6 +17,8 @@
 // which earlier transactions have left it.
 type Upstream struct {
 	*dialer.Conn
+	// Back gives the connection back to its owner, who set it.
+	Back func(u *Upstream, healthy bool)
 
 	deadline time.Time // set on the connection
 	term     tracker.Term
--- a/server/pools.go
+++ b/server/pools.go
@@ -93,21 +93,19 @@
 	if d.User == "" {
 		d.User = "basildale"
 	}
-	return &pool{
-		Pool: pooler.Pool[*relayer.Upstream]{
-			Limit: limitOf(g),
-			Dial: func(ctx context.Context) (*relayer.Upstream, error) {
-				c, err := d.Dial(ctx, address)
-				if err != nil {
-					return nil, err
-				}
-				return relayer.NewUpstream(c), nil
-			},
-			Close: func(u *relayer.Upstream) { u.Terminate() },
-		},
-		least: g.Warm,
-		made:  madeOf(g),
+	p := &pool{least: g.Warm, made: madeOf(g)}
+	p.Limit = limitOf(g)
+	p.Close = func(u *relayer.Upstream) { u.Terminate() }
+	p.Dial = func(ctx context.Context) (*relayer.Upstream, error) {
+		c, err := d.Dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		u := relayer.NewUpstream(c)
+		u.Back = p.back
+		return u, nil
 	}
+	return p
 }
 
 func (p *pools) get(group string, address netip.AddrPort) *pool {
@@ -182,19 +180,17 @@
 	}
 }
 
-func (p *pools) release(t relayer.Target, u *relayer.Upstream, healthy bool) {
-	one := p.get(t.Group, t.Address)
-	switch {
-	case one == nil:
-		u.Close()
-	case healthy:
-		one.Put(u)
-	default:
-		// Where one connection broke, idle ones may have died with it. A read
-		// sent into each would use up the retry budget.
-		one.Discard(u)
-		one.Sweep((*relayer.Upstream).Alive)
+// back takes a connection back into the pool that has opened it. Its upstream's
+// pool may be another one by now.
+func (p *pool) back(u *relayer.Upstream, healthy bool) {
+	if healthy {
+		p.Put(u)
+		return
 	}
+	// Where one connection broke, idle ones may have died with it. A read sent
+	// into each would use up the retry budget.
+	p.Discard(u)
+	p.Sweep((*relayer.Upstream).Alive)
 }
 
 func (p *pools) stop() {
--- a/server/server.go
+++ b/server/server.go
@@ -191,7 +191,7 @@
 }
 
 func (s *Server) release(t relayer.Target, u *relayer.Upstream, healthy bool) {
-	s.pools.release(t, u, healthy)
+	u.Back(u, healthy)
 	s.Control.Release(t)
 }
 
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -96,3 +96,27 @@
 	is.True(f.group.Upstreams[1].Counts().Statements > 0)
 	is.True(f.group.Upstreams[2].Counts().Statements > 0)
 }
+
+// Symptom: a pool counts connections that it never opened, and stops opening
+// any. Sequence: the groups change while a transaction holds a connection of the
+// old pool. Cause: a connection must go back to the pool that has opened it.
+func TestConfigureDuringTransaction(t *testing.T) {
+	is := is.New(t)
+	f := start(t, upstream.Options{Size: 1}, func(s *Server) { s.Groups[0].Connections = 1 })
+	c := f.connect(t, "")
+	tx, err := c.Begin(t.Context())
+	is.NoErr(err)
+	g := f.server.Groups[0]
+	g.User = "another"
+	f.server.Configure([]Group{g})
+	_, err = tx.Exec(t.Context(), "INSERT INTO seats (id) VALUES (1)")
+	is.NoErr(err)
+	is.NoErr(tx.Commit(t.Context()))
+	for range 3 {
+		_, err = c.Exec(t.Context(), "SELECT 1")
+		is.NoErr(err)
+	}
+	stats := f.server.pools.get("billet", g.Upstreams[0]).Stats()
+	is.Equal(stats.Open, 1)
+	is.Equal(stats.Idle, 1)
+}
