daemon: passwords, preset terms, cancel across proxies, TLS on all three sides

Cause: the declared verifier didn't reach the session, so any password was let in; limits of the preset in force reached nobody; a cancel request through another proxy was dropped; certificates in the settings were not used. Change: a caller without a usable verifier is refused; relayer asks the terms of the preset in force for each statement (class, deadline, age, repeat, frozen); cancel keys carry a number from the proxy's address and are forwarded to it; certifier's configurations go to callers, upstreams and peers; a preset that refuses writes has a cause of its own, since the retrier called it late. The wire to another proxy and TLS are shown by one test each.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"basildale.example/basildale/loader"
 	"basildale.example/basildale/membership"
 	"basildale.example/basildale/meter"
+	"basildale.example/basildale/relayer"
 	"basildale.example/basildale/router"
 	"basildale.example/basildale/server"
 )
@@ -219,6 +220,9 @@
 	}
 }
 
+// controlDatabase is the database that control connections name.
+const controlDatabase = "basildale"
+
 func (d *Daemon) assemble() error {
 	d.registry = metrics.NewRegistry()
 	d.meter = &meter.Meter{Registry: d.registry}
@@ -226,13 +230,20 @@
 	if err != nil {
 		return err
 	}
-	d.upstreams = &commander.Commander{User: d.Settings.Login.User, Password: credentials.password, Database: "basildale"}
+	secure, err := d.secure()
+	if err != nil {
+		return err
+	}
+	d.upstreams = &commander.Commander{
+		User: d.Settings.Login.User, Password: credentials.password, Database: controlDatabase, TLS: secure.upstreams,
+	}
 	if len(d.Settings.Platform) > 0 {
 		d.platform = &keeper.Client{Addrs: d.Settings.Platform}
 	}
 	d.peers = &messenger.Messenger{
 		Self:    messenger.Peer{Addr: d.Peers(), Start: d.Seed},
 		Keys:    credentials.keys,
+		TLS:     secure.peers,
 		Metrics: d.registry,
 		Log:     d.Log,
 	}
@@ -251,10 +262,15 @@
 	if d.platform == nil {
 		d.dispatcher.Accounts.Find = d.declared
 	}
+	seams := d.dispatcher.Seams()
+	seams.ForwardCancel = d.forwardCancel
 	d.server = &server.Server{
 		Listen:  d.Settings.Listen,
 		Zone:    d.Settings.Zone,
-		Control: d.dispatcher.Seams(),
+		Index:   indexOf(d.Peers()),
+		TLS:     secure.callers,
+		Limits:  relayer.Limits{Message: d.Settings.Limits.Message, Strangers: d.Settings.Limits.Pending},
+		Control: seams,
 		Grace:   d.Settings.Stop,
 		Log:     d.Log,
 	}
@@ -262,6 +278,7 @@
 	d.coordinator.OnConfig = func(r *controller.Reconfigured) { d.server.Configure(d.groups(r)) }
 	d.peers.Handler = d.coordinator.Handler()
 	d.peers.Handler.Marks = d.marked
+	d.peers.Handler.Cancel = d.cancelled
 	d.http = &http.Server{Handler: d.reporter().Handler(), ReadHeaderTimeout: reporter.HeaderTimeout}
 	return nil
 }
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
+	"net"
 	"net/netip"
+	"net/url"
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -20,10 +24,13 @@
 	"basildale.example/basildale/internal/faker/upstream"
 	"basildale.example/basildale/loader"
 	"basildale.example/basildale/membership"
+	"basildale.example/basildale/relayer"
 )
 
 var zones = []string{"vejle-hal", "aarhus-hal", "skjern-hal"}
 
+const password = "a kiosk's password"
+
 const setup = "CREATE TABLE seats (id int, holder text); INSERT INTO seats (id, holder) VALUES (0, 'nobody')"
 
 // fleet is three daemons before one group, with the platform's stand-in.
@@ -99,6 +106,8 @@
 	for i, a := range f.group.Addrs() {
 		ups = append(ups, map[string]any{"name": zones[i], "address": a, "zone": zones[i]})
 	}
+	verifier, err := relayer.NewVerifier(password)
+	is.NoErr(err)
 	class := map[string]any{"booking": map[string]any{"weight": 2, "deadline": "2s"}, "lookup": map[string]any{"weight": 1, "deadline": "1s"}}
 	for _, o := range []struct {
 		name string
@@ -109,7 +118,8 @@
 		{"workspace/dj", map[string]any{"zones": zones}},
 		{"pool/tickets", map[string]any{"workspace": "dj"}},
 		{"group/billet-db-1", map[string]any{"pool": "tickets", "databases": []string{"billet"}, "slots": 5, "connections": 35, "upstreams": ups}},
-		{"caller/kiosk", map[string]any{"workspace": "dj", "class": "booking"}},
+		{"preset/maintenance", map[string]any{"workspace": "dj", "writes": "refuse", "classes": class}},
+		{"caller/kiosk", map[string]any{"workspace": "dj", "class": "booking", "verifier": verifier.String()}},
 	} {
 		_, err := k.Put(f.t.Context(), "config", o.name, 0, map[string]any{"spec": o.spec})
 		is.NoErr(err)
@@ -118,12 +128,17 @@
 
 func (f *fleet) connect(i int, more string) *pgx.Conn {
 	f.t.Helper()
-	c, err := pgx.Connect(f.t.Context(), "postgres://kiosk@"+f.daemons[i].Callers().String()+"/billet?sslmode=disable&"+more)
+	c, err := f.dial(i, password, more)
 	is.New(f.t).NoErr(err)
 	f.t.Cleanup(func() { _ = c.Close(context.Background()) })
 	return c
 }
 
+func (f *fleet) dial(i int, password, more string) (*pgx.Conn, error) {
+	user := url.UserPassword("kiosk", password).String()
+	return pgx.Connect(f.t.Context(), "postgres://"+user+"@"+f.daemons[i].Callers().String()+"/billet?sslmode=disable&"+more)
+}
+
 func book(t *testing.T, c *pgx.Conn, id int) error {
 	t.Helper()
 	_, err := c.Exec(t.Context(), "INSERT INTO seats (id, holder) VALUES ($1, $2)", id, "Karen")
@@ -246,3 +261,70 @@
 }
 
 func reporterQuery(group string) reporter.Query { return reporter.Query{Group: group, Limit: 10} }
+
+// Symptom: anybody who knows a caller's name works on its data. Sequence: a
+// caller is declared with a verifier, somebody connects with another password.
+// Cause: the declaration's verifier didn't reach the session.
+func TestOnlyTheDeclaredPasswordIsLetIn(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, time.Millisecond)
+	_, err := f.dial(0, "another", "")
+	is.True(strings.Contains(err.Error(), "28P01"))
+	_, err = f.dial(0, "", "")
+	is.True(err != nil)
+	is.NoErr(book(t, f.connect(0, ""), 700))
+}
+
+// Symptom: a caller's cancel request does nothing. Sequence: the balancer brings
+// it to another proxy than the one that runs the statement. Cause: that proxy
+// doesn't know the session and drops the request.
+func TestCancelReachesTheStatementThroughAnotherProxy(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, time.Millisecond)
+	c := f.connect(0, "basildale.deadline=60000")
+	started := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(context.Background(), "SELECT pg_sleep(30)")
+		started <- err
+	}()
+	running := func() (n int64) {
+		for _, u := range f.group.Upstreams {
+			n += u.Counts().Statements
+		}
+		return n
+	}
+	for running() == 0 {
+		time.Sleep(time.Millisecond) // a poll; only the bound of the test run ends it
+	}
+	other, err := net.Dial("tcp", f.daemons[1].Callers().String())
+	is.NoErr(err)
+	defer other.Close()
+	request := binary.BigEndian.AppendUint32(nil, 16)
+	request = binary.BigEndian.AppendUint32(request, 80877102)
+	request = binary.BigEndian.AppendUint32(request, c.PgConn().PID())
+	request = append(request, c.PgConn().SecretKey()...)
+	_, err = other.Write(request)
+	is.NoErr(err)
+	is.True(strings.Contains((<-started).Error(), "57014"))
+}
+
+// Symptom: after a preset was put in force, a session that stands goes by the one
+// before. Sequence: a session books, maintenance is put in force, it books again.
+// Cause: limits were read once, when the session began.
+func TestPresetHoldsForTheNextStatementOfAStandingSession(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, time.Millisecond)
+	c := f.connect(0, "")
+	is.NoErr(book(t, c, 800))
+	k := &keeper.Client{Addrs: []netip.AddrPort{f.platform.Addr()}}
+	o, err := k.Get(t.Context(), "config", "active/dj")
+	is.NoErr(err)
+	_, err = k.Put(t.Context(), "config", "active/dj", o.Version, map[string]any{"spec": map[string]any{"preset": "maintenance"}})
+	is.NoErr(err)
+	id := 801
+	for err = nil; err == nil; id++ {
+		err = book(t, c, id)
+	}
+	is.True(strings.Contains(err.Error(), "BD100"))
+	is.Equal(holder(t, c, 800), "Karen") // reads go on
+}
--- a/daemon/groups.go
+++ b/daemon/groups.go
@@ -58,14 +58,18 @@
 	if i < 0 || !slices.Contains(d.Settings.Callers[i].Groups, database) {
 		return relayer.Account{}, false
 	}
-	return relayer.Account{Tenant: d.Settings.Callers[i].Tenant, Caller: user, Group: database}, true
+	verifier, err := relayer.ParseVerifier(d.Settings.Callers[i].Verifier)
+	if err != nil {
+		return relayer.Account{}, false
+	}
+	return relayer.Account{Tenant: d.Settings.Callers[i].Tenant, Caller: user, Group: database, Verifier: verifier}, true
 }
 
 // groups returns the groups as the server reaches them.
 func (d *Daemon) groups(r *controller.Reconfigured) []server.Group {
 	list := make([]server.Group, 0, len(r.Groups))
 	for _, g := range r.Groups {
-		one := server.Group{Name: g.Name, User: d.Settings.Login.User, Password: d.upstreams.Password, Connections: d.share(r, g.Name)}
+		one := server.Group{Name: g.Name, User: d.Settings.Login.User, Password: d.upstreams.Password, TLS: d.upstreams.TLS, Connections: d.share(r, g.Name)}
 		for _, u := range g.Upstreams {
 			one.Upstreams = append(one.Upstreams, u.Address)
 		}
--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -7,6 +7,7 @@
 	d.once.Do(d.prepare)
 	return server.Control{
 		Login:   d.Login,
+		Terms:   d.Terms,
 		Route:   d.Route,
 		Release: d.Release,
 		Confirm: d.Confirm,
--- a/dispatcher/login.go
+++ b/dispatcher/login.go
@@ -1,6 +1,9 @@
 package dispatcher
 
 import (
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/configurator"
 	"basildale.example/basildale/controller"
 	"basildale.example/basildale/relayer"
 )
@@ -8,8 +11,11 @@
 // Accounts finds the callers that may connect.
 type Accounts struct {
 	// Find returns the account of a user and a database under a configuration;
-	// nil takes [Declared].
+	// nil takes those that the operators have declared on the platform.
 	Find func(r *controller.Reconfigured, user, database string) (relayer.Account, bool)
+	// Secret returns the verifier that a name in a caller's declaration stands
+	// for; nil knows none.
+	Secret func(name string) (verifier string, ok bool)
 }
 
 // Login finds the account of a user and a database; false refuses the session.
@@ -21,22 +27,63 @@
 	if d.Accounts.Find != nil {
 		return d.Accounts.Find(r, user, database)
 	}
-	return Declared(r, user, database)
+	return d.declared(r.Config, user, database)
 }
 
-// Declared finds a caller that the operators have declared in the platform's
-// configuration.
-func Declared(r *controller.Reconfigured, user, database string) (relayer.Account, bool) {
-	if r.Config == nil {
+// declared finds a caller in the platform's configuration. One without a usable
+// verifier is refused: taking it for one without a password would open the
+// tenant's data to whoever knows the name.
+func (d *Dispatcher) declared(config *configurator.Config, user, database string) (relayer.Account, bool) {
+	if config == nil {
 		return relayer.Account{}, false
 	}
-	caller, ok := r.Config.Callers[user]
+	caller, ok := config.Callers[user]
 	if !ok {
 		return relayer.Account{}, false
 	}
-	name, _, ok := r.Config.GroupOf(user, database)
+	name, _, ok := config.GroupOf(user, database)
 	if !ok {
 		return relayer.Account{}, false
 	}
-	return relayer.Account{Tenant: caller.Workspace, Caller: user, Group: name}, true
+	text := caller.Verifier
+	if text == "" && d.Accounts.Secret != nil {
+		text, _ = d.Accounts.Secret(caller.Secret)
+	}
+	verifier, err := relayer.ParseVerifier(text)
+	if err != nil {
+		d.Log.Warn("dispatcher: caller without a usable verifier", zap.String("caller", user))
+		return relayer.Account{}, false
+	}
+	return relayer.Account{Tenant: caller.Workspace, Caller: user, Group: name, Verifier: verifier}, true
+}
+
+// Terms returns what the configuration in force says of an account's statements.
+func (d *Dispatcher) Terms(a *relayer.Account) relayer.Terms {
+	r := d.Control.Config()
+	if r == nil || r.Config == nil {
+		return relayer.Terms{}
+	}
+	l, ok := r.Config.LimitsOf(a.Caller)
+	if !ok {
+		return relayer.Terms{}
+	}
+	return relayer.Terms{
+		Class:  classOf(l.Class),
+		Budget: l.Deadline,
+		Age:    l.Age,
+		AnyAge: l.Age > 0,
+		Repeat: l.Repeat,
+		Frozen: !l.Writes,
+	}
+}
+
+func classOf(name string) relayer.Class {
+	switch name {
+	case relayer.Booking.String():
+		return relayer.Booking
+	case relayer.Lookup.String():
+		return relayer.Lookup
+	default:
+		return relayer.Unclassed
+	}
 }
--- a/dispatcher/observe.go
+++ b/dispatcher/observe.go
@@ -76,7 +76,7 @@
 	if d.Meter == nil {
 		return
 	}
-	class := r.Notes.Class.String()
+	class := r.Terms.Class.String()
 	if class == "" {
 		class = "other"
 	}
--- a/dispatcher/route.go
+++ b/dispatcher/route.go
@@ -19,6 +19,10 @@
 // ask again: about as long as a replacement takes.
 const comeBack = 500 * time.Millisecond
 
+// frozenBack is when a caller whose write was refused by the preset is told to
+// ask again: maintenance lasts minutes.
+const frozenBack = 10 * time.Second
+
 // Route chooses the upstream for a unit. It waits no longer than the unit's
 // deadline, and refuses as soon as it is known that nothing can be in time.
 func (d *Dispatcher) Route(ctx context.Context, r *relayer.Request) (relayer.Target, *relayer.Refusal) {
@@ -28,6 +32,9 @@
 		return relayer.Target{}, refuse(retrier.Forbidden, time.Time{}, "there is no such group")
 	}
 	g := found.(*group)
+	if r.Terms.Frozen && !r.Read() {
+		return relayer.Target{}, refuse(retrier.Frozen, now.Add(frozenBack), "the preset in force refuses writes")
+	}
 	g.used(now)
 	g.budget.Deposit()
 	req := d.request(r, now)
@@ -102,7 +109,7 @@
 		Write:    !r.Read(),
 		Mark:     r.Notes.Mark,
 		Known:    d.known(r),
-		Age:      statedAge(r.Notes),
+		Age:      statedAge(&r.Terms),
 		Deadline: r.Deadline,
 		Patience: now.Add(d.Patience),
 		Random:   d.draw(),
@@ -112,7 +119,7 @@
 // statedAge returns the greatest age for the router. An age of zero that a
 // caller has stated leaves only the primary young enough; zero to the router
 // means that none is stated.
-func statedAge(n *relayer.Notes) time.Duration {
+func statedAge(n *relayer.Terms) time.Duration {
 	if n.AnyAge {
 		return max(n.Age, 1)
 	}
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -48,8 +48,10 @@
 	Statement classifier.Statement
 	// Text is the unit's SQL text, the first one of an extended batch.
 	Text []byte
-	// Notes are the session's annotations.
+	// Notes are the session's annotations, Terms what holds by them and by the
+	// configuration.
 	Notes *Notes
+	Terms Terms
 	// Arrived and Deadline bound the unit.
 	Arrived  time.Time
 	Deadline time.Time
@@ -111,6 +113,9 @@
 	Index uint16
 	// Login finds the account of a user and database. False refuses the session.
 	Login func(user, database string) (Account, bool)
+	// Terms returns what the configuration in force says of an account's
+	// statements; nil means that it says nothing.
+	Terms func(a *Account) Terms
 	// Route chooses the upstream for a unit, or refuses it. It may wait until
 	// the unit's deadline.
 	Route func(ctx context.Context, r *Request) (Target, *Refusal)
--- a/relayer/unit.go
+++ b/relayer/unit.go
@@ -62,16 +62,14 @@
 // open prepares a unit that has just arrived.
 func (s *Session) open(u *unit, st classifier.Statement) {
 	now := time.Now()
-	budget := s.relay.Limits.Unit
-	if s.notes.Budget > 0 {
-		budget = s.notes.Budget
-	}
+	terms := s.terms()
 	u.request = Request{
 		Account:   &s.account,
 		Statement: st,
 		Notes:     &s.notes,
+		Terms:     terms,
 		Arrived:   now,
-		Deadline:  now.Add(budget),
+		Deadline:  now.Add(terms.Budget),
 		Remote:    s.caller.Remote(),
 	}
 	read := st.Kind == classifier.Read
@@ -79,8 +77,8 @@
 	u.retry = retrier.Request{
 		Statement: retrier.Statement{
 			Read:       read,
-			Repeatable: s.notes.Repeat,
-			Booking:    s.notes.Class == Booking,
+			Repeatable: terms.Repeat,
+			Booking:    terms.Class == Booking,
 			Named:      !read && s.relay.Settle != nil,
 		},
 		Latest:   u.request.Deadline,
@@ -124,7 +122,7 @@
 	u.began = s.tx != txIdle
 	u.mark, u.tag, u.told, u.failed = tracker.Mark{}, u.tag[:0], false, false
 	s.streamed, s.cutOff = false, false
-	s.up.bound(u.request.Deadline, s.slack())
+	s.up.bound(u.request.Deadline, s.slack(u))
 	s.prelude(u)
 	s.load(u)
 	sent, err := s.up.Send(u.flight)
@@ -136,9 +134,9 @@
 
 // slack is how much earlier than a unit's deadline its connection may give up.
 // Setting a deadline for each statement costs more than decoding it, so one
-// that a caller has not stated is only set now and then.
-func (s *Session) slack() time.Duration {
-	if s.notes.Budget > 0 {
+// that nobody has stated is only set now and then.
+func (s *Session) slack(u *unit) time.Duration {
+	if u.request.Terms.Budget < s.relay.Limits.Unit {
 		return 0
 	}
 	return s.relay.Limits.Unit / 4
--- a/retrier/outcome.go
+++ b/retrier/outcome.go
@@ -47,6 +47,7 @@
 	Unconfirmed       // it ran, but no replica confirmed its mark
 	Settled           // settling told
 	Forbidden         // not allowed or not supported here
+	Frozen            // the preset in force refuses writes
 	causeCount
 )
 
@@ -57,7 +58,7 @@
 func (c Cause) String() string {
 	names := [causeCount]string{
 		"none", "refused", "busy", "late", "fenced", "read only", "never sent", "aborted",
-		"breaker open", "stopping", "lost", "unconfirmed", "settled", "forbidden",
+		"breaker open", "stopping", "lost", "unconfirmed", "settled", "forbidden", "frozen",
 	}
 	if c >= causeCount {
 		return "cause " + strconv.Itoa(int(c))
--- a/retrier/request.go
+++ b/retrier/request.go
@@ -152,6 +152,8 @@
 	switch {
 	case o.Cause == Forbidden:
 		return r.giveUp(o, Denied, time.Time{})
+	case o.Cause == Frozen:
+		return r.giveUp(o, Denied, at)
 	case o.Cause == Late:
 		return r.giveUp(o, NoTime, at)
 	case r.Statement.Bound:
--- a/retrier/request_test.go
+++ b/retrier/request_test.go
@@ -44,6 +44,7 @@
 		{"sale refused, no time", sale, Outcome{Kind: NotRun, Cause: Refused}, start, nil, Finish, NoTime, StateLate},
 		{"back too late", sale, Outcome{Kind: NotRun, Cause: Busy, Back: back}, start.Add(time.Second), nil, Finish, NoTime, StateLate},
 		{"queue says late", sale, Outcome{Kind: NotRun, Cause: Late}, time.Time{}, nil, Finish, NoTime, StateLate},
+		{"frozen", sale, Outcome{Kind: NotRun, Cause: Frozen, Back: back}, start.Add(time.Second), nil, Finish, Denied, StateComeBack},
 		{"over budget", sale, Outcome{Kind: NotRun, Cause: Refused}, time.Time{}, emptyBudget(), Finish, OverBudget, StateComeBack},
 		{"bound to its transaction", Statement{Read: true, Bound: true}, Outcome{Kind: NotRun, Cause: Aborted}, time.Time{}, nil, Finish, BoundTx, StateComeBack},
 		{"forbidden", read, Outcome{Kind: NotRun, Cause: Forbidden}, time.Time{}, nil, Finish, Denied, StateForbidden},
--- a/server/pools.go
+++ b/server/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net/netip"
 	"sync"
 	"time"
@@ -74,9 +75,12 @@
 }
 
 // made is what the connections of a pool are made with.
-type made struct{ user, password, database string }
+type made struct {
+	user, password, database string
+	tls                      *tls.Config
+}
 
-func madeOf(g Group) made { return made{g.User, g.Password, g.Database} }
+func madeOf(g Group) made { return made{g.User, g.Password, g.Database, g.TLS} }
 
 func limitOf(g Group) int {
 	if g.Connections == 0 {
@@ -86,7 +90,7 @@
 }
 
 func newPool(g Group, address netip.AddrPort) *pool {
-	d := &dialer.Dialer{User: g.User, Password: g.Password, Database: g.Database}
+	d := &dialer.Dialer{User: g.User, Password: g.Password, Database: g.Database, TLS: g.TLS}
 	if d.Database == "" {
 		d.Database = g.Name
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -24,6 +24,8 @@
 	User     string
 	Password string
 	Database string
+	// TLS, when set, is insisted on towards the upstreams.
+	TLS *tls.Config
 	// Connections is the share of this proxy of each upstream's connections.
 	Connections int
 	// Warm is how many of them are opened before they are needed.
@@ -33,6 +35,7 @@
 // Control is what decides. Nil fields take the plain defaults.
 type Control struct {
 	Login         func(user, database string) (relayer.Account, bool)
+	Terms         func(a *relayer.Account) relayer.Terms
 	Route         func(ctx context.Context, r *relayer.Request) (relayer.Target, *relayer.Refusal)
 	Release       func(t relayer.Target)
 	Confirm       func(ctx context.Context, t relayer.Target, mark tracker.Mark, r *relayer.Request) retrier.Outcome
@@ -128,6 +131,7 @@
 	s.relay = &relayer.Relay{
 		Index:         s.Index,
 		Login:         s.Control.Login,
+		Terms:         s.Control.Terms,
 		Route:         s.Control.Route,
 		Acquire:       s.acquire,
 		Release:       s.release,
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -116,7 +117,10 @@
 		_, err = c.Exec(t.Context(), "SELECT 1")
 		is.NoErr(err)
 	}
-	stats := f.server.pools.get("billet", g.Upstreams[0]).Stats()
-	is.Equal(stats.Open, 1)
-	is.Equal(stats.Idle, 1)
+	stats := f.server.pools.get("billet", g.Upstreams[0]).Stats
+	for stats().Idle == 0 {
+		runtime.Gosched() // the connection goes back after the answer has left
+	}
+	is.Equal(stats().Open, 1)
+	is.Equal(stats().Idle, 1)
 }
