limiter: deadline queues with early refusal, adaptive window, pacer, limits

Cause: an overloaded upstream served everything too late; one tenant's flood took all slots; connections after a failover were opened all at once.

Change: Queue keeps waiting items by deadline and refuses at once what can't be in time (tenant furthest ahead first, then the least worth for its service time); Window follows the service time; Gate waits for many goroutines; Pacer; Limits with presets and checks.

--- /dev/null
+++ b/limiter/pacer.go
@@ -0,0 +1,65 @@
+package limiter
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Defaults of a pacer.
+const (
+	DefaultOpenRate  = 20 // connections a second
+	DefaultOpenBurst = 2
+)
+
+// Pacer spreads the opening of connections to one upstream over time.
+//
+// After a failover all proxies open connections to the new primary at the same
+// moment. Opening one takes 10 to 30 ms of the upstream's time, so that hundreds
+// at once hold up the statements that the failover was made for. One would see
+// the gap end and the service time jump. The pacer gives each connection its own
+// time to start, by a token bucket, with jitter so that proxies don't open in
+// step. The zero Pacer has the defaults.
+type Pacer struct {
+	Rate  float64 // connections a second, steadily
+	Burst int     // connections at once after a pause
+
+	bucket *rate.Limiter
+}
+
+// Reserve returns when the next connection may be opened, or false if that is
+// after the deadline; then nothing is reserved. Seed draws the jitter, up to one
+// interval of the rate.
+func (p *Pacer) Reserve(now, deadline time.Time, seed uint64) (time.Time, bool) {
+	if p.bucket == nil {
+		p.start()
+	}
+	r := p.bucket.ReserveN(now, 1)
+	wait := r.DelayFrom(now)
+	if wait > 0 {
+		wait += jitter(p.Rate, seed)
+	}
+	at := now.Add(wait)
+	if !r.OK() || at.After(deadline) {
+		r.CancelAt(now)
+		return time.Time{}, false
+	}
+	return at, true
+}
+
+func (p *Pacer) start() {
+	if p.Rate == 0 {
+		p.Rate = DefaultOpenRate
+	}
+	if p.Burst == 0 {
+		p.Burst = DefaultOpenBurst
+	}
+	p.bucket = rate.NewLimiter(rate.Limit(p.Rate), p.Burst)
+}
+
+// jitter draws a wait below one interval of the rate.
+func jitter(perSecond float64, seed uint64) time.Duration {
+	interval := uint64(float64(time.Second) / perSecond)
+	seed = (seed ^ (seed >> 31)) * 0x9e3779b97f4a7c15
+	return time.Duration((seed >> 16) % max(interval, 1))
+}
--- /dev/null
+++ b/limiter/queue.go
@@ -0,0 +1,275 @@
+package limiter
+
+import (
+	"slices"
+	"time"
+
+	"basildale.example/basildale/retrier"
+)
+
+// Class is the class of a request.
+type Class uint8
+
+// The classes.
+const (
+	Lookup Class = iota
+	Booking
+	classCount
+)
+
+// Weight returns what an answer in time is worth: a booking weighs two lookups.
+func (c Class) Weight() int {
+	if c == Booking {
+		return 2
+	}
+	return 1
+}
+
+// Item is one request that wants a slot of the upstream. Tenant is a small
+// number that the caller gives to each tenant, counted from zero.
+type Item struct {
+	Tenant   uint16
+	Class    Class
+	Deadline time.Time
+}
+
+// Ticket names an item in its queue. It is never used twice, and never zero.
+type Ticket uint64
+
+// Event tells what became of a queued item: it has a slot, or it is refused and
+// has not run. Back is when a refused one is worth offering again.
+type Event struct {
+	Ticket  Ticket
+	Granted bool
+	Cause   retrier.Cause
+	Back    time.Time
+}
+
+// Defaults of a queue.
+const (
+	DefaultLength  = 256
+	DefaultService = 5 * time.Millisecond
+	// fairLead is how many mean service times a tenant may be ahead of another
+	// before its requests are the first to be refused.
+	fairLead = 4
+	// credit is how many lookups a tenant that comes back may have ahead of it
+	// in service received, for what it left to the others.
+	credit = 16
+	// serviceGain is the part of a new sample in the mean service time, as 1/n.
+	serviceGain = 16
+)
+
+type phase uint8
+
+const (
+	vacant phase = iota
+	waiting
+	running
+)
+
+type node struct {
+	item    Item
+	since   time.Time // granted at
+	arrival uint64
+	gen     uint32
+	phase   phase
+}
+
+type account struct {
+	used   time.Duration // service time given, on the common scale of all tenants
+	queued time.Duration // expected service time of its waiting items
+	count  int           // its waiting items
+}
+
+// Queue hands out the slots of one upstream at one proxy. It keeps the waiting
+// items by deadline, and only those that can be in time: each offer is checked
+// against the expected service times of all that go before it, and when not all
+// can be in time, one is refused at once. That is an item of the tenant that is
+// furthest ahead in service received, and of that tenant the one worth least for
+// its service time.
+//
+// Without the check, an overloaded deadline-first queue serves each item just
+// too late: the slots are busy and nothing is in time. One would see full slots
+// and a score near zero.
+//
+// The zero Queue is ready for use with the defaults; exported fields are set
+// before the first offer. Nothing is allocated once all nodes and tenants have
+// been seen. A Queue is not safe for concurrent use; see [Gate].
+type Queue struct {
+	Length  int           // greatest number of waiting items
+	Service time.Duration // service time assumed before the first sample
+	Window  Window        // how many items may run at a time
+
+	nodes    []node
+	free     []int32
+	order    []int32 // waiting, by deadline
+	active   []int32 // running
+	refused  []Event // not yet taken by Next
+	accounts []account
+	service  [classCount]time.Duration
+	arrivals uint64
+}
+
+func (q *Queue) start() {
+	if q.Length == 0 {
+		q.Length = DefaultLength
+	}
+	if q.Service == 0 {
+		q.Service = DefaultService
+	}
+	for c := range q.service {
+		q.service[c] = q.Service
+	}
+	size := q.Length + q.Window.most()
+	q.nodes = make([]node, size)
+	q.free = make([]int32, 0, size)
+	for i := size - 1; i >= 0; i-- {
+		q.free = append(q.free, int32(i))
+	}
+	q.order = make([]int32, 0, size)
+	q.active = make([]int32, 0, size)
+	q.refused = make([]Event, 0, size)
+}
+
+// Offer queues an item. A zero ticket means that it was refused at once, with
+// the reason in the event. After an offer the caller takes events by [Queue.Next]
+// until there are none.
+func (q *Queue) Offer(now time.Time, it Item) (Ticket, Event) {
+	if q.nodes == nil {
+		q.start()
+	}
+	if len(q.order) >= q.Length || len(q.free) == 0 {
+		return 0, Event{Cause: retrier.Busy, Back: q.back(now)}
+	}
+	i := q.free[len(q.free)-1]
+	q.free = q.free[:len(q.free)-1]
+	q.arrivals++
+	n := &q.nodes[i]
+	n.item, n.arrival, n.phase = it, q.arrivals, waiting
+	n.gen++
+	t := q.ticket(i)
+	q.insert(i)
+	q.admit(now)
+	if n.phase == vacant {
+		return 0, q.takeRefusal(t)
+	}
+	return t, Event{}
+}
+
+// takeRefusal takes the refusal of one item out of those not yet taken.
+func (q *Queue) takeRefusal(t Ticket) Event {
+	at := slices.IndexFunc(q.refused, func(e Event) bool { return e.Ticket == t })
+	e := q.refused[at]
+	q.refused = slices.Delete(q.refused, at, at+1)
+	return e
+}
+
+// Next returns the next event: first the refusals, then grants while there are
+// slots. ok is false when there is none.
+func (q *Queue) Next(now time.Time) (e Event, ok bool) {
+	for {
+		if n := len(q.refused); n > 0 {
+			e = q.refused[n-1]
+			q.refused = q.refused[:n-1]
+			return e, true
+		}
+		if len(q.order) == 0 {
+			return Event{}, false
+		}
+		i := q.order[0]
+		if it := q.nodes[i].item; now.Add(q.service[it.Class]).After(it.Deadline) {
+			q.refuse(0, now)
+			continue
+		}
+		if len(q.active) >= q.Window.Limit() {
+			return Event{}, false
+		}
+		q.grant(i, now)
+		return Event{Ticket: q.ticket(i), Granted: true}, true
+	}
+}
+
+func (q *Queue) grant(i int32, now time.Time) {
+	n := &q.nodes[i]
+	q.remove(0)
+	q.accounts[n.item.Tenant].used += q.service[n.item.Class]
+	n.phase, n.since = running, now
+	q.active = append(q.active, i)
+}
+
+// Done gives back the slot of a granted item. served is false when it did not
+// run or has no answer, so that its time says nothing about the upstream.
+func (q *Queue) Done(now time.Time, t Ticket, served bool) {
+	i, ok := q.find(t, running)
+	if !ok {
+		return
+	}
+	n := &q.nodes[i]
+	full := len(q.active) >= q.Window.Limit()
+	at := slices.Index(q.active, i)
+	q.active[at] = q.active[len(q.active)-1]
+	q.active = q.active[:len(q.active)-1]
+	if served {
+		took := now.Sub(n.since)
+		c := n.item.Class
+		q.service[c] += (took - q.service[c]) / serviceGain
+		q.Window.Observe(c, took, full)
+	}
+	q.release(i)
+}
+
+// Cancel takes a waiting item out. It returns false when the item no longer
+// waits: its event has been or will be taken by [Queue.Next].
+func (q *Queue) Cancel(t Ticket) bool {
+	i, ok := q.find(t, waiting)
+	if !ok {
+		return false
+	}
+	q.remove(slices.Index(q.order, i))
+	q.release(i)
+	return true
+}
+
+// Waiting returns the number of items that wait.
+func (q *Queue) Waiting() int { return len(q.order) }
+
+// Running returns the number of items that have a slot.
+func (q *Queue) Running() int { return len(q.active) }
+
+// Wait returns how long an item offered now with the latest deadline would wait
+// for a slot, by the expected service times.
+func (q *Queue) Wait(now time.Time) time.Duration {
+	if q.nodes == nil {
+		return 0
+	}
+	ahead := q.remaining(now)
+	for _, i := range q.order {
+		ahead += q.service[q.nodes[i].item.Class]
+	}
+	slots := time.Duration(q.Window.Limit())
+	if len(q.order) == 0 && len(q.active) < int(slots) {
+		return 0
+	}
+	return ahead / slots
+}
+
+func (q *Queue) back(now time.Time) time.Time { return now.Add(q.Wait(now)) }
+
+func (q *Queue) ticket(i int32) Ticket {
+	return Ticket(q.nodes[i].gen)<<32 | Ticket(i+1)
+}
+
+// find returns the node of a ticket if it is in the given phase.
+func (q *Queue) find(t Ticket, p phase) (int32, bool) {
+	i := int32(uint32(t)) - 1
+	if i < 0 || int(i) >= len(q.nodes) {
+		return 0, false
+	}
+	n := &q.nodes[i]
+	return i, n.phase == p && n.gen == uint32(t>>32)
+}
+
+func (q *Queue) release(i int32) {
+	q.nodes[i].phase = vacant
+	q.free = append(q.free, i)
+}
