internal/modeler: virtual time, an upstream with slots, and arrivals from a seed

Cause: the comparisons of limiter and breaker need the same small model, and it stood in limiter's tests.

Change: moved to a package of its own; limiter's comparison uses it.

Measured: limiter's golden files are unchanged by the move.

Conclusion: one model for all comparisons in virtual time.

--- a/limiter/measure_test.go
+++ b/limiter/measure_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"basildale.example/basildale/internal/modeler"
 )
 
 var update = flag.Bool("update", false, "write the golden files")
@@ -82,7 +84,7 @@
 	var b bytes.Buffer
 	rng := rand.New(rand.NewPCG(3, 4))
 	rs := append(traffic(rng, 0, 3, 0.3, 0), traffic(rng, 1, 0.4, 0.3, 0)...)
-	slices.SortFunc(rs, func(x, y request) int { return x.at.Compare(y.at) })
+	slices.SortFunc(rs, func(x, y modeler.Arrival) int { return x.At.Compare(y.At) })
 	for _, w := range ways {
 		fmt.Fprintf(&b, "%s\n", w.name)
 		ts := play(rs, 2, w.start)
