--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -198,7 +198,10 @@
 }
 
 // Done gives back the slot of a granted item. served is false when it did not
-// run or has no answer, so that its time says nothing about the upstream.
+// run or has no answer. Then its time counts only if it is above the mean: the
+// upstream would have taken at least as long. If it did not count at all, the
+// mean of an overloaded upstream would come from the quick answers alone, and
+// the queue would go on sending what can't be in time.
 func (q *Queue) Done(now time.Time, t Ticket, served bool) {
 	i, ok := q.find(t, running)
 	if !ok {
@@ -209,9 +212,8 @@
 	at := slices.Index(q.active, i)
 	q.active[at] = q.active[len(q.active)-1]
 	q.active = q.active[:len(q.active)-1]
-	if served {
-		took := now.Sub(n.since)
-		c := n.item.Class
+	took := now.Sub(n.since)
+	if c := n.item.Class; served || took > q.service[c] {
 		q.service[c] += (took - q.service[c]) / serviceGain
 		q.Window.Observe(c, took, full)
 	}
@@ -236,6 +238,15 @@
 // Running returns the number of items that have a slot.
 func (q *Queue) Running() int { return len(q.active) }
 
+// Expected returns the mean service time of a class, waiting inside the upstream
+// included.
+func (q *Queue) Expected(c Class) time.Duration {
+	if q.nodes == nil {
+		q.start()
+	}
+	return q.service[c]
+}
+
 // Wait returns how long an item offered now with the latest deadline would wait
 // for a slot, by the expected service times.
 func (q *Queue) Wait(now time.Time) time.Duration {
--- a/retrier/request.go
+++ b/retrier/request.go
@@ -143,6 +143,24 @@
 	}
 }
 
+// patience is how many expected service times an attempt gets at least.
+const patience = 3
+
+// Until returns when an attempt that starts now is to be taken for lost, given
+// the service time expected at its upstream. A read has half of the time to its
+// deadline, so that it can run once more elsewhere; a write has all of it.
+//
+// Less than some service times would be harmful: at an overloaded upstream each
+// attempt would be given up shortly before its answer, the upstream would do the
+// work for nothing, and the retry would add to it.
+func Until(st Statement, now, deadline time.Time, service time.Duration) time.Time {
+	left := deadline.Sub(now)
+	if !st.Read || st.Bound || left <= 0 {
+		return deadline
+	}
+	return now.Add(min(left, max(left/2, patience*service)))
+}
+
 // again sends the request once more, or gives it up.
 func (p Policy) again(r *Request, b *Budget, o Outcome, why Reason, now time.Time) Decision {
 	at := now.Add(p.wait(r))
--- a/retrier/request_test.go
+++ b/retrier/request_test.go
@@ -71,6 +71,15 @@
 	}
 }
 
+func TestUntil(t *testing.T) {
+	is := is.New(t)
+	read, ms := Statement{Read: true}, time.Millisecond
+	is.Equal(Until(read, start, start.Add(100*ms), 5*ms), start.Add(50*ms))
+	is.Equal(Until(read, start, start.Add(100*ms), 20*ms), start.Add(60*ms))
+	is.Equal(Until(read, start, start.Add(100*ms), 50*ms), start.Add(100*ms))
+	is.Equal(Until(Statement{}, start, start.Add(100*ms), 5*ms), start.Add(100*ms))
+}
+
 func TestHintRoundsUp(t *testing.T) {
 	is := is.New(t)
 	o := Outcome{Kind: NotRun, Cause: Busy, Back: start.Add(1500 * time.Microsecond)}
