--- a/server/bench_test.go
+++ b/server/bench_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"runtime"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -16,83 +15,118 @@
 	"basildale.example/basildale/internal/faker/upstream"
 )
 
-const benchCallers = 64
+const (
+	manyCallers = 64
+	fewCallers  = 4
+)
 
 // BenchmarkStatements compares callers that go to the upstream directly with
-// callers that go through the proxy, in one run: statements a second, latency
-// and allocations of the whole process (callers, proxy and stand-in together).
+// callers that go through the proxy. Both take turns, a fifth of a second each,
+// so that whatever else the machine does meets both alike. Latency is that of
+// one statement; allocations are those of the whole process, callers and
+// stand-in included, so that their difference is the proxy's.
 func BenchmarkStatements(b *testing.B) {
 	for _, work := range []struct {
 		name    string
 		service time.Duration
 		mode    pgx.QueryExecMode
-		sql     string
+		callers int
 	}{
-		{"read-prepared", 0, pgx.QueryExecModeCacheStatement, "SELECT holder FROM seats WHERE id = $1"},
-		{"read-simple", 0, pgx.QueryExecModeSimpleProtocol, "SELECT holder FROM seats WHERE id = $1"},
-		{"read-prepared-1ms", time.Millisecond, pgx.QueryExecModeCacheStatement, "SELECT holder FROM seats WHERE id = $1"},
+		{"prepared-64", 0, pgx.QueryExecModeCacheStatement, manyCallers},
+		{"simple-64", 0, pgx.QueryExecModeSimpleProtocol, manyCallers},
+		{"prepared-1ms-64", time.Millisecond, pgx.QueryExecModeCacheStatement, manyCallers},
+		{"prepared-4", 0, pgx.QueryExecModeCacheStatement, fewCallers},
+		{"prepared-1ms-4", time.Millisecond, pgx.QueryExecModeCacheStatement, fewCallers},
 	} {
-		for _, way := range []string{"direct", "proxy"} {
-			b.Run(work.name+"/"+way, func(b *testing.B) {
-				f := start(b, upstream.Options{
-					Size:    1,
-					Service: work.service,
-					Setup:   seats + "; INSERT INTO seats (id, holder) VALUES (1, 'Karen')",
-				}, func(s *Server) { s.Groups[0].Connections, s.Groups[0].Warm = 35, 35 })
-				url := f.url("")
-				if way == "direct" {
-					url = "postgres://kiosk@" + f.group.Upstreams[0].Addr().String() + "/billet?sslmode=disable"
-				}
-				measure(b, url, work.mode, work.sql)
-			})
-		}
+		b.Run(work.name, func(b *testing.B) {
+			f := start(b, upstream.Options{
+				Size:    1,
+				Service: work.service,
+				Setup:   seats + "; INSERT INTO seats (id, holder) VALUES (1, 'Karen')",
+			}, func(s *Server) { s.Groups[0].Connections, s.Groups[0].Warm = 35, 35 })
+			at := "postgres://kiosk@" + f.group.Upstreams[0].Addr().String() + "/billet?sslmode=disable"
+			direct := newCallers(b, at, work.mode, work.callers)
+			proxy := newCallers(b, f.url(""), work.mode, work.callers)
+			for b.Loop() {
+				direct.run(b)
+				proxy.run(b)
+			}
+			b.ReportMetric(0, "ns/op")
+			direct.report(b, "direct")
+			proxy.report(b, "proxy")
+			b.ReportMetric(100*proxy.rate()/direct.rate(), "%-of-direct")
+		})
 	}
 }
 
-// measure runs b.N statements from 64 callers.
-func measure(b *testing.B, url string, mode pgx.QueryExecMode, sql string) {
-	conns := make([]*pgx.Conn, benchCallers)
-	for i := range conns {
-		c, err := pgx.Connect(context.Background(), url)
+// callers are callers of one way, with what they have measured.
+type callers struct {
+	mode    pgx.QueryExecMode
+	conns   []*pgx.Conn
+	hists   []*hdrhistogram.Histogram
+	time    time.Duration
+	mallocs uint64
+}
+
+const turn = 200 * time.Millisecond
+
+func newCallers(b *testing.B, url string, mode pgx.QueryExecMode, n int) *callers {
+	c := &callers{mode: mode}
+	for range n {
+		conn, err := pgx.Connect(context.Background(), url)
 		if err != nil {
 			b.Fatal(err)
 		}
-		defer func() { _ = c.Close(context.Background()) }()
-		conns[i] = c
-		benchOne(b, c, mode, sql)
+		b.Cleanup(func() { _ = conn.Close(context.Background()) })
+		benchOne(b, conn, mode)
+		c.conns = append(c.conns, conn)
+		c.hists = append(c.hists, hdrhistogram.New(1, int64(10*time.Second), 3))
 	}
-	var left atomic.Int64
-	left.Store(int64(b.N))
-	hists := make([]*hdrhistogram.Histogram, benchCallers)
+	return c
+}
+
+// run lets all callers send statements for one turn.
+func (c *callers) run(b *testing.B) {
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	b.ResetTimer()
+	from := time.Now()
 	var all sync.WaitGroup
-	for i, c := range conns {
-		h := hdrhistogram.New(1, int64(10*time.Second), 3)
-		hists[i] = h
+	for i, conn := range c.conns {
 		all.Go(func() {
-			for left.Add(-1) >= 0 {
-				from := time.Now()
-				benchOne(b, c, mode, sql)
-				_ = h.RecordValue(int64(time.Since(from)))
+			for now := from; now.Sub(from) < turn; {
+				benchOne(b, conn, c.mode)
+				end := time.Now()
+				_ = c.hists[i].RecordValue(int64(end.Sub(now)))
+				now = end
 			}
 		})
 	}
 	all.Wait()
-	b.StopTimer()
+	c.time += time.Since(from)
 	runtime.ReadMemStats(&after)
-	for _, h := range hists[1:] {
-		hists[0].Merge(h)
+	c.mallocs += after.Mallocs - before.Mallocs
+}
+
+func (c *callers) merged() *hdrhistogram.Histogram {
+	h := hdrhistogram.New(1, int64(10*time.Second), 3)
+	for _, one := range c.hists {
+		h.Merge(one)
 	}
-	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "stmt/s")
-	b.ReportMetric(float64(hists[0].ValueAtQuantile(50))/1e3, "p50-µs")
-	b.ReportMetric(float64(hists[0].ValueAtQuantile(99))/1e3, "p99-µs")
-	b.ReportMetric(float64(after.Mallocs-before.Mallocs)/float64(b.N), "mallocs/stmt")
-	b.ReportMetric(0, "ns/op")
+	return h
+}
+
+func (c *callers) rate() float64 { return float64(c.merged().TotalCount()) / c.time.Seconds() }
+
+func (c *callers) report(b *testing.B, way string) {
+	h := c.merged()
+	b.ReportMetric(c.rate(), way+"-stmt/s")
+	b.ReportMetric(float64(h.ValueAtQuantile(50))/1e3, way+"-p50-µs")
+	b.ReportMetric(float64(h.ValueAtQuantile(99))/1e3, way+"-p99-µs")
+	b.ReportMetric(float64(c.mallocs)/float64(h.TotalCount()), way+"-mallocs/stmt")
 }
 
-func benchOne(b *testing.B, c *pgx.Conn, mode pgx.QueryExecMode, sql string) {
+func benchOne(b *testing.B, c *pgx.Conn, mode pgx.QueryExecMode) {
+	const sql = "SELECT holder FROM seats WHERE id = $1"
 	var holder string
 	if err := c.QueryRow(context.Background(), sql, mode, 1).Scan(&holder); err != nil || holder != "Karen" {
 		b.Error(holder, err)
