--- a/server/bench_test.go
+++ b/server/bench_test.go
@@ -66,6 +66,7 @@
 	hists   []*hdrhistogram.Histogram
 	time    time.Duration
 	mallocs uint64
+	cpu     time.Duration
 }
 
 const turn = 200 * time.Millisecond
@@ -89,6 +90,7 @@
 func (c *callers) run(b *testing.B) {
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
+	used := processor()
 	from := time.Now()
 	var all sync.WaitGroup
 	for i, conn := range c.conns {
@@ -103,10 +105,20 @@
 	}
 	all.Wait()
 	c.time += time.Since(from)
+	c.cpu += processor() - used
 	runtime.ReadMemStats(&after)
 	c.mallocs += after.Mallocs - before.Mallocs
 }
 
+// processor returns the processor time that the process has used.
+func processor() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 func (c *callers) merged() *hdrhistogram.Histogram {
 	h := hdrhistogram.New(1, int64(10*time.Second), 3)
 	for _, one := range c.hists {
@@ -122,6 +134,7 @@
 	b.ReportMetric(c.rate(), way+"-stmt/s")
 	b.ReportMetric(float64(h.ValueAtQuantile(50))/1e3, way+"-p50-µs")
 	b.ReportMetric(float64(h.ValueAtQuantile(99))/1e3, way+"-p99-µs")
+	b.ReportMetric(float64(c.cpu.Microseconds())/float64(h.TotalCount()), way+"-cpu-µs/stmt")
 	b.ReportMetric(float64(c.mallocs)/float64(h.TotalCount()), way+"-mallocs/stmt")
 }
 
