coordinator: only an absent process counts as a refused connection

Cause: every connect that failed was told to the promoter as refused, also an upstream's own 53300. A primary with all connections taken, whose control connections broke, would have been replaced after two tries.

Change: only ECONNREFUSED is a refusal; an upstream that answers with an error of its own is alive, unless it starts or stops (class 57).

The platform's calls at rest are now counted over 65 s of virtual time: one read.

Conclusion: running out of connections no longer looks like a crash.

--- a/coordinator/promotion.go
+++ b/coordinator/promotion.go
@@ -4,9 +4,12 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/adapter/commander"
@@ -111,15 +114,32 @@
 		trouble = promoter.Quiet
 	}
 	c.Tell(controller.Failed{Group: group, Upstream: upstream, Trouble: trouble})
+	if alive(err) {
+		c.Tell(controller.Promotion{Group: group, Event: promoter.Answered{Upstream: upstream}})
+	}
 }
 
+// troubleOf tells a process that isn't there from all other trouble. Two refusals
+// make the promoter replace a primary, so nothing else may count as one.
 func troubleOf(err error) promoter.Trouble {
-	if errors.Is(err, commander.ErrUnreachable) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
 		return promoter.Refused
 	}
 	return promoter.Broken
 }
 
+// operatorClass begins the SQLSTATEs of an upstream that starts or stops.
+const operatorClass = "57"
+
+// alive reports whether the error is an upstream's own word. One that has run out
+// of connections (53300) turns the probes of all proxies away while it works at
+// its best: taken for silence, that would replace it. One that starts or stops
+// answers too, but it doesn't serve.
+func alive(err error) bool {
+	var said *pgconn.PgError
+	return errors.As(err, &said) && !strings.HasPrefix(said.Code, operatorClass)
+}
+
 func (c *Coordinator) stated(group string, upstream netip.AddrPort, answer commander.Answer, sent time.Time) {
 	c.Tell(controller.Stated{
 		Group: group, Upstream: upstream, State: answer.State, Following: answer.Primary,
--- a/promoter/move_test.go
+++ b/promoter/move_test.go
@@ -114,8 +114,8 @@
 		}
 	}
 	calls := w.platform.calls
-	w.runUntil(w.now.Add(10 * time.Second))
-	is.Equal(w.platform.calls, calls) // at rest nothing is called
+	w.runUntil(w.now.Add(65 * time.Second))
+	is.Equal(w.platform.calls, calls+1) // at rest one read a minute
 }
 
 // Symptom: a healthy primary is replaced three times at the end of a partition,
