--- a/membership/order.go
+++ b/membership/order.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 
@@ -11,13 +10,13 @@
 // Fleet is what a View believed at one moment. It doesn't change and is safe for
 // concurrent use, so that traffic reads it without taking the View's time.
 type Fleet struct {
-	ranks []rank
+	ranks  []rank
+	hashes []uint64 // of the same members
 }
 
 // rank is a member with what its place in an order depends on.
 type rank struct {
 	member  Member
-	hash    uint64
 	leaving bool // by its own word or the platform's
 	listed  bool
 }
@@ -29,20 +28,24 @@
 		return v.fleet
 	}
 	f := &Fleet{ranks: make([]rank, 0, v.live+1)}
-	f.ranks = append(f.ranks, v.rank(v.Self, hashAddr(v.Self.Addr, 0)))
+	f.ranks = append(f.ranks, v.rank(v.Self))
 	for _, e := range v.all {
 		if e.Health != Dead {
-			f.ranks = append(f.ranks, v.rank(e.Member, e.hash))
+			f.ranks = append(f.ranks, v.rank(e.Member))
 		}
 	}
 	slices.SortFunc(f.ranks, func(a, b rank) int { return a.member.Addr.Compare(b.member.Addr) })
+	f.hashes = make([]uint64, len(f.ranks))
+	for i, r := range f.ranks {
+		f.hashes[i] = hashAddr(r.member.Addr, 0)
+	}
 	v.fleet = f
 	return f
 }
 
-func (v *View) rank(m Member, hash uint64) rank {
+func (v *View) rank(m Member) rank {
 	in, listed := v.listed[m.Addr]
-	return rank{member: m, hash: hash, leaving: m.Leaving || in.Leaving, listed: listed}
+	return rank{member: m, leaving: m.Leaving || in.Leaving, listed: listed}
 }
 
 // Live is Fleet().Live.
@@ -88,60 +91,70 @@
 // a member comes or goes only its own places change hands. Members that leave
 // are left out, so that they are given no new work, unless all leave.
 func (f *Fleet) Order(key string, n int) []Member {
-	return f.order(key, n, func(Member) bool { return true })
+	return f.order(key, n, "")
 }
 
 // OrderZone is Order among the members of one availability zone.
 func (f *Fleet) OrderZone(zone, key string, n int) []Member {
-	return f.order(key, n, func(m Member) bool { return m.Zone == zone })
+	return f.order(key, n, zone)
+}
+
+// top holds the heaviest places found so far, the heaviest first.
+type top struct {
+	weights []uint64
+	places  []int // in the fleet
+	n       int
 }
 
-// weighed is a member with its weight for one key.
-type weighed struct {
-	weight uint64
-	member Member
+// add keeps a place if it is among the n heaviest. Of equal weights the lower
+// address, which comes earlier, is kept first.
+func (t *top) add(weight uint64, place int) {
+	if len(t.weights) == t.n && weight <= t.weights[t.n-1] {
+		return
+	}
+	i := len(t.weights)
+	for i > 0 && t.weights[i-1] < weight {
+		i--
+	}
+	t.weights = slices.Insert(t.weights, i, weight)
+	t.places = slices.Insert(t.places, i, place)
+	if len(t.weights) > t.n {
+		t.weights, t.places = t.weights[:t.n], t.places[:t.n]
+	}
 }
 
-func (f *Fleet) order(key string, n int, in func(Member) bool) []Member {
+// order runs through hashes alone; at thousands of members the members
+// themselves would make it slow.
+func (f *Fleet) order(key string, n int, zone string) []Member {
 	if n <= 0 {
 		return nil
 	}
 	sum := xxhash.Sum64String(key)
-	staying := make([]weighed, 0, n+1)
-	leaving := make([]weighed, 0, n+1)
-	for _, r := range f.ranks {
-		if !in(r.member) {
+	staying, leaving := top{n: n}, top{n: n}
+	for i, hash := range f.hashes {
+		weight := mix(sum ^ hash)
+		if len(staying.weights) == n && weight <= staying.weights[n-1] {
 			continue
 		}
-		w := weighed{weight: mix(sum ^ r.hash), member: r.member}
-		if r.leaving {
-			leaving = insert(leaving, w, n)
-			continue
+		r := &f.ranks[i]
+		switch {
+		case zone != "" && r.member.Zone != zone:
+		case r.leaving:
+			leaving.add(weight, i)
+		default:
+			staying.add(weight, i)
 		}
-		staying = insert(staying, w, n)
 	}
-	if len(staying) == 0 {
+	if len(staying.places) == 0 {
 		staying = leaving
 	}
-	out := make([]Member, len(staying))
-	for i, w := range staying {
-		out[i] = w.member
+	out := make([]Member, len(staying.places))
+	for i, place := range staying.places {
+		out[i] = f.ranks[place].member
 	}
 	return out
 }
 
-// insert keeps the n heaviest, the heaviest first.
-func insert(top []weighed, w weighed, n int) []weighed {
-	i, _ := slices.BinarySearchFunc(top, w, func(a, b weighed) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), a.member.Addr.Compare(b.member.Addr))
-	})
-	if i == n {
-		return top
-	}
-	top = slices.Insert(top, i, w)
-	return top[:min(len(top), n)]
-}
-
 // mix spreads the bits of h (the finalizer of splitmix64).
 func mix(h uint64) uint64 {
 	h ^= h >> 30
