--- a/configurator/applier.go
+++ b/configurator/applier.go
@@ -9,7 +9,7 @@
 // pastNonces is how many earlier changes an object remembers. A writer whose
 // answer was lost finds its change among them unless more than so many others
 // changed the same object in the meantime.
-const pastNonces = 8
+const pastNonces = 4
 
 // Outcome says what came of an Applier's changes.
 type Outcome uint8
--- a/configurator/relay.go
+++ b/configurator/relay.go
@@ -353,6 +353,7 @@
 			r.emit(Rejected{Reason: "from " + from + ": " + err.Error()})
 			continue
 		}
+		e.Meta = Meta{} // who wrote it is for operators, who read the platform
 		r.set[e.ID] = e
 	}
 	r.emit(Adopted{Version: r.store.Version(), Names: names, Reason: "from " + from})
--- a/configurator/relay_test.go
+++ b/configurator/relay_test.go
@@ -12,7 +12,7 @@
 )
 
 // groupObject returns an object of the usual size: a group with three upstreams.
-func groupObject(t *testing.T, i, connections int) Object {
+func groupObject(t testing.TB, i, connections int) Object {
 	t.Helper()
 	e := Entry{
 		ID:   ID{KindGroup, fmt.Sprintf("group-%d", i)},
