configurator: pause a watcher after each answer with changes

Change: 250 ms between an answer with changes and the next watch; the changes in between come together. A change that comes alone doesn't wait. Commands name the objects that are not in force because something they name is missing.

--- a/cmd/basildale/fleet.go
+++ b/cmd/basildale/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"os"
 	"time"
@@ -24,8 +25,8 @@
 
 func (f *fleet) client() *keeper.Client { return &keeper.Client{Addrs: f.Platform} }
 
-// load reads all objects of the fleet. Objects that can't be read are named on
-// the error output and left out.
+// load reads all objects of the fleet. Objects that can't be read or that are not
+// in force because something they name is missing are named on the error output.
 func (f *fleet) load(ctx context.Context, e *env, client *keeper.Client) (configurator.Set, error) {
 	found, err := keeper.Retry(ctx, func() ([]keeper.Object, error) {
 		return client.All(ctx, configurator.StoreKind)
@@ -38,10 +39,8 @@
 		objects[i] = configObject(o)
 	}
 	set, problems := configurator.NewSet(objects)
-	for _, p := range problems {
-		if _, err := e.err.Write([]byte("basildale: " + p.String() + "\n")); err != nil {
-			return nil, err
-		}
+	for _, p := range append(problems, configurator.Build(set, 0).Problems...) {
+		fmt.Fprintln(e.err, "basildale: "+p.String())
 	}
 	return set, nil
 }
--- a/configurator/measure_test.go
+++ b/configurator/measure_test.go
@@ -66,6 +66,36 @@
 	golden(t, "cost.golden", b.String())
 }
 
+// Symptom: the platform refuses calls, and every proxy is busy. Sequence: an
+// operator applies hundreds of objects. Cause: each of them costs each watcher a
+// call, and each proxy a new configuration.
+func TestBurst(t *testing.T) {
+	is := is.New(t)
+	var b strings.Builder
+	const changes, apart = 200, 10 * time.Millisecond
+	for _, s := range sizes[:3] {
+		f := newFleet(t, 1, s.n, s.zones, s.regions, nil)
+		f.reset()
+		for i := range changes {
+			f.put(groupObject(t, i, 35))
+			f.run(apart)
+		}
+		calls, mean, most := f.total()
+		end := f.now
+		worst, adopted := time.Duration(0), 0
+		f.run(3 * time.Second)
+		for _, p := range f.proxies {
+			is.Equal(p.Version(), uint64(changes))
+			worst = max(worst, p.at[changes].Sub(end))
+			adopted = max(adopted, len(p.at))
+		}
+		seconds := (changes * apart).Seconds()
+		fmt.Fprintf(&b, "%s: 100 changes/s for 2 s: %.0f platform calls/s in all, at most %.1f configurations/s a proxy, %.0f KB/s a proxy, %.0f the busiest; in force %.0f ms after the last\n",
+			s, float64(calls)/seconds, float64(adopted)/seconds, mean/seconds/1024, most/seconds/1024, float64(worst)/1e6)
+	}
+	golden(t, "burst.golden", b.String())
+}
+
 func mustJSON(t *testing.T, v any) []byte {
 	t.Helper()
 	b, err := json.Marshal(v)
--- a/configurator/relay.go
+++ b/configurator/relay.go
@@ -11,6 +11,7 @@
 	DefaultFanout   = 4 // members to which one member pushes a change
 
 	watchWait    = 30 * time.Second
+	watchPace    = 250 * time.Millisecond // between an answer with changes and the next watch
 	watchGrace   = 10 * time.Second       // after watchWait a watch counts as failed
 	digestEvery  = time.Second            // a member compares its version with a peer's
 	hotEvery     = 250 * time.Millisecond // the same for hotFor after a change
@@ -208,6 +209,11 @@
 	}
 	d := r.watch.pages
 	r.watch.pages = Delta{}
+	if len(d.Items) > 0 {
+		// An apply of many objects would otherwise cost every watcher a call, and
+		// every member a new configuration, for each of them.
+		r.watch.at = now.Add(watchPace)
+	}
 	r.adopt(d, "the platform", now)
 	if r.phase == confirming {
 		r.serve("the platform has nothing newer")
