limiter: serve tenants that are not ahead first; narrower bounds of the window

Cause: beside a flood the other tenant's lookups were accepted and then served too late, since the flood's deadlines were earlier; and equally loaded proxies kept uneven windows.

Change: Queue.Next takes the first by deadline among the tenants not beyond the fair mark. The window grows below 1.2 and shrinks above 1.5 times the least mean (before 1.5 and 2.2). A test that shares settle after a member joins and one is gone.

--- a/limiter/admitter.go
+++ b/limiter/admitter.go
@@ -117,13 +117,30 @@
 	return sum
 }
 
+// choose returns the place of the item to serve next: the first by deadline of
+// the tenants that are not beyond the fair mark.
+func (q *Queue) choose() int {
+	fair := q.fairMark()
+	for at, i := range q.order {
+		if q.accounts[q.nodes[i].item.Tenant].claim() <= fair {
+			return at
+		}
+	}
+	return 0
+}
+
+// fairMark returns the claim above which a tenant is ahead of its fair part.
+func (q *Queue) fairMark() time.Duration {
+	lead := fairLead * (q.service[Lookup] + q.service[Booking]) / 2
+	return q.leastClaim() + lead
+}
+
 // victim returns the place, up to last, of the item to refuse.
 func (q *Queue) victim(last int) int {
-	least := q.leastClaim()
-	lead := fairLead * (q.service[Lookup] + q.service[Booking]) / 2
+	fair := q.fairMark()
 	worst := 0
 	for at := 1; at <= last; at++ {
-		if q.worse(q.order[at], q.order[worst], least+lead) {
+		if q.worse(q.order[at], q.order[worst], fair) {
 			worst = at
 		}
 	}
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -184,14 +184,17 @@
 		if len(q.active) >= q.Window.Limit() {
 			return Event{}, false
 		}
-		q.grant(i, now)
+		at := q.choose()
+		i = q.order[at]
+		q.grant(at, now)
 		return Event{Ticket: q.ticket(i), Granted: true}, true
 	}
 }
 
-func (q *Queue) grant(i int32, now time.Time) {
+func (q *Queue) grant(at int, now time.Time) {
+	i := q.order[at]
 	n := &q.nodes[i]
-	q.remove(0)
+	q.remove(at)
 	q.accounts[n.item.Tenant].used += q.service[n.item.Class]
 	n.phase, n.since = running, now
 	q.active = append(q.active, i)
--- a/limiter/queue_test.go
+++ b/limiter/queue_test.go
@@ -71,6 +71,28 @@
 	is.Equal(refusal.Cause, retrier.Late)
 }
 
+// Symptom: a quiet tenant's requests are served just before or after their
+// deadlines. Sequence: another tenant has had the slot ten times and has ten
+// more waiting with earlier deadlines. Cause: serving by deadline alone.
+func TestFairTenantIsServedFirst(t *testing.T) {
+	is := is.New(t)
+	q := one()
+	now := epoch
+	for range 10 {
+		ticket, _ := q.Offer(now, Item{Deadline: now.Add(time.Second)})
+		q.Next(now)
+		now = now.Add(10 * time.Millisecond)
+		q.Done(now, ticket, true)
+	}
+	for range 10 {
+		q.Offer(now, Item{Deadline: now.Add(200 * time.Millisecond)})
+	}
+	quiet, _ := q.Offer(now, Item{Tenant: 1, Deadline: now.Add(900 * time.Millisecond)})
+	e, ok := q.Next(now)
+	is.True(ok && e.Granted)
+	is.Equal(e.Ticket, quiet)
+}
+
 // Symptom: requests wait for an upstream that has stopped answering until their
 // deadlines. Sequence: one request runs far longer than expected. Cause: the
 // expected wait counts finished requests only.
--- a/limiter/shares_test.go
+++ b/limiter/shares_test.go
@@ -268,6 +268,47 @@
 	}
 }
 
+// Symptom: a proxy that joined never gets its share, or the shares of one that
+// left stay unused. Sequence: c joins a and b, then a is proven gone; every
+// message arrives. Cause: a view that is never retired.
+func TestSharesSettle(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(&scope{})
+	exchange := func() {
+		for range 4 {
+			for i := range f.members {
+				f.members[i].See(f.history[len(f.history)-1])
+				f.open[i] = f.members[i].Allowed(up)
+				f.confirm(i, sound)
+				for j := range f.members {
+					f.members[j].Hear(member(i), f.sent[i])
+				}
+			}
+		}
+	}
+	change := func(by int, set []Member) {
+		next, ok := f.members[by].Propose(smallCap, set)
+		is.True(ok)
+		f.history = append(f.history, next)
+		exchange()
+		is.Equal(f.total(), smallCap) // all of it is in use again
+		is.True(f.members[by].Settled())
+	}
+	exchange()
+	change(0, abc)
+	is.True(f.open[2] > 0)
+	for i := 1; i < len(f.members); i++ {
+		f.members[i].Gone(member(0))
+	}
+	f.dead[0] = true
+	_, again := f.members[1].Propose(smallCap, abc)
+	is.True(!again) // no change, no write
+	next, _ := f.members[1].Propose(smallCap, bc)
+	is.Equal(len(next.Views), 2) // the view before the last is retired, and dropped
+	change(1, bc)
+	is.Equal(f.open[0], 0)
+}
+
 func TestSearchCatchesBrokenVariants(t *testing.T) {
 	for broken, name := range map[fault]string{
 		silenceIsGone: "silence is taken for gone",
--- a/limiter/window.go
+++ b/limiter/window.go
@@ -7,8 +7,8 @@
 	DefaultLeast  = 1
 	DefaultMost   = 16
 	windowSamples = 16  // samples between two changes
-	growBelow     = 1.5 // grow while the mean service time is below this many times the least
-	shrinkAbove   = 2.2 // shrink when it is above this many times
+	growBelow     = 1.2 // grow while the mean service time is below this many times the least
+	shrinkAbove   = 1.5 // shrink when it is above this many times
 	shrinkTo      = 0.8
 	forget        = 2048 // means until a higher one is believed
 )
