limiter: limits of classes from presets, applied while requests wait and run

Cause: a preset bounds slots and queue of each class and gives its weight; the queue knew only its totals, read once.

Change: ClassLimits; Queue.Apply and Gate.Apply; a class at its bound of slots is passed over, one at its bound of places is refused as busy. The property test now also stalls, so that waiting items grow late.

Conclusion: presets can change limits without cutting what is under way.

--- a/limiter/admitter.go
+++ b/limiter/admitter.go
@@ -27,6 +27,7 @@
 		a.queued = 0
 	}
 	a.count++
+	q.waits[n.item.Class]++
 	a.queued += q.service[n.item.Class]
 }
 
@@ -63,6 +64,7 @@
 	q.order = slices.Delete(q.order, at, at+1)
 	a := &q.accounts[n.item.Tenant]
 	a.count--
+	q.waits[n.item.Class]--
 	a.queued = max(a.queued-q.service[n.item.Class], 0)
 }
 
@@ -118,15 +120,24 @@
 }
 
 // choose returns the place of the item to serve next: the first by deadline of
-// the tenants that are not beyond the fair mark.
+// the tenants that are not beyond the fair mark, otherwise the first of all, or
+// -1 if no class that waits may have another slot.
 func (q *Queue) choose() int {
 	fair := q.fairMark()
+	first := -1
 	for at, i := range q.order {
-		if q.accounts[q.nodes[i].item.Tenant].claim() <= fair {
+		it := &q.nodes[i].item
+		if most := q.Classes[it.Class].Slots; most > 0 && q.runs[it.Class] >= most {
+			continue
+		}
+		if q.accounts[it.Tenant].claim() <= fair {
 			return at
 		}
+		if first < 0 {
+			first = at
+		}
 	}
-	return 0
+	return first
 }
 
 // fairMark returns the claim above which a tenant is ahead of its fair part.
@@ -156,8 +167,8 @@
 	if o := max(q.accounts[y.item.Tenant].claim(), fair); ahead != o {
 		return ahead > o
 	}
-	worth := time.Duration(x.item.Class.Weight()) * q.service[y.item.Class]
-	if o := time.Duration(y.item.Class.Weight()) * q.service[x.item.Class]; worth != o {
+	worth := time.Duration(q.weight(x.item.Class)) * q.service[y.item.Class]
+	if o := time.Duration(q.weight(y.item.Class)) * q.service[x.item.Class]; worth != o {
 		return worth < o
 	}
 	return x.arrival > y.arrival
--- a/limiter/gate.go
+++ b/limiter/gate.go
@@ -64,6 +64,14 @@
 	return g.Queue.Wait(g.Now())
 }
 
+// Apply sets the limits of a preset; see [Queue.Apply].
+func (g *Gate) Apply(l Limits) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Queue.Apply(l)
+	g.deliver(0)
+}
+
 // wait makes ready the channel on which t's event will be heard.
 func (g *Gate) wait(t Ticket) chan Event {
 	i := t.index()
--- a/limiter/limits.go
+++ b/limiter/limits.go
@@ -17,31 +17,46 @@
 	LongestPatience     = 5 * time.Minute
 )
 
+// ClassLimits are the values of one class. Slots and Queue bound what the class
+// takes of an upstream's window and queue at one proxy; zero is no bound of its
+// own.
+type ClassLimits struct {
+	Weight   int           // worth of an answer in time
+	Slots    int           // greatest number of its requests at an upstream at a time
+	Queue    int           // greatest number of its waiting requests
+	Patience time.Duration // for requests whose callers give no deadline
+}
+
 // Limits are the values that a preset sets for each upstream of a group.
 // Connections is for all proxies together, the rest for each proxy.
 type Limits struct {
-	Connections int           // connections of an upstream
-	Reserved    int           // of these, kept for control: state, fence, promote, settle
-	Window      int           // greatest number of requests at an upstream at a time
-	Queue       int           // greatest number of waiting requests
-	Lookup      time.Duration // patience for a lookup whose caller gives no deadline
-	Booking     time.Duration // the same for a booking
-	Opening     float64       // connections opened a second
-	Retries     float64       // retries for each first attempt
+	Connections int     // connections of an upstream
+	Reserved    int     // of these, kept for control: state, fence, promote, settle
+	Window      int     // greatest number of requests at an upstream at a time
+	Queue       int     // greatest number of waiting requests
+	Opening     float64 // connections opened a second
+	Retries     float64 // retries for each first attempt
+	Classes     [ClassCount]ClassLimits
 }
 
 // Ordinary returns the limits of ordinary days.
 func Ordinary() Limits {
 	return Limits{
 		Connections: 35, Reserved: 5, Window: DefaultMost, Queue: DefaultLength,
-		Lookup: 2 * time.Second, Booking: 5 * time.Second, Opening: DefaultOpenRate, Retries: 0.1,
+		Opening: DefaultOpenRate, Retries: 0.1,
+		Classes: [ClassCount]ClassLimits{
+			Lookup:  {Weight: 1, Patience: 2 * time.Second},
+			Booking: {Weight: 2, Patience: 5 * time.Second},
+		},
 	}
 }
 
 // Peak returns the limits of peaks: shorter waits, fewer retries.
 func Peak() Limits {
 	l := Ordinary()
-	l.Lookup, l.Booking, l.Retries = 500*time.Millisecond, 2*time.Second, 0.05
+	l.Retries = 0.05
+	l.Classes[Lookup].Patience = 500 * time.Millisecond
+	l.Classes[Booking].Patience = 2 * time.Second
 	return l
 }
 
@@ -49,21 +64,15 @@
 // more patience, less load on what is left, connections opened gently.
 func Maintenance() Limits {
 	l := Ordinary()
-	l.Window, l.Lookup, l.Booking, l.Opening = DefaultMost/2, 5*time.Second, 10*time.Second, DefaultOpenRate/2
+	l.Window, l.Opening = DefaultMost/2, DefaultOpenRate/2
+	l.Classes[Lookup].Patience = 5 * time.Second
+	l.Classes[Booking].Patience = 10 * time.Second
 	return l
 }
 
 // Shared returns the connections that the proxies share for data.
 func (l Limits) Shared() int { return l.Connections - l.Reserved }
 
-// Patience returns the patience for a class.
-func (l Limits) Patience(c Class) time.Duration {
-	if c == Booking {
-		return l.Booking
-	}
-	return l.Lookup
-}
-
 // Check returns an error that names the first field out of its bounds.
 func (l Limits) Check() error {
 	for _, f := range []struct {
@@ -74,8 +83,8 @@
 		{"reserved", l.Reserved >= 0 && l.Reserved < l.Connections},
 		{"window", l.Window >= 1 && l.Window <= GreatestWindow},
 		{"queue", l.Queue >= 1 && l.Queue <= GreatestLength},
-		{"lookup", l.Lookup > 0 && l.Lookup <= LongestPatience},
-		{"booking", l.Booking > 0 && l.Booking <= LongestPatience},
+		{"lookup", l.Classes[Lookup].ok()},
+		{"booking", l.Classes[Booking].ok()},
 		{"opening", l.Opening > 0},
 		{"retries", l.Retries >= 0 && l.Retries <= 1},
 	} {
@@ -85,3 +94,8 @@
 	}
 	return nil
 }
+
+func (c ClassLimits) ok() bool {
+	patient := c.Patience > 0 && c.Patience <= LongestPatience
+	return patient && c.Weight >= 1 && c.Slots >= 0 && c.Queue >= 0
+}
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -17,7 +17,11 @@
 	classCount
 )
 
-// Weight returns what an answer in time is worth: a booking weighs two lookups.
+// ClassCount is the number of classes; a value per class is an array of it.
+const ClassCount = int(classCount)
+
+// Weight returns what an answer in time is worth when no preset says otherwise:
+// a booking weighs two lookups.
 func (c Class) Weight() int {
 	if c == Booking {
 		return 2
@@ -99,6 +103,7 @@
 	Length  int           // greatest number of waiting items
 	Service time.Duration // service time assumed before the first sample
 	Window  Window        // how many items may run at a time
+	Classes [ClassCount]ClassLimits
 
 	nodes    []node
 	free     []int32
@@ -106,10 +111,38 @@
 	active   []int32 // running
 	refused  []Event // not yet taken by Next
 	accounts []account
-	service  [classCount]time.Duration
+	service  [ClassCount]time.Duration
+	waits    [ClassCount]int
+	runs     [ClassCount]int
 	arrivals uint64
 }
 
+// Apply sets the limits of a preset, also while items wait and run. What is
+// above a lowered bound stays; only what comes later is bound by it.
+func (q *Queue) Apply(l Limits) {
+	if q.nodes == nil {
+		q.start()
+	}
+	q.Length, q.Window.Most, q.Classes = l.Queue, l.Window, l.Classes
+	for len(q.nodes) < q.Length+q.Window.most() {
+		q.free = append(q.free, int32(len(q.nodes)))
+		q.nodes = append(q.nodes, node{})
+	}
+}
+
+func (q *Queue) weight(c Class) int {
+	if w := q.Classes[c].Weight; w > 0 {
+		return w
+	}
+	return c.Weight()
+}
+
+// full reports whether another item of the class may not wait.
+func (q *Queue) full(c Class) bool {
+	most := q.Classes[c].Queue
+	return len(q.order) >= q.Length || len(q.free) == 0 || (most > 0 && q.waits[c] >= most)
+}
+
 func (q *Queue) start() {
 	if q.Length == 0 {
 		q.Length = DefaultLength
@@ -138,7 +171,7 @@
 	if q.nodes == nil {
 		q.start()
 	}
-	if len(q.order) >= q.Length || len(q.free) == 0 {
+	if q.full(it.Class) {
 		return 0, Event{Cause: retrier.Busy, Back: q.back(now)}
 	}
 	i := q.free[len(q.free)-1]
@@ -185,6 +218,9 @@
 			return Event{}, false
 		}
 		at := q.choose()
+		if at < 0 {
+			return Event{}, false
+		}
 		i = q.order[at]
 		q.grant(at, now)
 		return Event{Ticket: q.ticket(i), Granted: true}, true
@@ -197,6 +233,7 @@
 	q.remove(at)
 	q.accounts[n.item.Tenant].used += q.service[n.item.Class]
 	n.phase, n.since = running, now
+	q.runs[n.item.Class]++
 	q.active = append(q.active, i)
 }
 
@@ -215,6 +252,7 @@
 	at := slices.Index(q.active, i)
 	q.active[at] = q.active[len(q.active)-1]
 	q.active = q.active[:len(q.active)-1]
+	q.runs[n.item.Class]--
 	took := now.Sub(n.since)
 	if c := n.item.Class; served || took > q.service[c] {
 		q.service[c] += (took - q.service[c]) / serviceGain
--- a/limiter/queue_test.go
+++ b/limiter/queue_test.go
@@ -133,6 +133,9 @@
 		var runs []Ticket
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "µs")) * time.Microsecond)
+			if rapid.IntRange(0, 9).Draw(t, "stall") == 0 {
+				now = now.Add(50 * time.Millisecond)
+			}
 			switch rapid.IntRange(0, 3).Draw(t, "do") {
 			case 0, 1:
 				it := Item{
@@ -178,6 +181,38 @@
 	})
 }
 
+// Symptom: a preset's change doesn't reach requests, or cuts those under way.
+// Sequence: two lookups run when the preset allows them one slot and one place.
+// Cause: bounds that are read once at the start.
+func TestApply(t *testing.T) {
+	is := is.New(t)
+	q := &Queue{Length: 1, Window: Window{Most: 3, Fixed: true}}
+	offer := func(c Class) (Ticket, Event) { return q.Offer(epoch, Item{Class: c, Deadline: after(1000)}) }
+	one, _ := offer(Lookup)
+	q.Next(epoch)
+	two, _ := offer(Lookup)
+	q.Next(epoch)
+	l := Ordinary()
+	l.Window, l.Queue = 3, 4
+	l.Classes[Lookup].Slots, l.Classes[Lookup].Queue = 1, 1
+	q.Apply(l)
+	is.Equal(q.Running(), 2) // what runs goes on
+	waits, _ := offer(Lookup)
+	_, refusal := offer(Lookup)
+	is.Equal(refusal.Cause, retrier.Busy) // the class has one place
+	_, ok := q.Next(epoch)
+	is.True(!ok) // a third slot is free, but not for lookups
+	booking, _ := offer(Booking)
+	e, _ := q.Next(epoch)
+	is.Equal(e.Ticket, booking)
+	q.Done(after(1), one, true)
+	_, ok = q.Next(after(1))
+	is.True(!ok)
+	q.Done(after(2), two, true)
+	e, _ = q.Next(after(2))
+	is.Equal(e.Ticket, waits)
+}
+
 func TestSharesAddUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		v := View{Limit: rapid.IntRange(1, 60).Draw(t, "limit")}
