--- a/adapter/dialer/conn.go
+++ b/adapter/dialer/conn.go
@@ -1,6 +1,7 @@
 package dialer
 
 import (
+	"io"
 	"net"
 	"net/netip"
 	"time"
@@ -31,6 +32,7 @@
 	Parameters map[string]string
 
 	net     net.Conn
+	talk    exchange
 	address netip.AddrPort
 	buf     []byte
 	r, w    int
@@ -53,6 +55,28 @@
 	return n, nil
 }
 
+// Ask writes p and waits for the first bytes of an answer, which are left in the
+// buffer. sent is as in Send; it is len(p) also when the answer didn't come.
+func (c *Conn) Ask(p []byte) (sent int, err error) {
+	if c.talk.raw == nil || c.r != c.w {
+		return c.Send(p)
+	}
+	c.r, c.w = 0, 0
+	sent, n, full, err := c.talk.do(p, c.buf)
+	c.w = n
+	switch {
+	case err != nil:
+		return sent, errors.Wrap(err, "dialer: ask")
+	case !full:
+		more, err := c.Send(p[sent:])
+		return sent + more, err
+	case n == 0:
+		return sent, errors.Wrap(io.EOF, "dialer: read")
+	default:
+		return sent, nil
+	}
+}
+
 // Buffered returns how many bytes have been read and not taken yet.
 func (c *Conn) Buffered() int { return c.w - c.r }
 
--- a/adapter/dialer/dialer.go
+++ b/adapter/dialer/dialer.go
@@ -59,6 +59,7 @@
 		nc.Close()
 		return nil, errors.Wrapf(err, "dialer: start up at %s", address)
 	}
+	c.talk.open(nc)
 	return c, nil
 }
 
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -14,7 +14,6 @@
 // answer gathers the answer of the attempt under way and passes on what may
 // leave. The error is that of the caller's connection.
 func (s *Session) answer(u *unit) (retrier.Outcome, error) {
-	s.answering = true
 	for {
 		if s.ownAnswers(u) {
 			return s.finish(u), nil
--- a/relayer/unit.go
+++ b/relayer/unit.go
@@ -125,7 +125,8 @@
 	s.up.bound(u.request.Deadline, s.slack(u))
 	s.prelude(u)
 	s.load(u)
-	sent, err := s.up.Send(u.flight)
+	s.answering = true
+	sent, err := s.up.Ask(u.flight)
 	if err != nil {
 		return s.lost(u, sent == 0), nil //nolint:nilerr // the loss is an outcome
 	}
