coordinator: members speak only for themselves; a busy comparison is refused

The coordinator believed any sender that a statement names, and turned a busy answer to a comparison into an empty one, which means that both views are equal.

--- a/coordinator/handler.go
+++ b/coordinator/handler.go
@@ -29,14 +29,26 @@
 	}
 }
 
-func (c *Coordinator) pinged(ctx context.Context, _ messenger.Peer, req messenger.Ping) (messenger.Ack, error) {
+// errImpostor refuses a statement that a sender makes of itself under another
+// address than the one for which its connection was authenticated. Otherwise any
+// peer with a fault could declare any member dead, and the member's own
+// contradiction would be the only remedy.
+var errImpostor = errors.New("coordinator: sender speaks for another address")
+
+func (c *Coordinator) pinged(ctx context.Context, from messenger.Peer, req messenger.Ping) (messenger.Ack, error) {
+	if req.From.Addr != from.Addr {
+		return messenger.Ack{}, errImpostor
+	}
 	a, err := request[membership.AnswerPing](ctx, c, func(ticket uint64) membership.Event {
 		return membership.Pinged{Ticket: ticket, From: req.From, Digest: req.Digest, Updates: req.Updates}
 	})
 	return messenger.Ack{From: a.From, Digest: a.Digest, Updates: a.Updates}, err
 }
 
-func (c *Coordinator) asked(ctx context.Context, _ messenger.Peer, req messenger.Probe) (messenger.Probed, error) {
+func (c *Coordinator) asked(ctx context.Context, from messenger.Peer, req messenger.Probe) (messenger.Probed, error) {
+	if req.From.Addr != from.Addr {
+		return messenger.Probed{}, errImpostor
+	}
 	a, err := request[membership.AnswerProbe](ctx, c, func(ticket uint64) membership.Event {
 		return membership.Asked{Ticket: ticket, From: req.From, Target: req.Target}
 	})
@@ -47,10 +59,16 @@
 	a, err := request[membership.AnswerSync](ctx, c, func(ticket uint64) membership.Event {
 		return membership.SyncAsked{Ticket: ticket, Bucket: req.Bucket, Buckets: req.Buckets, Digest: req.Digest}
 	})
+	if a.Busy {
+		return messenger.Synced{}, messenger.ErrBusy // an empty answer would mean that the views are equal
+	}
 	return messenger.Synced{Members: a.Members}, err
 }
 
-func (c *Coordinator) left(_ context.Context, _ messenger.Peer, req messenger.Leave) (messenger.Empty, error) {
+func (c *Coordinator) left(_ context.Context, from messenger.Peer, req messenger.Leave) (messenger.Empty, error) {
+	if req.From.Addr != from.Addr {
+		return messenger.Empty{}, errImpostor
+	}
 	c.Tell(controller.Membership{Event: membership.Announced{From: req.From}})
 	return messenger.Empty{}, nil
 }
