confirmer: a write of a later term than the known one waits

Cause: traffic publishes the new primary before the confirmer hears of the term; a write answered in between ended as unknown for a replaced primary.

Change: the answer itself begins the term, because only its primary can have given it. Writes of earlier terms end as before, at once.

--- a/confirmer/group.go
+++ b/confirmer/group.go
@@ -67,6 +67,12 @@
 // Wrote takes a write that waits for its confirmation.
 func (g *Group) Wrote(w Wrote, now time.Time) []Command {
 	g.out = g.out[:0]
+	if g.term.Less(w.Term) {
+		// The primary of that term has answered, so the term has begun, though
+		// Change is still on its way here. Taken for replaced, the first writes
+		// after a promotion would end as unknown for nothing.
+		g.raise(w.Term)
+	}
 	switch {
 	case w.Term != g.term:
 		g.end(Unknown, Replaced, w.ID)
@@ -120,15 +126,8 @@
 		return g.out
 	}
 	if g.term.Less(c.Term) {
-		for _, p := range g.waiting.items {
-			g.end(Unknown, Replaced, p.id)
-		}
-		g.waiting.items = g.waiting.items[:0]
-		g.confirmed = tracker.Mark{}
-		g.count = 0
-		g.refused = false
+		g.raise(c.Term)
 	}
-	g.term = c.Term
 	old := g.replicas
 	g.replicas = make([]replica, 0, len(c.Replicas))
 	for _, addr := range c.Replicas {
@@ -145,6 +144,18 @@
 	return g.out
 }
 
+// raise begins a later term.
+func (g *Group) raise(term tracker.Term) {
+	for _, p := range g.waiting.items {
+		g.end(Unknown, Replaced, p.id)
+	}
+	g.waiting.items = g.waiting.items[:0]
+	g.confirmed = tracker.Mark{}
+	g.count = 0
+	g.refused = false
+	g.term = term
+}
+
 // Tick does what is due: writes past their deadline, polls without an answer, the
 // next polls and samples.
 func (g *Group) Tick(now time.Time) []Command {
--- a/confirmer/shared.go
+++ b/confirmer/shared.go
@@ -46,7 +46,7 @@
 	s.mu.Lock()
 	s.free = append(s.free, id)
 	s.mu.Unlock()
-	if now := s.term.Load(); out.Kind == Ack && (now == nil || *now != term) {
+	if now := s.term.Load(); out.Kind == Ack && now != nil && term.Less(*now) {
 		return Outcome{Kind: Unknown, Reason: Replaced}
 	}
 	return out
