--- a/limiter/queue_test.go
+++ b/limiter/queue_test.go
@@ -333,6 +333,30 @@
 	}), 0.0)
 }
 
+func BenchmarkOffer250Waiting(b *testing.B) {
+	q := one()
+	for i := range 251 {
+		q.Offer(epoch, Item{Tenant: uint16(i % 2), Deadline: after(10000 + i)})
+	}
+	q.Next(epoch)
+	b.ReportAllocs()
+	for b.Loop() {
+		round(q, epoch)
+	}
+}
+
+func BenchmarkGate(b *testing.B) {
+	g := &Gate{Queue: Queue{Window: Window{Most: 16, Fixed: true}}, Now: func() time.Time { return epoch }}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if ticket, _ := g.Acquire(b.Context(), Item{Deadline: after(1000)}); ticket != 0 {
+				g.Release(ticket, true)
+			}
+		}
+	})
+}
+
 func BenchmarkOffer20Waiting(b *testing.B) {
 	q := loaded()
 	b.ReportAllocs()
--- a/limiter/shares.go
+++ b/limiter/shares.go
@@ -11,8 +11,8 @@
 // that starts again is another Member, so a Member's state is never lost while
 // it lives.
 type Member struct {
-	Name  string
-	Start int64 // incarnation, as the start time in nanoseconds since 1970
+	Name  string `json:"name"`
+	Start int64  `json:"start"` // incarnation, as the start time in nanoseconds since 1970
 }
 
 func (m Member) compare(o Member) int {
@@ -23,9 +23,9 @@
 // many each upstream of the group takes. A view never changes; Seq rises by one
 // with each.
 type View struct {
-	Seq     uint64
-	Limit   int
-	Members []Member // sorted, each once
+	Seq     uint64   `json:"seq"`
+	Limit   int      `json:"limit"`
+	Members []Member `json:"members"` // sorted, each once
 }
 
 // Share returns how many connections to the upstream the view gives to m. The
@@ -67,7 +67,7 @@
 // still be in use by somebody, oldest first. It is replaced only by conditional
 // update, so views have one order.
 type Record struct {
-	Views []View
+	Views []View `json:"views"`
 }
 
 // MaxViews bounds the views of a record. A record that is full waits until a
