configurator: a preset says what the limiter takes; callers have verifiers

Cause: objects held fields that nothing in a proxy could go by (weights and slots of classes, names of secrets), and lacked those that the limiter has. An operator who set one would have believed it to be in force. Change: presets hold window, queue, reserved, opening, retries and the two classes' deadline and age; GroupLimits makes the limiter's limits of them. Conclusion: what can be written can be gone by; the server has to take GroupLimits for the limiter.

--- a/cmd/basildale/cli.go
+++ b/cmd/basildale/cli.go
@@ -27,17 +27,18 @@
 
 // cli is the command line.
 type cli struct {
-	Check   checkCmd   `cmd:"" help:"Check a settings file and name every wrong setting with its line."`
-	Status  statusCmd  `cmd:"" help:"Show what a running process sees: groups, upstreams, peers, preset."`
-	Explain explainCmd `cmd:"" help:"Show decisions of a running process with their reasons."`
-	Drain   drainCmd   `cmd:"" help:"Stop a running process gracefully."`
-	Apply   applyCmd   `cmd:"" help:"Make the fleet's objects what documents say."`
-	Diff    diffCmd    `cmd:"" help:"Show what apply would change."`
-	Get     getCmd     `cmd:"" help:"Print the fleet's objects."`
-	Preset  presetCmd  `cmd:"" help:"Show or change the preset in force."`
-	Load    loadCmd    `cmd:"" help:"Put load on PostgreSQL addresses and count what breaks."`
-	Demo    demoCmd    `cmd:"" help:"Show the whole system at work in one process."`
-	Version versionCmd `cmd:"" help:"Print the version."`
+	Check    checkCmd    `cmd:"" help:"Check a settings file and name every wrong setting with its line."`
+	Status   statusCmd   `cmd:"" help:"Show what a running process sees: groups, upstreams, peers, preset."`
+	Explain  explainCmd  `cmd:"" help:"Show decisions of a running process with their reasons."`
+	Drain    drainCmd    `cmd:"" help:"Stop a running process gracefully."`
+	Apply    applyCmd    `cmd:"" help:"Make the fleet's objects what documents say."`
+	Diff     diffCmd     `cmd:"" help:"Show what apply would change."`
+	Get      getCmd      `cmd:"" help:"Print the fleet's objects."`
+	Preset   presetCmd   `cmd:"" help:"Show or change the preset in force."`
+	Verifier verifierCmd `cmd:"" help:"Make the verifier of a caller's password."`
+	Load     loadCmd     `cmd:"" help:"Put load on PostgreSQL addresses and count what breaks."`
+	Demo     demoCmd     `cmd:"" help:"Show the whole system at work in one process."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
 // failure is an error that says which exit code it means.
--- a/configurator/check.go
+++ b/configurator/check.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"basildale.example/basildale/limiter"
 )
 
 // Bounds of what a document may say.
@@ -16,11 +18,11 @@
 	maxSlots       = 1000
 	maxConnections = 10000
 	maxUpstreams   = 9
-	maxNames       = 1000 // of databases, zones or classes in one object
-	maxWeight      = 100
-	maxQueue       = 100000
+	maxNames       = 1000 // of databases or zones in one object
+	maxOpening     = 10000.0
+	maxRetries     = 1.0
 	minDeadline    = Duration(time.Millisecond)
-	maxDeadline    = Duration(time.Hour)
+	maxDeadline    = Duration(limiter.LongestPatience)
 	maxAge         = Duration(24 * time.Hour)
 )
 
@@ -70,6 +72,20 @@
 	}
 }
 
+// share adds a problem unless 0 <= v <= high.
+func (f *finder) share(field string, v, high float64) {
+	if !(v >= 0 && v <= high) { // also what is no number
+		f.add(field, "%g is out of bounds; allowed: 0 to %g", v, high)
+	}
+}
+
+// class adds a problem unless s is a class of requests.
+func (f *finder) class(field, s string) {
+	if s != ClassBooking && s != ClassLookup {
+		f.add(field, "%q is unknown; allowed: %s, %s", s, ClassBooking, ClassLookup)
+	}
+}
+
 // name adds a problem unless s can name an object.
 func (f *finder) name(field, s string) {
 	if !isName(s) {
@@ -142,15 +158,10 @@
 
 func checkCaller(f *finder, s *Caller) {
 	f.name("workspace", s.Workspace)
-	f.name("class", s.Class)
-	switch {
-	case (s.Verifier == "") == (s.Secret == ""):
-		f.add("verifier", "give either verifier or secret, and one of them")
-	case s.Verifier != "" && !regexp.MustCompile(verifierForm).MatchString(s.Verifier):
+	f.class("class", s.Class)
+	if !regexp.MustCompile(verifierForm).MatchString(s.Verifier) {
 		// The value isn't shown: it may be a password put in the wrong place.
-		f.add("verifier", "is no verifier; allowed: SCRAM-SHA-256$ITERATIONS:SALT$STORED:SERVER")
-	case s.Secret != "":
-		f.name("secret", s.Secret)
+		f.add("verifier", "is missing or no verifier; allowed: SCRAM-SHA-256$ITERATIONS:SALT$STORED:SERVER")
 	}
 	if s.Deadline != 0 {
 		f.lasting("deadline", s.Deadline, minDeadline, maxDeadline)
@@ -163,17 +174,20 @@
 	if s.Writes != "" && s.Writes != WritesAllow && s.Writes != WritesRefuse {
 		f.add("writes", "%q is unknown; allowed: %s, %s", s.Writes, WritesAllow, WritesRefuse)
 	}
-	if len(s.Classes) == 0 {
-		f.add("classes", "is missing; allowed: one or more classes by name")
+	f.between("window", s.Window, 0, limiter.GreatestWindow)
+	f.between("queue", s.Queue, 0, limiter.GreatestLength)
+	f.between("reserved", s.Reserved, 0, maxConnections)
+	f.share("opening", s.Opening, maxOpening)
+	f.share("retries", s.Retries, maxRetries)
+	for _, name := range []string{ClassBooking, ClassLookup} {
+		if _, ok := s.Classes[name]; !ok {
+			f.add("classes", "%q is missing; a preset says of both classes, %s and %s", name, ClassBooking, ClassLookup)
+		}
 	}
-	f.between("classes", len(s.Classes), 0, maxNames)
 	for _, name := range slices.Sorted(maps.Keys(s.Classes)) {
 		c := s.Classes[name]
 		at := "classes." + name
-		f.name(at, name)
-		f.between(at+".weight", c.Weight, 1, maxWeight)
-		f.between(at+".slots", c.Slots, 0, maxSlots)
-		f.between(at+".queue", c.Queue, 0, maxQueue)
+		f.class(at, name)
 		f.lasting(at+".deadline", c.Deadline, minDeadline, maxDeadline)
 		f.lasting(at+".age", c.Age, 0, maxAge)
 	}
--- a/configurator/config.go
+++ b/configurator/config.go
@@ -1,7 +1,10 @@
 package configurator
 
 import (
+	"cmp"
 	"time"
+
+	"basildale.example/basildale/limiter"
 )
 
 // Config is what is in force at one version, for traffic. It is never changed
@@ -35,22 +38,12 @@
 // together.
 type Limits struct {
 	Class    string
-	Weight   int
-	Slots    int // zero: no bound of its own
-	Queue    int // zero: no bound of its own
 	Deadline time.Duration
 	Age      time.Duration
 	Repeat   bool
 	Writes   bool // false: writes are refused by the preset
 }
 
-// Defaults where neither the caller nor its class says anything, which happens
-// only while a preset and a caller are being changed by two operators.
-const (
-	defaultDeadline = 2 * time.Second
-	defaultWeight   = 1
-)
-
 // Build returns the configuration that a set of entries makes at a version.
 func Build(set Set, version uint64) *Config {
 	c := &Config{
@@ -155,7 +148,7 @@
 	preset := c.Workspaces[who.Workspace].Preset
 	class := preset.Classes[who.Class]
 	l = Limits{
-		Class: who.Class, Weight: class.Weight, Slots: class.Slots, Queue: class.Queue,
+		Class:    who.Class,
 		Deadline: time.Duration(class.Deadline), Age: time.Duration(class.Age),
 		Repeat: who.Repeat, Writes: preset.Writes != WritesRefuse,
 	}
@@ -165,9 +158,25 @@
 	if who.Age != 0 {
 		l.Age = time.Duration(who.Age)
 	}
-	if l.Deadline == 0 {
-		l.Deadline = defaultDeadline
+	return l, true
+}
+
+// GroupLimits returns the limits of each upstream of a group under the preset in
+// force.
+func (c *Config) GroupLimits(group string) (l limiter.Limits, ok bool) {
+	g, ok := c.Groups[group]
+	if !ok {
+		return l, false
 	}
-	l.Weight = max(l.Weight, defaultWeight)
+	p := c.Workspaces[c.Pools[g.Pool].Workspace].Preset
+	l = limiter.Ordinary()
+	l.Connections = g.Connections
+	l.Reserved = min(cmp.Or(p.Reserved, l.Reserved), g.Connections-1)
+	l.Window = cmp.Or(p.Window, l.Window)
+	l.Queue = cmp.Or(p.Queue, l.Queue)
+	l.Opening = cmp.Or(p.Opening, l.Opening)
+	l.Retries = cmp.Or(p.Retries, l.Retries)
+	l.Lookup = cmp.Or(time.Duration(p.Classes[ClassLookup].Deadline), l.Lookup)
+	l.Booking = cmp.Or(time.Duration(p.Classes[ClassBooking].Deadline), l.Booking)
 	return l, true
 }
--- a/configurator/kind.go
+++ b/configurator/kind.go
@@ -102,10 +102,6 @@
 	Slots       int        `yaml:"slots" json:"slots"`
 	Connections int        `yaml:"connections" json:"connections"`
 	Upstreams   []Upstream `yaml:"upstreams" json:"upstreams"`
-	// User and Secret are what proxies log in with; Secret is the name of an
-	// entry in the process's settings, never a password.
-	User   string `yaml:"user,omitempty" json:"user,omitempty"`
-	Secret string `yaml:"secret,omitempty" json:"secret,omitempty"`
 }
 
 // Upstream is one database server of a group.
@@ -119,11 +115,9 @@
 // say otherwise.
 type Caller struct {
 	Workspace string `yaml:"workspace" json:"workspace"`
-	// Verifier is a SCRAM-SHA-256 verifier as PostgreSQL keeps it. Secret is, in
-	// its place, the name of an entry in the process's settings.
-	Verifier string `yaml:"verifier,omitempty" json:"verifier,omitempty"`
-	Secret   string `yaml:"secret,omitempty" json:"secret,omitempty"`
-	// Class names one of the preset's classes.
+	// Verifier is a SCRAM-SHA-256 verifier as PostgreSQL keeps it.
+	Verifier string `yaml:"verifier" json:"verifier"`
+	// Class is ClassBooking or ClassLookup.
 	Class string `yaml:"class" json:"class"`
 	// Deadline is how long an answer may take, Age how old the data of a read
 	// may be. Zero leaves both to the class.
@@ -133,23 +127,34 @@
 	Repeat bool `yaml:"repeat,omitempty" json:"repeat,omitempty"`
 }
 
-// Preset is a set of limits that can be put in force for a workspace.
+// The classes of requests.
+const (
+	ClassBooking = "booking"
+	ClassLookup  = "lookup"
+)
+
+// Preset is a set of limits that can be put in force for a workspace. Zeros leave
+// a limit as on ordinary days.
 type Preset struct {
 	Workspace string `yaml:"workspace" json:"workspace"`
 	// Writes is "allow" (also when empty) or "refuse".
-	Writes  string           `yaml:"writes,omitempty" json:"writes,omitempty"`
+	Writes string `yaml:"writes,omitempty" json:"writes,omitempty"`
+	// Window bounds the requests that one proxy has at one upstream at a time,
+	// Queue those that wait in it for that upstream.
+	Window int `yaml:"window,omitempty" json:"window,omitempty"`
+	Queue  int `yaml:"queue,omitempty" json:"queue,omitempty"`
+	// Reserved is how many of an upstream's connections are kept for control.
+	Reserved int `yaml:"reserved,omitempty" json:"reserved,omitempty"`
+	// Opening bounds the connections that one proxy opens to one upstream in a
+	// second.
+	Opening float64 `yaml:"opening,omitempty" json:"opening,omitempty"`
+	// Retries is how many retries each first attempt earns.
+	Retries float64          `yaml:"retries,omitempty" json:"retries,omitempty"`
 	Classes map[string]Class `yaml:"classes" json:"classes"`
 }
 
-// Class holds the limits of one class of requests.
+// Class holds what a preset says of one class of requests.
 type Class struct {
-	// Weight is the worth of one request against others in a queue, 1 or more.
-	Weight int `yaml:"weight" json:"weight"`
-	// Slots bounds how many slots of one upstream the class takes at a time, and
-	// Queue how many of its requests wait in one proxy. Zero is no bound of its
-	// own.
-	Slots int `yaml:"slots,omitempty" json:"slots,omitempty"`
-	Queue int `yaml:"queue,omitempty" json:"queue,omitempty"`
 	// Deadline is how long an answer may take; Age is how old the data of a read
 	// may be, zero for as new as the session's own writes.
 	Deadline Duration `yaml:"deadline" json:"deadline"`
--- a/configurator/reference.go
+++ b/configurator/reference.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"net/netip"
 	"slices"
 )
@@ -100,7 +99,7 @@
 	case *Group:
 		r.group(e.ID, s)
 	case *Caller:
-		r.caller(e.ID, s)
+		r.needs(e.ID, "workspace", KindWorkspace, s.Workspace)
 	case *Preset:
 		r.needs(e.ID, "workspace", KindWorkspace, s.Workspace)
 	case *Active:
@@ -138,23 +137,6 @@
 	}
 }
 
-// caller finds whether each preset that can be put in force knows the caller's
-// class: otherwise changing the preset would leave the caller without limits.
-func (r *refs) caller(id ID, s *Caller) {
-	if !r.needs(id, "workspace", KindWorkspace, s.Workspace) {
-		return
-	}
-	for _, name := range r.set.names(KindPreset) {
-		p, _ := live[*Preset](r.set, KindPreset, name)
-		if p.Workspace != s.Workspace {
-			continue
-		}
-		if _, ok := p.Classes[s.Class]; !ok {
-			r.add(id, "class", "preset %q has no class %q; it has: %s", name, s.Class, orNone(slices.Sorted(maps.Keys(p.Classes))))
-		}
-	}
-}
-
 func orNone(names []string) string {
 	if len(names) == 0 {
 		return "none"
--- a/dispatcher/login.go
+++ b/dispatcher/login.go
@@ -13,9 +13,6 @@
 	// Find returns the account of a user and a database under a configuration;
 	// nil takes those that the operators have declared on the platform.
 	Find func(r *controller.Reconfigured, user, database string) (relayer.Account, bool)
-	// Secret returns the verifier that a name in a caller's declaration stands
-	// for; nil knows none.
-	Secret func(name string) (verifier string, ok bool)
 }
 
 // Login finds the account of a user and a database; false refuses the session.
@@ -45,11 +42,7 @@
 	if !ok {
 		return relayer.Account{}, false
 	}
-	text := caller.Verifier
-	if text == "" && d.Accounts.Secret != nil {
-		text, _ = d.Accounts.Secret(caller.Secret)
-	}
-	verifier, err := relayer.ParseVerifier(text)
+	verifier, err := relayer.ParseVerifier(caller.Verifier)
 	if err != nil {
 		d.Log.Warn("dispatcher: caller without a usable verifier", zap.String("caller", user))
 		return relayer.Account{}, false
