configurator: an object deleted by other means counts as removed

Cause: a deletion in the platform has no value; proxies that ran took it for something unreadable and kept the object, proxies that started didn't have it. Change: the relay takes it for a removal; a preset in force stays in force where it was known. Conclusion: all proxies agree on what others delete, but for a preset that is in force and was deleted before a proxy started.

--- a/configurator/kind.go
+++ b/configurator/kind.go
@@ -208,7 +208,10 @@
 type Object struct {
 	Name    string          `json:"name"` // an ID as text
 	Version uint64          `json:"version"`
-	Value   json.RawMessage `json:"value"`
+	Value   json.RawMessage `json:"value,omitempty"`
+	// Deleted marks an object that is gone from the platform. No command of ours
+	// deletes one; somebody else's may.
+	Deleted bool `json:"deleted,omitempty"`
 }
 
 // Meta says who wrote an object's present content.
@@ -230,7 +233,7 @@
 	Version uint64
 	Meta    Meta
 	Removed bool
-	Spec    Spec
+	Spec    Spec // nil when the object was deleted from the platform
 }
 
 // value is what is stored in an object's value.
@@ -257,6 +260,9 @@
 	if !ok {
 		return Entry{}, errors.Newf("configurator: object %q is of no known kind", o.Name)
 	}
+	if o.Deleted {
+		return Entry{ID: id, Version: o.Version, Removed: true}, nil
+	}
 	var v value
 	if err := json.Unmarshal(o.Value, &v); err != nil {
 		return Entry{}, errors.Wrapf(err, "configurator: decode %s", id)
--- a/configurator/relay.go
+++ b/configurator/relay.go
@@ -359,6 +359,9 @@
 			r.emit(Rejected{Reason: "from " + from + ": " + err.Error()})
 			continue
 		}
+		if e.Spec == nil {
+			e.Spec = r.set[e.ID].Spec // a preset that is in force stays in force
+		}
 		e.Meta = Meta{} // who wrote it is for operators, who read the platform
 		r.set[e.ID] = e
 	}
--- a/configurator/relay_test.go
+++ b/configurator/relay_test.go
@@ -163,6 +163,57 @@
 	golden(t, "fresh.golden", fmt.Sprintf("fresh proxy in an outage serves after %.0f ms\n", float64(fresh.joined.Sub(began))/1e6))
 }
 
+// Symptom: a preset that was replaced an hour ago is in force again. Sequence: a
+// proxy that was cut off comes back and hands on what it holds; a message from
+// before arrives late. Cause: what comes last was taken for what is newest.
+func TestOldVersionsAreNeverTaken(t *testing.T) {
+	is := is.New(t)
+	objects := exampleObjects(t)
+	r := &Relay{Self: Member{Address: mustAddr(0, 0), Zone: "vejle-hal"}}
+	now := time.Unix(0, 0)
+	var watch Watch
+	for _, c := range r.Handle(MembersChanged{}, now) {
+		watch = c.(Watch)
+	}
+	r.Handle(WatchAnswered{Seq: watch.Seq, After: watch.After, Items: objects}, now)
+	is.True(r.Serving())
+	used := objects[3] // the active object
+	is.Equal(used.Name, "active/damplinjerne")
+	used.Version = 20
+	used.Value = []byte(strings.Replace(string(used.Value), "everyday", "christmas", 1))
+	r.Handle(PeerSent{Delta: Delta{From: 11, Head: 20, Items: []Object{used}}}, now)
+	is.Equal(r.Config().Workspaces["damplinjerne"].Name, "christmas")
+	for _, old := range []Delta{
+		{From: 0, Head: 11, Items: objects},
+		{From: 3, Head: 4, Items: objects[3:4]},
+		{From: 19, Head: 20, Items: []Object{{Name: used.Name, Version: 20, Value: objects[3].Value}}},
+	} {
+		is.Equal(len(r.Handle(PeerSent{Delta: old}, now)), 0)
+	}
+	r.Handle(PeerTold{Tell: Tell{Version: 11}}, now)
+	is.Equal(r.Version(), uint64(20))
+	is.Equal(r.Config().Workspaces["damplinjerne"].Name, "christmas")
+}
+
+// Symptom: some proxies go on with a pool that others no longer have. Sequence: an
+// object is deleted from the platform by other means than ours. Cause: a deletion
+// has no value, and what can't be read was left as it was.
+func TestDeletionsByOthers(t *testing.T) {
+	is := is.New(t)
+	r := &Relay{Self: Member{Address: mustAddr(0, 0), Zone: "vejle-hal"}}
+	now := time.Unix(0, 0)
+	r.Handle(MembersChanged{}, now)
+	r.Handle(WatchAnswered{Seq: 1, Items: exampleObjects(t)}, now)
+	is.Equal(len(r.Config().Callers), 2)
+	gone := []Object{
+		{Name: "caller/kiosk", Version: 12, Deleted: true},
+		{Name: "preset/everyday", Version: 13, Deleted: true},
+	}
+	r.Handle(PeerSent{Delta: Delta{From: 11, Head: 13, Items: gone}}, now)
+	is.Equal(len(r.Config().Callers), 1)
+	is.Equal(r.Config().Workspaces["damplinjerne"].Name, "everyday") // in force until another is
+}
+
 // Symptom: a whole fleet that restarts in an outage serves without any
 // configuration. Sequence: all are fresh, ask one another, and all say version 0.
 // Cause: a fresh member's version was taken for knowledge.
--- a/coordinator/configuration.go
+++ b/coordinator/configuration.go
@@ -36,7 +36,7 @@
 	}
 	items := make([]configurator.Object, 0, len(page.Items))
 	for _, o := range page.Items {
-		items = append(items, configurator.Object{Name: o.Name, Version: o.Version, Value: o.Value})
+		items = append(items, configurator.Object{Name: o.Name, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
 	}
 	answer := configurator.WatchAnswered{Seq: cmd.Seq, After: cmd.After, Items: items, More: page.More}
 	c.Tell(controller.Configuration{Event: answer})
