configurator: weight, slots and queue of a class are back

Cause: the limiter has taken limits of classes in the meantime. Change: a preset's class holds weight, slots and queue again, each with the limiter's bounds and defaults, and GroupLimits fills them in. Measured: the presets of the examples make limits that pass the limiter's check. Conclusion: presets and limiter speak of the same limits.

--- a/configurator/check.go
+++ b/configurator/check.go
@@ -19,6 +19,7 @@
 	maxConnections = 10000
 	maxUpstreams   = 9
 	maxNames       = 1000 // of databases or zones in one object
+	maxWeight      = 100
 	maxOpening     = 10000.0
 	maxRetries     = 1.0
 	minDeadline    = Duration(time.Millisecond)
@@ -188,6 +189,9 @@
 		c := s.Classes[name]
 		at := "classes." + name
 		f.class(at, name)
+		f.between(at+".weight", c.Weight, 0, maxWeight)
+		f.between(at+".slots", c.Slots, 0, limiter.GreatestWindow)
+		f.between(at+".queue", c.Queue, 0, limiter.GreatestLength)
 		f.lasting(at+".deadline", c.Deadline, minDeadline, maxDeadline)
 		f.lasting(at+".age", c.Age, 0, maxAge)
 	}
--- a/configurator/config.go
+++ b/configurator/config.go
@@ -176,7 +176,16 @@
 	l.Queue = cmp.Or(p.Queue, l.Queue)
 	l.Opening = cmp.Or(p.Opening, l.Opening)
 	l.Retries = cmp.Or(p.Retries, l.Retries)
-	l.Lookup = cmp.Or(time.Duration(p.Classes[ClassLookup].Deadline), l.Lookup)
-	l.Booking = cmp.Or(time.Duration(p.Classes[ClassBooking].Deadline), l.Booking)
+	l.Classes[limiter.Lookup] = classLimits(p.Classes[ClassLookup], l.Classes[limiter.Lookup])
+	l.Classes[limiter.Booking] = classLimits(p.Classes[ClassBooking], l.Classes[limiter.Booking])
 	return l, true
 }
+
+func classLimits(c Class, ordinary limiter.ClassLimits) limiter.ClassLimits {
+	return limiter.ClassLimits{
+		Weight:   cmp.Or(c.Weight, ordinary.Weight),
+		Slots:    c.Slots,
+		Queue:    c.Queue,
+		Patience: cmp.Or(time.Duration(c.Deadline), ordinary.Patience),
+	}
+}
--- a/configurator/kind.go
+++ b/configurator/kind.go
@@ -155,6 +155,12 @@
 
 // Class holds what a preset says of one class of requests.
 type Class struct {
+	// Weight is the worth of one answer in time against those of the other class.
+	Weight int `yaml:"weight,omitempty" json:"weight,omitempty"`
+	// Slots bounds how much of a window the class takes at a time, and Queue how
+	// many of its requests wait. Zero is no bound of its own.
+	Slots int `yaml:"slots,omitempty" json:"slots,omitempty"`
+	Queue int `yaml:"queue,omitempty" json:"queue,omitempty"`
 	// Deadline is how long an answer may take; Age is how old the data of a read
 	// may be, zero for as new as the session's own writes.
 	Deadline Duration `yaml:"deadline" json:"deadline"`
--- a/configurator/plan_test.go
+++ b/configurator/plan_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/matryer/is"
+
+	"basildale.example/basildale/limiter"
 )
 
 var update = flag.Bool("update", false, "write the golden files")
@@ -215,7 +217,8 @@
 	is.True(ok)
 	is.NoErr(g2.Check())
 	is.Equal(g2.Connections, 35)
-	is.Equal(g2.Booking, 2*time.Second)
+	is.Equal(g2.Classes[limiter.Booking], limiter.ClassLimits{Weight: 2, Patience: 2 * time.Second})
+	is.Equal(g2.Classes[limiter.Lookup].Slots, 4)
 }
 
 // Symptom: a workspace without any limits. Sequence: one operator removes a
