keeper: leave an address that swallows answers

Cause: a change whose answer was lost was read back at the same address, and a dial without an answer used up the whole call. Change: a lost answer makes the client go on at the next address; a dial has a bound of one second. Measured: read back at the first try (1 get) with the first of two addresses mute. Conclusion: one bad address of the platform costs one call.

--- a/adapter/keeper/client.go
+++ b/adapter/keeper/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
@@ -22,6 +23,7 @@
 	DefaultRate  = 20              // calls a second
 	DefaultBurst = 40              // calls at once
 	callTimeout  = 5 * time.Second // of a call whose context has no deadline
+	dialTimeout  = time.Second
 	maxAnswer    = 8 << 20         // bytes
 	maxValue     = 1 << 20         // bytes of one value, by the contract
 	idlePerHost  = 8               // connections kept open
@@ -57,7 +59,10 @@
 	c.budget = rate.NewLimiter(limit, burst)
 	transport := c.Transport
 	if transport == nil {
-		transport = &http.Transport{MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: time.Minute}
+		// Without a bound of its own a dial to an address that swallows packets
+		// would use up the call's whole time, and none be left for the next.
+		dialer := net.Dialer{Timeout: dialTimeout}
+		transport = &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: time.Minute}
 	}
 	c.client = &http.Client{Transport: transport}
 }
@@ -75,7 +80,8 @@
 func (r *request) changes() bool { return r.method != http.MethodGet }
 
 // do makes one call at the address that last worked, and at the others in turn
-// while it certainly had no effect.
+// while it certainly had no effect. A lost answer is the caller's to settle; it
+// will ask at another address.
 func (c *Client) do(ctx context.Context, r *request) error {
 	c.once.Do(c.setup)
 	if len(c.Addrs) == 0 {
@@ -88,10 +94,12 @@
 			return errors.Wrapf(ErrDown, "budget of calls is spent: %v", err)
 		}
 		err = c.try(ctx, c.Addrs[int(at)%len(c.Addrs)], r)
+		if errors.Is(err, ErrDown) || errors.Is(err, ErrLost) {
+			c.current.CompareAndSwap(at, at+1)
+		}
 		if !errors.Is(err, ErrDown) {
 			return err
 		}
-		c.current.CompareAndSwap(at, at+1)
 	}
 	return err
 }
--- a/adapter/keeper/fault_test.go
+++ b/adapter/keeper/fault_test.go
@@ -86,6 +86,30 @@
 	is.Equal(dials, 1) // it stays at the address that works
 }
 
+// Symptom: an operator's command reports an unknown outcome while the platform is
+// up. Sequence: one of its addresses swallows answers; the change goes there, and
+// so does every attempt to read it back. Cause: only refused calls made the client
+// change the address.
+func TestReadBackAtAnotherAddress(t *testing.T) {
+	is := is.New(t)
+	p := &platform.Platform{}
+	mute, up := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")
+	client := &keeper.Client{Addrs: []netip.AddrPort{mute, up}, Transport: carrier(func(r *http.Request) (*http.Response, error) {
+		resp, err := (&platform.Transport{Platform: p}).RoundTrip(r)
+		if err == nil && r.URL.Host == mute.String() {
+			resp.Body.Close()
+			return nil, errors.New("connection reset")
+		}
+		return resp, err
+	})}
+	_, err := client.Put(t.Context(), "k", "a", 0, 1)
+	is.True(errors.Is(err, keeper.ErrLost))
+	o, err := client.Get(t.Context(), "k", "a")
+	is.NoErr(err)
+	is.Equal(o.Version, uint64(1))
+	is.Equal(p.Calls()["get"], 1)
+}
+
 type carrier func(*http.Request) (*http.Response, error)
 
 func (c carrier) RoundTrip(r *http.Request) (*http.Response, error) { return c(r) }
