--- a/adapter/keeper/client.go
+++ b/adapter/keeper/client.go
@@ -24,9 +24,9 @@
 	DefaultBurst = 40              // calls at once
 	callTimeout  = 5 * time.Second // of a call whose context has no deadline
 	dialTimeout  = time.Second
-	maxAnswer    = 8 << 20         // bytes
-	maxValue     = 1 << 20         // bytes of one value, by the contract
-	idlePerHost  = 8               // connections kept open
+	maxAnswer    = 8 << 20 // bytes
+	maxValue     = 1 << 20 // bytes of one value, by the contract
+	idlePerHost  = 8       // connections kept open
 )
 
 // Client is one process's way to the platform. Set the fields before the first
