--- a/cmd/basildale/apply.go
+++ b/cmd/basildale/apply.go
@@ -106,7 +106,7 @@
 		fmt.Fprintln(e.out, "nothing changed")
 	}
 	if answer.InForce > 0 {
-		fmt.Fprintf(e.out, "version %d is in force at %d proxies\n", answer.Version, answer.InForce)
+		fmt.Fprintf(e.out, "version %d is in force at every proxy (%d)\n", answer.Version, answer.InForce)
 	}
 	return nil
 }
