cmd/basildale: the end of the proxy is looked at in the test

Cause: an error of its run was dropped, and the linter said so. Change: the test fails with it. Conclusion: none needed.

--- a/cmd/basildale/whole_test.go
+++ b/cmd/basildale/whole_test.go
@@ -71,7 +71,9 @@
 	go func() { ended <- d.Run(ctx) }()
 	o.t.Cleanup(func() {
 		cancel()
-		<-ended
+		if err := <-ended; err != nil {
+			o.t.Error(err)
+		}
 	})
 	<-d.Started()
 	return d
