dispatcher: queues by class and deadline before each upstream, under the preset

Cause: limiter's queues, windows and early refusal had no user; at a peak a statement waited for a connection until its deadline. Change: each upstream of a group has a gate; a statement waits there under its tenant, class and deadline, and a unit or transaction gives its slot back with its connection. Limits follow the preset in force, also for what waits. A read that states an age below 5 ms goes to the primary after a check of it: as an age of 1 ns it was asked about again until its deadline and refused. A read's question about the primary (AskPrimary) is now a check of the group. A leaving primary stays open to writes until another one is promoted. Ruled out: an unknown mark sent to the primary unchecked when nobody can be asked; an isolated primary answers too, and the loop never ended in the test. Measured: tests in virtual time: 500 requests refused, given up and answered in every mix leave 0 slots and 0 load in use; a statement that can't be in time at 100 ms each is refused after 0 ms; a held write goes on 100 ms after the hold's end began. TestStatedAgeOfZero failed before by the refusal above.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -252,6 +252,7 @@
 	d.recorder = &router.Recorder{}
 	d.dispatcher = &dispatcher.Dispatcher{
 		Control:   dispatcher.Control{Config: d.coordinator.Config, Offer: d.coordinator.Offer, Used: d.coordinator.Used},
+		Workspace: d.Settings.Workspace,
 		Upstreams: d.upstreams,
 		Marks:     d.finder,
 		Recorder:  d.recorder,
@@ -275,7 +276,10 @@
 		Log:     d.Log,
 	}
 	d.coordinator.OnView = d.dispatcher.OnView
-	d.coordinator.OnConfig = func(r *controller.Reconfigured) { d.server.Configure(d.groups(r)) }
+	d.coordinator.OnConfig = func(r *controller.Reconfigured) {
+		d.server.Configure(d.groups(r))
+		d.dispatcher.OnConfig(r)
+	}
 	d.peers.Handler = d.coordinator.Handler()
 	d.peers.Handler.Marks = d.marked
 	d.peers.Handler.Cancel = d.cancelled
--- a/dispatcher/confirm.go
+++ b/dispatcher/confirm.go
@@ -45,7 +45,7 @@
 // replica confirms the write, so that it seldom costs time of its own. The
 // function returned waits for the end.
 func (d *Dispatcher) keep(ctx context.Context, mark tracker.Mark, r *relayer.Request) func() error {
-	if d.Marks == nil || r.Notes.Session == "" {
+	if r.Notes.Session == "" {
 		return func() error { return nil }
 	}
 	key := keyOf(r)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"basildale.example/basildale/confirmer"
 	"basildale.example/basildale/controller"
 	"basildale.example/basildale/finder"
+	"basildale.example/basildale/limiter"
 	"basildale.example/basildale/meter"
 	"basildale.example/basildale/retrier"
 	"basildale.example/basildale/router"
@@ -33,10 +34,11 @@
 // first call.
 type Dispatcher struct {
 	Control Control
+	// Workspace is the one whose preset gives the limits.
+	Workspace string
 	// Upstreams carries out polls, samples and settling.
 	Upstreams *commander.Commander
-	// Marks finds the marks of sessions; nil: reads without a mark of their own go
-	// to the primary.
+	// Marks finds the marks of sessions.
 	Marks *finder.Finder
 	// Recorder keeps the router's decisions for explanations; nil: nobody does.
 	Recorder *router.Recorder
@@ -55,11 +57,12 @@
 	// Log gets the lines of the process; nil means none.
 	Log *zap.Logger
 
-	once   sync.Once
-	groups sync.Map // name to *group
-	random atomic.Uint64
-	start  time.Time
-	series sync.Map // seriesKey to *meter.Series
+	once    sync.Once
+	groups  sync.Map // name to *group
+	random  atomic.Uint64
+	start   time.Time
+	series  sync.Map // seriesKey to *meter.Series
+	tenants tenants
 }
 
 // DefaultPatience lets a read wait for a replica as long as the replicas usually
@@ -79,13 +82,15 @@
 	budget  *retrier.Budget
 	used    func(now time.Time)
 	heard   sync.Map // netip.AddrPort to *atomic.Int64: when the promoter was last told
+	gates   gates
 }
 
 // view is a published view with what belongs to its list of upstreams.
 type view struct {
 	*controller.Published
 	load    *router.Load
-	changed chan struct{} // closed when the next view is there
+	gates   []*limiter.Gate // of the upstreams
+	changed chan struct{}   // closed when the next view is there
 }
 
 func (d *Dispatcher) prepare() {
@@ -107,8 +112,12 @@
 	next := &view{Published: p, changed: make(chan struct{})}
 	old := g.view.Load()
 	next.load = d.load(old, p)
-	for i := range p.Upstreams {
-		next.load.Bar(i, p.Leaving[i])
+	limits := d.limits()
+	for i, u := range p.Upstreams {
+		// A primary that is leaving goes on until another one is promoted: with
+		// writes barred from it, every booking would wait for its deadline.
+		next.load.Bar(i, p.Leaving[i] && i != p.Snapshot.Primary)
+		next.gates = append(next.gates, g.gates.get(u.Address, limits))
 	}
 	g.view.Store(next)
 	if old != nil {
@@ -117,6 +126,26 @@
 	d.inform(g, old, next)
 }
 
+// OnConfig takes a configuration that is in force from now on. The control
+// goroutine calls it.
+func (d *Dispatcher) OnConfig(*controller.Reconfigured) {
+	d.once.Do(d.prepare)
+	limits := d.limits()
+	d.groups.Range(func(_, g any) bool {
+		g.(*group).gates.apply(limits)
+		return true
+	})
+}
+
+// limits returns those of the preset in force.
+func (d *Dispatcher) limits() limiter.Limits {
+	r := d.Control.Config()
+	if r == nil {
+		return limiter.Ordinary()
+	}
+	return LimitsOf(r.Config, d.Workspace)
+}
+
 // load returns the load of a view's upstreams; it goes on counting while the
 // list of upstreams is the same.
 func (d *Dispatcher) load(old *view, p *controller.Published) *router.Load {
--- a/dispatcher/observe.go
+++ b/dispatcher/observe.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"basildale.example/basildale/controller"
+	"basildale.example/basildale/limiter"
 	"basildale.example/basildale/meter"
 	"basildale.example/basildale/promoter"
 	"basildale.example/basildale/relayer"
@@ -30,9 +31,14 @@
 	return int(token & (1<<tokenIndexBits - 1)), d.start.Add(time.Duration(token>>tokenIndexBits) * time.Microsecond)
 }
 
-// Release ends a unit's or a transaction's use of an upstream.
-func (d *Dispatcher) Release(t relayer.Target) {
-	v := d.group(t.Group).view.Load()
+// Release ends a unit's or a transaction's use of an upstream. served is false
+// when there is no answer, or none was waited for.
+func (d *Dispatcher) Release(t relayer.Target, served bool) {
+	g := d.group(t.Group)
+	if t.Ticket != 0 {
+		g.gates.get(t.Address, limiter.Ordinary()).Release(limiter.Ticket(t.Ticket), served)
+	}
+	v := g.view.Load()
 	if v == nil {
 		return
 	}
--- a/dispatcher/route.go
+++ b/dispatcher/route.go
@@ -36,8 +36,16 @@
 		return relayer.Target{}, refuse(retrier.Frozen, now.Add(frozenBack), "the preset in force refuses writes")
 	}
 	g.used(now)
-	g.budget.Deposit()
+	if !r.Avoid.IsValid() {
+		g.budget.Deposit() // the first attempt
+	}
 	req := d.request(r, now)
+	if wantsNow(r) {
+		req.Primary = true
+		if refusal := d.checkPrimary(ctx, r); refusal != nil {
+			return relayer.Target{}, refusal
+		}
+	}
 	for {
 		v := g.view.Load()
 		if req.Write {
@@ -65,10 +73,10 @@
 func (d *Dispatcher) act(ctx context.Context, g *group, v *view, req *router.Request, decision router.Decision, r *relayer.Request, now time.Time) (relayer.Target, *relayer.Refusal, bool) {
 	switch decision.Action {
 	case router.Go:
-		target, refusal := d.take(g, v, decision.Target, req, r, now)
+		target, refusal := d.take(ctx, g, v, decision.Target, req, r, now)
 		return target, refusal, true
 	case router.Ask:
-		refusal := d.find(ctx, req, r)
+		refusal := d.ask(ctx, v, decision.Reason, req, r)
 		return relayer.Target{}, refusal, refusal != nil
 	case router.Wait:
 		refusal := d.wait(ctx, g, v, decision, r, now)
@@ -79,12 +87,12 @@
 }
 
 // take admits a unit to an upstream.
-func (d *Dispatcher) take(g *group, v *view, i int, req *router.Request, r *relayer.Request, now time.Time) (relayer.Target, *relayer.Refusal) {
-	t := relayer.Target{Group: g.name, Address: v.Upstreams[i].Address, Token: d.token(i, now)}
+func (d *Dispatcher) take(ctx context.Context, g *group, v *view, i int, req *router.Request, r *relayer.Request, now time.Time) (relayer.Target, *relayer.Refusal) {
+	t := relayer.Target{Group: g.name, Address: v.Upstreams[i].Address}
 	if i == v.Snapshot.Primary {
 		t.Primary, t.Term = true, v.Snapshot.Term
 	}
-	if req.Write && r.Notes.Session != "" && d.Marks != nil && !d.Marks.Ready() {
+	if req.Write && r.Notes.Session != "" && !d.Marks.Ready() {
 		return relayer.Target{}, refuse(retrier.Refused, now.Add(comeBack), "this proxy is not on the roster of the fleet, or cut off from it")
 	}
 	if req.Write {
@@ -93,6 +101,13 @@
 		}
 	}
 	v.load.Start(i)
+	ticket, refusal := d.enter(ctx, v.gates[i], r)
+	if refusal != nil {
+		v.load.Done(i, 0, time.Now())
+		return relayer.Target{}, refusal
+	}
+	t.Ticket = uint64(ticket)
+	t.Token = d.token(i, time.Now())
 	return t, nil
 }
 
@@ -109,21 +124,28 @@
 		Write:    !r.Read(),
 		Mark:     r.Notes.Mark,
 		Known:    d.known(r),
-		Age:      statedAge(&r.Terms),
+		Age:      statedAge(r),
 		Deadline: r.Deadline,
 		Patience: now.Add(d.Patience),
 		Random:   d.draw(),
 	}
 }
 
-// statedAge returns the greatest age for the router. An age of zero that a
-// caller has stated leaves only the primary young enough; zero to the router
-// means that none is stated.
-func statedAge(n *relayer.Terms) time.Duration {
-	if n.AnyAge {
-		return max(n.Age, 1)
+// freshest is the least age that samples can bear out. A read that states less
+// goes to the primary, after a check that it is the primary: what was
+// acknowledged before the read came in is in its log then.
+const freshest = 5 * time.Millisecond
+
+func statedAge(r *relayer.Request) time.Duration {
+	if wantsNow(r) || !r.Terms.AnyAge {
+		return 0 // none, to the router
 	}
-	return 0
+	return r.Terms.Age
+}
+
+// wantsNow reports whether a read wants the data as it is, and not some time ago.
+func wantsNow(r *relayer.Request) bool {
+	return r.Read() && r.Terms.AnyAge && r.Terms.Age < freshest
 }
 
 // wait lets time pass until a new view, or until the replica should have passed
@@ -176,15 +198,40 @@
 	return r.Notes.Known && r.Notes.Session == ""
 }
 
-// find looks for the session's mark. Without anybody to ask, the read goes to
-// the primary: its log as it is now covers every write acknowledged before.
-func (d *Dispatcher) find(ctx context.Context, req *router.Request, r *relayer.Request) *relayer.Refusal {
-	if d.Marks == nil {
-		req.Primary = true
-		return nil
+// ask finds out what the router wants to know.
+func (d *Dispatcher) ask(ctx context.Context, v *view, why router.Reason, req *router.Request, r *relayer.Request) *relayer.Refusal {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	if why == router.AskPrimary {
+		return d.confirmPrimary(ctx, v, r)
 	}
+	return d.find(ctx, req, r)
+}
+
+// confirmPrimary has the primary checked by a majority of the group. The states
+// that come in with it make the next view, by which the router decides again.
+func (d *Dispatcher) confirmPrimary(ctx context.Context, v *view, r *relayer.Request) *relayer.Refusal {
+	if refusal := d.checkPrimary(ctx, r); refusal != nil {
+		return refusal
+	}
+	sleep(ctx, v.changed, time.Now().Add(refreshWithin), r.Deadline)
+	return nil
+}
+
+// checkPrimary returns when a majority of the group, asked after this call, has
+// borne out that the primary is the primary.
+func (d *Dispatcher) checkPrimary(ctx context.Context, r *relayer.Request) *relayer.Refusal {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
+	found, err := d.Marks.Find(ctx, tracker.Key{Group: r.Account.Group}, r.Deadline)
+	if err != nil {
+		return unfound(err, found)
+	}
+	return nil
+}
+
+// find looks for the session's mark.
+func (d *Dispatcher) find(ctx context.Context, req *router.Request, r *relayer.Request) *relayer.Refusal {
 	found, err := d.Marks.Find(ctx, keyOf(r), r.Deadline)
 	if err != nil {
 		return unfound(err, found)
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -74,8 +74,10 @@
 	Term tracker.Term
 	// Primary says that writes may go there.
 	Primary bool
-	// Token is the router's own, for instance a slot to give back.
-	Token uint64
+	// Token and Ticket are the router's own: when the unit got its place, and the
+	// slot to give back.
+	Token  uint64
+	Ticket uint64
 }
 
 // Refusal says why a unit is not run.
--- a/server/server.go
+++ b/server/server.go
@@ -37,7 +37,7 @@
 	Login         func(user, database string) (relayer.Account, bool)
 	Terms         func(a *relayer.Account) relayer.Terms
 	Route         func(ctx context.Context, r *relayer.Request) (relayer.Target, *relayer.Refusal)
-	Release       func(t relayer.Target)
+	Release       func(t relayer.Target, served bool)
 	Confirm       func(ctx context.Context, t relayer.Target, mark tracker.Mark, r *relayer.Request) retrier.Outcome
 	Observe       func(t relayer.Target, r *relayer.Request, o retrier.Outcome)
 	Decide        func(group string, r *retrier.Request, o retrier.Outcome) retrier.Decision
@@ -165,7 +165,7 @@
 		s.Control.Route = s.retries.counted(s.Control.Route)
 	}
 	if s.Control.Release == nil {
-		s.Control.Release = func(relayer.Target) {}
+		s.Control.Release = func(relayer.Target, bool) {}
 	}
 }
 
@@ -189,14 +189,14 @@
 func (s *Server) acquire(ctx context.Context, t relayer.Target, r *relayer.Request) (*relayer.Upstream, *relayer.Refusal) {
 	u, refusal := s.pools.acquire(ctx, t, r)
 	if refusal != nil {
-		s.Control.Release(t)
+		s.Control.Release(t, false)
 	}
 	return u, refusal
 }
 
 func (s *Server) release(t relayer.Target, u *relayer.Upstream, healthy bool) {
 	u.Back(u, healthy)
-	s.Control.Release(t)
+	s.Control.Release(t, healthy)
 }
 
 // Cancel carries out a cancel request that another proxy has forwarded.
