--- a/membership/storm_test.go
+++ b/membership/storm_test.go
@@ -50,7 +50,8 @@
 	var out strings.Builder
 	for _, n := range []int{90, 360} {
 		fmt.Fprintf(&out, "%d processes\n", n)
-		zoneLost(&out, n)
+		zoneLost(&out, n, 3)
+		zoneLost(&out, n, 15)
 		partitioned(&out, n)
 		restarted(&out, n)
 		fresh(&out, n)
@@ -58,18 +59,19 @@
 	golden(t, "testdata/storms.golden", out.String())
 }
 
-func zoneLost(out *strings.Builder, n int) {
+// zoneLost takes away one in so many.
+func zoneLost(out *strings.Builder, n, one int) {
 	f := newFleet(n, 2)
 	f.warm()
 	f.run(5 * time.Second)
 	for i, p := range f.procs {
-		if i%3 == 0 {
+		if i%one == 0 {
 			f.vanish(p)
 		}
 	}
 	most := f.peak(5, func(int) {})
 	took := 5*time.Second + f.agreed(2*time.Minute, all)
-	fmt.Fprintf(out, "  a third vanishes: all others agree after %v, %d false deaths, %v\n", took, f.deaths(), most)
+	fmt.Fprintf(out, "  one in %d vanishes: all others agree after %v, %d false deaths, %v\n", one, took, f.deaths(), most)
 }
 
 func partitioned(out *strings.Builder, n int) {
