capacity: what a group costs the proxies that hold its record

Change: BenchmarkGroups runs the leader's state machine for quiet seconds against a healthy group and counts what it asks.

--- a/internal/capacity/bench_test.go
+++ b/internal/capacity/bench_test.go
@@ -18,6 +18,8 @@
 	"basildale.example/basildale/configurator"
 	"basildale.example/basildale/internal/faker/platform"
 	"basildale.example/basildale/internal/faker/upstream"
+	"basildale.example/basildale/promoter"
+	"basildale.example/basildale/tracker"
 )
 
 // counted counts the bytes of a connection, both ways.
@@ -179,3 +181,97 @@
 	}
 	return configurator.Object{Name: e.ID.String(), Version: uint64(i + 1), Value: v}
 }
+
+// BenchmarkGroups holds so many groups as their holder does, and lets each of
+// them pass ten quiet seconds: what it asks of upstreams and the platform.
+func BenchmarkGroups(b *testing.B) {
+	for _, n := range []int{6, 60, 600} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			groups := make([]*promoter.Group, n)
+			now := time.Unix(1_800_000_000, 0)
+			for i := range groups {
+				groups[i] = held(i, now)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			commands, used := 0, processor()
+			for range b.N {
+				end := now.Add(10 * time.Second)
+				for _, g := range groups {
+					commands += quiet(g, now, end)
+				}
+				now = end
+			}
+			seconds := float64(n * b.N * 10)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "heap-bytes/group")
+			b.ReportMetric(float64(commands)/seconds, "commands/group/s")
+			b.ReportMetric(float64((processor()-used).Nanoseconds())/seconds, "cpu-ns/group/s")
+			runtime.KeepAlive(groups)
+		})
+	}
+}
+
+func upstreams(i int) []netip.AddrPort {
+	var list []netip.AddrPort
+	for j := range 3 {
+		list = append(list, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 8), byte(i), byte(j)}), 5432))
+	}
+	return list
+}
+
+// held returns the Group of a recorded leader whose upstreams are well.
+func held(i int, now time.Time) *promoter.Group {
+	g := &promoter.Group{Name: fmt.Sprintf("group-%d", i), Self: "a/1", Zone: "vejle-hal"}
+	g.Handle(promoter.Upstreams{List: upstreams(i)}, now)
+	g.Handle(promoter.Members{Live: []promoter.Member{{ID: "a/1", Zone: "vejle-hal"}, {ID: "b/1", Zone: "aarhus-hal"}, {ID: "c/1", Zone: "skjern-hal"}}}, now)
+	return g
+}
+
+// quiet answers what the group asks until end and counts it.
+func quiet(g *promoter.Group, now, end time.Time) int {
+	n := 0
+	for now.Before(end) {
+		var todo []promoter.Command
+		todo = append(todo, g.Handle(promoter.Tick{}, now)...)
+		for len(todo) > 0 {
+			n++
+			c := todo[0]
+			todo = todo[1:]
+			if ev := answer(c, now); ev != nil {
+				todo = append(todo, g.Handle(ev, now)...)
+			}
+		}
+		next := g.Next()
+		if !next.After(now) {
+			next = now.Add(time.Millisecond)
+		}
+		now = next
+	}
+	return n
+}
+
+// answer is what a healthy group and platform say: the first upstream is primary.
+func answer(c promoter.Command, now time.Time) promoter.Event {
+	term := tracker.Term{Epoch: 1, Seq: 8}
+	switch c := c.(type) {
+	case promoter.Probe:
+		b := c.Upstream.Addr().As4()
+		primary := netip.AddrPortFrom(netip.AddrFrom4([4]byte{b[0], b[1], b[2], 0}), c.Upstream.Port())
+		s := promoter.Stated{Upstream: c.Upstream, Sent: now, State: tracker.State{Role: tracker.Primary, Term: term, Mark: tracker.Mark{Term: term, Pos: 7}}}
+		if c.Upstream != primary {
+			s.State.Role, s.Following = tracker.Replica, primary
+		}
+		return s
+	case promoter.Load:
+		return promoter.Loaded{Outcome: promoter.Done, Version: 1, Record: promoter.Record{
+			Epoch: 1, Leader: "a/1", Deputies: []string{"b/1", "c/1"}, Term: term,
+		}}
+	case promoter.Save:
+		return promoter.Saved{Outcome: promoter.Done, Version: 2}
+	default:
+		return nil
+	}
+}
