membership: keep the platform's list as one sorted slice

Cause: under the race detector the measure of 2500 processes took 7.9 GB, a good part of it a map of the list in each view. Change: a view keeps the slice that it was given, sorted, and searches it; the times at which the dead are dropped are kept for the dead only.

--- a/membership/event.go
+++ b/membership/event.go
@@ -15,7 +15,8 @@
 	Leaving bool
 }
 
-// Listed is the platform's list as it was read now.
+// Listed is the platform's list as it was read now. The View keeps the slice, so
+// it must not be changed afterwards.
 type Listed struct{ Instances []Instance }
 
 // Pinged is a ping of another process. It is answered by an AnswerPing of the
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -119,11 +119,12 @@
 		v.suspicions = slices.DeleteFunc(v.suspicions, func(s suspicion) bool { return s.addr == e.Addr })
 	}
 	if e.Health == Dead {
-		e.forget = now.Add(v.set.Forget)
+		v.graves[e.Addr] = now.Add(v.set.Forget)
 		v.stale = v.stale || slices.Contains(v.subjects, e.Addr)
 		v.lose(e.Addr)
 		return
 	}
+	delete(v.graves, e.Addr)
 	v.unlose(e.Addr)
 	v.stale = v.stale || v.nearer(e)
 }
@@ -173,9 +174,10 @@
 func (v *View) drop(now time.Time) {
 	v.sweep = now.Add(sweepPeriod)
 	v.all = slices.DeleteFunc(v.all, func(e *entry) bool {
-		gone := e.Health == Dead && !e.forget.After(now)
+		gone := e.Health == Dead && !v.graves[e.Addr].After(now)
 		if gone {
 			delete(v.members, e.Addr)
+			delete(v.graves, e.Addr)
 			v.unlose(e.Addr)
 		}
 		return gone
--- a/membership/order.go
+++ b/membership/order.go
@@ -44,7 +44,7 @@
 }
 
 func (v *View) rank(m Member) rank {
-	in, listed := v.listed[m.Addr]
+	in, listed := v.listing(m.Addr)
 	return rank{member: m, leaving: m.Leaving || in.Leaving, listed: listed}
 }
 
@@ -169,7 +169,7 @@
 func (v *View) Gone() []netip.AddrPort {
 	var out []netip.AddrPort
 	for _, a := range v.lost {
-		if _, ok := v.listed[a]; ok {
+		if _, ok := v.listing(a); ok {
 			out = append(out, a)
 		}
 	}
--- a/membership/seek.go
+++ b/membership/seek.go
@@ -14,20 +14,33 @@
 func (v *View) list(ev Listed) {
 	v.fleet = nil
 	before := v.listed
-	v.listed = make(map[netip.AddrPort]Instance, len(ev.Instances))
+	v.listed = ev.Instances
+	if !slices.IsSortedFunc(v.listed, compareInstances) {
+		v.listed = slices.SortedFunc(slices.Values(v.listed), compareInstances)
+	}
 	for _, in := range ev.Instances {
-		v.listed[in.Addr] = in
 		if e := v.members[in.Addr]; (e == nil || e.Health == Dead) && in.Addr != v.Self.Addr {
 			v.lose(in.Addr)
 		}
 	}
-	for addr := range before {
-		if _, ok := v.listed[addr]; !ok && v.members[addr] == nil {
-			v.unlose(addr)
+	for _, in := range before {
+		if _, ok := v.listing(in.Addr); !ok && v.members[in.Addr] == nil {
+			v.unlose(in.Addr)
 		}
 	}
 }
 
+func compareInstances(a, b Instance) int { return a.Addr.Compare(b.Addr) }
+
+// listing returns what the platform's last list has at an address.
+func (v *View) listing(addr netip.AddrPort) (Instance, bool) {
+	i, ok := slices.BinarySearchFunc(v.listed, addr, func(in Instance, a netip.AddrPort) int { return in.Addr.Compare(a) })
+	if !ok {
+		return Instance{}, false
+	}
+	return v.listed[i], true
+}
+
 // lose adds an address to those that are tried now and then. They are kept
 // sorted, so that the same events give the same commands.
 func (v *View) lose(a netip.AddrPort) {
@@ -72,7 +85,7 @@
 	for i := range v.lost {
 		a := v.lost[(first+i)%len(v.lost)]
 		if e := v.members[a]; e != nil && e.Leaving {
-			if _, listed := v.listed[a]; !listed {
+			if _, listed := v.listing(a); !listed {
 				continue // it said that it would end, and the platform agrees
 			}
 		}
--- a/membership/view.go
+++ b/membership/view.go
@@ -27,10 +27,10 @@
 	score   int       // how slow this process seems to be, 0 to maxScore
 	nonce   uint64
 	members map[netip.AddrPort]*entry
-	all     []*entry // the same, in an order that doesn't depend on chance
-	live    int      // members that are not dead, without self
-	digest  uint64   // of the members that are not dead, without self
-	listed  map[netip.AddrPort]Instance
+	all     []*entry   // the same, in an order that doesn't depend on chance
+	live    int        // members that are not dead, without self
+	digest  uint64     // of the members that are not dead, without self
+	listed  []Instance // sorted by address
 	news    queue
 
 	subjects   []netip.AddrPort // watched by this process
@@ -39,9 +39,10 @@
 	observers  []observer
 	probes     []probe
 	suspicions []suspicion
-	lost       []netip.AddrPort // listed or dead addresses to be tried
-	contact    time.Time        // when the next of them is tried
-	sweep      time.Time        // when the dead are looked through
+	lost       []netip.AddrPort             // listed or dead addresses to be tried
+	graves     map[netip.AddrPort]time.Time // when the dead are dropped
+	contact    time.Time                    // when the next of them is tried
+	sweep      time.Time                    // when the dead are looked through
 	compare    comparison
 	served     int    // buckets handed out in this interval
 	fleet      *Fleet // nil after a change
@@ -52,9 +53,8 @@
 // entry is a member and what is computed from its address once.
 type entry struct {
 	Member
-	hash   uint64           // of the address
-	dist   [maxRings]uint64 // from self, on each ring
-	forget time.Time        // when it is dropped, if dead
+	hash uint64           // of the address
+	dist [maxRings]uint64 // from self, on each ring
 }
 
 // Handle takes an event at the time now, which must not fall, and returns what
@@ -82,6 +82,7 @@
 	v.set = v.Settings.withDefaults()
 	v.rng = rand.New(rand.NewPCG(v.Seed, v.Self.Start))
 	v.members = make(map[netip.AddrPort]*entry)
+	v.graves = make(map[netip.AddrPort]time.Time)
 	v.heard = now
 	v.tick = now.Add(time.Duration(v.rng.Int64N(int64(v.interval()))))
 	v.next = v.tick
