membership: one sorted slice of members in place of a map and a list

Change: members lie in one slice sorted by address and are found by binary search; a Fleet needs no sorting any more.

Golden files unchanged.

--- a/membership/merge.go
+++ b/membership/merge.go
@@ -25,7 +25,7 @@
 		v.defend(m)
 		return
 	}
-	e := v.members[m.Addr]
+	e := v.member(m.Addr)
 	if e == nil {
 		if m.Health == Dead {
 			return
@@ -45,7 +45,7 @@
 
 // state sets what this process itself concluded about a member.
 func (v *View) state(addr netip.AddrPort, h Health, now time.Time, why Reason) {
-	e := v.members[addr]
+	e := v.member(addr)
 	if e == nil || e.Health >= h {
 		return
 	}
@@ -80,8 +80,8 @@
 	for ring := range v.set.Rings {
 		e.dist[ring] = hashAddr(m.Addr, byte(ring+1)) - hashAddr(v.Self.Addr, byte(ring+1))
 	}
-	v.members[m.Addr] = e
-	v.all = append(v.all, e)
+	i, _ := slices.BinarySearchFunc(v.all, m.Addr, compareEntry)
+	v.all = slices.Insert(v.all, i, e)
 	v.count(e, 1)
 	return e
 }
@@ -138,7 +138,7 @@
 		return true
 	}
 	for ring, addr := range v.subjects {
-		if e.dist[ring] < v.members[addr].dist[ring] {
+		if e.dist[ring] < v.member(addr).dist[ring] {
 			return true
 		}
 	}
@@ -176,7 +176,6 @@
 	v.all = slices.DeleteFunc(v.all, func(e *entry) bool {
 		gone := e.Health == Dead && !v.graves[e.Addr].After(now)
 		if gone {
-			delete(v.members, e.Addr)
 			delete(v.graves, e.Addr)
 			v.unlose(e.Addr)
 		}
@@ -184,6 +183,17 @@
 	})
 }
 
+func compareEntry(e *entry, a netip.AddrPort) int { return e.Addr.Compare(a) }
+
+// member returns the entry of an address, or nil.
+func (v *View) member(addr netip.AddrPort) *entry {
+	i, ok := slices.BinarySearchFunc(v.all, addr, compareEntry)
+	if !ok {
+		return nil
+	}
+	return v.all[i]
+}
+
 // hashAddr hashes an address. The salt gives independent hashes of it.
 func hashAddr(a netip.AddrPort, salt byte) uint64 {
 	var b [19]byte
--- a/membership/news.go
+++ b/membership/news.go
@@ -45,14 +45,14 @@
 // suspect or dead, it is told so first: it is the one that can contradict.
 func (v *View) updates(to netip.AddrPort) []Member {
 	var out []Member
-	if e := v.members[to]; e != nil && e.Health != Alive {
+	if e := v.member(to); e != nil && e.Health != Alive {
 		out = append(out, e.Member)
 	}
 	if len(v.news.order) == 0 {
 		return out
 	}
 	for _, a := range v.news.take(v.set.Updates, v.set.Repeats) {
-		if e := v.members[a]; e != nil && a != to {
+		if e := v.member(a); e != nil && a != to {
 			out = append(out, e.Member)
 		}
 	}
--- a/membership/order.go
+++ b/membership/order.go
@@ -28,13 +28,18 @@
 		return v.fleet
 	}
 	f := &Fleet{ranks: make([]rank, 0, v.live+1)}
-	f.ranks = append(f.ranks, v.rank(v.Self))
+	self := v.rank(v.Self)
+	place := 0
 	for _, e := range v.all {
-		if e.Health != Dead {
-			f.ranks = append(f.ranks, v.rank(e.Member))
+		if e.Health == Dead {
+			continue
+		}
+		f.ranks = append(f.ranks, v.rank(e.Member))
+		if e.Addr.Compare(v.Self.Addr) < 0 {
+			place = len(f.ranks)
 		}
 	}
-	slices.SortFunc(f.ranks, func(a, b rank) int { return a.member.Addr.Compare(b.member.Addr) })
+	f.ranks = slices.Insert(f.ranks, place, self)
 	f.hashes = make([]uint64, len(f.ranks))
 	for i, r := range f.ranks {
 		f.hashes[i] = hashAddr(r.member.Addr, 0)
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -75,7 +75,7 @@
 	v.nonce++
 	p := probe{nonce: v.nonce, kind: k, target: to, ticket: ticket}
 	p.deadline = now.Add(v.patience(v.set.Timeout))
-	if e := v.members[to]; e != nil {
+	if e := v.member(to); e != nil {
 		p.start = e.Start
 	}
 	v.probes = append(v.probes, p)
@@ -199,7 +199,7 @@
 // indirect asks others to ping the target. If only the way from here to there is
 // cut, they hear it, and it isn't suspected.
 func (v *View) indirect(p probe, now time.Time) {
-	e := v.members[p.target]
+	e := v.member(p.target)
 	if e == nil || e.Health == Dead {
 		return
 	}
@@ -226,7 +226,7 @@
 func (v *View) suspect(p probe, now time.Time) {
 	patience := v.patience(v.set.Suspicion)
 	v.worse() // makes the next suspicion slower, if this failure isn't the only one
-	e := v.members[p.target]
+	e := v.member(p.target)
 	if e == nil || e.Health == Dead || e.Start != p.start || v.isolated(now) {
 		return
 	}
@@ -266,7 +266,7 @@
 		}
 	}
 	return slices.DeleteFunc(out, func(a netip.AddrPort) bool {
-		e := v.members[a]
+		e := v.member(a)
 		return e == nil || e.Health != Alive
 	})
 }
--- a/membership/seek.go
+++ b/membership/seek.go
@@ -19,12 +19,12 @@
 		v.listed = slices.SortedFunc(slices.Values(v.listed), compareInstances)
 	}
 	for _, in := range ev.Instances {
-		if e := v.members[in.Addr]; (e == nil || e.Health == Dead) && in.Addr != v.Self.Addr {
+		if e := v.member(in.Addr); (e == nil || e.Health == Dead) && in.Addr != v.Self.Addr {
 			v.lose(in.Addr)
 		}
 	}
 	for _, in := range before {
-		if _, ok := v.listing(in.Addr); !ok && v.members[in.Addr] == nil {
+		if _, ok := v.listing(in.Addr); !ok && v.member(in.Addr) == nil {
 			v.unlose(in.Addr)
 		}
 	}
@@ -84,7 +84,7 @@
 	first := v.rng.IntN(len(v.lost))
 	for i := range v.lost {
 		a := v.lost[(first+i)%len(v.lost)]
-		if e := v.members[a]; e != nil && e.Leaving {
+		if e := v.member(a); e != nil && e.Leaving {
 			if _, listed := v.listing(a); !listed {
 				continue // it said that it would end, and the platform agrees
 			}
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -105,7 +105,7 @@
 	v.compare.failures = 0
 	for _, m := range ev.Members {
 		v.merge(m, now, false)
-		e := v.members[m.Addr]
+		e := v.member(m.Addr)
 		if e != nil && e.Health == Dead && m.Health != Dead && !m.Newer(e.Member) && !e.Newer(m) {
 			disputed = append(disputed, m.Addr)
 		}
--- a/membership/view.go
+++ b/membership/view.go
@@ -19,19 +19,18 @@
 	// Seed makes the random choices repeatable.
 	Seed uint64
 
-	rng     *rand.Rand
-	set     Settings // with defaults
-	next    time.Time
-	tick    time.Time
-	heard   time.Time // last answer to a question of this process
-	score   int       // how slow this process seems to be, 0 to maxScore
-	nonce   uint64
-	members map[netip.AddrPort]*entry
-	all     []*entry   // the same, in an order that doesn't depend on chance
-	live    int        // members that are not dead, without self
-	digest  uint64     // of the members that are not dead, without self
-	listed  []Instance // sorted by address
-	news    queue
+	rng    *rand.Rand
+	set    Settings // with defaults
+	next   time.Time
+	tick   time.Time
+	heard  time.Time // last answer to a question of this process
+	score  int       // how slow this process seems to be, 0 to maxScore
+	nonce  uint64
+	all    []*entry   // the same, in an order that doesn't depend on chance
+	live   int        // members that are not dead, without self
+	digest uint64     // of the members that are not dead, without self
+	listed []Instance // sorted by address
+	news   queue
 
 	subjects   []netip.AddrPort // watched by this process
 	turn       int              // index of the subject that is next
@@ -60,7 +59,7 @@
 // Handle takes an event at the time now, which must not fall, and returns what
 // is to be done.
 func (v *View) Handle(ev Event, now time.Time) []Command {
-	if v.members == nil {
+	if v.graves == nil {
 		v.start(now)
 	}
 	v.wake(now)
@@ -81,7 +80,6 @@
 func (v *View) start(now time.Time) {
 	v.set = v.Settings.withDefaults()
 	v.rng = rand.New(rand.NewPCG(v.Seed, v.Self.Start))
-	v.members = make(map[netip.AddrPort]*entry)
 	v.graves = make(map[netip.AddrPort]time.Time)
 	v.heard = now
 	v.tick = now.Add(time.Duration(v.rng.Int64N(int64(v.interval()))))
