membership: run its fault tables side by side

Cause: the tests of the package took 191 s under the race detector on a busy machine; each runs a fleet of its own in one goroutine.

Change: they run in parallel. BenchmarkMembers waits 15 s again before it counts: with 5 s the connections of the start were counted in.

Conclusion: the same checks in less time.

--- a/coordinator/bench_test.go
+++ b/coordinator/bench_test.go
@@ -32,7 +32,7 @@
 				time.Sleep(100 * time.Millisecond)
 			}
 			b.Logf("all know all after %v", time.Since(began).Round(100*time.Millisecond))
-			time.Sleep(5 * time.Second) // until most of the news is out
+			time.Sleep(15 * time.Second) // until the news is out
 			kept := heap() - before
 			bytes, cpu, links := written(procs), processor(), 0
 			b.ResetTimer()
--- a/membership/fault_test.go
+++ b/membership/fault_test.go
@@ -166,6 +166,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(3) {
 				is := is.New(t)
 				f := newFleet(tt.size, seed)
@@ -225,6 +226,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(3) {
 				is := is.New(t)
 				f := newFleet(30, seed)
--- a/membership/measure_test.go
+++ b/membership/measure_test.go
@@ -59,6 +59,7 @@
 // TestMeasure repeats the figures of docs/MEASURES.md on membership. They are
 // exact: virtual time and fixed seeds.
 func TestMeasure(t *testing.T) {
+	t.Parallel()
 	var out strings.Builder
 	for _, n := range []int{9, 90, 900, 2500} {
 		measure(&out, n)
--- a/membership/storm_test.go
+++ b/membership/storm_test.go
@@ -47,6 +47,7 @@
 // TestMeasureStorms repeats the figures of docs/MEASURES.md on large failures
 // and restarts.
 func TestMeasureStorms(t *testing.T) {
+	t.Parallel()
 	var out strings.Builder
 	for _, n := range []int{90, 360} {
 		fmt.Fprintf(&out, "%d processes\n", n)
