--- a/membership/order.go
+++ b/membership/order.go
@@ -28,13 +28,18 @@
 		return v.fleet
 	}
 	f := &Fleet{ranks: make([]rank, 0, v.live+1)}
-	f.ranks = append(f.ranks, v.rank(v.Self))
+	self := v.rank(v.Self)
+	place := 0
 	for _, e := range v.all {
-		if e.Health != Dead {
-			f.ranks = append(f.ranks, v.rank(e.Member))
+		if e.Health == Dead {
+			continue
+		}
+		f.ranks = append(f.ranks, v.rank(e.Member))
+		if e.Addr.Compare(v.Self.Addr) < 0 {
+			place = len(f.ranks)
 		}
 	}
-	slices.SortFunc(f.ranks, func(a, b rank) int { return a.member.Addr.Compare(b.member.Addr) })
+	f.ranks = slices.Insert(f.ranks, place, self)
 	f.hashes = make([]uint64, len(f.ranks))
 	for i, r := range f.ranks {
 		f.hashes[i] = hashAddr(r.member.Addr, 0)
@@ -44,7 +49,7 @@
 }
 
 func (v *View) rank(m Member) rank {
-	in, listed := v.listed[m.Addr]
+	in, listed := v.listing(m.Addr)
 	return rank{member: m, leaving: m.Leaving || in.Leaving, listed: listed}
 }
 
@@ -169,7 +174,7 @@
 func (v *View) Gone() []netip.AddrPort {
 	var out []netip.AddrPort
 	for _, a := range v.lost {
-		if _, ok := v.listed[a]; ok {
+		if _, ok := v.listing(a); ok {
 			out = append(out, a)
 		}
 	}
