relayer: an overdue statement is cancelled at its upstream

A caller that reads slowly kept its connection while the end of its answer waited. **Change** A statement whose time is over gets a cancel request; a connection goes back before the last part of the answer is written.

--- a/relayer/follow.go
+++ b/relayer/follow.go
@@ -70,15 +70,12 @@
 	if u.sync {
 		s.writeReady()
 	}
-	if err := s.flush(); err != nil {
-		return err
-	}
 	s.batch = !u.sync
 	s.skipping = !u.sync
 	if u.sync && s.tx == txIdle {
 		s.releaseUpstream()
 	}
-	return nil
+	return s.flush()
 }
 
 // known returns the tag of a command whose answer is known although it was
--- a/relayer/unit.go
+++ b/relayer/unit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"basildale.example/basildale/adapter/dialer"
 	"basildale.example/basildale/classifier"
 	"basildale.example/basildale/framer"
 	"basildale.example/basildale/retrier"
@@ -214,24 +215,23 @@
 	s.loadBatch(u)
 }
 
-// succeed lets the answer of a finished unit go out.
+// succeed lets the answer of a finished unit go out. The connection is given
+// back first: a caller that reads slowly would keep it from others.
 func (s *Session) succeed(u *unit) error {
-	if err := s.flush(); err != nil {
-		return err
-	}
 	s.batch = !u.sync
 	s.skipping = u.failed && !u.sync
-	if u.sync {
-		if s.tx == txIdle {
-			s.releaseUpstream()
-		}
+	if u.sync && s.tx == txIdle {
+		s.releaseUpstream()
 	}
-	return nil
+	return s.flush()
 }
 
 // lost gives up the upstream connection of an attempt. unsent means that the
 // upstream has seen nothing of it.
 func (s *Session) lost(u *unit, unsent bool) retrier.Outcome {
+	if !unsent && !time.Now().Before(u.request.Deadline.Add(-s.slack(u))) {
+		s.stopStatement()
+	}
 	s.discardUpstream()
 	switch {
 	case unsent:
@@ -245,6 +245,14 @@
 	}
 }
 
+// stopStatement asks the upstream to cancel a statement whose time is over. An
+// upstream doesn't look at its connection while a statement runs: without the
+// request, work that nobody waits for would keep one of its few slots.
+func (s *Session) stopStatement() {
+	address, key := s.up.Address(), s.up.Key
+	go func() { _ = dialer.Cancel(s.relay.ctx, address, key) }()
+}
+
 // releaseUpstream gives the connection back after a transaction.
 func (s *Session) releaseUpstream() {
 	up, to := s.up, s.to
--- a/server/cancel_test.go
+++ b/server/cancel_test.go
@@ -1,15 +1,19 @@
 package server
 
 import (
+	"bufio"
 	"context"
 	"encoding/binary"
+	"fmt"
 	"net"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/matryer/is"
 
 	"basildale.example/basildale/framer"
@@ -198,3 +202,49 @@
 	is.NoErr(c.QueryRow(t.Context(), "p").Scan(&got)) // evicted, made again
 	is.Equal(got, "")
 }
+
+// Symptom: an upstream has no free slot, and nobody waits for what it does.
+// Sequence: statements run past their deadlines. Cause: closing a connection
+// doesn't stop its statement; only a cancel request does.
+func TestOverdueStatementIsStopped(t *testing.T) {
+	is := is.New(t)
+	o := slow
+	o.Slots = 1
+	f := start(t, o, nil)
+	c := f.connect(t, "basildale.deadline=20ms")
+	_, err := c.Exec(t.Context(), book)
+	is.Equal(code(err), "08007")
+	for f.group.Upstreams[0].Counts().Cancels == 0 {
+		runtime.Gosched() // the request is on its way
+	}
+}
+
+// TestPipelinedSimpleQueries sends many queries before it reads any answer: the
+// proxy stops reading when its bounds are reached, and loses none.
+func TestPipelinedSimpleQueries(t *testing.T) {
+	is := is.New(t)
+	const many = 20_000
+	f := start(t, upstream.Options{Size: 1}, nil)
+	c, err := net.Dial("tcp", f.server.Bound().String())
+	is.NoErr(err)
+	defer c.Close()
+	sent := make(chan error, 1)
+	go func() {
+		w := bufio.NewWriter(c)
+		_, _ = w.WriteString(hello)
+		for i := range many {
+			_, _ = w.WriteString(message('Q', fmt.Sprintf("SELECT '%s%08d'\x00", strings.Repeat(".", 92), i)))
+		}
+		sent <- w.Flush()
+	}()
+	front := pgproto3.NewFrontend(c, nil)
+	for next := 0; next < many; {
+		m, err := front.Receive()
+		is.NoErr(err)
+		if row, ok := m.(*pgproto3.DataRow); ok {
+			is.Equal(string(row.Values[0][92:]), fmt.Sprintf("%08d", next))
+			next++
+		}
+	}
+	is.NoErr(<-sent)
+}
