--- a/server/cancel_test.go
+++ b/server/cancel_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -184,6 +185,29 @@
 	is.Equal(code(err), "BD102")
 }
 
+// Symptom: each caller's first use of a statement costs a parse. Cause: drivers
+// prepare for their own connection; here many share one, which has it already.
+func TestPreparedStatementsAreShared(t *testing.T) {
+	is := is.New(t)
+	const text = "SELECT 'shared'"
+	var parsed atomic.Int64
+	f := start(t, upstream.Options{Size: 1}, func(s *Server) { s.Groups[0].Connections = 1 })
+	f.group.Upstreams[0].Observe = func(_ uint32, sql string) {
+		if sql == text {
+			parsed.Add(1)
+		}
+	}
+	for range 5 {
+		c := f.connect(t, "")
+		for range 2 {
+			var got string
+			is.NoErr(c.QueryRow(t.Context(), text).Scan(&got))
+			is.Equal(got, "shared")
+		}
+	}
+	is.Equal(parsed.Load(), int64(1))
+}
+
 // Symptom: an upstream's memory grows with each distinct statement. Cause:
 // statements stay on connections for other sessions; there must be an end to it.
 func TestPreparedStatementsAreBounded(t *testing.T) {
