relayer: a lost Parse leaves no statement behind; outcomes under faults

**Cause** A Parse whose answer was lost stayed defined in the session: the driver prepared it again and was told 42P05 (84 to 137 of 1,600 bookings). Preparing a write was treated as a write, though it runs nothing. **Change** Statements of a unit without an answer are dropped; a batch that only prepares may run again.

--- a/relayer/batch.go
+++ b/relayer/batch.go
@@ -277,6 +277,8 @@
 	st := classifier.Statement{Kind: classifier.Multi, Count: s.count, Kinds: s.kinds}
 	const harmless = 1<<classifier.Read | 1<<classifier.Empty
 	switch {
+	case s.count == 0 && u.sync:
+		st.Kind = classifier.Read // nothing is run, only prepared
 	case s.kinds.Has(classifier.Write):
 		st.Kind = classifier.Write
 	case s.kinds&^harmless == 0:
@@ -291,6 +293,16 @@
 	return st
 }
 
+// forget drops the statements that a batch without an answer was to prepare: its
+// caller takes them for not prepared and will prepare them again.
+func (s *Session) forget(u *unit) {
+	for i := range u.items {
+		if u.items[i].kind == 'P' && u.items[i].fault == nil {
+			s.statements.drop(u.items[i].name)
+		}
+	}
+}
+
 // local reports whether the proxy answers all of a batch itself.
 func (u *unit) local() bool {
 	for i := range u.items {
--- a/relayer/follow.go
+++ b/relayer/follow.go
@@ -58,6 +58,7 @@
 
 // conclude tells the caller the outcome of a unit without an answer.
 func (s *Session) conclude(u *unit, o retrier.Outcome) error {
+	s.forget(u)
 	if s.up == nil && s.tx != txIdle {
 		s.bereave(u)
 	}
