relayer: a write that waits for its confirmation holds no connection

**Cause** A connection was kept until the confirmation, a replication lag of tens of milliseconds: writes were bounded by connections over lag, while the upstream had nothing to do. **Change** The connection goes back when the transaction is over. **Measured** The new test hung before and passes; go test -race -count=2 ./server ./relayer ./daemon: ok. **Conclusion** Waiting costs no connection.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -158,13 +158,16 @@
 	if u.told {
 		return u.refused
 	}
+	s.followSettings(u)
+	if u.sync && s.tx == txIdle {
+		s.releaseUpstream() // others can use it while this write waits
+	}
 	if !u.mark.IsZero() {
 		if o := s.confirm(u); o.Kind != retrier.Done {
 			u.final = true
 			return o
 		}
 	}
-	s.followSettings(u)
 	if u.sync {
 		s.writeReady()
 	}
--- a/server/outcome_test.go
+++ b/server/outcome_test.go
@@ -201,6 +201,34 @@
 	is.NoErr(c.Ping(t.Context()))
 }
 
+// Symptom: an upstream does nothing and yet no connection to it is free. Sequence:
+// many writes wait for their confirmation. Cause: a transaction that is over
+// needs its connection no more.
+func TestConfirmationHoldsNoConnection(t *testing.T) {
+	is := is.New(t)
+	waiting, confirm := make(chan struct{}), make(chan struct{})
+	f := start(t, upstream.Options{Size: 1}, func(s *Server) {
+		s.Groups[0].Connections = 1
+		s.Control.Confirm = func(context.Context, relayer.Target, tracker.Mark, *relayer.Request) retrier.Outcome {
+			close(waiting)
+			<-confirm
+			return retrier.Outcome{Kind: retrier.Done}
+		}
+	})
+	c, other := f.connect(t, ""), f.connect(t, "")
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(t.Context(), book)
+		done <- err
+	}()
+	<-waiting
+	_, err := other.Exec(t.Context(), "SELECT 1")
+	is.NoErr(err)
+	is.Equal(len(done), 0)
+	close(confirm)
+	is.NoErr(<-done)
+}
+
 // Symptom: reads fail although copies of the data are well. Sequence: a replica
 // breaks while it answers a read. Cause: a read may run again elsewhere.
 func TestReadRunsAgainElsewhere(t *testing.T) {
