relayer: nothing follows the end of a transaction in one unit

**Cause** A query such as COMMIT; INSERT runs two transactions under one request ID: settling the lost second would report the first as done.

--- a/relayer/batch.go
+++ b/relayer/batch.go
@@ -5,6 +5,7 @@
 
 	"basildale.example/basildale/classifier"
 	"basildale.example/basildale/framer"
+	"basildale.example/basildale/retrier"
 )
 
 // item is one message of an extended batch.
@@ -154,6 +155,8 @@
 		it.fault = orphanFault()
 	case refusal(&st) != nil:
 		it.fault = refusal(&st)
+	case chained(&st, sql) != nil:
+		it.fault = chained(&st, sql)
 	case len(it.name) > 0 && exists:
 		it.fault = &fault{code: codeDuplicate, message: "prepared statement " + string(quoted(it.name)) + " already exists"}
 	case len(s.statements.named) >= s.relay.Limits.Statements && len(it.name) > 0:
@@ -180,6 +183,14 @@
 		st.local = true
 	}
 	it.st = st
+	if s.follows(u) {
+		it.fault = &fault{
+			code:    retrier.StateForbidden,
+			message: "refused: statements after the end of a transaction in one batch",
+			hint:    chainedHint,
+		}
+		return
+	}
 	delete(s.portals, string(it.portal))
 	if st.local {
 		if s.portals == nil {
@@ -195,6 +206,22 @@
 	}
 }
 
+// follows reports whether the open batch has ended a transaction already; see
+// chained.
+func (s *Session) follows(u *unit) bool {
+	const ends = 1<<classifier.Commit | 1<<classifier.Rollback
+	if s.batch && s.ends {
+		return true
+	}
+	for i := range u.items {
+		it := &u.items[i]
+		if it.kind == 'B' && it.own == nil && ends&(1<<it.st.kind) != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Session) executeItem(it *item) {
 	st, ok := s.portals[string(it.portal)]
 	if !ok {
@@ -262,8 +289,9 @@
 // batchStatement returns what all statements of the open batch do together.
 func (s *Session) batchStatement(u *unit) classifier.Statement {
 	if !s.batch {
-		s.kinds, s.count = 0, 0
+		s.kinds, s.count, s.ends = 0, 0, false
 	}
+	s.ends = s.follows(u)
 	for i := range u.items {
 		it := &u.items[i]
 		if it.st == (statement{}) || it.own != nil || it.fault != nil {
--- a/relayer/session.go
+++ b/relayer/session.go
@@ -79,6 +79,7 @@
 	cutOff     bool                 // the upstream was lost inside a message that the caller has begun to get
 	kinds      classifier.Kinds     // of the open batch
 	count      int                  // statements bound in the open batch
+	ends       bool                 // the open batch has ended a transaction
 	portals    map[string]statement // portals of the proxy's own statements
 	pending    []string             // settings made in the open transaction
 	settings   settings
--- a/relayer/simple.go
+++ b/relayer/simple.go
@@ -28,8 +28,12 @@
 	if tag := localTag(&st); tag != "" {
 		return s.local(&st, tag)
 	}
-	if f := refusal(&st); f != nil {
-		return s.answerFault(f)
+	no := refusal(&st)
+	if no == nil {
+		no = chained(&st, text)
+	}
+	if no != nil {
+		return s.answerFault(no)
 	}
 	u := s.relay.newUnit()
 	defer s.relay.freeUnit(u)
@@ -196,6 +200,31 @@
 	}
 }
 
+const chainedHint = "Send what follows COMMIT or ROLLBACK as a query of its own."
+
+// chained refuses a text that goes on after the end of a transaction. Both would
+// run under one request ID: settling the second, when its answer is lost, would
+// tell what became of the first.
+func chained(st *classifier.Statement, text []byte) *fault {
+	if !st.Kinds.Has(classifier.Commit) && !st.Kinds.Has(classifier.Rollback) {
+		return nil
+	}
+	ended := false
+	for len(text) > 0 {
+		var one classifier.Statement
+		one, text = classifier.Next(text)
+		if one.Chain || ended && one.Kind != classifier.Empty {
+			return &fault{
+				code:    retrier.StateForbidden,
+				message: "refused: statements after the end of a transaction in one query",
+				hint:    chainedHint,
+			}
+		}
+		ended = ended || one.Kind == classifier.Commit || one.Kind == classifier.Rollback
+	}
+	return nil
+}
+
 // mourn answers statements of a transaction whose connection is lost.
 func (s *Session) mourn(kind classifier.Kind) error {
 	if kind != classifier.Commit && kind != classifier.Rollback {
--- a/server/session_test.go
+++ b/server/session_test.go
@@ -157,6 +157,31 @@
 	}
 }
 
+// Symptom: a lost booking is reported as done. Sequence: a query ends one
+// transaction and makes a booking in a second, whose answer is lost; the request
+// ID is settled. Cause: both would have run under one ID.
+func TestNothingFollowsTheEndOfATransaction(t *testing.T) {
+	is := is.New(t)
+	f := start(t, upstream.Options{Size: 1}, nil)
+	c := f.connect(t, "")
+	_, err := c.Exec(t.Context(), "BEGIN; INSERT INTO seats (id) VALUES (1); COMMIT")
+	is.NoErr(err)
+	for _, sql := range []string{
+		"BEGIN; INSERT INTO seats (id) VALUES (2); COMMIT; INSERT INTO seats (id) VALUES (3)",
+		"COMMIT AND CHAIN", "ROLLBACK AND CHAIN",
+	} {
+		_, err = c.Exec(t.Context(), sql)
+		is.Equal(code(err), "BD102")
+	}
+	b := &pgx.Batch{}
+	for _, sql := range []string{"BEGIN", "INSERT INTO seats (id) VALUES (4)", "COMMIT", "INSERT INTO seats (id) VALUES (5)"} {
+		b.Queue(sql)
+	}
+	is.Equal(code(c.SendBatch(t.Context(), b).Close()), "BD102")
+	is.Equal(f.group.Upstreams[0].Rows("seats"), [][]string{{"1", ""}, {"4", ""}})
+	is.NoErr(c.Ping(t.Context()))
+}
+
 func TestAnnotations(t *testing.T) {
 	is := is.New(t)
 	f := start(t, upstream.Options{Size: 1}, nil)
