--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -158,6 +158,7 @@
 func (r *Relay) Open(c Caller) *Session {
 	r.once.Do(r.prepare)
 	s := &Session{relay: r, caller: c}
+	s.body = s.run
 	s.timer = time.AfterFunc(r.Limits.Login, func() { s.overdue(c) })
 	if !r.sessions.add(s, r.Limits.Strangers) {
 		s.timer.Stop()
--- a/relayer/session.go
+++ b/relayer/session.go
@@ -42,6 +42,7 @@
 type Session struct {
 	relay   *Relay
 	caller  Caller
+	body    func() // run, made once: a go statement with a method makes a closure each time
 	worker  atomic.Uint32
 	timer   *time.Timer             // see overdue
 	until   time.Time               // when an open transaction has rested for too long
@@ -104,7 +105,7 @@
 		switch s.worker.Load() {
 		case workerIdle:
 			if s.worker.CompareAndSwap(workerIdle, workerRunning) {
-				go s.run()
+				go s.body()
 				return
 			}
 		case workerRunning:
