relayer: nothing is sent for a caller that has gone

**Cause** A statement that waited for a place was sent after its caller had given up and gone: a booking that nobody knew of. **Change** The session looks once more when the place is there. **Measured** The new test fails without the look (1 write) and passes with it; go test -race -count=2 ./relayer ./server ./daemon: ok. **Conclusion** Work that nobody waits for isn't begun.

--- a/relayer/unit.go
+++ b/relayer/unit.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"basildale.example/basildale/adapter/dialer"
 	"basildale.example/basildale/classifier"
 	"basildale.example/basildale/framer"
@@ -110,6 +112,9 @@
 	}
 }
 
+// errGone ends a session whose caller has gone.
+var errGone = errors.New("relayer: the caller has gone")
+
 // attempt sends a unit once and gathers its answer.
 func (s *Session) attempt(u *unit) (retrier.Outcome, error) {
 	u.placed = s.up != nil
@@ -118,6 +123,12 @@
 			u.message = refusal.Message
 			return refusal.Outcome, nil
 		}
+		if s.gone.Load() {
+			// The caller gave up while it waited for its place. Nobody would
+			// get the answer; a booking made now would surprise its caller.
+			s.releaseUpstream()
+			return retrier.Outcome{}, errGone
+		}
 	}
 	u.placed = true
 	u.began = s.tx != txIdle
