--- a/relayer/follow.go
+++ b/relayer/follow.go
@@ -58,6 +58,7 @@
 
 // conclude tells the caller the outcome of a unit without an answer.
 func (s *Session) conclude(u *unit, o retrier.Outcome) error {
+	s.forget(u)
 	if s.up == nil && s.tx != txIdle {
 		s.bereave(u)
 	}
@@ -70,15 +71,12 @@
 	if u.sync {
 		s.writeReady()
 	}
-	if err := s.flush(); err != nil {
-		return err
-	}
 	s.batch = !u.sync
 	s.skipping = !u.sync
 	if u.sync && s.tx == txIdle {
 		s.releaseUpstream()
 	}
-	return nil
+	return s.flush()
 }
 
 // known returns the tag of a command whose answer is known although it was
--- a/relayer/session.go
+++ b/relayer/session.go
@@ -42,6 +42,7 @@
 type Session struct {
 	relay   *Relay
 	caller  Caller
+	body    func() // run, made once: a go statement with a method makes a closure each time
 	worker  atomic.Uint32
 	timer   *time.Timer             // see overdue
 	until   time.Time               // when an open transaction has rested for too long
@@ -79,6 +80,7 @@
 	cutOff     bool                 // the upstream was lost inside a message that the caller has begun to get
 	kinds      classifier.Kinds     // of the open batch
 	count      int                  // statements bound in the open batch
+	ends       bool                 // the open batch has ended a transaction
 	portals    map[string]statement // portals of the proxy's own statements
 	pending    []string             // settings made in the open transaction
 	settings   settings
@@ -103,7 +105,7 @@
 		switch s.worker.Load() {
 		case workerIdle:
 			if s.worker.CompareAndSwap(workerIdle, workerRunning) {
-				go s.run()
+				go s.body()
 				return
 			}
 		case workerRunning:
--- a/server/cancel_test.go
+++ b/server/cancel_test.go
@@ -1,15 +1,20 @@
 package server
 
 import (
+	"bufio"
 	"context"
 	"encoding/binary"
+	"fmt"
 	"net"
+	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/matryer/is"
 
 	"basildale.example/basildale/framer"
@@ -180,6 +185,29 @@
 	is.Equal(code(err), "BD102")
 }
 
+// Symptom: each caller's first use of a statement costs a parse. Cause: drivers
+// prepare for their own connection; here many share one, which has it already.
+func TestPreparedStatementsAreShared(t *testing.T) {
+	is := is.New(t)
+	const text = "SELECT 'shared'"
+	var parsed atomic.Int64
+	f := start(t, upstream.Options{Size: 1}, func(s *Server) { s.Groups[0].Connections = 1 })
+	f.group.Upstreams[0].Observe = func(_ uint32, sql string) {
+		if sql == text {
+			parsed.Add(1)
+		}
+	}
+	for range 5 {
+		c := f.connect(t, "")
+		for range 2 {
+			var got string
+			is.NoErr(c.QueryRow(t.Context(), text).Scan(&got))
+			is.Equal(got, "shared")
+		}
+	}
+	is.Equal(parsed.Load(), int64(1))
+}
+
 // Symptom: an upstream's memory grows with each distinct statement. Cause:
 // statements stay on connections for other sessions; there must be an end to it.
 func TestPreparedStatementsAreBounded(t *testing.T) {
@@ -198,3 +226,49 @@
 	is.NoErr(c.QueryRow(t.Context(), "p").Scan(&got)) // evicted, made again
 	is.Equal(got, "")
 }
+
+// Symptom: an upstream has no free slot, and nobody waits for what it does.
+// Sequence: statements run past their deadlines. Cause: closing a connection
+// doesn't stop its statement; only a cancel request does.
+func TestOverdueStatementIsStopped(t *testing.T) {
+	is := is.New(t)
+	o := slow
+	o.Slots = 1
+	f := start(t, o, nil)
+	c := f.connect(t, "basildale.deadline=20ms")
+	_, err := c.Exec(t.Context(), book)
+	is.Equal(code(err), "08007")
+	for f.group.Upstreams[0].Counts().Cancels == 0 {
+		runtime.Gosched() // the request is on its way
+	}
+}
+
+// TestPipelinedSimpleQueries sends many queries before it reads any answer: the
+// proxy stops reading when its bounds are reached, and loses none.
+func TestPipelinedSimpleQueries(t *testing.T) {
+	is := is.New(t)
+	const many = 20_000
+	f := start(t, upstream.Options{Size: 1}, nil)
+	c, err := net.Dial("tcp", f.server.Bound().String())
+	is.NoErr(err)
+	defer c.Close()
+	sent := make(chan error, 1)
+	go func() {
+		w := bufio.NewWriter(c)
+		_, _ = w.WriteString(hello)
+		for i := range many {
+			_, _ = w.WriteString(message('Q', fmt.Sprintf("SELECT '%s%08d'\x00", strings.Repeat(".", 92), i)))
+		}
+		sent <- w.Flush()
+	}()
+	front := pgproto3.NewFrontend(c, nil)
+	for next := 0; next < many; {
+		m, err := front.Receive()
+		is.NoErr(err)
+		if row, ok := m.(*pgproto3.DataRow); ok {
+			is.Equal(string(row.Values[0][92:]), fmt.Sprintf("%08d", next))
+			next++
+		}
+	}
+	is.NoErr(<-sent)
+}
