controller: move the primary away when it is listed as leaving

Cause: the list of leaving upstreams reached the router only, which keeps reads away from them. Writes went to a leaving primary until it was switched off, and the group then had a failover. Ruled out: the platform's list not being read (a leaving replica is barred at the next reading), the promoter (its planned change works, and nothing asked for one). Change: at each reading of the list the first live holder of a group whose primary is leaving asks its promoter for a planned change to the replica with the longest log that isn't leaving itself; again at the next reading when a change has not ended in a second. The new unit test fails with the call taken out ("0001-01-01 != 16:00:02: writes wait for it") and passes with it. Conclusion: an upstream that is leaving gets no new writes either.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -270,7 +270,9 @@
 	}
 	c.leaving = leaving
 	for _, name := range c.names {
-		c.groups[name].bar(leaving)
+		g := c.groups[name]
+		g.bar(leaving)
+		c.evacuate(g)
 	}
 }
 
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -107,6 +107,35 @@
 	is.Equal(published(cmds).Leaving, []bool{false, false, false})
 }
 
+// Symptom: writes go on to an upstream that is about to be switched off.
+// Sequence: the platform's list marks the primary as leaving. Cause: the router
+// keeps only reads away from it, and nobody asked for a planned change.
+func TestLeavingPrimaryIsMovedAway(t *testing.T) {
+	is := is.New(t)
+	c, _ := standalone(t)
+	now := start.Add(time.Millisecond)
+	replica := leading(1, 10)
+	replica.Role = tracker.Replica
+	c.Handle(Stated{Group: "billet-db-1", Upstream: one, State: leading(1, 10), Sent: start, Received: now}, now)
+	c.Handle(Stated{Group: "billet-db-1", Upstream: two, State: replica, Following: one, Sent: start, Received: now}, now)
+	led := func(c *Controller) {
+		record := promoter.Record{Epoch: 1, Leader: MemberID(c.Self.Addr, c.Self.Start), Primary: one, Term: tracker.Term{Epoch: 1, Seq: 1}}
+		c.Handle(Promotion{Group: "billet-db-1", Event: promoter.Recorded{Record: record, Version: 1}}, now)
+	}
+	led(c)
+	now = start.Add(time.Second)
+	cmds := c.Handle(Listed{Leaving: []netip.AddrPort{one, three}}, now)
+	is.Equal(published(cmds).Hold, now.Add(moveWithin)) // writes wait for it
+	is.Equal(c.groups["billet-db-1"].successor(), 1)
+	cmds = c.Handle(Listed{Leaving: []netip.AddrPort{one, three}}, now.Add(moveWithin/2))
+	is.Equal(published(cmds), nil) // it is under way
+	c, _ = standalone(t)
+	c.Handle(Stated{Group: "billet-db-1", Upstream: one, State: leading(1, 10), Sent: start, Received: now}, now)
+	led(c)
+	cmds = c.Handle(Listed{Leaving: []netip.AddrPort{one, two, three}}, now)
+	is.Equal(published(cmds).Hold, time.Time{}) // there is nowhere to go
+}
+
 func TestEventsOfUnknownGroupsAndUpstreamsChangeNothing(t *testing.T) {
 	is := is.New(t)
 	c, _ := standalone(t)
--- a/controller/group.go
+++ b/controller/group.go
@@ -18,7 +18,8 @@
 	live     []promoter.Member
 	leaving  []bool
 	hold     time.Time
-	dirty    bool // something that traffic reads has changed
+	moving   time.Time // until when a planned change that was asked for may take
+	dirty    bool      // something that traffic reads has changed
 }
 
 func (c *Controller) newGroup(conf Group) *group {
@@ -54,6 +55,44 @@
 	}
 }
 
+// moveWithin bounds a planned change away from a primary that is leaving. Writes
+// are held meanwhile.
+const moveWithin = time.Second
+
+// evacuate asks for a planned change if the group's primary is leaving. Reads
+// are kept away from an upstream by the router, writes only by this: without it
+// they would go there until it is switched off, and the group would be without a
+// primary then.
+func (c *Controller) evacuate(g *group) {
+	primary, _ := g.promoter.Primary()
+	i := g.index(primary)
+	if i < 0 || !g.leaving[i] || !g.promoter.Leads() || c.now.Before(g.moving) {
+		return
+	}
+	target := g.successor()
+	if target < 0 {
+		return // all are leaving
+	}
+	g.moving = c.now.Add(moveWithin)
+	c.promotion(g, promoter.Move{Target: g.conf.Upstreams[target].Address, Deadline: g.moving})
+}
+
+// successor returns the replica with the longest log that isn't leaving, -1 if
+// there is none.
+func (g *group) successor() int {
+	best := -1
+	seen := g.tracker.Snapshot().Upstreams
+	for i, u := range seen {
+		if g.leaving[i] || u.Role != tracker.Replica {
+			continue
+		}
+		if best < 0 || seen[best].Mark.Less(u.Mark) {
+			best = i
+		}
+	}
+	return best
+}
+
 func (g *group) index(a netip.AddrPort) int {
 	return slices.IndexFunc(g.conf.Upstreams, func(u Upstream) bool { return u.Address == a })
 }
