relayer: a write refused by a former primary is no answer

Cause: an upstream's "read only" (25006) at what the proxy took for the primary went to the caller as its own read-only transaction's error. It is also what a former primary answers that has become a replica, in a proxy that has not heard of the change yet; the caller got a code that docs/CALLERS.md doesn't name, and nothing was tried again. Ruled out: the term guard (the replica refuses as read only before it looks at the term), the retrier (it sorts 25006 as not run, but was not asked). Change: 25006 from the primary is the statement's own answer only inside a transaction, with BEGIN in the unit, or where the session has set default_transaction_read_only; otherwise it is "not run" and decided as such. TestReplacedPrimaryThatIsAReplicaIsNoAnswer fails without the change ("cannot execute a write in a read-only transaction") and passes with it. Conclusion: a booking outside a transaction runs on the new primary. Inside one the code still stands; its meaning, that nothing has run, is the same.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -114,7 +114,7 @@
 	s.dropOps(u)
 	code := errorField(f.Body(), 'C')
 	o, known := retrier.FromSQLState(code)
-	if code == "25006" && s.to.Primary {
+	if code == "25006" && s.to.Primary && s.mayBeReadOnly(u) {
 		known = false // the caller's own read-only transaction
 	}
 	if known && o.Kind == retrier.Unknown {
@@ -128,6 +128,14 @@
 	return !u.sync, s.gather(f)
 }
 
+// mayBeReadOnly reports whether the caller itself may have asked that its
+// transaction changes nothing. Otherwise a write that is refused for that has met
+// a primary that has become a replica.
+func (s *Session) mayBeReadOnly(u *unit) bool {
+	_, byDefault := s.settings.find("default_transaction_read_only")
+	return u.began || u.request.Statement.Kinds.Has(classifier.Begin) || byDefault
+}
+
 // mayHaveCommitted reports whether an earlier statement of a failed unit can
 // have ended a transaction for good.
 func (s *Session) mayHaveCommitted(u *unit) bool {
--- a/server/outcome_test.go
+++ b/server/outcome_test.go
@@ -260,6 +260,30 @@
 	is.Equal(len(f.group.Upstreams[0].Rows("seats")), 2)
 }
 
+// Symptom: a booking fails by "read only" after a change of the primary.
+// Sequence: a proxy that has not heard of the change sends it to the old primary,
+// which is a replica now. Cause: the refusal was taken for that of a transaction
+// that the caller had made read only.
+func TestReplacedPrimaryThatIsAReplicaIsNoAnswer(t *testing.T) {
+	is := is.New(t)
+	f := start(t, upstream.Options{Size: 2}, func(s *Server) {
+		s.Control.Route = func(_ context.Context, r *relayer.Request) (relayer.Target, *relayer.Refusal) {
+			list := s.Groups[0].Upstreams
+			return relayer.Target{Group: "billet", Address: list[(r.Attempt+1)%2], Primary: true}, nil
+		}
+	})
+	c := f.connect(t, "")
+	for id, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec} {
+		_, err := c.Exec(t.Context(), "INSERT INTO seats (id) VALUES ($1)", mode, id)
+		is.NoErr(err)
+	}
+	is.Equal(len(f.group.Upstreams[0].Rows("seats")), 2)
+	_, err := c.Exec(t.Context(), "BEGIN")
+	is.NoErr(err)
+	_, err = c.Exec(t.Context(), book)
+	is.Equal(code(err), "25006") // inside a transaction the caller may have asked for it
+}
+
 // Symptom: an upstream has no free connection although it has nothing to do.
 // Sequence: a caller opens a transaction and forgets it. Cause: a transaction
 // keeps its connection, so it may not rest for ever.
