--- a/server/outcome_test.go
+++ b/server/outcome_test.go
@@ -201,6 +201,34 @@
 	is.NoErr(c.Ping(t.Context()))
 }
 
+// Symptom: an upstream does nothing and yet no connection to it is free. Sequence:
+// many writes wait for their confirmation. Cause: a transaction that is over
+// needs its connection no more.
+func TestConfirmationHoldsNoConnection(t *testing.T) {
+	is := is.New(t)
+	waiting, confirm := make(chan struct{}), make(chan struct{})
+	f := start(t, upstream.Options{Size: 1}, func(s *Server) {
+		s.Groups[0].Connections = 1
+		s.Control.Confirm = func(context.Context, relayer.Target, tracker.Mark, *relayer.Request) retrier.Outcome {
+			close(waiting)
+			<-confirm
+			return retrier.Outcome{Kind: retrier.Done}
+		}
+	})
+	c, other := f.connect(t, ""), f.connect(t, "")
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(t.Context(), book)
+		done <- err
+	}()
+	<-waiting
+	_, err := other.Exec(t.Context(), "SELECT 1")
+	is.NoErr(err)
+	is.Equal(len(done), 0)
+	close(confirm)
+	is.NoErr(<-done)
+}
+
 // Symptom: reads fail although copies of the data are well. Sequence: a replica
 // breaks while it answers a read. Cause: a read may run again elsewhere.
 func TestReadRunsAgainElsewhere(t *testing.T) {
@@ -232,6 +260,30 @@
 	is.Equal(len(f.group.Upstreams[0].Rows("seats")), 2)
 }
 
+// Symptom: a booking fails by "read only" after a change of the primary.
+// Sequence: a proxy that has not heard of the change sends it to the old primary,
+// which is a replica now. Cause: the refusal was taken for that of a transaction
+// that the caller had made read only.
+func TestReplacedPrimaryThatIsAReplicaIsNoAnswer(t *testing.T) {
+	is := is.New(t)
+	f := start(t, upstream.Options{Size: 2}, func(s *Server) {
+		s.Control.Route = func(_ context.Context, r *relayer.Request) (relayer.Target, *relayer.Refusal) {
+			list := s.Groups[0].Upstreams
+			return relayer.Target{Group: "billet", Address: list[(r.Attempt+1)%2], Primary: true}, nil
+		}
+	})
+	c := f.connect(t, "")
+	for id, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec} {
+		_, err := c.Exec(t.Context(), "INSERT INTO seats (id) VALUES ($1)", mode, id)
+		is.NoErr(err)
+	}
+	is.Equal(len(f.group.Upstreams[0].Rows("seats")), 2)
+	_, err := c.Exec(t.Context(), "BEGIN")
+	is.NoErr(err)
+	_, err = c.Exec(t.Context(), book)
+	is.Equal(code(err), "25006") // inside a transaction the caller may have asked for it
+}
+
 // Symptom: an upstream has no free connection although it has nothing to do.
 // Sequence: a caller opens a transaction and forgets it. Cause: a transaction
 // keeps its connection, so it may not rest for ever.
