demonstrator: a primary replaced, a replaced one back, a preset changed; serve; verifier

Cause: the whole process has landed; the demonstration showed only the thin path, and nothing started a process by its settings. Change: the demonstration runs nine daemons for each deployment with a stand-in platform: it cuts a primary off, brings it back, stops a proxy and changes the preset, and measures what each takes. serve runs one process by a settings file; verifier makes what a caller is declared with.

--- a/cmd/basildale/cli.go
+++ b/cmd/basildale/cli.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
@@ -27,17 +28,19 @@
 
 // cli is the command line.
 type cli struct {
-	Check   checkCmd   `cmd:"" help:"Check a settings file and name every wrong setting with its line."`
-	Status  statusCmd  `cmd:"" help:"Show what a running process sees: groups, upstreams, peers, preset."`
-	Explain explainCmd `cmd:"" help:"Show decisions of a running process with their reasons."`
-	Drain   drainCmd   `cmd:"" help:"Stop a running process gracefully."`
-	Apply   applyCmd   `cmd:"" help:"Make the fleet's objects what documents say."`
-	Diff    diffCmd    `cmd:"" help:"Show what apply would change."`
-	Get     getCmd     `cmd:"" help:"Print the fleet's objects."`
-	Preset  presetCmd  `cmd:"" help:"Show or change the preset in force."`
-	Load    loadCmd    `cmd:"" help:"Put load on PostgreSQL addresses and count what breaks."`
-	Demo    demoCmd    `cmd:"" help:"Show the whole system at work in one process."`
-	Version versionCmd `cmd:"" help:"Print the version."`
+	Serve    serveCmd    `cmd:"" help:"Run one proxy process by a settings file."`
+	Check    checkCmd    `cmd:"" help:"Check a settings file and name every wrong setting with its line."`
+	Status   statusCmd   `cmd:"" help:"Show what a running process sees: groups, upstreams, peers, preset."`
+	Explain  explainCmd  `cmd:"" help:"Show decisions of a running process with their reasons."`
+	Drain    drainCmd    `cmd:"" help:"Stop a running process gracefully."`
+	Apply    applyCmd    `cmd:"" help:"Make the fleet's objects what documents say."`
+	Diff     diffCmd     `cmd:"" help:"Show what apply would change."`
+	Get      getCmd      `cmd:"" help:"Print the fleet's objects."`
+	Preset   presetCmd   `cmd:"" help:"Show or change the preset in force."`
+	Load     loadCmd     `cmd:"" help:"Put load on PostgreSQL addresses and count what breaks."`
+	Demo     demoCmd     `cmd:"" help:"Show the whole system at work in one process."`
+	Verifier verifierCmd `cmd:"" help:"Make the verifier of a caller's password."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
 // failure is an error that says which exit code it means.
@@ -72,8 +75,12 @@
 
 // run runs one command line and returns the exit code.
 func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	return runIn(&env{ctx: ctx, in: os.Stdin, out: stdout, err: stderr}, args)
+}
+
+func runIn(e *env, args []string) int {
 	exited := -1
-	k, err := parser(stdout, stderr, func(code int) { exited = code })
+	k, err := parser(e.out, e.err, func(code int) { exited = code })
 	if err != nil {
 		panic(err) // the declarations above are wrong
 	}
@@ -82,10 +89,10 @@
 		return exited
 	}
 	if err != nil {
-		fmt.Fprintf(stderr, "basildale: %s\nTry basildale --help.\n", err)
+		fmt.Fprintf(e.err, "basildale: %s\nTry basildale --help.\n", err)
 		return exitUsage
 	}
-	return report(stderr, parsed.Run(&env{ctx: ctx, out: stdout, err: stderr}))
+	return report(e.err, parsed.Run(e))
 }
 
 // report prints err, if any, and returns the exit code it means.
--- a/cmd/basildale/cli_test.go
+++ b/cmd/basildale/cli_test.go
@@ -15,13 +15,15 @@
 	"basildale.example/basildale/checker"
 	"basildale.example/basildale/demonstrator"
 	"basildale.example/basildale/examples"
+	"basildale.example/basildale/relayer"
 )
 
 // command runs one command line and returns its exit code and output.
 func command(t *testing.T, args ...string) (code int, stdout, stderr string) {
 	t.Helper()
 	var out, err bytes.Buffer
-	code = run(context.Background(), args, &out, &err)
+	e := &env{ctx: context.Background(), in: strings.NewReader("example\n"), out: &out, err: &err}
+	code = runIn(e, args)
 	return code, out.String(), err.String()
 }
 
@@ -37,6 +39,16 @@
 	is.Equal(report(io.Discard, verdict(nil, errors.New("no port"))), exitFailed)
 }
 
+func TestVerifierNeverRepeatsThePassword(t *testing.T) {
+	is := is.New(t)
+	code, stdout, stderr := command(t, "verifier")
+	is.Equal(code, exitDone)
+	_, err := relayer.ParseVerifier(strings.TrimSpace(stdout))
+	is.NoErr(err)
+	is.True(!strings.Contains(stdout+stderr, "example"))
+	is.Equal(runIn(&env{in: strings.NewReader("\n"), out: io.Discard, err: io.Discard}, []string{"verifier"}), exitUsage)
+}
+
 func TestExitCodes(t *testing.T) {
 	dir := t.TempDir()
 	good := filepath.Join(dir, "good.yaml")
@@ -67,6 +79,8 @@
 		{"right settings as JSON", []string{"check", "-o", "json", good}, exitDone, "[]", ""},
 		{"wrong settings", []string{"check", bad}, exitUsage, "bad.yaml:32: colour is not a setting, allowed are", "1 wrong settings"},
 		{"wrong settings as JSON", []string{"check", "-o", "json", bad}, exitUsage, `"line": 32`, "1 wrong settings"},
+		{"serve with wrong settings", []string{"serve", bad}, exitUsage, "", "colour is not a setting, allowed are"},
+		{"serve without a file", []string{"serve", filepath.Join(dir, "none")}, exitUsage, "", "no such file"},
 		{"no file", []string{"check", filepath.Join(dir, "none")}, exitUsage, "", "no such file"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/cmd/basildale/main.go
+++ b/cmd/basildale/main.go
@@ -31,6 +31,7 @@
 // env is what a command may use of the process it runs in.
 type env struct {
 	ctx context.Context
+	in  io.Reader
 	out io.Writer
 	err io.Writer
 }
--- /dev/null
+++ b/cmd/basildale/serve.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/daemon"
+	"basildale.example/basildale/loader"
+)
+
+type serveCmd struct {
+	File string `arg:"" help:"The settings file." type:"path"`
+}
+
+// Help is the long help of the command.
+func (serveCmd) Help() string {
+	return `Runs one proxy process until it is interrupted, gets SIGTERM or is drained, and
+then stops gracefully: it takes no new callers, ends idle sessions between
+requests, finishes what is under way for as long as the setting stop allows, and
+exits. Logs go to standard error: lines on a terminal, JSON elsewhere. Exits with
+2 when a setting is wrong.`
+}
+
+// Run runs the process.
+func (c *serveCmd) Run(e *env) error {
+	settings, problems, err := loader.Load(c.File)
+	if err != nil {
+		return fail(exitUsage, err)
+	}
+	for _, p := range problems {
+		fmt.Fprintln(e.err, p)
+	}
+	if len(problems) > 0 {
+		return fail(exitUsage, errors.Newf("%d wrong settings", len(problems)))
+	}
+	log := newLogger(e.err, settings.Log)
+	defer func() { _ = log.Sync() }() // a terminal can't be synced
+	log.Info("serve: starting", zap.String("name", settings.Name), zap.String("zone", settings.Zone))
+	d := &daemon.Daemon{Settings: settings, Log: log}
+	if err := d.Run(e.ctx); err != nil {
+		return err
+	}
+	log.Info("serve: stopped")
+	return nil
+}
--- a/demonstrator/callers.go
+++ b/demonstrator/callers.go
@@ -10,6 +10,7 @@
 
 	"basildale.example/basildale/checker"
 	"basildale.example/basildale/generator"
+	"basildale.example/basildale/internal/faker/upstream"
 )
 
 // The load on each group: small beside what the groups can carry, since the
@@ -31,6 +32,7 @@
 	ledger   checker.Ledger
 	gap      gap
 	progress progress
+	replaced *upstream.Upstream // the primary that was cut off
 }
 
 func newCallers(s *stage, requests int, seed uint64) *callers {
@@ -92,6 +94,13 @@
 	}
 }
 
+// begin says that the fault begins now.
+func (g *gap) begin(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.before, g.fault = g.last, now
+}
+
 // measured returns the gap, and false while it isn't over or never began.
 func (g *gap) measured() (time.Duration, bool) {
 	g.mu.Lock()
@@ -124,7 +133,7 @@
 func (c *callers) generator(i int) generator.Generator {
 	g := generator.Generator{
 		Addrs:        c.stage.addresses(),
-		User:         "family",
+		User:         callerName,
 		Database:     c.stage.Groups[i].Name,
 		Group:        c.stage.Groups[i].Name,
 		Rate:         rate,
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/internal/faker/upstream"
@@ -20,6 +22,8 @@
 	// Hold keeps everything up, with an address and a connection string for
 	// each deployment, until the context ends.
 	Hold bool
+	// Deployments are shown side by side; nil means both of Deployments.
+	Deployments []Deployment
 	// Requests is how many requests come to each group; zero means
 	// DefaultRequests.
 	Requests int
@@ -37,22 +41,23 @@
 		log = zap.NewNop()
 	}
 	say := &narrator{out: d.Out, start: time.Now(), now: time.Now}
-	deployments, err := Deployments()
-	if err != nil {
-		return nil, err
+	deployments := d.Deployments
+	if deployments == nil {
+		var err error
+		if deployments, err = Deployments(); err != nil {
+			return nil, err
+		}
 	}
-	var stages []*stage
+	stages, err := open(ctx, deployments, log)
 	defer func() {
 		for _, s := range stages {
 			s.close()
 		}
 	}()
-	for _, deployment := range deployments {
-		s, err := openStage(ctx, deployment, log)
-		stages = append(stages, s)
-		if err != nil {
-			return nil, err
-		}
+	if err != nil {
+		return nil, err
+	}
+	for _, s := range stages {
 		say.say(s.Name, "%d proxies in %d availability zones before %d groups of %d upstreams",
 			len(s.proxies), len(s.Zones), len(s.groups), len(s.groups[0].Upstreams))
 	}
@@ -63,12 +68,25 @@
 	return d.play(ctx, say, stages)
 }
 
+// open starts all deployments side by side. The caller closes what it returns,
+// also beside an error.
+func open(ctx context.Context, deployments []Deployment, log *zap.Logger) ([]*stage, error) {
+	stages := make([]*stage, len(deployments))
+	failed := make([]error, len(deployments))
+	var starting sync.WaitGroup
+	for i, deployment := range deployments {
+		starting.Go(func() { stages[i], failed[i] = openStage(ctx, deployment, log) })
+	}
+	starting.Wait()
+	return stages, errors.Join(failed...)
+}
+
 // hold prints how to connect and waits until ctx ends.
 func (d *Demo) hold(ctx context.Context, stages []*stage) {
 	for _, s := range stages {
 		fmt.Fprintf(d.Out, "\n%s\n", s.Name)
 		for _, p := range s.proxies {
-			fmt.Fprintf(d.Out, "  %-18s %s\n", p.name, p.server.Bound())
+			fmt.Fprintf(d.Out, "  %-18s %s\n", p.name, p.daemon.Callers())
 		}
 		fmt.Fprintf(d.Out, "  psql '%s'\n", s.url(0, s.Groups[0].Name))
 	}
--- a/demonstrator/demonstrator_test.go
+++ b/demonstrator/demonstrator_test.go
@@ -15,6 +15,16 @@
 // requests is how many come to each group in a test.
 const requests = 60
 
+// one returns the smaller deployment alone.
+func one(t *testing.T) []Deployment {
+	t.Helper()
+	list, err := Deployments()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return list[:1]
+}
+
 func TestShortDemonstrationKeepsEveryPromise(t *testing.T) {
 	is := is.New(t)
 	var out bytes.Buffer
@@ -42,7 +52,7 @@
 func TestBrokenPromiseIsCounted(t *testing.T) {
 	is := is.New(t)
 	var out bytes.Buffer
-	d := &Demo{Out: &out, Requests: requests, BeforeCheck: func(groups []*upstream.Group) {
+	d := &Demo{Out: &out, Deployments: one(t), Requests: requests, BeforeCheck: func(groups []*upstream.Group) {
 		conn, err := pgconn.Connect(context.Background(), "postgres://x@"+groups[0].Primary().Addr().String()+"/x?sslmode=disable")
 		is.NoErr(err)
 		defer func() { _ = conn.Close(context.Background()) }()
@@ -52,7 +62,7 @@
 	}}
 	report, err := d.Run(context.Background())
 	is.NoErr(err)
-	is.Equal(report.Counts.Lost, 2) // one in each deployment
+	is.Equal(report.Counts.Lost, 1)
 	is.True(strings.HasSuffix(out.String(), "\n"+report.Counts.String()+"\n"))
 }
 
@@ -75,7 +85,7 @@
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	out := &signalWriter{want: "Interrupt to end.", found: cancel}
-	_, err := (&Demo{Out: out, Hold: true}).Run(ctx)
+	_, err := (&Demo{Out: out, Deployments: one(t), Hold: true}).Run(ctx)
 	is.NoErr(err)
 	is.True(strings.Contains(out.String(), "psql 'postgres://family@127.0.0.1:"))
 }
--- a/demonstrator/play.go
+++ b/demonstrator/play.go
@@ -18,13 +18,6 @@
 // instance because nothing is answered any more.
 const limit = 40 * time.Second
 
-// act is one thing that happens, when a share of all requests has ended.
-type act struct {
-	at    float64
-	title string // what is listed as not shown when do is nil
-	do    func(ctx context.Context, c *callers) error
-}
-
 // play lets callers come and things happen, in all deployments at once, and
 // checks what is left.
 func (d *Demo) play(ctx context.Context, say *narrator, stages []*stage) (*Report, error) {
@@ -36,12 +29,12 @@
 	}
 	outcomes := make([]Outcome, len(stages))
 	failed := make([]error, len(stages))
-	acts := d.acts(say)
+	script := acts(say)
 	var running sync.WaitGroup
 	for i, s := range stages {
 		running.Go(func() {
 			c := newCallers(s, requests, d.Seed+uint64(i)*uint64(len(s.groups)))
-			outcomes[i], failed[i] = d.perform(ctx, say, c, acts)
+			outcomes[i], failed[i] = d.perform(ctx, say, c, script)
 		})
 	}
 	running.Wait()
@@ -49,7 +42,7 @@
 		return nil, err
 	}
 	report := &Report{Outcomes: outcomes}
-	for _, a := range acts {
+	for _, a := range script {
 		if a.do == nil {
 			report.Missing = append(report.Missing, a.title)
 		}
@@ -59,7 +52,7 @@
 }
 
 // perform shows one deployment.
-func (d *Demo) perform(ctx context.Context, say *narrator, c *callers, acts []act) (Outcome, error) {
+func (d *Demo) perform(ctx context.Context, say *narrator, c *callers, script []act) (Outcome, error) {
 	say.say(c.stage.Name, "%d callers book and look up, and move to another proxy every %d requests", sessions*len(c.stage.groups), moveEvery)
 	var classes map[generator.Class]generator.ClassReport
 	loaded := make(chan error, 1)
@@ -68,7 +61,7 @@
 		classes, err = c.run(ctx)
 		loaded <- err
 	}()
-	err := follow(ctx, c, acts)
+	err := follow(ctx, c, script)
 	if err := errors.Join(err, <-loaded); err != nil {
 		return Outcome{}, err
 	}
@@ -88,8 +81,8 @@
 }
 
 // follow carries out the acts, each when its share of the requests has ended.
-func follow(ctx context.Context, c *callers, acts []act) error {
-	for _, a := range acts {
+func follow(ctx context.Context, c *callers, script []act) error {
+	for _, a := range script {
 		if a.do == nil {
 			continue
 		}
@@ -102,27 +95,3 @@
 	}
 	return nil
 }
-
-// acts returns what happens, in order. One without a function isn't shown yet.
-func (d *Demo) acts(say *narrator) []act {
-	const (
-		cutAt  = 0.25
-		stopAt = 0.6
-	)
-	return []act{
-		{cutAt, "reads by replicas, and a primary that is cut off and replaced", nil},
-		{stopAt, "a proxy that stops gracefully", stopProxy(say)},
-		{stopAt, "a preset that changes", nil},
-	}
-}
-
-// stopProxy returns the act in which one proxy stops gracefully.
-func stopProxy(say *narrator) func(context.Context, *callers) error {
-	return func(_ context.Context, c *callers) error {
-		p := c.stage.proxies[len(c.stage.proxies)/2]
-		say.say(c.stage.Name, "proxy %s begins a graceful stop", p.name)
-		p.stop()
-		say.say(c.stage.Name, "proxy %s is gone", p.name)
-		return nil
-	}
-}
--- a/demonstrator/stage.go
+++ b/demonstrator/stage.go
@@ -4,18 +4,32 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"basildale.example/basildale/adapter/keeper"
+	"basildale.example/basildale/daemon"
+	"basildale.example/basildale/internal/faker/platform"
 	"basildale.example/basildale/internal/faker/upstream"
-	"basildale.example/basildale/server"
+	"basildale.example/basildale/loader"
 )
 
 // tables is what every group's upstreams hold at the start.
 const tables = "CREATE TABLE bookings (id text PRIMARY KEY, seat text NOT NULL, session text)"
 
+// service is how long a stand-in upstream works on one statement.
+const service = 2 * time.Millisecond
+
+// instanceLag is how far the platform's list of instances is behind.
+const instanceLag = 2 * time.Second
+
+// startWithin bounds the start of a deployment.
+const startWithin = 10 * time.Second
+
 // loopback is where everything in a demonstration listens; the system picks the
 // ports.
 func loopback() netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0) }
@@ -23,133 +37,191 @@
 // stage is one deployment, running.
 type stage struct {
 	Deployment
-	groups  []*upstream.Group
-	proxies []*proxy
-	reads   reads
+	platform *platform.Platform
+	keeper   *keeper.Client
+	groups   []*upstream.Group
+	proxies  []*proxy
+	reads    reads
+	dir      string // holds the key that the proxies share
 }
 
 // proxy is one process of the fleet.
 type proxy struct {
 	name   string
 	zone   string
-	server *server.Server
+	daemon *daemon.Daemon
 	cancel context.CancelFunc
-	ended  chan struct{}
+	ended  chan error
 }
 
 // openStage starts a deployment. The caller closes what it returns, also beside
 // an error.
 func openStage(ctx context.Context, d Deployment, log *zap.Logger) (*stage, error) {
-	s := &stage{Deployment: d}
-	for _, g := range d.Groups {
+	ctx, cancel := context.WithTimeout(ctx, startWithin)
+	defer cancel()
+	s := &stage{Deployment: d, platform: &platform.Platform{Lag: instanceLag}}
+	if err := s.platform.Start(); err != nil {
+		return s, errors.Wrap(err, "demonstrator: platform")
+	}
+	s.keeper = &keeper.Client{Addrs: []netip.AddrPort{s.platform.Addr()}}
+	if err := s.openGroups(); err != nil {
+		return s, err
+	}
+	if err := s.configure(ctx); err != nil {
+		return s, err
+	}
+	return s, s.openProxies(ctx, log)
+}
+
+func (s *stage) openGroups() error {
+	for _, g := range s.Groups {
 		first := g.Upstreams[0]
 		group, err := upstream.NewGroup(upstream.Options{
 			Size:        len(g.Upstreams),
-			Lag:         d.Lag,
+			Lag:         s.Lag,
 			Connect:     first.Connect,
 			Service:     service,
-			Network:     d.Between,
+			Network:     s.Between,
 			Connections: first.Connections,
 			Slots:       first.Slots,
 			Setup:       tables,
 		})
 		if err != nil {
-			return s, errors.Wrapf(err, "demonstrator: group %s", g.Name)
+			return errors.Wrapf(err, "demonstrator: group %s", g.Name)
 		}
 		s.groups = append(s.groups, group)
 		for _, u := range group.Upstreams {
 			s.reads.watch(u)
 		}
 	}
+	return nil
+}
+
+func (s *stage) openProxies(ctx context.Context, log *zap.Logger) error {
+	key, err := s.key()
+	if err != nil {
+		return err
+	}
 	for i := range Proxies {
-		if err := s.addProxy(ctx, i, log); err != nil {
-			return s, err
+		p := s.newProxy(i, key, log)
+		if err := p.daemon.Listen(); err != nil {
+			return errors.Wrapf(err, "demonstrator: proxy %s", p.name)
+		}
+		s.proxies = append(s.proxies, p)
+	}
+	s.platform.SetInstances(s.instances())
+	for _, p := range s.proxies {
+		p.run(ctx)
+	}
+	for _, p := range s.proxies {
+		select {
+		case <-p.daemon.Started():
+		case err := <-p.ended:
+			p.ended <- err
+			return errors.Wrapf(err, "demonstrator: proxy %s ended", p.name)
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "demonstrator: proxy %s doesn't start", p.name)
 		}
 	}
-	return s, nil
+	return nil
 }
 
-// service is how long a stand-in upstream works on one statement.
-const service = 2 * time.Millisecond
+// key writes the key that the proxies share and returns its path.
+func (s *stage) key() (string, error) {
+	var err error
+	if s.dir, err = os.MkdirTemp("", "basildale-demo-"); err != nil {
+		return "", errors.Wrap(err, "demonstrator")
+	}
+	path := filepath.Join(s.dir, "peers.key")
+	const ownerOnly = 0o600
+	err = os.WriteFile(path, []byte("shared by the proxies of one demonstration"), ownerOnly)
+	return path, errors.Wrap(err, "demonstrator")
+}
 
-func (s *stage) addProxy(ctx context.Context, i int, log *zap.Logger) error {
-	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+func (s *stage) newProxy(i int, key string, log *zap.Logger) *proxy {
 	p := &proxy{
-		name:   fmt.Sprintf("%s-%d", s.zone(i), i+1),
-		zone:   s.zone(i),
-		cancel: cancel,
-		ended:  make(chan struct{}),
-	}
-	p.server = &server.Server{
-		Listen: loopback(),
-		Zone:   p.zone,
-		Index:  uint16(i),
-		Groups: s.shares(),
-		Log:    log,
-	}
-	failed := make(chan error, 1)
-	go func() {
-		defer close(p.ended)
-		if err := p.server.Run(ctx); err != nil {
-			failed <- err
-		}
-	}()
-	select {
-	case <-p.server.Started():
-		s.proxies = append(s.proxies, p)
-		return nil
-	case err := <-failed:
-		cancel()
-		return errors.Wrapf(err, "demonstrator: proxy %s", p.name)
+		name:  fmt.Sprintf("%s-%d", s.zone(i), i+1),
+		zone:  s.zone(i),
+		ended: make(chan error, 1),
 	}
+	p.daemon = &daemon.Daemon{
+		Settings: loader.Settings{
+			Name:      p.name,
+			Zone:      p.zone,
+			Workspace: s.Name,
+			Listen:    loopback(),
+			Peers:     loopback(),
+			Operators: loopback(),
+			Platform:  []netip.AddrPort{s.platform.Addr()},
+			Secret:    key,
+			Login:     loader.Login{User: loader.DefaultUser},
+			Stop:      loader.DefaultStop,
+		},
+		Log: log,
+	}
+	return p
 }
 
-// shares returns the groups as one proxy reaches them, with its share of the
-// connections that an upstream takes from all proxies together. Without the
-// control part a proxy can't know which replica shows a session its own writes,
-// so it is given the primary alone.
-func (s *stage) shares() []server.Group {
-	list := make([]server.Group, 0, len(s.groups))
-	for i, g := range s.groups {
-		list = append(list, server.Group{
-			Name:        s.Groups[i].Name,
-			Upstreams:   g.Addrs()[:1],
-			Connections: s.Groups[i].Upstreams[0].Connections / Proxies,
-			Warm:        1,
-		})
-	}
-	return list
+// run starts the process. It outlives ctx, which is that of the start.
+func (p *proxy) run(ctx context.Context) {
+	ctx, p.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	go func() { p.ended <- p.daemon.Run(ctx) }()
 }
 
-// stop ends the proxy gracefully and returns when it is gone.
-func (p *proxy) stop() {
+// stop ends the process gracefully and returns when it is gone.
+func (p *proxy) stop() error {
+	if p.cancel == nil {
+		return nil // never started
+	}
 	p.cancel()
-	<-p.ended
+	err := <-p.ended
+	p.ended <- err // whoever asks again gets the same
+	return err
+}
+
+func (s *stage) instances() []platform.Instance {
+	var list []platform.Instance
+	for _, p := range s.proxies {
+		list = append(list, platform.Instance{Name: p.name, Role: "proxy", Zone: p.zone, Address: p.daemon.Peers(), State: "live"})
+	}
+	for i, g := range s.Groups {
+		for j, u := range g.Upstreams {
+			list = append(list, platform.Instance{Name: u.Name, Role: "upstream", Group: g.Name, Zone: u.Zone, Address: s.groups[i].Addrs()[j], State: "live"})
+		}
+	}
+	return list
 }
 
 // url returns the connection string of a group through the i-th proxy.
 func (s *stage) url(i int, group string) string {
-	return fmt.Sprintf("postgres://family@%s/%s?sslmode=disable", s.proxies[i].server.Bound(), group)
+	return fmt.Sprintf("postgres://%s@%s/%s?sslmode=disable", callerName, s.proxies[i].daemon.Callers(), group)
 }
 
 // addresses returns where callers connect.
 func (s *stage) addresses() []netip.AddrPort {
 	list := make([]netip.AddrPort, 0, len(s.proxies))
 	for _, p := range s.proxies {
-		list = append(list, p.server.Bound())
+		list = append(list, p.daemon.Callers())
 	}
 	return list
 }
 
-// close ends everything.
+// close ends everything. What can't be ended cleanly at the end of a
+// demonstration doesn't change what it has shown.
 func (s *stage) close() {
 	for _, p := range s.proxies {
-		p.cancel()
+		if p.cancel != nil {
+			p.cancel()
+		}
 	}
 	for _, p := range s.proxies {
-		<-p.ended
+		_ = p.stop()
 	}
 	for _, g := range s.groups {
 		g.Close()
 	}
+	_ = s.platform.Close()
+	if s.dir != "" {
+		_ = os.RemoveAll(s.dir)
+	}
 }
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -101,3 +101,23 @@
 		m.Route("primary")
 	}
 }
+
+// The two ways of keeping durations that docs/notes/operators.md compares.
+func BenchmarkWays(b *testing.B) {
+	for name, h := range map[string]metrics.Histogram{
+		"buckets":   NewHistogram(),
+		"reservoir": metrics.NewHistogram(metrics.NewExpDecaySample(1028, 0.015)),
+	} {
+		b.Run(name, func(b *testing.B) {
+			for i := 0; b.Loop(); i++ {
+				d := time.Duration(1+i%10) * time.Millisecond
+				if i%2000 == 0 {
+					d = time.Second // one in two thousand is slow
+				}
+				h.Update(int64(d))
+			}
+			b.ReportMetric(float64(h.Max())/float64(time.Millisecond), "ms-max")
+			b.ReportMetric(h.Percentile(0.9996)/float64(time.Millisecond), "ms-p99.96")
+		})
+	}
+}
