daemon: limits of callers and buffers take effect; the demonstration ends in any case

Starting, playing and closing the demonstration are bounded to 44 s together, and a proxy that doesn't end is an error by name. Callers of the demonstration have passwords.

--- a/adapter/certifier/certifier.go
+++ b/adapter/certifier/certifier.go
@@ -85,11 +85,20 @@
 }
 
 // Mutual returns one configuration for both ends of connections between equals,
-// each of which must show a certificate. CA must be set.
+// each of which must show a certificate.
 func (c *Certifier) Mutual() *tls.Config {
 	config := c.Client()
-	config.GetConfigForClient = c.Server().GetConfigForClient
 	config.ClientAuth = tls.RequireAndVerifyClientCert
+	serve := c.Server().GetConfigForClient
+	config.GetConfigForClient = func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
+		one, err := serve(hello)
+		if err == nil {
+			// Also without authorities of our own: a peer that shows nothing
+			// would be taken for one of the fleet.
+			one.ClientAuth = tls.RequireAndVerifyClientCert
+		}
+		return one, err
+	}
 	return config
 }
 
--- a/adapter/certifier/certifier_test.go
+++ b/adapter/certifier/certifier_test.go
@@ -224,6 +224,8 @@
 	stranger := named(loaded(t, "", "", ca).Client(), "peer")
 	_, clientErr, serverErr = handshake(t, stranger, both)
 	is.True(clientErr != nil && serverErr != nil) // shows no certificate
+	_, _, serverErr = handshake(t, stranger, loaded(t, cert, key, "").Mutual())
+	is.True(serverErr != nil) // also without authorities
 }
 
 func text(err error) string {
--- a/cmd/basildale/cli_test.go
+++ b/cmd/basildale/cli_test.go
@@ -59,6 +59,13 @@
 	if err := os.WriteFile(good, data, 0o600); err != nil {
 		t.Fatal(err)
 	}
+	key, err := examples.Files.ReadFile("peers.key")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "peers.key"), key, 0o600); err != nil {
+		t.Fatal(err)
+	}
 	bad := filepath.Join(dir, "bad.yaml")
 	if err := os.WriteFile(bad, append(data, "colour: green\n"...), 0o600); err != nil {
 		t.Fatal(err)
@@ -77,8 +84,8 @@
 		{"unknown command", []string{"chekc"}, exitUsage, "", "chekc"},
 		{"right settings", []string{"check", good}, exitDone, "all settings are right", ""},
 		{"right settings as JSON", []string{"check", "-o", "json", good}, exitDone, "[]", ""},
-		{"wrong settings", []string{"check", bad}, exitUsage, "bad.yaml:32: colour is not a setting, allowed are", "1 wrong settings"},
-		{"wrong settings as JSON", []string{"check", "-o", "json", bad}, exitUsage, `"line": 32`, "1 wrong settings"},
+		{"wrong settings", []string{"check", bad}, exitUsage, "bad.yaml:36: colour is not a setting, allowed are", "1 wrong settings"},
+		{"wrong settings as JSON", []string{"check", "-o", "json", bad}, exitUsage, `"line": 36`, "1 wrong settings"},
 		{"serve with wrong settings", []string{"serve", bad}, exitUsage, "", "colour is not a setting, allowed are"},
 		{"serve without a file", []string{"serve", filepath.Join(dir, "none")}, exitUsage, "", "no such file"},
 		{"no file", []string{"check", filepath.Join(dir, "none")}, exitUsage, "", "no such file"},
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -265,11 +265,16 @@
 	seams := d.dispatcher.Seams()
 	seams.ForwardCancel = d.forwardCancel
 	d.server = &server.Server{
-		Listen:  d.Settings.Listen,
-		Zone:    d.Settings.Zone,
-		Index:   indexOf(d.Peers()),
-		TLS:     secure.callers,
-		Limits:  relayer.Limits{Message: d.Settings.Limits.Message, Strangers: d.Settings.Limits.Pending},
+		Listen: d.Settings.Listen,
+		Zone:   d.Settings.Zone,
+		Index:  indexOf(d.Peers()),
+		TLS:    secure.callers,
+		Limits: relayer.Limits{
+			Message:   d.Settings.Limits.Message,
+			Strangers: d.Settings.Limits.Pending,
+			Callers:   d.Settings.Limits.Callers,
+		},
+		Buffer:  d.Settings.Limits.Buffer,
 		Control: seams,
 		Grace:   d.Settings.Stop,
 		Log:     d.Log,
--- a/demonstrator/acts.go
+++ b/demonstrator/acts.go
@@ -75,11 +75,11 @@
 
 // stopProxy stops one proxy gracefully.
 func stopProxy(say *narrator) func(context.Context, *callers) error {
-	return func(_ context.Context, c *callers) error {
+	return func(ctx context.Context, c *callers) error {
 		p := c.stage.proxies[len(c.stage.proxies)/2]
 		begin := time.Now()
 		say.say(c.stage.Name, "proxy %s begins a graceful stop", p.name)
-		if err := p.stop(); err != nil {
+		if err := p.stop(ctx); err != nil {
 			return errors.Wrapf(err, "demonstrator: proxy %s", p.name)
 		}
 		say.say(c.stage.Name, "proxy %s is gone, %s later", p.name, time.Since(begin).Round(time.Millisecond))
--- a/demonstrator/callers.go
+++ b/demonstrator/callers.go
@@ -134,6 +134,7 @@
 	g := generator.Generator{
 		Addrs:        c.stage.addresses(),
 		User:         callerName,
+		Password:     password,
 		Database:     c.stage.Groups[i].Name,
 		Group:        c.stage.Groups[i].Name,
 		Rate:         rate,
--- a/demonstrator/configuration.go
+++ b/demonstrator/configuration.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"basildale.example/basildale/configurator"
+	"basildale.example/basildale/relayer"
 )
 
 // The presets of a demonstration and the caller that it declares.
@@ -15,18 +16,23 @@
 	peak       = "peak"
 	pool       = "tickets"
 	callerName = "family"
+	password   = "example"
 )
 
 // configure writes what the deployment's operators have accepted to the
 // platform.
 func (s *stage) configure(ctx context.Context) error {
+	verifier, err := relayer.NewVerifier(password)
+	if err != nil {
+		return err
+	}
 	list := []configurator.Entry{
 		entry(configurator.KindPreset, s.Name+"-"+ordinary, &configurator.Preset{Workspace: s.Name, Classes: classes(0)}),
 		entry(configurator.KindPreset, s.Name+"-"+peak, &configurator.Preset{Workspace: s.Name, Classes: classes(peakAge)}),
 		entry(configurator.KindActive, s.Name, &configurator.Active{Preset: s.Name + "-" + ordinary}),
 		entry(configurator.KindWorkspace, s.Name, &configurator.Workspace{Zones: s.Zones}),
 		entry(configurator.KindPool, pool, &configurator.Pool{Workspace: s.Name}),
-		entry(configurator.KindCaller, callerName, &configurator.Caller{Workspace: s.Name, Class: "booking"}),
+		entry(configurator.KindCaller, callerName, &configurator.Caller{Workspace: s.Name, Class: "booking", Verifier: verifier.String()}),
 	}
 	for i := range s.Groups {
 		list = append(list, s.group(i))
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -49,14 +49,18 @@
 		}
 	}
 	stages, err := open(ctx, deployments, log)
-	defer func() {
-		for _, s := range stages {
-			s.close()
+	if err == nil {
+		var report *Report
+		report, err = d.show(ctx, say, stages)
+		if err == nil {
+			return report, closeAll(stages)
 		}
-	}()
-	if err != nil {
-		return nil, err
 	}
+	return nil, errors.CombineErrors(err, closeAll(stages))
+}
+
+// show shows what is up.
+func (d *Demo) show(ctx context.Context, say *narrator, stages []*stage) (*Report, error) {
 	for _, s := range stages {
 		say.say(s.Name, "%d proxies in %d availability zones before %d groups of %d upstreams",
 			len(s.proxies), len(s.Zones), len(s.groups), len(s.groups[0].Upstreams))
@@ -68,6 +72,16 @@
 	return d.play(ctx, say, stages)
 }
 
+func closeAll(stages []*stage) error {
+	failed := make([]error, len(stages))
+	var closing sync.WaitGroup
+	for i, s := range stages {
+		closing.Go(func() { failed[i] = s.close() })
+	}
+	closing.Wait()
+	return errors.Join(failed...)
+}
+
 // open starts all deployments side by side. The caller closes what it returns,
 // also beside an error.
 func open(ctx context.Context, deployments []Deployment, log *zap.Logger) ([]*stage, error) {
--- a/demonstrator/play.go
+++ b/demonstrator/play.go
@@ -16,7 +16,7 @@
 
 // limit ends a demonstration that doesn't come to its end by itself, for
 // instance because nothing is answered any more.
-const limit = 40 * time.Second
+const limit = 32 * time.Second
 
 // play lets callers come and things happen, in all deployments at once, and
 // checks what is left.
--- a/demonstrator/stage.go
+++ b/demonstrator/stage.go
@@ -28,7 +28,7 @@
 const instanceLag = 2 * time.Second
 
 // startWithin bounds the start of a deployment.
-const startWithin = 10 * time.Second
+const startWithin = 8 * time.Second
 
 // loopback is where everything in a demonstration listens; the system picks the
 // ports.
@@ -168,15 +168,20 @@
 	go func() { p.ended <- p.daemon.Run(ctx) }()
 }
 
-// stop ends the process gracefully and returns when it is gone.
-func (p *proxy) stop() error {
+// stop ends the process gracefully and returns when it is gone. A process that
+// doesn't end before ctx is an error: the demonstration would hang with it.
+func (p *proxy) stop(ctx context.Context) error {
 	if p.cancel == nil {
 		return nil // never started
 	}
 	p.cancel()
-	err := <-p.ended
-	p.ended <- err // whoever asks again gets the same
-	return err
+	select {
+	case err := <-p.ended:
+		p.ended <- err // whoever asks again gets the same
+		return err
+	case <-ctx.Done():
+		return errors.Newf("demonstrator: proxy %s doesn't end", p.name)
+	}
 }
 
 func (s *stage) instances() []platform.Instance {
@@ -194,7 +199,7 @@
 
 // url returns the connection string of a group through the i-th proxy.
 func (s *stage) url(i int, group string) string {
-	return fmt.Sprintf("postgres://%s@%s/%s?sslmode=disable", callerName, s.proxies[i].daemon.Callers(), group)
+	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", callerName, password, s.proxies[i].daemon.Callers(), group)
 }
 
 // addresses returns where callers connect.
@@ -206,22 +211,30 @@
 	return list
 }
 
-// close ends everything. What can't be ended cleanly at the end of a
-// demonstration doesn't change what it has shown.
-func (s *stage) close() {
+// closeWithin bounds the end of a deployment.
+const closeWithin = 4 * time.Second
+
+// close ends everything. A proxy that doesn't end is an error, and its upstreams
+// are left as they are.
+func (s *stage) close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeWithin)
+	defer cancel()
 	for _, p := range s.proxies {
 		if p.cancel != nil {
 			p.cancel()
 		}
 	}
 	for _, p := range s.proxies {
-		_ = p.stop()
+		if err := p.stop(ctx); err != nil {
+			return err
+		}
 	}
 	for _, g := range s.groups {
 		g.Close()
 	}
-	_ = s.platform.Close()
+	err := s.platform.Close()
 	if s.dir != "" {
-		_ = os.RemoveAll(s.dir)
+		err = errors.CombineErrors(err, os.RemoveAll(s.dir))
 	}
+	return errors.Wrap(err, "demonstrator")
 }
--- a/examples/samples.go
+++ b/examples/samples.go
@@ -16,5 +16,5 @@
 
 // Files are the samples by their names.
 //
-//go:embed *.yaml
+//go:embed *.yaml peers.key
 var Files embed.FS
--- a/loader/checker.go
+++ b/loader/checker.go
@@ -69,6 +69,9 @@
 		// operators have since changed.
 		c.fail(child(n, "groups"), "groups stands beside platform", "allowed is one of them")
 	}
+	if len(s.Platform) > 0 && s.Secret == "" && s.TLS.Peers == (Files{}) {
+		c.fail(n, "secret and tls.peers are both missing", "the other proxies must know this one by either of them")
+	}
 	if len(s.Groups) > 0 && len(s.Callers) == 0 {
 		c.fail(n, "callers is missing", "groups without a platform need at least one caller")
 	}
@@ -132,21 +135,28 @@
 func (c *checker) tls(t *TLS) func(string, ast.Node) {
 	return func(path string, n ast.Node) {
 		c.mapping(path, n, []field{
-			{"callers", false, c.pair(&t.Callers, true)},
-			{"upstreams", false, c.pair(&t.Upstreams, false)},
-			{"peers", false, c.pair(&t.Peers, true)},
+			{"callers", false, c.pair(&t.Callers, shown)},
+			{"upstreams", false, c.pair(&t.Upstreams, checked)},
+			{"peers", false, c.pair(&t.Peers, shown|checked)},
 		})
 	}
 }
 
-// pair reads one side's files; shows says that the side shows a certificate.
-func (c *checker) pair(f *Files, shows bool) func(string, ast.Node) {
+// What one side's files must hold: a certificate that is shown to the other side,
+// and authorities that the other side's is checked by.
+const (
+	shown = 1 << iota
+	checked
+)
+
+// pair reads one side's files; need says which must be there.
+func (c *checker) pair(f *Files, need int) func(string, ast.Node) {
 	return func(path string, n ast.Node) {
 		var cert, key []byte
 		c.mapping(path, n, []field{
-			{"cert", shows, c.file(&f.Cert, &cert)},
-			{"key", shows, c.file(&f.Key, &key)},
-			{"ca", !shows, c.authority(&f.CA)},
+			{"cert", need&shown != 0, c.file(&f.Cert, &cert)},
+			{"key", need&shown != 0, c.file(&f.Key, &key)},
+			{"ca", need&checked != 0, c.authority(&f.CA)},
 		})
 		if cert == nil || key == nil {
 			return
--- a/relayer/registry.go
+++ b/relayer/registry.go
@@ -21,11 +21,15 @@
 	empty     chan struct{}
 }
 
-// add takes a new session in its startup, unless there are limit of them.
-func (r *registry) add(s *Session, limit int) bool {
+// add takes a new session in its startup, unless the limits say that there are
+// enough of those or of all.
+func (r *registry) add(s *Session, l *Limits) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.leaving || r.strangers >= limit {
+	if r.leaving || r.strangers >= l.Strangers {
+		return false
+	}
+	if l.Callers > 0 && len(r.all) >= l.Callers {
 		return false
 	}
 	if r.all == nil {
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -103,6 +103,8 @@
 	Login time.Duration
 	// Strangers is how many sessions may be in their startup at once; 0 means 1024.
 	Strangers int
+	// Callers is how many sessions there may be; 0 means no bound.
+	Callers int
 }
 
 // Relay is what all sessions of a proxy share. Set the exported fields before
@@ -159,7 +161,7 @@
 	r.once.Do(r.prepare)
 	s := &Session{relay: r, caller: c}
 	s.timer = time.AfterFunc(r.Limits.Login, func() { s.overdue(c) })
-	if !r.sessions.add(s, r.Limits.Strangers) {
+	if !r.sessions.add(s, &r.Limits) {
 		s.timer.Stop()
 		return nil
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -60,6 +60,9 @@
 	TLS *tls.Config
 	// Limits bound the sessions.
 	Limits relayer.Limits
+	// Buffer bounds what is kept for a caller that reads slowly, in bytes; 0 means
+	// 256 KiB.
+	Buffer int
 	// Grace bounds how long a stop waits for requests in flight; 0 means 30 s.
 	Grace time.Duration
 	// Control decides; its zero value serves the groups as they are given.
@@ -146,10 +149,11 @@
 		Log:           s.Log,
 	}
 	s.listener = &listener.Listener{
-		Address:  s.Listen,
-		Open:     s.open,
-		Farewell: relayer.Farewell(),
-		Log:      s.Log,
+		Address:   s.Listen,
+		Open:      s.open,
+		Farewell:  relayer.Farewell(),
+		MaxUnsent: s.Buffer,
+		Log:       s.Log,
 	}
 }
 
