--- a/cmd/basildale/serve.go
+++ b/cmd/basildale/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 
 	"github.com/cockroachdb/errors"
@@ -39,9 +40,21 @@
 	defer func() { _ = log.Sync() }() // a terminal can't be synced
 	log.Info("serve: starting", zap.String("name", settings.Name), zap.String("zone", settings.Zone))
 	d := &daemon.Daemon{Settings: settings, Log: log}
+	go announce(e.ctx, d, log)
 	if err := d.Run(e.ctx); err != nil {
 		return err
 	}
 	log.Info("serve: stopped")
 	return nil
 }
+
+// announce logs the addresses once callers can connect. With port 0 in the
+// settings they are known only then.
+func announce(ctx context.Context, d *daemon.Daemon, log *zap.Logger) {
+	select {
+	case <-d.Started():
+		log.Info("serve: ready",
+			zap.Stringer("callers", d.Callers()), zap.Stringer("peers", d.Peers()), zap.Stringer("operators", d.Operators()))
+	case <-ctx.Done():
+	}
+}
