server: connections to a replaced primary are closed, their requests settled at once

Cause: after a failover the requests under way with the old primary, cut off without a word, were answered only when their own deadline was over, as unknown. Change: the server knows the connections in use with a primary; when a view names another one of a later term it closes those of earlier terms after 100 ms, in which a primary that lives has refused. What follows is the usual way of a lost connection: settle with the new primary, then done, again, or not run.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -279,7 +279,7 @@
 		Grace:   d.Settings.Stop,
 		Log:     d.Log,
 	}
-	d.coordinator.OnView = d.dispatcher.OnView
+	d.coordinator.OnView = d.onView()
 	d.coordinator.OnConfig = func(r *controller.Reconfigured) { d.server.Configure(d.groups(r)) }
 	d.peers.Handler = d.coordinator.Handler()
 	d.peers.Handler.Marks = d.marked
--- a/server/server.go
+++ b/server/server.go
@@ -77,6 +77,7 @@
 	pools    pools
 	fixed    fixed
 	retries  retries
+	held     held
 }
 
 const defaultGrace = 30 * time.Second
@@ -194,11 +195,14 @@
 	u, refusal := s.pools.acquire(ctx, t, r)
 	if refusal != nil {
 		s.Control.Release(t)
+		return nil, refusal
 	}
-	return u, refusal
+	s.held.add(u, t)
+	return u, nil
 }
 
 func (s *Server) release(t relayer.Target, u *relayer.Upstream, healthy bool) {
+	s.held.remove(u)
 	u.Back(u, healthy)
 	s.Control.Release(t)
 }
