reporter, daemon: names as the exposition format allows, names and connections of upstreams in status

Cause: parts name counters with dots, which a reader of the exposition format refuses with the whole page; status showed addresses for names and 0 of 0 connections. Conclusion: pages and status show what is, and nothing that only looks so.

--- a/adapter/reporter/messages.go
+++ b/adapter/reporter/messages.go
@@ -18,7 +18,8 @@
 	Version uint64 `json:"version,omitempty"`
 	// Platform is up, down or none.
 	Platform string `json:"platform,omitempty"`
-	// Callers counts callers' connections, Running their statements under way.
+	// Callers counts callers' connections, Running the connections to upstreams
+	// that are in use.
 	Callers int     `json:"callers"`
 	Running int     `json:"running"`
 	Groups  []Group `json:"groups,omitempty"`
--- a/adapter/reporter/metrics.go
+++ b/adapter/reporter/metrics.go
@@ -41,6 +41,7 @@
 	r.Each(func(name string, value any) {
 		family, labels, _ := strings.Cut(name, "{")
 		labels = strings.TrimSuffix(labels, "}")
+		family = exposed(family)
 		if h, ok := value.(*meter.Histogram); ok {
 			value = h.Snapshot() // count, sum and buckets of the same moment
 		}
@@ -52,6 +53,28 @@
 	return all
 }
 
+// prefix begins every metric's name, so that those of other programs beside it
+// can be told apart.
+const prefix = "basildale_"
+
+// exposed returns a name as the exposition format allows it. Parts name their
+// counters with dots, which a reader of the format would refuse with all the
+// rest of the page.
+func exposed(name string) string {
+	name = strings.Map(func(c rune) rune {
+		switch {
+		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9', c == '_':
+			return c
+		default:
+			return '_'
+		}
+	}, name)
+	if strings.HasPrefix(name, prefix) {
+		return name
+	}
+	return prefix + name
+}
+
 func (r *Reporter) text(w http.ResponseWriter, _ *http.Request) {
 	if r.Registry == nil {
 		r.missing(w)
--- a/adapter/reporter/reporter_test.go
+++ b/adapter/reporter/reporter_test.go
@@ -46,6 +46,7 @@
 	m.Outcome("damplinjerne", "booking", "not run")
 	m.Route("replica-fresh")
 	m.Gauge(func() int64 { return 7 }, "basildale_callers")
+	metrics.GetOrRegisterCounter("messenger.ping.in", m.Registry).Inc(42)
 	return m.Registry
 }
 
--- a/cmd/basildale/docs_test.go
+++ b/cmd/basildale/docs_test.go
@@ -85,7 +85,7 @@
 			}
 		}
 	}
-	for _, metric := range []string{meter.WaitSeconds, meter.UpstreamSeconds, meter.TotalSeconds, meter.Outcomes, meter.Routes} {
+	for _, metric := range []string{meter.WaitSeconds, meter.UpstreamSeconds, meter.TotalSeconds, meter.Outcomes, meter.Routes, meter.Callers} {
 		need("`" + metric + "`")
 	}
 	is.Equal(missing, nil) // not on the page
--- a/cmd/basildale/drain.go
+++ b/cmd/basildale/drain.go
@@ -68,7 +68,7 @@
 			progress(e.err, "")
 			return nil
 		case err == nil:
-			progress(e.err, fmt.Sprintf("%d callers, %d statements running", s.Callers, s.Running))
+			progress(e.err, fmt.Sprintf("%d callers, %d transactions under way", s.Callers, s.Running))
 		}
 		select {
 		case <-tick.C:
--- a/cmd/basildale/status.go
+++ b/cmd/basildale/status.go
@@ -45,7 +45,7 @@
 func printStatus(w io.Writer, s reporter.Status) error {
 	t := tabs(w)
 	fmt.Fprintf(t, "process\t%s in %s, workspace %s\n", s.Name, s.Zone, s.Workspace)
-	fmt.Fprintf(t, "state\t%s, %d callers, %d statements running\n", s.State, s.Callers, s.Running)
+	fmt.Fprintf(t, "state\t%s, %d callers, %d transactions under way\n", s.State, s.Callers, s.Running)
 	if s.Preset != "" {
 		fmt.Fprintf(t, "preset\t%s, configuration version %d\n", s.Preset, s.Version)
 	}
--- a/daemon/report.go
+++ b/daemon/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -9,6 +10,7 @@
 	"basildale.example/basildale/adapter/reporter"
 	"basildale.example/basildale/controller"
 	"basildale.example/basildale/membership"
+	"basildale.example/basildale/meter"
 )
 
 var (
@@ -19,6 +21,7 @@
 
 // reporter returns what answers operators.
 func (d *Daemon) reporter() *reporter.Reporter {
+	d.meter.Gauge(func() int64 { return int64(d.server.Callers()) }, meter.Callers)
 	return &reporter.Reporter{
 		Registry: d.registry,
 		Health:   d.health,
@@ -69,6 +72,9 @@
 		Name: d.Settings.Name, Zone: d.Settings.Zone, Workspace: d.Settings.Workspace,
 		At: time.Now(), State: d.state(ctx), Platform: "none",
 	}
+	if s.State == "ready" {
+		s.Callers, s.Running = d.server.Callers(), d.server.Running()
+	}
 	if d.platform != nil {
 		s.Platform = "configured"
 	}
@@ -86,7 +92,7 @@
 		s.Preset = d.preset(r)
 		for _, g := range r.Groups {
 			if view := d.coordinator.View(g.Name); view != nil {
-				s.Groups = append(s.Groups, statusOf(view, s.At))
+				s.Groups = append(s.Groups, d.statusOf(r, view, s.At))
 			}
 		}
 	}
@@ -114,21 +120,43 @@
 	return p
 }
 
-func statusOf(v *controller.Published, now time.Time) reporter.Group {
+func (d *Daemon) statusOf(r *controller.Reconfigured, v *controller.Published, now time.Time) reporter.Group {
 	g := reporter.Group{Name: v.Name, Leader: v.Leader, Term: v.Term.String()}
 	for i, u := range v.Upstreams {
-		one := reporter.Upstream{Name: u.Address.String(), Zone: u.Zone, Address: u.Address}
+		one := reporter.Upstream{Name: d.nameOf(r, v.Name, u.Address), Zone: u.Zone, Address: u.Address}
 		seen := v.Snapshot.Upstreams[i]
 		one.Role, one.Mark = seen.Role.String(), seen.Mark.String()
 		if age, known := v.Snapshot.Age(i, now); known {
 			behind := reporter.Seconds(age)
 			one.Behind = &behind
 		}
+		one.Open, one.Share = d.server.Connections(v.Name, u.Address)
 		g.Upstreams = append(g.Upstreams, one)
 	}
 	return g
 }
 
+// nameOf returns the name that the configuration gives an upstream.
+func (d *Daemon) nameOf(r *controller.Reconfigured, group string, a netip.AddrPort) string {
+	if r.Config != nil {
+		if g := r.Config.Groups[group]; g != nil {
+			for _, u := range g.Upstreams {
+				if u.Address == a {
+					return u.Name
+				}
+			}
+		}
+	}
+	for _, g := range d.Settings.Groups {
+		for _, u := range g.Upstreams {
+			if g.Name == group && u.Address == a {
+				return u.Name
+			}
+		}
+	}
+	return a.String()
+}
+
 func (d *Daemon) explain(_ context.Context, q reporter.Query) ([]reporter.Decision, error) {
 	subject := q.Group
 	for _, s := range []string{q.Upstream, q.Session} {
--- a/demonstrator/configuration.go
+++ b/demonstrator/configuration.go
@@ -45,8 +45,8 @@
 	return nil
 }
 
-// peakAge is how old the data of a lookup may be while the peak preset is in
-// force: replicas take more of the lookups then.
+// peakAge is how old the data of a read may be while the peak preset is in
+// force: replicas take more of the reads then.
 const peakAge = 2 * time.Second
 
 func classes(age time.Duration) map[string]configurator.Class {
@@ -56,7 +56,7 @@
 		lookupDeadline  = time.Second
 	)
 	return map[string]configurator.Class{
-		"booking": {Weight: bookingWeight, Deadline: configurator.Duration(bookingDeadline)},
+		"booking": {Weight: bookingWeight, Deadline: configurator.Duration(bookingDeadline), Age: configurator.Duration(age)},
 		"lookup":  {Weight: 1, Deadline: configurator.Duration(lookupDeadline), Age: configurator.Duration(age)},
 	}
 }
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -98,11 +98,14 @@
 // hold prints how to connect and waits until ctx ends.
 func (d *Demo) hold(ctx context.Context, stages []*stage) {
 	for _, s := range stages {
-		fmt.Fprintf(d.Out, "\n%s\n", s.Name)
+		fmt.Fprintf(d.Out, "\n%-18s  %-21s  %s\n", s.Name, "callers", "operators")
 		for _, p := range s.proxies {
-			fmt.Fprintf(d.Out, "  %-18s %s\n", p.name, p.daemon.Callers())
+			fmt.Fprintf(d.Out, "  %-16s  %-21s  %s\n", p.name, p.daemon.Callers(), p.daemon.Operators())
 		}
 		fmt.Fprintf(d.Out, "  psql '%s'\n", s.url(0, s.Groups[0].Name))
+		fmt.Fprintf(d.Out, "  basildale load %s %s --user %s --password %s --database %s\n",
+			s.proxies[0].daemon.Callers(), s.proxies[1].daemon.Callers(), callerName, password, s.Groups[0].Name)
+		fmt.Fprintf(d.Out, "  basildale status %s\n", s.proxies[0].daemon.Operators())
 	}
 	fmt.Fprintln(d.Out, "\nInterrupt to end.")
 	<-ctx.Done()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -16,6 +16,7 @@
 	TotalSeconds    = "basildale_total_seconds"
 	Outcomes        = "basildale_outcomes_total"
 	Routes          = "basildale_routes_total"
+	Callers         = "basildale_callers"
 )
 
 // Other is the tenant of everything beyond the bound on series.
