demonstrator: the failover gap isn't ended by an answer on its way

Change: the gap is the longest pause between two bookings that were done, from the last before the cut to the first after another primary leads. Conclusion: gaps measured before this commit may be too short.

--- a/demonstrator/acts.go
+++ b/demonstrator/acts.go
@@ -46,7 +46,7 @@
 			return errors.Newf("demonstrator: %s has no primary to cut off", name)
 		}
 		begin := time.Now()
-		c.gap.begin(begin)
+		c.gap.begin()
 		c.replaced = old
 		old.Cut(upstream.Cut{Silent: true, Replicas: true})
 		say.say(c.stage.Name, "%s: the primary %s is cut off and still believes that it leads", name, c.stage.upstream(faulty, old))
@@ -58,6 +58,7 @@
 		if err != nil {
 			return errors.Wrapf(err, "demonstrator: %s gets no new primary", name)
 		}
+		c.gap.replaced(time.Now())
 		say.say(c.stage.Name, "%s: %s is primary in term %s, %s later", name,
 			c.stage.upstream(faulty, next), next.State().Term, time.Since(begin).Round(time.Millisecond))
 		return nil
--- a/demonstrator/callers.go
+++ b/demonstrator/callers.go
@@ -72,45 +72,6 @@
 	return true
 }
 
-// gap measures the time without a completed write around a fault: from the last
-// booking that was done before it to the first one after.
-type gap struct {
-	mu     sync.Mutex
-	last   time.Time
-	before time.Time // the last booking done when the fault began
-	after  time.Time // the first one done since
-	fault  time.Time
-}
-
-// done records a booking of the watched group that was done at a time.
-func (g *gap) done(at time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if at.After(g.last) {
-		g.last = at
-	}
-	if !g.fault.IsZero() && g.after.IsZero() && at.After(g.fault) {
-		g.after = at
-	}
-}
-
-// begin says that the fault begins now.
-func (g *gap) begin(now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.before, g.fault = g.last, now
-}
-
-// measured returns the gap, and false while it isn't over or never began.
-func (g *gap) measured() (time.Duration, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.before.IsZero() || g.after.IsZero() {
-		return 0, false
-	}
-	return g.after.Sub(g.before), true
-}
-
 // run lets callers use all groups and returns what became of their requests, all
 // groups together.
 func (c *callers) run(ctx context.Context) (map[generator.Class]generator.ClassReport, error) {
