--- a/configurator/kind.go
+++ b/configurator/kind.go
@@ -102,10 +102,6 @@
 	Slots       int        `yaml:"slots" json:"slots"`
 	Connections int        `yaml:"connections" json:"connections"`
 	Upstreams   []Upstream `yaml:"upstreams" json:"upstreams"`
-	// User and Secret are what proxies log in with; Secret is the name of an
-	// entry in the process's settings, never a password.
-	User   string `yaml:"user,omitempty" json:"user,omitempty"`
-	Secret string `yaml:"secret,omitempty" json:"secret,omitempty"`
 }
 
 // Upstream is one database server of a group.
@@ -119,11 +115,9 @@
 // say otherwise.
 type Caller struct {
 	Workspace string `yaml:"workspace" json:"workspace"`
-	// Verifier is a SCRAM-SHA-256 verifier as PostgreSQL keeps it. Secret is, in
-	// its place, the name of an entry in the process's settings.
-	Verifier string `yaml:"verifier,omitempty" json:"verifier,omitempty"`
-	Secret   string `yaml:"secret,omitempty" json:"secret,omitempty"`
-	// Class names one of the preset's classes.
+	// Verifier is a SCRAM-SHA-256 verifier as PostgreSQL keeps it.
+	Verifier string `yaml:"verifier" json:"verifier"`
+	// Class is ClassBooking or ClassLookup.
 	Class string `yaml:"class" json:"class"`
 	// Deadline is how long an answer may take, Age how old the data of a read
 	// may be. Zero leaves both to the class.
@@ -133,21 +127,38 @@
 	Repeat bool `yaml:"repeat,omitempty" json:"repeat,omitempty"`
 }
 
-// Preset is a set of limits that can be put in force for a workspace.
+// The classes of requests.
+const (
+	ClassBooking = "booking"
+	ClassLookup  = "lookup"
+)
+
+// Preset is a set of limits that can be put in force for a workspace. Zeros leave
+// a limit as on ordinary days.
 type Preset struct {
 	Workspace string `yaml:"workspace" json:"workspace"`
 	// Writes is "allow" (also when empty) or "refuse".
-	Writes  string           `yaml:"writes,omitempty" json:"writes,omitempty"`
+	Writes string `yaml:"writes,omitempty" json:"writes,omitempty"`
+	// Window bounds the requests that one proxy has at one upstream at a time,
+	// Queue those that wait in it for that upstream.
+	Window int `yaml:"window,omitempty" json:"window,omitempty"`
+	Queue  int `yaml:"queue,omitempty" json:"queue,omitempty"`
+	// Reserved is how many of an upstream's connections are kept for control.
+	Reserved int `yaml:"reserved,omitempty" json:"reserved,omitempty"`
+	// Opening bounds the connections that one proxy opens to one upstream in a
+	// second.
+	Opening float64 `yaml:"opening,omitempty" json:"opening,omitempty"`
+	// Retries is how many retries each first attempt earns.
+	Retries float64          `yaml:"retries,omitempty" json:"retries,omitempty"`
 	Classes map[string]Class `yaml:"classes" json:"classes"`
 }
 
-// Class holds the limits of one class of requests.
+// Class holds what a preset says of one class of requests.
 type Class struct {
-	// Weight is the worth of one request against others in a queue, 1 or more.
-	Weight int `yaml:"weight" json:"weight"`
-	// Slots bounds how many slots of one upstream the class takes at a time, and
-	// Queue how many of its requests wait in one proxy. Zero is no bound of its
-	// own.
+	// Weight is the worth of one answer in time against those of the other class.
+	Weight int `yaml:"weight,omitempty" json:"weight,omitempty"`
+	// Slots bounds how much of a window the class takes at a time, and Queue how
+	// many of its requests wait. Zero is no bound of its own.
 	Slots int `yaml:"slots,omitempty" json:"slots,omitempty"`
 	Queue int `yaml:"queue,omitempty" json:"queue,omitempty"`
 	// Deadline is how long an answer may take; Age is how old the data of a read
@@ -203,7 +214,10 @@
 type Object struct {
 	Name    string          `json:"name"` // an ID as text
 	Version uint64          `json:"version"`
-	Value   json.RawMessage `json:"value"`
+	Value   json.RawMessage `json:"value,omitempty"`
+	// Deleted marks an object that is gone from the platform. No command of ours
+	// deletes one; somebody else's may.
+	Deleted bool `json:"deleted,omitempty"`
 }
 
 // Meta says who wrote an object's present content.
@@ -225,7 +239,7 @@
 	Version uint64
 	Meta    Meta
 	Removed bool
-	Spec    Spec
+	Spec    Spec // nil when the object was deleted from the platform
 }
 
 // value is what is stored in an object's value.
@@ -252,6 +266,9 @@
 	if !ok {
 		return Entry{}, errors.Newf("configurator: object %q is of no known kind", o.Name)
 	}
+	if o.Deleted {
+		return Entry{ID: id, Version: o.Version, Removed: true}, nil
+	}
 	var v value
 	if err := json.Unmarshal(o.Value, &v); err != nil {
 		return Entry{}, errors.Wrapf(err, "configurator: decode %s", id)
