--- a/cmd/basildale/fleet_test.go
+++ b/cmd/basildale/fleet_test.go
@@ -85,15 +85,16 @@
 func TestVerifier(t *testing.T) {
 	is := is.New(t)
 	var out, errs bytes.Buffer
-	e := &env{ctx: context.Background(), out: &out, err: &errs}
-	is.NoErr((&verifierCmd{stdin: strings.NewReader("hunter2\n")}).Run(e))
+	e := &env{ctx: context.Background(), in: strings.NewReader("hunter2\n"), out: &out, err: &errs}
+	is.NoErr(verifierCmd{}.Run(e))
 	is.True(!strings.Contains(out.String()+errs.String(), "hunter2"))
 	o := newOperator(t)
 	o.does(exitDone, "apply", "-f", fleetExample)
 	doc := "kind: caller\nname: new\nworkspace: damplinjerne\nclass: lookup\nverifier: " + out.String()
 	o.Equal(o.does(exitDone, "apply", "-f", o.file(doc)), "create caller/new\n")
 	o.True(!strings.Contains(o.does(exitDone, "get", "caller", "new", "-o", "json"), "SCRAM"))
-	is.True((&verifierCmd{stdin: strings.NewReader("\n")}).Run(e) != nil)
+	e.in = strings.NewReader("\n")
+	is.True(verifierCmd{}.Run(e) != nil)
 }
 
 func TestWrongDocumentsWriteNothing(t *testing.T) {
--- a/cmd/basildale/verifier.go
+++ b/cmd/basildale/verifier.go
@@ -3,8 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"io"
-	"os"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -12,35 +10,27 @@
 	"basildale.example/basildale/relayer"
 )
 
-type verifierCmd struct {
-	stdin io.Reader // nil is the process's
-}
+type verifierCmd struct{}
 
 // Help is the long help of the command.
 func (verifierCmd) Help() string {
-	return `Reads a password from the first line of the standard input and prints the
-verifier that goes into a caller's document. The password is not an argument,
-since arguments end up in lists of processes and in shells' histories.`
+	return `Reads a caller's password as one line from standard input and prints the
+SCRAM-SHA-256 verifier that settings and caller objects hold in its place. The
+password can't be had back from it. A password on the command line would be seen
+by everybody on the machine, so there is no such argument.`
 }
 
-// Run prints the verifier of a password.
-func (c *verifierCmd) Run(e *env) error {
-	in := c.stdin
-	if in == nil {
-		in = os.Stdin
-	}
-	line, err := bufio.NewReader(in).ReadString('\n')
-	if err != nil && !errors.Is(err, io.EOF) {
-		return errors.Wrap(err, "read the password")
-	}
+// Run prints the verifier.
+func (verifierCmd) Run(e *env) error {
+	line, err := bufio.NewReader(e.in).ReadString('\n')
 	password := strings.TrimRight(line, "\r\n")
 	if password == "" {
-		return fail(exitUsage, errors.New("the password is empty"))
+		return fail(exitUsage, errors.CombineErrors(errors.New("no password on standard input"), err))
 	}
 	v, err := relayer.NewVerifier(password)
 	if err != nil {
 		return err
 	}
-	fmt.Fprintln(e.out, v)
-	return nil
+	_, err = fmt.Fprintln(e.out, v)
+	return err
 }
--- a/server/server.go
+++ b/server/server.go
@@ -60,6 +60,9 @@
 	TLS *tls.Config
 	// Limits bound the sessions.
 	Limits relayer.Limits
+	// Buffer bounds what is kept for a caller that reads slowly, in bytes; 0 means
+	// 256 KiB.
+	Buffer int
 	// Grace bounds how long a stop waits for requests in flight; 0 means 30 s.
 	Grace time.Duration
 	// Control decides; its zero value serves the groups as they are given.
@@ -74,6 +77,7 @@
 	pools    pools
 	fixed    fixed
 	retries  retries
+	held     held
 }
 
 const defaultGrace = 30 * time.Second
@@ -146,10 +150,11 @@
 		Log:           s.Log,
 	}
 	s.listener = &listener.Listener{
-		Address:  s.Listen,
-		Open:     s.open,
-		Farewell: relayer.Farewell(),
-		Log:      s.Log,
+		Address:   s.Listen,
+		Open:      s.open,
+		Farewell:  relayer.Farewell(),
+		MaxUnsent: s.Buffer,
+		Log:       s.Log,
 	}
 }
 
@@ -190,11 +195,14 @@
 	u, refusal := s.pools.acquire(ctx, t, r)
 	if refusal != nil {
 		s.Control.Release(t, false)
+		return nil, refusal
 	}
-	return u, refusal
+	s.held.add(u, t)
+	return u, nil
 }
 
 func (s *Server) release(t relayer.Target, u *relayer.Upstream, healthy bool) {
+	s.held.remove(u)
 	u.Back(u, healthy)
 	s.Control.Release(t, healthy)
 }
