relayer: a clearer name

**Cause** A variable of the simple query was named no. **Change** It is named refused. **Measured** go test ./relayer ./server ./daemon: ok. **Conclusion** Reads better.

--- a/relayer/simple.go
+++ b/relayer/simple.go
@@ -28,12 +28,12 @@
 	if tag := localTag(&st); tag != "" {
 		return s.local(&st, tag)
 	}
-	no := refusal(&st)
-	if no == nil {
-		no = chained(&st, text)
+	refused := refusal(&st)
+	if refused == nil {
+		refused = chained(&st, text)
 	}
-	if no != nil {
-		return s.answerFault(no)
+	if refused != nil {
+		return s.answerFault(refused)
 	}
 	u := s.relay.newUnit()
 	defer s.relay.freeUnit(u)
