coordinator: an upstream is sampled twice a second, not twenty times

Cause: docs/CAPACITY.md found the sampler over the budget at today's sizes: 61 kB/s a proxy with three groups. Marks don't need the samples: a write's confirmation, a check and a read that waits ask for the state themselves. Change: 500 ms between samples of a group with traffic. Samples of a proxy with three groups: 180 to 18 a second, by the slope of 341 bytes a sample 61 to 6.1 kB/s (computed).

--- a/coordinator/sampling.go
+++ b/coordinator/sampling.go
@@ -36,7 +36,7 @@
 			*v = d
 		}
 	}
-	def(&s.Active, 50*time.Millisecond)
+	def(&s.Active, 500*time.Millisecond)
 	def(&s.Idle, time.Second)
 	def(&s.Lately, 2*time.Second)
 	def(&s.Within, 500*time.Millisecond)
