--- a/cmd/basildale/docs_test.go
+++ b/cmd/basildale/docs_test.go
@@ -90,3 +90,29 @@
 	}
 	is.Equal(missing, nil) // not on the page
 }
+
+// Symptom: an operator can't find out which part a line of the log is from.
+// Sequence: a part logs for the first time. Cause: the page was forgotten.
+func TestOperatorsPageNamesEveryLogPrefix(t *testing.T) {
+	is := is.New(t)
+	line := regexp.MustCompile(`(?m)^[^/\n]*\.(?:Debug|Info|Warn|Error)\("([a-z]+: )`) // no comments
+	prefixes := make(map[string]bool)
+	err := filepath.WalkDir(root, func(path string, _ os.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		for _, match := range line.FindAllStringSubmatch(string(data), -1) {
+			prefixes[match[1]] = true
+		}
+		return err
+	})
+	is.NoErr(err)
+	is.True(len(prefixes) > 5) // the sources log
+	page := pages(t)["OPERATORS.md"]
+	for prefix := range prefixes {
+		if !strings.Contains(page, "`"+prefix+"`") {
+			t.Errorf("%q is not on the page", prefix)
+		}
+	}
+}
--- a/cmd/basildale/status.go
+++ b/cmd/basildale/status.go
@@ -69,7 +69,7 @@
 	fmt.Fprintln(t, "  UPSTREAM\tZONE\tADDRESS\tROLE\tMARK\tBEHIND\tBREAKER\tCONNECTIONS")
 	for _, u := range g.Upstreams {
 		fmt.Fprintf(t, "  %s\t%s\t%s\t%s\t%s\t%s\t%s\t%d of %d\n",
-			u.Name, u.Zone, u.Address, u.Role, u.Mark, behind(u), u.Breaker, u.Open, u.Share)
+			u.Name, u.Zone, u.Address, u.Role, u.Mark, behind(u), orNone(u.Breaker), u.Open, u.Share)
 	}
 	return t.Flush()
 }
