modeler: parts of a comparison run at the same time

**Cause** Comparisons in virtual time ran one case after another in one goroutine, while the other cores stood idle.

**Change** modeler.Together runs parts that share nothing and keeps the order of what they write; the comparison of breakers and the models of membership use it. A model's full views are built in parallel, and agree walks both sorted lists without maps, so that it sees strangers too. The queue of news works in place. The heavy tests of configurator and promoter are parallel. No case, seed or bound has changed; golden files are the same.

--- a/configurator/applier_test.go
+++ b/configurator/applier_test.go
@@ -189,6 +189,7 @@
 // what can happen to the first four calls, with another operator acting before
 // any of them or not at all. Cause: an outcome that was guessed.
 func TestApplyEveryFate(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	objects := exampleObjects(t)
 	combinations := 1
--- a/configurator/measure_test.go
+++ b/configurator/measure_test.go
@@ -28,6 +28,7 @@
 // How long a change takes to every proxy as the fleet grows, and at full size with
 // a fault.
 func TestDelay(t *testing.T) {
+	t.Parallel()
 	var b strings.Builder
 	for _, s := range sizes {
 		f := newFleet(t, 1, s.n, s.zones, s.regions, nil)
@@ -44,6 +45,7 @@
 
 // The calls to the platform and the bytes of a proxy, at rest and for a change.
 func TestCost(t *testing.T) {
+	t.Parallel()
 	var b strings.Builder
 	const rest, changes = 30, 5
 	for _, s := range sizes {
@@ -70,6 +72,7 @@
 // operator applies hundreds of objects. Cause: each of them costs each watcher a
 // call, and each proxy a new configuration.
 func TestBurst(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	var b strings.Builder
 	const changes, apart = 200, 10 * time.Millisecond
@@ -132,6 +135,7 @@
 // A fresh proxy of a full fleet takes 4,600 groups from its peers, and from the
 // platform only the word that nothing is newer.
 func TestFreshAtFullSize(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	objects := make([]Object, 4600)
 	for i := range objects {
--- a/configurator/relay_test.go
+++ b/configurator/relay_test.go
@@ -110,6 +110,7 @@
 //
 // The golden file holds the delays; they are exact, in virtual time.
 func TestDelayUnderFaults(t *testing.T) {
+	t.Parallel()
 	var b strings.Builder
 	b.WriteString("9 proxies, 3 zones, 5 seeds, 10 changes each, faults alone and in pairs\n")
 	for i, first := range faults {
--- a/internal/comparer/breakers.go
+++ b/internal/comparer/breakers.go
@@ -1,6 +1,7 @@
 package comparer
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -298,13 +299,17 @@
 // Breakers writes what a group of upstreams answers in time with each way of
 // breaking, on the same arrivals, under several faults of its last upstream.
 func Breakers(w io.Writer) {
+	var parts []func(*bytes.Buffer)
 	for _, c := range scenes() {
-		fmt.Fprintf(w, "%s\n", c.name)
-		for _, way := range breakings() {
-			g := newGroup(way, c.fault)
-			g.cutOff = c.cutOff
-			g.play(c.rate)
-			fmt.Fprintf(w, "  %-21s score %6d  attempts lost %5d  opened %4d\n", way.name, g.score, g.lost, g.opened)
-		}
+		parts = append(parts, func(b *bytes.Buffer) {
+			fmt.Fprintf(b, "%s\n", c.name)
+			for _, way := range breakings() {
+				g := newGroup(way, c.fault)
+				g.cutOff = c.cutOff
+				g.play(c.rate)
+				fmt.Fprintf(b, "  %-21s score %6d  attempts lost %5d  opened %4d\n", way.name, g.score, g.lost, g.opened)
+			}
+		})
 	}
+	_, _ = w.Write(modeler.Together(parts...))
 }
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"time"
 )
 
@@ -126,13 +127,17 @@
 	for _, p := range f.procs {
 		f.load(p, 1000)
 	}
+	var group sync.WaitGroup // each view is its own until the first event
 	for _, p := range f.procs {
-		p.view.start(f.now)
-		for _, q := range f.procs {
-			p.view.merge(q.view.Self, f.now, false)
-		}
-		p.view.out = nil
+		group.Go(func() {
+			p.view.start(f.now)
+			for _, q := range f.procs {
+				p.view.merge(q.view.Self, f.now, false)
+			}
+			p.view.out = nil
+		})
 	}
+	group.Wait()
 	list := Listed{Instances: f.list()}
 	for _, p := range f.procs {
 		f.give(p, list)
@@ -314,23 +319,28 @@
 
 // agree returns "" if each process that runs sees exactly the processes of its
 // part that run, and otherwise the first difference. Same says who is of the
-// same part.
+// same part. Both the views and the processes are sorted by address.
 func (f *fleet) agree(same func(a, b *proc) bool) string {
 	for _, p := range f.procs {
 		if !p.up {
 			continue
 		}
-		seen := make(map[netip.AddrPort]uint64)
-		for _, m := range p.view.Live() {
-			seen[m.Addr] = m.Start
-		}
+		live := p.view.Live()
 		for _, q := range f.procs {
-			start, ok := seen[q.view.Self.Addr]
-			want := q.up && same(p, q)
-			if ok != want || (want && start != q.view.Self.Start) {
-				return fmt.Sprintf("%s sees %s: %v (start %d), want %v (start %d)",
-					p.view.Self.Addr, q.view.Self.Addr, ok, start, want, q.view.Self.Start)
+			if !q.up || !same(p, q) {
+				continue
+			}
+			if len(live) == 0 {
+				return fmt.Sprintf("%s doesn't see %s", p.view.Self.Addr, q.view.Self.Addr)
 			}
+			if m := live[0]; m.Addr != q.view.Self.Addr || m.Start != q.view.Self.Start {
+				return fmt.Sprintf("%s sees %s, start %d, want %s, start %d",
+					p.view.Self.Addr, m.Addr, m.Start, q.view.Self.Addr, q.view.Self.Start)
+			}
+			live = live[1:]
+		}
+		if len(live) > 0 {
+			return fmt.Sprintf("%s sees %s, which isn't there", p.view.Self.Addr, live[0].Addr)
 		}
 	}
 	return ""
--- a/membership/measure_test.go
+++ b/membership/measure_test.go
@@ -1,13 +1,15 @@
 package membership
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
 	"os"
 	"slices"
-	"strings"
 	"testing"
 	"time"
+
+	"basildale.example/basildale/internal/modeler"
 )
 
 var update = flag.Bool("update", false, "write the golden files")
@@ -60,14 +62,14 @@
 // exact: virtual time and fixed seeds.
 func TestMeasure(t *testing.T) {
 	t.Parallel()
-	var out strings.Builder
+	var parts []func(*bytes.Buffer)
 	for _, n := range []int{9, 90, 900, 2500} {
-		measure(&out, n)
+		parts = append(parts, func(out *bytes.Buffer) { measure(out, n) })
 	}
-	golden(t, "testdata/measure.golden", out.String())
+	golden(t, "testdata/measure.golden", string(modeler.Together(parts...)))
 }
 
-func measure(out *strings.Builder, n int) {
+func measure(out *bytes.Buffer, n int) {
 	f := newFleet(n, 1)
 	f.warm()
 	f.run(5 * time.Second)
--- a/membership/news.go
+++ b/membership/news.go
@@ -28,7 +28,7 @@
 func (q *queue) take(n, repeats int) []netip.AddrPort {
 	n = min(n, len(q.order))
 	out := slices.Clone(q.order[:n])
-	rest := append(make([]netip.AddrPort, 0, len(q.order)), q.order[n:]...)
+	rest := append(q.order[:0], q.order[n:]...) // in place: what stays never outgrows what was there
 	for _, a := range out {
 		q.sent[a]++
 		if q.sent[a] >= repeats {
--- a/membership/storm_test.go
+++ b/membership/storm_test.go
@@ -1,10 +1,12 @@
 package membership
 
 import (
+	"bytes"
 	"fmt"
-	"strings"
 	"testing"
 	"time"
+
+	"basildale.example/basildale/internal/modeler"
 )
 
 // agreed runs the fleet until all agree and returns how long that took, at most
@@ -48,20 +50,21 @@
 // and restarts.
 func TestMeasureStorms(t *testing.T) {
 	t.Parallel()
-	var out strings.Builder
+	var parts []func(*bytes.Buffer)
 	for _, n := range []int{90, 360} {
-		fmt.Fprintf(&out, "%d processes\n", n)
-		zoneLost(&out, n, 3)
-		zoneLost(&out, n, 15)
-		partitioned(&out, n)
-		restarted(&out, n)
-		fresh(&out, n)
+		parts = append(parts,
+			func(out *bytes.Buffer) { fmt.Fprintf(out, "%d processes\n", n) },
+			func(out *bytes.Buffer) { zoneLost(out, n, 3) },
+			func(out *bytes.Buffer) { zoneLost(out, n, 15) },
+			func(out *bytes.Buffer) { partitioned(out, n) },
+			func(out *bytes.Buffer) { restarted(out, n) },
+			func(out *bytes.Buffer) { fresh(out, n) })
 	}
-	golden(t, "testdata/storms.golden", out.String())
+	golden(t, "testdata/storms.golden", string(modeler.Together(parts...)))
 }
 
 // zoneLost takes away one in so many.
-func zoneLost(out *strings.Builder, n, one int) {
+func zoneLost(out *bytes.Buffer, n, one int) {
 	f := newFleet(n, 2)
 	f.warm()
 	f.run(5 * time.Second)
@@ -75,7 +78,7 @@
 	fmt.Fprintf(out, "  one in %d vanishes: all others agree after %v, %d false deaths, %v\n", one, took, f.deaths(), most)
 }
 
-func partitioned(out *strings.Builder, n int) {
+func partitioned(out *bytes.Buffer, n int) {
 	f := newFleet(n, 3)
 	f.warm()
 	side := make(map[*proc]bool)
@@ -91,7 +94,7 @@
 	fmt.Fprintf(out, "  two halves: apart after %v, one again after %v, %v\n", apart, took, most)
 }
 
-func restarted(out *strings.Builder, n int) {
+func restarted(out *bytes.Buffer, n int) {
 	f := newFleet(n, 4)
 	f.warm()
 	f.run(5 * time.Second)
@@ -109,7 +112,7 @@
 	fmt.Fprintf(out, "  all restarted within 60 s: agree %v later, %d false deaths, %v\n", took, f.deaths(), most)
 }
 
-func fresh(out *strings.Builder, n int) {
+func fresh(out *bytes.Buffer, n int) {
 	f := newFleet(n, 5)
 	f.warm()
 	p := f.procs[0]
--- a/promoter/faults_test.go
+++ b/promoter/faults_test.go
@@ -168,6 +168,7 @@
 // Sequence: each fault alone and with each other, over seeds. Cause: whatever a
 // pair of faults finds between two steps.
 func TestFaultsAloneAndInPairs(t *testing.T) {
+	t.Parallel()
 	const seeds = 3
 	var b strings.Builder
 	fmt.Fprintf(&b, "%-62s %5s %8s %8s %6s %7s %7s\n", "faults", "promo", "median", "worst", "acked", "not run", "unknown")
@@ -193,6 +194,7 @@
 // dies or stands still just before each order of a promotion, one after another.
 // Cause: a step that the next holder can't tell from no step.
 func TestLeaderStopsAtEachStep(t *testing.T) {
+	t.Parallel()
 	for step := 1; step <= 6; step++ {
 		for _, primary := range faults()[:3] {
 			for _, stop := range []fault{
--- a/promoter/figures_test.go
+++ b/promoter/figures_test.go
@@ -25,6 +25,7 @@
 // TestFailoverGap measures the time without an acknowledged write, by fault and
 // platform, and holds it to the aims.
 func TestFailoverGap(t *testing.T) {
+	t.Parallel()
 	const seeds = 20
 	var b strings.Builder
 	fmt.Fprintf(&b, "%-46s %-6s %-14s %8s %8s %8s %8s\n", "fault", "zones", "platform", "median", "p99", "worst", "learned")
@@ -60,6 +61,7 @@
 
 // TestBaselines sets the protocol beside simpler ones on the same seeds.
 func TestBaselines(t *testing.T) {
+	t.Parallel()
 	const seeds = 8
 	var b strings.Builder
 	fmt.Fprintf(&b, "%-28s %-46s %8s %8s %6s\n", "variant", "fault", "median", "worst", "lost")
@@ -90,6 +92,7 @@
 // statements and probes take up to five times as long, with a long tail. Cause: a
 // timeout that doesn't follow the latency seen, or one zone's word for it.
 func TestFalsePromotions(t *testing.T) {
+	t.Parallel()
 	const seeds = 20
 	var b strings.Builder
 	slow := fault{apply: func(w *world) { w.primary().slow = 5 }}
@@ -122,6 +125,7 @@
 // TestCostOfConfirmation measures what a booking waits for its confirmation, by
 // replication lag, with 500 ms for each booking.
 func TestCostOfConfirmation(t *testing.T) {
+	t.Parallel()
 	var b strings.Builder
 	fmt.Fprintf(&b, "%-8s %-16s %10s %10s %6s %8s %8s\n", "lag", "acknowledged", "median", "p99", "acked", "not run", "unknown")
 	for _, lag := range []time.Duration{0, 2 * ms, 10 * ms, 50 * ms, 200 * ms, 400 * ms, time.Second} {
--- a/promoter/move_test.go
+++ b/promoter/move_test.go
@@ -124,6 +124,7 @@
 // fencing, and records holders of its own. Cause: acting on suspicion without a
 // look whether enough upstreams can be reached.
 func TestLongPartition(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		is := is.New(t)
 		w := newWorld(seed, options{})
