--- a/adapter/messenger/calls.go
+++ b/adapter/messenger/calls.go
@@ -52,13 +52,6 @@
 	return reply, err
 }
 
-// Get asks the proxy at to for configuration.
-func (m *Messenger) Get(ctx context.Context, to netip.AddrPort, req Get) (Got, error) {
-	var reply Got
-	err := m.call(ctx, to, MethodGet, req, &reply)
-	return reply, err
-}
-
 // Suspect tells the proxy at to that a primary seems dead.
 func (m *Messenger) Suspect(ctx context.Context, to netip.AddrPort, req SuspectReport) (Empty, error) {
 	var reply Empty
@@ -93,10 +86,3 @@
 	err := m.call(ctx, to, MethodExplain, req, &reply)
 	return reply, err
 }
-
-// Share asks the proxy at to for connections to an upstream.
-func (m *Messenger) Share(ctx context.Context, to netip.AddrPort, req ShareRequest) (ShareGrant, error) {
-	var reply ShareGrant
-	err := m.call(ctx, to, MethodShare, req, &reply)
-	return reply, err
-}
--- a/adapter/messenger/handler.go
+++ b/adapter/messenger/handler.go
@@ -25,13 +25,11 @@
 	Sync    func(context.Context, Peer, Sync) (Synced, error)
 	Marks   func(context.Context, Peer, Marks) (Empty, error)
 	Have    func(context.Context, Peer, Have) (Got, error)
-	Get     func(context.Context, Peer, Get) (Got, error)
 	Suspect func(context.Context, Peer, SuspectReport) (Empty, error)
 	Primary func(context.Context, Peer, PrimaryAnnounce) (Empty, error)
 	Cancel  func(context.Context, Peer, CancelForward) (Empty, error)
 	Leave   func(context.Context, Peer, Leave) (Empty, error)
 	Explain func(context.Context, Peer, ExplainQuery) (Explanation, error)
-	Share   func(context.Context, Peer, ShareRequest) (ShareGrant, error)
 }
 
 // dispatch decodes the request of one method and runs the function for it.
@@ -52,9 +50,6 @@
 	case MethodHave:
 		var q Have
 		return serve(raw, &q, h.Have != nil, func() (any, error) { return h.Have(ctx, from, q) })
-	case MethodGet:
-		var q Get
-		return serve(raw, &q, h.Get != nil, func() (any, error) { return h.Get(ctx, from, q) })
 	case MethodSuspect:
 		var q SuspectReport
 		return serve(raw, &q, h.Suspect != nil, func() (any, error) { return h.Suspect(ctx, from, q) })
@@ -70,9 +65,6 @@
 	case MethodExplain:
 		var q ExplainQuery
 		return serve(raw, &q, h.Explain != nil, func() (any, error) { return h.Explain(ctx, from, q) })
-	case MethodShare:
-		var q ShareRequest
-		return serve(raw, &q, h.Share != nil, func() (any, error) { return h.Share(ctx, from, q) })
 	default:
 		return nil, errors.Wrapf(ErrMethod, "%q", method)
 	}
--- a/adapter/messenger/messages.go
+++ b/adapter/messenger/messages.go
@@ -17,15 +17,12 @@
 	MethodProbe   Method = "pingreq"
 	MethodSync    Method = "sync"
 	MethodMarks   Method = "marks"
-	MethodRoster  Method = "roster"
 	MethodHave    Method = "config.have"
-	MethodGet     Method = "config.get"
 	MethodSuspect Method = "suspect"
 	MethodPrimary Method = "primary"
 	MethodCancel  Method = "cancel"
 	MethodLeave   Method = "leave"
 	MethodExplain Method = "explain"
-	MethodShare   Method = "share"
 )
 
 // Empty is the answer to a request that asks for nothing back.
@@ -84,12 +81,7 @@
 	Payload json.RawMessage `json:"payload"`
 }
 
-// Get asks for configuration. The payload belongs to package configurator.
-type Get struct {
-	Payload json.RawMessage `json:"payload"`
-}
-
-// Got answers Get and Have. The payload belongs to package configurator.
+// Got answers Have. The payload belongs to package configurator.
 type Got struct {
 	Payload json.RawMessage `json:"payload,omitempty"`
 }
@@ -143,19 +135,3 @@
 type Explanation struct {
 	Payload json.RawMessage `json:"payload,omitempty"`
 }
-
-// ShareRequest asks the leader of a group for Want of the connections that
-// Upstream takes. Have is what the sender holds now.
-type ShareRequest struct {
-	Group    string         `json:"group"`
-	Upstream netip.AddrPort `json:"upstream"`
-	Have     int            `json:"have"`
-	Want     int            `json:"want"`
-}
-
-// ShareGrant answers ShareRequest: the sender may hold Grant connections until
-// the lease of TTL milliseconds, counted from its request, is over.
-type ShareGrant struct {
-	Grant int   `json:"grant"`
-	TTL   int64 `json:"ttl"`
-}
