modeler: one virtual clock for the models of membership and configurator

**Cause** The same queue of events stood in the fleet models of configurator and membership and in modeler.

**Change** Both use modeler.Clock, which has RunFor and RunUntil now and keeps its agenda without boxing entries.

All golden files of comparer, configurator and membership are as they were, so the order of events is.

**Conclusion** measurer and promoter still have clocks of their own.

--- a/configurator/fleet_test.go
+++ b/configurator/fleet_test.go
@@ -1,13 +1,14 @@
 package configurator
 
 import (
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
+
+	"basildale.example/basildale/internal/modeler"
 )
 
 // envelope is what a request between proxies costs around its message: the
@@ -20,32 +21,6 @@
 
 const tickEvery = 250 * time.Millisecond
 
-// event is something due at a moment; equal moments go in the order of seq.
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type queue []event
-
-func (q queue) Len() int { return len(q) }
-
-func (q queue) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].seq < q[j].seq
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *queue) Pop() any {
-	last := len(*q) - 1
-	e := (*q)[last]
-	*q = (*q)[:last]
-	return e
-}
-
 // proxy is one member with its relay.
 type proxy struct {
 	Relay
@@ -65,10 +40,8 @@
 // fleet is the relays of many proxies, a platform and the delays between them,
 // in virtual time. The zero values of the faults are no faults.
 type fleet struct {
-	t       *testing.T
-	now     time.Time
-	queue   queue
-	seq     int
+	t *testing.T
+	modeler.Clock
 	rng     *rand.Rand
 	proxies []*proxy
 	byAddr  map[netip.AddrPort]*proxy
@@ -85,7 +58,7 @@
 // All know each other, and have joined when it returns.
 func newFleet(t *testing.T, seed uint64, n, zones, regions int, objects []Object) *fleet {
 	f := &fleet{
-		t: t, now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(seed, 7)),
+		t: t, Clock: modeler.Clock{Now: time.Unix(1_000_000, 0)}, rng: rand.New(rand.NewPCG(seed, 7)),
 		byAddr: make(map[netip.AddrPort]*proxy),
 		cut:    func(*proxy) bool { return false },
 		part:   func(_, _ *proxy) bool { return false },
@@ -97,7 +70,7 @@
 		f.add(i, i%zones, i%zones%regions)
 	}
 	f.tellMembers()
-	f.run(3 * time.Second)
+	f.RunFor(3 * time.Second)
 	return f
 }
 
@@ -107,7 +80,7 @@
 	p.Self = Member{Address: addr, Zone: fmt.Sprintf("zone-%d", zone)}
 	f.proxies = append(f.proxies, p)
 	f.byAddr[addr] = p
-	f.after(time.Duration(f.rng.Int64N(int64(tickEvery))), func() { f.tick(p) })
+	f.After(time.Duration(f.rng.Int64N(int64(tickEvery))), func() { f.tick(p) })
 	return p
 }
 
@@ -118,28 +91,13 @@
 		members[i] = p.Self
 	}
 	for _, p := range f.proxies {
-		f.after(0, func() { f.handle(p, MembersChanged{Members: members}) })
-	}
-}
-
-func (f *fleet) after(d time.Duration, do func()) {
-	f.seq++
-	heap.Push(&f.queue, event{at: f.now.Add(d), seq: f.seq, do: do})
-}
-
-func (f *fleet) run(d time.Duration) {
-	end := f.now.Add(d)
-	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
-		e := heap.Pop(&f.queue).(event)
-		f.now = e.at
-		e.do()
+		f.After(0, func() { f.handle(p, MembersChanged{Members: members}) })
 	}
-	f.now = end
 }
 
 func (f *fleet) tick(p *proxy) {
 	f.handle(p, Ticked{})
-	f.after(tickEvery, func() { f.tick(p) })
+	f.After(tickEvery, func() { f.tick(p) })
 }
 
 // handle gives a relay an event and carries out its commands. It is here that a
@@ -149,7 +107,7 @@
 		return
 	}
 	before := p.Version()
-	commands := p.Handle(ev, f.now)
+	commands := p.Handle(ev, f.Now)
 	if p.Version() < before {
 		f.t.Fatalf("%s: version fell from %d to %d by %T", p.Self.Address, before, p.Version(), ev)
 	}
@@ -162,9 +120,9 @@
 		case SendPeer:
 			f.send(p, c.Peer, c.Message())
 		case Adopted:
-			p.at[c.Version] = f.now
+			p.at[c.Version] = f.Now
 		case Joined:
-			p.joined = f.now
+			p.joined = f.Now
 		}
 	}
 }
@@ -183,7 +141,7 @@
 	if f.rng.Float64() < f.loss || f.part(from, p) {
 		return
 	}
-	f.after(f.delay(from, p), func() {
+	f.After(f.delay(from, p), func() {
 		if !p.dead {
 			p.bytes += size
 			f.handle(p, m.Event(from.Self.Address))
@@ -216,10 +174,10 @@
 
 func (f *fleet) watch(p *proxy, c Watch) {
 	p.calls++
-	wait := c.Until.Sub(f.now)
-	f.after(f.platformDelay(p), func() {
+	wait := c.Until.Sub(f.Now)
+	f.After(f.platformDelay(p), func() {
 		if f.cut(p) {
-			f.after(f.platformDelay(p), func() { f.handle(p, WatchFailed{Seq: c.Seq}) })
+			f.After(f.platformDelay(p), func() { f.handle(p, WatchFailed{Seq: c.Seq}) })
 			return
 		}
 		if wait <= 0 || f.history.Version() > c.After {
@@ -227,7 +185,7 @@
 			return
 		}
 		f.watches = append(f.watches, waiting{p, c})
-		f.after(wait, func() { f.expire(c.Seq, p) })
+		f.After(wait, func() { f.expire(c.Seq, p) })
 	})
 }
 
@@ -243,7 +201,7 @@
 
 func (f *fleet) answer(p *proxy, c Watch) {
 	d := f.history.Since(c.After, 1<<20)
-	f.after(f.slow+f.platformDelay(p), func() {
+	f.After(f.slow+f.platformDelay(p), func() {
 		f.handle(p, WatchAnswered{Seq: c.Seq, After: c.After, Items: d.Items, More: !d.whole()})
 	})
 }
--- a/configurator/measure_test.go
+++ b/configurator/measure_test.go
@@ -57,7 +57,7 @@
 		f.reset()
 		for i := range changes {
 			f.put(groupObject(t, 0, 200+i))
-			f.run(rest / changes * time.Second)
+			f.RunFor(rest / changes * time.Second)
 		}
 		calls, mean, _ = f.total()
 		perChange := (mean - idle) / changes
@@ -81,12 +81,12 @@
 		f.reset()
 		for i := range changes {
 			f.put(groupObject(t, i, 35))
-			f.run(apart)
+			f.RunFor(apart)
 		}
 		calls, mean, most := f.total()
-		end := f.now
+		end := f.Now
 		worst, adopted := time.Duration(0), 0
-		f.run(3 * time.Second)
+		f.RunFor(3 * time.Second)
 		for _, p := range f.proxies {
 			is.Equal(p.Version(), uint64(changes))
 			worst = max(worst, p.at[changes].Sub(end))
@@ -118,7 +118,7 @@
 // cost runs for a while and returns what it cost.
 func (f *fleet) cost(d time.Duration) (calls int, mean, most float64) {
 	f.reset()
-	f.run(d)
+	f.RunFor(d)
 	return f.total()
 }
 
@@ -144,10 +144,10 @@
 	f := newFleet(t, 1, 10, 5, 5, objects)
 	f.reset()
 	fresh := f.add(10, 0, 0)
-	began := f.now
+	began := f.Now
 	f.tellMembers()
 	for fresh.joined.IsZero() {
-		f.run(time.Millisecond)
+		f.RunFor(time.Millisecond)
 	}
 	is.Equal(fresh.Version(), uint64(4600))
 	golden(t, "full.golden", fmt.Sprintf("fresh proxy with 4600 groups serves after %.0f ms, %d platform calls, %d KB from peers\n",
--- a/configurator/relay_test.go
+++ b/configurator/relay_test.go
@@ -45,9 +45,9 @@
 	t.Helper()
 	var all []time.Duration
 	for i := range changes {
-		put := f.now
+		put := f.Now
 		v := f.put(groupObject(t, i%3, 100+i))
-		f.run(settle)
+		f.RunFor(settle)
 		for _, p := range f.proxies {
 			if p.dead {
 				continue
@@ -146,7 +146,7 @@
 	f.part = func(_, _ *proxy) bool { return true }
 	f.cut = func(p *proxy) bool { return p.Self.Zone != "zone-2" }
 	f.put(groupObject(t, 0, 40))
-	f.run(time.Second)
+	f.RunFor(time.Second)
 	ahead := 0
 	for _, p := range f.proxies {
 		ahead += int(p.Version())
@@ -155,10 +155,10 @@
 	f.cut = func(*proxy) bool { return true }
 	f.part = func(_, _ *proxy) bool { return false }
 	fresh := f.add(9, 0, 0)
-	began := f.now
+	began := f.Now
 	f.tellMembers()
 	for fresh.joined.IsZero() {
-		f.run(time.Millisecond)
+		f.RunFor(time.Millisecond)
 	}
 	is.Equal(fresh.Version(), uint64(1))
 	golden(t, "fresh.golden", fmt.Sprintf("fresh proxy in an outage serves after %.0f ms\n", float64(fresh.joined.Sub(began))/1e6))
@@ -226,12 +226,12 @@
 		f.add(i, i%3, 0)
 	}
 	f.tellMembers()
-	f.run(time.Minute)
+	f.RunFor(time.Minute)
 	for _, p := range f.proxies {
 		is.True(!p.Serving())
 	}
 	f.cut = func(*proxy) bool { return false }
-	f.run(20 * time.Second)
+	f.RunFor(20 * time.Second)
 	for _, p := range f.proxies {
 		is.True(p.Serving())
 		is.Equal(p.Version(), uint64(1))
--- a/internal/modeler/clock.go
+++ b/internal/modeler/clock.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"time"
 )
 
@@ -11,14 +10,34 @@
 type Clock struct {
 	Now time.Time
 
-	todo agenda
+	todo []entry // a binary heap, the earliest first
 	seq  int
 }
 
+// entry is something due. Its time is a number because models spend most of
+// their own time on comparing.
+type entry struct {
+	at  int64 // nanoseconds since 1970
+	seq int
+	do  func()
+}
+
+func (e entry) before(o entry) bool {
+	return cmp.Or(cmp.Compare(e.at, o.at), cmp.Compare(e.seq, o.seq)) < 0
+}
+
 // At calls do at t, after all that was put there before for the same moment.
 func (c *Clock) At(t time.Time, do func()) {
 	c.seq++
-	heap.Push(&c.todo, entry{at: t, seq: c.seq, do: do})
+	c.todo = append(c.todo, entry{at: t.UnixNano(), seq: c.seq, do: do})
+	for i := len(c.todo) - 1; i > 0; {
+		parent := (i - 1) / 2
+		if !c.todo[i].before(c.todo[parent]) {
+			return
+		}
+		c.todo[i], c.todo[parent] = c.todo[parent], c.todo[i]
+		i = parent
+	}
 }
 
 // After calls do when d has passed.
@@ -27,34 +46,42 @@
 // Run goes through the agenda until nothing is left.
 func (c *Clock) Run() {
 	for len(c.todo) > 0 {
-		e := heap.Pop(&c.todo).(entry)
-		c.Now = e.at
-		e.do()
+		c.step()
 	}
 }
 
-type entry struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type agenda []entry
-
-func (a agenda) Len() int { return len(a) }
+// RunFor lets d pass.
+func (c *Clock) RunFor(d time.Duration) { c.RunUntil(c.Now.Add(d)) }
 
-func (a agenda) Less(i, j int) bool {
-	return cmp.Or(a[i].at.Compare(a[j].at), cmp.Compare(a[i].seq, a[j].seq)) < 0
+// RunUntil goes through the agenda up to end, which is Now then.
+func (c *Clock) RunUntil(end time.Time) {
+	for last := end.UnixNano(); len(c.todo) > 0 && c.todo[0].at <= last; {
+		c.step()
+	}
+	c.Now = end
 }
 
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-
-// Push implements heap.Interface.
-func (a *agenda) Push(x any) { *a = append(*a, x.(entry)) }
+func (c *Clock) step() {
+	e := c.pop()
+	c.Now = c.Now.Add(time.Duration(e.at - c.Now.UnixNano()))
+	e.do()
+}
 
-// Pop implements heap.Interface.
-func (a *agenda) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
+func (c *Clock) pop() entry {
+	first, last := c.todo[0], len(c.todo)-1
+	c.todo[0], c.todo[last] = c.todo[last], entry{}
+	c.todo = c.todo[:last]
+	for i := 0; ; {
+		least := i
+		for child := 2*i + 1; child <= 2*i+2 && child < last; child++ {
+			if c.todo[child].before(c.todo[least]) {
+				least = child
+			}
+		}
+		if least == i {
+			return first
+		}
+		c.todo[i], c.todo[least] = c.todo[least], c.todo[i]
+		i = least
+	}
 }
--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -15,10 +15,10 @@
 	f := newFleet(n+1, 1)
 	v := f.procs[0].view
 	v.Self.Start = 1000
-	v.start(f.now)
+	v.start(f.Now)
 	for _, p := range f.procs[1:] {
 		p.view.Self.Start = 1000
-		v.merge(p.view.Self, f.now, false)
+		v.merge(p.view.Self, f.Now, false)
 	}
 	v.out = nil
 	v.choose()
--- a/membership/fault_test.go
+++ b/membership/fault_test.go
@@ -26,54 +26,54 @@
 	}{
 		{
 			"nothing", "Symptom: members flap although nothing happens.", 30,
-			func(f *fleet) { f.run(5 * minute) },
+			func(f *fleet) { f.RunFor(5 * minute) },
 			outcome{0, 0},
 		},
 		{
 			"host vanishes", "Symptom: a vanished member stays in the views. Sequence: it never answers again. Cause: no deadline for suspicions.", 30,
-			func(f *fleet) { f.vanish(f.procs[4]); f.run(30 * time.Second) },
+			func(f *fleet) { f.vanish(f.procs[4]); f.RunFor(30 * time.Second) },
 			outcome{0, -1},
 		},
 		{
 			"process dies", "Symptom: as above. Sequence: connections to it are refused.", 30,
-			func(f *fleet) { f.stop(f.procs[4]); f.run(20 * time.Second) },
+			func(f *fleet) { f.stop(f.procs[4]); f.RunFor(20 * time.Second) },
 			outcome{0, -1},
 		},
 		{
 			"planned stop", "Symptom: a planned stop looks like a failure. Cause: its announcement isn't heard or spread.", 30,
 			func(f *fleet) {
 				f.give(f.procs[4], Leave{})
-				f.run(10 * time.Second)
+				f.RunFor(10 * time.Second)
 				f.give(f.procs[4], Stop{})
-				f.run(10 * time.Millisecond)
+				f.RunFor(10 * time.Millisecond)
 				f.stop(f.procs[4])
-				f.run(20 * time.Second)
+				f.RunFor(20 * time.Second)
 			},
 			outcome{0, 0},
 		},
 		{
 			"restart at the same address", "Symptom: the new process is taken for the old one. Sequence: it comes back before anybody noticed. Cause: only the address tells them apart.", 30,
-			func(f *fleet) { f.boot(f.procs[4], 2000); f.run(20 * time.Second) },
+			func(f *fleet) { f.boot(f.procs[4], 2000); f.RunFor(20 * time.Second) },
 			outcome{0, -1},
 		},
 		{
 			"restart with a clock that went back", "Symptom: the new process is unknown for good. Sequence: its start is lower than the one before. Cause: the others take what it says for old.", 30,
-			func(f *fleet) { f.boot(f.procs[4], 10); f.run(30 * time.Second) },
+			func(f *fleet) { f.boot(f.procs[4], 10); f.RunFor(30 * time.Second) },
 			outcome{0, -1},
 		},
 		{
 			"two in a hundred messages lost", "Symptom: healthy members are declared dead.", 30,
-			func(f *fleet) { f.loss = 0.02; f.run(10 * minute); f.loss = 0; f.run(20 * time.Second) },
+			func(f *fleet) { f.loss = 0.02; f.RunFor(10 * minute); f.loss = 0; f.RunFor(20 * time.Second) },
 			outcome{0, -1},
 		},
 		{
 			"a fifth of the messages lost", "Symptom: as above.", 30,
-			func(f *fleet) { f.loss = 0.2; f.run(5 * minute); f.loss = 0; f.run(minute) },
+			func(f *fleet) { f.loss = 0.2; f.RunFor(5 * minute); f.loss = 0; f.RunFor(minute) },
 			outcome{0, -1},
 		},
 		{
 			"short pause", "Symptom: a short stall costs a member its place. Cause: suspicion without a chance to contradict.", 30,
-			func(f *fleet) { f.pause(f.procs[4], 3*time.Second); f.run(minute) },
+			func(f *fleet) { f.pause(f.procs[4], 3*time.Second); f.RunFor(minute) },
 			outcome{0, -1},
 		},
 		{
@@ -81,7 +81,7 @@
 			func(f *fleet) {
 				p := f.procs[4]
 				f.pause(p, 40*time.Second)
-				f.run(2 * minute)
+				f.RunFor(2 * minute)
 				f.forbid("a death declared by it", func(c change) bool { return c.by == p })
 			},
 			outcome{4, -1},
@@ -91,9 +91,9 @@
 			func(f *fleet) {
 				a, b := f.watcher(4), f.procs[4]
 				f.cut = func(from, to *proc) bool { return from == a && to == b }
-				f.run(5 * minute)
+				f.RunFor(5 * minute)
 				f.cut = nil
-				f.run(20 * time.Second)
+				f.RunFor(20 * time.Second)
 			},
 			outcome{0, 0},
 		},
@@ -102,9 +102,9 @@
 			func(f *fleet) {
 				p := f.procs[4]
 				f.cut = func(_, to *proc) bool { return to == p }
-				f.run(50 * time.Second)
+				f.RunFor(50 * time.Second)
 				f.cut = nil
-				f.run(minute)
+				f.RunFor(minute)
 				f.forbid("a death declared by it", func(c change) bool { return c.by == p })
 			},
 			outcome{4, -1},
@@ -114,22 +114,22 @@
 			func(f *fleet) {
 				p := f.procs[4]
 				f.cut = func(from, _ *proc) bool { return from == p }
-				f.run(50 * time.Second)
+				f.RunFor(50 * time.Second)
 				f.cut = nil
-				f.run(minute)
+				f.RunFor(minute)
 			},
 			outcome{4, -1},
 		},
 		{
 			"flapping link", "Symptom: one bad link makes members around it flap. Sequence: a member is cut off for 8 s in every 16.", 30,
 			func(f *fleet) {
-				p, begin := f.procs[4], f.now
+				p, begin := f.procs[4], f.Now
 				f.cut = func(from, to *proc) bool {
-					return (from == p || to == p) && f.now.Sub(begin)/(8*time.Second)%2 == 0
+					return (from == p || to == p) && f.Now.Sub(begin)/(8*time.Second)%2 == 0
 				}
-				f.run(4 * minute)
+				f.RunFor(4 * minute)
 				f.cut = nil
-				f.run(minute)
+				f.RunFor(minute)
 				f.forbid("a death of another one", func(c change) bool { return c.by != p && f.at[c.Member.Addr] != p })
 			},
 			outcome{120, -1},
@@ -139,12 +139,12 @@
 			func(f *fleet) {
 				for i, p := range f.procs {
 					f.give(p, Leave{})
-					f.run(500 * time.Millisecond)
+					f.RunFor(500 * time.Millisecond)
 					f.give(p, Stop{})
-					f.run(500 * time.Millisecond)
+					f.RunFor(500 * time.Millisecond)
 					f.boot(p, uint64(2000+i))
 				}
-				f.run(minute)
+				f.RunFor(minute)
 			},
 			outcome{0, -1},
 		},
@@ -154,13 +154,13 @@
 				for _, p := range f.procs {
 					f.boot(p, 2000)
 				}
-				f.run(minute)
+				f.RunFor(minute)
 			},
 			outcome{0, -1},
 		},
 		{
 			"last of two dies", "Symptom: the survivor waits for good. Cause: it takes itself for cut off.", 2,
-			func(f *fleet) { f.vanish(f.procs[1]); f.run(2 * minute) },
+			func(f *fleet) { f.vanish(f.procs[1]); f.RunFor(2 * minute) },
 			outcome{0, -1},
 		},
 	}
@@ -171,7 +171,7 @@
 				is := is.New(t)
 				f := newFleet(tt.size, seed)
 				f.warm()
-				f.run(10 * time.Second)
+				f.RunFor(10 * time.Second)
 				tt.run(f)
 				is.Equal(f.agree(all), "") // all see exactly those that run
 				is.Equal(f.wrong, "")
@@ -197,7 +197,7 @@
 }
 
 // pause keeps a process from running for d; what arrives waits.
-func (f *fleet) pause(p *proc, d time.Duration) { p.paused = f.now.Add(d) }
+func (f *fleet) pause(p *proc, d time.Duration) { p.paused = f.Now.Add(d) }
 
 // watcher returns a process that watches process i.
 func (f *fleet) watcher(i int) *proc {
@@ -236,13 +236,13 @@
 					side[p] = tt.part(i)
 				}
 				f.cut = func(from, to *proc) bool { return side[from] != side[to] }
-				f.run(2 * time.Minute)
+				f.RunFor(2 * time.Minute)
 				is.Equal(f.agree(func(a, b *proc) bool { return side[a] == side[b] }), "")
 				f.boot(f.procs[0], 2000)
 				f.vanish(f.procs[1])
-				f.run(time.Minute)
+				f.RunFor(time.Minute)
 				f.cut = nil
-				f.run(time.Minute)
+				f.RunFor(time.Minute)
 				is.Equal(f.agree(all), "")
 			}
 		})
@@ -258,11 +258,11 @@
 	f.warm()
 	listed := f.list()[:11] // without the last one
 	f.stop(f.procs[3])
-	f.run(30 * time.Second)
+	f.RunFor(30 * time.Second)
 	for _, p := range f.procs {
 		f.give(p, Listed{Instances: listed})
 	}
-	f.run(time.Minute)
+	f.RunFor(time.Minute)
 	is.Equal(f.agree(all), "")
 	view := f.procs[0].view
 	is.Equal(len(view.Fleet().Unlisted()), 1)
@@ -270,7 +270,7 @@
 	is.Equal(len(view.Gone()), 1)
 	is.Equal(view.Gone()[0], f.procs[3].view.Self.Addr)
 	f.boot(f.procs[3], 3000)
-	f.run(30 * time.Second)
+	f.RunFor(30 * time.Second)
 	is.Equal(f.agree(all), "")
 	is.Equal(len(view.Gone()), 0)
 }
@@ -287,7 +287,7 @@
 	}
 	leader := f.at[before[0].Addr]
 	f.give(leader, Leave{})
-	f.run(10 * time.Second)
+	f.RunFor(10 * time.Second)
 	after := view.Order("billet-db-2", 3)
 	is.Equal(after[0].Addr, before[1].Addr) // the deputy follows, the rest moves up
 	is.Equal(after[1].Addr, before[2].Addr)
@@ -314,14 +314,14 @@
 		for seed := range uint64(3) {
 			f := newFleet(30, seed)
 			f.warm()
-			f.run(10 * time.Second)
+			f.RunFor(10 * time.Second)
 			p := f.watcher(4)
 			f.pause(f.procs[4], 5*time.Second)
 			for len(p.view.suspicions) == 0 {
-				f.run(10 * time.Millisecond)
+				f.RunFor(10 * time.Millisecond)
 			}
 			p.paused = p.view.suspicions[0].deadline.Add(past)
-			f.run(past + time.Minute)
+			f.RunFor(past + time.Minute)
 			f.forbid("a death declared by it", func(c change) bool { return c.by == p })
 			is.Equal(f.wrong, "")
 			is.Equal(f.agree(all), "")
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -1,12 +1,13 @@
 package membership
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
+
+	"basildale.example/basildale/internal/modeler"
 )
 
 // Bytes of a message beside the statements in it, as adapter/messenger sends
@@ -26,10 +27,8 @@
 // fleet is an event queue with one View for each process: messages take a
 // latency, can be lost or cut off, and processes can stop, restart and pause.
 type fleet struct {
-	now   time.Time
+	modeler.Clock
 	rng   *rand.Rand
-	queue events
-	seq   uint64
 	procs []*proc
 	at    map[netip.AddrPort]*proc
 
@@ -60,33 +59,9 @@
 	Changed
 }
 
-type event struct {
-	at  time.Time
-	seq uint64
-	run func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if e[i].at.Equal(e[j].at) {
-		return e[i].seq < e[j].seq
-	}
-	return e[i].at.Before(e[j].at)
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 func newFleet(n int, seed uint64) *fleet {
 	f := &fleet{
-		now: time.Unix(1_800_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)),
+		Clock: modeler.Clock{Now: time.Unix(1_800_000_000, 0)}, rng: rand.New(rand.NewPCG(seed, 1)),
 		at: make(map[netip.AddrPort]*proc),
 	}
 	for i := range n {
@@ -130,9 +105,9 @@
 	var group sync.WaitGroup // each view is its own until the first event
 	for _, p := range f.procs {
 		group.Go(func() {
-			p.view.start(f.now)
+			p.view.start(f.Now)
 			for _, q := range f.procs {
-				p.view.merge(q.view.Self, f.now, false)
+				p.view.merge(q.view.Self, f.Now, false)
 			}
 			p.view.out = nil
 		})
@@ -144,28 +119,12 @@
 	}
 }
 
-func (f *fleet) after(d time.Duration, run func()) {
-	f.seq++
-	heap.Push(&f.queue, event{at: f.now.Add(d), seq: f.seq, run: run})
-}
-
-// run lets d pass.
-func (f *fleet) run(d time.Duration) {
-	end := f.now.Add(d)
-	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
-		e := heap.Pop(&f.queue).(event)
-		f.now = e.at
-		e.run()
-	}
-	f.now = end
-}
-
 // give hands an event to a process, once it isn't paused, and carries out what
 // it wants.
 func (f *fleet) give(p *proc, ev Event) {
 	view := p.view
-	if p.paused.After(f.now) {
-		f.after(p.paused.Sub(f.now), func() {
+	if p.paused.After(f.Now) {
+		f.After(p.paused.Sub(f.Now), func() {
 			if p.view == view {
 				f.give(p, ev)
 			}
@@ -175,12 +134,12 @@
 	if !p.up {
 		return
 	}
-	for _, c := range view.Handle(ev, f.now) {
+	for _, c := range view.Handle(ev, f.Now) {
 		f.carry(p, c)
 	}
 	if next := view.Next(); p.timer.IsZero() || next.Before(p.timer) {
 		p.timer = next
-		f.after(next.Sub(f.now), func() { f.fire(p, view, next) })
+		f.After(next.Sub(f.Now), func() { f.fire(p, view, next) })
 	}
 }
 
@@ -217,7 +176,7 @@
 	case AnswerSync:
 		f.reply(p, c.Ticket, c)
 	case Changed:
-		f.changes = append(f.changes, change{at: f.now, by: p, Changed: c})
+		f.changes = append(f.changes, change{at: f.Now, by: p, Changed: c})
 	}
 }
 
@@ -237,7 +196,7 @@
 		return
 	}
 	latency := time.Millisecond + time.Duration(f.rng.Int64N(int64(time.Millisecond)))
-	f.after(latency, func() {
+	f.After(latency, func() {
 		to.bytes += bytes
 		run()
 	})
--- a/membership/measure_test.go
+++ b/membership/measure_test.go
@@ -48,7 +48,7 @@
 		p.bytes = 0
 	}
 	f.messages = 0
-	f.run(d)
+	f.RunFor(d)
 	total := 0
 	for _, p := range f.procs {
 		total += p.bytes
@@ -72,7 +72,7 @@
 func measure(out *bytes.Buffer, n int) {
 	f := newFleet(n, 1)
 	f.warm()
-	f.run(5 * time.Second)
+	f.RunFor(5 * time.Second)
 	idle, most, messages := f.traffic(6 * time.Second)
 	fmt.Fprintf(out, "%d processes\n", n)
 	fmt.Fprintf(out, "  idle: %.0f bytes/s each, at most %.0f, %.2f messages/s sent each\n", idle, most, messages)
@@ -83,9 +83,9 @@
 	}
 	var first, learned []time.Duration
 	for i := range hosts {
-		since := f.now
+		since := f.Now
 		f.vanish(f.procs[i*2])
-		f.run(12 * time.Second)
+		f.RunFor(12 * time.Second)
 		l := f.learned(f.procs[i*2], since)
 		first = append(first, l[0])
 		learned = append(learned, l...)
@@ -96,7 +96,7 @@
 		quantile(first, 0), quantile(first, 1), quantile(learned, 0.5), quantile(learned, 0.99), quantile(learned, 1))
 
 	var spent float64
-	f.run(5 * time.Second)
+	f.RunFor(5 * time.Second)
 	quiet, _, _ := f.traffic(6 * time.Second)
 	for i := range restarts {
 		p := f.procs[i*2+1]
@@ -111,7 +111,7 @@
 
 	f.loss = 0.02
 	before := f.reasons(Silent)
-	f.run(10 * time.Second)
+	f.RunFor(10 * time.Second)
 	fmt.Fprintf(out, "  2 %% of messages lost: %d false deaths and %d suspicions in 10 s of %d processes\n", f.deaths(), f.reasons(Silent)-before, n)
 }
 
--- a/membership/storm_test.go
+++ b/membership/storm_test.go
@@ -12,14 +12,14 @@
 // agreed runs the fleet until all agree and returns how long that took, at most
 // limit.
 func (f *fleet) agreed(limit time.Duration, same func(a, b *proc) bool) time.Duration {
-	begin := f.now
-	for f.now.Sub(begin) < limit {
-		f.run(time.Second)
+	begin := f.Now
+	for f.Now.Sub(begin) < limit {
+		f.RunFor(time.Second)
 		if f.agree(same) == "" {
 			break
 		}
 	}
-	return f.now.Sub(begin)
+	return f.Now.Sub(begin)
 }
 
 // load is the bytes that processes sent and received in a second.
@@ -37,7 +37,7 @@
 			p.bytes = 0
 		}
 		each(s)
-		f.run(time.Second)
+		f.RunFor(time.Second)
 		for _, p := range f.procs {
 			most = max(most, p.bytes)
 			total += p.bytes
@@ -67,7 +67,7 @@
 func zoneLost(out *bytes.Buffer, n, one int) {
 	f := newFleet(n, 2)
 	f.warm()
-	f.run(5 * time.Second)
+	f.RunFor(5 * time.Second)
 	for i, p := range f.procs {
 		if i%one == 0 {
 			f.vanish(p)
@@ -97,7 +97,7 @@
 func restarted(out *bytes.Buffer, n int) {
 	f := newFleet(n, 4)
 	f.warm()
-	f.run(5 * time.Second)
+	f.RunFor(5 * time.Second)
 	const seconds = 60
 	next := 0
 	most := f.peak(seconds, func(s int) {
@@ -119,13 +119,13 @@
 	f.give(p, Leave{})
 	f.give(p, Stop{})
 	f.stop(p)
-	f.run(20 * time.Second)
+	f.RunFor(20 * time.Second)
 	f.boot(p, 2000)
-	begin, most := f.now, 0
-	for len(p.view.Live()) < n && f.now.Sub(begin) < time.Minute {
+	begin, most := f.Now, 0
+	for len(p.view.Live()) < n && f.Now.Sub(begin) < time.Minute {
 		p.bytes = 0
-		f.run(time.Second)
+		f.RunFor(time.Second)
 		most = max(most, p.bytes)
 	}
-	fmt.Fprintf(out, "  fresh process: knows all after %v, at most %d bytes in a second\n", f.now.Sub(begin), most)
+	fmt.Fprintf(out, "  fresh process: knows all after %v, at most %d bytes in a second\n", f.Now.Sub(begin), most)
 }
