--- a/promoter/bench_test.go
+++ b/promoter/bench_test.go
@@ -12,8 +12,8 @@
 // quiet returns the leader's Group of a healthy fleet and the time.
 func quiet() (*promoter.Group, promoter.Answered, time.Time) {
 	w := newWorld(1, options{})
-	w.runUntil(epochStart.Add(warmUp))
-	return &w.leader().group, promoter.Answered{Upstream: w.primary().addr}, w.now
+	w.RunUntil(epochStart.Add(warmUp))
+	return &w.leader().group, promoter.Answered{Upstream: w.primary().addr}, w.Now
 }
 
 func TestAnswersAllocateNothing(t *testing.T) {
--- a/promoter/fakes_test.go
+++ b/promoter/fakes_test.go
@@ -1,11 +1,11 @@
 package promoter_test
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"net/netip"
 	"time"
 
+	"basildale.example/basildale/internal/modeler"
 	"basildale.example/basildale/promoter"
 	"basildale.example/basildale/tracker"
 )
@@ -13,48 +13,10 @@
 // epochStart is the virtual time at which every run begins.
 var epochStart = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
 
-// task is work at a virtual time in nanoseconds; number keeps tasks of one time in order.
-type task struct {
-	at     int64
-	number int
-	run    func()
-}
-
-type tasks []task
-
-func (q tasks) Len() int { return len(q) }
-func (q tasks) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].number < q[j].number
-}
-func (q tasks) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *tasks) Push(x any)   { *q = append(*q, x.(task)) }
-func (q *tasks) Pop() any {
-	last := len(*q) - 1
-	x := (*q)[last]
-	*q = (*q)[:last]
-	return x
-}
-
-// clock runs tasks in virtual time.
+// clock is virtual time with chance.
 type clock struct {
-	now    time.Time
-	queue  tasks
-	number int
-	rng    *rand.Rand
-}
-
-func (c *clock) after(d time.Duration, run func()) {
-	c.number++
-	heap.Push(&c.queue, task{at: c.now.Add(d).UnixNano(), number: c.number, run: run})
-}
-
-func (c *clock) runUntil(end time.Time) {
-	for len(c.queue) > 0 && c.queue[0].at <= end.UnixNano() {
-		t := heap.Pop(&c.queue).(task)
-		c.now = time.Unix(0, t.at).UTC()
-		t.run()
-	}
-	c.now = end
+	modeler.Clock
+	rng *rand.Rand
 }
 
 // uniform returns a duration in [0, d).
--- a/promoter/faults_test.go
+++ b/promoter/faults_test.go
@@ -95,8 +95,8 @@
 // run plays faults on a fresh world.
 func run(seed uint64, o options, fs ...fault) (*world, time.Duration) {
 	w := newWorld(seed, o)
-	w.runUntil(epochStart.Add(warmUp + w.uniform(300*ms)))
-	at := w.now
+	w.RunUntil(epochStart.Add(warmUp + w.uniform(300*ms)))
+	at := w.Now
 	needsPrimary := slices.ContainsFunc(fs, func(f fault) bool { return f.steps }) &&
 		!slices.ContainsFunc(fs, func(f fault) bool { return f.primary })
 	for _, f := range fs {
@@ -105,11 +105,11 @@
 	if needsPrimary {
 		w.primary().dead = true
 	}
-	w.runUntil(at.Add(faultFor))
+	w.RunUntil(at.Add(faultFor))
 	gap := w.gap(at)
 	w.healed = true
 	w.heal()
-	w.runUntil(w.now.Add(restTime))
+	w.RunUntil(w.Now.Add(restTime))
 	w.checkEnd()
 	return w, gap
 }
--- a/promoter/figures_test.go
+++ b/promoter/figures_test.go
@@ -131,12 +131,12 @@
 	for _, lag := range []time.Duration{0, 2 * ms, 10 * ms, 50 * ms, 200 * ms, 400 * ms, time.Second} {
 		for _, without := range []bool{false, true} {
 			w := newWorld(1, options{noConfirm: without, allowed: 500 * ms})
-			w.runUntil(epochStart.Add(warmUp))
+			w.RunUntil(epochStart.Add(warmUp))
 			for _, u := range w.upstreams {
 				u.lag = lag
 			}
 			w.delays, w.notRun, w.unknown = nil, 0, 0
-			w.runUntil(epochStart.Add(10 * time.Second))
+			w.RunUntil(epochStart.Add(10 * time.Second))
 			slices.Sort(w.delays)
 			name := "by a replica"
 			if without {
--- a/promoter/fleet_test.go
+++ b/promoter/fleet_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"basildale.example/basildale/internal/modeler"
 	"basildale.example/basildale/promoter"
 	"basildale.example/basildale/tracker"
 )
@@ -71,7 +72,7 @@
 
 func newWorld(seed uint64, o options) *world {
 	w := &world{
-		clock:    clock{now: epochStart, rng: rand.New(rand.NewPCG(seed, 7))},
+		clock:    clock{Clock: modeler.Clock{Now: epochStart}, rng: rand.New(rand.NewPCG(seed, 7))},
 		options:  o,
 		side:     make(map[string]int),
 		hidden:   make(map[string]string),
@@ -101,11 +102,11 @@
 	for i := range proxies {
 		w.proxies = append(w.proxies, newProxy(w, i))
 	}
-	w.after(0, w.resync)
+	w.After(0, w.resync)
 	w.announceMembers()
 	for _, p := range w.proxies {
 		p.handle(promoter.Upstreams{List: w.addrs()})
-		w.after(w.uniform(writeEvery), p.writeLoop)
+		w.After(w.uniform(writeEvery), p.writeLoop)
 	}
 	return w
 }
@@ -145,7 +146,7 @@
 	if w.side[from] != w.side[to] || w.rng.Float64() < w.loss {
 		return
 	}
-	w.after(d, func() {
+	w.After(d, func() {
 		if w.side[from] == w.side[to] {
 			f()
 		}
@@ -162,7 +163,7 @@
 	for _, u := range w.upstreams {
 		w.pull(u)
 	}
-	w.after(10*ms, w.resync)
+	w.After(10*ms, w.resync)
 }
 
 func (w *world) pull(u *fakeUpstream) {
@@ -170,17 +171,17 @@
 		return
 	}
 	if p := w.upstream(u.follows); !p.dead && w.side[p.zone] == w.side[u.zone] {
-		u.pull(p, w.now)
+		u.pull(p, w.Now)
 	}
 }
 
 // append runs a write on a primary and ships it.
 func (w *world) append(u *fakeUpstream, id int) tracker.Mark {
-	u.log = append(u.log, logEntry{term: u.state.Term, id: id, at: w.now})
+	u.log = append(u.log, logEntry{term: u.state.Term, id: id, at: w.Now})
 	u.refreshMark()
 	for _, r := range w.upstreams {
 		if r != u {
-			w.send(u.zone, r.zone, func() { w.after(r.lag, func() { w.pull(r) }) })
+			w.send(u.zone, r.zone, func() { w.After(r.lag, func() { w.pull(r) }) })
 		}
 	}
 	return u.state.Mark
@@ -196,7 +197,7 @@
 	}
 	w.promoted[t] = u.addr
 	w.promotions++
-	w.promotedAt = w.now
+	w.promotedAt = w.Now
 	w.checkAcked(u, "promoted")
 }
 
@@ -227,9 +228,9 @@
 
 // acknowledge notes an acknowledgement. A primary of a later term must have it.
 func (w *world) acknowledge(id int, term tracker.Term, begun time.Time) {
-	w.acked[id] = w.now
-	w.ackTimes = append(w.ackTimes, w.now)
-	w.delays = append(w.delays, w.now.Sub(begun))
+	w.acked[id] = w.Now
+	w.ackTimes = append(w.ackTimes, w.Now)
+	w.delays = append(w.delays, w.Now.Sub(begun))
 	u := w.primary()
 	if u != nil && term.Less(u.state.Term) &&
 		!slices.ContainsFunc(u.log, func(e logEntry) bool { return e.id == id }) {
@@ -256,31 +257,31 @@
 
 // goneFor reports whether membership at p has o for dead.
 func (w *world) goneFor(p, o *fakeProxy) bool {
-	stopped := o.dead || o.pausedUntil.After(w.now)
+	stopped := o.dead || o.pausedUntil.After(w.Now)
 	cut := w.side[p.zone] != w.side[o.zone]
-	return stopped && w.now.Sub(o.stoppedAt) >= deathSeen || cut && w.now.Sub(w.cutAt) >= deathSeen
+	return stopped && w.Now.Sub(o.stoppedAt) >= deathSeen || cut && w.Now.Sub(w.cutAt) >= deathSeen
 }
 
 // kill ends a proxy; the others hear of it later.
 func (w *world) kill(p *fakeProxy) {
 	p.dead = true
-	p.stoppedAt = w.now
-	w.after(deathSeen, w.announceMembers)
+	p.stoppedAt = w.Now
+	w.After(deathSeen, w.announceMembers)
 }
 
 // pause stops a proxy for a while, unknown to itself.
 func (w *world) pause(p *fakeProxy, d time.Duration) {
-	p.pausedUntil = w.now.Add(d)
-	p.stoppedAt = w.now
-	w.after(deathSeen, w.announceMembers)
-	w.after(d, w.announceMembers)
+	p.pausedUntil = w.Now.Add(d)
+	p.stoppedAt = w.Now
+	w.After(deathSeen, w.announceMembers)
+	w.After(d, w.announceMembers)
 }
 
 // cut separates a zone from the others.
 func (w *world) cut(zone string) {
 	w.side[zone] = 1
-	w.cutAt = w.now
-	w.after(deathSeen, w.announceMembers)
+	w.cutAt = w.Now
+	w.After(deathSeen, w.announceMembers)
 }
 
 // heal ends all faults but those of proxies. A crashed upstream comes back as it
@@ -311,8 +312,8 @@
 			w.violate("%s uses %v at %v", p.id, p.primary, p.term)
 		}
 	}
-	if last := w.ackTimes[len(w.ackTimes)-1]; w.now.Sub(last) > 100*ms {
-		w.violate("no write for %v", w.now.Sub(last))
+	if last := w.ackTimes[len(w.ackTimes)-1]; w.Now.Sub(last) > 100*ms {
+		w.violate("no write for %v", w.Now.Sub(last))
 	}
 }
 
@@ -320,7 +321,7 @@
 func (w *world) gap(since time.Time) time.Duration {
 	var longest time.Duration
 	last := since
-	for _, t := range append(slices.Clone(w.ackTimes), w.now) {
+	for _, t := range append(slices.Clone(w.ackTimes), w.Now) {
 		if t.Before(since) {
 			last = t
 			continue
@@ -339,7 +340,7 @@
 		case u.dead:
 			w.send(u.zone, p.zone, func() { p.deliver(refused) })
 		default:
-			w.after(w.service(u), func() {
+			w.After(w.service(u), func() {
 				if u.dead {
 					return
 				}
--- a/promoter/move_test.go
+++ b/promoter/move_test.go
@@ -34,15 +34,15 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			w := newWorld(3, options{})
-			w.runUntil(epochStart.Add(warmUp))
+			w.RunUntil(epochStart.Add(warmUp))
 			target := w.upstreams[2]
 			c.fault(w, target)
-			w.runUntil(w.now.Add(100 * ms))
-			at := w.now
+			w.RunUntil(w.Now.Add(100 * ms))
+			at := w.Now
 			w.leader().handle(promoter.Move{Target: target.addr, Deadline: at.Add(time.Second)})
-			w.runUntil(at.Add(faultFor))
+			w.RunUntil(at.Add(faultFor))
 			w.heal()
-			w.runUntil(w.now.Add(restTime))
+			w.RunUntil(w.Now.Add(restTime))
 			w.checkEnd()
 			is.Equal(w.violations, nil)
 			is.Equal(len(w.moved), 1)
@@ -60,8 +60,8 @@
 func TestMoveIsRefused(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(3, options{})
-	w.runUntil(epochStart.Add(warmUp))
-	deadline := w.now.Add(time.Second)
+	w.RunUntil(epochStart.Add(warmUp))
+	deadline := w.Now.Add(time.Second)
 	for _, p := range w.proxies {
 		if p != w.leader() {
 			p.handle(promoter.Move{Target: w.upstreams[1].addr, Deadline: deadline})
@@ -70,7 +70,7 @@
 	is.Equal(len(w.moved), proxies-1)
 	w.leader().handle(promoter.Move{Target: w.addrs()[0], Deadline: deadline})
 	is.Equal(w.moved[proxies-1].Outcome, promoter.Done) // it is primary already
-	w.runUntil(w.now.Add(time.Second))
+	w.RunUntil(w.Now.Add(time.Second))
 	is.Equal(w.promotions, 0)
 }
 
@@ -80,11 +80,11 @@
 func TestPauseOfAllHoldersSuspectsNobody(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(5, options{})
-	w.runUntil(epochStart.Add(warmUp))
+	w.RunUntil(epochStart.Add(warmUp))
 	for _, p := range w.proxies {
 		w.pause(p, 900*ms)
 	}
-	w.runUntil(w.now.Add(3 * time.Second))
+	w.RunUntil(w.Now.Add(3 * time.Second))
 	w.checkEnd()
 	is.Equal(w.violations, nil)
 	is.Equal(w.promotions, 0)
@@ -96,13 +96,13 @@
 func TestGrantWithLostAnswers(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(4, options{})
-	w.runUntil(epochStart.Add(warmUp))
+	w.RunUntil(epochStart.Add(warmUp))
 	before := w.platform.record
 	w.platform.mode = platformLost
 	w.kill(w.leader())
-	w.runUntil(w.now.Add(20 * time.Second))
+	w.RunUntil(w.Now.Add(20 * time.Second))
 	w.platform.mode = platformUp
-	w.runUntil(w.now.Add(6 * time.Second))
+	w.RunUntil(w.Now.Add(6 * time.Second))
 	after := w.platform.record
 	is.True(after.Epoch > before.Epoch)
 	is.True(!slices.Contains(after.Holders(), before.Leader))
@@ -114,7 +114,7 @@
 		}
 	}
 	calls := w.platform.calls
-	w.runUntil(w.now.Add(65 * time.Second))
+	w.RunUntil(w.Now.Add(65 * time.Second))
 	is.Equal(w.platform.calls, calls+1) // at rest one read a minute
 }
 
@@ -128,12 +128,12 @@
 	for seed := range uint64(4) {
 		is := is.New(t)
 		w := newWorld(seed, options{})
-		w.runUntil(epochStart.Add(warmUp))
+		w.RunUntil(epochStart.Add(warmUp))
 		epoch := w.platform.record.Epoch
 		w.cut(w.primary().zone)
-		w.runUntil(w.now.Add(10 * time.Second))
+		w.RunUntil(w.Now.Add(10 * time.Second))
 		w.heal()
-		w.runUntil(w.now.Add(10 * time.Second))
+		w.RunUntil(w.Now.Add(10 * time.Second))
 		w.checkEnd()
 		is.Equal(w.violations, nil)
 		is.Equal(w.promotions, 1)
--- a/promoter/proxy_test.go
+++ b/promoter/proxy_test.go
@@ -48,8 +48,8 @@
 func (p *fakeProxy) deliver(f func()) {
 	switch {
 	case p.dead:
-	case p.pausedUntil.After(p.w.now):
-		p.w.after(p.pausedUntil.Sub(p.w.now), func() { p.deliver(f) })
+	case p.pausedUntil.After(p.w.Now):
+		p.w.After(p.pausedUntil.Sub(p.w.Now), func() { p.deliver(f) })
 	default:
 		f()
 	}
@@ -59,11 +59,11 @@
 	if p.dead {
 		return
 	}
-	cmds := slices.Clone(p.group.Handle(ev, p.w.now))
+	cmds := slices.Clone(p.group.Handle(ev, p.w.Now))
 	p.tick++
 	if next := p.group.Next(); !next.IsZero() {
 		number := p.tick
-		p.w.after(next.Sub(p.w.now), func() {
+		p.w.After(next.Sub(p.w.Now), func() {
 			p.deliver(func() {
 				if p.tick == number {
 					p.handle(promoter.Tick{})
@@ -122,7 +122,7 @@
 
 func (p *fakeProxy) probe(a netip.AddrPort) {
 	u := p.w.upstream(a)
-	ev := promoter.Stated{Upstream: a, Sent: p.w.now}
+	ev := promoter.Stated{Upstream: a, Sent: p.w.Now}
 	p.w.call(p, u,
 		func() { ev.State, ev.Following = u.state, u.follows },
 		func() { p.handle(ev) },
@@ -168,7 +168,7 @@
 		p.w.violate("%s went back to term %v", p.id, c.Term)
 	}
 	if w := p.w; w.side[p.zone] == w.side[w.upstream(c.Primary).zone] && w.promotions > 0 && !w.healed {
-		w.learnedIn = max(w.learnedIn, w.now.Sub(w.promotedAt))
+		w.learnedIn = max(w.learnedIn, w.Now.Sub(w.promotedAt))
 	}
 	p.primary, p.term, p.holdUntil = c.Primary, c.Term, time.Time{}
 	var replicas []netip.AddrPort
@@ -177,17 +177,17 @@
 			replicas = append(replicas, u.addr)
 		}
 	}
-	p.confirm(p.confirmer.Change(confirmer.Change{Term: c.Term, Replicas: replicas}, p.w.now))
+	p.confirm(p.confirmer.Change(confirmer.Change{Term: c.Term, Replicas: replicas}, p.w.Now))
 }
 
 func (p *fakeProxy) callPlatform(c promoter.Command) {
 	pl := &p.w.platform
 	d, answered := pl.delay(&p.w.clock)
 	if pl.mode == platformDown {
-		p.w.after(time.Second, func() { p.deliver(func() { p.handle(lostAnswer(c)) }) })
+		p.w.After(time.Second, func() { p.deliver(func() { p.handle(lostAnswer(c)) }) })
 		return
 	}
-	p.w.after(d, func() {
+	p.w.After(d, func() {
 		var ev promoter.Event = promoter.Loaded{Outcome: promoter.Done, Record: pl.record, Version: pl.version}
 		if s, ok := c.(promoter.Save); ok {
 			ev = pl.save(s)
@@ -195,7 +195,7 @@
 		if !answered {
 			ev = lostAnswer(c)
 		}
-		p.w.after(d, func() { p.deliver(func() { p.handle(ev) }) })
+		p.w.After(d, func() { p.deliver(func() { p.handle(ev) }) })
 	})
 }
 
@@ -211,27 +211,27 @@
 	if p.dead {
 		return
 	}
-	p.w.after(writeEvery, p.writeLoop)
+	p.w.After(writeEvery, p.writeLoop)
 	p.w.nextID++
-	wr := &fakeWrite{id: p.w.nextID, begun: p.w.now, deadline: p.w.now.Add(p.w.allowed)}
+	wr := &fakeWrite{id: p.w.nextID, begun: p.w.Now, deadline: p.w.Now.Add(p.w.allowed)}
 	p.deliver(func() { p.try(wr) })
 }
 
 // again runs a write that is proven not to have run once more, before its deadline.
 func (p *fakeProxy) again(wr *fakeWrite) {
-	p.w.after(10*ms, func() { p.deliver(func() { p.try(wr) }) })
+	p.w.After(10*ms, func() { p.deliver(func() { p.try(wr) }) })
 }
 
 func (p *fakeProxy) try(wr *fakeWrite) {
-	if !p.w.now.Before(wr.deadline) {
+	if !p.w.Now.Before(wr.deadline) {
 		p.w.notRun++
 		return
 	}
-	if !p.primary.IsValid() || p.holdUntil.After(p.w.now) {
+	if !p.primary.IsValid() || p.holdUntil.After(p.w.Now) {
 		p.again(wr)
 		return
 	}
-	if !p.w.noConfirm && !p.confirmer.Admit(wr.deadline, p.w.now).Admitted {
+	if !p.w.noConfirm && !p.confirmer.Admit(wr.deadline, p.w.Now).Admitted {
 		p.w.notRun++
 		p.confirm(nil)
 		return
@@ -251,7 +251,7 @@
 			p.handle(promoter.Failed{Upstream: u.addr, Trouble: promoter.Quiet})
 		}
 	}
-	p.w.after(wr.deadline.Sub(p.w.now), func() { p.deliver(quiet) })
+	p.w.After(wr.deadline.Sub(p.w.Now), func() { p.deliver(quiet) })
 	p.w.call(p, u, func() {
 		if u.state.Role == tracker.Primary && u.state.Term == wr.term {
 			ran = true
@@ -286,7 +286,7 @@
 	p.pending[uint64(wr.id)] = wr
 	p.confirm(p.confirmer.Wrote(confirmer.Wrote{
 		ID: uint64(wr.id), Term: wr.term, Mark: mark, Deadline: wr.deadline,
-	}, p.w.now))
+	}, p.w.Now))
 }
 
 // confirm carries out the confirmer's commands and arms its tick.
@@ -309,10 +309,10 @@
 	p.poll++
 	if next := p.confirmer.Next(); !next.IsZero() {
 		number := p.poll
-		p.w.after(max(next.Sub(p.w.now), 0), func() {
+		p.w.After(max(next.Sub(p.w.Now), 0), func() {
 			p.deliver(func() {
 				if p.poll == number {
-					p.confirm(p.confirmer.Tick(p.w.now))
+					p.confirm(p.confirmer.Tick(p.w.Now))
 				}
 			})
 		})
@@ -328,7 +328,7 @@
 		}
 		if u.dead {
 			p.w.send(u.zone, p.zone, func() {
-				p.deliver(func() { p.confirm(p.confirmer.PollFailed(u.addr, p.w.now)) })
+				p.deliver(func() { p.confirm(p.confirmer.PollFailed(u.addr, p.w.Now)) })
 			})
 			return
 		}
@@ -344,7 +344,7 @@
 					p.handle(promoter.Stated{Upstream: u.addr, State: state, Following: follows})
 					p.confirm(p.confirmer.Polled(confirmer.Polled{
 						Upstream: u.addr, State: state, Solicited: true,
-					}, p.w.now))
+					}, p.w.Now))
 				})
 			})
 		}
@@ -353,7 +353,7 @@
 			return
 		}
 		u.waiters = append(u.waiters, &waiter{mark: c.Mark, done: answer})
-		p.w.after(max(c.Until.Sub(p.w.now), 0), answer)
+		p.w.After(max(c.Until.Sub(p.w.Now), 0), answer)
 	})
 }
 
@@ -372,7 +372,7 @@
 		if mark.IsZero() {
 			p.handle(promoter.Failed{Upstream: u.addr, Trouble: promoter.Stale})
 		} else {
-			p.confirm(p.confirmer.Wrote(confirmer.Wrote{Term: term, Mark: mark}, p.w.now))
+			p.confirm(p.confirmer.Wrote(confirmer.Wrote{Term: term, Mark: mark}, p.w.Now))
 		}
 	}, func() {})
 }
