--- a/internal/measurer/proxy.go
+++ b/internal/measurer/proxy.go
@@ -33,11 +33,11 @@
 func (p *proxy) arrive(st *statement) {
 	if p.dead {
 		// The connection breaks; the caller sees it and goes on elsewhere.
-		p.w.clock.after(reconnectTime, func() { st.end(false) })
+		p.w.clock.After(reconnectTime, func() { st.end(false) })
 		return
 	}
-	st.arrived = p.w.clock.now
-	st.patience = p.w.clock.now.Add(p.w.c.Patience)
+	st.arrived = p.w.clock.Now
+	st.patience = p.w.clock.Now.Add(p.w.c.Patience)
 	p.hand[st.id] = st
 	if st.write {
 		p.decide(st)
@@ -75,7 +75,7 @@
 		return
 	}
 	w := p.w
-	for _, c := range slices.Clone(p.marker.Step(e, w.clock.now)) {
+	for _, c := range slices.Clone(p.marker.Step(e, w.clock.Now)) {
 		switch c := c.(type) {
 		case marker.Send:
 			p.transmit(c)
@@ -106,7 +106,7 @@
 		return
 	}
 	p.tick = next
-	p.w.clock.at(next, func() {
+	p.w.clock.At(next, func() {
 		if p.tick.Equal(next) {
 			p.tick = time.Time{}
 			p.step(marker.Tick{})
@@ -126,7 +126,7 @@
 	if to == nil || to.cut || p.cut {
 		return
 	}
-	w.clock.after(w.hop(p.zone, to.zone), func() {
+	w.clock.After(w.hop(p.zone, to.zone), func() {
 		to.step(marker.Received{From: p.name, Message: c.Message})
 	})
 }
@@ -134,13 +134,13 @@
 // ask asks an upstream for its state and takes the answer in as a sample.
 func (p *proxy) ask(u *upstream, then func(tracker.State)) {
 	w := p.w
-	sent := w.clock.now
-	w.clock.after(w.hop(p.zone, u.index), func() {
+	sent := w.clock.Now
+	w.clock.After(w.hop(p.zone, u.index), func() {
 		if u.dead {
 			return
 		}
 		s := u.state()
-		w.clock.after(w.hop(p.zone, u.index), func() {
+		w.clock.After(w.hop(p.zone, u.index), func() {
 			p.observe(u.index, s, sent)
 			then(s)
 		})
@@ -149,7 +149,7 @@
 
 // observe takes a sample in and lets the reads that wait decide again.
 func (p *proxy) observe(i int, s tracker.State, sent time.Time) {
-	p.group.Observe(tracker.Sample{Upstream: i, State: s, Sent: sent, Received: p.w.clock.now})
+	p.group.Observe(tracker.Sample{Upstream: i, State: s, Sent: sent, Received: p.w.clock.Now})
 	p.snap = p.group.Snapshot()
 	waiting := p.waiting
 	p.waiting = nil
--- a/internal/measurer/route.go
+++ b/internal/measurer/route.go
@@ -32,7 +32,7 @@
 // choose asks the router, or takes the replicas that it would allow in turn.
 func (p *proxy) choose(r *router.Request) router.Decision {
 	if p.w.c.Pick == ByRouter {
-		return router.Decide(r, p.snap, p.load, p.w.clock.now)
+		return router.Decide(r, p.snap, p.load, p.w.clock.Now)
 	}
 	n := len(p.w.upstreams)
 	var d router.Decision
@@ -44,21 +44,21 @@
 				only.Barred = only.Barred.With(i)
 			}
 		}
-		d = router.Decide(&only, p.snap, p.load, p.w.clock.now)
+		d = router.Decide(&only, p.snap, p.load, p.w.clock.Now)
 		if p.turn%n != p.snap.Primary && (d.Action != router.Go || d.Target != p.snap.Primary) {
 			return d
 		}
 	}
-	return router.Decide(r, p.snap, p.load, p.w.clock.now)
+	return router.Decide(r, p.snap, p.load, p.w.clock.Now)
 }
 
 // wait lets a statement decide again at a time or with the next snapshot.
 func (p *proxy) wait(st *statement, d router.Decision) {
 	p.waiting = append(p.waiting, st)
-	if d.Until.IsZero() || !d.Until.After(p.w.clock.now) {
+	if d.Until.IsZero() || !d.Until.After(p.w.clock.Now) {
 		return
 	}
-	p.w.clock.at(d.Until, func() {
+	p.w.clock.At(d.Until, func() {
 		i := slices.Index(p.waiting, st)
 		if i < 0 {
 			return
@@ -88,7 +88,7 @@
 		st := p.queues[u.index][0]
 		p.queues[u.index] = p.queues[u.index][1:]
 		if st.over {
-			p.load.Done(u.index, 0, p.w.clock.now)
+			p.load.Done(u.index, 0, p.w.clock.Now)
 			continue
 		}
 		p.sent[u.index]++
@@ -99,27 +99,27 @@
 // submit sends one statement.
 func (p *proxy) submit(st *statement, u *upstream) {
 	w := p.w
-	sent := w.clock.now
+	sent := w.clock.Now
 	if !st.write {
 		w.result.Wait += sent.Sub(st.arrived)
 	}
 	j := &job{write: st.write, start: func(u *upstream) { w.ran(st, u) }}
 	j.done = func(u *upstream, m tracker.Mark, ok bool) {
-		w.clock.after(w.hop(p.zone, u.index), func() {
+		w.clock.After(w.hop(p.zone, u.index), func() {
 			p.sent[u.index]--
-			p.load.Done(u.index, w.clock.now.Sub(sent), w.clock.now)
+			p.load.Done(u.index, w.clock.Now.Sub(sent), w.clock.Now)
 			p.answered(st, m, ok)
 			p.send(u)
 		})
 	}
-	w.clock.after(w.hop(p.zone, u.index), func() { u.add(j) })
+	w.clock.After(w.hop(p.zone, u.index), func() { u.add(j) })
 }
 
 // answered takes an upstream's answer in.
 func (p *proxy) answered(st *statement, m tracker.Mark, ok bool) {
 	switch {
 	case p.dead || !ok:
-		p.w.clock.after(reconnectTime, func() { st.end(false) })
+		p.w.clock.After(reconnectTime, func() { st.end(false) })
 	case st.write:
 		st.mark = m
 		p.confirm(st)
@@ -143,9 +143,9 @@
 			continue
 		}
 		back := w.hop(p.zone, u.index)
-		sent := w.clock.now
+		sent := w.clock.Now
 		u.waits = append(u.waits, wait{pos: int(st.mark.Pos), done: func(s tracker.State) {
-			w.clock.after(back, func() {
+			w.clock.After(back, func() {
 				p.observe(u.index, s, sent)
 				if !confirmed {
 					confirmed = true
--- a/internal/measurer/session.go
+++ b/internal/measurer/session.go
@@ -76,7 +76,7 @@
 	}
 	for n := range streams {
 		t := &stream{w: w, s: s, first: n == 0}
-		w.clock.after(warmUp+w.exp(think), t.issue)
+		w.clock.After(warmUp+w.exp(think), t.issue)
 	}
 }
 
@@ -85,7 +85,7 @@
 	p := t.s.a
 	switch t.s.use {
 	case Move:
-		if t.w.clock.now.After(t.w.half) {
+		if t.w.clock.Now.After(t.w.half) {
 			p = t.s.b
 		}
 	case Alternate:
@@ -106,11 +106,11 @@
 // issue sends the next statement.
 func (t *stream) issue() {
 	w := t.w
-	if w.clock.now.After(w.end) {
+	if w.clock.Now.After(w.end) {
 		return
 	}
 	w.ids++
-	st := &statement{id: w.ids, t: t, proxy: t.proxy(), need: t.s.acked, issued: w.clock.now}
+	st := &statement{id: w.ids, t: t, proxy: t.proxy(), need: t.s.acked, issued: w.clock.Now}
 	t.turn++
 	limit := lookupLimit
 	if st.write = w.random.IntN(writeEvery) == 0; st.write {
@@ -121,9 +121,9 @@
 		w.result.Lookups++
 		w.result.Weight++
 	}
-	st.deadline = w.clock.now.Add(limit)
-	w.clock.after(client, func() { w.proxies[st.proxy].arrive(st) })
-	w.clock.at(st.deadline, func() { st.end(false) })
+	st.deadline = w.clock.Now.Add(limit)
+	w.clock.After(client, func() { w.proxies[st.proxy].arrive(st) })
+	w.clock.At(st.deadline, func() { st.end(false) })
 }
 
 // end ends a statement for its caller, who goes on after a while.
@@ -138,16 +138,16 @@
 		if st.write {
 			w.result.InTime++
 		} else {
-			w.result.latencies = append(w.result.latencies, w.clock.now.Sub(st.issued))
+			w.result.latencies = append(w.result.latencies, w.clock.Now.Sub(st.issued))
 		}
 	}
-	w.clock.after(w.exp(think), st.t.issue)
+	w.clock.After(w.exp(think), st.t.issue)
 }
 
 // reply brings the answer to the caller.
 func (st *statement) reply() {
 	w := st.t.w
-	w.clock.after(client, func() {
+	w.clock.After(client, func() {
 		if st.write && !st.over && st.t.s.acked.Less(st.mark) {
 			st.t.s.acked = st.mark
 		}
@@ -160,5 +160,5 @@
 	if !st.over {
 		st.t.w.result.Refused++
 	}
-	st.t.w.clock.after(client, func() { st.end(false) })
+	st.t.w.clock.After(client, func() { st.end(false) })
 }
--- a/internal/measurer/upstream.go
+++ b/internal/measurer/upstream.go
@@ -83,7 +83,7 @@
 			mean = booking
 		}
 		d := time.Duration(float64(mean) * u.w.random.ExpFloat64() * float64(u.slow))
-		u.w.clock.after(d, func() { u.finish(j) })
+		u.w.clock.After(d, func() { u.finish(j) })
 	}
 }
 
@@ -107,7 +107,7 @@
 	if u.role != tracker.Primary {
 		return tracker.Mark{}, false
 	}
-	u.w.log = append(u.w.log, entry{at: u.w.clock.now, term: u.term})
+	u.w.log = append(u.w.log, entry{at: u.w.clock.Now, term: u.term})
 	u.applied = len(u.w.log)
 	return u.mark(), true
 }
@@ -118,7 +118,7 @@
 	if u.role != tracker.Replica || u.dead || u.stuck {
 		return
 	}
-	horizon := u.w.clock.now.Add(-u.lag)
+	horizon := u.w.clock.Now.Add(-u.lag)
 	for u.applied < len(u.w.log) && !u.w.log[u.applied].at.After(horizon) {
 		u.applied++
 	}
--- a/internal/measurer/world.go
+++ b/internal/measurer/world.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"basildale.example/basildale/internal/modeler"
 	"basildale.example/basildale/marker"
 	"basildale.example/basildale/router"
 	"basildale.example/basildale/tracker"
@@ -27,7 +28,7 @@
 // world is one run.
 type world struct {
 	c         Case
-	clock     clock
+	clock     modeler.Clock
 	random    *rand.Rand
 	upstreams []*upstream
 	proxies   []*proxy
@@ -48,17 +49,17 @@
 	}
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	w := &world{c: c, random: rand.New(rand.NewPCG(c.Seed, 1)), result: Result{Case: c, Length: length}}
-	w.clock.now = start
+	w.clock.Now = start
 	w.half = start.Add(warmUp + length/2)
 	w.end = start.Add(warmUp + length)
 	w.build()
 	for i := range c.Sessions {
 		w.newSession(i)
 	}
-	w.clock.after(0, w.replicate)
-	w.clock.at(start.Add(warmUp), func() { w.result.Pings, w.result.Checks = 0, 0 })
-	w.clock.at(w.half, w.trouble)
-	w.clock.run(w.end.Add(bookingLimit))
+	w.clock.After(0, w.replicate)
+	w.clock.At(start.Add(warmUp), func() { w.result.Pings, w.result.Checks = 0, 0 })
+	w.clock.At(w.half, w.trouble)
+	w.clock.RunUntil(w.end.Add(bookingLimit))
 	return &w.result
 }
 
@@ -75,13 +76,13 @@
 		p.marker.Settings = marker.Settings{Self: p.name, Seed: uint64(i+1) << 40}
 		p.group.Local = make([]bool, zones)
 		p.group.Local[p.zone] = true
-		p.load = router.NewLoad(zones, share, w.clock.now)
+		p.load = router.NewLoad(zones, share, w.clock.Now)
 		p.snap = p.group.Snapshot()
 		w.proxies = append(w.proxies, p)
 	}
 	w.list(1)
 	for i, p := range w.proxies {
-		w.clock.after(w.c.Sample*time.Duration(i)/proxies, p.sample)
+		w.clock.After(w.c.Sample*time.Duration(i)/proxies, p.sample)
 	}
 }
 
@@ -103,19 +104,19 @@
 	for _, u := range p.w.upstreams {
 		p.ask(u, func(tracker.State) {})
 	}
-	p.w.clock.after(p.w.c.Sample, p.sample)
+	p.w.clock.After(p.w.c.Sample, p.sample)
 }
 
 // replicate moves the replicas on, again and again.
 func (w *world) replicate() {
-	redraw := w.clock.now.UnixNano()%int64(lagTime) == 0
+	redraw := w.clock.Now.UnixNano()%int64(lagTime) == 0
 	for _, u := range w.upstreams {
 		if redraw {
 			u.redraw()
 		}
 		u.apply()
 	}
-	w.clock.after(replicate, w.replicate)
+	w.clock.After(replicate, w.replicate)
 }
 
 // trouble lets go wrong what is to go wrong.
@@ -123,18 +124,18 @@
 	switch w.c.Trouble {
 	case ProxyDies:
 		w.proxies[4].dead = true
-		w.clock.after(2*time.Second, func() { w.list(2) })
+		w.clock.After(2*time.Second, func() { w.list(2) })
 	case Promotion:
 		w.kill(w.upstreams[0])
-		w.clock.after(1500*time.Millisecond, w.promote)
+		w.clock.After(1500*time.Millisecond, w.promote)
 	case PeerSilent:
 		w.proxies[4].cut = true
-		w.clock.after(3*time.Second, func() { w.proxies[4].cut = false })
+		w.clock.After(3*time.Second, func() { w.proxies[4].cut = false })
 	case ReplicaSlow:
 		w.upstreams[1].slow = 5
 	case ReplicaLags:
 		w.upstreams[1].stuck = true
-		w.clock.after(3*time.Second, func() { w.upstreams[1].stuck = false })
+		w.clock.After(3*time.Second, func() { w.upstreams[1].stuck = false })
 	}
 }
 
--- a/internal/modeler/clock.go
+++ b/internal/modeler/clock.go
@@ -26,8 +26,12 @@
 	return cmp.Or(cmp.Compare(e.at, o.at), cmp.Compare(e.seq, o.seq)) < 0
 }
 
-// At calls do at t, after all that was put there before for the same moment.
+// At calls do at t, after all that was put there before for the same moment, or
+// at once if t is past.
 func (c *Clock) At(t time.Time, do func()) {
+	if t.Before(c.Now) {
+		t = c.Now
+	}
 	c.seq++
 	c.todo = append(c.todo, entry{at: t.UnixNano(), seq: c.seq, do: do})
 	for i := len(c.todo) - 1; i > 0; {
