--- a/configurator/measure_test.go
+++ b/configurator/measure_test.go
@@ -28,6 +28,7 @@
 // How long a change takes to every proxy as the fleet grows, and at full size with
 // a fault.
 func TestDelay(t *testing.T) {
+	t.Parallel()
 	var b strings.Builder
 	for _, s := range sizes {
 		f := newFleet(t, 1, s.n, s.zones, s.regions, nil)
@@ -44,6 +45,7 @@
 
 // The calls to the platform and the bytes of a proxy, at rest and for a change.
 func TestCost(t *testing.T) {
+	t.Parallel()
 	var b strings.Builder
 	const rest, changes = 30, 5
 	for _, s := range sizes {
@@ -55,7 +57,7 @@
 		f.reset()
 		for i := range changes {
 			f.put(groupObject(t, 0, 200+i))
-			f.run(rest / changes * time.Second)
+			f.RunFor(rest / changes * time.Second)
 		}
 		calls, mean, _ = f.total()
 		perChange := (mean - idle) / changes
@@ -70,6 +72,7 @@
 // operator applies hundreds of objects. Cause: each of them costs each watcher a
 // call, and each proxy a new configuration.
 func TestBurst(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	var b strings.Builder
 	const changes, apart = 200, 10 * time.Millisecond
@@ -78,12 +81,12 @@
 		f.reset()
 		for i := range changes {
 			f.put(groupObject(t, i, 35))
-			f.run(apart)
+			f.RunFor(apart)
 		}
 		calls, mean, most := f.total()
-		end := f.now
+		end := f.Now
 		worst, adopted := time.Duration(0), 0
-		f.run(3 * time.Second)
+		f.RunFor(3 * time.Second)
 		for _, p := range f.proxies {
 			is.Equal(p.Version(), uint64(changes))
 			worst = max(worst, p.at[changes].Sub(end))
@@ -115,7 +118,7 @@
 // cost runs for a while and returns what it cost.
 func (f *fleet) cost(d time.Duration) (calls int, mean, most float64) {
 	f.reset()
-	f.run(d)
+	f.RunFor(d)
 	return f.total()
 }
 
@@ -132,6 +135,7 @@
 // A fresh proxy of a full fleet takes 4,600 groups from its peers, and from the
 // platform only the word that nothing is newer.
 func TestFreshAtFullSize(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	objects := make([]Object, 4600)
 	for i := range objects {
@@ -140,10 +144,10 @@
 	f := newFleet(t, 1, 10, 5, 5, objects)
 	f.reset()
 	fresh := f.add(10, 0, 0)
-	began := f.now
+	began := f.Now
 	f.tellMembers()
 	for fresh.joined.IsZero() {
-		f.run(time.Millisecond)
+		f.RunFor(time.Millisecond)
 	}
 	is.Equal(fresh.Version(), uint64(4600))
 	golden(t, "full.golden", fmt.Sprintf("fresh proxy with 4600 groups serves after %.0f ms, %d platform calls, %d KB from peers\n",
--- a/membership/measure_test.go
+++ b/membership/measure_test.go
@@ -1,13 +1,15 @@
 package membership
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
 	"os"
 	"slices"
-	"strings"
 	"testing"
 	"time"
+
+	"basildale.example/basildale/internal/modeler"
 )
 
 var update = flag.Bool("update", false, "write the golden files")
@@ -46,7 +48,7 @@
 		p.bytes = 0
 	}
 	f.messages = 0
-	f.run(d)
+	f.RunFor(d)
 	total := 0
 	for _, p := range f.procs {
 		total += p.bytes
@@ -60,17 +62,17 @@
 // exact: virtual time and fixed seeds.
 func TestMeasure(t *testing.T) {
 	t.Parallel()
-	var out strings.Builder
+	var parts []func(*bytes.Buffer)
 	for _, n := range []int{9, 90, 900, 2500} {
-		measure(&out, n)
+		parts = append(parts, func(out *bytes.Buffer) { measure(out, n) })
 	}
-	golden(t, "testdata/measure.golden", out.String())
+	golden(t, "testdata/measure.golden", string(modeler.Together(parts...)))
 }
 
-func measure(out *strings.Builder, n int) {
+func measure(out *bytes.Buffer, n int) {
 	f := newFleet(n, 1)
 	f.warm()
-	f.run(5 * time.Second)
+	f.RunFor(5 * time.Second)
 	idle, most, messages := f.traffic(6 * time.Second)
 	fmt.Fprintf(out, "%d processes\n", n)
 	fmt.Fprintf(out, "  idle: %.0f bytes/s each, at most %.0f, %.2f messages/s sent each\n", idle, most, messages)
@@ -81,9 +83,9 @@
 	}
 	var first, learned []time.Duration
 	for i := range hosts {
-		since := f.now
+		since := f.Now
 		f.vanish(f.procs[i*2])
-		f.run(12 * time.Second)
+		f.RunFor(12 * time.Second)
 		l := f.learned(f.procs[i*2], since)
 		first = append(first, l[0])
 		learned = append(learned, l...)
@@ -94,7 +96,7 @@
 		quantile(first, 0), quantile(first, 1), quantile(learned, 0.5), quantile(learned, 0.99), quantile(learned, 1))
 
 	var spent float64
-	f.run(5 * time.Second)
+	f.RunFor(5 * time.Second)
 	quiet, _, _ := f.traffic(6 * time.Second)
 	for i := range restarts {
 		p := f.procs[i*2+1]
@@ -109,7 +111,7 @@
 
 	f.loss = 0.02
 	before := f.reasons(Silent)
-	f.run(10 * time.Second)
+	f.RunFor(10 * time.Second)
 	fmt.Fprintf(out, "  2 %% of messages lost: %d false deaths and %d suspicions in 10 s of %d processes\n", f.deaths(), f.reasons(Silent)-before, n)
 }
 
--- a/membership/storm_test.go
+++ b/membership/storm_test.go
@@ -1,23 +1,25 @@
 package membership
 
 import (
+	"bytes"
 	"fmt"
-	"strings"
 	"testing"
 	"time"
+
+	"basildale.example/basildale/internal/modeler"
 )
 
 // agreed runs the fleet until all agree and returns how long that took, at most
 // limit.
 func (f *fleet) agreed(limit time.Duration, same func(a, b *proc) bool) time.Duration {
-	begin := f.now
-	for f.now.Sub(begin) < limit {
-		f.run(time.Second)
+	begin := f.Now
+	for f.Now.Sub(begin) < limit {
+		f.RunFor(time.Second)
 		if f.agree(same) == "" {
 			break
 		}
 	}
-	return f.now.Sub(begin)
+	return f.Now.Sub(begin)
 }
 
 // load is the bytes that processes sent and received in a second.
@@ -35,7 +37,7 @@
 			p.bytes = 0
 		}
 		each(s)
-		f.run(time.Second)
+		f.RunFor(time.Second)
 		for _, p := range f.procs {
 			most = max(most, p.bytes)
 			total += p.bytes
@@ -48,23 +50,24 @@
 // and restarts.
 func TestMeasureStorms(t *testing.T) {
 	t.Parallel()
-	var out strings.Builder
+	var parts []func(*bytes.Buffer)
 	for _, n := range []int{90, 360} {
-		fmt.Fprintf(&out, "%d processes\n", n)
-		zoneLost(&out, n, 3)
-		zoneLost(&out, n, 15)
-		partitioned(&out, n)
-		restarted(&out, n)
-		fresh(&out, n)
+		parts = append(parts,
+			func(out *bytes.Buffer) { fmt.Fprintf(out, "%d processes\n", n) },
+			func(out *bytes.Buffer) { zoneLost(out, n, 3) },
+			func(out *bytes.Buffer) { zoneLost(out, n, 15) },
+			func(out *bytes.Buffer) { partitioned(out, n) },
+			func(out *bytes.Buffer) { restarted(out, n) },
+			func(out *bytes.Buffer) { fresh(out, n) })
 	}
-	golden(t, "testdata/storms.golden", out.String())
+	golden(t, "testdata/storms.golden", string(modeler.Together(parts...)))
 }
 
 // zoneLost takes away one in so many.
-func zoneLost(out *strings.Builder, n, one int) {
+func zoneLost(out *bytes.Buffer, n, one int) {
 	f := newFleet(n, 2)
 	f.warm()
-	f.run(5 * time.Second)
+	f.RunFor(5 * time.Second)
 	for i, p := range f.procs {
 		if i%one == 0 {
 			f.vanish(p)
@@ -75,7 +78,7 @@
 	fmt.Fprintf(out, "  one in %d vanishes: all others agree after %v, %d false deaths, %v\n", one, took, f.deaths(), most)
 }
 
-func partitioned(out *strings.Builder, n int) {
+func partitioned(out *bytes.Buffer, n int) {
 	f := newFleet(n, 3)
 	f.warm()
 	side := make(map[*proc]bool)
@@ -91,10 +94,10 @@
 	fmt.Fprintf(out, "  two halves: apart after %v, one again after %v, %v\n", apart, took, most)
 }
 
-func restarted(out *strings.Builder, n int) {
+func restarted(out *bytes.Buffer, n int) {
 	f := newFleet(n, 4)
 	f.warm()
-	f.run(5 * time.Second)
+	f.RunFor(5 * time.Second)
 	const seconds = 60
 	next := 0
 	most := f.peak(seconds, func(s int) {
@@ -109,20 +112,20 @@
 	fmt.Fprintf(out, "  all restarted within 60 s: agree %v later, %d false deaths, %v\n", took, f.deaths(), most)
 }
 
-func fresh(out *strings.Builder, n int) {
+func fresh(out *bytes.Buffer, n int) {
 	f := newFleet(n, 5)
 	f.warm()
 	p := f.procs[0]
 	f.give(p, Leave{})
 	f.give(p, Stop{})
 	f.stop(p)
-	f.run(20 * time.Second)
+	f.RunFor(20 * time.Second)
 	f.boot(p, 2000)
-	begin, most := f.now, 0
-	for len(p.view.Live()) < n && f.now.Sub(begin) < time.Minute {
+	begin, most := f.Now, 0
+	for len(p.view.Live()) < n && f.Now.Sub(begin) < time.Minute {
 		p.bytes = 0
-		f.run(time.Second)
+		f.RunFor(time.Second)
 		most = max(most, p.bytes)
 	}
-	fmt.Fprintf(out, "  fresh process: knows all after %v, at most %d bytes in a second\n", f.now.Sub(begin), most)
+	fmt.Fprintf(out, "  fresh process: knows all after %v, at most %d bytes in a second\n", f.Now.Sub(begin), most)
 }
--- a/promoter/faults_test.go
+++ b/promoter/faults_test.go
@@ -95,8 +95,8 @@
 // run plays faults on a fresh world.
 func run(seed uint64, o options, fs ...fault) (*world, time.Duration) {
 	w := newWorld(seed, o)
-	w.runUntil(epochStart.Add(warmUp + w.uniform(300*ms)))
-	at := w.now
+	w.RunUntil(epochStart.Add(warmUp + w.uniform(300*ms)))
+	at := w.Now
 	needsPrimary := slices.ContainsFunc(fs, func(f fault) bool { return f.steps }) &&
 		!slices.ContainsFunc(fs, func(f fault) bool { return f.primary })
 	for _, f := range fs {
@@ -105,11 +105,11 @@
 	if needsPrimary {
 		w.primary().dead = true
 	}
-	w.runUntil(at.Add(faultFor))
+	w.RunUntil(at.Add(faultFor))
 	gap := w.gap(at)
 	w.healed = true
 	w.heal()
-	w.runUntil(w.now.Add(restTime))
+	w.RunUntil(w.Now.Add(restTime))
 	w.checkEnd()
 	return w, gap
 }
@@ -168,6 +168,7 @@
 // Sequence: each fault alone and with each other, over seeds. Cause: whatever a
 // pair of faults finds between two steps.
 func TestFaultsAloneAndInPairs(t *testing.T) {
+	t.Parallel()
 	const seeds = 3
 	var b strings.Builder
 	fmt.Fprintf(&b, "%-62s %5s %8s %8s %6s %7s %7s\n", "faults", "promo", "median", "worst", "acked", "not run", "unknown")
@@ -193,6 +194,7 @@
 // dies or stands still just before each order of a promotion, one after another.
 // Cause: a step that the next holder can't tell from no step.
 func TestLeaderStopsAtEachStep(t *testing.T) {
+	t.Parallel()
 	for step := 1; step <= 6; step++ {
 		for _, primary := range faults()[:3] {
 			for _, stop := range []fault{
