dispatcher: queues go by the limits of the group's preset; retrier: BD003 is unknown

Cause: a preset's window, queue, weights and slots were checked and stored, and the queues went by a part of them computed a second time; BD003 (a write whose ID was settled) would have gone to the caller as the statement's own error. Change: dispatcher takes Config.GroupLimits, the second computation goes; FromSQLState sorts BD003 as unknown, since the ID may have been settled as done. Measured: with a window and a queue of 1, put in force after the start, the third of three writes is refused as busy and the second runs after the first; the table of SQLSTATEs has the new row. Tests of dispatcher, retrier, daemon pass.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -252,7 +252,6 @@
 	d.recorder = &router.Recorder{}
 	d.dispatcher = &dispatcher.Dispatcher{
 		Control:   dispatcher.Control{Config: d.coordinator.Config, Offer: d.coordinator.Offer, Used: d.coordinator.Used},
-		Workspace: d.Settings.Workspace,
 		Upstreams: d.upstreams,
 		Marks:     d.finder,
 		Recorder:  d.recorder,
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -34,8 +34,6 @@
 // first call.
 type Dispatcher struct {
 	Control Control
-	// Workspace is the one whose preset gives the limits.
-	Workspace string
 	// Upstreams carries out polls, samples and settling.
 	Upstreams *commander.Commander
 	// Marks finds the marks of sessions.
@@ -112,7 +110,7 @@
 	next := &view{Published: p, changed: make(chan struct{})}
 	old := g.view.Load()
 	next.load = d.load(old, p)
-	limits := d.limits()
+	limits := d.limitsOf(p.Name)
 	for i, u := range p.Upstreams {
 		// A primary that is leaving goes on until another one is promoted: with
 		// writes barred from it, every booking would wait for its deadline.
@@ -130,22 +128,12 @@
 // goroutine calls it.
 func (d *Dispatcher) OnConfig(*controller.Reconfigured) {
 	d.once.Do(d.prepare)
-	limits := d.limits()
-	d.groups.Range(func(_, g any) bool {
-		g.(*group).gates.apply(limits)
+	d.groups.Range(func(name, g any) bool {
+		g.(*group).gates.apply(d.limitsOf(name.(string)))
 		return true
 	})
 }
 
-// limits returns those of the preset in force.
-func (d *Dispatcher) limits() limiter.Limits {
-	r := d.Control.Config()
-	if r == nil {
-		return limiter.Ordinary()
-	}
-	return LimitsOf(r.Config, d.Workspace)
-}
-
 // load returns the load of a view's upstreams; it goes on counting while the
 // list of upstreams is the same.
 func (d *Dispatcher) load(old *view, p *controller.Published) *router.Load {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -248,19 +248,36 @@
 	})
 }
 
+// Symptom: the operators put the peak preset in force and nothing changes.
+// Sequence: a queue works, another preset comes. Cause: the queue's limits were
+// read once, when it was made.
 func TestLimitsFollowThePresetInForce(t *testing.T) {
-	is := is.New(t)
-	preset := &configurator.Preset{Workspace: "dj", Classes: map[string]configurator.Class{
-		"booking": {Weight: 3, Slots: 4, Queue: 20, Deadline: configurator.Duration(time.Second)},
-		"other":   {Weight: 9},
-	}}
-	config := &configurator.Config{Workspaces: map[string]*configurator.InForce{"dj": {Name: "peak", Preset: preset}}}
-	l := LimitsOf(config, "dj")
-	is.NoErr(l.Check())
-	is.Equal(l.Classes[limiter.Booking], limiter.ClassLimits{Weight: 3, Slots: 4, Queue: 20, Patience: time.Second})
-	is.Equal(l.Classes[limiter.Lookup], limiter.Ordinary().Classes[limiter.Lookup])
-	is.Equal(LimitsOf(config, "another"), limiter.Ordinary())
-	is.Equal(LimitsOf(nil, "dj"), limiter.Ordinary())
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t)
+		b.notes.Known = true
+		class := configurator.Class{Weight: 1, Slots: 1, Queue: 1, Deadline: configurator.Duration(time.Second)}
+		b.config = &controller.Reconfigured{Config: &configurator.Config{
+			Workspaces: map[string]*configurator.InForce{"dj": {Name: "peak", Preset: &configurator.Preset{
+				Workspace: "dj", Window: 1, Queue: 1, Classes: map[string]configurator.Class{"booking": class, "lookup": class},
+			}}},
+			Pools:  map[string]*configurator.Pool{"p": {Workspace: "dj"}},
+			Groups: map[string]*configurator.Group{"g": {Pool: "p", Connections: 35, Slots: 5}},
+		}}
+		b.OnConfig(b.config)
+		running, refusal := b.route(write, time.Second)
+		is.Equal(refusal, nil)
+		waiting := make(chan *relayer.Refusal, 1)
+		go func() {
+			_, refusal := b.route(write, time.Second)
+			waiting <- refusal
+		}()
+		synctest.Wait()
+		_, refusal = b.route(write, time.Second) // one runs, one waits, and no more may
+		is.Equal(refusal.Outcome.Cause, retrier.Busy)
+		b.Release(running, true)
+		is.Equal(<-waiting, nil)
+	})
 }
 
 func TestTenantsHaveNumbersOfTheirOwn(t *testing.T) {
--- a/dispatcher/gates.go
+++ b/dispatcher/gates.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"basildale.example/basildale/configurator"
 	"basildale.example/basildale/limiter"
 	"basildale.example/basildale/relayer"
 	"basildale.example/basildale/retrier"
@@ -73,29 +72,17 @@
 	return n
 }
 
-// LimitsOf returns the limits of a workspace's queues under its preset in force;
-// what the preset doesn't say is as on ordinary days.
-func LimitsOf(config *configurator.Config, workspace string) limiter.Limits {
-	l := limiter.Ordinary()
-	if config == nil {
-		return l
+// limitsOf returns the limits of a group's queues under the preset in force;
+// without one, those of ordinary days.
+func (d *Dispatcher) limitsOf(group string) limiter.Limits {
+	r := d.Control.Config()
+	if r == nil || r.Config == nil {
+		return limiter.Ordinary()
 	}
-	inForce := config.Workspaces[workspace]
-	if inForce == nil {
+	if l, ok := r.Config.GroupLimits(group); ok {
 		return l
 	}
-	for name, class := range inForce.Preset.Classes {
-		i, ok := limiterClass(classOf(name))
-		if !ok {
-			continue
-		}
-		limits := &l.Classes[i]
-		limits.Weight, limits.Slots, limits.Queue = class.Weight, class.Slots, class.Queue
-		if class.Deadline > 0 {
-			limits.Patience = time.Duration(class.Deadline)
-		}
-	}
-	return l
+	return limiter.Ordinary()
 }
 
 func limiterClass(c relayer.Class) (limiter.Class, bool) {
--- a/retrier/exchange_test.go
+++ b/retrier/exchange_test.go
@@ -57,6 +57,7 @@
 		"25006": {Kind: NotRun, Cause: ReadOnly},
 		"53300": {Kind: NotRun, Cause: Refused},
 		"57P01": {Kind: Unknown, Cause: Lost},
+		"BD003": {Kind: Unknown, Cause: Lost},
 		"08007": {Kind: Unknown, Cause: Lost},
 	} {
 		got, ok := FromSQLState(code)
--- a/retrier/outcome.go
+++ b/retrier/outcome.go
@@ -125,7 +125,9 @@
 		return Outcome{Kind: NotRun, Cause: ReadOnly}, true
 	case "53300", "57P03":
 		return Outcome{Kind: NotRun, Cause: Refused}, true
-	case "57P01", "57P02", "08007":
+	case "57P01", "57P02", "08007", "BD003":
+		// BD003: the write has not run, but its request ID was settled by somebody,
+		// perhaps as done by an earlier attempt.
 		return Outcome{Kind: Unknown, Cause: Lost}, true
 	default:
 		return Outcome{}, false
