cmd/basildale: log lines without stack traces; a process that is alone listens for no peers

Cause: each logged error carried its stack trace, and a process without a platform and without a key logged at its start that its listener for peers had ended. Change: errors are logged as their text; without platform, key and peers' certificates the listener for peers is closed.

--- a/cmd/basildale/logger.go
+++ b/cmd/basildale/logger.go
@@ -16,5 +16,38 @@
 	if terminal(w) {
 		encoder = zapcore.NewConsoleEncoder(cfg)
 	}
-	return zap.New(zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(w)), level))
+	return zap.New(plain{zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(w)), level)})
+}
+
+// plain writes errors as their text. Our errors carry stack traces, which a
+// logger would add to each line: twenty lines for one short sentence.
+type plain struct{ zapcore.Core }
+
+// With returns a core whose lines all carry fields.
+func (p plain) With(fields []zapcore.Field) zapcore.Core {
+	return plain{p.Core.With(texts(fields))}
+}
+
+// Check adds the core to ce when it takes the entry.
+func (p plain) Check(e zapcore.Entry, ce *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if p.Enabled(e.Level) {
+		return ce.AddCore(e, p)
+	}
+	return ce
+}
+
+// Write writes one line.
+func (p plain) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	return p.Core.Write(e, texts(fields))
+}
+
+func texts(fields []zapcore.Field) []zapcore.Field {
+	out := make([]zapcore.Field, 0, len(fields))
+	for _, f := range fields {
+		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+			f = zap.String(f.Key, err.Error())
+		}
+		out = append(out, f)
+	}
+	return out
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -137,7 +137,11 @@
 	var parts sync.WaitGroup
 	parts.Go(func() { d.coordinator.Run(control) })
 	parts.Go(func() { d.finder.Run(control) })
-	parts.Go(d.serve("peers", func() error { return d.peers.Serve(d.peersAt) }))
+	if d.platform != nil || len(d.peers.Keys) > 0 || d.peers.TLS != nil {
+		parts.Go(d.serve("peers", func() error { return d.peers.Serve(d.peersAt) }))
+	} else {
+		d.peersAt.Close() // it is alone: no peer could prove that it is one
+	}
 	parts.Go(d.serve("operators", func() error { return d.http.Serve(d.operators) }))
 	err := d.traffic(ctx)
 	enrolled()
