generator: a look at an idle connection waits for no reader

**Cause** A load run hung in the tests under the race detector on the busy machine, for 220 s until it was ended by SIGQUIT: pgconn had started a reader in the background because a write was slow, the reader kept the connection's read lock, and the look whether the connection is over waited for that lock.

**Change** The look goes past the lock.

--- a/generator/conn.go
+++ b/generator/conn.go
@@ -101,9 +101,11 @@
 	first := make([]byte, 1)
 	var n int
 	var peekErr error
-	err = control.Read(func(fd uintptr) bool {
+	// Not by Read, which waits for whoever reads: pgconn leaves a reader in the
+	// background behind when a write was slow, and that one waits for the other
+	// side. The run would never end, with each of both waiting for the other.
+	err = control.Control(func(fd uintptr) {
 		n, _, peekErr = syscall.Recvfrom(int(fd), first, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
 	})
 	switch {
 	case err != nil:
