daemon: explain shows the router's decisions; a stuck control goroutine is said so

Cause: explain read the control side's ring alone, so it couldn't say why a read went to the primary; a question to the control goroutine had no end of its own, and /health would have hung with the process it is asked about. Measured: new tests fail without the change (no router entry for the session; the question to a coordinator that doesn't run never returned) and pass.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/adapter/commander"
@@ -122,17 +123,23 @@
 	}
 }
 
+// ErrStopped says that Run has ended.
+var ErrStopped = errors.New("coordinator: stopped")
+
 // Ask runs f in the control goroutine, where it may read the controller, and
-// returns when it has run. It reports false when Run has ended.
-func (c *Coordinator) Ask(f func(*controller.Controller)) bool {
+// returns when it has run. If Run has ended, or the context ends before the
+// control goroutine takes f, f doesn't run and the error says why.
+func (c *Coordinator) Ask(ctx context.Context, f func(*controller.Controller)) error {
 	c.once.Do(c.prepare)
 	ran := make(chan struct{})
 	select {
 	case c.asks <- func() { f(&c.Control); close(ran) }:
 		<-ran
-		return true
+		return nil
 	case <-c.done:
-		return false
+		return ErrStopped
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "coordinator: the control goroutine is busy")
 	}
 }
 
--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"basildale.example/basildale/adapter/commander"
@@ -177,7 +178,9 @@
 	is := is.New(t)
 	explained := false
 	for _, c := range f.proxies {
-		for _, d := range c.Explain("billet-db-1", 0) {
+		decided, err := c.Explain(t.Context(), "billet-db-1", 0)
+		is.NoErr(err)
+		for _, d := range decided {
 			explained = explained || d.Action == "promote" && d.Reason != ""
 		}
 	}
@@ -216,3 +219,15 @@
 	f.group.Upstreams[0].Crash()
 	f.await(primaryIsNot(0), rest...)
 }
+
+// Symptom: an operator who asks why a process hangs hangs with it. Sequence: the
+// control goroutine is stuck in an event, /health asks it. Cause: the question
+// waited without an end of its own.
+func TestQuestionToAStuckControlGoroutineEnds(t *testing.T) {
+	is := is.New(t)
+	var c Coordinator // Run is never called, so nobody takes the question
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	err := c.Ask(ctx, func(*controller.Controller) { t.Error("ran after all") })
+	is.True(errors.Is(err, context.Canceled))
+}
--- a/coordinator/handler.go
+++ b/coordinator/handler.go
@@ -95,14 +95,18 @@
 }
 
 // explained answers a peer that collects the fleet's decisions.
-func (c *Coordinator) explained(_ context.Context, _ messenger.Peer, req messenger.ExplainQuery) (messenger.Explanation, error) {
-	payload, err := json.Marshal(c.Explain(req.Subject, req.Limit))
+func (c *Coordinator) explained(ctx context.Context, _ messenger.Peer, req messenger.ExplainQuery) (messenger.Explanation, error) {
+	list, err := c.Explain(ctx, req.Subject, req.Limit)
+	if err != nil {
+		return messenger.Explanation{}, err
+	}
+	payload, err := json.Marshal(list)
 	return messenger.Explanation{Payload: payload}, errors.Wrap(err, "coordinator: encode")
 }
 
 // Explain returns the last decisions about a subject, the newest last.
-func (c *Coordinator) Explain(subject string, limit int) []controller.Decision {
+func (c *Coordinator) Explain(ctx context.Context, subject string, limit int) ([]controller.Decision, error) {
 	var list []controller.Decision
-	c.Ask(func(ctl *controller.Controller) { list = ctl.Ring.Last(subject, limit) })
-	return list
+	err := c.Ask(ctx, func(ctl *controller.Controller) { list = ctl.Ring.Last(subject, limit) })
+	return list, err
 }
--- a/coordinator/members.go
+++ b/coordinator/members.go
@@ -154,9 +154,14 @@
 // that fail, and suspect it for some seconds first. Run goes on until its context
 // ends.
 func (c *Coordinator) Stop() {
-	c.Ask(func(ctl *controller.Controller) {
+	ctx, cancel := context.WithTimeout(c.ctx, sendWithin)
+	defer cancel()
+	err := c.Ask(ctx, func(ctl *controller.Controller) {
 		c.run(ctl.Handle(controller.Membership{Event: membership.Stop{}}, time.Now()))
 	})
+	if err != nil {
+		return // the others find out by pings
+	}
 	c.tells.Wait()
 }
 
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -25,6 +25,7 @@
 	"basildale.example/basildale/loader"
 	"basildale.example/basildale/membership"
 	"basildale.example/basildale/relayer"
+	"basildale.example/basildale/router"
 )
 
 var zones = []string{"vejle-hal", "aarhus-hal", "skjern-hal"}
@@ -258,6 +259,11 @@
 	list, err := f.daemons[0].explain(t.Context(), reporterQuery("billet-db-1"))
 	is.NoErr(err)
 	is.True(len(list) > 0)
+	is.NoErr(book(t, f.connect(0, "basildale.session=family-9"), 900))
+	list, err = f.daemons[0].explain(t.Context(), reporter.Query{Session: "family-9", Limit: 10})
+	is.NoErr(err)
+	is.Equal(list[len(list)-1].Part, "router")
+	is.Equal(list[len(list)-1].Reason, router.PrimaryWrite.String())
 }
 
 func reporterQuery(group string) reporter.Query { return reporter.Query{Group: group, Limit: 10} }
--- a/daemon/marks.go
+++ b/daemon/marks.go
@@ -145,6 +145,8 @@
 // listed returns the proxies in the platform's list as the controller last had
 // it.
 func (d *Daemon) listed() (list []netip.AddrPort, known bool) {
-	d.coordinator.Ask(func(c *controller.Controller) { list, known = c.Listed() })
-	return list, known
+	ctx, cancel := context.WithTimeout(context.Background(), putWithin)
+	defer cancel()
+	err := d.coordinator.Ask(ctx, func(c *controller.Controller) { list, known = c.Listed() })
+	return list, known && err == nil
 }
--- a/daemon/report.go
+++ b/daemon/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,12 +12,12 @@
 	"basildale.example/basildale/controller"
 	"basildale.example/basildale/membership"
 	"basildale.example/basildale/meter"
+	"basildale.example/basildale/router"
 )
 
 var (
 	errStarting = errors.New("daemon: starting, no configuration is known yet")
 	errLeaving  = errors.New("daemon: leaving")
-	errStopped  = errors.New("daemon: the control side has stopped")
 )
 
 // reporter returns what answers operators.
@@ -35,11 +36,8 @@
 
 // health asks the control goroutine: a process whose control goroutine hangs
 // goes on serving from old views, which nobody would notice otherwise.
-func (d *Daemon) health(context.Context) error {
-	if !d.coordinator.Ask(func(*controller.Controller) {}) {
-		return errStopped
-	}
-	return nil
+func (d *Daemon) health(ctx context.Context) error {
+	return d.coordinator.Ask(ctx, func(*controller.Controller) {})
 }
 
 func (d *Daemon) ready(context.Context) error {
@@ -79,11 +77,11 @@
 		s.Platform = "configured"
 	}
 	var members []membership.Member
-	if !d.coordinator.Ask(func(c *controller.Controller) {
+	if err := d.coordinator.Ask(ctx, func(c *controller.Controller) {
 		s.Version = c.Version()
 		members = c.Members()
-	}) {
-		return s, errStopped
+	}); err != nil {
+		return s, err
 	}
 	for _, m := range members {
 		s.Peers = append(s.Peers, peer(m))
@@ -157,23 +155,58 @@
 	return a.String()
 }
 
-func (d *Daemon) explain(_ context.Context, q reporter.Query) ([]reporter.Decision, error) {
+// explain puts together the decisions of the control side and those of the
+// router, in the order of their times.
+func (d *Daemon) explain(ctx context.Context, q reporter.Query) ([]reporter.Decision, error) {
 	subject := q.Group
 	for _, s := range []string{q.Upstream, q.Session} {
 		if s != "" {
 			subject = s
 		}
 	}
-	var list []reporter.Decision
-	for _, one := range d.coordinator.Explain(subject, q.Limit) {
+	decided, err := d.coordinator.Explain(ctx, subject, q.Limit)
+	if err != nil {
+		return nil, err
+	}
+	list := d.routed(q)
+	for _, one := range decided {
 		list = append(list, reporter.Decision{
 			At: one.At, Part: one.Part, Action: one.Action, Reason: one.Reason,
 			Session: one.Session, Group: one.Group, Upstream: one.Upstream, Detail: one.Detail,
 		})
 	}
+	slices.SortStableFunc(list, func(a, b reporter.Decision) int { return a.At.Compare(b.At) })
+	if q.Limit > 0 && len(list) > q.Limit {
+		list = list[len(list)-q.Limit:]
+	}
 	return list, nil
 }
 
+// routed returns the router's decisions that a query asks for.
+func (d *Daemon) routed(q reporter.Query) []reporter.Decision {
+	var list []reporter.Decision
+	for _, one := range d.recorder.Last(router.Filter{Group: q.Group, Session: q.Session}, q.Limit) {
+		to := d.upstreamName(one.Group, one.Decision.Target)
+		if q.Upstream != "" && q.Upstream != to {
+			continue
+		}
+		list = append(list, reporter.Decision{
+			At: one.At, Part: "router", Action: one.Decision.Action.String(), Reason: one.Decision.Reason.String(),
+			Session: one.Session, Group: one.Group, Upstream: to,
+		})
+	}
+	return list
+}
+
+// upstreamName returns the address of a group's upstream by its index, or "".
+func (d *Daemon) upstreamName(group string, i int) string {
+	v := d.coordinator.View(group)
+	if v == nil || i < 0 || i >= len(v.Upstreams) {
+		return ""
+	}
+	return v.Upstreams[i].Address.String()
+}
+
 func (d *Daemon) drainNow(context.Context) (reporter.Drained, error) {
 	if !d.Drain() {
 		return reporter.Drained{}, reporter.ErrLeaving
