dispatcher, relayer: a transaction that waits for its caller keeps no slot

Cause: a unit's slot was given back with its connection, so an open transaction kept it while its caller thought; a proxy's window begins with one slot, and every other booking through the proxy was refused with BD101 although the upstream had nothing to do. Ruled out: a wider first window, which only moves the number of thinking callers that block the rest. Change: relayer tells when a transaction is left open (Yield); the dispatcher gives up its slot and its share of the load. Later units of the transaction take none: they hold locks others wait for, and connections bound their number. Measured: with a window of one, another write is granted while a transaction is open, and the end of the transaction frees no second slot; the first assertion failed before. Tests of dispatcher, relayer, server and daemon pass.

--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -10,6 +10,7 @@
 		Terms:   d.Terms,
 		Route:   d.Route,
 		Release: d.Release,
+		Yield:   d.Yield,
 		Confirm: d.Confirm,
 		Observe: d.Observe,
 		Decide:  d.Decide,
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -280,6 +280,29 @@
 	})
 }
 
+// Symptom: one caller thinks inside a transaction, and all others are refused.
+// Sequence: a transaction is open, its place in the window of one is kept. Cause:
+// the place was given back with the connection, at the end of the transaction.
+func TestTransactionThatWaitsForItsCallerKeepsNoPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t)
+		l := limiter.Ordinary()
+		l.Window = 1
+		b.group("g").gates.apply(l)
+		open, refusal := b.route(write, time.Second)
+		is.Equal(refusal, nil)
+		b.Yield(&open)
+		is.Equal(b.running(primary), 0)
+		other, refusal := b.route(write, time.Second)
+		is.Equal(refusal, nil)
+		b.Release(open, true) // the end of the transaction takes no second place away
+		is.Equal(b.running(primary), 1)
+		b.Release(other, true)
+		is.Equal(b.group("g").view.Load().load.Busy(0), 0)
+	})
+}
+
 func TestTenantsHaveNumbersOfTheirOwn(t *testing.T) {
 	is := is.New(t)
 	var n tenants
--- a/dispatcher/observe.go
+++ b/dispatcher/observe.go
@@ -23,12 +23,14 @@
 	heardEvery = 10 * time.Millisecond
 )
 
+// token is never zero: that is the token of a target without a place.
 func (d *Dispatcher) token(i int, now time.Time) uint64 {
-	return uint64(now.Sub(d.start).Microseconds())<<tokenIndexBits | uint64(i)
+	return uint64(now.Sub(d.start).Microseconds()+1)<<tokenIndexBits | uint64(i)
 }
 
 func (d *Dispatcher) untoken(token uint64) (i int, at time.Time) {
-	return int(token & (1<<tokenIndexBits - 1)), d.start.Add(time.Duration(token>>tokenIndexBits) * time.Microsecond)
+	micros := token>>tokenIndexBits - 1
+	return int(token & (1<<tokenIndexBits - 1)), d.start.Add(time.Duration(micros) * time.Microsecond)
 }
 
 // Release ends a unit's or a transaction's use of an upstream. served is false
@@ -39,7 +41,7 @@
 		g.gates.get(t.Address, limiter.Ordinary()).Release(limiter.Ticket(t.Ticket), served)
 	}
 	v := g.view.Load()
-	if v == nil {
+	if v == nil || t.Token == 0 {
 		return
 	}
 	i, at := d.untoken(t.Token)
@@ -50,6 +52,18 @@
 	v.load.Done(i, now.Sub(at), now)
 }
 
+// Yield gives up the place of a transaction that waits for its caller. Its later
+// units need none: they hold locks that others wait for, so they go before what
+// queues, and their number is bounded by that of the connections.
+//
+// What goes wrong without it: a caller that thinks inside a transaction keeps a
+// slot of the proxy's window, which begins with one, and every other booking
+// through the proxy is refused although the upstream has nothing to do.
+func (d *Dispatcher) Yield(t *relayer.Target) {
+	d.Release(*t, true)
+	t.Ticket, t.Token = 0, 0
+}
+
 // Observe takes the outcome of one attempt.
 func (d *Dispatcher) Observe(t relayer.Target, r *relayer.Request, o retrier.Outcome) {
 	now := time.Now()
@@ -86,7 +100,10 @@
 	if class == "" {
 		class = "other"
 	}
-	_, routed := d.untoken(t.Token)
+	routed := r.Arrived // a later unit of a transaction didn't wait
+	if t.Token != 0 {
+		_, routed = d.untoken(t.Token)
+	}
 	s := d.seriesOf(r.Account.Tenant, class)
 	s.Observe(meter.Timing{Wait: routed.Sub(r.Arrived), Upstream: now.Sub(routed), Total: now.Sub(r.Arrived)})
 	d.Meter.Outcome(r.Account.Tenant, class, o.Kind.String())
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -125,6 +125,10 @@
 	Route func(ctx context.Context, r *Request) (Target, *Refusal)
 	// Acquire takes a connection to the target for one transaction.
 	Acquire func(ctx context.Context, t Target, r *Request) (*Upstream, *Refusal)
+	// Yield is told that a transaction now waits for its caller: the target keeps
+	// its connection and gives up its place among what the upstream runs. Nil
+	// means that nobody counts places.
+	Yield func(t *Target)
 	// Release gives a connection back; healthy is false when it has been closed.
 	Release func(t Target, u *Upstream, healthy bool)
 	// Confirm waits until a replica holds the mark of a write and the term still
--- a/relayer/unit.go
+++ b/relayer/unit.go
@@ -230,8 +230,11 @@
 func (s *Session) succeed(u *unit) error {
 	s.batch = !u.sync
 	s.skipping = u.failed && !u.sync
-	if u.sync && s.tx == txIdle {
+	switch {
+	case u.sync && s.tx == txIdle:
 		s.releaseUpstream()
+	case u.sync && s.relay.Yield != nil && s.up != nil:
+		s.relay.Yield(&s.to)
 	}
 	return s.flush()
 }
--- a/server/server.go
+++ b/server/server.go
@@ -38,6 +38,7 @@
 	Terms         func(a *relayer.Account) relayer.Terms
 	Route         func(ctx context.Context, r *relayer.Request) (relayer.Target, *relayer.Refusal)
 	Release       func(t relayer.Target, served bool)
+	Yield         func(t *relayer.Target)
 	Confirm       func(ctx context.Context, t relayer.Target, mark tracker.Mark, r *relayer.Request) retrier.Outcome
 	Observe       func(t relayer.Target, r *relayer.Request, o retrier.Outcome)
 	Decide        func(group string, r *retrier.Request, o retrier.Outcome) retrier.Decision
@@ -139,6 +140,7 @@
 		Route:         s.Control.Route,
 		Acquire:       s.acquire,
 		Release:       s.release,
+		Yield:         s.Control.Yield,
 		Confirm:       s.Control.Confirm,
 		Observe:       s.Control.Observe,
 		Decide:        s.Control.Decide,
