daemon: connections of upstreams are shared by agreed views

Cause: each proxy divided an upstream's connections by the members that it believed in when its configuration came; under load proxies that come and go were refused with 53300.

Change: sharer is wired: the platform's kind shares, peers' share messages (now a confirmation of views), server.Share and server.Open for the pools, which go on counting the connections of a former configuration. The stand-in of upstreams counts its greatest number of connections.

--- a/adapter/messenger/calls.go
+++ b/adapter/messenger/calls.go
@@ -86,3 +86,10 @@
 	err := m.call(ctx, to, MethodExplain, req, &reply)
 	return reply, err
 }
+
+// Share confirms views of shares to the proxy at to.
+func (m *Messenger) Share(ctx context.Context, to netip.AddrPort, req ShareRequest) (Empty, error) {
+	var reply Empty
+	err := m.call(ctx, to, MethodShare, req, &reply)
+	return reply, err
+}
--- a/adapter/messenger/handler.go
+++ b/adapter/messenger/handler.go
@@ -30,6 +30,7 @@
 	Cancel  func(context.Context, Peer, CancelForward) (Empty, error)
 	Leave   func(context.Context, Peer, Leave) (Empty, error)
 	Explain func(context.Context, Peer, ExplainQuery) (Explanation, error)
+	Share   func(context.Context, Peer, ShareRequest) (Empty, error)
 }
 
 // dispatch decodes the request of one method and runs the function for it.
@@ -65,6 +66,9 @@
 	case MethodExplain:
 		var q ExplainQuery
 		return serve(raw, &q, h.Explain != nil, func() (any, error) { return h.Explain(ctx, from, q) })
+	case MethodShare:
+		var q ShareRequest
+		return serve(raw, &q, h.Share != nil, func() (any, error) { return h.Share(ctx, from, q) })
 	default:
 		return nil, errors.Wrapf(ErrMethod, "%q", method)
 	}
--- a/adapter/messenger/messages.go
+++ b/adapter/messenger/messages.go
@@ -23,6 +23,7 @@
 	MethodCancel  Method = "cancel"
 	MethodLeave   Method = "leave"
 	MethodExplain Method = "explain"
+	MethodShare   Method = "share"
 )
 
 // Empty is the answer to a request that asks for nothing back.
@@ -135,3 +136,17 @@
 type Explanation struct {
 	Payload json.RawMessage `json:"payload,omitempty"`
 }
+
+// ShareRequest confirms that the sender keeps to views of the groups' shares of
+// connections. Gone says that it has closed its last connection for data and
+// opens none any more. A request that got no answer is repeated.
+type ShareRequest struct {
+	Seen []ShareSeen `json:"seen,omitempty"`
+	Gone bool        `json:"gone,omitempty"`
+}
+
+// ShareSeen names a view of a group's shares.
+type ShareSeen struct {
+	Group string `json:"group"`
+	Seq   uint64 `json:"seq"`
+}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -49,6 +49,7 @@
 	adopted bool
 	// proxies are those in the platform's list; nil before it was read.
 	proxies []netip.AddrPort
+	lists   uint64
 	out     []Command
 	now     time.Time
 }
@@ -253,6 +254,7 @@
 }
 
 func (c *Controller) listed(ev Listed) {
+	c.lists++
 	c.proxies = make([]netip.AddrPort, len(ev.Proxies))
 	for i, p := range ev.Proxies {
 		c.proxies[i] = p.Addr
@@ -291,5 +293,11 @@
 // Listed returns the proxies in the platform's list, and whether it was read.
 func (c *Controller) Listed() ([]netip.AddrPort, bool) { return c.proxies, c.proxies != nil }
 
+// Lists returns how often the platform's list was read.
+func (c *Controller) Lists() uint64 { return c.lists }
+
 // Members returns what is believed of the fleet.
 func (c *Controller) Members() []membership.Member { return c.view.Live() }
+
+// Order returns the first n members in the rendezvous order of a key.
+func (c *Controller) Order(key string, n int) []membership.Member { return c.view.Order(key, n) }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"basildale.example/basildale/relayer"
 	"basildale.example/basildale/router"
 	"basildale.example/basildale/server"
+	"basildale.example/basildale/sharer"
 )
 
 // Daemon is one proxy process. Set the exported fields before Run.
@@ -55,6 +56,7 @@
 	coordinator *coordinator.Coordinator
 	dispatcher  *dispatcher.Dispatcher
 	finder      *finder.Finder
+	sharer      *sharer.Sharer
 	recorder    *router.Recorder
 	server      *server.Server
 	http        *http.Server
@@ -137,6 +139,7 @@
 	var parts sync.WaitGroup
 	parts.Go(func() { d.coordinator.Run(control) })
 	parts.Go(func() { d.finder.Run(control) })
+	parts.Go(func() { d.runShares(control) })
 	if d.platform != nil || len(d.peers.Keys) > 0 || d.peers.TLS != nil {
 		parts.Go(d.serve("peers", func() error { return d.peers.Serve(d.peersAt) }))
 	} else {
@@ -144,6 +147,7 @@
 	}
 	parts.Go(d.serve("operators", func() error { return d.http.Serve(d.operators) }))
 	err := d.traffic(ctx)
+	d.leaveShares()
 	enrolled()
 	roster.Wait()
 	stop()
@@ -189,6 +193,7 @@
 		return nil
 	}
 	d.awaitRoster(ctx)
+	d.awaitShares(ctx)
 	go func() {
 		select {
 		case <-d.server.Started():
@@ -291,6 +296,9 @@
 	d.peers.Handler = d.coordinator.Handler()
 	d.peers.Handler.Marks = d.marked
 	d.peers.Handler.Cancel = d.cancelled
+	if d.sharer = d.sharing(); d.sharer != nil {
+		d.peers.Handler.Share = d.heardShare
+	}
 	d.http = &http.Server{Handler: d.reporter().Handler(), ReadHeaderTimeout: reporter.HeaderTimeout}
 	return nil
 }
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -39,31 +39,36 @@
 	t        *testing.T
 	platform *platform.Platform
 	group    *upstream.Group
+	key      string // path of the fleet's key
+	limit    int    // connections of an upstream
 	daemons  []*Daemon
 	ends     []chan error
 }
 
 func newFleet(t *testing.T, lag time.Duration) *fleet {
+	t.Helper()
+	return newFleetOf(t, upstream.Options{Size: 3, Lag: lag, Setup: setup, Connections: 35})
+}
+
+func newFleetOf(t *testing.T, o upstream.Options) *fleet {
 	t.Helper()
 	is := is.New(t)
-	f := &fleet{t: t, platform: &platform.Platform{}}
+	f := &fleet{t: t, platform: &platform.Platform{}, limit: o.Connections}
 	is.NoErr(f.platform.Start())
 	t.Cleanup(func() { _ = f.platform.Close() })
 	var err error
-	f.group, err = upstream.NewGroup(upstream.Options{Size: 3, Lag: lag, Setup: setup})
+	f.group, err = upstream.NewGroup(o)
 	is.NoErr(err)
 	t.Cleanup(f.group.Close)
 	f.configure()
-	key := filepath.Join(t.TempDir(), "key")
-	is.NoErr(os.WriteFile(key, []byte("a key that the fleet shares"), 0o600))
-	var instances []platform.Instance
+	f.key = filepath.Join(t.TempDir(), "key")
+	is.NoErr(os.WriteFile(f.key, []byte("a key that the fleet shares"), 0o600))
 	for i, zone := range zones {
-		d := f.daemon(i, zone, key)
+		d := f.daemon(i, zone, f.key)
 		is.NoErr(d.Listen())
 		f.daemons = append(f.daemons, d)
-		instances = append(instances, platform.Instance{Name: zone, Role: "proxy", Zone: zone, State: "live", Address: d.Peers()})
 	}
-	f.platform.SetInstances(instances)
+	f.list()
 	for _, d := range f.daemons {
 		f.run(d)
 	}
@@ -73,17 +78,34 @@
 	return f
 }
 
+// list has the platform list the daemons, and more.
+func (f *fleet) list(more ...netip.AddrPort) {
+	var instances []platform.Instance
+	for _, d := range f.daemons {
+		instances = append(instances, platform.Instance{Name: d.Settings.Name, Role: "proxy", Zone: d.Settings.Zone, State: "live", Address: d.Peers()})
+	}
+	for _, a := range more {
+		instances = append(instances, platform.Instance{Name: a.String(), Role: "proxy", Zone: zones[0], State: "live", Address: a})
+	}
+	f.platform.SetInstances(instances)
+}
+
 func (f *fleet) daemon(i int, zone, key string) *Daemon {
+	d := daemonOn(f.platform.Addr(), zone, key)
+	d.Seed = uint64(i + 1)
+	return d
+}
+
+func daemonOn(at netip.AddrPort, zone, key string) *Daemon {
 	local := netip.MustParseAddrPort("127.0.0.1:0")
 	return &Daemon{
 		Settings: loader.Settings{
 			Name: zone, Zone: zone, Workspace: "dj", Listen: local, Peers: local, Operators: local,
-			Platform: []netip.AddrPort{f.platform.Addr()}, Secret: key, Login: loader.Login{User: "basildale"}, Stop: 10 * time.Second,
+			Platform: []netip.AddrPort{at}, Secret: key, Login: loader.Login{User: "basildale"}, Stop: 10 * time.Second,
 		},
 		Sampling:   coordinator.Sampling{Active: 10 * time.Millisecond, Idle: 20 * time.Millisecond, Within: 200 * time.Millisecond, List: 50 * time.Millisecond},
 		Membership: membership.Settings{Period: 200 * time.Millisecond, Timeout: 100 * time.Millisecond, Suspicion: 300 * time.Millisecond},
 		Lease:      200 * time.Millisecond,
-		Seed:       uint64(i + 1),
 	}
 }
 
@@ -118,7 +140,7 @@
 		{"active/dj", map[string]any{"preset": "ordinary"}},
 		{"workspace/dj", map[string]any{"zones": zones}},
 		{"pool/tickets", map[string]any{"workspace": "dj"}},
-		{"group/billet-db-1", map[string]any{"pool": "tickets", "databases": []string{"billet"}, "slots": 5, "connections": 35, "upstreams": ups}},
+		{"group/billet-db-1", map[string]any{"pool": "tickets", "databases": []string{"billet"}, "slots": 5, "connections": f.limit, "upstreams": ups}},
 		{"preset/maintenance", map[string]any{"workspace": "dj", "writes": "refuse", "classes": class}},
 		{"caller/kiosk", map[string]any{"workspace": "dj", "class": "booking", "verifier": verifier.String()}},
 	} {
--- a/internal/faker/upstream/upstream.go
+++ b/internal/faker/upstream/upstream.go
@@ -40,9 +40,10 @@
 const defaultSlots = 5
 
 // Counts are what an upstream has done since its start. Open is the number of
-// connections now.
+// connections now, Most the greatest number there was.
 type Counts struct {
 	Open       int64
+	Most       int64
 	Opened     int64
 	Refused    int64
 	Statements int64 // on tables, and SELECT without a table
@@ -75,6 +76,7 @@
 	conns    map[*session]struct{} // also those that are not past startup
 	sessions map[uint32]*session
 	nextPID  uint32
+	most     int // sessions at a time
 }
 
 type counters struct {
@@ -142,10 +144,11 @@
 // Counts returns what the upstream has done so far.
 func (u *Upstream) Counts() Counts {
 	u.mu.Lock()
-	open := len(u.sessions)
+	open, most := len(u.sessions), u.most
 	u.mu.Unlock()
 	return Counts{
 		Open:       int64(open),
+		Most:       int64(most),
 		Opened:     u.counts.opened.Load(),
 		Refused:    u.counts.refused.Load(),
 		Statements: u.counts.statements.Load(),
@@ -199,6 +202,7 @@
 	u.nextPID++
 	s.pid = u.nextPID
 	u.sessions[s.pid] = s
+	u.most = max(u.most, len(u.sessions))
 	u.counts.opened.Add(1)
 	return true
 }
--- a/server/pools.go
+++ b/server/pools.go
@@ -33,6 +33,7 @@
 type pools struct {
 	mu  sync.RWMutex
 	all map[place]*pool
+	old []old // stopped, with connections in use
 }
 
 const (
@@ -58,11 +59,20 @@
 	for at, old := range p.all {
 		if next[at] != old {
 			old.Stop()
+			p.retire(at, old)
 		}
 	}
 	p.all = next
 }
 
+// retire goes on counting a stopped pool's connections.
+func (p *pools) retire(at place, stopped *pool) {
+	p.forget()
+	if stopped.Stats().Open > 0 {
+		p.old = append(p.old, old{at, stopped})
+	}
+}
+
 // keep returns the pool of an upstream, a new one when there is none or when its
 // connections would be made otherwise.
 func (p *pools) keep(at place, g Group) *pool {
@@ -70,7 +80,9 @@
 	if old == nil || old.made != madeOf(g) {
 		return newPool(g, at.address)
 	}
-	old.SetLimit(limitOf(g))
+	if !g.Shared {
+		old.SetLimit(limitOf(g))
+	}
 	return old
 }
 
@@ -83,6 +95,9 @@
 func madeOf(g Group) made { return made{g.User, g.Password, g.Database, g.TLS} }
 
 func limitOf(g Group) int {
+	if g.Shared {
+		return 0
+	}
 	if g.Connections == 0 {
 		return defaultConnections
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -28,6 +28,9 @@
 	TLS *tls.Config
 	// Connections is the share of this proxy of each upstream's connections.
 	Connections int
+	// Shared is set when the share comes by [Server.Share] instead; before that
+	// there is none.
+	Shared bool
 	// Warm is how many of them are opened before they are needed.
 	Warm int
 }
--- /dev/null
+++ b/server/shares_test.go
@@ -0,0 +1,48 @@
+package server
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basildale.example/basildale/internal/faker/upstream"
+)
+
+// Symptom: a proxy has more connections than its share after its configuration
+// has changed.
+//
+// Sequence: a transaction is open while the database name of the connections is
+// changed; others come.
+//
+// Cause: the connections of the former pool counted no more.
+func TestShareCountsConnectionsOfTheFormerConfiguration(t *testing.T) {
+	is := is.New(t)
+	var s *Server
+	f := start(t, upstream.Options{Size: 1}, func(made *Server) {
+		s = made
+		s.Groups[0].Shared = true
+	})
+	at := s.Groups[0].Upstreams[0]
+	two := func(netip.AddrPort) int { return 2 }
+	is.Equal(s.Open("billet")[at], 0)
+	s.Share("billet", two)
+	tx, err := f.connect(t, "").Begin(t.Context())
+	is.NoErr(err)
+	is.Equal(s.Open("billet")[at], 1)
+
+	next := s.Groups[0]
+	next.Database = "another"
+	s.Configure([]Group{next})
+	is.Equal(s.pools.get("billet", at).Stats().Limit, 0) // nothing before it is counted
+	s.Share("billet", two)
+	is.Equal(s.pools.get("billet", at).Stats().Limit, 1)
+	is.Equal(s.Open("billet")[at], 1)
+	is.NoErr(tx.Commit(t.Context()))
+	for s.Open("billet")[at] > 0 {
+		time.Sleep(time.Millisecond) // a poll; only the bound of the test run ends it
+	}
+	s.Share("billet", two)
+	is.Equal(s.pools.get("billet", at).Stats().Limit, 2)
+}
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -222,6 +222,7 @@
 		time.Sleep(settle)
 		is.Equal(slices.Sorted(slices.Values(w.shares())), []int{2, 2, 3}) // 12, without 3 and room for 2
 		w.end(c)
+		c.open = 0
 		c.Leave(context.Background())
 		time.Sleep(settle)
 		is.Equal(w.shares(), []int{4, 4})
