pooler, server: connections are opened at a pace

Cause: after a failover every proxy opens its whole share of connections to the new primary at once; each takes 10 to 30 ms of the upstream's time.

Change: a pool with Pace asks for a permit for each connection that somebody waits for; limiter.Pacer gives the time, from the preset's opening. Those in line take what is free first, a connection that comes back or a permit, so one connection can serve all before a second is opened.

Conclusion: storms are bounded at the preset's rate for each proxy.

--- a/daemon/groups.go
+++ b/daemon/groups.go
@@ -70,6 +70,7 @@
 	list := make([]server.Group, 0, len(r.Groups))
 	for _, g := range r.Groups {
 		one := server.Group{Name: g.Name, User: d.Settings.Login.User, Password: d.upstreams.Password, TLS: d.upstreams.TLS}
+		one.Opening = opening(r, g.Name)
 		one.Connections, one.Shared = d.share(g.Name), d.platform != nil
 		for _, u := range g.Upstreams {
 			one.Upstreams = append(one.Upstreams, u.Address)
--- a/daemon/share.go
+++ b/daemon/share.go
@@ -41,6 +41,17 @@
 	return max(1, cmp.Or(least, limiter.Ordinary().Connections)-1)
 }
 
+// opening returns how many connections to each upstream of a group are opened a
+// second.
+func opening(r *controller.Reconfigured, group string) float64 {
+	if r.Config != nil {
+		if l, ok := r.Config.GroupLimits(group); ok {
+			return l.Opening
+		}
+	}
+	return limiter.Ordinary().Opening
+}
+
 // sharing makes what divides the connections; nil without a platform.
 func (d *Daemon) sharing() *sharer.Sharer {
 	if d.platform == nil {
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -19,10 +19,15 @@
 	Dial func(ctx context.Context) (C, error)
 	// Close ends a connection. It runs without the pool's lock.
 	Close func(C)
+	// Pace, when set, spreads the opening of connections: it is called once for
+	// each that somebody waits for, without the pool's lock, and has to call
+	// Permit once, now or later. Warm isn't paced.
+	Pace func()
 
 	mu     sync.Mutex
 	idle   []C
 	open   int
+	asked  int // permits asked for that have not come
 	line   []*waiter[C]
 	closed bool
 }
@@ -51,7 +56,8 @@
 // Discard. It takes a warm one, opens one within the limit, or waits until ctx
 // ends. The error is that of ctx or of Dial, or ErrClosed.
 func (p *Pool[C]) Get(ctx context.Context) (C, error) {
-	g, w := p.ask()
+	g, w, wanted := p.ask()
+	p.pace(wanted)
 	if w != nil {
 		var err error
 		if g, err = p.wait(ctx, w); err != nil {
@@ -72,23 +78,43 @@
 	return p.pop(), true
 }
 
-// ask takes a grant at once or joins the line.
-func (p *Pool[C]) ask() (grant[C], *waiter[C]) {
+// ask takes a grant at once or joins the line, and returns how many permits are
+// to be asked for.
+func (p *Pool[C]) ask() (grant[C], *waiter[C], int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		return grant[C]{err: ErrClosed}, nil
+		return grant[C]{err: ErrClosed}, nil, 0
 	}
 	if n := len(p.idle); n > 0 && p.open <= p.Limit {
-		return grant[C]{conn: p.pop(), warm: true}, nil
+		return grant[C]{conn: p.pop(), warm: true}, nil, 0
 	}
-	if p.open < p.Limit {
+	if p.open < p.Limit && p.Pace == nil {
 		p.open++
-		return grant[C]{}, nil
+		return grant[C]{}, nil, 0
 	}
 	w := &waiter[C]{granted: make(chan grant[C], 1)}
 	p.line = append(p.line, w)
-	return grant[C]{}, w
+	return grant[C]{}, w, p.admit()
+}
+
+// pace asks for permits.
+func (p *Pool[C]) pace(n int) {
+	for range n {
+		p.Pace()
+	}
+}
+
+// Permit lets the first in line open a connection within the limit. A permit that
+// nobody needs any more is lost.
+func (p *Pool[C]) Permit() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked--
+	if len(p.line) > 0 && p.open < p.Limit {
+		p.open++
+		p.next().granted <- grant[C]{}
+	}
 }
 
 func (p *Pool[C]) pop() C {
@@ -178,16 +204,25 @@
 // drop frees one place and lets those in line dial while there is room.
 func (p *Pool[C]) drop() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.open--
-	p.admit()
+	wanted := p.admit()
+	p.mu.Unlock()
+	p.pace(wanted)
 }
 
-func (p *Pool[C]) admit() {
+// admit lets those in line open connections within the limit, or returns how many
+// permits are to be asked for.
+func (p *Pool[C]) admit() (wanted int) {
+	if p.Pace != nil {
+		wanted = max(0, min(len(p.line), p.Limit-p.open)-p.asked)
+		p.asked += wanted
+		return wanted
+	}
 	for len(p.line) > 0 && p.open < p.Limit {
 		p.open++
 		p.next().granted <- grant[C]{}
 	}
+	return 0
 }
 
 // Warm opens connections until n are open or the limit is reached, and leaves
@@ -219,8 +254,9 @@
 	p.mu.Lock()
 	p.Limit = n
 	cut := p.trim()
-	p.admit()
+	wanted := p.admit()
 	p.mu.Unlock()
+	p.pace(wanted)
 	for _, c := range cut {
 		p.Close(c)
 	}
@@ -241,8 +277,9 @@
 	idle := p.idle
 	p.idle = nil
 	p.open -= len(idle)
-	p.admit()
+	wanted := p.admit()
 	p.mu.Unlock()
+	p.pace(wanted)
 	for _, c := range idle {
 		p.Close(c)
 	}
@@ -264,8 +301,9 @@
 	clear(p.idle[len(kept):])
 	p.idle = kept
 	p.open -= len(dead)
-	p.admit()
+	wanted := p.admit()
 	p.mu.Unlock()
+	p.pace(wanted)
 	for _, c := range dead {
 		p.Close(c)
 	}
--- a/pooler/pool_test.go
+++ b/pooler/pool_test.go
@@ -150,3 +150,40 @@
 		})
 	})
 }
+
+// Symptom: after a failover all connections to the new primary are opened at the
+// same moment. Sequence: several ask at once of an empty pool. Cause: each opened
+// its own.
+func TestPermitsPaceOpening(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := &numbers{}
+		p := n.pool(3)
+		asked := 0
+		p.Pace = func() { asked++ }
+		got := make(chan int)
+		for range 5 {
+			go func() {
+				c, err := p.Get(t.Context())
+				is.NoErr(err)
+				got <- c
+			}()
+		}
+		synctest.Wait()
+		is.Equal(asked, 3) // no more than the limit
+		is.Equal(p.Stats(), Stats{Limit: 3, Waiting: 5})
+		p.Permit()
+		first := <-got
+		is.Equal(p.Stats(), Stats{Limit: 3, Open: 1, Waiting: 4})
+		p.Put(first)
+		is.Equal(<-got, first) // the next in line needs no new one
+		p.Discard(first)
+		is.Equal(asked, 4) // in place of the one that ended
+		for range 3 {
+			p.Permit()
+			<-got
+		}
+		p.Permit() // for nobody
+		is.Equal(p.Stats(), Stats{Limit: 3, Open: 3})
+	})
+}
--- a/server/pools.go
+++ b/server/pools.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/adapter/dialer"
+	"basildale.example/basildale/limiter"
 	"basildale.example/basildale/pooler"
 	"basildale.example/basildale/relayer"
 	"basildale.example/basildale/retrier"
@@ -27,6 +29,9 @@
 	pooler.Pool[*relayer.Upstream]
 	least int // connections to keep warm
 	made  made
+
+	pacing sync.Mutex
+	pacer  limiter.Pacer
 }
 
 // pools are the connections to all upstreams.
@@ -41,6 +46,8 @@
 	// retryAfter is what a caller is told when an upstream has no connection
 	// for it.
 	retryAfter = 100 * time.Millisecond
+	// longestPace bounds how long a connection waits for its turn to be opened.
+	longestPace = time.Minute
 )
 
 // set makes, keeps, resizes and stops pools so that they are those of the
@@ -77,6 +84,9 @@
 // connections would be made otherwise.
 func (p *pools) keep(at place, g Group) *pool {
 	old := p.all[at]
+	if old != nil {
+		old.setOpening(g.Opening)
+	}
 	if old == nil || old.made != madeOf(g) {
 		return newPool(g, at.address)
 	}
@@ -90,9 +100,35 @@
 type made struct {
 	user, password, database string
 	tls                      *tls.Config
+	paced                    bool
 }
 
-func madeOf(g Group) made { return made{g.User, g.Password, g.Database, g.TLS} }
+func madeOf(g Group) made { return made{g.User, g.Password, g.Database, g.TLS, g.Opening > 0} }
+
+// pace permits one connection as soon as it is its turn.
+func (p *pool) pace() {
+	now := time.Now()
+	p.pacing.Lock()
+	at, ok := p.pacer.Reserve(now, now.Add(longestPace), rand.Uint64())
+	p.pacing.Unlock()
+	if !ok {
+		at = now.Add(longestPace)
+	}
+	if !at.After(now) {
+		p.Permit()
+		return
+	}
+	time.AfterFunc(at.Sub(now), p.Permit)
+}
+
+// setOpening changes the pace of a paced pool.
+func (p *pool) setOpening(rate float64) {
+	p.pacing.Lock()
+	defer p.pacing.Unlock()
+	if rate > 0 && rate != p.pacer.Rate {
+		p.pacer = limiter.Pacer{Rate: rate}
+	}
+}
 
 func limitOf(g Group) int {
 	if g.Shared {
@@ -114,6 +150,10 @@
 	}
 	p := &pool{least: g.Warm, made: madeOf(g)}
 	p.Limit = limitOf(g)
+	if g.Opening > 0 {
+		p.pacer.Rate = g.Opening
+		p.Pace = p.pace
+	}
 	p.Close = func(u *relayer.Upstream) { u.Terminate() }
 	p.Dial = func(ctx context.Context) (*relayer.Upstream, error) {
 		c, err := d.Dial(ctx, address)
--- a/server/server.go
+++ b/server/server.go
@@ -31,6 +31,9 @@
 	// Shared is set when the share comes by [Server.Share] instead; before that
 	// there is none.
 	Shared bool
+	// Opening is how many connections to each upstream are opened a second at
+	// most; 0 means that they are opened when they are needed.
+	Opening float64
 	// Warm is how many of them are opened before they are needed.
 	Warm int
 }
--- a/server/shares_test.go
+++ b/server/shares_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5"
 	"github.com/matryer/is"
 
 	"basildale.example/basildale/internal/faker/upstream"
@@ -46,3 +48,28 @@
 	s.Share("billet", two)
 	is.Equal(s.pools.get("billet", at).Stats().Limit, 2)
 }
+
+// Symptom: the new primary stands still after a failover, setting up connections.
+//
+// Sequence: many callers come to an upstream without connections at once.
+//
+// Cause: each got a connection of its own although one serves all in turn.
+func TestOpeningIsPaced(t *testing.T) {
+	is := is.New(t)
+	f := start(t, upstream.Options{Size: 1}, func(s *Server) {
+		s.Groups[0].Connections, s.Groups[0].Opening = 8, 0.01
+	})
+	var callers []*pgx.Conn
+	for range 8 {
+		callers = append(callers, f.connect(t, ""))
+	}
+	var running sync.WaitGroup
+	for _, c := range callers {
+		running.Go(func() {
+			_, err := c.Exec(t.Context(), "SELECT holder FROM seats WHERE id = 1")
+			is.NoErr(err)
+		})
+	}
+	running.Wait()
+	is.Equal(f.group.Upstreams[0].Counts().Opened, int64(1)) // in the first 100 s
+}
