dispatcher: circuit breakers of upstreams, forced states by operators

Cause: reads went on being sent to a replica that loses answers or takes no connection; operators couldn't take an upstream out of use.

Change: a breaker for each upstream, fed by outcomes and by connections that couldn't be opened (server.Control.Unreached; such a refusal is now 'never sent', and 'refused' only where the upstream said so); router.Load lets one probe through; the primary's breaker bars nothing unless forced. POST /breaker and basildale breaker; state in the status, changes in the ring of decisions. No hints between proxies. The fleet test of shares doesn't pace opening, so that the pace can't hide a wrong sum.

Black-holed connection attempts, which end at the request's deadline, don't count yet.

--- a/adapter/reporter/doc.go
+++ b/adapter/reporter/doc.go
@@ -8,6 +8,7 @@
 //	GET  /status        what the process sees: groups, upstreams, peers, preset
 //	GET  /explain       decisions with their reasons, newest last; narrowed by
 //	                    session=, group=, upstream=, limit=
+//	POST /breaker       forces an upstream's breaker: upstream, state (open, closed, auto)
 //	POST /drain         starts a graceful stop: 202, or 409 when one runs
 //
 // Health and ready differ on purpose. A process whose platform is down is
--- a/adapter/reporter/messages.go
+++ b/adapter/reporter/messages.go
@@ -45,7 +45,7 @@
 	// Behind is how old its data may be; nil when that is unknown, which is not
 	// the same as up to date.
 	Behind *Seconds `json:"behind,omitempty"`
-	// Breaker is closed, open or probing.
+	// Breaker is closed, open or half-open.
 	Breaker string `json:"breaker,omitempty"`
 	// Open counts connections, Share how many this process may open.
 	Open  int `json:"open"`
--- a/adapter/reporter/reporter.go
+++ b/adapter/reporter/reporter.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -38,6 +39,9 @@
 	Explain func(context.Context, Query) ([]Decision, error)
 	// Drain starts a graceful stop. It returns ErrLeaving when one runs.
 	Drain func(context.Context) (Drained, error)
+	// Force sets the state of an upstream's breaker, or clears it. It returns
+	// ErrUpstream for an address that no group has.
+	Force func(context.Context, netip.AddrPort, BreakerState) (Forced, error)
 	// Timeout bounds each source; zero means two seconds.
 	Timeout time.Duration
 	// Log may be nil.
@@ -56,6 +60,7 @@
 	mux.HandleFunc("GET /status", r.status)
 	mux.HandleFunc("GET /explain", r.explain)
 	mux.HandleFunc("POST /drain", r.drain)
+	mux.HandleFunc("POST /breaker", r.force)
 	return r.bounded(mux)
 }
 
--- a/cmd/basildale/ask_test.go
+++ b/cmd/basildale/ask_test.go
@@ -75,6 +75,12 @@
 func TestExitCodesOfARunningProcess(t *testing.T) {
 	busy := process(t, &reporter.Reporter{
 		Drain: func(context.Context) (reporter.Drained, error) { return reporter.Drained{}, reporter.ErrLeaving },
+		Force: func(_ context.Context, a netip.AddrPort, s reporter.BreakerState) (reporter.Forced, error) {
+			if a.Port() == 1 {
+				return reporter.Forced{}, reporter.ErrUpstream
+			}
+			return reporter.Forced{Upstream: a, State: s, Breaker: "open"}, nil
+		},
 	})
 	gone := httptest.NewServer(http.NotFoundHandler())
 	silent := gone.Listener.Addr().String()
@@ -88,6 +94,9 @@
 		{"nobody there", []string{"status", silent}, exitSilent, "no answer from " + silent},
 		{"source missing", []string{"explain", busy}, exitRefused, "doesn't know"},
 		{"drained twice", []string{"drain", busy}, exitRefused, "already leaving"},
+		{"breaker forced", []string{"breaker", busy, "10.0.0.1:5432", "open"}, exitDone, ""},
+		{"breaker of nobody", []string{"breaker", busy, "10.0.0.1:1", "open"}, exitRefused, "no such upstream"},
+		{"breaker without a state", []string{"breaker", busy, "10.0.0.1:5432", "ajar"}, exitUsage, "must be one of"},
 		{"name for an address", []string{"status", "vejle-1:7480"}, exitUsage, "unable to parse IP"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -22,6 +22,7 @@
 	"basildale.example/basildale/coordinator"
 	"basildale.example/basildale/internal/faker/platform"
 	"basildale.example/basildale/internal/faker/upstream"
+	"basildale.example/basildale/limiter"
 	"basildale.example/basildale/loader"
 	"basildale.example/basildale/membership"
 	"basildale.example/basildale/relayer"
@@ -41,19 +42,20 @@
 	group    *upstream.Group
 	key      string // path of the fleet's key
 	limit    int    // connections of an upstream
+	opening  int    // connections opened a second
 	daemons  []*Daemon
 	ends     []chan error
 }
 
 func newFleet(t *testing.T, lag time.Duration) *fleet {
 	t.Helper()
-	return newFleetOf(t, upstream.Options{Size: 3, Lag: lag, Setup: setup, Connections: 35})
+	return newFleetOf(t, upstream.Options{Size: 3, Lag: lag, Setup: setup, Connections: 35}, limiter.DefaultOpenRate)
 }
 
-func newFleetOf(t *testing.T, o upstream.Options) *fleet {
+func newFleetOf(t *testing.T, o upstream.Options, opening int) *fleet {
 	t.Helper()
 	is := is.New(t)
-	f := &fleet{t: t, platform: &platform.Platform{}, limit: o.Connections}
+	f := &fleet{t: t, platform: &platform.Platform{}, limit: o.Connections, opening: opening}
 	is.NoErr(f.platform.Start())
 	t.Cleanup(func() { _ = f.platform.Close() })
 	var err error
@@ -136,7 +138,7 @@
 		name string
 		spec map[string]any
 	}{
-		{"preset/ordinary", map[string]any{"workspace": "dj", "classes": class}},
+		{"preset/ordinary", map[string]any{"workspace": "dj", "classes": class, "opening": f.opening}},
 		{"active/dj", map[string]any{"preset": "ordinary"}},
 		{"workspace/dj", map[string]any{"zones": zones}},
 		{"pool/tickets", map[string]any{"workspace": "dj"}},
--- a/daemon/report.go
+++ b/daemon/report.go
@@ -30,6 +30,7 @@
 		Status:   d.status,
 		Explain:  d.explain,
 		Drain:    d.drainNow,
+		Force:    d.force,
 		Log:      d.Log,
 	}
 }
@@ -128,6 +129,8 @@
 			behind := reporter.Seconds(age)
 			one.Behind = &behind
 		}
+		state, _ := d.dispatcher.Breaker(v.Name, u.Address)
+		one.Breaker = state.String()
 		one.Open, one.Share = d.server.Connections(v.Name, u.Address)
 		g.Upstreams = append(g.Upstreams, one)
 	}
--- a/daemon/share_test.go
+++ b/daemon/share_test.go
@@ -117,6 +117,10 @@
 	return &running
 }
 
+// unpaced opens connections as fast as they are wanted, so that each proxy has its
+// whole share open.
+const unpaced = 1000
+
 // Symptom: an upstream refuses connections with 53300 while proxies come and go.
 //
 // Sequence: under load a fourth proxy joins and is killed, the platform goes
@@ -126,7 +130,7 @@
 // believed in.
 func TestConnectionsStayWithinTheLimit(t *testing.T) {
 	is := is.New(t)
-	f := newFleetOf(t, upstream.Options{Size: 3, Lag: time.Millisecond, Setup: setup, Connections: 12})
+	f := newFleetOf(t, upstream.Options{Size: 3, Lag: time.Millisecond, Setup: setup, Connections: 12}, unpaced)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	for _, d := range f.daemons {
--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -6,14 +6,15 @@
 func (d *Dispatcher) Seams() server.Control {
 	d.once.Do(d.prepare)
 	return server.Control{
-		Login:   d.Login,
-		Terms:   d.Terms,
-		Route:   d.Route,
-		Release: d.Release,
-		Confirm: d.Confirm,
-		Observe: d.Observe,
-		Decide:  d.Decide,
-		Settle:  d.Settle,
-		Settled: d.Settled,
+		Login:     d.Login,
+		Terms:     d.Terms,
+		Route:     d.Route,
+		Release:   d.Release,
+		Confirm:   d.Confirm,
+		Observe:   d.Observe,
+		Unreached: d.Unreached,
+		Decide:    d.Decide,
+		Settle:    d.Settle,
+		Settled:   d.Settled,
 	}
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -74,13 +74,14 @@
 
 // group is what the traffic of one database group shares.
 type group struct {
-	name    string
-	view    atomic.Pointer[view]
-	confirm confirmer.Shared
-	budget  *retrier.Budget
-	used    func(now time.Time)
-	heard   sync.Map // netip.AddrPort to *atomic.Int64: when the promoter was last told
-	gates   gates
+	name     string
+	view     atomic.Pointer[view]
+	confirm  confirmer.Shared
+	budget   *retrier.Budget
+	used     func(now time.Time)
+	breakers breakers
+	heard    sync.Map // netip.AddrPort to *atomic.Int64: when the promoter was last told
+	gates    gates
 }
 
 // view is a published view with what belongs to its list of upstreams.
@@ -111,13 +112,10 @@
 	old := g.view.Load()
 	next.load = d.load(old, p)
 	limits := d.limitsOf(p.Name)
-	for i, u := range p.Upstreams {
-		// A primary that is leaving goes on until another one is promoted: with
-		// writes barred from it, every booking would wait for its deadline.
-		next.load.Bar(i, p.Leaving[i] && i != p.Snapshot.Primary)
+	for _, u := range p.Upstreams {
 		next.gates = append(next.gates, g.gates.get(u.Address, limits))
 	}
-	g.view.Store(next)
+	g.show(next)
 	if old != nil {
 		close(old.changed)
 	}
--- a/dispatcher/observe.go
+++ b/dispatcher/observe.go
@@ -55,6 +55,7 @@
 	now := time.Now()
 	d.measure(t, r, o, now)
 	g := d.group(t.Group)
+	d.outcome(g, t, o, now)
 	if trouble, ok := troubleOf(o); ok {
 		d.Control.Offer(controller.Promotion{Group: g.name, Event: promoter.Failed{Upstream: t.Address, Trouble: trouble}})
 		return
--- a/router/load.go
+++ b/router/load.go
@@ -26,6 +26,7 @@
 	service atomic.Int64 // moving average of service times, nanoseconds
 	updated atomic.Int64 // when service was last set, nanoseconds since base
 	barred  atomic.Bool
+	probe   atomic.Bool // barred after the next statement
 }
 
 // NewLoad returns the load of n upstreams with the given number of slots each.
@@ -43,10 +44,29 @@
 
 // Bar takes upstream i out of choice, or back in: it is leaving, or its circuit
 // breaker is open.
-func (l *Load) Bar(i int, barred bool) { l.usage[i].barred.Store(barred) }
+func (l *Load) Bar(i int, barred bool) {
+	l.usage[i].probe.Store(false)
+	l.usage[i].barred.Store(barred)
+}
+
+// Barred reports whether upstream i is out of choice.
+func (l *Load) Barred(i int) bool { return l.usage[i].barred.Load() }
+
+// Probe puts upstream i into choice for one statement, and bars it again when
+// that has started. Statements that are decided at the same moment may go along.
+func (l *Load) Probe(i int) {
+	l.usage[i].probe.Store(true)
+	l.usage[i].barred.Store(false)
+}
 
 // Start counts a statement that has begun to wait for or run on upstream i.
-func (l *Load) Start(i int) { l.usage[i].busy.Add(1) }
+func (l *Load) Start(i int) {
+	u := &l.usage[i]
+	u.busy.Add(1)
+	if u.probe.Load() && u.probe.CompareAndSwap(true, false) {
+		u.barred.Store(true)
+	}
+}
 
 // Done counts a statement that is over, and the time from its sending to its
 // answer. A service time of zero or less is not taken in: the statement was
--- a/server/pools.go
+++ b/server/pools.go
@@ -217,8 +217,10 @@
 		switch {
 		case errors.Is(err, context.DeadlineExceeded):
 			return nil, refuse(retrier.Late, "no connection was free before the deadline")
+		case errors.Is(err, dialer.ErrRefused), errors.Is(err, pooler.ErrClosed):
+			return nil, refuse(retrier.Refused, "the upstream takes no connection")
 		case err != nil:
-			return nil, refuse(retrier.Refused, "the upstream can't be reached")
+			return nil, refuse(retrier.NeverSent, "the upstream can't be reached")
 		case usable(u, r):
 			return u, nil
 		}
--- a/server/server.go
+++ b/server/server.go
@@ -40,12 +40,14 @@
 
 // Control is what decides. Nil fields take the plain defaults.
 type Control struct {
-	Login         func(user, database string) (relayer.Account, bool)
-	Terms         func(a *relayer.Account) relayer.Terms
-	Route         func(ctx context.Context, r *relayer.Request) (relayer.Target, *relayer.Refusal)
-	Release       func(t relayer.Target, served bool)
-	Confirm       func(ctx context.Context, t relayer.Target, mark tracker.Mark, r *relayer.Request) retrier.Outcome
-	Observe       func(t relayer.Target, r *relayer.Request, o retrier.Outcome)
+	Login   func(user, database string) (relayer.Account, bool)
+	Terms   func(a *relayer.Account) relayer.Terms
+	Route   func(ctx context.Context, r *relayer.Request) (relayer.Target, *relayer.Refusal)
+	Release func(t relayer.Target, served bool)
+	Confirm func(ctx context.Context, t relayer.Target, mark tracker.Mark, r *relayer.Request) retrier.Outcome
+	Observe func(t relayer.Target, r *relayer.Request, o retrier.Outcome)
+	// Unreached is told that no connection to a target could be opened.
+	Unreached     func(t relayer.Target)
 	Decide        func(group string, r *retrier.Request, o retrier.Outcome) retrier.Decision
 	Settle        func(ctx context.Context, group, id string, r *relayer.Request) retrier.Settlement
 	Settled       func(group string, r *retrier.Request, s retrier.Settlement) retrier.Decision
@@ -200,6 +202,9 @@
 func (s *Server) acquire(ctx context.Context, t relayer.Target, r *relayer.Request) (*relayer.Upstream, *relayer.Refusal) {
 	u, refusal := s.pools.acquire(ctx, t, r)
 	if refusal != nil {
+		if refusal.Outcome.Cause == retrier.NeverSent && s.Control.Unreached != nil {
+			s.Control.Unreached(t)
+		}
 		s.Control.Release(t, false)
 		return nil, refusal
 	}
--- a/server/shares_test.go
+++ b/server/shares_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"basildale.example/basildale/internal/faker/upstream"
+	"basildale.example/basildale/relayer"
 )
 
 // Symptom: a proxy has more connections than its share after its configuration
@@ -49,6 +50,27 @@
 	is.Equal(s.pools.get("billet", at).Stats().Limit, 2)
 }
 
+// Symptom: reads go on being sent to a replica that takes no connections. Sequence:
+// an upstream dies before anything was sent to it. Cause: only attempts that had
+// a connection were counted.
+func TestUnreachedUpstreamIsTold(t *testing.T) {
+	is := is.New(t)
+	told := make(chan relayer.Target, 1)
+	f := start(t, upstream.Options{Size: 1}, func(s *Server) {
+		s.Control.Unreached = func(t relayer.Target) {
+			select {
+			case told <- t:
+			default:
+			}
+		}
+	})
+	c := f.connect(t, "")
+	f.group.Upstreams[0].Crash()
+	_, err := c.Exec(t.Context(), "SELECT 1")
+	is.True(err != nil)
+	is.Equal((<-told).Address, f.group.Addrs()[0])
+}
+
 // Symptom: the new primary stands still after a failover, setting up connections.
 //
 // Sequence: many callers come to an upstream without connections at once.
