sharer: a farewell only after the last connection; a stronger fleet test

Cause: Leave told the others that the connections are closed without looking at them; it also wrote to the proxies of other workspaces, whose records the watch brings along. Since the queues at the upstreams the fleet test passed with the former division too: six callers no longer fill a share.

Change: Leave waits until nothing is open, and says nothing otherwise; only the members of the own groups count. The fleet test has 24 callers at each proxy, half of them with transactions that stand open.

--- a/daemon/share_test.go
+++ b/daemon/share_test.go
@@ -105,9 +105,16 @@
 					time.Sleep(10 * time.Millisecond)
 					continue
 				}
-				for i := 0; err == nil && ctx.Err() == nil; i++ {
-					if _, err = c.Exec(ctx, "SELECT holder FROM seats WHERE id = 0"); err == nil && n%2 == 0 {
-						_, err = c.Exec(ctx, "INSERT INTO seats (id, holder) VALUES ($1, 'Ole')", time.Now().UnixNano())
+				for err == nil && ctx.Err() == nil {
+					if n%2 == 0 {
+						_, err = c.Exec(ctx, "SELECT holder FROM seats WHERE id = 0")
+						continue
+					}
+					// A transaction keeps its connection while its caller thinks.
+					_, err = c.Exec(ctx, "BEGIN")
+					time.Sleep(5 * time.Millisecond)
+					if err == nil {
+						_, err = c.Exec(ctx, "COMMIT")
 					}
 				}
 				_ = c.Close(context.Background())
@@ -134,14 +141,14 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	for _, d := range f.daemons {
-		defer f.load(ctx, d.Callers(), 6).Wait()
+		defer f.load(ctx, d.Callers(), 24).Wait()
 	}
 	defer cancel()
 	is.Equal(f.shared(3).Limit, 7) // 12, without 5 reserved
 
 	p := f.spawn()
 	f.list(p.peers)
-	defer f.load(ctx, p.next(), 6).Wait()
+	defer f.load(ctx, p.next(), 24).Wait()
 	defer cancel()
 	is.Equal(f.shared(4).Limit, 6)
 	p.kill()
@@ -155,7 +162,7 @@
 	p = f.spawn()
 	f.platform.Up()
 	f.list(p.peers)
-	defer f.load(ctx, p.next(), 6).Wait()
+	defer f.load(ctx, p.next(), 24).Wait()
 	defer cancel()
 	view := f.shared(3)
 	for _, m := range view.Members {
--- a/sharer/round.go
+++ b/sharer/round.go
@@ -31,7 +31,7 @@
 	messages := make(map[limiter.Member]Message)
 	var changes []change
 	s.mu.Lock()
-	s.proofs.look(s.all(), fleet, now)
+	s.proofs.look(s.all(groups), fleet, now)
 	for _, conf := range groups {
 		g := s.group(conf.Name)
 		s.prove(g)
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -202,11 +202,20 @@
 }
 
 // Leave tells the others that this process has closed its connections for data
-// and opens none any more. Without it they wait for the platform's list.
+// and opens none any more. Without it they wait for the platform's list. It says
+// nothing if connections are still open when ctx ends.
 func (s *Sharer) Leave(ctx context.Context) {
 	s.once.Do(s.prepare)
+	groups := s.Groups()
+	for s.holds(groups) {
+		if ctx.Err() != nil {
+			s.Log.Warn("sharer: connections are left at the end; the others wait for the platform's list")
+			return
+		}
+		sleep(ctx, tick)
+	}
 	s.mu.Lock()
-	peers := s.all()
+	peers := s.all(groups)
 	s.mu.Unlock()
 	var sending sync.WaitGroup
 	for _, to := range peers {
@@ -221,11 +230,24 @@
 	sending.Wait()
 }
 
-// all returns the other members of all groups, each once.
-func (s *Sharer) all() []limiter.Member {
+// holds reports whether this process has a connection for data open.
+func (s *Sharer) holds(groups []Group) bool {
+	for _, g := range groups {
+		for _, n := range s.Open(g.Name) {
+			if n > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// all returns the other members of the groups, each once. The platform has groups
+// of other workspaces too, whose proxies are none of our business.
+func (s *Sharer) all(groups []Group) []limiter.Member {
 	var list []limiter.Member
-	for _, g := range s.groups {
-		for _, m := range g.others(s.Self) {
+	for _, conf := range groups {
+		for _, m := range s.group(conf.Name).others(s.Self) {
 			if !slices.Contains(list, m) {
 				list = append(list, m)
 			}
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -220,8 +220,13 @@
 
 		c := w.join("c", 3)
 		time.Sleep(settle)
-		is.Equal(slices.Sorted(slices.Values(w.shares())), []int{2, 2, 3}) // 12, without 3 and room for 2
+		shares := w.shares()
+		is.Equal(slices.Sorted(slices.Values(shares)), []int{2, 2, 3}) // 12, without 3 and room for 2
 		w.end(c)
+		late, cancel := context.WithTimeout(context.Background(), settle)
+		defer cancel()
+		c.Leave(late) // says nothing, as it has connections
+		is.Equal(w.shares(), []int{shares[0], shares[1]})
 		c.open = 0
 		c.Leave(context.Background())
 		time.Sleep(settle)
