daemon: the sharer asks the controller with a deadline

Cause: coordinator.Ask takes a context and may fail; a look that failed would have made the read of the list before it count twice as a proof of an end.

Change: a look without an answer changes nothing.

Measured: go test of sharer, daemon, server, dispatcher, cmd, layout and demonstrator passes.

--- a/daemon/share.go
+++ b/daemon/share.go
@@ -155,8 +155,18 @@
 	return list
 }
 
+// askShares reads the controller. When it has no time, the sharer goes on with
+// what holds.
+func (d *Daemon) askShares(f func(c *controller.Controller)) {
+	ctx, cancel := context.WithTimeout(context.Background(), sharesWithin)
+	defer cancel()
+	if err := d.coordinator.Ask(ctx, f); err != nil {
+		d.Log.Debug("daemon: members not known for the shares", zap.Error(err))
+	}
+}
+
 func (d *Daemon) sharers() (f sharer.Fleet) {
-	d.coordinator.Ask(func(c *controller.Controller) {
+	d.askShares(func(c *controller.Controller) {
 		listed, _ := c.Listed()
 		for _, a := range listed {
 			f.Listed = append(f.Listed, a.String())
@@ -171,7 +181,7 @@
 
 func (d *Daemon) shareRank(group string) (rank int) {
 	rank = -1
-	d.coordinator.Ask(func(c *controller.Controller) {
+	d.askShares(func(c *controller.Controller) {
 		rank = slices.IndexFunc(c.Order("shares/"+group, proposers), func(m membership.Member) bool {
 			return m.Addr == d.Peers()
 		})
--- a/sharer/proofs.go
+++ b/sharer/proofs.go
@@ -50,7 +50,7 @@
 // came or went since.
 func (p *proofs) look(members []limiter.Member, f Fleet, now time.Time) {
 	fresh := f.Reads > p.reads
-	p.reads = f.Reads
+	p.reads = max(p.reads, f.Reads) // it is zero when nothing is known at present
 	for _, m := range members {
 		switch {
 		case p.has(m):
