pooler: the test of permits counts without a race

Cause: Pace runs in the goroutine of each who asks; the test counted in a plain integer. The race detector failed it.

Change: an atomic counter.

Conclusion: only the test was wrong: the pool keeps its counts under its lock.

--- a/pooler/pool_test.go
+++ b/pooler/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -159,8 +160,8 @@
 		is := is.New(t)
 		n := &numbers{}
 		p := n.pool(3)
-		asked := 0
-		p.Pace = func() { asked++ }
+		var asked atomic.Int64
+		p.Pace = func() { asked.Add(1) }
 		got := make(chan int)
 		for range 5 {
 			go func() {
@@ -170,7 +171,7 @@
 			}()
 		}
 		synctest.Wait()
-		is.Equal(asked, 3) // no more than the limit
+		is.Equal(asked.Load(), int64(3)) // no more than the limit
 		is.Equal(p.Stats(), Stats{Limit: 3, Waiting: 5})
 		p.Permit()
 		first := <-got
@@ -178,7 +179,7 @@
 		p.Put(first)
 		is.Equal(<-got, first) // the next in line needs no new one
 		p.Discard(first)
-		is.Equal(asked, 4) // in place of the one that ended
+		is.Equal(asked.Load(), int64(4)) // in place of the one that ended
 		for range 3 {
 			p.Permit()
 			<-got
