--- a/demonstrator/demonstrator_test.go
+++ b/demonstrator/demonstrator_test.go
@@ -31,6 +31,7 @@
 	d := &Demo{Out: &out, Requests: requests, Seed: 1}
 	report, err := d.Run(context.Background())
 	is.NoErr(err)
+	t.Log(out.String())                                                                    // shown when a promise is broken
 	is.True(strings.HasSuffix(out.String(), "\nlost 0 doubled 0 stale 0 cut 0 mixed 0\n")) // the last line
 	is.True(report.Counts.Zero())
 	is.Equal(len(report.Outcomes), 2)
