relayer, server: sessions counted and ended a few at a time; a request that crosses the end is told not run

**Cause**: A stop could only end all sessions at once, by 57P01 and a closed socket. A request that crossed it was answered by a reset: the caller couldn't tell whether it had run.

The last word is FATAL BD100 with retry after 0 ms; only this side is closed then, what still arrives is dropped for at most a second. Drain uses the same.

--- a/adapter/listener/conn.go
+++ b/adapter/listener/conn.go
@@ -134,6 +134,20 @@
 	}
 }
 
+// CloseWrite closes this side of the connection: the caller reads the end after
+// what was flushed. Reading goes on until it closes its side.
+func (c *Conn) CloseWrite() error {
+	raw, err := c.nc.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "listener: close one side")
+	}
+	var failed error
+	if err := raw.Control(func(fd uintptr) { failed = syscall.Shutdown(int(fd), syscall.SHUT_WR) }); err != nil {
+		return errors.Wrap(err, "listener: close one side")
+	}
+	return errors.Wrap(failed, "listener: close one side")
+}
+
 // Close ends the connection. What is unsent is dropped.
 func (c *Conn) Close() error { return c.nc.Close() }
 
--- a/relayer/drain.go
+++ b/relayer/drain.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Drain takes no new sessions, ends each one between its requests with 57P01,
-// and waits until all have ended or the deadline has passed. Requests in flight
+// Drain takes no new sessions, ends each one between its requests with BD100,
+// and waits until all have ended, the deadline has passed or Stop is called. Requests in flight
 // and open transactions go on. It returns the number of sessions left.
 func (r *Relay) Drain(deadline time.Time) (left int) {
 	r.once.Do(r.prepare)
@@ -17,6 +17,7 @@
 	select {
 	case <-empty:
 	case <-timer.C:
+	case <-r.ctx.Done():
 	}
 	return r.sessions.count()
 }
--- a/relayer/fault.go
+++ b/relayer/fault.go
@@ -17,7 +17,6 @@
 	codeUnsupported   = "BD102"
 	codeTooLarge      = "54000"
 	codeTooMany       = "53300"
-	codeShutdown      = "57P01"
 	codeIdle          = "25P03"
 	codeWrongPassword = "28P01"
 	codeNoCaller      = "28000"
--- a/relayer/fuzz_test.go
+++ b/relayer/fuzz_test.go
@@ -34,6 +34,9 @@
 
 func (c *script) Flush(time.Time) {}
 
+// CloseWrite does nothing.
+func (c *script) CloseWrite() error { return nil }
+
 func (c *script) Close() error {
 	c.closed = true
 	return nil
--- a/relayer/registry.go
+++ b/relayer/registry.go
@@ -109,11 +109,22 @@
 		return nil, empty
 	}
 	r.empty = empty
+	return r.listed(), empty
+}
+
+// list returns all sessions.
+func (r *registry) list() []*Session {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listed()
+}
+
+func (r *registry) listed() []*Session {
 	list := make([]*Session, 0, len(r.all))
 	for s := range r.all {
 		list = append(list, s)
 	}
-	return list, empty
+	return list
 }
 
 func (r *registry) count() int {
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,6 +24,8 @@
 	Write(p []byte) (int, error)
 	// Flush waits until all that was written has left, or until the deadline.
 	Flush(deadline time.Time)
+	// CloseWrite closes this side after what was written. Reading goes on.
+	CloseWrite() error
 	// Close ends the connection and drops what is unsent.
 	Close() error
 	// Remote returns the caller's address.
@@ -151,6 +154,9 @@
 	once     sync.Once
 	pool     buffers
 	units    sync.Pool
+	counting atomic.Bool // finished requests are counted
+	ended    atomic.Int64
+	finished atomic.Int64
 	sessions registry
 	ids      identities
 	ctx      context.Context //nolint:containedctx // ends with the relay, not with one call
--- a/relayer/secure.go
+++ b/relayer/secure.go
@@ -131,6 +131,13 @@
 // Write sends p encrypted.
 func (c *tlsCaller) Write(p []byte) (int, error) { return c.conn.Write(p) }
 
+// CloseWrite says goodbye and closes this side.
+func (c *tlsCaller) CloseWrite() error {
+	_ = c.conn.CloseWrite()
+	c.Flush(time.Now().Add(flushTime))
+	return c.Caller.CloseWrite()
+}
+
 // Close says goodbye and ends the connection.
 func (c *tlsCaller) Close() error {
 	_ = c.conn.CloseWrite()
--- a/relayer/session.go
+++ b/relayer/session.go
@@ -27,6 +27,7 @@
 	phaseStartup phase = iota
 	phaseAuthentication
 	phaseReady
+	phaseParting // see part
 	phaseEnded
 )
 
@@ -44,6 +45,7 @@
 	caller  Caller
 	body    func() // run, made once: a go statement with a method makes a closure each time
 	worker  atomic.Uint32
+	resting atomic.Uint32           // see settle
 	timer   *time.Timer             // see overdue
 	until   time.Time               // when an open transaction has rested for too long
 	waiting atomic.Pointer[tlsLink] // a TLS handshake under way
@@ -121,6 +123,7 @@
 func (s *Session) run() {
 	for {
 		s.work()
+		s.settle()
 		if s.worker.CompareAndSwap(workerRunning, workerIdle) {
 			return
 		}
@@ -155,8 +158,9 @@
 	case s.phase == phaseEnded:
 	case s.gone.Load():
 		s.end(nil)
+	case s.phase == phaseParting:
 	case s.leave.Load() && (s.phase != phaseReady || s.between()):
-		s.farewell(codeShutdown, "the proxy stops: connect again")
+		s.part()
 	case s.up == nil:
 		s.until = time.Time{}
 	case handled || s.until.IsZero():
@@ -188,6 +192,8 @@
 		return s.startup()
 	case phaseAuthentication:
 		return s.authentication()
+	case phaseParting:
+		return s.parting()
 	default:
 		return s.ready()
 	}
--- a/relayer/unit.go
+++ b/relayer/unit.go
@@ -102,6 +102,9 @@
 			s.relay.Observe(s.to, &u.request, outcome)
 		}
 		if outcome.Kind == retrier.Done {
+			if s.relay.counting.Load() {
+				s.relay.finished.Add(1)
+			}
 			return s.succeed(u)
 		}
 		again, err := s.follow(u, outcome)
