controller: leaving upstreams by package leaver

**Cause**: One list that had an upstream as live, or no longer had it at all, gave it new work at once; lists from different readers differ in age by seconds.

**Change**: leaver.Upstreams decides who gets no new work: out with the first list that says so, back after five seconds of lists that have it as live, not back when it only vanished. Listed carries the live upstreams. A readmission is a decision for explain. TestLeavingUpstreamIsBarred is stricter: one old list changes nothing, five seconds bring it back, one that vanished stays out. The move away from a leaving primary stays as it was.

**Conclusion**: leaver.Upstreams has a user.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"basildale.example/basildale/configurator"
+	"basildale.example/basildale/leaver"
 	"basildale.example/basildale/membership"
 	"basildale.example/basildale/promoter"
 )
@@ -45,7 +46,7 @@
 	relayAt time.Time
 	groups  map[string]*group
 	names   []string // of the groups, sorted
-	leaving map[netip.AddrPort]bool
+	leaving leaver.Upstreams
 	adopted bool
 	// proxies are those in the platform's list; nil before it was read.
 	proxies []netip.AddrPort
@@ -116,7 +117,6 @@
 	c.view = membership.View{Self: c.Self, Settings: c.Membership, Seed: c.Seed}
 	c.relay = configurator.Relay{Self: configurator.Member{Address: c.Self.Addr, Zone: c.Self.Zone}}
 	c.groups = make(map[string]*group)
-	c.leaving = make(map[netip.AddrPort]bool)
 	c.relayAt = c.now
 	c.member(membership.Tick{})
 }
@@ -258,24 +258,46 @@
 		c.proxies[i] = p.Addr
 	}
 	c.member(membership.Listed{Instances: ev.Proxies})
-	leaving := make(map[netip.AddrPort]bool, len(ev.Leaving))
-	for _, a := range ev.Leaving {
-		leaving[a] = true
-		if !c.leaving[a] {
+	for _, cmd := range c.leaving.Handle(leaver.ListRead{Upstreams: c.upstreamsOf(ev)}, c.now) {
+		switch cmd := cmd.(type) {
+		case leaver.Withdraw:
 			c.note(Decision{
-				Part: "controller", Action: "bar", Upstream: a.String(),
+				Part: "controller", Action: "bar", Group: cmd.Group, Upstream: cmd.Addr.String(),
 				Reason: "the platform's list says that the upstream is leaving",
 			})
+		case leaver.Readmit:
+			c.note(Decision{
+				Part: "controller", Action: "readmit", Group: cmd.Group, Upstream: cmd.Addr.String(),
+				Reason: "the platform's lists have had it as live for a while",
+			})
 		}
 	}
-	c.leaving = leaving
 	for _, name := range c.names {
 		g := c.groups[name]
-		g.bar(leaving)
+		g.bar(&c.leaving)
 		c.evacuate(g)
 	}
 }
 
+// upstreamsOf returns the upstreams of a list. One that has left and isn't listed
+// any more is in neither half: it must not be taken for live again.
+func (c *Controller) upstreamsOf(ev Listed) []leaver.Upstream {
+	group := make(map[netip.AddrPort]string)
+	for _, name := range c.names {
+		for _, u := range c.groups[name].conf.Upstreams {
+			group[u.Address] = name
+		}
+	}
+	list := make([]leaver.Upstream, 0, len(ev.Live)+len(ev.Leaving))
+	for _, a := range ev.Live {
+		list = append(list, leaver.Upstream{Addr: a, Group: group[a]})
+	}
+	for _, a := range ev.Leaving {
+		list = append(list, leaver.Upstream{Addr: a, Group: group[a], Leaving: true})
+	}
+	return list
+}
+
 // note keeps a decision for explanations.
 func (c *Controller) note(d Decision) {
 	d.At = c.now
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -103,8 +103,21 @@
 	is.Equal(len(c.Ring.Last(three.String(), 0)), 1)
 	cmds = c.Handle(Listed{Leaving: []netip.AddrPort{three}}, start.Add(2*time.Second))
 	is.Equal(published(cmds), nil) // nothing new
-	cmds = c.Handle(Listed{}, start.Add(3*time.Second))
+	live := []netip.AddrPort{one, two, three}
+	// Lists from different readers differ in age: one that has it as live again
+	// doesn't bring its work back, five seconds of them do.
+	is.Equal(published(c.Handle(Listed{Live: live}, start.Add(3*time.Second))), nil)
+	is.Equal(published(c.Handle(Listed{Leaving: []netip.AddrPort{three}}, start.Add(4*time.Second))), nil)
+	is.Equal(published(c.Handle(Listed{Live: live}, start.Add(5*time.Second))), nil)
+	is.Equal(published(c.Handle(Listed{Live: live}, start.Add(9*time.Second))), nil)
+	cmds = c.Handle(Listed{Live: live}, start.Add(10*time.Second))
 	is.Equal(published(cmds).Leaving, []bool{false, false, false})
+	is.Equal(c.Ring.Last(three.String(), 0)[1].Action, "readmit")
+	// One that has left the list altogether gets no work.
+	c.Handle(Listed{Live: live[:2], Leaving: live[2:]}, start.Add(11*time.Second))
+	for at := 12 * time.Second; at < time.Minute; at += time.Second {
+		is.Equal(published(c.Handle(Listed{Live: live[:2]}, start.Add(at))), nil)
+	}
 }
 
 // Symptom: writes go on to an upstream that is about to be switched off.
--- a/controller/event.go
+++ b/controller/event.go
@@ -60,6 +60,8 @@
 // Listed is the platform's list of instances.
 type Listed struct {
 	Proxies []membership.Instance
+	// Live are the upstreams that it has as live.
+	Live []netip.AddrPort
 	// Leaving are the upstreams that the platform is taking away.
 	Leaving []netip.AddrPort
 }
--- a/controller/group.go
+++ b/controller/group.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"basildale.example/basildale/configurator"
+	"basildale.example/basildale/leaver"
 	"basildale.example/basildale/promoter"
 	"basildale.example/basildale/tracker"
 )
@@ -29,7 +30,7 @@
 		dirty:    true,
 	}
 	g.track(c.Self.Zone)
-	g.bar(c.leaving)
+	g.bar(&c.leaving)
 	return g
 }
 
@@ -44,10 +45,10 @@
 }
 
 // bar marks the upstreams that are leaving.
-func (g *group) bar(leaving map[netip.AddrPort]bool) {
+func (g *group) bar(leaving *leaver.Upstreams) {
 	next := make([]bool, len(g.conf.Upstreams))
 	for i, u := range g.conf.Upstreams {
-		next[i] = leaving[u.Address]
+		next[i] = leaving.Withdrawn(u.Address)
 	}
 	if !slices.Equal(next, g.leaving) {
 		g.leaving = next
@@ -129,7 +130,7 @@
 	case !g.conf.equal(conf):
 		g.conf = conf
 		g.track(c.Self.Zone)
-		g.bar(c.leaving)
+		g.bar(&c.leaving)
 		g.dirty = true
 		c.promotion(g, promoter.Upstreams{List: conf.addresses()})
 	default:
--- a/coordinator/sampling.go
+++ b/coordinator/sampling.go
@@ -168,6 +168,8 @@
 		case "upstream":
 			if leaving {
 				ev.Leaving = append(ev.Leaving, i.Address)
+			} else {
+				ev.Live = append(ev.Live, i.Address)
 			}
 		}
 	}
