--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -22,6 +22,7 @@
 	"basildale.example/basildale/coordinator"
 	"basildale.example/basildale/internal/faker/platform"
 	"basildale.example/basildale/internal/faker/upstream"
+	"basildale.example/basildale/leaver"
 	"basildale.example/basildale/limiter"
 	"basildale.example/basildale/loader"
 	"basildale.example/basildale/membership"
@@ -108,6 +109,7 @@
 		Sampling:   coordinator.Sampling{Active: 10 * time.Millisecond, Idle: 20 * time.Millisecond, Within: 200 * time.Millisecond, List: 50 * time.Millisecond},
 		Membership: membership.Settings{Period: 200 * time.Millisecond, Timeout: 100 * time.Millisecond, Suspicion: 300 * time.Millisecond},
 		Lease:      200 * time.Millisecond,
+		Leave:      leaver.Process{Lag: 50 * time.Millisecond, Settle: 20 * time.Millisecond, Spread: 100 * time.Millisecond},
 	}
 }
 
@@ -237,6 +239,9 @@
 	next := 500
 	for book(t, c, next) != nil { // every failed booking has another id
 		next++
+		if c.IsClosed() { // an answer was cut off by the crash
+			c = f.connect(0, "")
+		}
 	}
 	rows := f.group.Primary().Rows("seats")
 	is.True(f.group.Primary() != f.group.Upstreams[0])
@@ -324,7 +329,12 @@
 		return n
 	}
 	for running() == 0 {
-		time.Sleep(time.Millisecond) // a poll; only the bound of the test run ends it
+		time.Sleep(time.Millisecond) // a poll
+		select {
+		case err := <-started:
+			t.Fatal("ended before it ran: ", err)
+		default:
+		}
 	}
 	other, err := net.Dial("tcp", f.daemons[1].Callers().String())
 	is.NoErr(err)
