--- a/demonstrator/callers.go
+++ b/demonstrator/callers.go
@@ -122,6 +122,27 @@
 // faulty is the group whose primary is cut off.
 const faulty = 0
 
+// settleLook is the time between two looks at whether a group has a primary.
+const settleLook = 10 * time.Millisecond
+
+// settled waits until every group has a primary. The last request can end while
+// one is being replaced, between the fence and the promotion: what the group
+// holds then is decided by the promotion.
+func (c *callers) settled(ctx context.Context) error {
+	ticker := time.NewTicker(settleLook)
+	defer ticker.Stop()
+	for i, g := range c.stage.groups {
+		for g.Primary() == nil {
+			select {
+			case <-ticker.C:
+			case <-ctx.Done():
+				return errors.Wrapf(ctx.Err(), "demonstrator: %s has no primary at the end", c.stage.Groups[i].Name)
+			}
+		}
+	}
+	return nil
+}
+
 // audit compares the ledger with what the primaries hold.
 func (c *callers) audit() (checker.Report, error) {
 	var rows []checker.Row
--- a/demonstrator/play.go
+++ b/demonstrator/play.go
@@ -65,6 +65,9 @@
 	if err := errors.Join(err, <-loaded); err != nil {
 		return Outcome{}, err
 	}
+	if err := c.settled(ctx); err != nil {
+		return Outcome{}, err
+	}
 	if d.BeforeCheck != nil {
 		d.BeforeCheck(c.stage.groups)
 	}
