relayer, server: busy sessions leave after their request at a graceful stop

Cause: a stop ended only sessions it saw between two requests. A caller that sends its next request at once is hardly ever seen so; under load the stop waited for its deadline, cut such callers and ended with an error. The test then waited for ever for the end it had taken already, which was the unexplained run into the time limit (found by a goroutine dump: TestConnectionsStayWithinTheLimit at its cleanup, twice). Change: when the listener closes, sessions with work under way are told to leave as soon as they are between two requests; two tests give the end back before they look at it.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -269,8 +269,9 @@
 	is.True(f.daemons[2].Drain())
 	is.True(!f.daemons[2].Drain()) // one runs already
 	is.NoErr(tx.Commit(t.Context()))
-	is.NoErr(<-f.ends[2])
-	f.ends[2] <- nil
+	err = <-f.ends[2]
+	f.ends[2] <- nil // for the end of the test, also when the next line ends it
+	is.NoErr(err)
 	is.Equal(holder(t, f.connect(0, ""), 600), "Ole")
 }
 
--- a/daemon/share_test.go
+++ b/daemon/share_test.go
@@ -157,8 +157,9 @@
 
 	f.platform.Down()
 	is.True(f.daemons[2].Drain())
-	is.NoErr(<-f.ends[2])
-	f.ends[2] <- nil
+	err := <-f.ends[2]
+	f.ends[2] <- nil // for the end of the test, also when the next line ends it
+	is.NoErr(err)
 	p = f.spawn()
 	f.platform.Up()
 	f.list(p.peers)
--- a/relayer/stop.go
+++ b/relayer/stop.go
@@ -86,6 +86,21 @@
 	}
 }
 
+// LeaveBusy tells the sessions that have a request or a transaction under way
+// that the proxy stops: each ends as soon as it is between two requests.
+//
+// What goes wrong without it: a caller that sends its next request at once is
+// hardly ever seen between two, so a stop under load waits for its deadline and
+// then cuts such callers.
+func (r *Relay) LeaveBusy() {
+	r.once.Do(r.prepare)
+	for _, s := range r.sessions.list() {
+		if rest := s.resting.Load(); rest == restWithin || rest == restOpen {
+			s.leave.Store(true)
+		}
+	}
+}
+
 // settle notes in what state the worker leaves the session.
 func (s *Session) settle() {
 	switch {
--- a/server/stop.go
+++ b/server/stop.go
@@ -4,7 +4,10 @@
 
 // CloseListener ends the taking of new callers. All that were taken before are
 // in the next Load. It may be called once callers can connect.
-func (s *Server) CloseListener() { s.listener.StopAccepting() }
+func (s *Server) CloseListener() {
+	s.listener.StopAccepting()
+	s.relay.LeaveBusy()
+}
 
 // Load counts the sessions.
 func (s *Server) Load() relayer.Load {
