server: at each look after the listener's close busy sessions are told to leave

Cause: a session that was between two requests when the listener closed, and busy at each later look, was never told; under the race detector the stop of the share test still ran into its deadline (1 of 2 runs). Change: every count after the close tells the busy ones.

--- a/server/server.go
+++ b/server/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -80,6 +81,7 @@
 	Log *zap.Logger
 
 	once     sync.Once
+	closed   atomic.Bool // the listener takes no more callers
 	started  chan struct{}
 	listener *listener.Listener
 	relay    *relayer.Relay
--- a/server/stop.go
+++ b/server/stop.go
@@ -6,12 +6,19 @@
 // in the next Load. It may be called once callers can connect.
 func (s *Server) CloseListener() {
 	s.listener.StopAccepting()
-	s.relay.LeaveBusy()
+	s.closed.Store(true)
 }
 
 // Load counts the sessions.
+//
+// Once the listener is closed, those found busy are told to leave after their
+// request: one that was between two requests when it closed may be busy at each
+// later look.
 func (s *Server) Load() relayer.Load {
 	s.once.Do(s.prepare)
+	if s.closed.Load() {
+		s.relay.LeaveBusy()
+	}
 	return s.relay.Load()
 }
 
