--- a/adapter/keeper/client.go
+++ b/adapter/keeper/client.go
@@ -163,6 +163,8 @@
 		return conflict
 	case http.StatusNotFound:
 		return errors.Wrapf(ErrMissing, "%s", r.path)
+	case http.StatusGone:
+		return errors.Wrapf(ErrGone, "%s", r.path)
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		return errors.Wrapf(ErrDown, "%s %s: status %d", r.method, r.path, status)
 	case http.StatusBadRequest, http.StatusMethodNotAllowed, http.StatusRequestEntityTooLarge:
--- a/adapter/keeper/errors.go
+++ b/adapter/keeper/errors.go
@@ -20,6 +20,9 @@
 	// ErrRefused reports a call that the platform holds to be wrong. It had no
 	// effect and will have none when made again.
 	ErrRefused = errors.New("keeper: the platform refuses the call")
+	// ErrGone reports a watch from a version whose history the platform has
+	// dropped: what has changed since can only be had from a new list.
+	ErrGone = errors.New("keeper: the history is gone")
 	// ErrLarge reports an answer over the bound.
 	ErrLarge = errors.New("keeper: the answer is too large")
 )
--- /dev/null
+++ b/carrier/carrier.go
@@ -0,0 +1,130 @@
+package carrier
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/cataloger"
+)
+
+// What opening a link can end with, besides errors of the network.
+var (
+	// ErrOverloaded means that the upstream has as many connections as it takes.
+	ErrOverloaded = errors.New("carrier: upstream has too many connections")
+	// ErrMisdirected means that another upstream answers at the address.
+	ErrMisdirected = errors.New("carrier: another upstream is at the address")
+)
+
+// Carrier holds the groups. Set the exported fields before the first use.
+type Carrier struct {
+	// Zone is this process's availability zone.
+	Zone string
+	// Dial opens a link to an upstream.
+	Dial func(ctx context.Context, u cataloger.Upstream) (Link, error)
+	// Now is a clock that also counts the time in which the machine is
+	// suspended. It is only compared with itself.
+	Now func() time.Time
+	Log *zap.Logger
+
+	mu      sync.Mutex
+	groups  map[string]*Group
+	proxies int
+	caps    map[string]int
+}
+
+// reserved is how many connections of each upstream no proxy takes: those of a
+// proxy that was killed and comes back before the old ones are dropped, and the
+// ones that leaders of a change need.
+const reserved = 4
+
+// Group returns a group by its name, and whether any upstream of it is known.
+func (c *Carrier) Group(name string) (*Group, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g, ok := c.groups[name]
+	return g, ok
+}
+
+// Groups returns all groups.
+func (c *Carrier) Groups() []*Group {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]*Group, 0, len(c.groups))
+	for _, g := range c.groups {
+		out = append(out, g)
+	}
+	return out
+}
+
+// Apply takes in the upstreams that the store lists.
+func (c *Carrier) Apply(list []cataloger.Upstream) {
+	byGroup := map[string][]cataloger.Upstream{}
+	for _, u := range list {
+		byGroup[u.Group] = append(byGroup[u.Group], u)
+	}
+	for name := range byGroup {
+		c.ensure(name)
+	}
+	for _, g := range c.Groups() {
+		g.apply(byGroup[g.name])
+	}
+}
+
+func (c *Carrier) ensure(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.groups == nil {
+		c.groups = map[string]*Group{}
+	}
+	if c.groups[name] == nil {
+		c.groups[name] = &Group{name: name, carrier: c, changed: make(chan struct{})}
+	}
+}
+
+// Divide says how many proxies share the connections of the upstreams, and how
+// many connections each upstream of a group takes.
+func (c *Carrier) Divide(proxies int, settings []cataloger.GroupSettings) {
+	c.mu.Lock()
+	c.proxies = proxies
+	c.caps = make(map[string]int, len(settings))
+	for _, s := range settings {
+		c.caps[s.Name] = s.Connections
+	}
+	c.mu.Unlock()
+	for _, g := range c.Groups() {
+		g.divide()
+	}
+}
+
+// share returns how many connections this proxy may have to each upstream of a
+// group. With more proxies than connections each may have one, and the upstream
+// refuses what is too much.
+func (c *Carrier) share(group string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	most, known := c.caps[group]
+	if !known || c.proxies == 0 {
+		return 1
+	}
+	return max(1, (most-reserved)/c.proxies)
+}
+
+// Tick looks after upstreams that don't answer. It is called about each tenth of
+// a second.
+func (c *Carrier) Tick() {
+	now := c.Now()
+	for _, g := range c.Groups() {
+		g.tick(now)
+	}
+}
+
+// Stop closes all connections.
+func (c *Carrier) Stop() {
+	for _, g := range c.Groups() {
+		g.apply(nil)
+	}
+}
--- /dev/null
+++ b/carrier/group.go
@@ -0,0 +1,281 @@
+package carrier
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/cataloger"
+	"basildale.example/basildale/placer"
+	"basildale.example/basildale/pooler"
+	"basildale.example/basildale/tracker"
+)
+
+// Group is one database group as this proxy sees it. It is safe for concurrent
+// use.
+type Group struct {
+	name    string
+	carrier *Carrier
+
+	mu      sync.Mutex
+	members []*member
+	// leader is the upstream that last proved, or said, that it leads; nil while
+	// none is known. leaderTerm is the term it was proved in; zero when it only
+	// says so.
+	leader     *member
+	leaderTerm tracker.Term
+	// led is the id of the last leader.
+	led string
+	// leaderless is since when no leader that answers is known.
+	leaderless time.Time
+	// changed is closed, and made anew, when the leader or a member changes.
+	changed  chan struct{}
+	samples  samples
+	sampling chan struct{} // closed when the running sampling has ended; nil when none runs
+	seeking  bool
+	ticked   time.Time
+}
+
+// Name returns the group's name.
+func (g *Group) Name() string { return g.name }
+
+// apply takes in the members of the group.
+func (g *Group) apply(list []cataloger.Upstream) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	kept := make([]*member, 0, len(list))
+	for _, u := range list {
+		kept = append(kept, g.update(u))
+	}
+	for _, m := range g.members {
+		if !containsMember(kept, m) {
+			g.drop(m)
+		}
+	}
+	g.members = kept
+	g.signal()
+}
+
+func containsMember(list []*member, m *member) bool {
+	for _, o := range list {
+		if o == m {
+			return true
+		}
+	}
+	return false
+}
+
+// update returns the member of an entry, made anew when it isn't known. What the
+// store says of the leader counts where it has changed.
+func (g *Group) update(u cataloger.Upstream) *member {
+	for _, m := range g.members {
+		if m.entry.ID != u.ID {
+			continue
+		}
+		before := m.entry
+		m.entry = u
+		if u.Leaving != before.Leaving {
+			g.log().Info("carrier: upstream leaving", zap.String("group", g.name), zap.String("upstream", u.ID), zap.Bool("leaving", u.Leaving))
+		}
+		if u.Leads && !before.Leads {
+			g.lead(m, tracker.Term{}, "listed")
+		}
+		if !u.Leads && before.Leads && g.leader == m {
+			g.lead(nil, tracker.Term{}, "listed as replica")
+		}
+		return m
+	}
+	m := &member{entry: u, running: map[*run]struct{}{}}
+	m.pool = &pooler.Pool[*conn]{
+		Limit: g.carrier.share(g.name),
+		Dial:  func(ctx context.Context) (*conn, error) { return g.dial(ctx, m) },
+		Close: func(c *conn) { _ = c.Close() }, // a connection that is dropped has nothing left to say
+	}
+	g.log().Info("carrier: upstream joined", zap.String("group", g.name), zap.String("upstream", u.ID),
+		zap.Stringer("address", u.Address), zap.String("zone", u.Zone), zap.Bool("leads", u.Leads), zap.Uint64("revision", u.Revision))
+	if u.Leads {
+		g.lead(m, tracker.Term{}, "listed")
+	}
+	return m
+}
+
+func (g *Group) drop(m *member) {
+	m.gone = true
+	go m.pool.Stop()
+	if g.leader == m {
+		g.lead(nil, tracker.Term{}, "gone")
+	}
+	g.log().Info("carrier: upstream gone", zap.String("group", g.name), zap.String("upstream", m.entry.ID), zap.Uint64("revision", m.entry.Revision))
+}
+
+// lead takes in who leads. The caller has the lock.
+func (g *Group) lead(m *member, term tracker.Term, evidence string) {
+	if g.leader == m && !g.leaderTerm.Less(term) {
+		return
+	}
+	if g.leader != m {
+		id := ""
+		if m != nil {
+			id = m.entry.ID
+		}
+		g.log().Info("carrier: leader changed", zap.String("group", g.name), zap.String("upstream", id),
+			zap.Stringer("term", term), zap.String("evidence", evidence))
+	}
+	g.leader = m
+	g.leaderTerm = term
+	if m == nil && g.leaderless.IsZero() {
+		g.leaderless = g.carrier.Now()
+	}
+	if m != nil {
+		g.leaderless = time.Time{}
+		g.led = m.entry.ID
+	}
+	g.signal()
+}
+
+// signal wakes all who wait for a change. The caller has the lock.
+func (g *Group) signal() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+func (g *Group) log() *zap.Logger { return g.carrier.Log }
+
+func (g *Group) divide() {
+	share := g.carrier.share(g.name)
+	g.mu.Lock()
+	members := append([]*member(nil), g.members...)
+	g.mu.Unlock()
+	for _, m := range members {
+		m.pool.SetLimit(share)
+	}
+}
+
+// dial opens a connection for a member's pool.
+func (g *Group) dial(ctx context.Context, m *member) (*conn, error) {
+	g.mu.Lock()
+	entry := m.entry
+	g.mu.Unlock()
+	l, err := g.carrier.Dial(ctx, entry)
+	if err != nil {
+		return nil, errors.Wrapf(err, "carrier: open a connection to %s", entry.ID)
+	}
+	g.heard(m, l.Greeted())
+	return &conn{Link: l, used: g.carrier.Now()}, nil
+}
+
+// heard takes in that a member has answered, and how far its log is.
+func (g *Group) heard(m *member, mark tracker.Mark) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.answered = g.carrier.Now()
+	if m.mark.Less(mark) {
+		m.mark = mark
+	}
+	if m.barred {
+		g.log().Info("carrier: upstream answers again", zap.String("group", g.name), zap.String("upstream", m.entry.ID),
+			zap.Duration("barred", m.answered.Sub(m.since)))
+		m.barred = false
+		m.pause = 0
+		g.signal()
+	}
+}
+
+// proved takes in that a member led the group when it was asked, and how far its
+// log was.
+func (g *Group) proved(m *member, asked time.Time, mark tracker.Mark) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if mark.Term.Less(g.leaderTerm) {
+		return
+	}
+	if !m.gone {
+		g.lead(m, mark.Term, "proved")
+	}
+	g.samples.add(asked, mark)
+}
+
+// follows takes in that a member refused as a replica does.
+func (g *Group) follows(m *member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leader == m {
+		g.lead(nil, tracker.Term{}, "refused as a replica")
+	}
+}
+
+// deposed takes in the same, and looks for the leader.
+func (g *Group) deposed(m *member) {
+	g.follows(m)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seek()
+}
+
+// choose picks a member for a job, or says why there is none. The leader that
+// is missing is sought meanwhile.
+func (g *Group) choose(need placer.Need, tried map[*member]bool) (*member, placer.Reason, <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.carrier.Now()
+	candidates := make([]placer.Candidate, len(g.members))
+	share := g.carrier.share(g.name)
+	for i, m := range g.members {
+		candidates[i] = m.candidate(now, m == g.leader, m.entry.Zone == g.carrier.Zone, tried[m], share)
+	}
+	i, reason := placer.Choose(candidates, need)
+	if i == placer.None {
+		if reason == placer.NoLeader {
+			g.seek()
+		}
+		return nil, reason, g.changed
+	}
+	return g.members[i], reason, nil
+}
+
+// begin notes that a job runs at a member.
+func (g *Group) begin(m *member, r *run) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.running[r] = struct{}{}
+}
+
+func (g *Group) end(m *member, r *run) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(m.running, r)
+}
+
+// release gives a connection back, or closes it when it can't be used again.
+func (g *Group) release(m *member, c *conn, usable bool) {
+	if !usable {
+		m.pool.Discard(c)
+		return
+	}
+	c.used = g.carrier.Now()
+	m.pool.Put(c)
+}
+
+// acknowledged takes in that a member answered a write or the commit of one.
+func (g *Group) acknowledged(m *member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.wrote = g.carrier.Now()
+}
+
+// late takes in that a member's log lacked what a read needed.
+func (g *Group) late(m *member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.behind = g.carrier.Now().Add(lagging)
+}
+
+// took takes in the time of an answer.
+func (g *Group) took(m *member, d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.observe(g.carrier.Now(), d)
+}
--- /dev/null
+++ b/carrier/job.go
@@ -0,0 +1,350 @@
+package carrier
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/cataloger"
+	"basildale.example/basildale/placer"
+	"basildale.example/basildale/tracker"
+)
+
+// Bounds of carrying one statement.
+const (
+	// attempts bounds how often a read is sent: to each upstream of a group of
+	// three, and once more to the best.
+	attempts = 4
+	// busyPause is how long a statement waits before it goes again to the one
+	// upstream that may run it and has just refused it as busy: about the time in
+	// which one of five slots comes free.
+	busyPause = 8 * time.Millisecond
+	// margin is left of a sample's greatest age for the clock's own error.
+	margin = 20 * time.Millisecond
+	// ageing is the part of a route's greatest age after which a new sample is
+	// asked for while the old one still serves.
+	ageing = 3
+	// longestLeaderless is how long statements wait for a leader, counted from its loss.
+	// A change of leader takes 1 to 2 s; one that has taken much longer waits for
+	// an upstream to come back, and callers are told so at once.
+	longestLeaderless = 4 * time.Second
+	// comeBack is told to callers who are refused for that.
+	comeBack = time.Second
+)
+
+// Job is what the statements of one operation have in common.
+type Job struct {
+	// Request is the caller's id of the statement, for the log.
+	Request   string
+	Freshness cataloger.Freshness
+	MaxAge    time.Duration
+	// Own is the furthest of the session's own writes.
+	Own tracker.Mark
+	// Writes says that the job may change data, so that only the leader will do.
+	Writes bool
+	// Arrived is when the operation's first byte was here, by the carrier's
+	// clock; ages count from it.
+	Arrived time.Time
+	// Deadline is when the statement's time is over.
+	Deadline time.Time
+	// Values are those of the session.
+	Values []Value
+	// Prepared is what the statement executes, if it does.
+	Prepared *Prepared
+	// Gone is closed when the caller has left; it may be nil.
+	Gone <-chan struct{}
+
+	tried map[*member]bool
+}
+
+// latest reports whether the job must run on the present leader.
+func (j *Job) latest() bool { return j.Writes || j.Freshness == cataloger.Latest }
+
+// avoid remembers that the job failed at a member.
+func (j *Job) avoid(m *member) {
+	if j.tried == nil {
+		j.tried = map[*member]bool{}
+	}
+	j.tried[m] = true
+}
+
+// refusal is the answer to a job that nothing of was run.
+func refusal(code Code, text string) Answer { return Answer{Code: code, Text: text} }
+
+// place finds a member for a job, and the mark that its log must contain. It
+// waits for a leader or a sample as long as that can help.
+func (g *Group) place(j *Job) (*member, tracker.Mark, Answer) {
+	for {
+		since, waiting, ok := g.floor(j)
+		if !ok {
+			if !wait(j, waiting) {
+				return nil, since, g.unplaced(j, placer.NoLeader)
+			}
+			continue
+		}
+		m, reason, changed := g.choose(placer.Need{Leader: j.latest(), Since: since}, j.tried)
+		if m != nil {
+			return m, since, Answer{}
+		}
+		if g.hopeless() || !wait(j, changed) {
+			return nil, since, g.unplaced(j, reason)
+		}
+	}
+}
+
+// floor returns the mark that a read needs. When no sample is fresh enough, it
+// returns a channel to wait on for a newer one.
+func (g *Group) floor(j *Job) (tracker.Mark, <-chan struct{}, bool) {
+	if j.latest() {
+		return tracker.Mark{}, nil, true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	mark, ok := g.samples.since(j.Arrived.Add(margin - j.MaxAge))
+	newest := g.samples.newest()
+	var waiting <-chan struct{}
+	if !ok || g.carrier.Now().Sub(newest) > j.MaxAge/ageing {
+		waiting = g.refresh()
+	}
+	if !ok {
+		if waiting == nil {
+			waiting = g.changed
+		}
+		return mark, waiting, false
+	}
+	if mark.Less(j.Own) {
+		mark = j.Own
+	}
+	return mark, nil, true
+}
+
+// wait waits for a change, and reports whether there is time left after it.
+func wait(j *Job, changed <-chan struct{}) bool {
+	left := time.Until(j.Deadline)
+	if left <= 0 {
+		return false
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-timer.C:
+		return false
+	case <-j.Gone:
+		return false
+	}
+}
+
+// pause lets some time pass, and reports whether there is time left after it.
+func pause(j *Job, d time.Duration) bool {
+	passed := make(chan struct{})
+	timer := time.AfterFunc(d, func() { close(passed) })
+	defer timer.Stop()
+	return wait(j, passed)
+}
+
+// hopeless reports whether the group has had no leader for so long that waiting
+// for one isn't worth a caller's time.
+func (g *Group) hopeless() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.leaderless.IsZero() && g.carrier.Now().Sub(g.leaderless) > longestLeaderless
+}
+
+func (g *Group) unplaced(j *Job, reason placer.Reason) Answer {
+	g.log().Info("carrier: statement refused", zap.String("request", j.Request), zap.String("group", g.name),
+		zap.String("reason", string(reason)), zap.Bool("latest", j.latest()))
+	return refusal(Busy, string(reason)+"; come back in "+comeBack.String())
+}
+
+// exchange runs commands on a connection and keeps what the answer tells of the
+// member.
+func (g *Group) exchange(m *member, r *run, deadline time.Time, commands ...Command) ([]Answer, bool, error) {
+	g.mu.Lock()
+	r.started = g.carrier.Now()
+	g.mu.Unlock()
+	answers, sent, err := r.conn.Exchange(deadline, commands...)
+	g.mu.Lock()
+	took := g.carrier.Now().Sub(r.started)
+	r.started = time.Time{}
+	g.mu.Unlock()
+	if err != nil {
+		g.log().Info("carrier: link lost", zap.String("group", g.name), zap.String("upstream", m.entry.ID), zap.String("request", commands[len(commands)-1].ID),
+			zap.Duration("took", took), zap.Bool("sent", sent), zap.Error(err))
+		return nil, sent, err
+	}
+	g.heard(m, answers[len(answers)-1].Mark)
+	return answers, sent, nil
+}
+
+// open gets a connection to a member for a job.
+func (g *Group) open(m *member, j *Job) (*run, Answer) {
+	c, err := m.connection(j.Deadline)
+	if err != nil {
+		g.refused(m, err)
+		j.avoid(m)
+		g.log().Info("carrier: no connection", zap.String("request", j.Request), zap.String("group", g.name), zap.String("upstream", m.entry.ID), zap.Error(err))
+		if errors.Is(err, ErrOverloaded) {
+			return nil, refusal(Overloaded, "upstream has too many connections")
+		}
+		return nil, refusal(Busy, "no connection to the upstream")
+	}
+	return &run{conn: c}, Answer{}
+}
+
+// Run carries one statement outside of a transaction.
+func (g *Group) Run(j *Job, cmd Command) Answer {
+	answer := refusal(Busy, "out of time")
+	for n := 0; n < attempts && time.Until(j.Deadline) > 0; n++ {
+		m, since, refused := g.place(j)
+		if m == nil {
+			return refused
+		}
+		var again bool
+		answer, again = g.attempt(m, j, cmd, since)
+		if !again {
+			return answer
+		}
+		g.log().Info("carrier: statement goes again", zap.String("request", j.Request), zap.String("group", g.name),
+			zap.String("upstream", m.entry.ID), zap.Stringer("code", answer.Code), zap.String("cause", answer.Text), zap.Int("attempt", n+1))
+	}
+	return answer
+}
+
+// attempt sends a statement to a member once. It reports whether the statement
+// may and should go again.
+func (g *Group) attempt(m *member, j *Job, cmd Command, since tracker.Mark) (Answer, bool) {
+	r, refused := g.open(m, j)
+	if r == nil {
+		return refused, true
+	}
+	if j.Writes && !r.conn.Alive() {
+		g.release(m, r.conn, false)
+		return refusal(Busy, "connection was dead before the write"), true
+	}
+	r.harmful = j.Writes
+	g.begin(m, r)
+	defer g.end(m, r)
+	started := g.carrier.Now()
+	answer, sent, err := g.send(m, r, j, cmd, since)
+	if err != nil {
+		g.release(m, r.conn, false)
+		j.avoid(m)
+		return lost(j, sent)
+	}
+	usable := answer.State == Idle && answer.Code != NoStatement
+	g.release(m, r.conn, usable)
+	answer.State = Idle
+	if answer.Code == OK {
+		g.took(m, g.carrier.Now().Sub(started))
+		return answer, false
+	}
+	return answer, g.again(m, j, answer)
+}
+
+// lost is the answer to a statement whose connection broke.
+func lost(j *Job, sent bool) (Answer, bool) {
+	switch {
+	case !sent:
+		return refusal(Busy, "connection lost before the statement was sent"), true
+	case j.Writes:
+		return refusal(InDoubt, "connection lost after the statement was sent"), false
+	case time.Until(j.Deadline) <= 0:
+		return refusal(Timeout, "no answer in time"), false
+	default:
+		return refusal(Failed, "connection lost"), true
+	}
+}
+
+// send carries out the exchanges of one attempt. A read that must see everything
+// is wrapped in a transaction of the leader's: a former leader refuses its begin.
+// The read goes out only after the begin was accepted, since behind a refused one
+// it would run by itself, on a log that may lack the newest commits.
+func (g *Group) send(m *member, r *run, j *Job, cmd Command, since tracker.Mark) (Answer, bool, error) {
+	prelude := r.conn.prelude(j.Values, j.Prepared)
+	if j.Writes {
+		asked := g.carrier.Now()
+		answers, sent, err := g.exchange(m, r, j.Deadline, append(prelude, cmd)...)
+		if err != nil {
+			return Answer{}, sent, err
+		}
+		answer := verdict(answers, len(prelude))
+		g.acknowledged(m)
+		if answer.Code == OK {
+			g.proved(m, asked, answer.Mark)
+		}
+		return answer, true, nil
+	}
+	if j.Freshness == cataloger.Latest {
+		return g.sendLatest(m, r, j, cmd, prelude)
+	}
+	cmd.Since = since
+	answers, sent, err := g.exchange(m, r, j.Deadline, append(prelude, cmd)...)
+	if err != nil {
+		return Answer{}, sent, err
+	}
+	return verdict(answers, len(prelude)), true, nil
+}
+
+func (g *Group) sendLatest(m *member, r *run, j *Job, cmd Command, prelude []Command) (Answer, bool, error) {
+	asked := g.carrier.Now()
+	answers, sent, err := g.exchange(m, r, j.Deadline, append(prelude, Command{Verb: Begin})...)
+	if err != nil {
+		return Answer{}, sent, err
+	}
+	began := verdict(answers, len(prelude))
+	if began.Code != OK {
+		return began, true, nil
+	}
+	g.proved(m, asked, began.Mark)
+	answers, sent, err = g.exchange(m, r, j.Deadline, cmd, Command{Verb: Rollback})
+	if err != nil {
+		return Answer{}, sent, err
+	}
+	answer := answers[0]
+	answer.State = answers[1].State
+	return answer, true, nil
+}
+
+// verdict returns the answer of the last command. A prelude that failed leaves
+// the connection in an unknown shape: it isn't used again.
+func verdict(answers []Answer, prelude int) Answer {
+	for _, a := range answers[:prelude] {
+		if a.Code != OK {
+			return Answer{Code: Failed, Text: "session values couldn't be set: " + a.Text, State: Broken}
+		}
+	}
+	return answers[len(answers)-1]
+}
+
+// again decides what a refusal of a member means for the job.
+func (g *Group) again(m *member, j *Job, a Answer) bool {
+	switch a.Code {
+	case Behind:
+		g.late(m)
+		j.avoid(m)
+	case ReadOnly:
+		g.deposed(m)
+		if j.latest() {
+			return true
+		}
+		j.avoid(m)
+	case Busy:
+		g.took(m, 4*ordinary)
+		if j.latest() {
+			return pause(j, busyPause)
+		}
+		j.avoid(m)
+	case NoStatement:
+	case Failed, Timeout:
+		if j.Writes {
+			return false
+		}
+		j.avoid(m)
+	default:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/carrier/member.go
@@ -0,0 +1,102 @@
+package carrier
+
+import (
+	"context"
+	"time"
+
+	"basildale.example/basildale/cataloger"
+	"basildale.example/basildale/placer"
+	"basildale.example/basildale/pooler"
+	"basildale.example/basildale/tracker"
+)
+
+// Constants of how an upstream is judged.
+const (
+	// ordinary is the latency assumed of an upstream that hasn't answered yet:
+	// the mean work of a read, 33 ms.
+	ordinary = 33 * time.Millisecond
+	// smoothing is the weight of a new answer in the moving mean. About ten
+	// answers make it up, a third of a second at 30 a second.
+	smoothing = 0.1
+	// fading is the time in which an unused upstream's excess latency halves, so
+	// that one that was slow is tried again.
+	fading = 2 * time.Second
+	// lagging is how long a refusal for lag counts: some times the mean delay of
+	// a replica, 8 to 20 ms.
+	lagging = 60 * time.Millisecond
+)
+
+// member is one upstream of a group. All fields but the pool are guarded by the
+// group's lock.
+type member struct {
+	entry cataloger.Upstream
+	pool  *pooler.Pool[*conn]
+
+	running  map[*run]struct{}
+	answered time.Time // when it last answered anything
+	wrote    time.Time // when it last acknowledged a write
+	latency  time.Duration
+	measured time.Time // when latency last changed
+	behind   time.Time // until when it counts as lagging
+	mark     tracker.Mark
+
+	barred  bool
+	since   time.Time // when it was barred
+	probeAt time.Time // when to try it again, while barred
+	probing bool
+	pause   time.Duration
+	gone    bool
+}
+
+// run is something this proxy has under way at a member.
+type run struct {
+	conn    *conn
+	started time.Time // when the running exchange began; zero between two
+	harmful bool      // its loss leaves the caller in doubt, so it isn't aborted
+}
+
+func (m *member) candidate(now time.Time, leads, local, tried bool, places int) placer.Candidate {
+	return placer.Candidate{
+		Leads:   leads,
+		Leaving: m.entry.Leaving,
+		Barred:  m.barred,
+		Local:   local,
+		Behind:  now.Before(m.behind),
+		Tried:   tried,
+		Mark:    m.mark,
+		Running: len(m.running),
+		Places:  places,
+		Latency: m.expected(now),
+	}
+}
+
+// expected returns the moving mean of the latency, faded towards the ordinary
+// one for the time in which nothing was measured.
+func (m *member) expected(now time.Time) time.Duration {
+	if m.measured.IsZero() {
+		return ordinary
+	}
+	excess := m.latency - ordinary
+	if excess <= 0 {
+		return m.latency
+	}
+	halves := now.Sub(m.measured) / fading
+	return ordinary + excess>>min(uint(halves), 16)
+}
+
+// observe takes in the latency of an answer, scaled to that of an ordinary read.
+func (m *member) observe(now time.Time, took time.Duration) {
+	before := m.expected(now)
+	m.latency = before + time.Duration(smoothing*float64(took-before))
+	m.measured = now
+}
+
+// connection returns a connection, opening one if need be, before the deadline.
+func (m *member) connection(deadline time.Time) (*conn, error) {
+	if l, ok := m.pool.TryGet(); ok {
+		return l, nil
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	return m.pool.Get(ctx)
+}
--- /dev/null
+++ b/carrier/observe.go
@@ -0,0 +1,105 @@
+package carrier
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"basildale.example/basildale/tracker"
+)
+
+// stuckAfter is how long a write at the leader may go unanswered, while none is
+// answered, before the leader counts as cut off from its replicas. A commit takes
+// 20 to 80 ms and one of five may wait for as long.
+const stuckAfter = 700 * time.Millisecond
+
+// ErrUnknown means that the group has no such upstream.
+var ErrUnknown = errors.New("carrier: no such upstream")
+
+// ErrRefused means that an upstream refused a control command.
+var ErrRefused = errors.New("carrier: upstream refused")
+
+// Seen is one upstream, as the control side sees it.
+type Seen struct {
+	ID      string
+	Leaving bool
+	Barred  bool
+}
+
+// Observation is what this process sees of a group.
+type Observation struct {
+	// Leader is the upstream that leads or led last; Leads says that it answers.
+	Leader string
+	Leads  bool
+	// Stuck says that the leader doesn't acknowledge writes.
+	Stuck   bool
+	Term    tracker.Term
+	Members []Seen
+}
+
+// Observe returns what this process sees of the group.
+func (g *Group) Observe() Observation {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.carrier.Now()
+	out := Observation{Term: g.leaderTerm, Leader: g.led}
+	for _, m := range g.members {
+		out.Members = append(out.Members, Seen{ID: m.entry.ID, Leaving: m.entry.Leaving, Barred: m.barred})
+		if out.Term.Less(m.mark.Term) {
+			out.Term = m.mark.Term
+		}
+	}
+	if g.leader != nil {
+		out.Leader = g.leader.entry.ID
+		out.Leads = !g.leader.barred
+		out.Stuck = g.stuck(g.leader, now)
+	}
+	return out
+}
+
+// stuck reports whether a member has left a write unanswered for too long and
+// none was answered since that one was sent. The caller has the lock.
+func (g *Group) stuck(m *member, now time.Time) bool {
+	for r := range m.running {
+		if r.harmful && !r.started.IsZero() && now.Sub(r.started) > stuckAfter && m.wrote.Before(r.started) {
+			return true
+		}
+	}
+	return false
+}
+
+// Control sends a control command to an upstream on a pooled connection.
+func (g *Group) Control(id string, deadline time.Time, cmd Command) (Report, error) {
+	m := g.member(id)
+	if m == nil {
+		return Report{}, errors.Wrapf(ErrUnknown, "%s", id)
+	}
+	c, err := m.connection(deadline)
+	if err != nil {
+		return Report{}, err
+	}
+	r := &run{conn: c}
+	g.begin(m, r)
+	defer g.end(m, r)
+	answers, _, err := g.exchange(m, r, deadline, cmd)
+	if err != nil {
+		g.release(m, c, false)
+		return Report{}, err
+	}
+	g.release(m, c, answers[0].State == Idle)
+	if answers[0].Code != OK {
+		return Report{}, errors.Wrapf(ErrRefused, "%s: %s", answers[0].Code, answers[0].Text)
+	}
+	return answers[0].Report, nil
+}
+
+func (g *Group) member(id string) *member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
+		if m.entry.ID == id {
+			return m
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/carrier/samples.go
@@ -0,0 +1,69 @@
+package carrier
+
+import (
+	"time"
+
+	"basildale.example/basildale/tracker"
+)
+
+// Bounds of the kept samples of a leader's log.
+const (
+	// sampleSpacing keeps the ring small: reads of 1.5 s and more don't care for
+	// less.
+	sampleSpacing = 50 * time.Millisecond
+	// sampleCount covers 3.2 s at that spacing, more than the greatest age that
+	// the deployments' routes allow (2.5 s).
+	sampleCount = 64
+)
+
+// sample is a position of the leader's log: everything acknowledged before asked
+// is at or before mark.
+type sample struct {
+	asked time.Time
+	mark  tracker.Mark
+}
+
+// samples keeps positions of the leader's log by the time at which they were
+// asked for, the newest last.
+type samples struct {
+	ring []sample
+}
+
+// add takes in a proven position. One that was asked for before the newest, or
+// right after it, is dropped, unless it is of a later term.
+func (s *samples) add(asked time.Time, mark tracker.Mark) {
+	if n := len(s.ring); n > 0 {
+		newest := s.ring[n-1]
+		sameTerm := newest.mark.Term == mark.Term
+		if sameTerm && asked.Sub(newest.asked) < sampleSpacing {
+			return
+		}
+		if asked.Before(newest.asked) || mark.Term.Less(newest.mark.Term) {
+			return
+		}
+	}
+	if len(s.ring) >= sampleCount {
+		s.ring = append(s.ring[:0], s.ring[1:]...)
+	}
+	s.ring = append(s.ring, sample{asked, mark})
+}
+
+// since returns the oldest position that was asked for at or after the given
+// time. The oldest is the one that most replicas have reached: with replicas
+// that apply 1 s late, reads that may be 1.5 s old still run there.
+func (s *samples) since(oldest time.Time) (tracker.Mark, bool) {
+	for _, e := range s.ring {
+		if !e.asked.Before(oldest) {
+			return e.mark, true
+		}
+	}
+	return tracker.Mark{}, false
+}
+
+// newest returns when the newest position was asked for.
+func (s *samples) newest() time.Time {
+	if len(s.ring) == 0 {
+		return time.Time{}
+	}
+	return s.ring[len(s.ring)-1].asked
+}
--- /dev/null
+++ b/carrier/watch.go
@@ -0,0 +1,194 @@
+package carrier
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+// Times of looking after upstreams.
+const (
+	// silence is how long an upstream may leave all that runs there unanswered
+	// before it is barred. The longest work is 410 ms and rare; an upstream that
+	// runs five at a time answers something every few tens of milliseconds.
+	silence = 450 * time.Millisecond
+	// gap between two ticks, beyond which this process stood still and its
+	// impatience counts from anew.
+	gap = 400 * time.Millisecond
+	// firstPause and longestPause bound the time between two looks at an upstream
+	// that is barred.
+	firstPause   = 100 * time.Millisecond
+	longestPause = 800 * time.Millisecond
+	// lookTimeout is how long a look may take: a handshake takes 12 to 27 ms, and
+	// waits for a slot.
+	lookTimeout = 500 * time.Millisecond
+)
+
+// tick bars members that have gone silent and looks at those that are barred.
+func (g *Group) tick(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	stood := now.Sub(g.ticked) > gap
+	g.ticked = now
+	for _, m := range g.members {
+		switch {
+		case stood:
+			m.answered = now
+		case m.barred:
+			g.look(m, now)
+		case g.silent(m, now):
+			g.bar(m, now, "silent")
+		}
+	}
+	if g.leader == nil {
+		g.seek()
+	}
+}
+
+// silent reports whether a member has left something unanswered for too long
+// and nothing answered since.
+func (g *Group) silent(m *member, now time.Time) bool {
+	for r := range m.running {
+		if r.started.IsZero() || now.Sub(r.started) < silence {
+			continue
+		}
+		if now.Sub(m.answered) >= silence {
+			return true
+		}
+	}
+	return false
+}
+
+// bar keeps new work from a member and takes the reads that wait there
+// elsewhere. Without it each of them would wait until its own deadline. The
+// caller has the lock.
+func (g *Group) bar(m *member, now time.Time, cause string) {
+	if m.barred {
+		return
+	}
+	m.barred = true
+	m.since = now
+	m.probeAt = now.Add(firstPause)
+	m.pause = firstPause
+	g.log().Warn("carrier: upstream barred", zap.String("group", g.name), zap.String("upstream", m.entry.ID), zap.String("cause", cause),
+		zap.Int("running", len(m.running)), zap.Duration("since answer", now.Sub(m.answered)), zap.Bool("leads", m == g.leader))
+	for r := range m.running {
+		if !r.harmful && !r.started.IsZero() {
+			r.conn.Abort()
+		}
+	}
+	go m.pool.Flush()
+	g.signal()
+}
+
+// refused takes in that a connection to a member couldn't be opened.
+func (g *Group) refused(m *member, err error) {
+	if errors.Is(err, ErrOverloaded) || errors.Is(err, context.DeadlineExceeded) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.bar(m, g.carrier.Now(), err.Error())
+}
+
+// look tries to open a connection to a barred member, when it is time. The
+// caller has the lock.
+func (g *Group) look(m *member, now time.Time) {
+	if m.probing || now.Before(m.probeAt) {
+		return
+	}
+	m.probing = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
+		defer cancel()
+		c, err := m.pool.Get(ctx) // opening one takes it off the bar, in heard
+		if err == nil {
+			g.release(m, c, true)
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		m.probing = false
+		m.pause = min(2*m.pause, longestPause)
+		m.probeAt = g.carrier.Now().Add(m.pause)
+	}()
+}
+
+// seek asks all members whether they lead, unless that is under way. A member
+// that leads takes an empty transaction, all others refuse it; it costs no slot.
+// The caller has the lock.
+func (g *Group) seek() {
+	if g.seeking || len(g.members) == 0 {
+		return
+	}
+	g.seeking = true
+	members := append([]*member(nil), g.members...)
+	go func() {
+		done := make(chan struct{}, len(members))
+		for _, m := range members {
+			go func() {
+				g.ask(m)
+				done <- struct{}{}
+			}()
+		}
+		for range members {
+			<-done
+		}
+		time.Sleep(firstPause) // not more often than ten times a second
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.seeking = false
+	}()
+}
+
+// ask begins and ends an empty transaction at a member. It reports whether the
+// member leads.
+func (g *Group) ask(m *member) bool {
+	deadline := time.Now().Add(lookTimeout)
+	c, err := m.connection(deadline)
+	if err != nil {
+		return false
+	}
+	r := &run{conn: c}
+	g.begin(m, r)
+	defer g.end(m, r)
+	asked := g.carrier.Now()
+	answers, _, err := g.exchange(m, r, deadline, Command{Verb: Begin}, Command{Verb: Rollback})
+	if err != nil {
+		g.release(m, c, false)
+		return false
+	}
+	leads := answers[0].Code == OK
+	g.release(m, c, answers[len(answers)-1].State == Idle)
+	if leads {
+		g.proved(m, asked, answers[0].Mark)
+	} else if answers[0].Code == ReadOnly {
+		g.follows(m)
+	}
+	return leads
+}
+
+// refresh takes a new sample of the leader's log, and returns a channel that is
+// closed when that has ended. Only one runs at a time. The caller has the lock.
+func (g *Group) refresh() <-chan struct{} {
+	if g.sampling != nil {
+		return g.sampling
+	}
+	done := make(chan struct{})
+	leader := g.leader
+	if leader == nil || leader.barred {
+		return nil
+	}
+	g.sampling = done
+	go func() {
+		if !g.ask(leader) {
+			g.log().Debug("carrier: sample failed", zap.String("group", g.name), zap.String("upstream", leader.entry.ID))
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.sampling = nil
+		close(done)
+	}()
+	return done
+}
--- a/cmd/basildale/serve.go
+++ b/cmd/basildale/serve.go
@@ -12,10 +12,11 @@
 
 	"basildale.example/basildale/daemon"
 	"basildale.example/basildale/loader"
+	"basildale.example/basildale/proxier"
 )
 
 type serveCmd struct {
-	File string `arg:"" help:"The settings file." type:"path"`
+	File string `arg:"" help:"The settings file." type:"path" env:"BASILDALE_SETTINGS"`
 }
 
 // Help is the long help of the command.
@@ -42,6 +43,10 @@
 	log := newLogger(e.err, settings.Log)
 	defer func() { _ = log.Sync() }() // a terminal can't be synced
 	log.Info("serve: starting", zap.String("name", settings.Name), zap.String("zone", settings.Zone))
+	if settings.Wire == loader.Lines {
+		p := &proxier.Proxier{Settings: settings, Log: log}
+		return p.Run(e.ctx)
+	}
 	d := &daemon.Daemon{Settings: settings, Log: log}
 	go announce(e.ctx, d, log)
 	defer hasten(d)()
--- /dev/null
+++ b/conductor/session.go
@@ -0,0 +1,399 @@
+package conductor
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/carrier"
+	"basildale.example/basildale/cataloger"
+	"basildale.example/basildale/tracker"
+)
+
+// Bounds of a session.
+const (
+	// maxValues and maxPrepared bound what a caller can make a process hold: some
+	// kilobytes each.
+	maxValues   = 64
+	maxPrepared = 256
+	// restSlack is added to the time that a transaction may be left idle, so that
+	// a caller at the very bound isn't cut.
+	restSlack = 200 * time.Millisecond
+	// restDefault holds where the configuration says nothing.
+	restDefault = 10 * time.Second
+)
+
+// Session is one caller's session. Set the exported fields before the first
+// statement.
+type Session struct {
+	Database string
+	// View returns the configuration in force.
+	View func() *cataloger.View
+	// Group finds a database group.
+	Group func(name string) (*carrier.Group, bool)
+	// Now is the clock of package carrier.
+	Now func() time.Time
+	Log *zap.Logger
+
+	mu       sync.Mutex // held while a statement runs
+	values   []carrier.Value
+	prepared map[string]carrier.Prepared
+	mark     tracker.Mark
+
+	state    carrier.State
+	readOnly bool
+	route    cataloger.Route // of the open transaction
+	began    time.Time
+	tx       *carrier.Tx
+	ended    []*carrier.Tx // to be rolled back once the caller has its answer
+	rest     *time.Timer
+	turn     uint64 // counts statements, so that an old timer ends nothing newer
+
+	gone     chan struct{}
+	goneOnce sync.Once
+	setup    sync.Once
+}
+
+func (s *Session) prepare() {
+	s.gone = make(chan struct{})
+}
+
+// State returns the transaction state. It may be called from any goroutine that
+// doesn't run a statement.
+func (s *Session) State() carrier.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state
+}
+
+// Handle carries out one statement that arrived at a moment of the session's
+// clock.
+func (s *Session) Handle(st Statement, arrived time.Time) Reply {
+	s.setup.Do(s.prepare)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turn++
+	s.stopRest()
+	reply := s.dispatch(st, arrived)
+	reply.State = s.state
+	s.startRest()
+	return reply
+}
+
+// After does what needn't keep the caller waiting for its answer.
+func (s *Session) After() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, tx := range s.ended {
+		tx.Rollback()
+	}
+	s.ended = s.ended[:0]
+}
+
+// Abandon ends the session: the caller has left. What waits for an upstream
+// gives up, and an open transaction is rolled back.
+func (s *Session) Abandon() {
+	s.setup.Do(s.prepare)
+	s.goneOnce.Do(func() { close(s.gone) })
+	s.mu.Lock()
+	s.stopRest()
+	s.drop()
+	s.state = carrier.Idle
+	s.mu.Unlock()
+	s.After()
+}
+
+func (s *Session) dispatch(st Statement, arrived time.Time) Reply {
+	if s.state == carrier.Broken && st.Verb != Rollback && st.Verb != Commit {
+		return failure(carrier.Malformed, "the transaction has failed; end it first")
+	}
+	switch st.Verb {
+	case Begin, BeginRead:
+		return s.begin(st, arrived)
+	case Commit:
+		return s.commit(st)
+	case Rollback:
+		return s.rollback()
+	case Set:
+		return s.set(st)
+	case Prepare:
+		return s.keep(st)
+	case Deallocate:
+		return s.deallocate(st)
+	case Read, Write, Execute:
+		return s.execute(st, arrived)
+	default:
+		return failure(carrier.Malformed, "not a statement")
+	}
+}
+
+func failure(code carrier.Code, text string) Reply { return Reply{Code: code, Text: text} }
+
+func done() Reply { return Reply{Signature: "-"} }
+
+func (s *Session) begin(st Statement, arrived time.Time) Reply {
+	if s.state != carrier.Idle {
+		return failure(carrier.Malformed, "a transaction is open")
+	}
+	route, ok := s.View().Route(s.Database)
+	if !ok {
+		return failure(carrier.NoDatabase, "no route to the database "+s.Database)
+	}
+	s.route = route
+	s.readOnly = st.Verb == BeginRead
+	s.began = arrived
+	s.state = carrier.Open
+	return done()
+}
+
+func (s *Session) set(st Statement) Reply {
+	v := carrier.Value{Name: st.Name, Data: st.Value}
+	i := slices.IndexFunc(s.values, func(o carrier.Value) bool { return o.Name == v.Name })
+	switch {
+	case i >= 0:
+		s.values[i] = v
+	case len(s.values) >= maxValues:
+		return failure(carrier.TooLarge, "too many session values")
+	default:
+		s.values = append(s.values, v)
+	}
+	return done()
+}
+
+func (s *Session) keep(st Statement) Reply {
+	if s.prepared == nil {
+		s.prepared = map[string]carrier.Prepared{}
+	}
+	if _, has := s.prepared[st.Name]; !has && len(s.prepared) >= maxPrepared {
+		return failure(carrier.TooLarge, "too many prepared statements")
+	}
+	s.prepared[st.Name] = carrier.Prepared{Shape: st.Value, Writes: st.Writes}
+	return done()
+}
+
+func (s *Session) deallocate(st Statement) Reply {
+	if _, has := s.prepared[st.Name]; !has {
+		return failure(carrier.NoStatement, "no prepared statement "+st.Name)
+	}
+	delete(s.prepared, st.Name)
+	return done()
+}
+
+// command returns what goes to the upstream, and whether it may change data.
+func (s *Session) command(st Statement) (carrier.Command, *carrier.Prepared, bool, bool) {
+	cmd := carrier.Command{ID: st.ID, Text: st.Text}
+	switch st.Verb {
+	case Write:
+		cmd.Verb = carrier.Write
+		return cmd, nil, true, true
+	case Execute:
+		p, ok := s.prepared[st.Name]
+		cmd.Verb = carrier.Execute
+		cmd.Value = st.Value
+		cmd.Name = p.Alias()
+		return cmd, &p, p.Writes, ok
+	default:
+		cmd.Verb = carrier.Read
+		return cmd, nil, false, true
+	}
+}
+
+func (s *Session) execute(st Statement, arrived time.Time) Reply {
+	cmd, prepared, writes, ok := s.command(st)
+	if !ok {
+		return s.broken(failure(carrier.NoStatement, "no prepared statement "+st.Name))
+	}
+	if s.state == carrier.Open {
+		return s.inside(st, cmd, prepared, writes, arrived)
+	}
+	route, ok := s.View().Route(s.Database)
+	if !ok {
+		return failure(carrier.NoDatabase, "no route to the database "+s.Database)
+	}
+	group, ok := s.Group(route.Group)
+	if !ok {
+		return failure(carrier.Busy, "no upstream of the group is known")
+	}
+	job := s.job(st, route, arrived)
+	job.Prepared = prepared
+	job.Writes = writes
+	answer := group.Run(job, cmd)
+	s.note(st, route, answer, arrived)
+	if answer.Code == carrier.OK && writes {
+		s.advance(answer.Mark)
+	}
+	return reply(answer)
+}
+
+// inside runs a statement of the open transaction, the first of which begins it
+// at an upstream.
+func (s *Session) inside(st Statement, cmd carrier.Command, prepared *carrier.Prepared, writes bool, arrived time.Time) Reply {
+	job := s.job(st, s.route, arrived)
+	job.Prepared = prepared
+	job.Writes = writes
+	var answer carrier.Answer
+	if s.tx != nil {
+		answer = s.tx.Do(job, cmd)
+	} else {
+		answer = s.start(job, cmd)
+	}
+	s.note(st, s.route, answer, arrived)
+	if answer.Code != carrier.OK {
+		s.drop()
+		s.state = carrier.Broken
+	}
+	return reply(answer)
+}
+
+func (s *Session) start(job *carrier.Job, cmd carrier.Command) carrier.Answer {
+	group, ok := s.Group(s.route.Group)
+	if !ok {
+		return carrier.Answer{Code: carrier.Busy, Text: "no upstream of the group is known"}
+	}
+	job.Arrived = s.began
+	if !s.readOnly {
+		job.Writes = true
+	}
+	tx, answer := group.Start(job, s.readOnly, cmd)
+	s.tx = tx
+	return answer
+}
+
+func (s *Session) job(st Statement, route cataloger.Route, arrived time.Time) *carrier.Job {
+	job := &carrier.Job{
+		Request:   st.ID,
+		Freshness: route.Freshness,
+		MaxAge:    route.MaxAge,
+		Arrived:   arrived,
+		Deadline:  time.Now().Add(route.Timeout - s.Now().Sub(arrived)),
+		Values:    s.values,
+		Gone:      s.gone,
+	}
+	if route.Freshness == cataloger.Own {
+		job.Own = s.mark
+	}
+	return job
+}
+
+func (s *Session) commit(st Statement) Reply {
+	if s.state == carrier.Idle {
+		return failure(carrier.Malformed, "no transaction is open")
+	}
+	if s.state == carrier.Broken {
+		s.finish()
+		return failure(carrier.Aborted, "the transaction has failed and was rolled back")
+	}
+	arrived := s.Now()
+	job := s.job(st, s.route, arrived)
+	cmd := carrier.Command{ID: st.ID, Verb: carrier.Commit, Text: st.Text}
+	if s.tx == nil {
+		return s.commitEmpty(st, job, cmd)
+	}
+	answer := s.tx.Commit(job, cmd)
+	s.tx = nil
+	s.finish()
+	s.note(st, s.route, answer, arrived)
+	if answer.Code == carrier.OK {
+		s.advance(answer.Mark)
+	}
+	return reply(answer)
+}
+
+// commitEmpty commits a transaction without statements. The caller expects the
+// signature of an upstream all the same.
+func (s *Session) commitEmpty(st Statement, job *carrier.Job, cmd carrier.Command) Reply {
+	answer := carrier.Answer{Code: carrier.Busy, Text: "no upstream of the group is known"}
+	if group, ok := s.Group(s.route.Group); ok {
+		job.Writes = !s.readOnly
+		answer = group.CommitEmpty(job, s.readOnly, cmd)
+	}
+	s.finish()
+	s.note(st, s.route, answer, s.began)
+	return reply(answer)
+}
+
+func (s *Session) rollback() Reply {
+	if s.state == carrier.Idle {
+		return failure(carrier.Malformed, "no transaction is open")
+	}
+	s.finish()
+	return done()
+}
+
+// finish ends the transaction; what is left of it at an upstream is rolled back
+// after the answer.
+func (s *Session) finish() {
+	s.drop()
+	s.state = carrier.Idle
+}
+
+func (s *Session) drop() {
+	if s.tx != nil {
+		s.ended = append(s.ended, s.tx)
+		s.tx = nil
+	}
+}
+
+// broken fails an open transaction.
+func (s *Session) broken(r Reply) Reply {
+	if s.state == carrier.Open {
+		s.drop()
+		s.state = carrier.Broken
+	}
+	return r
+}
+
+func (s *Session) advance(m tracker.Mark) {
+	if s.mark.Less(m) {
+		s.mark = m
+	}
+}
+
+func reply(a carrier.Answer) Reply {
+	return Reply{Rows: a.Rows, Signature: a.Signature, Code: a.Code, Text: a.Text, Mark: a.Mark}
+}
+
+// note logs each request that didn't simply succeed, or was slow.
+func (s *Session) note(st Statement, route cataloger.Route, a carrier.Answer, arrived time.Time) {
+	took := s.Now().Sub(arrived)
+	if a.Code == carrier.OK && took <= route.Objective {
+		return
+	}
+	s.Log.Info("conductor: request ended", zap.String("request", st.ID), zap.String("database", s.Database), zap.String("group", route.Group),
+		zap.Stringer("code", a.Code), zap.String("cause", a.Text), zap.Duration("took", took), zap.Duration("objective", route.Objective),
+		zap.Duration("timeout", route.Timeout), zap.Uint64("configuration", s.View().Config.Version))
+}
+
+// startRest ends the open transaction when its caller leaves it idle for too
+// long: it holds a connection that others wait for.
+func (s *Session) startRest() {
+	if s.state != carrier.Open || s.tx == nil {
+		return
+	}
+	rest := s.View().Config.Rest
+	if rest == 0 {
+		rest = restDefault
+	}
+	turn := s.turn
+	s.rest = time.AfterFunc(rest+restSlack, func() { s.expire(turn) })
+}
+
+func (s *Session) stopRest() {
+	if s.rest != nil {
+		s.rest.Stop()
+		s.rest = nil
+	}
+}
+
+func (s *Session) expire(turn uint64) {
+	s.mu.Lock()
+	if s.turn == turn && s.state == carrier.Open {
+		s.Log.Info("conductor: idle transaction ended", zap.String("database", s.Database))
+		s.drop()
+		s.state = carrier.Broken
+	}
+	s.mu.Unlock()
+	s.After()
+}
--- /dev/null
+++ b/conductor/statement.go
@@ -0,0 +1,52 @@
+package conductor
+
+import (
+	"basildale.example/basildale/carrier"
+	"basildale.example/basildale/tracker"
+)
+
+// Verb is what a caller's statement asks for.
+type Verb uint8
+
+// The verbs.
+const (
+	Unknown Verb = iota
+	Read
+	Write
+	Execute
+	Begin
+	BeginRead
+	Commit
+	Rollback
+	Set
+	Prepare
+	Deallocate
+)
+
+// Statement is one statement of a caller.
+type Statement struct {
+	// ID names the request; upstreams get it unchanged.
+	ID   string
+	Verb Verb
+	// Text is the statement as the caller wrote it.
+	Text string
+	// Name is that of a session value or prepared statement.
+	Name string
+	// Value is the value of Set, the shape of Prepare, the arguments of Execute.
+	Value string
+	// Writes says of Prepare that the statement changes data.
+	Writes bool
+}
+
+// Reply is what the caller is told.
+type Reply struct {
+	Rows []string
+	// Signature is the upstream's proof that it ran the statement; "-" when none
+	// was needed.
+	Signature string
+	Code      carrier.Code
+	Text      string
+	State     carrier.State
+	// Mark is how far the upstream's log had come; zero when unknown.
+	Mark tracker.Mark
+}
--- /dev/null
+++ b/gossiper/gossiper.go
@@ -0,0 +1,138 @@
+package gossiper
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+// maxDatagram is the longest datagram that is read. The state of a process with
+// eight groups has about 900 bytes.
+const maxDatagram = 16 << 10
+
+// Gossiper sends and receives. Set the exported fields before Start.
+type Gossiper struct {
+	Address netip.AddrPort
+	// Self returns the state to send.
+	Self func() State
+	// Heard, when set, is called for each datagram of a peer.
+	Heard func(State)
+	// Now is a clock that also counts the time in which the machine is suspended.
+	Now func() time.Time
+	Log *zap.Logger
+
+	conn   *net.UDPConn
+	mu     sync.Mutex
+	roster Roster
+	done   chan struct{}
+}
+
+// Start opens the socket and begins.
+func (g *Gossiper) Start() error {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(g.Address))
+	if err != nil {
+		return errors.Wrapf(err, "gossiper: listen on %s", g.Address)
+	}
+	g.conn = conn
+	g.done = make(chan struct{})
+	go g.receive()
+	go g.send()
+	return nil
+}
+
+// Stop closes the socket.
+func (g *Gossiper) Stop() {
+	close(g.done)
+	_ = g.conn.Close() // nothing more is sent or awaited
+}
+
+// Learn takes in that a process may be at an address.
+func (g *Gossiper) Learn(name string, at netip.AddrPort) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.roster.Learn(name, at)
+}
+
+// Live returns the peers that were heard lately.
+func (g *Gossiper) Live() []Peer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.roster.Live(g.Now())
+}
+
+// Counted returns how many peers may hold connections.
+func (g *Gossiper) Counted() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.roster.Counted(g.Now())
+}
+
+func (g *Gossiper) receive() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := g.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			g.Log.Warn("gossiper: read failed", zap.Error(err))
+			time.Sleep(Period) // an error that stays mustn't keep the process busy
+			continue
+		}
+		var s State
+		if err := json.Unmarshal(buffer[:n], &s); err != nil {
+			g.Log.Warn("gossiper: datagram dropped", zap.Error(err))
+			continue
+		}
+		if s.Name == g.Self().Name {
+			continue
+		}
+		g.mu.Lock()
+		g.roster.Hear(s, g.Now())
+		g.mu.Unlock()
+		if g.Heard != nil {
+			g.Heard(s)
+		}
+	}
+}
+
+func (g *Gossiper) send() {
+	rng := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0))
+	ticker := time.NewTicker(Period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-g.done:
+			return
+		case <-ticker.C:
+			g.round(rng)
+		}
+	}
+}
+
+func (g *Gossiper) round(rng *rand.Rand) {
+	self := g.Self()
+	b, err := json.Marshal(self)
+	if err != nil {
+		g.Log.Error("gossiper: state can't be written", zap.Error(err))
+		return
+	}
+	g.mu.Lock()
+	g.roster.Sweep(g.Now())
+	targets := g.roster.Targets(rng)
+	g.mu.Unlock()
+	for _, to := range targets {
+		if to == self.Peers {
+			continue
+		}
+		if _, err := g.conn.WriteToUDPAddrPort(b, to); err != nil {
+			g.Log.Debug("gossiper: datagram not sent", zap.Stringer("to", to), zap.Error(err))
+		}
+	}
+}
--- /dev/null
+++ b/gossiper/roster.go
@@ -0,0 +1,147 @@
+package gossiper
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Times and bounds of the roster.
+const (
+	// Period is the time between two rounds of datagrams.
+	Period = 250 * time.Millisecond
+	// fanout is how many peers get a datagram each round. With up to as many
+	// peers each hears from each other one four times a second.
+	fanout = 12
+	// patience is the number of rounds after which a peer that should have been
+	// heard counts as silent. Some of ten datagrams get lost; all never do.
+	patience = 6
+	// memory is how long a silent peer still counts as one that may hold
+	// connections. A process that is cut off from the others keeps its own.
+	memory = 30 * time.Second
+	// forget is when a peer that was never heard again is dropped altogether.
+	forget = 10 * time.Minute
+)
+
+// Trouble says what is wrong with a group's leader, seen from one process.
+type Trouble uint8
+
+// The troubles.
+const (
+	NoTrouble   Trouble = iota
+	Unreachable         // it doesn't answer
+	Stuck               // it answers, but commits aren't acknowledged
+)
+
+// GroupState is what one process says of a database group.
+type GroupState struct {
+	Leader  string  `json:"leader,omitempty"`
+	Trouble Trouble `json:"trouble,omitempty"`
+	// Token is that of the sender's duty for the group; zero when it has none.
+	Token uint64 `json:"token,omitempty"`
+}
+
+// State is what one process says of itself.
+type State struct {
+	Name  string `json:"name"`
+	Zone  string `json:"zone"`
+	Start int64  `json:"start"` // tells runs of one name apart; later ones are greater
+	// Peers and Operators are its addresses.
+	Peers     netip.AddrPort `json:"peers"`
+	Operators netip.AddrPort `json:"operators"`
+	// Configuration is the version in force there.
+	Configuration uint64 `json:"configuration"`
+	// Entries is the highest revision of an upstream's entry known there.
+	Entries uint64 `json:"entries"`
+	// Checked says for each kind of the store's objects how long ago the sender
+	// read all of them, as of sending.
+	Checked map[string]time.Duration `json:"checked,omitempty"`
+	Leaving bool                     `json:"leaving,omitempty"`
+	Groups  map[string]GroupState    `json:"groups,omitempty"`
+}
+
+// Peer is another process and when it was last heard.
+type Peer struct {
+	State
+	Heard time.Time
+}
+
+// Roster holds the peers. Its zero value is empty.
+type Roster struct {
+	peers map[string]*Peer
+}
+
+// Learn takes in that a process may be at an address.
+func (r *Roster) Learn(name string, at netip.AddrPort) {
+	if r.peers == nil {
+		r.peers = map[string]*Peer{}
+	}
+	if p := r.peers[name]; p != nil {
+		return
+	}
+	r.peers[name] = &Peer{State: State{Name: name, Peers: at}}
+}
+
+// Hear takes in a datagram. One of an earlier run of the same process changes
+// nothing.
+func (r *Roster) Hear(s State, now time.Time) {
+	if r.peers == nil {
+		r.peers = map[string]*Peer{}
+	}
+	p := r.peers[s.Name]
+	if p != nil && s.Start < p.Start {
+		return
+	}
+	r.peers[s.Name] = &Peer{State: s, Heard: now}
+}
+
+// window is how long a live peer may be silent, with so many peers.
+func (r *Roster) window() time.Duration {
+	rounds := patience * max(1, (len(r.peers)+fanout-1)/fanout)
+	return time.Duration(rounds) * Period
+}
+
+// Live returns the peers that were heard lately, by name.
+func (r *Roster) Live(now time.Time) []Peer {
+	return r.within(now, r.window())
+}
+
+// Counted returns how many peers may hold connections: those that live, and
+// those that did until a while ago.
+func (r *Roster) Counted(now time.Time) int {
+	return len(r.within(now, memory))
+}
+
+func (r *Roster) within(now time.Time, window time.Duration) []Peer {
+	var out []Peer
+	for _, p := range r.peers {
+		if !p.Heard.IsZero() && now.Sub(p.Heard) < window {
+			out = append(out, *p)
+		}
+	}
+	slices.SortFunc(out, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Targets returns whom to send to this round: all peers while they are few, else
+// some drawn at random, silent ones included, since a partition heals.
+func (r *Roster) Targets(rng *rand.Rand) []netip.AddrPort {
+	out := make([]netip.AddrPort, 0, len(r.peers))
+	for _, p := range r.peers {
+		out = append(out, p.Peers)
+	}
+	slices.SortFunc(out, netip.AddrPort.Compare)
+	rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(len(out), fanout)]
+}
+
+// Sweep drops peers that haven't been heard for long.
+func (r *Roster) Sweep(now time.Time) {
+	for name, p := range r.peers {
+		if !p.Heard.IsZero() && now.Sub(p.Heard) > forget {
+			delete(r.peers, name)
+		}
+	}
+}
--- a/loader/checker.go
+++ b/loader/checker.go
@@ -44,6 +44,9 @@
 		{"peers", true, c.address(&s.Peers, true)},
 		{"operators", true, c.address(&s.Operators, true)},
 		{"platform", false, c.platform(s)},
+		{"wire", false, c.wire(&s.Wire)},
+		{"ready", false, c.address(&s.Ready, true)},
+		{"orders", false, c.address(&s.Orders, false)},
 		{"tls", false, c.tls(&s.TLS)},
 		{"secret", false, c.secret(&s.Secret)},
 		{"login", false, c.login(&s.Login)},
@@ -69,7 +72,10 @@
 		// operators have since changed.
 		c.fail(child(n, "groups"), "groups stands beside platform", "allowed is one of them")
 	}
-	if len(s.Platform) > 0 && s.Secret == "" && s.TLS.Peers == (Files{}) {
+	if s.Wire == Lines {
+		c.lines(s, n)
+	}
+	if s.Wire == Postgres && len(s.Platform) > 0 && s.Secret == "" && s.TLS.Peers == (Files{}) {
 		c.fail(n, "secret and tls.peers are both missing", "the other proxies must know this one by either of them")
 	}
 	if len(s.Groups) > 0 && len(s.Callers) == 0 {
@@ -98,6 +104,36 @@
 	}
 }
 
+// lines checks what the wire Lines needs besides.
+func (c *checker) lines(s *Settings, n ast.Node) {
+	if !s.Ready.IsValid() {
+		c.fail(n, "ready is missing", "with the wire lines it has no default")
+	}
+	if !s.Orders.IsValid() {
+		c.fail(n, "orders is missing", "with the wire lines it has no default")
+	}
+	if len(s.Platform) != 1 {
+		c.fail(n, fmt.Sprintf("platform lists %d addresses", len(s.Platform)), "with the wire lines allowed is one")
+	}
+}
+
+// wire reads the name of a protocol.
+func (c *checker) wire(dst *Wire) func(string, ast.Node) {
+	const allowed = "allowed are postgres, lines"
+	return func(path string, n ast.Node) {
+		s, ok := c.scalar(path, n, allowed)
+		if !ok {
+			return
+		}
+		switch w := Wire(s); w {
+		case Postgres, Lines:
+			*dst = w
+		default:
+			c.fail(n, fmt.Sprintf("%s is %q", path, s), allowed)
+		}
+	}
+}
+
 func (c *checker) platform(s *Settings) func(string, ast.Node) {
 	return func(path string, n ast.Node) {
 		c.list(path, n, func(path string, n ast.Node) {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -41,6 +41,7 @@
 			Callers: DefaultCallers,
 			Buffer:  DefaultBuffer,
 		},
+		Wire: Postgres,
 		Stop: DefaultStop,
 	}
 	// Keys that stand twice are left to the walk, which reports them all.
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -36,6 +36,13 @@
 	// Platform lists the addresses of the platform's object service. It is
 	// empty only when Groups isn't.
 	Platform []netip.AddrPort
+	// Wire is the protocol of callers and upstreams.
+	Wire Wire
+	// Ready is where the platform's balancer asks whether to send callers, and
+	// Orders the platform's address for changes of a leader. Both are needed with
+	// the wire Lines and unused otherwise.
+	Ready  netip.AddrPort
+	Orders netip.AddrPort
 	// TLS names the certificates of each side; a side without files is plain.
 	TLS TLS
 	// Secret is the path of the file with the key that all peers share; empty
@@ -55,6 +62,15 @@
 	Callers []Caller
 }
 
+// Wire is a protocol of callers and upstreams.
+type Wire string
+
+// The wires.
+const (
+	Postgres Wire = "postgres"
+	Lines    Wire = "lines"
+)
+
 // TLS names the certificate files of the three sides.
 type TLS struct {
 	// Callers is the certificate shown to callers; its CA, when set, is what a
--- /dev/null
+++ b/overseer/duty.go
@@ -0,0 +1,155 @@
+package overseer
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/adapter/keeper"
+	"basildale.example/basildale/gossiper"
+)
+
+// Times of taking the duty over.
+const (
+	// holderSilence is how long no holder of a group is heard before another
+	// process takes the duty: some rounds of gossip.
+	holderSilence = 1500 * time.Millisecond
+	// rankDelay holds back each next process in the order, so that one of them
+	// writes to the store and the others hear of it.
+	rankDelay = 700 * time.Millisecond
+	// claimTimeout bounds the calls of one claim.
+	claimTimeout = 2 * time.Second
+	// claimPause is the time between two claims of one process.
+	claimPause = time.Second
+)
+
+// kind is the kind of the store's objects that record who has a duty.
+const kind = "duties"
+
+// record is the value of such an object.
+type record struct {
+	Holder string `json:"holder"`
+	// Start tells the runs of the holder apart.
+	Start int64  `json:"start"`
+	Token uint64 `json:"token"`
+}
+
+// duty is what this process knows of the duty for one group.
+type duty struct {
+	token    uint64    // of this process; zero without the duty
+	heard    time.Time // when a holder was last heard, this process included
+	highest  uint64    // token heard of
+	claiming bool
+	next     time.Time // no claim before
+}
+
+// hear takes in what the live peers say of who holds the duty. A process that
+// hears of a higher token than its own has been replaced.
+func (d *duty) hear(group string, peers []gossiper.Peer, now time.Time) {
+	for _, p := range peers {
+		token := p.Groups[group].Token
+		if token == 0 {
+			continue
+		}
+		d.highest = max(d.highest, token)
+		if token >= d.highest && now.Sub(p.Heard) < holderSilence {
+			d.heard = now
+		}
+	}
+	if d.token > 0 && d.token < d.highest {
+		d.token = 0
+	}
+	if d.token > 0 {
+		d.heard = now
+	}
+	if d.heard.IsZero() {
+		d.heard = now
+	}
+}
+
+// rank returns this process's place in the order of those that may take a duty.
+func (o *Overseer) rank(group string, peers []gossiper.Peer) int {
+	own := weight(group, o.Name)
+	rank := 0
+	for _, p := range peers {
+		if !p.Leaving && weight(group, p.Name) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func weight(group, name string) uint64 { return xxhash.Sum64String(group + " " + name) }
+
+// wants reports whether this process should take the duty now.
+func (o *Overseer) wants(d *duty, group string, peers []gossiper.Peer, now time.Time) bool {
+	if d.token > 0 || d.claiming || now.Before(d.next) || o.Leaving() {
+		return false
+	}
+	wait := holderSilence + time.Duration(o.rank(group, peers))*rankDelay
+	return now.Sub(d.heard) > wait
+}
+
+// claimed is the outcome of a claim.
+type claimed struct {
+	group string
+	token uint64
+	err   error
+}
+
+// claim takes the duty by a conditional update. A lost answer is settled by
+// reading back what stands there.
+func (o *Overseer) claim(ctx context.Context, group string) claimed {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	held, version, err := o.read(ctx, group)
+	if err != nil {
+		return claimed{group: group, err: err}
+	}
+	next := record{Holder: o.Name, Start: o.Start, Token: held.Token + 1}
+	_, err = o.Store.Put(ctx, kind, group, version, next)
+	if errors.Is(err, keeper.ErrLost) {
+		if held, _, err = o.read(ctx, group); err == nil && held != next {
+			err = keeper.ErrConflict
+		}
+	}
+	if err != nil {
+		return claimed{group: group, err: err}
+	}
+	return claimed{group: group, token: next.Token}
+}
+
+func (o *Overseer) read(ctx context.Context, group string) (record, uint64, error) {
+	object, err := o.Store.Get(ctx, kind, group)
+	if errors.Is(err, keeper.ErrMissing) {
+		return record{}, 0, nil
+	}
+	if err != nil {
+		return record{}, 0, err
+	}
+	var held record
+	err = json.Unmarshal(object.Value, &held)
+	return held, object.Version, errors.Wrap(err, "overseer: record of a duty")
+}
+
+// took takes in the outcome of a claim.
+func (o *Overseer) took(c claimed, now time.Time) {
+	d := &o.groups[c.group].duty
+	d.claiming = false
+	d.next = now.Add(claimPause)
+	if c.err != nil {
+		o.Log.Info("overseer: duty not taken", zap.String("group", c.group), zap.Error(c.err))
+		return
+	}
+	if c.token < d.highest {
+		return
+	}
+	d.token = c.token
+	d.highest = c.token
+	d.heard = now
+	o.Log.Info("overseer: duty taken", zap.String("group", c.group), zap.Uint64("token", c.token))
+}
--- /dev/null
+++ b/overseer/overseer.go
@@ -0,0 +1,270 @@
+package overseer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/adapter/keeper"
+	"basildale.example/basildale/carrier"
+	"basildale.example/basildale/gossiper"
+	"basildale.example/basildale/replacer"
+)
+
+// Times of the control loop.
+const (
+	// period is the time between two looks at the groups.
+	period = 100 * time.Millisecond
+	// stoodStill is the time between two looks beyond which this process was
+	// stopped: what it believed of others is void.
+	stoodStill = 600 * time.Millisecond
+	// dwell is how long trouble must last, by all who vote, before a leader is
+	// replaced.
+	dwell = 150 * time.Millisecond
+	// shunned is how long many peers must miss a leader that this process
+	// reaches before it is replaced as planned.
+	shunned = 700 * time.Millisecond
+	// settling is the time after its start in which a process replaces nobody: it
+	// knows neither peers nor leaders yet.
+	settling = 2 * time.Second
+	// askTimeout bounds one question to an upstream.
+	askTimeout = 500 * time.Millisecond
+)
+
+// Overseer runs the control loop. Set the exported fields before Run.
+type Overseer struct {
+	Name  string
+	Start int64
+	// Groups returns the groups of this process.
+	Groups func() []*carrier.Group
+	Store  *keeper.Client
+	// Live returns the peers that were heard lately.
+	Live func() []gossiper.Peer
+	// Promote gives an order to the platform.
+	Promote func(context.Context, replacer.Order) (replacer.Outcome, error)
+	// Leaving reports whether this process stops.
+	Leaving func() bool
+	Now     func() time.Time
+	Log     *zap.Logger
+
+	groups map[string]*group
+	events chan func(now time.Time)
+	ticked time.Time
+	begun  time.Time
+
+	mu     sync.Mutex
+	states map[string]gossiper.GroupState // published
+}
+
+// group is the control state of one database group.
+type group struct {
+	carried  *carrier.Group
+	duty     duty
+	replacer replacer.Replacer
+	bad      time.Time // since when most who vote see trouble
+	missed   time.Time // since when many peers miss a leader that works here
+}
+
+// States returns what this process says of its groups, for gossip.
+func (o *Overseer) States() map[string]gossiper.GroupState {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.states
+}
+
+// Run runs the control loop until the context ends.
+func (o *Overseer) Run(ctx context.Context) {
+	o.groups = map[string]*group{}
+	o.events = make(chan func(time.Time), 256)
+	o.begun = o.Now()
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-o.events:
+			f(o.Now())
+		case <-ticker.C:
+			o.tick(ctx, o.Now())
+		}
+	}
+}
+
+func (o *Overseer) tick(ctx context.Context, now time.Time) {
+	stood := !o.ticked.IsZero() && now.Sub(o.ticked) > stoodStill
+	o.ticked = now
+	if stood {
+		o.Log.Warn("overseer: this process stood still; its duties are given up")
+		o.begun = now
+	}
+	peers := o.Live()
+	states := map[string]gossiper.GroupState{}
+	for _, c := range o.Groups() {
+		g := o.group(c)
+		if stood {
+			// Another process may have taken the duty meanwhile.
+			g.duty = duty{highest: g.duty.highest}
+			g.bad, g.missed = time.Time{}, time.Time{}
+		}
+		g.duty.hear(c.Name(), peers, now)
+		view := o.view(g, peers, now)
+		states[c.Name()] = gossiper.GroupState{Leader: view.Leader, Trouble: trouble(c.Observe()), Token: g.duty.token}
+		if o.wants(&g.duty, c.Name(), peers, now) {
+			g.duty.claiming = true
+			go o.deliver(ctx, c.Name())
+		}
+		o.run(ctx, g, g.replacer.Handle(replacer.Tick{View: view}, now))
+	}
+	o.mu.Lock()
+	o.states = states
+	o.mu.Unlock()
+}
+
+// deliver takes a duty and hands the outcome to the control loop.
+func (o *Overseer) deliver(ctx context.Context, name string) {
+	c := o.claim(ctx, name)
+	o.events <- func(now time.Time) { o.took(c, now) }
+}
+
+func (o *Overseer) group(c *carrier.Group) *group {
+	g := o.groups[c.Name()]
+	if g == nil {
+		g = &group{carried: c, replacer: replacer.Replacer{Group: c.Name()}}
+		o.groups[c.Name()] = g
+	}
+	return g
+}
+
+func trouble(v carrier.Observation) gossiper.Trouble {
+	switch {
+	case !v.Leads:
+		return gossiper.Unreachable
+	case v.Stuck:
+		return gossiper.Stuck
+	default:
+		return gossiper.NoTrouble
+	}
+}
+
+// view puts together what this process and its peers see of a group.
+func (o *Overseer) view(g *group, peers []gossiper.Peer, now time.Time) replacer.View {
+	seen := g.carried.Observe()
+	bad, voters := votes(g.carried.Name(), peers)
+	own := trouble(seen)
+	if own != gossiper.NoTrouble && 2*(bad+1) > voters+1 {
+		g.bad = first(g.bad, now)
+	} else {
+		g.bad = time.Time{}
+	}
+	if own == gossiper.NoTrouble && 5*bad >= 2*(voters+1) {
+		g.missed = first(g.missed, now)
+	} else {
+		g.missed = time.Time{}
+	}
+	settled := now.Sub(o.begun) > settling
+	v := replacer.View{
+		Leader:  seen.Leader,
+		Leads:   seen.Leads,
+		Dead:    settled && lasted(g.bad, now, dwell),
+		Shunned: settled && lasted(g.missed, now, shunned),
+		Term:    seen.Term,
+		Token:   g.duty.token,
+	}
+	for _, m := range seen.Members {
+		v.Members = append(v.Members, replacer.Member{ID: m.ID, Leaving: m.Leaving})
+	}
+	return v
+}
+
+func first(t, now time.Time) time.Time {
+	if t.IsZero() {
+		return now
+	}
+	return t
+}
+
+func lasted(since, now time.Time, d time.Duration) bool {
+	return !since.IsZero() && now.Sub(since) >= d
+}
+
+// votes counts the peers that see trouble with a group's leader, and all peers
+// that know the group.
+func votes(name string, peers []gossiper.Peer) (bad, voters int) {
+	for _, p := range peers {
+		state, knows := p.Groups[name]
+		if !knows || p.Leaving {
+			continue
+		}
+		voters++
+		if state.Trouble != gossiper.NoTrouble {
+			bad++
+		}
+	}
+	return bad, voters
+}
+
+// run carries out what the replacer of a group wants.
+func (o *Overseer) run(ctx context.Context, g *group, commands []replacer.Command) {
+	for _, cmd := range commands {
+		switch cmd := cmd.(type) {
+		case replacer.Explain:
+			o.Log.Info("overseer: "+cmd.Step, zap.String("group", g.carried.Name()), zap.String("upstream", cmd.Target),
+				zap.String("cause", cmd.Cause), zap.Uint64("token", g.duty.token))
+		case replacer.Halt:
+			o.ask(ctx, g, cmd.ID, carrier.Command{Verb: carrier.Suspend, Term: cmd.Term})
+		case replacer.Look:
+			o.ask(ctx, g, cmd.ID, carrier.Command{Verb: carrier.Status})
+		case replacer.Release:
+			o.ask(ctx, g, cmd.ID, carrier.Command{Verb: carrier.Resume})
+		case replacer.Promote:
+			o.order(ctx, g, cmd.Order)
+		}
+	}
+}
+
+// ask sends a control command to an upstream; its answer comes back as an event.
+func (o *Overseer) ask(ctx context.Context, g *group, id string, cmd carrier.Command) {
+	go func() {
+		report, err := g.carried.Control(id, time.Now().Add(askTimeout), cmd)
+		if err != nil {
+			o.Log.Info("overseer: upstream didn't follow an order", zap.String("group", g.carried.Name()), zap.String("upstream", id), zap.Error(err))
+		}
+		ev := replacer.Reported{
+			ID: id, OK: err == nil, Term: report.Term, Leads: report.Leads,
+			Received: report.Received, Held: report.Held,
+		}
+		o.events <- func(now time.Time) { o.run(ctx, g, g.replacer.Handle(ev, now)) }
+	}()
+}
+
+// order gives an order to the platform; the answer comes back as an event.
+func (o *Overseer) order(ctx context.Context, g *group, order replacer.Order) {
+	go func() {
+		outcome, err := o.Promote(ctx, order)
+		if err != nil {
+			outcome = replacer.NoAnswer
+		}
+		o.Log.Info("overseer: order answered", zap.String("group", order.Group), zap.String("upstream", order.Upstream),
+			zap.Uint64("token", order.Token), zap.Stringer("outcome", outcome), zap.Error(err))
+		o.events <- func(now time.Time) {
+			if outcome == replacer.Rejected {
+				o.rejected(g, order, now)
+			}
+			o.run(ctx, g, g.replacer.Handle(replacer.Ordered{Order: order, Outcome: outcome}, now))
+		}
+	}()
+}
+
+// rejected gives the duty up: the platform may have seen a higher token, and one
+// that was refused is never used again.
+func (o *Overseer) rejected(g *group, order replacer.Order, now time.Time) {
+	if g.duty.token != order.Token {
+		return
+	}
+	g.duty.token = 0
+	g.duty.next = now
+	g.duty.heard = now.Add(-holderSilence)
+}
--- /dev/null
+++ b/placer/choose.go
@@ -0,0 +1,136 @@
+package placer
+
+import (
+	"time"
+
+	"basildale.example/basildale/tracker"
+)
+
+// None is the index that stands for no candidate.
+const None = -1
+
+// Weights of a candidate's cost.
+const (
+	// perRunning is what each statement that this proxy already has at a
+	// candidate adds, as a part of its expected latency. An upstream runs 5 at a
+	// time and 9 proxies share it, so each of ours stands for about nine, of
+	// which nearly two rounds of work are due before the next; half of that
+	// keeps a single proxy's burst from moving all work at once.
+	perRunning = 0.5
+	// remote is what another availability zone adds: two ways of 1 ms, and
+	// bytes that are paid for. Measured latencies differ by less than this
+	// while upstreams are healthy, so work stays in its zone.
+	remote = 6 * time.Millisecond
+	// behind is what a candidate adds that has just refused for its lag: another
+	// round trip and another queue.
+	behind = 40 * time.Millisecond
+	// full is what a candidate adds without a free connection: about the time
+	// until one of ours comes back there.
+	full = 30 * time.Millisecond
+	// leading is what the leader adds for work that a replica could do, since
+	// only it can do the rest.
+	leading = 4 * time.Millisecond
+)
+
+// Candidate is one upstream as this proxy sees it.
+type Candidate struct {
+	Leads   bool
+	Leaving bool
+	// Barred says that it doesn't answer.
+	Barred bool
+	Local  bool
+	// Behind says that it refused a read for its lag a moment ago.
+	Behind bool
+	// Tried says that this very statement has failed there.
+	Tried bool
+	// Mark is how far its log surely has come.
+	Mark tracker.Mark
+	// Running is how many statements and transactions of this proxy are there.
+	Running int
+	// Places is how many connections this proxy may have there.
+	Places int
+	// Latency is the expected time of an answer.
+	Latency time.Duration
+}
+
+// Need is what the work asks for.
+type Need struct {
+	// Leader says that only the leader will do.
+	Leader bool
+	// Since is the mark that the log must contain.
+	Since tracker.Mark
+}
+
+// Reason says why a choice was made.
+type Reason string
+
+// The reasons.
+const (
+	ByNeed   Reason = "only the leader may"
+	Cheapest Reason = "least expected time"
+	NoLeader Reason = "no leader is known"
+	Silent   Reason = "the leader doesn't answer"
+	NoneLeft Reason = "no upstream answers"
+)
+
+// Choose returns the index of the best candidate, or None.
+func Choose(candidates []Candidate, need Need) (int, Reason) {
+	if need.Leader {
+		return leader(candidates)
+	}
+	best, least := None, time.Duration(0)
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Barred {
+			continue
+		}
+		cost := cost(c, need)
+		if best == None || cost < least {
+			best, least = i, cost
+		}
+	}
+	if best == None {
+		return None, NoneLeft
+	}
+	return best, Cheapest
+}
+
+func leader(candidates []Candidate) (int, Reason) {
+	for i := range candidates {
+		switch c := &candidates[i]; {
+		case !c.Leads:
+		case c.Barred:
+			return None, Silent
+		default:
+			return i, ByNeed
+		}
+	}
+	return None, NoLeader
+}
+
+// last is more than any sum of the other parts: such a candidate is taken only
+// when nothing else is there.
+const last = time.Minute
+
+func cost(c *Candidate, need Need) time.Duration {
+	cost := c.Latency + time.Duration(perRunning*float64(c.Running)*float64(c.Latency))
+	if !c.Local {
+		cost += remote
+	}
+	if c.Leads {
+		cost += leading
+	}
+	if c.Behind && c.Mark.Less(need.Since) {
+		cost += behind
+	}
+	if c.Running >= c.Places {
+		cost += full
+	}
+	if c.Tried {
+		cost += last / 2
+	}
+	if c.Leaving {
+		cost += last
+	}
+	return cost
+}
--- /dev/null
+++ b/proxier/check.go
@@ -0,0 +1,120 @@
+package proxier
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+)
+
+// How often some process of the fleet reads each kind as a whole. A watch can
+// hear nothing for seconds while changes are made, and only then be told that the
+// history is gone: one sees processes that route by a configuration that was
+// replaced 5 s ago. A list that one process reads, and what it finds relayed by
+// gossip, bounds that by the times here, for one call each, whatever the size of
+// the fleet.
+const (
+	// configCheck leaves half of the 3 s in which a configuration must be in force
+	// everywhere for a reader that fails and for the way to the peers.
+	configCheck = 1100 * time.Millisecond
+	// upstreamsCheck is for upstreams that leave, which must get nothing new after
+	// 7 s.
+	upstreamsCheck = 2200 * time.Millisecond
+	// checkRank holds back each next process in the order of the kind, so that
+	// one reads and the others hear of it.
+	checkRank = 300 * time.Millisecond
+	// checkTick is the time between two looks whether a check is due.
+	checkTick = 100 * time.Millisecond
+)
+
+// checks knows when each kind was last read as a whole, by this process and by
+// any of the fleet.
+type checks struct {
+	mu    sync.Mutex
+	own   map[string]time.Time
+	fleet map[string]time.Time
+}
+
+func (c *checks) done(kind string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.own == nil {
+		c.own = map[string]time.Time{}
+	}
+	c.own[kind] = at
+	c.note(kind, at)
+}
+
+func (c *checks) note(kind string, at time.Time) {
+	if c.fleet == nil {
+		c.fleet = map[string]time.Time{}
+	}
+	if c.fleet[kind].Before(at) {
+		c.fleet[kind] = at
+	}
+}
+
+// hear takes in when a peer read, as ages.
+func (c *checks) hear(ages map[string]time.Duration, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for kind, age := range ages {
+		c.note(kind, now.Add(-age))
+	}
+}
+
+// ages returns how long ago this process read each kind.
+func (c *checks) ages(now time.Time) map[string]time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]time.Duration, len(c.own))
+	for kind, at := range c.own {
+		out[kind] = now.Sub(at)
+	}
+	return out
+}
+
+func (c *checks) last(kind string) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fleet[kind]
+}
+
+// check reads a kind as a whole when nobody else has for a while.
+func (p *Proxier) check(ctx context.Context, f *follower, every time.Duration) {
+	ticker := time.NewTicker(checkTick)
+	defer ticker.Stop()
+	var tried time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := bootClock()
+		due := every + time.Duration(p.checkRank(f.kind))*checkRank
+		if now.Sub(p.checks.last(f.kind)) < due || now.Sub(tried) < every {
+			continue
+		}
+		tried = now
+		if _, err := f.list(ctx); err != nil {
+			p.Log.Info("proxier: check of the store failed", zap.String("kind", f.kind), zap.Error(err))
+			continue
+		}
+		p.checks.done(f.kind, now)
+	}
+}
+
+// checkRank returns this process's place in the order of those that read a kind.
+func (p *Proxier) checkRank(kind string) int {
+	own := xxhash.Sum64String(kind + " " + p.Settings.Name)
+	rank := 0
+	for _, peer := range p.gossip.Live() {
+		if xxhash.Sum64String(kind+" "+peer.Name) > own {
+			rank++
+		}
+	}
+	return rank
+}
--- /dev/null
+++ b/proxier/follow.go
@@ -0,0 +1,131 @@
+package proxier
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/adapter/keeper"
+)
+
+// Times of following the store.
+const (
+	// watchWait is how long a watch waits for a change. Each call is paid for, so
+	// it is long; the connection's keep-alive tells a silent one.
+	watchWait = 25 * time.Second
+	// callTimeout bounds a call that isn't a watch. A store that is slow takes
+	// some tens of times its usual 4 ms.
+	callTimeout = 3 * time.Second
+	// firstRetry and lastRetry bound the time between calls that fail.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = time.Second
+)
+
+// follower keeps up with one kind of the store's objects.
+type follower struct {
+	store *keeper.Client
+	kind  string
+	// replace takes in a whole list as of a version, change one object.
+	replace func(list []keeper.Object, version uint64)
+	change  func(keeper.Object)
+	log     *zap.Logger
+
+	version uint64
+	listed  bool
+	down    bool
+	retry   time.Duration
+}
+
+// run follows until the context ends.
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		f.report(err)
+		if err == nil {
+			f.retry = firstRetry
+			continue
+		}
+		if errors.Is(err, keeper.ErrGone) {
+			f.listed = false // what has changed can only be had from a list
+			continue
+		}
+		f.pause(ctx)
+	}
+}
+
+// step lists once, and then watches.
+func (f *follower) step(ctx context.Context) error {
+	if !f.listed {
+		version, err := f.list(ctx)
+		if err == nil {
+			f.version = max(f.version, version)
+			f.listed = true
+		}
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	defer cancel()
+	page, err := f.store.Watch(ctx, f.kind, f.version, watchWait)
+	if err != nil {
+		return err
+	}
+	for _, o := range page.Items {
+		f.change(o)
+	}
+	f.version = max(f.version, page.Version)
+	return nil
+}
+
+// list reads all pages. The watch goes on from the first page's version, so that
+// a change between two pages isn't missed.
+func (f *follower) list(ctx context.Context) (uint64, error) {
+	var all []keeper.Object
+	var version uint64
+	after := ""
+	for {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		page, err := f.store.List(ctx, f.kind, after, keeper.PageItems)
+		cancel()
+		if err != nil {
+			return 0, err
+		}
+		if after == "" {
+			version = page.Version
+		}
+		all = append(all, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			break
+		}
+		after = page.Items[len(page.Items)-1].Name
+	}
+	f.replace(all, version)
+	return version, nil
+}
+
+// report logs when the store is lost and when it is back.
+func (f *follower) report(err error) {
+	lost := err != nil && !errors.Is(err, keeper.ErrGone) && !errors.Is(err, context.Canceled)
+	if lost == f.down {
+		return
+	}
+	f.down = lost
+	if lost {
+		f.log.Warn("proxier: store lost", zap.String("kind", f.kind), zap.Uint64("version", f.version), zap.Error(err))
+		return
+	}
+	f.log.Info("proxier: store is back", zap.String("kind", f.kind), zap.Uint64("version", f.version))
+}
+
+// pause waits before the next call, longer each time, drawn at random so that a
+// fleet that lost the store at one moment doesn't come back at one moment.
+func (f *follower) pause(ctx context.Context) {
+	f.retry = min(max(2*f.retry, firstRetry), lastRetry)
+	d := f.retry/2 + rand.N(f.retry/2)
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/proxier/proxier.go
@@ -0,0 +1,245 @@
+package proxier
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/adapter/keeper"
+	"basildale.example/basildale/adapter/reporter"
+	"basildale.example/basildale/carrier"
+	"basildale.example/basildale/cataloger"
+	"basildale.example/basildale/conductor"
+	"basildale.example/basildale/gossiper"
+	"basildale.example/basildale/loader"
+	"basildale.example/basildale/overseer"
+	"basildale.example/basildale/platform/connector"
+	"basildale.example/basildale/platform/orderer"
+	"basildale.example/basildale/platform/prober"
+	"basildale.example/basildale/platform/receiver"
+	"basildale.example/basildale/platform/translator"
+)
+
+const (
+	// upkeep is the time between two looks after upstreams.
+	upkeep = 100 * time.Millisecond
+	// headerTimeout bounds how long an HTTP client may take over its head.
+	headerTimeout = 2 * time.Second
+	// relayTimeout bounds the call to a peer for what it knows.
+	relayTimeout = time.Second
+)
+
+// Proxier is one process. Set the exported fields before Run.
+type Proxier struct {
+	Settings loader.Settings
+	Log      *zap.Logger
+
+	start    int64
+	store    *keeper.Client
+	carrier  *carrier.Carrier
+	holdings *holdings
+	gossip   *gossiper.Gossiper
+	overseer *overseer.Overseer
+	receiver *receiver.Receiver
+	registry metrics.Registry
+	client   *http.Client
+	checks   checks
+	leaving  atomic.Bool
+	fetching atomic.Bool
+	servers  []*http.Server
+}
+
+// Run runs the process until the context ends, and then stops it gracefully.
+func (p *Proxier) Run(ctx context.Context) error {
+	p.build()
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	if err := p.listen(); err != nil {
+		return err
+	}
+	config := p.follower(translator.Configuration, p.holdings.objects, p.holdings.object)
+	upstreams := p.follower(translator.Upstreams, p.holdings.upstreams, p.holdings.upstream)
+	go config.run(inner)
+	go upstreams.run(inner)
+	go p.check(inner, config, configCheck)
+	go p.check(inner, upstreams, upstreamsCheck)
+	go p.enroll(inner)
+	go p.overseer.Run(inner)
+	go p.keepUp(inner)
+	<-ctx.Done()
+	p.stop()
+	return nil
+}
+
+// build makes the parts.
+func (p *Proxier) build() {
+	s := &p.Settings
+	p.start = time.Now().UnixNano()
+	p.registry = metrics.NewRegistry()
+	p.client = &http.Client{Transport: translator.Base()}
+	p.store = &keeper.Client{Addrs: s.Platform, Transport: &translator.Transport{Base: translator.Base()}}
+	dialer := &connector.Connector{Name: s.Name}
+	p.carrier = &carrier.Carrier{Zone: s.Zone, Dial: dialer.Dial, Now: bootClock, Log: p.Log}
+	p.gossip = &gossiper.Gossiper{Address: s.Peers, Self: p.self, Heard: p.heard, Now: bootClock, Log: p.Log}
+	p.holdings = &holdings{carrier: p.carrier, proxies: p.proxies, log: p.Log}
+	orders := &orderer.Orderer{Address: s.Orders, Holder: s.Name}
+	p.overseer = &overseer.Overseer{
+		Name: s.Name, Start: p.start, Groups: p.carrier.Groups, Store: p.store, Live: p.gossip.Live,
+		Promote: orders.Promote, Leaving: p.leaving.Load, Now: bootClock, Log: p.Log,
+	}
+	p.receiver = &receiver.Receiver{Address: s.Listen, Open: p.open, Now: bootClock, Log: p.Log}
+}
+
+func (p *Proxier) listen() error {
+	if err := p.receiver.Start(); err != nil {
+		return err
+	}
+	if err := p.gossip.Start(); err != nil {
+		return err
+	}
+	probes := &prober.Prober{Ready: p.ready}
+	if err := p.serve(p.Settings.Ready, probes.Handler()); err != nil {
+		return err
+	}
+	return p.serve(p.Settings.Operators, p.operators())
+}
+
+func (p *Proxier) serve(at netip.AddrPort, h http.Handler) error {
+	ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at))
+	if err != nil {
+		return errors.Wrapf(err, "proxier: listen on %s", at)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	p.servers = append(p.servers, server)
+	go func() {
+		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			p.Log.Error("proxier: server ended", zap.Stringer("address", at), zap.Error(err))
+		}
+	}()
+	return nil
+}
+
+// operators serves metrics and health, and peers that want to know what this
+// process knows.
+func (p *Proxier) operators() http.Handler {
+	r := &reporter.Reporter{
+		Registry: p.registry,
+		Health:   func(context.Context) error { return nil },
+		Ready:    p.unready,
+		Log:      p.Log,
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", r.Handler())
+	mux.HandleFunc("GET /known", func(w http.ResponseWriter, _ *http.Request) {
+		if err := json.NewEncoder(w).Encode(p.holdings.bundle()); err != nil {
+			p.Log.Info("proxier: answer to a peer lost", zap.Error(err))
+		}
+	})
+	return mux
+}
+
+// ready reports whether the balancer may send callers.
+func (p *Proxier) ready() bool { return !p.leaving.Load() && p.holdings.served() }
+
+func (p *Proxier) unready(context.Context) error {
+	if p.ready() {
+		return nil
+	}
+	return errors.New("proxier: leaving, or no configuration or upstreams yet")
+}
+
+// open makes a caller's session.
+func (p *Proxier) open(database string) (*conductor.Session, carrier.Code, string) {
+	view := p.holdings.current()
+	if _, ok := view.Route(database); !ok {
+		p.Log.Info("proxier: caller refused", zap.String("database", database), zap.Uint64("configuration", view.Config.Version))
+		return nil, carrier.NoDatabase, "no route to the database " + database
+	}
+	s := &conductor.Session{Database: database, View: p.holdings.current, Group: p.carrier.Group, Now: bootClock, Log: p.Log}
+	return s, carrier.OK, ""
+}
+
+// follower keeps up with a kind of the store's objects.
+func (p *Proxier) follower(kind string, replace func([]keeper.Object, uint64), change func(keeper.Object)) *follower {
+	return &follower{store: p.store, kind: kind, replace: replace, change: change, log: p.Log}
+}
+
+// keepUp looks after upstreams and the shares of their connections.
+func (p *Proxier) keepUp(ctx context.Context) {
+	ticker := time.NewTicker(upkeep)
+	defer ticker.Stop()
+	proxies := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		p.carrier.Tick()
+		if n := p.proxies(); n != proxies {
+			proxies = n
+			p.carrier.Divide(n, p.holdings.current().Config.Groups)
+			p.Log.Info("proxier: connections divided", zap.Int("proxies", n))
+		}
+	}
+}
+
+// proxies returns how many processes share the upstreams' connections.
+func (p *Proxier) proxies() int { return 1 + p.gossip.Counted() }
+
+// self is what peers are told.
+func (p *Proxier) self() gossiper.State {
+	return gossiper.State{
+		Name: p.Settings.Name, Zone: p.Settings.Zone, Start: p.start, Peers: p.Settings.Peers, Operators: p.Settings.Operators,
+		Configuration: p.holdings.current().Config.Version, Entries: p.holdings.entries(), Checked: p.checks.ages(bootClock()),
+		Leaving: p.leaving.Load(), Groups: p.overseer.States(),
+	}
+}
+
+// heard takes in a peer's state: one that knows of something newer is asked for
+// it.
+func (p *Proxier) heard(s gossiper.State) {
+	p.checks.hear(s.Checked, bootClock())
+	newer := s.Configuration > p.holdings.current().Config.Version || s.Entries > p.holdings.entries()
+	if !newer || !p.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer p.fetching.Store(false)
+		if err := p.fetch(s.Operators); err != nil {
+			p.Log.Info("proxier: peer didn't tell its configuration", zap.String("peer", s.Name), zap.Error(err))
+		}
+	}()
+}
+
+// fetch takes in what a peer knows.
+func (p *Proxier) fetch(at netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.String()+"/known", nil)
+	if err != nil {
+		return errors.Wrap(err, "proxier: ask a peer")
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "proxier: ask a peer")
+	}
+	defer resp.Body.Close()
+	var b bundle
+	if err := json.NewDecoder(resp.Body).Decode(&b); err != nil {
+		return errors.Wrap(err, "proxier: what a peer knows")
+	}
+	p.holdings.take(b)
+	return nil
+}
+
+// View returns the configuration in force.
+func (p *Proxier) View() *cataloger.View { return p.holdings.current() }
--- /dev/null
+++ b/replacer/message.go
@@ -0,0 +1,115 @@
+package replacer
+
+import "basildale.example/basildale/tracker"
+
+// Order asks the platform to make an upstream the leader of its group.
+type Order struct {
+	Group    string
+	Upstream string
+	// Token rises with each holder of the duty, so that the platform refuses late
+	// orders of earlier ones.
+	Token uint64
+}
+
+// Outcome is what the platform answered to an order.
+type Outcome uint8
+
+// The outcomes.
+const (
+	NoAnswer Outcome = iota
+	Accepted
+	// Rejected: a higher token was used, or the upstream isn't running.
+	Rejected
+	// NotNow: nothing was done; the order may be repeated.
+	NotNow
+)
+
+// String returns the outcome in lower case.
+func (o Outcome) String() string {
+	return [...]string{"no answer", "accepted", "rejected", "not now"}[o]
+}
+
+// Member is one upstream of the group as the holder sees it.
+type Member struct {
+	ID      string
+	Leaving bool
+}
+
+// View is what the holder knows of its group.
+type View struct {
+	// Leader is the upstream that leads, or led last; empty when unknown.
+	Leader string
+	// Leads says that a leader that answers is known.
+	Leads bool
+	// Dead says that the leader does its work no longer, by this process and its
+	// peers: it doesn't answer, or its commits aren't acknowledged.
+	Dead bool
+	// Shunned says that the leader works, but many peers can't reach it.
+	Shunned bool
+	// Term is the highest term heard of.
+	Term    tracker.Term
+	Members []Member
+	// Token is that of this process's duty for the group; zero when it has none.
+	Token uint64
+}
+
+// Event is something that happened.
+type Event interface{ event() }
+
+// Tick hands over a fresh view.
+type Tick struct{ View View }
+
+// Reported is the answer of an upstream to a Halt, Look or Release.
+type Reported struct {
+	ID   string
+	OK   bool
+	Term tracker.Term
+	// Leads says that the upstream leads.
+	Leads bool
+	// Received is the end of its log.
+	Received tracker.Mark
+	// Held is the term for which it has stopped receiving; zero when it receives.
+	Held tracker.Term
+}
+
+// Ordered is the platform's answer to a Promote.
+type Ordered struct {
+	Order   Order
+	Outcome Outcome
+}
+
+func (Tick) event()     {}
+func (Reported) event() {}
+func (Ordered) event()  {}
+
+// Command is something to be done.
+type Command interface{ command() }
+
+// Halt tells an upstream to stop receiving until a leader of Term or above is
+// promoted.
+type Halt struct {
+	ID   string
+	Term tracker.Term
+}
+
+// Look asks an upstream about itself.
+type Look struct{ ID string }
+
+// Release tells an upstream to receive again.
+type Release struct{ ID string }
+
+// Promote gives an order to the platform.
+type Promote struct{ Order Order }
+
+// Explain is a line for the log.
+type Explain struct {
+	Step   string
+	Target string
+	Cause  string
+}
+
+func (Halt) command()    {}
+func (Look) command()    {}
+func (Release) command() {}
+func (Promote) command() {}
+func (Explain) command() {}
--- /dev/null
+++ b/replacer/replacer.go
@@ -0,0 +1,370 @@
+package replacer
+
+import (
+	"time"
+
+	"basildale.example/basildale/tracker"
+)
+
+// Times of a replacement.
+const (
+	// askAgain is the time after which an upstream that hasn't answered is asked
+	// again. An answer takes 1 to 2 ms.
+	askAgain = 150 * time.Millisecond
+	// orderAgain is the time after which an order that wasn't answered is repeated.
+	orderAgain = 300 * time.Millisecond
+	// promoteWait is how long an accepted order may take to show: promoting takes
+	// 300 to 1,000 ms.
+	promoteWait = 2500 * time.Millisecond
+	// catchUp is how long the chosen replica of a planned change may take to
+	// receive the rest; then another way is tried.
+	catchUp = 2 * time.Second
+	// rest is the time between two attempts.
+	rest = 500 * time.Millisecond
+)
+
+// phase is where a replacement is.
+type phase uint8
+
+const (
+	quiet     phase = iota
+	halting         // replicas are told to stop receiving
+	catching        // planned: the chosen one receives the rest
+	promoting       // the order is out
+	settling        // the order was accepted
+)
+
+// report is what an upstream said last in this attempt.
+type report struct {
+	Reported
+	asked time.Time
+	heard bool
+}
+
+// Replacer is the state for one group. Its zero value, with the group's name,
+// is ready for use.
+type Replacer struct {
+	Group string
+
+	phase   phase
+	planned bool
+	view    View
+	token   uint64
+	term    tracker.Term
+	target  string
+	from    string       // the leader that is replaced
+	need    tracker.Mark // planned: what the target must have received
+	reports map[string]*report
+	began   time.Time // of the phase
+	sent    time.Time // of the last order
+	next    time.Time // no attempt before
+}
+
+// Busy reports whether a replacement is under way.
+func (r *Replacer) Busy() bool { return r.phase != quiet }
+
+// Handle takes in an event.
+func (r *Replacer) Handle(ev Event, now time.Time) []Command {
+	switch ev := ev.(type) {
+	case Tick:
+		r.view = ev.View
+	case Reported:
+		r.report(ev)
+	case Ordered:
+		return r.ordered(ev, now)
+	}
+	return r.step(now)
+}
+
+func (r *Replacer) step(now time.Time) []Command {
+	switch r.phase {
+	case quiet:
+		return r.start(now)
+	case halting:
+		return r.halt(now)
+	case catching:
+		return r.catch(now)
+	case promoting:
+		return r.repeat(now)
+	case settling:
+		return r.settle(now)
+	default:
+		return nil
+	}
+}
+
+// start begins a replacement when there is a reason and this process holds the
+// duty.
+func (r *Replacer) start(now time.Time) []Command {
+	if r.view.Token == 0 || now.Before(r.next) || len(r.view.Members) < 2 {
+		return nil
+	}
+	var cause string
+	switch leaving := r.leaving(r.view.Leader); {
+	case r.view.Dead:
+		r.planned = false
+		r.target = ""
+		cause = "leader is dead"
+	case r.view.Leads && (leaving || r.view.Shunned):
+		r.planned = true
+		r.target = r.successor()
+		cause = "leader is leaving or out of reach for many"
+		if r.target == "" {
+			return nil
+		}
+	default:
+		return nil
+	}
+	r.need = tracker.Mark{}
+	r.token = r.view.Token
+	r.from = r.view.Leader
+	r.term = tracker.Term{Epoch: r.view.Term.Epoch + 1}
+	r.reports = map[string]*report{}
+	r.enter(halting, now)
+	return append([]Command{Explain{"halt", r.target, cause}}, r.halt(now)...)
+}
+
+func (r *Replacer) enter(p phase, now time.Time) {
+	r.phase = p
+	r.began = now
+}
+
+func (r *Replacer) leaving(id string) bool {
+	for _, m := range r.view.Members {
+		if m.ID == id {
+			return m.Leaving
+		}
+	}
+	return false
+}
+
+// successor returns the replica that a planned change goes to: the first that
+// stays. Which one is furthest changes all the time; any that receives will do.
+func (r *Replacer) successor() string {
+	for _, m := range r.view.Members {
+		if m.ID != r.view.Leader && !m.Leaving {
+			return m.ID
+		}
+	}
+	return ""
+}
+
+// halted lists the upstreams that must stop receiving.
+func (r *Replacer) halted() []string {
+	var out []string
+	for _, m := range r.view.Members {
+		if m.ID == r.from || r.planned && m.ID == r.target {
+			continue
+		}
+		out = append(out, m.ID)
+	}
+	return out
+}
+
+func (r *Replacer) report(ev Reported) {
+	e := r.reports[ev.ID]
+	if e == nil {
+		return
+	}
+	if !ev.OK {
+		return
+	}
+	e.Reported = ev
+	e.heard = true
+}
+
+// entry returns what is known of an upstream in this attempt.
+func (r *Replacer) entry(id string) *report {
+	e := r.reports[id]
+	if e == nil {
+		e = &report{}
+		r.reports[id] = e
+	}
+	return e
+}
+
+// due reports whether an upstream is to be asked now, and notes that it is.
+func (e *report) due(now time.Time) bool {
+	if now.Sub(e.asked) < askAgain {
+		return false
+	}
+	e.asked = now
+	return true
+}
+
+// halt tells replicas to stop receiving, until all of them have.
+func (r *Replacer) halt(now time.Time) []Command {
+	if r.overtaken() {
+		return r.giveUp(now, "a leader answers")
+	}
+	var out []Command
+	missing := 0
+	highest := r.term
+	for _, id := range r.halted() {
+		e := r.entry(id)
+		if e.heard && highest.Less(tracker.Term{Epoch: e.Term.Epoch + 1}) {
+			highest = tracker.Term{Epoch: e.Term.Epoch + 1}
+		}
+		if e.heard && !e.Held.Less(r.term) {
+			continue
+		}
+		missing++
+		if e.due(now) {
+			out = append(out, Halt{ID: id, Term: r.term})
+		}
+	}
+	if r.term.Less(highest) {
+		// An upstream knows of a later term, so what was halted for the older one
+		// may receive again.
+		r.term = highest
+		return out
+	}
+	switch {
+	case missing > 0:
+		return append(out, r.stuck(now)...)
+	case r.planned:
+		r.enter(catching, now)
+		return append(out, r.catch(now)...)
+	default:
+		return append(out, r.choose(now)...)
+	}
+}
+
+// stuck gives a planned change up that can't halt all others: the leader serves
+// on, and another attempt follows.
+func (r *Replacer) stuck(now time.Time) []Command {
+	if r.planned && now.Sub(r.began) > catchUp {
+		return r.giveUp(now, "a replica can't be halted")
+	}
+	return nil
+}
+
+// overtaken reports that the reason for the replacement is gone.
+func (r *Replacer) overtaken() bool {
+	if r.view.Token != r.token {
+		return true
+	}
+	if r.planned {
+		return !r.view.Leads || r.view.Dead || r.view.Leader != r.from
+	}
+	return r.view.Leads && !r.view.Dead
+}
+
+// giveUp ends the attempt before an order was sent, and lets the replicas receive
+// again.
+func (r *Replacer) giveUp(now time.Time, cause string) []Command {
+	out := []Command{Explain{"give up", r.target, cause}}
+	for _, id := range r.halted() {
+		out = append(out, Release{ID: id})
+	}
+	r.enter(quiet, now)
+	r.next = now.Add(rest)
+	return out
+}
+
+// choose picks the furthest of the halted replicas and promotes it.
+func (r *Replacer) choose(now time.Time) []Command {
+	r.target = ""
+	var best *report
+	for _, id := range r.halted() {
+		e := r.reports[id]
+		better := best == nil || best.Received.Less(e.Received)
+		tie := best != nil && best.Received == e.Received && r.leaving(r.target) && !r.leaving(id)
+		if better || tie {
+			best, r.target = e, id
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return r.promote(now, "furthest of all replicas at "+best.Received.String())
+}
+
+// catch waits until the chosen replica has what the leader's log held after the
+// others had stopped.
+func (r *Replacer) catch(now time.Time) []Command {
+	if r.overtaken() {
+		return r.giveUp(now, "another leader, or none")
+	}
+	if now.Sub(r.began) > catchUp {
+		return r.giveUp(now, "the chosen replica doesn't catch up")
+	}
+	leader := r.entry(r.from)
+	if r.need.IsZero() {
+		if leader.heard && leader.Leads {
+			r.need = leader.Received
+		} else if leader.due(now) {
+			return []Command{Look{ID: r.from}}
+		}
+	}
+	if r.need.IsZero() {
+		return nil
+	}
+	chosen := r.entry(r.target)
+	if chosen.heard && !chosen.Received.Less(r.need) {
+		need := r.need
+		r.need = tracker.Mark{}
+		return r.promote(now, "has received "+need.String())
+	}
+	if chosen.due(now) {
+		return []Command{Look{ID: r.target}}
+	}
+	return nil
+}
+
+func (r *Replacer) promote(now time.Time, cause string) []Command {
+	r.enter(promoting, now)
+	r.sent = now
+	order := Order{Group: r.Group, Upstream: r.target, Token: r.token}
+	return []Command{Explain{"promote", r.target, cause}, Promote{Order: order}}
+}
+
+// repeat sends an order again that got no answer. It isn't changed: the first one
+// may still be carried out, and two different ones in turn could lose commits.
+func (r *Replacer) repeat(now time.Time) []Command {
+	if now.Sub(r.sent) < orderAgain {
+		return nil
+	}
+	r.sent = now
+	return []Command{Promote{Order: Order{Group: r.Group, Upstream: r.target, Token: r.token}}}
+}
+
+func (r *Replacer) ordered(ev Ordered, now time.Time) []Command {
+	if r.phase != promoting || ev.Order.Upstream != r.target || ev.Order.Token != r.token {
+		return nil
+	}
+	switch ev.Outcome {
+	case Accepted:
+		r.enter(settling, now)
+		return []Command{Explain{"accepted", r.target, ""}}
+	case Rejected:
+		// Nothing was done and nothing will be: the token is too low or the
+		// upstream is down. Both show anew in the next attempt.
+		out := []Command{Explain{"rejected", r.target, "token is too low or the upstream is down"}}
+		r.enter(quiet, now)
+		r.next = now.Add(rest)
+		if r.planned {
+			for _, id := range r.halted() {
+				out = append(out, Release{ID: id})
+			}
+		}
+		return out
+	default:
+		return nil
+	}
+}
+
+// settle waits until the promoted upstream leads.
+func (r *Replacer) settle(now time.Time) []Command {
+	if r.view.Leads && r.view.Leader == r.target {
+		r.enter(quiet, now)
+		r.next = now.Add(rest)
+		return []Command{Explain{"done", r.target, ""}}
+	}
+	if now.Sub(r.began) > promoteWait {
+		r.enter(quiet, now)
+		r.next = now.Add(rest)
+		return []Command{Explain{"given up", r.target, "promoted and not seen to lead"}}
+	}
+	return nil
+}
