carrier, replacer: absent replicas count in a change of leader

Besides, a former leader's entry that still said it leads was believed over a proof.

A leader that seems dead is asked once more before anything is halted. Who says that it leads has to prove it where another has; of two proofs the later counts. A silent upstream is tried by a new connection before it is barred.

--- a/carrier/group.go
+++ b/carrier/group.go
@@ -22,11 +22,13 @@
 
 	mu      sync.Mutex
 	members []*member
+	// lost holds upstreams that the store lists no longer and whose logs aren't
+	// accounted for, by their ids.
+	lost map[string]*absent
 	// leader is the upstream that last proved, or said, that it leads; nil while
-	// none is known. leaderTerm is the term it was proved in; zero when it only
-	// says so.
-	leader     *member
-	leaderTerm tracker.Term
+	// none is known. proven is when the last proof was asked for.
+	leader *member
+	proven time.Time
 	// led is the id of the last leader.
 	led string
 	// leaderless is since when no leader that answers is known.
@@ -56,6 +58,7 @@
 		}
 	}
 	g.members = kept
+	g.account()
 	g.signal()
 }
 
@@ -81,10 +84,10 @@
 			g.log().Info("carrier: upstream leaving", zap.String("group", g.name), zap.String("upstream", u.ID), zap.Bool("leaving", u.Leaving))
 		}
 		if u.Leads && !before.Leads {
-			g.lead(m, tracker.Term{}, "listed")
+			g.claims(m)
 		}
 		if !u.Leads && before.Leads && g.leader == m {
-			g.lead(nil, tracker.Term{}, "listed as replica")
+			g.lead(nil, "listed as replica")
 		}
 		return m
 	}
@@ -97,35 +100,45 @@
 	g.log().Info("carrier: upstream joined", zap.String("group", g.name), zap.String("upstream", u.ID),
 		zap.Stringer("address", u.Address), zap.String("zone", u.Zone), zap.Bool("leads", u.Leads), zap.Uint64("revision", u.Revision))
 	if u.Leads {
-		g.lead(m, tracker.Term{}, "listed")
+		g.claims(m)
 	}
 	return m
 }
 
+// claims takes in that a member says of itself that it leads. Where another one
+// has proved that it does, this one has to prove it too: an upstream that was cut
+// off when it was replaced says so until it hears of its successor. The caller
+// has the lock.
+func (g *Group) claims(m *member) {
+	if g.leader == nil || g.leader.barred {
+		g.lead(m, "listed")
+		return
+	}
+	go g.ask(m)
+}
+
 func (g *Group) drop(m *member) {
 	m.gone = true
 	go m.pool.Stop()
 	if g.leader == m {
-		g.lead(nil, tracker.Term{}, "gone")
+		g.lead(nil, "gone")
 	}
+	g.miss(m)
 	g.log().Info("carrier: upstream gone", zap.String("group", g.name), zap.String("upstream", m.entry.ID), zap.Uint64("revision", m.entry.Revision))
 }
 
 // lead takes in who leads. The caller has the lock.
-func (g *Group) lead(m *member, term tracker.Term, evidence string) {
-	if g.leader == m && !g.leaderTerm.Less(term) {
+func (g *Group) lead(m *member, evidence string) {
+	if g.leader == m {
 		return
 	}
-	if g.leader != m {
-		id := ""
-		if m != nil {
-			id = m.entry.ID
-		}
-		g.log().Info("carrier: leader changed", zap.String("group", g.name), zap.String("upstream", id),
-			zap.Stringer("term", term), zap.String("evidence", evidence))
+	id := ""
+	if m != nil {
+		id = m.entry.ID
 	}
+	g.log().Info("carrier: leader changed", zap.String("group", g.name), zap.String("upstream", id),
+		zap.String("before", g.led), zap.String("evidence", evidence))
 	g.leader = m
-	g.leaderTerm = term
 	if m == nil && g.leaderless.IsZero() {
 		g.leaderless = g.carrier.Now()
 	}
@@ -185,15 +198,17 @@
 }
 
 // proved takes in that a member led the group when it was asked, and how far its
-// log was.
+// log was. Of two proofs the one that was asked for later counts: there is never
+// more than one leader at a time.
 func (g *Group) proved(m *member, asked time.Time, mark tracker.Mark) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if mark.Term.Less(g.leaderTerm) {
+	if asked.Before(g.proven) {
 		return
 	}
+	g.proven = asked
 	if !m.gone {
-		g.lead(m, mark.Term, "proved")
+		g.lead(m, "proved")
 	}
 	g.samples.add(asked, mark)
 }
@@ -203,7 +218,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.leader == m {
-		g.lead(nil, tracker.Term{}, "refused as a replica")
+		g.lead(nil, "refused as a replica")
 	}
 }
 
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -102,9 +102,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	mark, ok := g.samples.since(j.Arrived.Add(margin - j.MaxAge))
-	newest := g.samples.newest()
+	newest, _ := g.samples.last()
 	var waiting <-chan struct{}
-	if !ok || g.carrier.Now().Sub(newest) > j.MaxAge/ageing {
+	if !ok || g.carrier.Now().Sub(newest.asked) > j.MaxAge/ageing {
 		waiting = g.refresh()
 	}
 	if !ok {
--- a/carrier/observe.go
+++ b/carrier/observe.go
@@ -24,6 +24,9 @@
 	ID      string
 	Leaving bool
 	Barred  bool
+	// Lost says that the store lists it no longer, and nobody knows what became of
+	// its log.
+	Lost bool
 }
 
 // Observation is what this process sees of a group.
@@ -35,6 +38,9 @@
 	Stuck   bool
 	Term    tracker.Term
 	Members []Seen
+	// Floor, when set, is how far the log of a new leader must reach: some lost
+	// upstreams are no longer reckoned with, for which see excusedAfter.
+	Floor tracker.Mark
 }
 
 // Observe returns what this process sees of the group.
@@ -42,13 +48,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.carrier.Now()
-	out := Observation{Term: g.leaderTerm, Leader: g.led}
+	out := Observation{Leader: g.led}
 	for _, m := range g.members {
 		out.Members = append(out.Members, Seen{ID: m.entry.ID, Leaving: m.entry.Leaving, Barred: m.barred})
 		if out.Term.Less(m.mark.Term) {
 			out.Term = m.mark.Term
 		}
 	}
+	out.Members, out.Floor = g.missing(out.Members, now)
 	if g.leader != nil {
 		out.Leader = g.leader.entry.ID
 		out.Leads = !g.leader.barred
@@ -72,7 +79,7 @@
 func (g *Group) Control(id string, deadline time.Time, cmd Command) (Report, error) {
 	m := g.member(id)
 	if m == nil {
-		return Report{}, errors.Wrapf(ErrUnknown, "%s", id)
+		return g.controlLost(id, deadline, cmd)
 	}
 	c, err := m.connection(deadline)
 	if err != nil {
--- a/carrier/samples.go
+++ b/carrier/samples.go
@@ -60,10 +60,10 @@
 	return tracker.Mark{}, false
 }
 
-// newest returns when the newest position was asked for.
-func (s *samples) newest() time.Time {
+// last returns the newest position.
+func (s *samples) last() (sample, bool) {
 	if len(s.ring) == 0 {
-		return time.Time{}
+		return sample{}, false
 	}
-	return s.ring[len(s.ring)-1].asked
+	return s.ring[len(s.ring)-1], true
 }
--- a/carrier/watch.go
+++ b/carrier/watch.go
@@ -10,10 +10,16 @@
 
 // Times of looking after upstreams.
 const (
-	// silence is how long an upstream may leave all that runs there unanswered
-	// before it is barred. The longest work is 410 ms and rare; an upstream that
-	// runs five at a time answers something every few tens of milliseconds.
-	silence = 450 * time.Millisecond
+	// silence is how long an upstream may leave what runs there unanswered, while
+	// it answers nothing else, before a new connection is tried. The longest work
+	// is 410 ms and rare, and most takes 20 to 80 ms.
+	silence = 300 * time.Millisecond
+	// tryTimeout is how long that connection may take. A handshake takes 12 to
+	// 27 ms and waits for a slot.
+	tryTimeout = 250 * time.Millisecond
+	// overdue is how long a read may run at an upstream that does answer new
+	// connections and nothing else, before its answer counts as lost.
+	overdue = 700 * time.Millisecond
 	// gap between two ticks, beyond which this process stood still and its
 	// impatience counts from anew.
 	gap = 400 * time.Millisecond
@@ -21,8 +27,7 @@
 	// that is barred.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 800 * time.Millisecond
-	// lookTimeout is how long a look may take: a handshake takes 12 to 27 ms, and
-	// waits for a slot.
+	// lookTimeout is how long a look may take.
 	lookTimeout = 500 * time.Millisecond
 )
 
@@ -39,7 +44,7 @@
 		case m.barred:
 			g.look(m, now)
 		case g.silent(m, now):
-			g.bar(m, now, "silent")
+			g.try(m)
 		}
 	}
 	if g.leader == nil {
@@ -48,19 +53,61 @@
 }
 
 // silent reports whether a member has left something unanswered for too long
-// and nothing answered since.
+// and answered nothing since. The caller has the lock.
 func (g *Group) silent(m *member, now time.Time) bool {
+	if now.Sub(m.answered) < silence {
+		return false
+	}
 	for r := range m.running {
-		if r.started.IsZero() || now.Sub(r.started) < silence {
-			continue
-		}
-		if now.Sub(m.answered) >= silence {
+		if !r.started.IsZero() && now.Sub(r.started) >= silence {
 			return true
 		}
 	}
 	return false
 }
 
+// try opens a connection to a silent member. Connections may have gone silent
+// while the member is well, or one answer may be lost: then new connections work
+// and only what is overdue is given up. Else the member is barred. The caller has
+// the lock.
+func (g *Group) try(m *member) {
+	if m.probing {
+		return
+	}
+	m.probing = true
+	entry := m.entry
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), tryTimeout)
+		defer cancel()
+		l, err := g.carrier.Dial(ctx, entry)
+		if err == nil {
+			_ = l.Close() // it has told what it was opened for
+		}
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		m.probing = false
+		now := g.carrier.Now()
+		switch {
+		case err != nil && !errors.Is(err, ErrOverloaded):
+			g.bar(m, now, "silent, and "+err.Error())
+		default:
+			g.giveUpOverdue(m, now)
+		}
+	}()
+}
+
+// giveUpOverdue ends reads whose answers are lost, so that they run elsewhere.
+// The caller has the lock.
+func (g *Group) giveUpOverdue(m *member, now time.Time) {
+	for r := range m.running {
+		if r.harmful || r.started.IsZero() || now.Sub(r.started) < overdue {
+			continue
+		}
+		g.log().Info("carrier: answer lost", zap.String("group", g.name), zap.String("upstream", m.entry.ID), zap.Duration("waited", now.Sub(r.started)))
+		r.conn.Abort()
+	}
+}
+
 // bar keeps new work from a member and takes the reads that wait there
 // elsewhere. Without it each of them would wait until its own deadline. The
 // caller has the lock.
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -29,6 +29,8 @@
 	// settling is the time after its start in which a process replaces nobody: it
 	// knows neither peers nor leaders yet.
 	settling = 2 * time.Second
+	// resigned is how long a process that gave a duty up leaves it to others.
+	resigned = 6 * time.Second
 	// askTimeout bounds one question to an upstream.
 	askTimeout = 500 * time.Millisecond
 )
@@ -169,12 +171,14 @@
 		Leader:  seen.Leader,
 		Leads:   seen.Leads,
 		Dead:    settled && lasted(g.bad, now, dwell),
+		Stuck:   own == gossiper.Stuck,
+		Floor:   seen.Floor,
 		Shunned: settled && lasted(g.missed, now, shunned),
 		Term:    seen.Term,
 		Token:   g.duty.token,
 	}
 	for _, m := range seen.Members {
-		v.Members = append(v.Members, replacer.Member{ID: m.ID, Leaving: m.Leaving})
+		v.Members = append(v.Members, replacer.Member{ID: m.ID, Leaving: m.Leaving, Lost: m.Lost})
 	}
 	return v
 }
@@ -219,12 +223,23 @@
 			o.ask(ctx, g, cmd.ID, carrier.Command{Verb: carrier.Status})
 		case replacer.Release:
 			o.ask(ctx, g, cmd.ID, carrier.Command{Verb: carrier.Resume})
+		case replacer.Resign:
+			o.resign(g)
 		case replacer.Promote:
 			o.order(ctx, g, cmd.Order)
 		}
 	}
 }
 
+// resign gives the duty up, unless nobody else could take it.
+func (o *Overseer) resign(g *group) {
+	if len(o.Live()) == 0 {
+		return
+	}
+	g.duty.token = 0
+	g.duty.next = o.Now().Add(resigned)
+}
+
 // ask sends a control command to an upstream; its answer comes back as an event.
 func (o *Overseer) ask(ctx context.Context, g *group, id string, cmd carrier.Command) {
 	go func() {
--- a/replacer/message.go
+++ b/replacer/message.go
@@ -33,6 +33,9 @@
 type Member struct {
 	ID      string
 	Leaving bool
+	// Lost says that it isn't listed, and nobody knows what became of its log. It
+	// must be halted like the others; it is never chosen as successor.
+	Lost bool
 }
 
 // View is what the holder knows of its group.
@@ -44,11 +47,16 @@
 	// Dead says that the leader does its work no longer, by this process and its
 	// peers: it doesn't answer, or its commits aren't acknowledged.
 	Dead bool
+	// Stuck says that the leader answers, but its commits aren't acknowledged.
+	Stuck bool
 	// Shunned says that the leader works, but many peers can't reach it.
 	Shunned bool
 	// Term is the highest term heard of.
 	Term    tracker.Term
 	Members []Member
+	// Floor is how far the log of a new leader must reach at least; zero sets no
+	// bound.
+	Floor tracker.Mark
 	// Token is that of this process's duty for the group; zero when it has none.
 	Token uint64
 }
@@ -101,6 +109,10 @@
 // Promote gives an order to the platform.
 type Promote struct{ Order Order }
 
+// Resign gives the duty up so that another process takes it: this one can't reach
+// all replicas, and another may.
+type Resign struct{}
+
 // Explain is a line for the log.
 type Explain struct {
 	Step   string
@@ -112,4 +124,5 @@
 func (Look) command()    {}
 func (Release) command() {}
 func (Promote) command() {}
+func (Resign) command()  {}
 func (Explain) command() {}
--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -19,6 +19,14 @@
 	// catchUp is how long the chosen replica of a planned change may take to
 	// receive the rest; then another way is tried.
 	catchUp = 2 * time.Second
+	// verifyFor is how long a leader that seems dead is given to answer before
+	// anything is halted. What this process and its peers believe may be old: one
+	// that was cut off or has just taken the duty over would halt a group that
+	// works.
+	verifyFor = 200 * time.Millisecond
+	// stuckFor is how long a holder tries to halt all replicas before it leaves
+	// the duty to another process.
+	stuckFor = 2500 * time.Millisecond
 	// rest is the time between two attempts.
 	rest = 500 * time.Millisecond
 )
@@ -28,6 +36,7 @@
 
 const (
 	quiet     phase = iota
+	verifying       // the leader that seems dead is asked once more
 	halting         // replicas are told to stop receiving
 	catching        // planned: the chosen one receives the rest
 	promoting       // the order is out
@@ -80,6 +89,8 @@
 	switch r.phase {
 	case quiet:
 		return r.start(now)
+	case verifying:
+		return r.verify(now)
 	case halting:
 		return r.halt(now)
 	case catching:
@@ -120,10 +131,41 @@
 	r.from = r.view.Leader
 	r.term = tracker.Term{Epoch: r.view.Term.Epoch + 1}
 	r.reports = map[string]*report{}
+	if !r.planned && r.from != "" {
+		r.enter(verifying, now)
+		return append([]Command{Explain{"verify", r.from, cause}}, r.verify(now)...)
+	}
 	r.enter(halting, now)
 	return append([]Command{Explain{"halt", r.target, cause}}, r.halt(now)...)
 }
 
+// verify asks the leader that seems dead. One that answers and leads is left
+// alone, unless it answers all but writes.
+func (r *Replacer) verify(now time.Time) []Command {
+	if r.overtaken() {
+		return r.calledOff(now, "a leader answers")
+	}
+	e := r.entry(r.from)
+	if e.heard && e.Leads && !r.view.Stuck {
+		return r.calledOff(now, "the leader answers")
+	}
+	if now.Sub(r.began) >= verifyFor {
+		r.enter(halting, now)
+		return append([]Command{Explain{"halt", "", "the leader does its work no longer"}}, r.halt(now)...)
+	}
+	if e.due(now) {
+		return []Command{Look{ID: r.from}}
+	}
+	return nil
+}
+
+// calledOff ends an attempt in which nothing was halted.
+func (r *Replacer) calledOff(now time.Time, cause string) []Command {
+	r.enter(quiet, now)
+	r.next = now.Add(rest)
+	return []Command{Explain{"called off", r.from, cause}}
+}
+
 func (r *Replacer) enter(p phase, now time.Time) {
 	r.phase = p
 	r.began = now
@@ -142,7 +184,7 @@
 // stays. Which one is furthest changes all the time; any that receives will do.
 func (r *Replacer) successor() string {
 	for _, m := range r.view.Members {
-		if m.ID != r.view.Leader && !m.Leaving {
+		if m.ID != r.view.Leader && !m.Leaving && !m.Lost {
 			return m.ID
 		}
 	}
@@ -230,13 +272,18 @@
 	}
 }
 
-// stuck gives a planned change up that can't halt all others: the leader serves
-// on, and another attempt follows.
+// stuck ends an attempt that can't halt all it must. In a planned change the
+// leader serves on and another attempt follows.
 func (r *Replacer) stuck(now time.Time) []Command {
-	if r.planned && now.Sub(r.began) > catchUp {
+	switch {
+	case r.planned && now.Sub(r.began) > catchUp:
 		return r.giveUp(now, "a replica can't be halted")
+	case !r.planned && now.Sub(r.began) > stuckFor:
+		r.enter(halting, now) // counts anew, where nobody else takes the duty
+		return []Command{Explain{"resign", "", "a replica can't be halted from here"}, Resign{}}
+	default:
+		return nil
 	}
-	return nil
 }
 
 // overtaken reports that the reason for the replacement is gone.
@@ -274,7 +321,7 @@
 			best, r.target = e, id
 		}
 	}
-	if best == nil {
+	if best == nil || best.Received.Less(r.view.Floor) {
 		return nil
 	}
 	return r.promote(now, "furthest of all replicas at "+best.Received.String())
