replacer, overseer: peers take the lead from a leader that is being replaced

All listed replicas were halted, but a replica that joined on the leader's side confirmed a commit 0.4 s later, which the promoted one lacked.

Change: the holder tells its peers by gossip which upstream it replaces, once all replicas are halted; peers that reach it take the lead from it, and nothing is promoted while a live peer still finds it well, for 1.2 s at most. Replicas that join meanwhile are halted too. A holder is replaced after 1.2 s (was 1.5 s) plus 0.4 s (was 0.7 s) for each rank.

--- a/carrier/watch.go
+++ b/carrier/watch.go
@@ -6,6 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+
+	"basildale.example/basildale/pooler"
 )
 
 // Times of looking after upstreams.
@@ -130,9 +132,10 @@
 	g.signal()
 }
 
-// refused takes in that a connection to a member couldn't be opened.
+// refused takes in that a connection to a member couldn't be opened. Who has only
+// waited for one that is in use says nothing of the member.
 func (g *Group) refused(m *member, err error) {
-	if errors.Is(err, ErrOverloaded) || errors.Is(err, context.DeadlineExceeded) {
+	if errors.Is(err, ErrOverloaded) || errors.Is(err, pooler.ErrWait) {
 		return
 	}
 	g.mu.Lock()
--- a/gossiper/roster.go
+++ b/gossiper/roster.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"basildale.example/basildale/tracker"
 )
 
 // Times and bounds of the roster.
@@ -41,6 +43,11 @@
 	Trouble Trouble `json:"trouble,omitempty"`
 	// Token is that of the sender's duty for the group; zero when it has none.
 	Token uint64 `json:"token,omitempty"`
+	// Fenced is the upstream that the sender, as holder, is replacing and has
+	// halted the replicas of, and FenceTerm the term for which. Peers that reach
+	// that upstream take the lead from it.
+	Fenced    string       `json:"fenced,omitempty"`
+	FenceTerm tracker.Term `json:"fenceterm,omitzero"`
 }
 
 // State is what one process says of itself.
--- a/overseer/duty.go
+++ b/overseer/duty.go
@@ -17,10 +17,10 @@
 const (
 	// holderSilence is how long no holder of a group is heard before another
 	// process takes the duty: some rounds of gossip.
-	holderSilence = 1500 * time.Millisecond
+	holderSilence = 1200 * time.Millisecond
 	// rankDelay holds back each next process in the order, so that one of them
 	// writes to the store and the others hear of it.
-	rankDelay = 700 * time.Millisecond
+	rankDelay = 400 * time.Millisecond
 	// claimTimeout bounds the calls of one claim.
 	claimTimeout = 2 * time.Second
 	// claimPause is the time between two claims of one process.
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -11,6 +11,7 @@
 	"basildale.example/basildale/carrier"
 	"basildale.example/basildale/gossiper"
 	"basildale.example/basildale/replacer"
+	"basildale.example/basildale/tracker"
 )
 
 // Times of the control loop.
@@ -31,6 +32,8 @@
 	settling = 2 * time.Second
 	// resigned is how long a process that gave a duty up leaves it to others.
 	resigned = 6 * time.Second
+	// heedEvery is the time between two tries to take the lead from an upstream.
+	heedEvery = 200 * time.Millisecond
 	// askTimeout bounds one question to an upstream.
 	askTimeout = 500 * time.Millisecond
 )
@@ -66,6 +69,7 @@
 	duty     duty
 	replacer replacer.Replacer
 	bad      time.Time // since when most who vote see trouble
+	heeded   time.Time // when a fence was last carried out
 	missed   time.Time // since when many peers miss a leader that works here
 }
 
@@ -113,7 +117,11 @@
 		}
 		g.duty.hear(c.Name(), peers, now)
 		view := o.view(g, peers, now)
-		states[c.Name()] = gossiper.GroupState{Leader: view.Leader, Trouble: trouble(c.Observe()), Token: g.duty.token}
+		o.heed(g, peers, now)
+		fenced, term := g.replacer.Fencing()
+		states[c.Name()] = gossiper.GroupState{
+			Leader: view.Leader, Trouble: trouble(c.Observe()), Token: g.duty.token, Fenced: fenced, FenceTerm: term,
+		}
 		if o.wants(&g.duty, c.Name(), peers, now) {
 			g.duty.claiming = true
 			go o.deliver(ctx, c.Name())
@@ -172,6 +180,7 @@
 		Leads:   seen.Leads,
 		Dead:    settled && lasted(g.bad, now, dwell),
 		Stuck:   own == gossiper.Stuck,
+		Reached: reached(g.carried.Name(), seen.Leader, peers),
 		Floor:   seen.Floor,
 		Shunned: settled && lasted(g.missed, now, shunned),
 		Term:    seen.Term,
@@ -210,6 +219,49 @@
 	return bad, voters
 }
 
+// reached reports whether a live peer finds the leader well.
+func reached(name, leader string, peers []gossiper.Peer) bool {
+	for _, p := range peers {
+		state, knows := p.Groups[name]
+		if knows && state.Leader == leader && state.Trouble == gossiper.NoTrouble {
+			return true
+		}
+	}
+	return false
+}
+
+// heed takes the lead from an upstream that the holder is replacing, if this
+// process reaches it.
+func (o *Overseer) heed(g *group, peers []gossiper.Peer, now time.Time) {
+	name := g.carried.Name()
+	for _, p := range peers {
+		state := p.Groups[name]
+		if state.Fenced == "" || state.Token < g.duty.highest || now.Sub(g.heeded) < heedEvery {
+			continue
+		}
+		if seen := g.carried.Observe(); !seen.Leads || seen.Leader != state.Fenced {
+			continue
+		}
+		g.heeded = now
+		o.Log.Info("overseer: taking the lead from an upstream", zap.String("group", name), zap.String("upstream", state.Fenced),
+			zap.String("holder", p.Name), zap.Uint64("token", state.Token), zap.Stringer("term", state.FenceTerm))
+		o.demote(g, state.Fenced, state.FenceTerm)
+	}
+}
+
+// demote takes the lead from an upstream. Whether it follows shows in its next
+// answers.
+func (o *Overseer) demote(g *group, id string, term tracker.Term) {
+	go func() {
+		report, err := g.carried.Control(id, time.Now().Add(askTimeout), carrier.Command{Verb: carrier.Demote, Term: term})
+		if err != nil {
+			o.Log.Info("overseer: lead not taken", zap.String("group", g.carried.Name()), zap.String("upstream", id), zap.Error(err))
+			return
+		}
+		o.Log.Info("overseer: lead taken", zap.String("group", g.carried.Name()), zap.String("upstream", id), zap.Bool("leads", report.Leads))
+	}()
+}
+
 // run carries out what the replacer of a group wants.
 func (o *Overseer) run(ctx context.Context, g *group, commands []replacer.Command) {
 	for _, cmd := range commands {
@@ -219,6 +271,8 @@
 				zap.String("cause", cmd.Cause), zap.Uint64("token", g.duty.token))
 		case replacer.Halt:
 			o.ask(ctx, g, cmd.ID, carrier.Command{Verb: carrier.Suspend, Term: cmd.Term})
+		case replacer.Demote:
+			o.demote(g, cmd.ID, cmd.Term)
 		case replacer.Look:
 			o.ask(ctx, g, cmd.ID, carrier.Command{Verb: carrier.Status})
 		case replacer.Release:
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -7,8 +7,13 @@
 	"github.com/cockroachdb/errors"
 )
 
-// ErrClosed reports a pool that was closed.
-var ErrClosed = errors.New("pooler: closed")
+// What Get fails with, besides the errors of Dial.
+var (
+	// ErrClosed reports a pool that was closed.
+	ErrClosed = errors.New("pooler: closed")
+	// ErrWait reports that the context ended while all connections were in use.
+	ErrWait = errors.New("pooler: no connection came back in time")
+)
 
 // Pool is a set of connections of type C. Set the exported fields before the
 // first use and change Limit only by SetLimit.
@@ -133,7 +138,7 @@
 	case <-ctx.Done():
 	}
 	if p.leave(w) {
-		return grant[C]{}, errors.Wrap(ctx.Err(), "pooler: wait for a connection")
+		return grant[C]{}, errors.Mark(errors.Wrap(ctx.Err(), "pooler: wait for a connection"), ErrWait)
 	}
 	// A grant was made while ctx ended. Dropping it would lose a connection
 	// for good, so it is taken.
--- a/replacer/message.go
+++ b/replacer/message.go
@@ -49,6 +49,8 @@
 	Dead bool
 	// Stuck says that the leader answers, but its commits aren't acknowledged.
 	Stuck bool
+	// Reached says that a live peer reaches the leader and finds it well.
+	Reached bool
 	// Shunned says that the leader works, but many peers can't reach it.
 	Shunned bool
 	// Term is the highest term heard of.
@@ -100,6 +102,12 @@
 	Term tracker.Term
 }
 
+// Demote takes the lead from an upstream, where it can be reached.
+type Demote struct {
+	ID   string
+	Term tracker.Term
+}
+
 // Look asks an upstream about itself.
 type Look struct{ ID string }
 
@@ -121,6 +129,7 @@
 }
 
 func (Halt) command()    {}
+func (Demote) command()  {}
 func (Look) command()    {}
 func (Release) command() {}
 func (Promote) command() {}
--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -24,6 +24,12 @@
 	// that was cut off or has just taken the duty over would halt a group that
 	// works.
 	verifyFor = 200 * time.Millisecond
+	// fenceFor is how long peers that reach the leader are given to take the lead
+	// from it: a round of gossip there, and one back.
+	fenceFor = 1200 * time.Millisecond
+	// joinFor is how long the list is watched, after such a peer was there, for a
+	// replica that has just joined on the leader's side.
+	joinFor = 300 * time.Millisecond
 	// stuckFor is how long a holder tries to halt all replicas before it leaves
 	// the duty to another process.
 	stuckFor = 2500 * time.Millisecond
@@ -38,6 +44,7 @@
 	quiet     phase = iota
 	verifying       // the leader that seems dead is asked once more
 	halting         // replicas are told to stop receiving
+	fencing         // peers that reach the leader take the lead from it
 	catching        // planned: the chosen one receives the rest
 	promoting       // the order is out
 	settling        // the order was accepted
@@ -65,6 +72,7 @@
 	need    tracker.Mark // planned: what the target must have received
 	reports map[string]*report
 	began   time.Time // of the phase
+	fenced  time.Time // crash: no choice before
 	sent    time.Time // of the last order
 	next    time.Time // no attempt before
 }
@@ -93,12 +101,14 @@
 		return r.verify(now)
 	case halting:
 		return r.halt(now)
+	case fencing:
+		return r.fence(now)
 	case catching:
 		return r.catch(now)
 	case promoting:
-		return r.repeat(now)
+		return append(r.joined(now), r.repeat(now)...)
 	case settling:
-		return r.settle(now)
+		return append(r.joined(now), r.settle(now)...)
 	default:
 		return nil
 	}
@@ -268,10 +278,58 @@
 		r.enter(catching, now)
 		return append(out, r.catch(now)...)
 	default:
-		return append(out, r.choose(now)...)
+		r.enter(fencing, now)
+		r.fenced = now
+		return append(append(out, Demote{ID: r.from, Term: r.term}), r.fence(now)...)
 	}
 }
 
+// fence waits until no peer reaches the leader any more. A replica that joins
+// while the others are halted isn't halted yet: one sees a commit that the leader
+// had confirmed by it, and that the promoted one lacks. Where nobody reaches the
+// leader, no caller can have a commit acknowledged; peers that reach it take the
+// lead from it first, and what joined meanwhile is halted too.
+func (r *Replacer) fence(now time.Time) []Command {
+	if r.overtaken() {
+		return r.giveUp(now, "a leader answers")
+	}
+	if r.view.Reached && now.Sub(r.began) < fenceFor {
+		r.fenced = now.Add(joinFor)
+		return nil
+	}
+	if now.Before(r.fenced) {
+		return nil
+	}
+	for _, id := range r.halted() {
+		if e := r.entry(id); !e.heard || e.Held.Less(r.term) {
+			r.enter(halting, now)
+			return r.halt(now)
+		}
+	}
+	return r.choose(now)
+}
+
+// joined halts replicas that have come since the others were halted.
+func (r *Replacer) joined(now time.Time) []Command {
+	var out []Command
+	for _, id := range r.halted() {
+		e := r.entry(id)
+		if (!e.heard || e.Held.Less(r.term)) && e.due(now) {
+			out = append(out, Halt{ID: id, Term: r.term})
+		}
+	}
+	return out
+}
+
+// Fencing returns the upstream that peers are to take the lead from, and the term
+// for which; empty when there is none.
+func (r *Replacer) Fencing() (string, tracker.Term) {
+	if r.phase != fencing && (r.planned || r.phase != promoting) {
+		return "", tracker.Term{}
+	}
+	return r.from, r.term
+}
+
 // stuck ends an attempt that can't halt all it must. In a planned change the
 // leader serves on and another attempt follows.
 func (r *Replacer) stuck(now time.Time) []Command {
