--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -46,6 +46,9 @@
 	return nil
 }
 
+// Bound returns the address of the socket, after Start.
+func (g *Gossiper) Bound() netip.AddrPort { return g.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
 // Stop closes the socket.
 func (g *Gossiper) Stop() {
 	close(g.done)
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -136,7 +136,15 @@
 // deliver takes a duty and hands the outcome to the control loop.
 func (o *Overseer) deliver(ctx context.Context, name string) {
 	c := o.claim(ctx, name)
-	o.events <- func(now time.Time) { o.took(c, now) }
+	o.post(ctx, func(now time.Time) { o.took(c, now) })
+}
+
+// post hands an event to the control loop, while that runs.
+func (o *Overseer) post(ctx context.Context, event func(now time.Time)) {
+	select {
+	case o.events <- event:
+	case <-ctx.Done():
+	}
 }
 
 func (o *Overseer) group(c *carrier.Group) *group {
@@ -305,7 +313,7 @@
 			ID: id, OK: err == nil, Term: report.Term, Leads: report.Leads,
 			Received: report.Received, Held: report.Held,
 		}
-		o.events <- func(now time.Time) { o.run(ctx, g, g.replacer.Handle(ev, now)) }
+		o.post(ctx, func(now time.Time) { o.run(ctx, g, g.replacer.Handle(ev, now)) })
 	}()
 }
 
@@ -318,12 +326,12 @@
 		}
 		o.Log.Info("overseer: order answered", zap.String("group", order.Group), zap.String("upstream", order.Upstream),
 			zap.Uint64("token", order.Token), zap.Stringer("outcome", outcome), zap.Error(err))
-		o.events <- func(now time.Time) {
+		o.post(ctx, func(now time.Time) {
 			if outcome == replacer.Rejected {
 				o.rejected(g, order, now)
 			}
 			o.run(ctx, g, g.replacer.Handle(replacer.Ordered{Order: order, Outcome: outcome}, now))
-		}
+		})
 	}()
 }
 
--- a/proxier/check.go
+++ b/proxier/check.go
@@ -99,7 +99,11 @@
 			continue
 		}
 		tried = now
-		if _, err := f.list(ctx); err != nil {
+		_, err := f.list(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
 			p.Log.Info("proxier: check of the store failed", zap.String("kind", f.kind), zap.Error(err))
 			continue
 		}
--- a/proxier/enroll.go
+++ b/proxier/enroll.go
@@ -29,7 +29,7 @@
 		if err == nil {
 			err = p.learn(ctx)
 		}
-		if err == nil {
+		if err == nil || ctx.Err() != nil {
 			return
 		}
 		p.Log.Info("proxier: not enrolled yet", zap.Error(err))
@@ -41,7 +41,7 @@
 func (p *Proxier) register(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	value := entry{Peers: p.Settings.Peers, Start: p.start}
+	value := entry{Peers: p.gossip.Bound(), Start: p.start}
 	_, err := p.store.Put(ctx, proxiesKind, p.Settings.Name, 0, value)
 	var conflict *keeper.ConflictError
 	if !errors.As(err, &conflict) {
--- a/proxier/follow.go
+++ b/proxier/follow.go
@@ -43,6 +43,9 @@
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
 		f.report(err)
 		if err == nil {
 			f.retry = firstRetry
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -55,8 +56,28 @@
 	leaving  atomic.Bool
 	fetching atomic.Bool
 	servers  []*http.Server
+	// The addresses that are bound, also where the settings leave the port open.
+	readyAt     netip.AddrPort
+	operatorsAt netip.AddrPort
+	started     chan struct{}
+	once        sync.Once
 }
 
+// Started is closed when callers can connect.
+func (p *Proxier) Started() <-chan struct{} {
+	p.once.Do(func() { p.started = make(chan struct{}) })
+	return p.started
+}
+
+// Callers returns the address that callers connect to, after Started.
+func (p *Proxier) Callers() netip.AddrPort { return p.receiver.Bound() }
+
+// Ready returns the address that the balancer asks, after Started.
+func (p *Proxier) Ready() netip.AddrPort { return p.readyAt }
+
+// Operators returns the address of the operators' HTTP, after Started.
+func (p *Proxier) Operators() netip.AddrPort { return p.operatorsAt }
+
 // Run runs the process until the context ends, and then stops it gracefully.
 func (p *Proxier) Run(ctx context.Context) error {
 	p.build()
@@ -65,17 +86,22 @@
 	if err := p.listen(); err != nil {
 		return err
 	}
+	p.Started()
+	close(p.started)
 	config := p.follower(translator.Configuration, p.holdings.objects, p.holdings.object)
 	upstreams := p.follower(translator.Upstreams, p.holdings.upstreams, p.holdings.upstream)
-	go config.run(inner)
-	go upstreams.run(inner)
-	go p.check(inner, config, configCheck)
-	go p.check(inner, upstreams, upstreamsCheck)
-	go p.enroll(inner)
-	go p.overseer.Run(inner)
-	go p.keepUp(inner)
+	var running sync.WaitGroup
+	running.Go(func() { config.run(inner) })
+	running.Go(func() { upstreams.run(inner) })
+	running.Go(func() { p.check(inner, config, configCheck) })
+	running.Go(func() { p.check(inner, upstreams, upstreamsCheck) })
+	running.Go(func() { p.enroll(inner) })
+	running.Go(func() { p.overseer.Run(inner) })
+	running.Go(func() { p.keepUp(inner) })
 	<-ctx.Done()
 	p.stop()
+	cancel()
+	running.Wait()
 	return nil
 }
 
@@ -99,23 +125,25 @@
 }
 
 func (p *Proxier) listen() error {
-	if err := p.receiver.Start(); err != nil {
+	var err error
+	probes := &prober.Prober{Ready: p.ready}
+	if p.readyAt, err = p.serve(p.Settings.Ready, probes.Handler()); err != nil {
 		return err
 	}
-	if err := p.gossip.Start(); err != nil {
+	if p.operatorsAt, err = p.serve(p.Settings.Operators, p.operators()); err != nil {
 		return err
 	}
-	probes := &prober.Prober{Ready: p.ready}
-	if err := p.serve(p.Settings.Ready, probes.Handler()); err != nil {
+	if err := p.receiver.Start(); err != nil {
 		return err
 	}
-	return p.serve(p.Settings.Operators, p.operators())
+	return p.gossip.Start()
 }
 
-func (p *Proxier) serve(at netip.AddrPort, h http.Handler) error {
+// serve serves HTTP on an address, and returns the one that is bound.
+func (p *Proxier) serve(at netip.AddrPort, h http.Handler) (netip.AddrPort, error) {
 	ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at))
 	if err != nil {
-		return errors.Wrapf(err, "proxier: listen on %s", at)
+		return at, errors.Wrapf(err, "proxier: listen on %s", at)
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
 	p.servers = append(p.servers, server)
@@ -124,7 +152,7 @@
 			p.Log.Error("proxier: server ended", zap.Stringer("address", at), zap.Error(err))
 		}
 	}()
-	return nil
+	return ln.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
 // operators serves metrics and health, and peers that want to know what this
@@ -198,7 +226,7 @@
 // self is what peers are told.
 func (p *Proxier) self() gossiper.State {
 	return gossiper.State{
-		Name: p.Settings.Name, Zone: p.Settings.Zone, Start: p.start, Peers: p.Settings.Peers, Operators: p.Settings.Operators,
+		Name: p.Settings.Name, Zone: p.Settings.Zone, Start: p.start, Peers: p.gossip.Bound(), Operators: p.operatorsAt,
 		Configuration: p.holdings.current().Config.Version, Entries: p.holdings.entries(), Checked: p.checks.ages(bootClock()),
 		Leaving: p.leaving.Load(), Groups: p.overseer.States(),
 	}
--- a/proxier/stop.go
+++ b/proxier/stop.go
@@ -41,6 +41,7 @@
 	left := p.receiver.Count()
 	p.receiver.StopAccepting()
 	p.gossip.Stop()
+	p.carrier.Stop()
 	for _, s := range p.servers {
 		_ = s.Close() // the process ends; what is under way there is lost to nobody
 	}
--- /dev/null
+++ b/replacer/replacer_test.go
@@ -0,0 +1,271 @@
+package replacer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basildale.example/basildale/tracker"
+)
+
+// scene plays a Replacer against upstreams that answer at once.
+type scene struct {
+	r        Replacer
+	now      time.Time
+	view     View
+	received map[string]uint64 // end of each log in term 1
+	held     map[string]uint32
+	mute     map[string]bool // doesn't answer
+	leads    string
+	orders   []Order
+	resigned int
+	steps    []string
+}
+
+func newScene() *scene {
+	s := &scene{
+		r: Replacer{Group: "g"}, now: time.Unix(1000, 0),
+		received: map[string]uint64{"a": 10, "b": 10, "c": 10}, held: map[string]uint32{}, mute: map[string]bool{}, leads: "a",
+	}
+	s.view = View{
+		Leader: "a", Leads: true, Term: tracker.Term{Epoch: 1}, Token: 7,
+		Members: []Member{{ID: "a"}, {ID: "b"}, {ID: "c"}},
+	}
+	return s
+}
+
+// crash takes the leader away, as all who vote see it.
+func (s *scene) crash() {
+	s.mute["a"] = true
+	s.leads = ""
+	s.view.Leads = false
+	s.view.Dead = true
+}
+
+// play lets time pass, a tick each tenth of a second.
+func (s *scene) play(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(100 * time.Millisecond) {
+		s.run(s.r.Handle(Tick{View: s.view}, s.now))
+	}
+}
+
+func (s *scene) run(commands []Command) {
+	for _, cmd := range commands {
+		switch cmd := cmd.(type) {
+		case Halt:
+			s.answer(cmd.ID, func() { s.held[cmd.ID] = cmd.Term.Epoch })
+		case Release:
+			s.held[cmd.ID] = 0
+		case Look:
+			s.answer(cmd.ID, func() {})
+		case Promote:
+			s.orders = append(s.orders, cmd.Order)
+		case Resign:
+			s.resigned++
+			s.view.Token = 0
+		case Explain:
+			s.steps = append(s.steps, cmd.Step)
+		}
+	}
+}
+
+func (s *scene) answer(id string, do func()) {
+	if s.mute[id] {
+		return
+	}
+	do()
+	s.run(s.r.Handle(Reported{
+		ID: id, OK: true, Term: tracker.Term{Epoch: 1}, Leads: s.leads == id, Held: tracker.Term{Epoch: s.held[id]},
+		Received: tracker.Mark{Term: tracker.Term{Epoch: 1}, Pos: tracker.Position(s.received[id])},
+	}, s.now))
+}
+
+func (s *scene) outcome(o Outcome) {
+	s.run(s.r.Handle(Ordered{Order: s.orders[len(s.orders)-1], Outcome: o}, s.now))
+}
+
+func TestNothingHappensWhileTheLeaderWorks(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	s.play(5 * time.Second)
+	is.Equal(len(s.orders), 0)
+	is.Equal(len(s.held), 0)
+}
+
+// Symptom: an acknowledged commit is missing after a failover. Sequence: one
+// replica is behind when the leader dies. Cause: it is promoted.
+func TestFurthestReplicaIsPromoted(t *testing.T) {
+	is := is.New(t)
+	for _, ahead := range []string{"b", "c"} {
+		s := newScene()
+		s.received[ahead] = 12
+		s.crash()
+		s.play(time.Second)
+		is.True(len(s.orders) > 0)
+		is.Equal(s.orders[0], Order{Group: "g", Upstream: ahead, Token: 7})
+		is.True(s.held["b"] > 1)
+		is.True(s.held["c"] > 1) // both had stopped receiving
+	}
+}
+
+// Symptom: the same. Sequence: the leader dies while a replica can't be asked, or
+// isn't listed. Cause: the rest is taken for all.
+func TestEveryReplicaMustBeHalted(t *testing.T) {
+	is := is.New(t)
+	for _, lost := range []bool{false, true} {
+		s := newScene()
+		s.view.Members[2].Lost = lost
+		s.mute["c"] = true
+		s.crash()
+		s.play(2 * time.Second)
+		is.Equal(len(s.orders), 0)
+		s.mute["c"] = false
+		s.received["c"] = 11
+		s.play(time.Second)
+		is.Equal(s.orders[0].Upstream, "c")
+	}
+}
+
+// Symptom: the same. Sequence: a holder gives up waiting for an answer of the
+// platform, chooses anew, and the first order is carried out late. Cause: two
+// orders in turn.
+func TestOrderIsRepeatedUnchanged(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	s.crash()
+	s.play(time.Second)
+	s.received["c"] = 20
+	s.outcome(NoAnswer)
+	s.play(2 * time.Second)
+	is.True(len(s.orders) > 3)
+	for _, o := range s.orders {
+		is.Equal(o, s.orders[0])
+	}
+}
+
+// Symptom: a group that works loses its leader. Sequence: a process that was cut
+// off comes back and believes what it last saw. Cause: nobody asks the leader.
+func TestLeaderThatAnswersIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	s.view.Leads = false
+	s.view.Dead = true
+	s.play(3 * time.Second)
+	is.Equal(len(s.orders), 0)
+	is.Equal(len(s.held), 0)
+	is.Equal(s.steps[1], "called off")
+}
+
+// Symptom: writes hang although the leader answers. Sequence: it is cut off from
+// its replicas. Cause: its answers to all else pass for work.
+func TestStuckLeaderIsReplaced(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	s.view.Dead, s.view.Stuck = true, true
+	s.play(time.Second)
+	is.Equal(len(s.orders) > 0, true)
+	is.True(s.orders[0].Upstream != "a")
+}
+
+// Symptom: an acknowledged commit is missing after a failover. Sequence: peers
+// still reach the old leader, which confirms a commit by a replica that joins.
+// Cause: the promotion is ordered before they have taken the lead from it.
+func TestPeersTakeTheLeadFirst(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	s.crash()
+	s.view.Reached = true
+	s.play(700 * time.Millisecond)
+	is.Equal(len(s.orders), 0)
+	id, term := s.r.Fencing()
+	is.Equal(id, "a")
+	is.Equal(term, tracker.Term{Epoch: 2})
+	s.view.Reached = false
+	s.view.Members = append(s.view.Members, Member{ID: "d"})
+	s.received["d"] = 13
+	s.play(time.Second)
+	is.Equal(s.orders[0].Upstream, "d") // it joined on the leader's side and is ahead
+}
+
+// Symptom: writes fail until a leaving leader is gone, or an acknowledged one is
+// missing. Sequence: the leader leaves. Cause: it isn't replaced first, or by a
+// replica that others' confirmations have passed by.
+func TestLeavingLeaderServesUntilItIsReplaced(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	s.view.Members[0].Leaving = true
+	s.received["a"], s.received["b"] = 15, 14
+	s.play(500 * time.Millisecond)
+	is.Equal(len(s.orders), 0)       // b lacks what the leader has
+	is.Equal(s.held["b"], uint32(0)) // and goes on receiving
+	is.True(s.held["c"] > 0)         // only b confirms now
+	s.received["b"] = 15
+	s.play(500 * time.Millisecond)
+	is.Equal(s.orders[0], Order{Group: "g", Upstream: "b", Token: 7})
+	s.outcome(Accepted)
+	s.view.Leader = "b"
+	s.play(time.Second)
+	is.Equal(s.r.Busy(), false)
+	is.Equal(s.steps[len(s.steps)-1], "done")
+}
+
+// Symptom: a group whose leader leaves stands still. Sequence: the chosen replica
+// doesn't catch up. Cause: the other one stays halted.
+func TestPlannedChangeIsGivenUpAndReleases(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	s.view.Members[0].Leaving = true
+	s.received["a"] = 15
+	s.play(2300 * time.Millisecond)
+	is.Equal(len(s.orders), 0)
+	is.Equal(s.steps[len(s.steps)-1], "give up")
+	is.Equal(s.held["c"], uint32(0))
+}
+
+// Symptom: a group stays without a leader although other processes could replace
+// it. Sequence: the holder can't reach one replica. Cause: it keeps the duty.
+func TestHolderThatCantReachAReplicaResigns(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	s.mute["c"] = true
+	s.crash()
+	s.play(4 * time.Second)
+	is.Equal(s.resigned, 1)
+	is.Equal(len(s.orders), 0)
+	is.Equal(s.r.Busy(), false)
+	is.Equal(s.held["b"], uint32(0)) // released for the next holder
+}
+
+// Symptom: a leader is promoted that lacks commits of one that is gone for good.
+// Sequence: a replica is off the list for long, then the leader dies. Cause: only
+// its absence is looked at, not what the leader has confirmed since.
+func TestFloorHoldsForTheNewLeader(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	s.view.Floor = tracker.Mark{Term: tracker.Term{Epoch: 1}, Pos: 11}
+	s.crash()
+	s.play(2 * time.Second)
+	is.Equal(len(s.orders), 0)
+	s.received["b"] = 11
+	s.held["b"] = 0
+	s.view.Token = 0 // another holder begins anew
+	s.play(300 * time.Millisecond)
+	s.view.Token = 8
+	s.play(2 * time.Second)
+	is.Equal(s.orders[0], Order{Group: "g", Upstream: "b", Token: 8})
+}
+
+func TestRejectedOrderBeginsAnew(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	s.crash()
+	s.play(time.Second)
+	s.outcome(Rejected)
+	s.view.Token = 9
+	s.play(2 * time.Second)
+	last := s.orders[len(s.orders)-1]
+	is.Equal(last.Token, uint64(9))
+	is.Equal(fmt.Sprint(Rejected, NotNow, NoAnswer, Accepted), "rejected not now no answer accepted")
+}
