carrier, proxier: a restart of everything doesn't crowd the upstreams

Change: the store's list of proxies bounds the shares until peers are heard; an upstream without room is asked again after 0.7 s with what is there, and statements wait for it until their deadline; callers wait up to 1.5 s for the first configuration.

--- a/carrier/group.go
+++ b/carrier/group.go
@@ -163,7 +163,12 @@
 	members := append([]*member(nil), g.members...)
 	g.mu.Unlock()
 	for _, m := range members {
-		m.pool.SetLimit(share)
+		g.mu.Lock()
+		crowded := !m.crowded.IsZero()
+		g.mu.Unlock()
+		if !crowded {
+			m.pool.SetLimit(share)
+		}
 	}
 }
 
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -20,6 +20,9 @@
 	// upstream that may run it and has just refused it as busy: about the time in
 	// which one of five slots comes free.
 	busyPause = 8 * time.Millisecond
+	// crowdedPause is how long a statement waits before it asks again for a
+	// connection of the one upstream that may run it and has no room.
+	crowdedPause = 40 * time.Millisecond
 	// margin is left of a sample's greatest age for the clock's own error.
 	margin = 20 * time.Millisecond
 	// ageing is the part of a route's greatest age after which a new sample is
@@ -185,11 +188,10 @@
 	if err != nil {
 		g.refused(m, err)
 		j.avoid(m)
-		g.log().Info("carrier: no connection", zap.String("request", j.Request), zap.String("group", g.name), zap.String("upstream", m.entry.ID), zap.Error(err))
 		if errors.Is(err, ErrOverloaded) {
 			return nil, refusal(Overloaded, "upstream has too many connections")
 		}
-		return nil, refusal(Busy, "no connection to the upstream")
+		return nil, refusal(Busy, "no connection to the upstream: "+err.Error())
 	}
 	return &run{conn: c}, Answer{}
 }
@@ -207,6 +209,9 @@
 		if !again {
 			return answer
 		}
+		if answer.Code == Overloaded || answer.Code == Busy {
+			n-- // nothing was run; the deadline bounds these
+		}
 		g.log().Info("carrier: statement goes again", zap.String("request", j.Request), zap.String("group", g.name),
 			zap.String("upstream", m.entry.ID), zap.Stringer("code", answer.Code), zap.String("cause", answer.Text), zap.Int("attempt", n+1))
 	}
@@ -218,7 +223,7 @@
 func (g *Group) attempt(m *member, j *Job, cmd Command, since tracker.Mark) (Answer, bool) {
 	r, refused := g.open(m, j)
 	if r == nil {
-		return refused, true
+		return refused, g.again(m, j, refused)
 	}
 	if j.Writes && !r.conn.Alive() {
 		g.release(m, r.conn, false)
@@ -331,6 +336,11 @@
 			return true
 		}
 		j.avoid(m)
+	case Overloaded:
+		j.avoid(m)
+		if j.latest() {
+			return pause(j, crowdedPause)
+		}
 	case Busy:
 		g.took(m, 4*ordinary)
 		if j.latest() {
--- a/carrier/member.go
+++ b/carrier/member.go
@@ -39,6 +39,7 @@
 	measured time.Time // when latency last changed
 	behind   time.Time // until when it counts as lagging
 	mark     tracker.Mark
+	crowded  time.Time // until when no more connections are asked for
 
 	barred  bool
 	since   time.Time // when it was barred
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -45,6 +45,9 @@
 		if !g.again(m, j, answer) && answer.Code != Aborted {
 			return nil, answer
 		}
+		if answer.Code == Overloaded || answer.Code == Busy {
+			n-- // nothing was run; the deadline bounds these
+		}
 		g.log().Info("carrier: transaction begins again", zap.String("request", j.Request), zap.String("group", g.name),
 			zap.String("upstream", m.entry.ID), zap.Stringer("code", answer.Code), zap.String("cause", answer.Text), zap.Int("attempt", n+1))
 	}
--- a/carrier/watch.go
+++ b/carrier/watch.go
@@ -25,6 +25,9 @@
 	// gap between two ticks, beyond which this process stood still and its
 	// impatience counts from anew.
 	gap = 400 * time.Millisecond
+	// crowdedFor is how long no more connections are asked of an upstream that had
+	// no room: some times shorter than the 3 s after which dead ones are dropped.
+	crowdedFor = 700 * time.Millisecond
 	// firstPause and longestPause bound the time between two looks at an upstream
 	// that is barred.
 	firstPause   = 100 * time.Millisecond
@@ -40,6 +43,10 @@
 	stood := now.Sub(g.ticked) > gap
 	g.ticked = now
 	for _, m := range g.members {
+		if !m.crowded.IsZero() && now.After(m.crowded) {
+			m.crowded = time.Time{}
+			m.pool.SetLimit(g.carrier.share(g.name))
+		}
 		switch {
 		case stood:
 			m.answered = now
@@ -132,10 +139,26 @@
 	g.signal()
 }
 
+// crowded takes in that a member has no room for another connection. Those of a
+// process that lost power count for 3 s more. Until then this process makes do
+// with what it has there.
+func (g *Group) crowded(m *member) {
+	g.mu.Lock()
+	m.crowded = g.carrier.Now().Add(crowdedFor)
+	g.mu.Unlock()
+	open := m.pool.Stats().Open
+	g.log().Info("carrier: upstream has no room", zap.String("group", g.name), zap.String("upstream", m.entry.ID), zap.Int("open", open))
+	m.pool.SetLimit(max(1, open))
+}
+
 // refused takes in that a connection to a member couldn't be opened. Who has only
 // waited for one that is in use says nothing of the member.
 func (g *Group) refused(m *member, err error) {
-	if errors.Is(err, ErrOverloaded) || errors.Is(err, pooler.ErrWait) {
+	switch {
+	case errors.Is(err, pooler.ErrWait):
+		return
+	case errors.Is(err, ErrOverloaded):
+		g.crowded(m)
 		return
 	}
 	g.mu.Lock()
--- a/proxier/catalog.go
+++ b/proxier/catalog.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -12,6 +13,9 @@
 	"basildale.example/basildale/platform/translator"
 )
 
+// awaitEvery is the time between two looks for the first configuration.
+const awaitEvery = 10 * time.Millisecond
+
 // holdings is what this process knows from the store and from peers, published
 // for traffic. It may be used by several goroutines.
 type holdings struct {
@@ -32,6 +36,16 @@
 	return &cataloger.View{}
 }
 
+// await returns the configuration in force, and waits for the first one. Callers
+// come as soon as a process listens; without the wait they would be told that
+// their database doesn't exist.
+func (h *holdings) await(d time.Duration) *cataloger.View {
+	for end := time.Now().Add(d); h.view.Load() == nil && time.Now().Before(end); {
+		time.Sleep(awaitEvery)
+	}
+	return h.current()
+}
+
 // configure takes in a configuration.
 func (h *holdings) configure(c cataloger.Config, source string) {
 	h.mu.Lock()
--- a/proxier/enroll.go
+++ b/proxier/enroll.go
@@ -73,6 +73,7 @@
 			p.gossip.Learn(o.Name, e.Peers)
 		}
 	}
+	p.listed.Store(int64(len(all)))
 	p.Log.Info("proxier: enrolled", zap.Int("proxies", len(all)))
 	return nil
 }
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -34,6 +34,9 @@
 	upkeep = 100 * time.Millisecond
 	// headerTimeout bounds how long an HTTP client may take over its head.
 	headerTimeout = 2 * time.Second
+	// openWait is how long a caller that connects to a process that has just
+	// started waits for the first configuration. Callers give up after 2 s.
+	openWait = 1500 * time.Millisecond
 	// relayTimeout bounds the call to a peer for what it knows.
 	relayTimeout = time.Second
 )
@@ -53,6 +56,7 @@
 	registry metrics.Registry
 	client   *http.Client
 	checks   checks
+	listed   atomic.Int64 // proxies that the store listed; 0 until it was asked
 	leaving  atomic.Bool
 	fetching atomic.Bool
 	servers  []*http.Server
@@ -186,7 +190,11 @@
 
 // open makes a caller's session.
 func (p *Proxier) open(database string) (*conductor.Session, carrier.Code, string) {
-	view := p.holdings.current()
+	view := p.holdings.await(openWait)
+	if view.Config.Version == 0 {
+		p.Log.Info("proxier: caller refused before the first configuration", zap.String("database", database))
+		return nil, carrier.Busy, "no configuration yet; come back in 1s"
+	}
 	if _, ok := view.Route(database); !ok {
 		p.Log.Info("proxier: caller refused", zap.String("database", database), zap.Uint64("configuration", view.Config.Version))
 		return nil, carrier.NoDatabase, "no route to the database " + database
@@ -220,8 +228,11 @@
 	}
 }
 
-// proxies returns how many processes share the upstreams' connections.
-func (p *Proxier) proxies() int { return 1 + p.gossip.Counted() }
+// proxies returns how many processes share the upstreams' connections: those that
+// were heard, or those that the store listed at the start, whichever are more. A
+// process that has just started has heard nobody yet and would take all: after a
+// loss of power everywhere one sees upstreams refuse most connections for seconds.
+func (p *Proxier) proxies() int { return max(1+p.gossip.Counted(), int(p.listed.Load())) }
 
 // self is what peers are told.
 func (p *Proxier) self() gossiper.State {
