forwarder: a peer carries what this process can't

Change: statements and whole transactions go to a peer that says it finds the group's leader well, of the own zone first, over the messenger's links. A peer never passes on further. A lost peer is treated as a lost upstream. Samples of the leader's log are had by way of a peer too.

--- a/adapter/messenger/calls.go
+++ b/adapter/messenger/calls.go
@@ -93,3 +93,10 @@
 	err := m.call(ctx, to, MethodShare, req, &reply)
 	return reply, err
 }
+
+// Carry has the proxy at to carry a statement.
+func (m *Messenger) Carry(ctx context.Context, to netip.AddrPort, req Carry) (Carried, error) {
+	var reply Carried
+	err := m.call(ctx, to, MethodCarry, req, &reply)
+	return reply, err
+}
--- a/adapter/messenger/handler.go
+++ b/adapter/messenger/handler.go
@@ -31,6 +31,7 @@
 	Leave   func(context.Context, Peer, Leave) (Empty, error)
 	Explain func(context.Context, Peer, ExplainQuery) (Explanation, error)
 	Share   func(context.Context, Peer, ShareRequest) (Empty, error)
+	Carry   func(context.Context, Peer, Carry) (Carried, error)
 }
 
 // dispatch decodes the request of one method and runs the function for it.
@@ -69,6 +70,9 @@
 	case MethodShare:
 		var q ShareRequest
 		return serve(raw, &q, h.Share != nil, func() (any, error) { return h.Share(ctx, from, q) })
+	case MethodCarry:
+		var q Carry
+		return serve(raw, &q, h.Carry != nil, func() (any, error) { return h.Carry(ctx, from, q) })
 	default:
 		return nil, errors.Wrapf(ErrMethod, "%q", method)
 	}
--- a/adapter/messenger/messages.go
+++ b/adapter/messenger/messages.go
@@ -23,6 +23,7 @@
 	MethodCancel  Method = "cancel"
 	MethodLeave   Method = "leave"
 	MethodExplain Method = "explain"
+	MethodCarry   Method = "carry"
 	MethodShare   Method = "share"
 )
 
@@ -150,3 +151,14 @@
 	Group string `json:"group"`
 	Seq   uint64 `json:"seq"`
 }
+
+// Carry asks a peer to carry a statement to an upstream that the sender doesn't
+// reach. The payload belongs to package forwarder.
+type Carry struct {
+	Payload json.RawMessage `json:"payload"`
+}
+
+// Carried answers Carry. The payload belongs to package forwarder.
+type Carried struct {
+	Payload json.RawMessage `json:"payload"`
+}
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/cataloger"
+	"basildale.example/basildale/tracker"
 )
 
 // What opening a link can end with, besides errors of the network.
@@ -25,6 +26,9 @@
 	Zone string
 	// Dial opens a link to an upstream.
 	Dial func(ctx context.Context, u cataloger.Upstream) (Link, error)
+	// Sample, when set, asks a peer for a position of a group's leader that is
+	// taken after the question.
+	Sample func(group string) (tracker.Mark, bool)
 	// Now is a clock that also counts the time in which the machine is
 	// suspended. It is only compared with itself.
 	Now func() time.Time
--- a/carrier/command.go
+++ b/carrier/command.go
@@ -80,6 +80,9 @@
 	Forbidden
 	TooLarge
 	Malformed
+	// Unplaced never reaches a caller: this process can't carry the statement now,
+	// and says so because another one may.
+	Unplaced
 )
 
 // Promises reports whether the code says that nothing is kept.
@@ -87,7 +90,7 @@
 
 // String returns the code as one short word.
 func (c Code) String() string {
-	names := [...]string{"ok", "busy", "aborted", "behind", "read-only", "misdirected", "overloaded", "failed", "timeout", "in doubt", "no statement", "no database", "forbidden", "too large", "malformed"}
+	names := [...]string{"ok", "busy", "aborted", "behind", "read-only", "misdirected", "overloaded", "failed", "timeout", "in doubt", "no statement", "no database", "forbidden", "too large", "malformed", "unplaced"}
 	if int(c) < len(names) {
 		return names[c]
 	}
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -55,6 +55,9 @@
 	Values []Value
 	// Prepared is what the statement executes, if it does.
 	Prepared *Prepared
+	// Elsewhere, when set, says that another process could carry the job now, so
+	// that waiting here for a leader or a sample is no use.
+	Elsewhere func() bool
 	// Gone is closed when the caller has left; it may be nil.
 	Gone <-chan struct{}
 
@@ -81,6 +84,9 @@
 	for {
 		since, waiting, ok := g.floor(j)
 		if !ok {
+			if g.unsampled(j) {
+				return nil, since, refusal(Unplaced, "no sample of the leader's log")
+			}
 			if !wait(j, waiting) {
 				return nil, since, g.unplaced(j, placer.NoLeader)
 			}
@@ -90,12 +96,24 @@
 		if m != nil {
 			return m, since, Answer{}
 		}
+		if j.Elsewhere != nil && j.Elsewhere() {
+			return nil, since, refusal(Unplaced, string(reason))
+		}
 		if g.hopeless() || !wait(j, changed) {
 			return nil, since, g.unplaced(j, reason)
 		}
 	}
 }
 
+// unsampled reports whether a job that lacks a sample is better carried elsewhere:
+// there is no leader here to ask for one.
+func (g *Group) unsampled(j *Job) bool {
+	g.mu.Lock()
+	leads := g.leader != nil && !g.leader.barred
+	g.mu.Unlock()
+	return !leads && j.Elsewhere != nil && j.Elsewhere()
+}
+
 // floor returns the mark that a read needs. When no sample is fresh enough, it
 // returns a channel to wait on for a newer one.
 func (g *Group) floor(j *Job) (tracker.Mark, <-chan struct{}, bool) {
--- /dev/null
+++ b/carrier/runner.go
@@ -0,0 +1,64 @@
+package carrier
+
+import "basildale.example/basildale/tracker"
+
+// Runner runs the statements of one group: a Group does, and so does whatever
+// has them run by another process.
+type Runner interface {
+	// Run carries one statement outside of a transaction.
+	Run(j *Job, cmd Command) Answer
+	// Start begins a transaction with its first statement. The transaction is nil
+	// unless the answer is OK.
+	Start(j *Job, readOnly bool, cmd Command) (Transaction, Answer)
+	// CommitEmpty commits a transaction without statements.
+	CommitEmpty(j *Job, readOnly bool, cmd Command) Answer
+}
+
+// Transaction is an open transaction. It belongs to one goroutine.
+type Transaction interface {
+	Do(j *Job, cmd Command) Answer
+	Commit(j *Job, cmd Command) Answer
+	Rollback()
+}
+
+// Carries reports whether this process has connections to the group's upstreams.
+func (g *Group) Carries() bool { return g.carrier.share(g.name) > 0 }
+
+// Serves reports whether this process can carry a job at once, as far as it
+// knows: what must see everything needs a leader that answers and acknowledges
+// writes, the rest an upstream and a sample that is young enough or can be had.
+func (g *Group) Serves(j *Job) bool {
+	if !g.Carries() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.carrier.Now()
+	leads := g.leader != nil && !g.leader.barred
+	if j.latest() {
+		return leads && (!j.Writes || !g.stuck(g.leader, now))
+	}
+	_, fresh := g.samples.since(j.Arrived.Add(margin - j.MaxAge))
+	if !fresh && !leads {
+		return false
+	}
+	for _, m := range g.members {
+		if !m.barred {
+			return true
+		}
+	}
+	return false
+}
+
+// Sample returns a position of the leader's log that is asked for now.
+func (g *Group) Sample() (tracker.Mark, bool) {
+	g.mu.Lock()
+	leader := g.leader
+	g.mu.Unlock()
+	if leader == nil || !g.ask(leader) {
+		return tracker.Mark{}, false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return leader.mark, true
+}
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -22,7 +22,7 @@
 // first statement didn't succeed for a reason that another attempt may mend is
 // begun anew elsewhere: the caller has seen nothing of it, and what it wrote is
 // rolled back. The transaction is nil when the answer isn't OK.
-func (g *Group) Start(j *Job, readOnly bool, cmd Command) (*Tx, Answer) {
+func (g *Group) Start(j *Job, readOnly bool, cmd Command) (Transaction, Answer) {
 	answer := refusal(Busy, "out of time")
 	for n := 0; n < attempts && time.Until(j.Deadline) > 0; n++ {
 		m, since, refused := g.place(j)
--- a/carrier/watch.go
+++ b/carrier/watch.go
@@ -250,13 +250,18 @@
 	}
 	done := make(chan struct{})
 	leader := g.leader
-	if leader == nil || leader.barred {
+	if leader != nil && leader.barred {
+		leader = nil
+	}
+	if leader == nil && g.carrier.Sample == nil {
 		return nil
 	}
 	g.sampling = done
 	go func() {
-		if !g.ask(leader) {
-			g.log().Debug("carrier: sample failed", zap.String("group", g.name), zap.String("upstream", leader.entry.ID))
+		if leader != nil {
+			g.ask(leader)
+		} else {
+			g.askPeer()
 		}
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -265,3 +270,17 @@
 	}()
 	return done
 }
+
+// askPeer takes a sample by way of a peer that reaches the leader. It counts from
+// before the question.
+func (g *Group) askPeer() {
+	asked := g.carrier.Now()
+	mark, ok := g.carrier.Sample(g.name)
+	if !ok {
+		time.Sleep(firstPause) // whoever waits asks again, not more often than ten times a second
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.samples.add(asked, mark)
+}
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -32,7 +32,7 @@
 	// View returns the configuration in force.
 	View func() *cataloger.View
 	// Group finds a database group.
-	Group func(name string) (*carrier.Group, bool)
+	Group func(name string) (carrier.Runner, bool)
 	// Now is the clock of package carrier.
 	Now func() time.Time
 	Log *zap.Logger
@@ -46,8 +46,8 @@
 	readOnly bool
 	route    cataloger.Route // of the open transaction
 	began    time.Time
-	tx       *carrier.Tx
-	ended    []*carrier.Tx // to be rolled back once the caller has its answer
+	tx       carrier.Transaction
+	ended    []carrier.Transaction // to be rolled back once the caller has its answer
 	rest     *time.Timer
 	turn     uint64 // counts statements, so that an old timer ends nothing newer
 
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,147 @@
+package forwarder
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/carrier"
+	"basildale.example/basildale/gossiper"
+	"basildale.example/basildale/tracker"
+)
+
+// Bounds of forwarding.
+const (
+	// shunFor is how long a peer that didn't answer is passed over.
+	shunFor = time.Second
+	// hops bounds how many peers one statement is offered to.
+	hops = 3
+	// sampleTimeout bounds the question for a sample: a way to a peer, and from
+	// there to the leader.
+	sampleTimeout = 200 * time.Millisecond
+	// slack is what the peer's answer may be late by, beyond the statement's time.
+	slack = 50 * time.Millisecond
+	// recheck is the time between two looks whether this process or a peer can
+	// serve a statement that waits.
+	recheck = 50 * time.Millisecond
+)
+
+// Forwarder decides who carries, and asks peers. Set the exported fields before
+// the first use.
+type Forwarder struct {
+	// Local finds the groups of this process.
+	Local func(name string) (*carrier.Group, bool)
+	// Live returns the peers that were heard lately.
+	Live func() []gossiper.Peer
+	// Send hands a payload to the peer at an address and returns its answer.
+	Send func(ctx context.Context, to netip.AddrPort, payload json.RawMessage) (json.RawMessage, error)
+	// Zone is this process's availability zone.
+	Zone string
+	// Now is the clock of package carrier.
+	Now func() time.Time
+	Log *zap.Logger
+
+	streams atomic.Uint64
+	serving server
+
+	mu   sync.Mutex
+	shun map[netip.AddrPort]time.Time // peers that didn't answer, until when
+}
+
+// Group returns what runs statements of a group, and whether the group is known.
+func (f *Forwarder) Group(name string) (carrier.Runner, bool) {
+	g, ok := f.Local(name)
+	if !ok {
+		return nil, false
+	}
+	return &path{f: f, group: g}, true
+}
+
+// Sample asks a peer for a position of a group's leader that is taken after the
+// question.
+func (f *Forwarder) Sample(group string) (tracker.Mark, bool) {
+	p, ok := f.peer(group, nil)
+	if !ok {
+		return tracker.Mark{}, false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
+	defer cancel()
+	resp, err := f.ask(ctx, p, request{Action: takeSample, Group: group, Left: sampleTimeout})
+	if err != nil || resp.Refused || resp.Answer.Code != carrier.OK {
+		return tracker.Mark{}, false
+	}
+	return resp.Answer.Mark, true
+}
+
+// peer returns a live peer that finds the leader of a group well: one of the own
+// availability zone, if there is any. Those in tried are passed over.
+func (f *Forwarder) peer(group string, tried map[netip.AddrPort]bool) (gossiper.Peer, bool) {
+	var near, far []gossiper.Peer
+	now := f.Now()
+	for _, p := range f.Live() {
+		state, knows := p.Groups[group]
+		if !knows || p.Leaving || !p.Carries.IsValid() || state.Trouble != gossiper.NoTrouble || !state.Carries {
+			continue
+		}
+		if tried[p.Carries] || f.shunned(p.Carries, now) {
+			continue
+		}
+		if p.Zone == f.Zone {
+			near = append(near, p)
+		} else {
+			far = append(far, p)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return gossiper.Peer{}, false
+	}
+	return near[rand.IntN(len(near))], true
+}
+
+func (f *Forwarder) shunned(at netip.AddrPort, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Before(f.shun[at])
+}
+
+// miss passes a peer over for a while.
+func (f *Forwarder) miss(p gossiper.Peer, err error) {
+	f.Log.Info("forwarder: peer lost", zap.String("peer", p.Name), zap.Error(err))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.shun == nil {
+		f.shun = map[netip.AddrPort]time.Time{}
+	}
+	f.shun[p.Carries] = f.Now().Add(shunFor)
+}
+
+// ask sends a request to a peer.
+func (f *Forwarder) ask(ctx context.Context, p gossiper.Peer, r request) (response, error) {
+	payload, err := json.Marshal(r)
+	if err != nil {
+		return response{}, errors.Wrap(err, "forwarder: request")
+	}
+	answer, err := f.Send(ctx, p.Carries, payload)
+	if err != nil {
+		f.miss(p, err)
+		return response{}, err
+	}
+	var resp response
+	err = json.Unmarshal(answer, &resp)
+	return resp, errors.Wrap(err, "forwarder: response")
+}
+
+// bounded returns a context that ends a little after a job's time.
+func bounded(j *carrier.Job) (context.Context, context.CancelFunc) {
+	return context.WithDeadline(context.Background(), j.Deadline.Add(slack))
+}
--- /dev/null
+++ b/forwarder/message.go
@@ -0,0 +1,70 @@
+package forwarder
+
+import (
+	"time"
+
+	"basildale.example/basildale/carrier"
+	"basildale.example/basildale/cataloger"
+	"basildale.example/basildale/tracker"
+)
+
+// action is what a peer is asked to do.
+type action uint8
+
+const (
+	runOne action = iota + 1
+	startTx
+	doTx
+	commitTx
+	rollbackTx
+	commitEmpty
+	takeSample
+)
+
+// request asks a peer to carry something. Times travel as spans, since clocks of
+// two processes don't compare.
+type request struct {
+	Action action `json:"action"`
+	Group  string `json:"group"`
+	// Stream names a transaction among those of the sender.
+	Stream   uint64 `json:"stream,omitempty"`
+	ReadOnly bool   `json:"readonly,omitempty"`
+
+	Request   string              `json:"request,omitempty"`
+	Freshness cataloger.Freshness `json:"freshness,omitempty"`
+	MaxAge    time.Duration       `json:"maxage,omitempty"`
+	Own       tracker.Mark        `json:"own,omitzero"`
+	Writes    bool                `json:"writes,omitempty"`
+	// Age is how long ago the operation arrived, Left how much of its time is
+	// left.
+	Age      time.Duration     `json:"age,omitempty"`
+	Left     time.Duration     `json:"left,omitempty"`
+	Values   []carrier.Value   `json:"values,omitempty"`
+	Prepared *carrier.Prepared `json:"prepared,omitempty"`
+	Command  carrier.Command   `json:"command,omitzero"`
+}
+
+// response is the answer to a request.
+type response struct {
+	Answer carrier.Answer `json:"answer"`
+	// Refused says that nothing was tried: the peer can't serve the group now.
+	Refused bool `json:"refused,omitempty"`
+}
+
+// asked returns the request for a job.
+func asked(a action, group string, j *carrier.Job, cmd carrier.Command, now time.Time) request {
+	return request{
+		Action: a, Group: group, Request: j.Request, Freshness: j.Freshness, MaxAge: j.MaxAge, Own: j.Own, Writes: j.Writes,
+		Age: now.Sub(j.Arrived), Left: time.Until(j.Deadline), Values: j.Values, Prepared: j.Prepared, Command: cmd,
+	}
+}
+
+// job returns the job of a request. The time on the way is taken off nothing: the
+// operation counts as younger than it is, which asks for fresher data, never for
+// older.
+func (r *request) job(now time.Time) *carrier.Job {
+	return &carrier.Job{
+		Request: r.Request, Freshness: r.Freshness, MaxAge: r.MaxAge, Own: r.Own, Writes: r.Writes,
+		Arrived: now.Add(-r.Age), Deadline: time.Now().Add(r.Left), Values: r.Values, Prepared: r.Prepared,
+	}
+}
--- a/gossiper/roster.go
+++ b/gossiper/roster.go
@@ -41,6 +41,8 @@
 type GroupState struct {
 	Leader  string  `json:"leader,omitempty"`
 	Trouble Trouble `json:"trouble,omitempty"`
+	// Carries says that the sender has connections to the group's upstreams.
+	Carries bool `json:"carries,omitempty"`
 	// Token is that of the sender's duty for the group; zero when it has none.
 	Token uint64 `json:"token,omitempty"`
 	// Fenced is the upstream that the sender, as holder, is replacing and has
@@ -55,8 +57,10 @@
 	Name  string `json:"name"`
 	Zone  string `json:"zone"`
 	Start int64  `json:"start"` // tells runs of one name apart; later ones are greater
-	// Peers and Operators are its addresses.
+	// Peers, Carries and Operators are its addresses: for datagrams, for statements
+	// that it carries for others, and for HTTP.
 	Peers     netip.AddrPort `json:"peers"`
+	Carries   netip.AddrPort `json:"carries,omitzero"`
 	Operators netip.AddrPort `json:"operators"`
 	// Configuration is the version in force there.
 	Configuration uint64 `json:"configuration"`
--- a/loader/checker.go
+++ b/loader/checker.go
@@ -47,6 +47,7 @@
 		{"wire", false, c.wire(&s.Wire)},
 		{"ready", false, c.address(&s.Ready, true)},
 		{"orders", false, c.address(&s.Orders, false)},
+		{"carry", false, c.address(&s.Carry, true)},
 		{"tls", false, c.tls(&s.TLS)},
 		{"secret", false, c.secret(&s.Secret)},
 		{"login", false, c.login(&s.Login)},
@@ -112,6 +113,9 @@
 	if !s.Orders.IsValid() {
 		c.fail(n, "orders is missing", "with the wire lines it has no default")
 	}
+	if !s.Carry.IsValid() {
+		c.fail(n, "carry is missing", "with the wire lines it has no default")
+	}
 	if len(s.Platform) != 1 {
 		c.fail(n, fmt.Sprintf("platform lists %d addresses", len(s.Platform)), "with the wire lines allowed is one")
 	}
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -39,10 +39,12 @@
 	// Wire is the protocol of callers and upstreams.
 	Wire Wire
 	// Ready is where the platform's balancer asks whether to send callers, and
-	// Orders the platform's address for changes of a leader. Both are needed with
-	// the wire Lines and unused otherwise.
+	// Orders the platform's address for changes of a leader. Carry is where peers
+	// connect that have statements carried. All are needed with the wire Lines and
+	// unused otherwise.
 	Ready  netip.AddrPort
 	Orders netip.AddrPort
+	Carry  netip.AddrPort
 	// TLS names the certificates of each side; a side without files is plain.
 	TLS TLS
 	// Secret is the path of the file with the key that all peers share; empty
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -120,7 +120,7 @@
 		o.heed(g, peers, now)
 		fenced, term := g.replacer.Fencing()
 		states[c.Name()] = gossiper.GroupState{
-			Leader: view.Leader, Trouble: trouble(c.Observe()), Token: g.duty.token, Fenced: fenced, FenceTerm: term,
+			Leader: view.Leader, Trouble: trouble(c.Observe()), Carries: c.Carries(), Token: g.duty.token, Fenced: fenced, FenceTerm: term,
 		}
 		if o.wants(&g.duty, c.Name(), peers, now) {
 			g.duty.claiming = true
--- a/proxier/fleet_test.go
+++ b/proxier/fleet_test.go
@@ -64,7 +64,7 @@
 	log := zaptest.NewLogger(f.t, zaptest.Level(zapcore.WarnLevel)).WithOptions(zap.WithCaller(false))
 	m := &member{ended: make(chan struct{}), Proxier: &Proxier{Log: log, Settings: loader.Settings{
 		Name: fmt.Sprintf("proxy-%d", i), Zone: fmt.Sprintf("zone-%d", i%3), Wire: loader.Lines,
-		Listen: local, Ready: local, Peers: local, Operators: local,
+		Listen: local, Ready: local, Peers: local, Operators: local, Carry: local,
 		Platform: []netip.AddrPort{f.platform.Address()}, Orders: f.platform.Address(), Stop: time.Second,
 	}}}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"encoding/json"
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,10 +17,12 @@
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/adapter/keeper"
+	"basildale.example/basildale/adapter/messenger"
 	"basildale.example/basildale/adapter/reporter"
 	"basildale.example/basildale/carrier"
 	"basildale.example/basildale/cataloger"
 	"basildale.example/basildale/conductor"
+	"basildale.example/basildale/forwarder"
 	"basildale.example/basildale/gossiper"
 	"basildale.example/basildale/loader"
 	"basildale.example/basildale/overseer"
@@ -37,6 +41,13 @@
 	// openWait is how long a caller that connects to a process that has just
 	// started waits for the first configuration. Callers give up after 2 s.
 	openWait = 1500 * time.Millisecond
+	// fleetKey, with the workspace's name, is what peers know one another by. It
+	// keeps processes of another fleet apart; it is no secret.
+	fleetKey = "basildale fleet "
+	// peerHandshake bounds opening a link to a peer, and peerInFlight the
+	// statements under way on one.
+	peerHandshake = 300 * time.Millisecond
+	peerInFlight  = 1024
 	// relayTimeout bounds the call to a peer for what it knows.
 	relayTimeout = time.Second
 )
@@ -52,6 +63,8 @@
 	holdings *holdings
 	gossip   *gossiper.Gossiper
 	overseer *overseer.Overseer
+	forward  *forwarder.Forwarder
+	peers    *messenger.Messenger
 	receiver *receiver.Receiver
 	registry metrics.Registry
 	client   *http.Client
@@ -63,6 +76,7 @@
 	// The addresses that are bound, also where the settings leave the port open.
 	readyAt     netip.AddrPort
 	operatorsAt netip.AddrPort
+	carryAt     netip.AddrPort
 	started     chan struct{}
 	once        sync.Once
 }
@@ -125,6 +139,8 @@
 		Name: s.Name, Start: p.start, Groups: p.carrier.Groups, Store: p.store, Live: p.gossip.Live,
 		Promote: orders.Promote, Leaving: p.leaving.Load, Now: bootClock, Log: p.Log,
 	}
+	p.forward = &forwarder.Forwarder{Local: p.carrier.Group, Live: p.gossip.Live, Send: p.send, Zone: s.Zone, Now: bootClock, Log: p.Log}
+	p.carrier.Sample = p.forward.Sample
 	p.receiver = &receiver.Receiver{Address: s.Listen, Open: p.open, Now: bootClock, Log: p.Log}
 }
 
@@ -137,12 +153,48 @@
 	if p.operatorsAt, err = p.serve(p.Settings.Operators, p.operators()); err != nil {
 		return err
 	}
+	if err := p.listenPeers(); err != nil {
+		return err
+	}
 	if err := p.receiver.Start(); err != nil {
 		return err
 	}
 	return p.gossip.Start()
 }
 
+// listenPeers takes statements of peers.
+func (p *Proxier) listenPeers() error {
+	ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(p.Settings.Carry))
+	if err != nil {
+		return errors.Wrapf(err, "proxier: listen on %s", p.Settings.Carry)
+	}
+	p.carryAt = ln.Addr().(*net.TCPAddr).AddrPort()
+	key := sha256.Sum256([]byte(fleetKey + p.Settings.Workspace))
+	p.peers = &messenger.Messenger{
+		Self: messenger.Peer{Addr: p.carryAt, Start: uint64(p.start)}, Keys: [][]byte{key[:]},
+		Handler:          messenger.Handler{Carry: p.carry},
+		HandshakeTimeout: peerHandshake, MaxInFlight: peerInFlight, Metrics: p.registry, Log: p.Log,
+	}
+	go func() {
+		if err := p.peers.Serve(ln); err != nil {
+			p.Log.Error("proxier: peers aren't served any more", zap.Error(err))
+		}
+	}()
+	return nil
+}
+
+// carry carries a statement for a peer.
+func (p *Proxier) carry(_ context.Context, from messenger.Peer, q messenger.Carry) (messenger.Carried, error) {
+	answer, err := p.forward.Serve(from.Addr.String()+"/"+strconv.FormatUint(from.Start, 36), q.Payload)
+	return messenger.Carried{Payload: answer}, err
+}
+
+// send has a peer carry a statement.
+func (p *Proxier) send(ctx context.Context, to netip.AddrPort, payload json.RawMessage) (json.RawMessage, error) {
+	answer, err := p.peers.Carry(ctx, to, messenger.Carry{Payload: payload})
+	return answer.Payload, err
+}
+
 // serve serves HTTP on an address, and returns the one that is bound.
 func (p *Proxier) serve(at netip.AddrPort, h http.Handler) (netip.AddrPort, error) {
 	ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at))
@@ -199,7 +251,7 @@
 		p.Log.Info("proxier: caller refused", zap.String("database", database), zap.Uint64("configuration", view.Config.Version))
 		return nil, carrier.NoDatabase, "no route to the database " + database
 	}
-	s := &conductor.Session{Database: database, View: p.holdings.current, Group: p.carrier.Group, Now: bootClock, Log: p.Log}
+	s := &conductor.Session{Database: database, View: p.holdings.current, Group: p.forward.Group, Now: bootClock, Log: p.Log}
 	return s, carrier.OK, ""
 }
 
@@ -237,7 +289,7 @@
 // self is what peers are told.
 func (p *Proxier) self() gossiper.State {
 	return gossiper.State{
-		Name: p.Settings.Name, Zone: p.Settings.Zone, Start: p.start, Peers: p.gossip.Bound(), Operators: p.operatorsAt,
+		Name: p.Settings.Name, Zone: p.Settings.Zone, Start: p.start, Peers: p.gossip.Bound(), Carries: p.carryAt, Operators: p.operatorsAt,
 		Configuration: p.holdings.current().Config.Version, Entries: p.holdings.entries(), Checked: p.checks.ages(bootClock()),
 		Leaving: p.leaving.Load(), Groups: p.overseer.States(),
 	}
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -248,3 +248,49 @@
 	}
 	return n
 }
+
+// Symptom: callers of one proxy are refused although the leader is well. Sequence:
+// a partition between that proxy and the leader. Cause: nobody but the proxy
+// itself brings its statements there.
+func TestPeerCarriesWhatThisProxyCant(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3)
+	m := f.proxies[0]
+	c, g := f.dial(m, "seats"), f.dial(m, "guards")
+	is.Equal(c.ask("WRITE seat anna").code, "")
+	f.group.Leader().Cut("proxy-0", true)
+	f.until("the leader is out of reach", func() bool { c.ask("READ seat"); return m.overseer.States()["billet"].Trouble > 0 })
+	is.Equal(c.ask("WRITE seat bo").code, "")
+	is.Equal(c.one("READ seat"), "bo")
+	is.Equal(g.ask("WRITE gate open").code, "")
+	is.Equal(g.one("READ gate"), "open")
+
+	is.Equal(c.ask("BEGIN").state, "T")
+	is.Equal(c.ask("WRITE seat carla").state, "T")
+	is.Equal(c.one("READ seat"), "carla")
+	is.Equal(c.ask("COMMIT").code, "")
+	is.Equal(c.one("READ seat"), "carla")
+	is.Equal(c.ask("BEGIN").state, "T")
+	is.Equal(c.ask("WRITE seat dora").state, "T")
+	is.Equal(c.ask("ROLLBACK").state, "I")
+	is.Equal(c.one("READ seat"), "carla")
+	is.Equal(f.group.Stats().Doubled, 0)
+}
+
+// Symptom: a connection to an upstream stays in a transaction that nobody ends.
+// Sequence: a proxy has a transaction carried by a peer, and dies. Cause: only its
+// caller's proxy would end it.
+func TestTransactionOfADeadPeerIsRolledBack(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2)
+	m, peer := f.proxies[0], f.proxies[1]
+	f.group.Leader().Cut("proxy-0", true)
+	c := f.dial(m, "seats")
+	f.until("the leader is out of reach", func() bool { c.ask("READ seat"); return m.overseer.States()["billet"].Trouble > 0 })
+	is.Equal(c.ask("BEGIN").state, "T")
+	is.Equal(c.ask("WRITE seat anna").state, "T")
+	is.Equal(peer.forward.Open(), 1)
+	m.peers.Close() // nothing more comes from there
+	f.until("rolled back", func() bool { return peer.forward.Open() == 0 })
+	is.Equal(f.dial(peer, "seats").one("READ seat"), "none")
+}
--- a/proxier/stop.go
+++ b/proxier/stop.go
@@ -33,7 +33,7 @@
 	ended := 0
 	for time.Since(began) < limit {
 		ended += p.receiver.EndIdle(endAtOnce)
-		if p.receiver.Count() == 0 {
+		if p.receiver.Count() == 0 && p.forward.Open() == 0 {
 			break
 		}
 		time.Sleep(endEvery)
@@ -41,6 +41,7 @@
 	left := p.receiver.Count()
 	p.receiver.StopAccepting()
 	p.gossip.Stop()
+	p.peers.Close()
 	p.carrier.Stop()
 	for _, s := range p.servers {
 		_ = s.Close() // the process ends; what is under way there is lost to nobody
