carrier: an upstream that takes connections and greets nobody is barred

Cause (the fleet's test of a dead peer hung): since a greeting that is late counts as crowding, an upstream that hangs while its kernel accepts was asked again for ever.

Change: it counts as crowded only while it has answered something in the last 0.6 s.

--- a/carrier/watch.go
+++ b/carrier/watch.go
@@ -28,6 +28,9 @@
 	// crowdedFor is how long no more connections are asked of an upstream that had
 	// no room: some times shorter than the 3 s after which dead ones are dropped.
 	crowdedFor = 700 * time.Millisecond
+	// hanging is how long an upstream that greets nobody in time may have answered
+	// nothing else, before it is barred: longer than a greeting may take.
+	hanging = 600 * time.Millisecond
 	// firstPause and longestPause bound the time between two looks at an upstream
 	// that is barred.
 	firstPause   = 100 * time.Millisecond
@@ -151,13 +154,21 @@
 	m.pool.SetLimit(max(1, open))
 }
 
+// answers reports whether a member has answered anything lately. One that takes
+// connections and greets nobody may hang: its kernel goes on accepting.
+func (g *Group) answers(m *member) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.carrier.Now().Sub(m.answered) < hanging
+}
+
 // refused takes in that a connection to a member couldn't be opened. Who has only
 // waited for one that is in use says nothing of the member.
 func (g *Group) refused(m *member, err error) {
 	switch {
 	case errors.Is(err, pooler.ErrWait):
 		return
-	case errors.Is(err, ErrOverloaded), errors.Is(err, ErrCrowded):
+	case errors.Is(err, ErrOverloaded), errors.Is(err, ErrCrowded) && g.answers(m):
 		// A leader that was just promoted gets connections from all proxies at once;
 		// barring it for that would begin the next change of leader.
 		g.crowded(m)
