overseer: a leader that is cut off yields; room is looked for at peers

The other side halts all replicas it knows and promotes one. 0.6 s later a replica joins on the old leader's side and confirms a commit that has waited since.

Change: a proxy that finds the leader stuck for 1.2 s, and gets no answer from any of the others, takes the lead from it. A write that was given up unanswered counts for 1.2 s, so that a leader with one writer counts as stuck too. Statements that find an upstream without room go to a peer that may have some, and ask again after 120 ms in place of 40 ms.

--- a/carrier/job.go
+++ b/carrier/job.go
@@ -22,7 +22,7 @@
 	busyPause = 8 * time.Millisecond
 	// crowdedPause is how long a statement waits before it asks again for a
 	// connection of the one upstream that may run it and has no room.
-	crowdedPause = 40 * time.Millisecond
+	crowdedPause = 120 * time.Millisecond
 	// margin is left of a sample's greatest age for the clock's own error.
 	margin = 20 * time.Millisecond
 	// ageing is the part of a route's greatest age after which a new sample is
@@ -189,6 +189,9 @@
 	answers, sent, err := r.conn.Exchange(deadline, commands...)
 	g.mu.Lock()
 	took := g.carrier.Now().Sub(r.started)
+	if err != nil && r.harmful && took > stuckAfter {
+		m.starved = g.carrier.Now()
+	}
 	r.started = time.Time{}
 	g.mu.Unlock()
 	if err != nil {
@@ -227,6 +230,9 @@
 		if !again {
 			return answer
 		}
+		if answer.Code == Overloaded && j.Elsewhere != nil && j.Elsewhere() {
+			return refusal(Unplaced, answer.Text) // a peer may have connections there
+		}
 		if answer.Code == Overloaded || answer.Code == Busy {
 			n-- // nothing was run; the deadline bounds these
 		}
@@ -359,7 +365,7 @@
 		j.avoid(m)
 	case Overloaded:
 		j.avoid(m)
-		if j.latest() {
+		if j.latest() && (j.Elsewhere == nil || !j.Elsewhere()) {
 			return pause(j, crowdedPause)
 		}
 	case Busy:
--- a/carrier/member.go
+++ b/carrier/member.go
@@ -35,6 +35,7 @@
 	running  map[*run]struct{}
 	answered time.Time // when it last answered anything
 	wrote    time.Time // when it last acknowledged a write
+	starved  time.Time // when a write was last given up there, unanswered for long
 	latency  time.Duration
 	measured time.Time // when latency last changed
 	behind   time.Time // until when it counts as lagging
--- a/carrier/observe.go
+++ b/carrier/observe.go
@@ -13,6 +13,11 @@
 // 20 to 80 ms and one of five may wait for as long.
 const stuckAfter = 700 * time.Millisecond
 
+// starvedFor is how long a write that was given up counts, before another one is
+// tried. Without it a leader with one writer would count as well again each time
+// that the writer's second is over.
+const starvedFor = 1200 * time.Millisecond
+
 // ErrUnknown means that the group has no such upstream.
 var ErrUnknown = errors.New("carrier: no such upstream")
 
@@ -67,6 +72,9 @@
 // stuck reports whether a member has left a write unanswered for too long and
 // none was answered since that one was sent. The caller has the lock.
 func (g *Group) stuck(m *member, now time.Time) bool {
+	if !m.starved.IsZero() && m.wrote.Before(m.starved) && now.Sub(m.starved) < starvedFor {
+		return true
+	}
 	for r := range m.running {
 		if r.harmful && !r.started.IsZero() && now.Sub(r.started) > stuckAfter && m.wrote.Before(r.started) {
 			return true
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -45,6 +45,9 @@
 		if !g.again(m, j, answer) && answer.Code != Aborted {
 			return nil, answer
 		}
+		if answer.Code == Overloaded && j.Elsewhere != nil && j.Elsewhere() {
+			return nil, refusal(Unplaced, answer.Text) // a peer may have connections there
+		}
 		if answer.Code == Overloaded || answer.Code == Busy {
 			n-- // nothing was run; the deadline bounds these
 		}
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/adapter/keeper"
@@ -33,6 +35,14 @@
 	settling = 2 * time.Second
 	// resigned is how long a process that gave a duty up leaves it to others.
 	resigned = 6 * time.Second
+	// yieldAfter is how long a leader must have acknowledged nothing, while this
+	// process reaches none of the others, before it is made to yield. It counts
+	// from when the leader counts as stuck, 0.7 s after the first write.
+	yieldAfter = 500 * time.Millisecond
+	// yieldEvery is the time between two such tries, and yieldTimeout how long each
+	// of the others has to answer first.
+	yieldEvery   = time.Second
+	yieldTimeout = 250 * time.Millisecond
 	// heedEvery is the time between two tries to take the lead from an upstream.
 	heedEvery = 200 * time.Millisecond
 	// askTimeout bounds one question to an upstream.
@@ -73,6 +83,7 @@
 	duty     duty
 	replacer replacer.Replacer
 	bad      time.Time // since when most who vote see trouble
+	stuck    time.Time // since when a leader that is cut off acknowledges nothing
 	heeded   time.Time // when a fence was last carried out
 	missed   time.Time // since when many peers miss a leader that works here
 }
@@ -122,6 +133,7 @@
 		g.duty.hear(c.Name(), peers, now)
 		view := o.view(g, peers, now)
 		o.heed(g, peers, now)
+		o.yield(g, now)
 		fenced, term := g.replacer.Fencing()
 		states[c.Name()] = gossiper.GroupState{
 			Leader: view.Leader, Trouble: trouble(c.Observe()), Carries: c.Carries(), Token: g.duty.token, Fenced: fenced, FenceTerm: term,
@@ -280,6 +292,49 @@
 	}
 }
 
+// yield takes the lead from an upstream that is cut off together with this process:
+// it acknowledges nothing, and none of the others can be reached from here. On the
+// other side of the partition another one may be promoted. A replica that joins
+// on this side would then confirm commits that wait at the old leader, and that
+// the new one lacks: one sees acknowledged commits rolled back seconds later.
+// Where the others are only down, this costs another change of leader when one of
+// them is back.
+func (o *Overseer) yield(g *group, now time.Time) {
+	seen := g.carried.Observe()
+	if !seen.Leads || !seen.Stuck {
+		g.stuck = time.Time{}
+		return
+	}
+	g.stuck = first(g.stuck, now)
+	if !lasted(g.stuck, now, yieldAfter) || now.Sub(g.heeded) < yieldEvery {
+		return
+	}
+	g.heeded = now
+	go o.cutOff(g, seen, now.Sub(g.stuck))
+}
+
+// cutOff makes a stuck leader yield, unless another upstream answers here: then
+// whoever holds the duty replaces it.
+func (o *Overseer) cutOff(g *group, seen carrier.Observation, stuck time.Duration) {
+	for _, m := range seen.Members {
+		if m.ID == seen.Leader {
+			continue
+		}
+		_, err := g.carried.Control(m.ID, time.Now().Add(yieldTimeout), carrier.Command{Verb: carrier.Status})
+		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+			return // it answers, or its process is down: no partition
+		}
+	}
+	report, err := g.carried.Control(seen.Leader, time.Now().Add(yieldTimeout), carrier.Command{Verb: carrier.Status})
+	if err != nil || !report.Leads {
+		o.Log.Info("overseer: no leader any more", zap.String("group", g.carried.Name()), zap.String("upstream", seen.Leader), zap.Error(err))
+		return
+	}
+	o.Log.Warn("overseer: a leader that is cut off yields", zap.String("group", g.carried.Name()), zap.String("upstream", seen.Leader),
+		zap.Duration("stuck", stuck), zap.Stringer("term", report.Term))
+	o.demote(g, seen.Leader, tracker.Term{Epoch: report.Term.Epoch + 1})
+}
+
 // demote takes the lead from an upstream. Whether it follows shows in its next
 // answers.
 func (o *Overseer) demote(g *group, id string, term tracker.Term) {
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -294,3 +294,26 @@
 	f.until("rolled back", func() bool { return peer.forward.Open() == 0 })
 	is.Equal(f.dial(peer, "seats").one("READ seat"), "none")
 }
+
+// Symptom: acknowledged commits are rolled back when another upstream is promoted.
+// Sequence: a partition leaves the leader with some proxies and without replicas;
+// commits wait there; a replica joins on that side and confirms them, while the
+// other side has promoted another. Cause: nobody on the leader's side makes it
+// give up a lead that is worth nothing there.
+func TestLeaderThatIsCutOffYields(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1)
+	c := f.dial(f.proxies[0], "seats")
+	is.Equal(c.ask("WRITE seat anna").code, "")
+	for _, u := range f.group.Replicas() {
+		u.Deafen(true)
+		u.Cut("proxy-0", true)
+	}
+	reader := f.dial(f.proxies[0], "times")
+	f.until("the leader yields", func() bool {
+		reader.ask("READ gate") // so that the replicas' silence is noticed
+		c.ask("WRITE seat bo")
+		return f.group.Leader() == nil
+	})
+	is.Equal(f.group.Stats().Acknowledged, 1)
+}
--- /dev/null
+++ b/proxier/share_test.go
@@ -0,0 +1,59 @@
+package proxier
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"basildale.example/basildale/gossiper"
+	"basildale.example/basildale/loader"
+)
+
+// of returns the i-th of n proxies in three zones, which knows all others.
+func of(i, n int) *Proxier {
+	p := &Proxier{Settings: loader.Settings{Name: fmt.Sprint("p", i), Zone: fmt.Sprint("z", i%3)}, gossip: &gossiper.Gossiper{}}
+	for j := range n {
+		if j != i {
+			p.gossip.Learn(fmt.Sprint("p", j), fmt.Sprint("z", j%3), netip.AddrPort{})
+		}
+	}
+	return p
+}
+
+// Symptom: an upstream refuses connections, or some proxies have none and nobody
+// carries for them. Sequence: a fleet of any size divides the connections. Cause:
+// the parts add up to more than there are, or all of them are nothing.
+func TestSharesNeverAddUpToMore(t *testing.T) {
+	for _, test := range []struct{ proxies, most, carriers int }{
+		{9, 30, 9},    // three each
+		{9, 56, 9},    // six each
+		{68, 162, 68}, // two each
+		{74, 49, 6},   // eight each
+		{300, 49, 6},
+		{20, 10, 1},
+	} {
+		t.Run(fmt.Sprintf("%d proxies, %d connections", test.proxies, test.most), func(t *testing.T) {
+			is := is.New(t)
+			total, carriers := 0, 0
+			zones := map[string]int{}
+			for i := range test.proxies {
+				p := of(i, test.proxies)
+				n := p.share("billet", test.most, test.proxies)
+				total += n
+				if n > 0 {
+					carriers++
+					zones[p.Settings.Zone]++
+				}
+			}
+			is.True(total <= test.most)
+			is.Equal(carriers, test.carriers)
+			if carriers >= 3 {
+				is.True(zones["z0"] > 0)
+				is.True(zones["z1"] > 0)
+				is.True(zones["z2"] > 0) // each zone has some
+			}
+		})
+	}
+}
