serve: SIGHUP reloads the settings; failed answers count as slow

Change: SIGHUP reads the settings anew; wrong ones change nothing. A failed or lost answer counts as six ordinary latencies, so an upstream that fails part of its work gets less of it. What had no use is gone.

--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -4,7 +4,6 @@
 	"hash/fnv"
 	"slices"
 	"strconv"
-	"time"
 )
 
 // maxPrepared bounds the prepared statements that one connection keeps. A
@@ -42,7 +41,6 @@
 	Link
 	values   []Value // in the order in which they were set
 	prepared map[Prepared]bool
-	used     time.Time
 }
 
 // prelude returns the commands that make the connection fit a session: they go
--- a/carrier/group.go
+++ b/carrier/group.go
@@ -182,7 +182,7 @@
 		return nil, errors.Wrapf(err, "carrier: open a connection to %s", entry.ID)
 	}
 	g.heard(m, l.Greeted())
-	return &conn{Link: l, used: g.carrier.Now()}, nil
+	return &conn{Link: l}, nil
 }
 
 // heard takes in that a member has answered, and how far its log is.
@@ -278,7 +278,6 @@
 		m.pool.Discard(c)
 		return
 	}
-	c.used = g.carrier.Now()
 	m.pool.Put(c)
 }
 
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -20,6 +20,10 @@
 	// upstream that may run it and has just refused it as busy: about the time in
 	// which one of five slots comes free.
 	busyPause = 8 * time.Millisecond
+	// failing is what a failed or lost answer counts as, in ordinary latencies. With
+	// the smoothing of the mean, an upstream that fails four of ten then costs three
+	// times as much as the others.
+	failing = 6
 	// crowdedPause is how long a statement waits before it asks again for a
 	// connection of the one upstream that may run it and has no room.
 	crowdedPause = 120 * time.Millisecond
@@ -260,6 +264,7 @@
 	answer, sent, err := g.send(m, r, j, cmd, since)
 	if err != nil {
 		g.release(m, r.conn, false)
+		g.took(m, failing*ordinary)
 		j.avoid(m)
 		return lost(j, sent)
 	}
@@ -376,6 +381,9 @@
 		j.avoid(m)
 	case NoStatement:
 	case Failed, Timeout:
+		// An upstream that fails part of its work counts as slow, and so gets less
+		// of it, until it answers well again.
+		g.took(m, failing*ordinary)
 		if j.Writes {
 			return false
 		}
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -180,14 +180,6 @@
 	t.g.release(t.m, t.r.conn, err == nil && answers[0].State == Idle)
 }
 
-// Leading reports whether the transaction's upstream still leads or the
-// transaction doesn't need it to.
-func (t *Tx) Leading() bool {
-	t.g.mu.Lock()
-	defer t.g.mu.Unlock()
-	return t.g.leader == t.m || t.g.leader == nil
-}
-
 // CommitEmpty commits a transaction without statements at an upstream, for its
 // signature.
 func (g *Group) CommitEmpty(j *Job, readOnly bool, cmd Command) Answer {
--- a/cmd/basildale/serve.go
+++ b/cmd/basildale/serve.go
@@ -47,6 +47,7 @@
 	log.Info("serve: starting", zap.String("name", settings.Name), zap.String("zone", settings.Zone))
 	if settings.Wire == loader.Lines {
 		p := &proxier.Proxier{Settings: settings, Log: log}
+		defer c.reloads(p, log)()
 		return p.Run(e.ctx)
 	}
 	d := &daemon.Daemon{Settings: settings, Log: log}
@@ -59,6 +60,28 @@
 	return nil
 }
 
+// reloads reads the settings anew at each SIGHUP. Without it the signal would end
+// the process, and every request under way with it. Settings that are wrong change
+// nothing. The function returned ends the watch.
+func (c *serveCmd) reloads(p *proxier.Proxier, log *zap.Logger) func() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	go func() {
+		for range signals {
+			settings, problems, err := loader.Load(c.File)
+			if err != nil || len(problems) > 0 {
+				log.Error("serve: settings not reloaded", zap.Int("problems", len(problems)), zap.Error(err))
+				continue
+			}
+			p.Reload(settings)
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(signals)
+	}
+}
+
 // hasten ends the stop of a process at its second signal; the first one ends the
 // command's context. The function returned ends the watch.
 func hasten(d *daemon.Daemon) func() {
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -72,6 +72,7 @@
 	client   *http.Client
 	checks   checks
 	listed   atomic.Int64 // proxies that the store listed; 0 until it was asked
+	limit    atomic.Int64 // of a stop, as a time.Duration
 	leaving  atomic.Bool
 	fetching atomic.Bool
 	servers  []*http.Server
@@ -89,6 +90,14 @@
 	return p.started
 }
 
+// Reload takes in settings that were read anew. Only how long a stop may take
+// changes in a running process; addresses are bound, and everything else comes
+// from the store.
+func (p *Proxier) Reload(s loader.Settings) {
+	p.limit.Store(int64(s.Stop))
+	p.Log.Info("proxier: settings reloaded", zap.Duration("stop", s.Stop))
+}
+
 // Callers returns the address that callers connect to, after Started.
 func (p *Proxier) Callers() netip.AddrPort { return p.receiver.Bound() }
 
@@ -131,6 +140,7 @@
 func (p *Proxier) build() {
 	s := &p.Settings
 	p.start = time.Now().UnixNano()
+	p.limit.Store(int64(s.Stop))
 	p.registry = metrics.NewRegistry()
 	p.meter = &meter.Meter{Registry: p.registry}
 	p.client = &http.Client{Transport: translator.Base()}
--- a/proxier/stop.go
+++ b/proxier/stop.go
@@ -26,7 +26,7 @@
 // leaves when none is left or the time is over.
 func (p *Proxier) stop() {
 	began := time.Now()
-	limit := time.Duration(leaveBy * float64(p.Settings.Stop))
+	limit := time.Duration(leaveBy * float64(p.limit.Load()))
 	p.leaving.Store(true)
 	p.Log.Info("proxier: stopping", zap.Int("sessions", p.receiver.Count()), zap.Duration("limit", limit))
 	time.Sleep(min(servedFor, limit/2))
