carrier: a leader that doesn't answer counts as none; an upstream's id never changes

Cause (read as a newcomer): statements waited a whole timeout for a leader that had been silent for more than 4 s, where one that was unknown for as long was refused at once; log lines read an entry that another goroutine replaces.

Change: the time without a leader counts from when it is barred; the id stands beside the entry.

--- a/carrier/group.go
+++ b/carrier/group.go
@@ -31,7 +31,7 @@
 	proven time.Time
 	// led is the id of the last leader.
 	led string
-	// leaderless is since when no leader that answers is known.
+	// leaderless is since when no leader that answers is known; zero while one is.
 	leaderless time.Time
 	// changed is closed, and made anew, when the leader or a member changes.
 	changed  chan struct{}
@@ -75,7 +75,7 @@
 // store says of the leader counts where it has changed.
 func (g *Group) update(u cataloger.Upstream) *member {
 	for _, m := range g.members {
-		if m.entry.ID != u.ID {
+		if m.id != u.ID {
 			continue
 		}
 		before := m.entry
@@ -91,7 +91,7 @@
 		}
 		return m
 	}
-	m := &member{entry: u, running: map[*run]struct{}{}}
+	m := &member{id: u.ID, entry: u, running: map[*run]struct{}{}}
 	m.pool = &pooler.Pool[*conn]{
 		Limit: g.carrier.share(g.name),
 		Dial:  func(ctx context.Context) (*conn, error) { return g.dial(ctx, m) },
@@ -124,7 +124,7 @@
 		g.lead(nil, "gone")
 	}
 	g.miss(m)
-	g.log().Info("carrier: upstream gone", zap.String("group", g.name), zap.String("upstream", m.entry.ID), zap.Uint64("revision", m.entry.Revision))
+	g.log().Info("carrier: upstream gone", zap.String("group", g.name), zap.String("upstream", m.id), zap.Uint64("revision", m.entry.Revision))
 }
 
 // lead takes in who leads. The caller has the lock.
@@ -134,7 +134,7 @@
 	}
 	id := ""
 	if m != nil {
-		id = m.entry.ID
+		id = m.id
 	}
 	g.log().Info("carrier: leader changed", zap.String("group", g.name), zap.String("upstream", id),
 		zap.String("before", g.led), zap.String("evidence", evidence))
@@ -144,7 +144,7 @@
 	}
 	if m != nil {
 		g.leaderless = time.Time{}
-		g.led = m.entry.ID
+		g.led = m.id
 	}
 	g.signal()
 }
@@ -194,10 +194,13 @@
 		m.mark = mark
 	}
 	if m.barred {
-		g.log().Info("carrier: upstream answers again", zap.String("group", g.name), zap.String("upstream", m.entry.ID),
+		g.log().Info("carrier: upstream answers again", zap.String("group", g.name), zap.String("upstream", m.id),
 			zap.Duration("barred", m.answered.Sub(m.since)))
 		m.barred = false
 		m.pause = 0
+		if m == g.leader {
+			g.leaderless = time.Time{}
+		}
 		g.signal()
 	}
 }
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -199,7 +199,7 @@
 	r.started = time.Time{}
 	g.mu.Unlock()
 	if err != nil {
-		g.log().Info("carrier: link lost", zap.String("group", g.name), zap.String("upstream", m.entry.ID), zap.String("request", commands[len(commands)-1].ID),
+		g.log().Info("carrier: link lost", zap.String("group", g.name), zap.String("upstream", m.id), zap.String("request", commands[len(commands)-1].ID),
 			zap.Duration("took", took), zap.Bool("sent", sent), zap.Error(err))
 		return nil, sent, err
 	}
@@ -241,7 +241,7 @@
 			n-- // nothing was run; the deadline bounds these
 		}
 		g.log().Info("carrier: statement goes again", zap.String("request", j.Request), zap.String("group", g.name),
-			zap.String("upstream", m.entry.ID), zap.Stringer("code", answer.Code), zap.String("cause", answer.Text), zap.Int("attempt", n+1))
+			zap.String("upstream", m.id), zap.Stringer("code", answer.Code), zap.String("cause", answer.Text), zap.Int("attempt", n+1))
 	}
 	return answer
 }
@@ -271,7 +271,7 @@
 	usable := answer.State == Idle && answer.Code != NoStatement
 	g.release(m, r.conn, usable)
 	answer.State = Idle
-	answer.Upstream = m.entry.ID
+	answer.Upstream = m.id
 	if answer.Code == OK {
 		answer.Ran = g.carrier.Now().Sub(started)
 		answer.Waited = started.Sub(j.Arrived)
--- a/carrier/lost.go
+++ b/carrier/lost.go
@@ -32,7 +32,7 @@
 	if g.lost == nil {
 		g.lost = map[string]*absent{}
 	}
-	g.lost[m.entry.ID] = &absent{entry: m.entry, since: g.carrier.Now()}
+	g.lost[m.id] = &absent{entry: m.entry, since: g.carrier.Now()}
 }
 
 // account drops absent upstreams whose logs are accounted for: they are listed
@@ -40,10 +40,10 @@
 // caller has the lock.
 func (g *Group) account() {
 	for _, m := range g.members {
-		delete(g.lost, m.entry.ID)
+		delete(g.lost, m.id)
 		for id, a := range g.lost {
 			if a.entry.Address == m.entry.Address {
-				g.log().Info("carrier: log accounted for", zap.String("group", g.name), zap.String("upstream", id), zap.String("successor", m.entry.ID))
+				g.log().Info("carrier: log accounted for", zap.String("group", g.name), zap.String("upstream", id), zap.String("successor", m.id))
 				delete(g.lost, id)
 			}
 		}
--- a/carrier/member.go
+++ b/carrier/member.go
@@ -26,11 +26,12 @@
 	lagging = 60 * time.Millisecond
 )
 
-// member is one upstream of a group. All fields but the pool are guarded by the
-// group's lock.
+// member is one upstream of a group. All fields but the id and the pool, which
+// never change, are guarded by the group's lock.
 type member struct {
-	entry cataloger.Upstream
+	id    string
 	pool  *pooler.Pool[*conn]
+	entry cataloger.Upstream
 
 	running  map[*run]struct{}
 	answered time.Time // when it last answered anything
--- a/carrier/observe.go
+++ b/carrier/observe.go
@@ -55,7 +55,7 @@
 	now := g.carrier.Now()
 	out := Observation{Leader: g.led}
 	for _, m := range g.members {
-		out.Members = append(out.Members, Seen{ID: m.entry.ID, Leaving: m.entry.Leaving, Barred: m.barred})
+		out.Members = append(out.Members, Seen{ID: m.id, Leaving: m.entry.Leaving, Barred: m.barred})
 		if out.Term.Less(m.mark.Term) {
 			out.Term = m.mark.Term
 		}
@@ -112,7 +112,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, m := range g.members {
-		if m.entry.ID == id {
+		if m.id == id {
 			return m
 		}
 	}
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -52,7 +52,7 @@
 			n-- // nothing was run; the deadline bounds these
 		}
 		g.log().Info("carrier: transaction begins again", zap.String("request", j.Request), zap.String("group", g.name),
-			zap.String("upstream", m.entry.ID), zap.Stringer("code", answer.Code), zap.String("cause", answer.Text), zap.Int("attempt", n+1))
+			zap.String("upstream", m.id), zap.Stringer("code", answer.Code), zap.String("cause", answer.Text), zap.Int("attempt", n+1))
 	}
 	return nil, answer
 }
@@ -110,7 +110,7 @@
 		return Answer{Code: Aborted, Text: "connection lost inside the transaction", State: Broken}
 	}
 	answer := verdict(answers, len(prelude))
-	answer.Upstream = t.m.entry.ID
+	answer.Upstream = t.m.id
 	if answer.Code == OK {
 		answer.Ran = t.g.carrier.Now().Sub(started)
 		t.g.took(t.m, answer.Ran)
--- a/carrier/watch.go
+++ b/carrier/watch.go
@@ -115,7 +115,7 @@
 		if r.harmful || r.started.IsZero() || now.Sub(r.started) < overdue {
 			continue
 		}
-		g.log().Info("carrier: answer lost", zap.String("group", g.name), zap.String("upstream", m.entry.ID), zap.Duration("waited", now.Sub(r.started)))
+		g.log().Info("carrier: answer lost", zap.String("group", g.name), zap.String("upstream", m.id), zap.Duration("waited", now.Sub(r.started)))
 		r.conn.Abort()
 	}
 }
@@ -131,8 +131,11 @@
 	m.since = now
 	m.probeAt = now.Add(firstPause)
 	m.pause = firstPause
-	g.log().Warn("carrier: upstream barred", zap.String("group", g.name), zap.String("upstream", m.entry.ID), zap.String("cause", cause),
+	g.log().Warn("carrier: upstream barred", zap.String("group", g.name), zap.String("upstream", m.id), zap.String("cause", cause),
 		zap.Int("running", len(m.running)), zap.Duration("since answer", now.Sub(m.answered)), zap.Bool("leads", m == g.leader))
+	if m == g.leader && g.leaderless.IsZero() {
+		g.leaderless = now
+	}
 	for r := range m.running {
 		if !r.harmful && !r.started.IsZero() {
 			r.conn.Abort()
@@ -150,7 +153,7 @@
 	m.crowded = g.carrier.Now().Add(crowdedFor)
 	g.mu.Unlock()
 	open := m.pool.Stats().Open
-	g.log().Info("carrier: upstream has no room", zap.String("group", g.name), zap.String("upstream", m.entry.ID), zap.Int("open", open))
+	g.log().Info("carrier: upstream has no room", zap.String("group", g.name), zap.String("upstream", m.id), zap.Int("open", open))
 	m.pool.SetLimit(max(1, open))
 }
 
