receiver: busy sessions end after their request at a graceful stop

Change: a session that is told to leave ends after the request under way; what is left at the end is closed.

--- a/proxier/stop.go
+++ b/proxier/stop.go
@@ -39,7 +39,7 @@
 		time.Sleep(endEvery)
 	}
 	left := p.receiver.Count()
-	p.receiver.StopAccepting()
+	p.receiver.Stop()
 	p.gossip.Stop()
 	p.peers.Close()
 	p.carrier.Stop()
