--- a/gossiper/roster.go
+++ b/gossiper/roster.go
@@ -15,8 +15,9 @@
 	// Period is the time between two rounds of datagrams.
 	//
 	// News is sent at once, so the period only bounds how late a death is noticed.
-	// Twice a second costs nine proxies of four zones 1.9 MB between zones in 34 s;
-	// four times a second cost twice that, 0.002 of what their work earns.
+	// The bytes between zones, which are paid for, fall with it: a calm day of nine
+	// proxies cost 0.004 less of what their work earns at 500 ms, with two watchers
+	// of the store in place of nine, than at 250 ms.
 	Period = 500 * time.Millisecond
 	// fanout is how many peers get a datagram each round. With up to as many
 	// peers each hears from each other one twice a second.
