listener: writes and closes wait until the loop has the connection

The dump shows a nil dereference in nbio's write: a handler got its connection from Open and wrote before AddConn had told nbio which loop it belongs to. The panic left nbio's lock of the connection held, and the deferred Stop waited for it. A close at the same moment freed a descriptor that the loop was about to watch. In a running process a session writes only after it has read, so no caller was seen to meet it.

Change: a write waits for the loop; a close before that is carried out right after it. Closed is told once, also when the loop refuses the connection.

--- a/adapter/listener/conn.go
+++ b/adapter/listener/conn.go
@@ -29,8 +29,15 @@
 	// two meet only in the kernel's event queue, which Go's memory model and its
 	// race detector know nothing of.
 	opened atomic.Bool
-	unsent atomic.Int64
-	closed atomic.Bool
+	// joined is closed when the event loop has taken the connection, or refused it.
+	// A write before that dereferences nil inside nbio, and a close before it frees
+	// the file descriptor that the loop is about to watch.
+	joined chan struct{}
+	// closing says that Close came before that.
+	closing atomic.Bool
+	unsent  atomic.Int64
+	closed  atomic.Bool
+	ended   sync.Once
 
 	mu    sync.Mutex
 	space chan struct{} // made when a writer first waits
@@ -60,9 +67,34 @@
 	}
 }
 
-// Write sends p, which it doesn't keep. It waits while too much is unsent and
-// fails with ErrStalled when the caller reads nothing for too long.
+// join hands the connection to an event loop.
+func (c *Conn) join(engine *nbio.Engine) error {
+	c.nc.SetSession(c)
+	c.opened.Store(true)
+	_, err := engine.AddConn(c.nc)
+	close(c.joined)
+	if err != nil {
+		c.end()
+		return err
+	}
+	if c.closing.Load() {
+		return c.nc.Close()
+	}
+	return nil
+}
+
+// end tells the handler, once, that the connection has ended.
+func (c *Conn) end() {
+	c.closed.Store(true)
+	c.signal()
+	c.ended.Do(c.handler.Closed)
+}
+
+// Write sends p, which it doesn't keep. It waits while too much is unsent, or
+// until the event loop has the connection, so Open can't call it. It fails with
+// ErrStalled when the caller reads nothing for too long.
 func (c *Conn) Write(p []byte) (int, error) {
+	<-c.joined
 	if err := c.waitSpace(); err != nil {
 		return 0, err
 	}
@@ -149,7 +181,15 @@
 }
 
 // Close ends the connection. What is unsent is dropped.
-func (c *Conn) Close() error { return c.nc.Close() }
+func (c *Conn) Close() error {
+	c.closing.Store(true) // before the look: either join sees it, or joined is closed
+	select {
+	case <-c.joined:
+		return c.nc.Close()
+	default:
+		return nil
+	}
+}
 
 // abandon says a last word and closes a connection that the engine doesn't know.
 func (c *Conn) abandon(farewell []byte) {
@@ -182,9 +222,7 @@
 	if !ok || !c.opened.Load() {
 		return
 	}
-	c.closed.Store(true)
-	c.signal()
-	c.handler.Closed()
+	c.end()
 }
 
 // onWritten counts down what is unsent. It runs inside nbio's lock of the
--- a/adapter/listener/listener.go
+++ b/adapter/listener/listener.go
@@ -117,20 +117,21 @@
 		l.Log.Warn("listener: connection refused", zap.Error(err))
 		return
 	}
-	c := &Conn{nc: nc, remote: remote, maxUnsent: int64(l.MaxUnsent), stall: l.Stall}
+	c := l.wrap(nc, remote)
 	c.handler = l.Open(c)
 	if c.handler == nil {
 		c.abandon(l.Farewell)
 		return
 	}
-	nc.SetSession(c)
-	c.opened.Store(true)
-	if _, err := engine.AddConn(nc); err != nil {
+	if err := c.join(engine); err != nil {
 		l.Log.Warn("listener: connection refused", zap.Error(err))
-		c.handler.Closed()
 	}
 }
 
+func (l *Listener) wrap(nc *nbio.Conn, remote netip.AddrPort) *Conn {
+	return &Conn{nc: nc, remote: remote, maxUnsent: int64(l.MaxUnsent), stall: l.Stall, joined: make(chan struct{})}
+}
+
 // StopAccepting closes the listening socket. Connections go on.
 func (l *Listener) StopAccepting() {
 	l.once.Do(func() {
--- a/adapter/listener/listener_test.go
+++ b/adapter/listener/listener_test.go
@@ -4,10 +4,12 @@
 	"io"
 	"net"
 	"net/netip"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"github.com/matryer/is"
 )
 
@@ -114,3 +116,68 @@
 	is.NoErr(err)
 	is.Equal(string(last), "full")
 }
+
+// accepted returns a connection that no event loop has yet, and its caller's side.
+func accepted(t *testing.T, l *Listener) (*Conn, *echo, net.Conn) {
+	t.Helper()
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	caller, err := net.Dial("tcp", ln.Addr().String())
+	is.NoErr(err)
+	tcp, err := ln.Accept()
+	is.NoErr(err)
+	nc, err := nbio.NBConn(tcp)
+	is.NoErr(err)
+	c := l.wrap(nc, netip.AddrPort{})
+	e := &echo{conn: c, ended: make(chan struct{})}
+	c.handler = e
+	return c, e, caller
+}
+
+// Symptom: the process ends with a nil dereference inside nbio, and where that is
+// recovered a stop hangs for ever on the connection's lock. Sequence: a handler's
+// goroutine writes between Open and the moment at which the event loop has the
+// connection. Cause: nbio knows no loop for it until then.
+func TestWriteBeforeTheLoopHasTheConnection(t *testing.T) {
+	is := is.New(t)
+	l := &Listener{}
+	startEcho(t, l)
+	defer l.Stop()
+	c, e, caller := accepted(t, l)
+	written := make(chan error)
+	go func() {
+		_, err := c.Write([]byte("seat 7"))
+		written <- err
+	}()
+	for range 1000 {
+		runtime.Gosched() // the writer gets its turn before the loop
+	}
+	is.NoErr(c.join(l.engines[0]))
+	is.NoErr(<-written)
+	b := make([]byte, 6)
+	_, err := io.ReadFull(caller, b)
+	is.NoErr(err)
+	is.Equal(string(b), "seat 7")
+	caller.Close()
+	<-e.ended
+}
+
+// Symptom: a connection of another caller is cut, or events of one arrive at
+// another. Sequence: a handler closes between Open and the moment at which the
+// event loop has the connection; the file descriptor is given to the next one.
+// Cause: the loop then watches a descriptor that it doesn't own.
+func TestCloseBeforeTheLoopHasTheConnection(t *testing.T) {
+	is := is.New(t)
+	l := &Listener{}
+	startEcho(t, l)
+	defer l.Stop()
+	c, e, caller := accepted(t, l)
+	defer caller.Close()
+	is.NoErr(c.Close())
+	is.NoErr(c.join(l.engines[0]))
+	<-e.ended
+	_, err := caller.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
