carrier: statements are admitted by a gate before each upstream

Change: limiter.Gate, which the PostgreSQL side has had, stands before each upstream: an adaptive window of what this process has there, and a queue by objective, then by the statement's time, in which work that must see the newest state weighs two reads that may be old. What can't be in time is refused at once with when to come back; reads try another upstream first. Later statements of a transaction pass, since they hold a connection and their work would be lost. placer counts the wait at the gate.

--- /dev/null
+++ b/carrier/gate.go
@@ -0,0 +1,101 @@
+package carrier
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/cataloger"
+	"basildale.example/basildale/limiter"
+)
+
+// Bounds of what this process has at one upstream at a time. What is sent beyond an
+// upstream's slots waits there in the order of arrival, where nothing can be
+// refused any more and deadlines don't count.
+const (
+	// leastWindow is how many statements this process may have at an upstream
+	// whatever the others have there. Nine processes with two each wait for 126 ms
+	// at five slots and 35 ms of work, less than the shortest objective, 200 ms.
+	leastWindow = 2
+	// mostWindow bounds the window's growth: twice an upstream's 5 or 6 slots and
+	// some, so that one process alone can keep it busy.
+	mostWindow = 16
+	// longestQueue is how many statements may wait here for one upstream. At 160 a
+	// second, what six slots do, that is 1.6 s of work, more than the time of most
+	// statements.
+	longestQueue = 256
+)
+
+// newGate returns the queue before one upstream.
+func newGate() *limiter.Gate {
+	return &limiter.Gate{
+		Queue: limiter.Queue{
+			Length: longestQueue, Service: ordinary,
+			Window: limiter.Window{Least: leastWindow, Most: mostWindow},
+		},
+		Now: time.Now,
+	}
+}
+
+// class says what an answer in time is worth: a read that may be old counts half
+// as much as work that must see, or makes, the newest state.
+func (j *Job) class() limiter.Class {
+	if j.latest() || j.Freshness == cataloger.Own {
+		return limiter.Booking
+	}
+	return limiter.Lookup
+}
+
+// due is when the answer is worth having: the objective while it can be met, after
+// that the end of the statement's time. So under overload what can still be in
+// time goes first, and what is late already takes what is left.
+func (j *Job) due(now time.Time, service time.Duration, left time.Duration) time.Time {
+	if left < service {
+		return j.Deadline
+	}
+	aim := now.Add(left)
+	if aim.After(j.Deadline) {
+		return j.Deadline
+	}
+	return aim
+}
+
+// enter waits until a statement may go to a member. A zero ticket means that it
+// can't be answered in time behind those that wait already, and the answer says
+// so at once, with when to come back.
+func (g *Group) enter(m *member, j *Job) (limiter.Ticket, Answer) {
+	now := time.Now()
+	left := j.Aim.Sub(g.carrier.Now())
+	if j.Aim.IsZero() {
+		left = j.Deadline.Sub(now)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), j.Deadline)
+	defer cancel()
+	class := j.class()
+	ticket, outcome := m.gate.Acquire(ctx, limiter.Item{Class: class, Deadline: j.due(now, m.gate.Expected(class), left)})
+	if ticket != 0 {
+		return ticket, Answer{}
+	}
+	back := max(time.Until(outcome.Back), busyPause).Round(time.Millisecond)
+	g.log().Info("carrier: statement not admitted", zap.String("request", j.Request), zap.String("group", g.name), zap.String("upstream", m.id),
+		zap.Stringer("cause", outcome.Cause), zap.Duration("back", back), zap.Duration("left", left), zap.Bool("leads", j.latest()))
+	return 0, refusal(Busy, "upstream is overloaded; come back in "+back.String())
+}
+
+// other reports whether a statement that a member didn't admit may try another
+// one.
+func (g *Group) other(m *member, j *Job) bool {
+	if j.latest() {
+		return false
+	}
+	j.avoid(m)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, o := range g.members {
+		if !o.barred && !j.tried[o] {
+			return true
+		}
+	}
+	return false
+}
--- a/carrier/group.go
+++ b/carrier/group.go
@@ -92,7 +92,7 @@
 		}
 		return m
 	}
-	m := &member{id: u.ID, entry: u, running: map[*run]struct{}{}}
+	m := &member{id: u.ID, entry: u, gate: newGate(), running: map[*run]struct{}{}}
 	m.opener = &opener{now: g.carrier.Now, after: func(d time.Duration, f func()) { time.AfterFunc(d, f) }}
 	m.pool = &pooler.Pool[*conn]{
 		Limit: g.carrier.share(g.name),
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -53,6 +53,9 @@
 	// Arrived is when the operation's first byte was here, by the carrier's
 	// clock; ages count from it.
 	Arrived time.Time
+	// Aim is when the operation should have been answered, by the carrier's clock;
+	// zero where nothing is aimed at.
+	Aim time.Time
 	// Deadline is when the statement's time is over.
 	Deadline time.Time
 	// Values are those of the session.
@@ -249,9 +252,27 @@
 // attempt sends a statement to a member once. It reports whether the statement
 // may and should go again.
 func (g *Group) attempt(m *member, j *Job, cmd Command, since tracker.Mark) (Answer, bool) {
+	ticket, refused := g.enter(m, j)
+	if ticket == 0 {
+		return refused, g.other(m, j)
+	}
+	answer, again := g.admitted(m, j, cmd, since)
+	m.gate.Release(ticket, answer.Code == OK)
+	if !again {
+		return answer, false
+	}
+	return answer, g.again(m, j, answer)
+}
+
+// admitted carries out an attempt that the member's gate let through. It reports
+// whether the refusal is one after which the statement may go again.
+func (g *Group) admitted(m *member, j *Job, cmd Command, since tracker.Mark) (Answer, bool) {
+	if g.isBarred(m) {
+		return refusal(Busy, "upstream barred while the statement waited for it"), true
+	}
 	r, refused := g.open(m, j)
 	if r == nil {
-		return refused, g.again(m, j, refused)
+		return refused, true
 	}
 	if j.Writes && !r.conn.Alive() {
 		g.release(m, r.conn, false)
@@ -264,9 +285,12 @@
 	answer, sent, err := g.send(m, r, j, cmd, since)
 	if err != nil {
 		g.release(m, r.conn, false)
-		g.took(m, failing*ordinary)
 		j.avoid(m)
-		return lost(j, sent)
+		answer, again := lost(j, sent)
+		if !again {
+			g.took(m, failing*ordinary)
+		}
+		return answer, again
 	}
 	usable := answer.State == Idle && answer.Code != NoStatement
 	g.release(m, r.conn, usable)
@@ -278,7 +302,7 @@
 		g.took(m, answer.Ran)
 		return answer, false
 	}
-	return answer, g.again(m, j, answer)
+	return answer, true
 }
 
 // lost is the answer to a statement whose connection broke.
--- a/carrier/member.go
+++ b/carrier/member.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"basildale.example/basildale/cataloger"
+	"basildale.example/basildale/limiter"
 	"basildale.example/basildale/placer"
 	"basildale.example/basildale/pooler"
 	"basildale.example/basildale/tracker"
@@ -32,6 +33,7 @@
 	id     string
 	pool   *pooler.Pool[*conn]
 	opener *opener
+	gate   *limiter.Gate
 	entry  cataloger.Upstream
 
 	running  map[*run]struct{}
@@ -71,6 +73,7 @@
 		Tried:   tried,
 		Mark:    m.mark,
 		Running: len(m.running),
+		Wait:    m.gate.Wait(),
 		Places:  places,
 		Latency: m.expected(now),
 	}
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -33,14 +33,19 @@
 		if readOnly && j.Freshness != cataloger.Latest {
 			begin = Command{Verb: BeginRead, Since: since}
 		}
+		ticket, late := g.enter(m, j)
+		if ticket == 0 {
+			answer = late
+			if g.other(m, j) {
+				continue
+			}
+			return nil, answer
+		}
 		var tx *Tx
-		tx, answer = g.begun(m, j, begin)
+		tx, answer = g.first(m, j, begin, cmd)
+		m.gate.Release(ticket, answer.Code == OK)
 		if tx != nil {
-			answer = tx.Do(j, cmd)
-			if answer.Code == OK {
-				return tx, answer
-			}
-			tx.Rollback()
+			return tx, answer
 		}
 		if !g.again(m, j, answer) && answer.Code != Aborted {
 			return nil, answer
@@ -57,6 +62,22 @@
 	return nil, answer
 }
 
+// first begins a transaction at a member and runs its first statement. What comes
+// after it isn't held back by the member's gate: the transaction has a connection,
+// and what it has done would be lost.
+func (g *Group) first(m *member, j *Job, begin, cmd Command) (*Tx, Answer) {
+	tx, answer := g.begun(m, j, begin)
+	if tx == nil {
+		return nil, answer
+	}
+	answer = tx.Do(j, cmd)
+	if answer.Code == OK {
+		return tx, answer
+	}
+	tx.Rollback()
+	return nil, answer
+}
+
 // begun begins a transaction at a member.
 func (g *Group) begun(m *member, j *Job, begin Command) (*Tx, Answer) {
 	r, refused := g.open(m, j)
--- a/carrier/watch.go
+++ b/carrier/watch.go
@@ -174,6 +174,12 @@
 	}
 }
 
+func (g *Group) isBarred(m *member) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return m.barred
+}
+
 // answers reports whether a member has answered anything lately. One that takes
 // connections and greets nobody may hang: its kernel goes on accepting.
 func (g *Group) answers(m *member) bool {
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -269,6 +269,7 @@
 		Freshness: route.Freshness,
 		MaxAge:    route.MaxAge,
 		Arrived:   arrived,
+		Aim:       arrived.Add(route.Objective),
 		Deadline:  time.Now().Add(route.Timeout - s.Now().Sub(arrived)),
 		Values:    s.values,
 		Gone:      s.gone,
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -37,8 +37,10 @@
 	Writes    bool                `json:"writes,omitempty"`
 	// Age is how long ago the operation arrived, Left how much of its time is
 	// left.
-	Age      time.Duration     `json:"age,omitempty"`
-	Left     time.Duration     `json:"left,omitempty"`
+	Age  time.Duration `json:"age,omitempty"`
+	Left time.Duration `json:"left,omitempty"`
+	// Aim is how much is left until the operation's objective; negative after it.
+	Aim      time.Duration     `json:"aim,omitempty"`
 	Values   []carrier.Value   `json:"values,omitempty"`
 	Prepared *carrier.Prepared `json:"prepared,omitempty"`
 	Command  carrier.Command   `json:"command,omitzero"`
@@ -55,7 +57,7 @@
 func asked(a action, group string, j *carrier.Job, cmd carrier.Command, now time.Time) request {
 	return request{
 		Action: a, Group: group, Request: j.Request, Freshness: j.Freshness, MaxAge: j.MaxAge, Own: j.Own, Writes: j.Writes,
-		Age: now.Sub(j.Arrived), Left: time.Until(j.Deadline), Values: j.Values, Prepared: j.Prepared, Command: cmd,
+		Age: now.Sub(j.Arrived), Left: time.Until(j.Deadline), Aim: j.Aim.Sub(now), Values: j.Values, Prepared: j.Prepared, Command: cmd,
 	}
 }
 
@@ -65,6 +67,6 @@
 func (r *request) job(now time.Time) *carrier.Job {
 	return &carrier.Job{
 		Request: r.Request, Freshness: r.Freshness, MaxAge: r.MaxAge, Own: r.Own, Writes: r.Writes,
-		Arrived: now.Add(-r.Age), Deadline: time.Now().Add(r.Left), Values: r.Values, Prepared: r.Prepared,
+		Arrived: now.Add(-r.Age), Aim: now.Add(r.Aim), Deadline: time.Now().Add(r.Left), Values: r.Values, Prepared: r.Prepared,
 	}
 }
--- a/limiter/gate.go
+++ b/limiter/gate.go
@@ -64,6 +64,13 @@
 	return g.Queue.Wait(g.Now())
 }
 
+// Expected returns the mean service time of a class; see [Queue.Expected].
+func (g *Gate) Expected(c Class) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Queue.Expected(c)
+}
+
 // Apply sets the limits of a preset; see [Queue.Apply].
 func (g *Gate) Apply(l Limits) {
 	g.mu.Lock()
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -47,6 +47,8 @@
 	Mark tracker.Mark
 	// Running is how many statements and transactions of this proxy are there.
 	Running int
+	// Wait is how long this proxy would hold the work back before it is sent there.
+	Wait time.Duration
 	// Places is how many connections this proxy may have there.
 	Places int
 	// Latency is the expected time of an answer.
@@ -113,7 +115,7 @@
 const last = time.Minute
 
 func cost(c *Candidate, need Need) time.Duration {
-	cost := c.Latency + time.Duration(perRunning*float64(c.Running)*float64(c.Latency))
+	cost := c.Wait + c.Latency + time.Duration(perRunning*float64(c.Running)*float64(c.Latency))
 	if !c.Local {
 		cost += remote
 	}
