--- a/carrier/gate.go
+++ b/carrier/gate.go
@@ -8,6 +8,7 @@
 
 	"basildale.example/basildale/cataloger"
 	"basildale.example/basildale/limiter"
+	"basildale.example/basildale/tracker"
 )
 
 // Bounds of what this process has at one upstream at a time. What is sent beyond an
@@ -50,7 +51,7 @@
 // due is when the answer is worth having: the objective while it can be met, after
 // that the end of the statement's time. So under overload what can still be in
 // time goes first, and what is late already takes what is left.
-func (j *Job) due(now time.Time, service time.Duration, left time.Duration) time.Time {
+func (j *Job) due(now time.Time, service, left time.Duration) time.Time {
 	if left < service {
 		return j.Deadline
 	}
@@ -84,16 +85,18 @@
 }
 
 // other reports whether a statement that a member didn't admit may try another
-// one.
-func (g *Group) other(m *member, j *Job) bool {
+// one, which probably has what it needs.
+func (g *Group) other(m *member, j *Job, since tracker.Mark) bool {
 	if j.latest() {
 		return false
 	}
 	j.avoid(m)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := g.carrier.Now()
+	upTo := g.samples.needed(since, now)
 	for _, o := range g.members {
-		if !o.barred && !j.tried[o] {
+		if !o.barred && !j.tried[o] && !o.lag.lacks(now, upTo) {
 			return true
 		}
 	}
--- a/carrier/group.go
+++ b/carrier/group.go
@@ -250,8 +250,9 @@
 	now := g.carrier.Now()
 	candidates := make([]placer.Candidate, len(g.members))
 	share := g.carrier.share(g.name)
+	upTo := g.samples.needed(need.Since, now)
 	for i, m := range g.members {
-		candidates[i] = m.candidate(now, m == g.leader, m.entry.Zone == g.carrier.Zone, tried[m], share)
+		candidates[i] = m.candidate(now, upTo, m == g.leader, m.entry.Zone == g.carrier.Zone, tried[m], share)
 	}
 	i, reason := placer.Choose(candidates, need)
 	if g.carrier.Count != nil {
@@ -263,6 +264,9 @@
 		}
 		return nil, reason, g.changed
 	}
+	if !need.Leader {
+		g.members[i].lag.trying(now)
+	}
 	return g.members[i], reason, nil
 }
 
@@ -299,7 +303,19 @@
 func (g *Group) late(m *member) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m.behind = g.carrier.Now().Add(lagging)
+	had := g.samples.complete(m.mark)
+	if had.IsZero() && len(g.samples.ring) > 0 {
+		had = g.samples.ring[0].asked // it is further behind than is known
+	}
+	m.lag.refused(g.carrier.Now(), had)
+}
+
+// kept takes in that a member's log had what a read needed.
+func (g *Group) kept(m *member, since tracker.Mark) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.carrier.Now()
+	m.lag.served(now, g.samples.needed(since, now))
 }
 
 // took takes in the time of an answer.
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -254,7 +254,7 @@
 func (g *Group) attempt(m *member, j *Job, cmd Command, since tracker.Mark) (Answer, bool) {
 	ticket, refused := g.enter(m, j)
 	if ticket == 0 {
-		return refused, g.other(m, j)
+		return refused, g.other(m, j, since)
 	}
 	answer, again := g.admitted(m, j, cmd, since)
 	m.gate.Release(ticket, answer.Code == OK)
@@ -300,6 +300,9 @@
 		answer.Ran = g.carrier.Now().Sub(started)
 		answer.Waited = started.Sub(j.Arrived)
 		g.took(m, answer.Ran)
+		if !j.latest() {
+			g.kept(m, since)
+		}
 		return answer, false
 	}
 	return answer, true
--- a/carrier/member.go
+++ b/carrier/member.go
@@ -22,9 +22,6 @@
 	// fading is the time in which an unused upstream's excess latency halves, so
 	// that one that was slow is tried again.
 	fading = 2 * time.Second
-	// lagging is how long a refusal for lag counts: some times the mean delay of
-	// a replica, 8 to 20 ms.
-	lagging = 60 * time.Millisecond
 )
 
 // member is one upstream of a group. All fields but the id and the pool, which
@@ -42,7 +39,7 @@
 	starved  time.Time // when a write was last given up there, unanswered for long
 	latency  time.Duration
 	measured time.Time // when latency last changed
-	behind   time.Time // until when it counts as lagging
+	lag      lag
 	mark     tracker.Mark
 
 	barred  bool
@@ -60,7 +57,7 @@
 	harmful bool      // its loss leaves the caller in doubt, so it isn't aborted
 }
 
-func (m *member) candidate(now time.Time, leads, local, tried bool, places int) placer.Candidate {
+func (m *member) candidate(now, upTo time.Time, leads, local, tried bool, places int) placer.Candidate {
 	if m.opener.refused() {
 		places = m.pool.Stats().Open
 	}
@@ -69,7 +66,7 @@
 		Leaving: m.entry.Leaving,
 		Barred:  m.barred,
 		Local:   local,
-		Behind:  now.Before(m.behind),
+		Behind:  m.lag.lacks(now, upTo),
 		Tried:   tried,
 		Mark:    m.mark,
 		Running: len(m.running),
--- a/carrier/samples.go
+++ b/carrier/samples.go
@@ -67,3 +67,27 @@
 	}
 	return s.ring[len(s.ring)-1], true
 }
+
+// needed returns a moment at which the leader's log contained a mark, the earliest
+// that is known, or now.
+func (s *samples) needed(mark tracker.Mark, now time.Time) time.Time {
+	for _, e := range s.ring {
+		if !e.mark.Less(mark) {
+			return e.asked
+		}
+	}
+	return now
+}
+
+// complete returns the latest known moment up to which a log that ends at a mark has
+// everything; zero when that is before all samples.
+func (s *samples) complete(mark tracker.Mark) time.Time {
+	var at time.Time
+	for _, e := range s.ring {
+		if mark.Less(e.mark) {
+			return at
+		}
+		at = e.asked
+	}
+	return at
+}
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -36,7 +36,7 @@
 		ticket, late := g.enter(m, j)
 		if ticket == 0 {
 			answer = late
-			if g.other(m, j) {
+			if g.other(m, j, since) {
 				continue
 			}
 			return nil, answer
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -21,9 +21,10 @@
 	// bytes that are paid for. Measured latencies differ by less than this
 	// while upstreams are healthy, so work stays in its zone.
 	remote = 6 * time.Millisecond
-	// behind is what a candidate adds that has just refused for its lag: another
-	// round trip and another queue.
-	behind = 40 * time.Millisecond
+	// behind is what a candidate adds that probably lacks what the read needs: most
+	// likely it refuses, which costs a round trip, a place in its queue, and the same
+	// again elsewhere. An upstream that is as slow as that is still the better choice.
+	behind = time.Second
 	// full is what a candidate adds without a free connection: about the time
 	// until one of ours comes back there.
 	full = 30 * time.Millisecond
@@ -39,7 +40,7 @@
 	// Barred says that it doesn't answer.
 	Barred bool
 	Local  bool
-	// Behind says that it refused a read for its lag a moment ago.
+	// Behind says that its log probably lacks what the work needs.
 	Behind bool
 	// Tried says that this very statement has failed there.
 	Tried bool
