--- a/adapter/messenger/bytes_test.go
+++ b/adapter/messenger/bytes_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -14,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"basildale.example/basildale/internal/faker/network"
+	"basildale.example/basildale/internal/matcher"
 	"basildale.example/basildale/membership"
 )
 
@@ -63,24 +62,6 @@
 		updates = full
 		measure("ping, 8 statements each way", MethodPing, ping)
 		measure("sync, 8 members", MethodSync, sync)
-		golden(t, "testdata/bytes.golden", out.String())
+		matcher.Golden(t, "testdata/bytes.golden", out.String())
 	})
 }
-
-var update = flag.Bool("update", false, "write the golden files")
-
-func golden(t *testing.T, path, got string) {
-	t.Helper()
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("%s differs, got:\n%s", path, got)
-	}
-}
--- a/adapter/reporter/reporter_test.go
+++ b/adapter/reporter/reporter_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"flag"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -17,11 +15,10 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"basildale.example/basildale/internal/matcher"
 	"basildale.example/basildale/meter"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
 func get(t *testing.T, r *Reporter, method, path string) (code int, body string) {
 	t.Helper()
 	rec := httptest.NewRecorder()
@@ -57,13 +54,7 @@
 			is := is.New(t)
 			code, body := get(t, r, http.MethodGet, path)
 			is.Equal(code, http.StatusOK)
-			file := "testdata/" + golden
-			if *update {
-				is.NoErr(os.WriteFile(file, []byte(body), 0o600))
-			}
-			want, err := os.ReadFile(file)
-			is.NoErr(err)
-			is.Equal(cmp.Diff(string(want), body), "")
+			matcher.Golden(t, "testdata/"+golden, body)
 		})
 	}
 }
--- a/cmd/basildale/ask_test.go
+++ b/cmd/basildale/ask_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"flag"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -15,10 +13,9 @@
 	"github.com/matryer/is"
 
 	"basildale.example/basildale/adapter/reporter"
+	"basildale.example/basildale/internal/matcher"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
 // process serves r and returns its address.
 func process(t *testing.T, r *reporter.Reporter) string {
 	t.Helper()
@@ -61,13 +58,7 @@
 			is := is.New(t)
 			code, stdout, _ := command(t, args...)
 			is.Equal(code, exitDone)
-			golden := "testdata/" + name + ".golden"
-			if *update {
-				is.NoErr(os.WriteFile(golden, []byte(stdout), 0o600))
-			}
-			want, err := os.ReadFile(golden)
-			is.NoErr(err)
-			is.Equal(stdout, string(want))
+			matcher.Golden(t, "testdata/"+name+".golden", stdout)
 		})
 	}
 }
--- a/configurator/plan_test.go
+++ b/configurator/plan_test.go
@@ -1,37 +1,22 @@
 package configurator
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
 	"github.com/matryer/is"
 
+	"basildale.example/basildale/internal/matcher"
 	"basildale.example/basildale/limiter"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 // golden compares text with a file of testdata.
 func golden(t *testing.T, name, got string) {
 	t.Helper()
-	path := "testdata/" + name
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if d := cmp.Diff(string(want), got); d != "" {
-		t.Errorf("%s (-want +got):\n%s", name, d)
-	}
+	matcher.Golden(t, "testdata/"+name, got)
 }
 
 func parse(t *testing.T, path string) []Document {
--- a/generator/generator_test.go
+++ b/generator/generator_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -18,10 +16,9 @@
 	"basildale.example/basildale/checker"
 	"basildale.example/basildale/generator"
 	"basildale.example/basildale/internal/faker/upstream"
+	"basildale.example/basildale/internal/matcher"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 func settings(db *fakeDB) generator.Generator {
 	return generator.Generator{
 		Addrs:        []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")},
@@ -55,13 +52,7 @@
 	is := is.New(t)
 	got, err := json.MarshalIndent(v, "", "  ")
 	is.NoErr(err)
-	path := filepath.Join("testdata", name)
-	if *update {
-		is.NoErr(os.WriteFile(path, append(got, '\n'), 0o600))
-	}
-	want, err := os.ReadFile(path)
-	is.NoErr(err)
-	is.Equal(string(got)+"\n", string(want))
+	matcher.Golden(t, filepath.Join("testdata", name), string(got)+"\n")
 }
 
 func TestReport(t *testing.T) {
--- a/internal/layout/shares_test.go
+++ b/internal/layout/shares_test.go
@@ -36,6 +36,6 @@
 	all := code + tests
 	t.Logf("lines of Go: %d; tests: %d (%d %% of all); decision packages: %d (%d %% of what isn't tests); soak: %d",
 		all, tests, 100*tests/all, deciding, 100*deciding/code, soak)
-	is.True(soak*10 < code) // the soak is a tenth of what isn't tests, or more
+	is.True(soak*10 < code)     // the soak is a tenth of what isn't tests, or more
 	is.True(deciding*4 >= code) // decision packages are less than a quarter of what isn't tests
 }
--- a/internal/measurer/measurer_test.go
+++ b/internal/measurer/measurer_test.go
@@ -1,17 +1,15 @@
 package measurer
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-)
 
-var update = flag.Bool("update", false, "write the golden file anew")
+	"basildale.example/basildale/internal/matcher"
+)
 
 // cases lists the runs of the comparison.
 func cases() []Case {
@@ -59,12 +57,5 @@
 		}
 	})
 	got := Header() + "\n" + strings.Join(lines, "\n") + "\n"
-	const golden = "testdata/comparison.golden"
-	if *update {
-		is.NoErr(os.MkdirAll("testdata", 0o755))
-		is.NoErr(os.WriteFile(golden, []byte(got), 0o600))
-	}
-	want, err := os.ReadFile(golden)
-	is.NoErr(err)
-	is.Equal(got, string(want))
+	matcher.Golden(t, "testdata/comparison.golden", got)
 }
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -5,7 +5,6 @@
 	"crypto/pbkdf2"
 	"crypto/sha256"
 	"encoding/base64"
-	"flag"
 	"os"
 	"path/filepath"
 	"strings"
@@ -15,10 +14,9 @@
 	"github.com/matryer/is"
 
 	"basildale.example/basildale/examples"
+	"basildale.example/basildale/internal/matcher"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
 // Symptom: a process starts with a limit it was never given, or an operator
 // needs one start per mistake to get a file right.
 // Sequence: a settings file with several mistakes is checked.
@@ -38,13 +36,7 @@
 			for _, p := range problems {
 				got.WriteString(p.String() + "\n")
 			}
-			golden := strings.TrimSuffix(file, ".yaml") + ".golden"
-			if *update {
-				is.NoErr(os.WriteFile(golden, []byte(got.String()), 0o600))
-			}
-			want, err := os.ReadFile(golden)
-			is.NoErr(err)
-			is.Equal(got.String(), string(want))
+			matcher.Golden(t, strings.TrimSuffix(file, ".yaml")+".golden", got.String())
 			is.True(len(problems) > 0) // every file in testdata is wrong
 		})
 	}
--- a/membership/measure_test.go
+++ b/membership/measure_test.go
@@ -2,18 +2,15 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
+	"basildale.example/basildale/internal/matcher"
 	"basildale.example/basildale/internal/modeler"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 // learned returns how long after since each running process took the member at
 // the address of gone for dead, sorted.
 func (f *fleet) learned(gone *proc, since time.Time) []time.Duration {
@@ -66,7 +63,7 @@
 	for _, n := range []int{9, 90, 900, 2500} {
 		parts = append(parts, func(out *bytes.Buffer) { measure(out, n) })
 	}
-	golden(t, "testdata/measure.golden", string(modeler.Together(parts...)))
+	matcher.Golden(t, "testdata/measure.golden", string(modeler.Together(parts...)))
 }
 
 func measure(out *bytes.Buffer, n int) {
@@ -114,19 +111,3 @@
 	f.RunFor(10 * time.Second)
 	fmt.Fprintf(out, "  2 %% of messages lost: %d false deaths and %d suspicions in 10 s of %d processes\n", f.deaths(), f.reasons(Silent)-before, n)
 }
-
-func golden(t *testing.T, path, got string) {
-	t.Helper()
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("%s differs, got:\n%s", path, got)
-	}
-}
--- a/membership/storm_test.go
+++ b/membership/storm_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"basildale.example/basildale/internal/matcher"
 	"basildale.example/basildale/internal/modeler"
 )
 
@@ -60,7 +61,7 @@
 			func(out *bytes.Buffer) { restarted(out, n) },
 			func(out *bytes.Buffer) { fresh(out, n) })
 	}
-	golden(t, "testdata/storms.golden", string(modeler.Together(parts...)))
+	matcher.Golden(t, "testdata/storms.golden", string(modeler.Together(parts...)))
 }
 
 // zoneLost takes away one in so many.
--- a/promoter/explorer/explorer_test.go
+++ b/promoter/explorer/explorer_test.go
@@ -1,17 +1,14 @@
 package explorer
 
 import (
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
-)
 
-var update = flag.Bool("update", false, "write the golden files")
+	"basildale.example/basildale/internal/matcher"
+)
 
 // replacedTwice leads to two promotions with an unconfirmed write in each of the
 // first two terms. The next promotion decides which of the two logs lives on.
@@ -36,17 +33,6 @@
 	"0 is primary at 17",
 }
 
-func golden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if *update {
-		is.New(t).NoErr(os.WriteFile(path, []byte(got), 0o644))
-	}
-	want, err := os.ReadFile(path)
-	is.New(t).NoErr(err)
-	is.New(t).Equal(got, string(want)) // run with -update if the change is meant
-}
-
 // Symptom: an acknowledged write is gone, or two primaries share a term.
 // Sequence: any order of the steps of two leaders, three upstreams and writers,
 // with any of them paused and any message lost, late or doubled. Cause: whatever
@@ -71,7 +57,7 @@
 		fmt.Fprintf(&b, "%s: %s\n", c.name, r)
 	}
 	t.Log(b.String())
-	golden(t, "explored.txt", b.String())
+	matcher.Golden(t, "testdata/"+"explored.txt", b.String())
 }
 
 // Symptom: the exploration finds nothing. Sequence: the protocol is broken on
@@ -100,5 +86,5 @@
 			fmt.Fprintf(&b, "    %s\n", step)
 		}
 	}
-	golden(t, "caught.txt", b.String())
+	matcher.Golden(t, "testdata/"+"caught.txt", b.String())
 }
--- a/promoter/faults_test.go
+++ b/promoter/faults_test.go
@@ -1,9 +1,7 @@
 package promoter_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -13,21 +11,14 @@
 
 	"github.com/matryer/is"
 
+	"basildale.example/basildale/internal/matcher"
 	"basildale.example/basildale/promoter"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 func golden(t *testing.T, name, got string) {
 	t.Helper()
 	t.Log("\n" + got)
-	path := filepath.Join("testdata", name)
-	if *update {
-		is.New(t).NoErr(os.WriteFile(path, []byte(got), 0o644))
-	}
-	want, err := os.ReadFile(path)
-	is.New(t).NoErr(err)
-	is.New(t).Equal(got, string(want)) // run with -update if the change is meant
+	matcher.Golden(t, filepath.Join("testdata", name), got)
 }
 
 const (
