proxier, forwarder, messenger: a process that is cut off from its peers serves on its own

A statement that was given to a peer behind the cut waited there for its whole second; the peer counted as live for 12 s, and was asked again each second.

Change: a process that reaches no carrier of a group, by gossip and by what became of its requests, takes one connection to each upstream; carriers leave a fifth of the connections for that. A peer that sends nothing for 200 ms under a request is pinged, and its link closed when it doesn't answer in another 200 ms. A lost peer is passed over until it is heard again. A request that was never sent goes to another peer, writes too, which were told to be in doubt. Carriers are two to a zone, so that those of a group hear each other each round. Whoever may hold connections is who was heard or listed in the last 30 s; one that was replaced for good counted for ever. A process doesn't watch the store in its first 1.5 s: 68 that start together each took themselves for the first.

What each of the parts brings wasn't measured apart.

--- a/adapter/messenger/calls.go
+++ b/adapter/messenger/calls.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/netip"
+
+	"github.com/cockroachdb/errors"
 )
 
 // call sends one request to a peer. Without a deadline in ctx it gets the
@@ -12,7 +14,7 @@
 	defer cancel()
 	l, err := m.link(ctx, to)
 	if err != nil {
-		return err
+		return errors.Mark(err, ErrUnsent)
 	}
 	return l.call(ctx, method, req, reply)
 }
--- a/adapter/messenger/errors.go
+++ b/adapter/messenger/errors.go
@@ -27,6 +27,9 @@
 	// ErrClosed means that the messenger or the connection was closed. The
 	// request may have run.
 	ErrClosed = errors.New("messenger: closed")
+	// ErrUnsent means that there was no connection to the peer, and none could be
+	// opened. The request didn't run. It comes beside the cause.
+	ErrUnsent = errors.New("messenger: not sent")
 	// ErrRemote is the peer's own error. It carries the peer's text.
 	ErrRemote = errors.New("messenger: peer answered with an error")
 	// ErrKey means that neither a shared key nor mutual TLS is set, so that a
--- a/adapter/messenger/link.go
+++ b/adapter/messenger/link.go
@@ -26,6 +26,7 @@
 	asking    chan struct{} // a token for each request under way to the peer
 	serving   chan struct{} // a token for each request under way from the peer
 	abandoned atomic.Int64  // requests given up whose answer hasn't come
+	checking  atomic.Bool   // the peer is being asked whether it lives
 
 	mu      sync.Mutex
 	methods map[jsonrpc2.ID]Method // of requests being served, to count answers
@@ -87,6 +88,8 @@
 		defer func() { <-l.asking }()
 		done <- l.send(ctx, method, req, &raw)
 	}()
+	watch := l.m.watch(func() { l.check(before) })
+	defer watch.Stop()
 	select {
 	case err := <-done:
 		if ctx.Err() == nil {
@@ -98,7 +101,24 @@
 	return errors.Wrapf(ErrDeadline, "%s to %s", method, l.peer.Addr)
 }
 
-func (l *link) send(ctx context.Context, method Method, req any, raw *json.RawMessage) error {
+// check asks a peer whether it lives that has sent nothing since a request, and
+// closes the link when it doesn't answer that either. A peer that was cut off or
+// stands still would otherwise take each request's whole time; one that works on
+// a long request answers the ping.
+func (l *link) check(before int64) {
+	if l.stream.seen.Load() != before || !l.checking.CompareAndSwap(false, true) {
+		return
+	}
+	defer l.checking.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), l.m.Silence)
+	defer cancel()
+	_ = l.send(ctx, MethodPing, Ping{}, nil) // any answer shows as a message that was read
+	if l.stream.seen.Load() == before {
+		l.close()
+	}
+}
+
+func (l *link) send(ctx context.Context, method Method, req, raw any) error {
 	deadline, _ := ctx.Deadline()
 	wait := meta{Wait: time.Until(deadline).Milliseconds()}
 	id := jsonrpc2.ID{Num: l.m.ids.Add(1)}
--- a/adapter/messenger/messenger.go
+++ b/adapter/messenger/messenger.go
@@ -35,11 +35,15 @@
 
 	CallTimeout      time.Duration // longest a request may take, on both sides
 	HandshakeTimeout time.Duration // from connect to the end of authentication
-	IdleTimeout      time.Duration // a link without requests is closed after this
-	WriteTimeout     time.Duration // longest one message may take to be written
-	MaxInFlight      int           // requests under way on a link, each way
-	MaxMessage       int           // bytes
-	MaxHandshakes    int           // inbound connections not authenticated yet
+	// Silence is how long a peer may send nothing while a request is under way, before
+	// it is asked whether it lives, and how long it has to answer that; zero doesn't
+	// ask.
+	Silence       time.Duration
+	IdleTimeout   time.Duration // a link without requests is closed after this
+	WriteTimeout  time.Duration // longest one message may take to be written
+	MaxInFlight   int           // requests under way on a link, each way
+	MaxMessage    int           // bytes
+	MaxHandshakes int           // inbound connections not authenticated yet
 
 	ids   atomic.Uint64
 	dials singleflight.Group
--- a/adapter/messenger/settings.go
+++ b/adapter/messenger/settings.go
@@ -68,3 +68,11 @@
 	}
 	return authenticator{self: m.Self, keys: keys, write: m.writeTimeout()}
 }
+
+// watch calls f once a peer has had the time of Silence to answer, if there is one.
+func (m *Messenger) watch(f func()) *time.Timer {
+	if m.Silence == 0 {
+		return time.NewTimer(m.callTimeout())
+	}
+	return time.AfterFunc(m.Silence, f)
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -19,8 +19,9 @@
 
 // Bounds of forwarding.
 const (
-	// shunFor is how long a peer that didn't answer is passed over.
-	shunFor = time.Second
+	// shunFor is how long a peer that didn't answer is passed over, unless it is heard
+	// of again before.
+	shunFor = 5 * time.Second
 	// hops bounds how many peers one statement is offered to.
 	hops = 3
 	// sampleTimeout bounds the question for a sample: a way to a peer, and from
@@ -52,9 +53,12 @@
 	serving server
 
 	mu   sync.Mutex
-	shun map[netip.AddrPort]time.Time // peers that didn't answer, until when
+	lost map[netip.AddrPort]time.Time // peers that didn't answer, and when
 }
 
+// ErrUnsent marks an error of Send after which the peer surely has heard nothing.
+var ErrUnsent = errors.New("forwarder: not sent")
+
 // Group returns what runs statements of a group, and whether the group is known.
 func (f *Forwarder) Group(name string) (carrier.Runner, bool) {
 	g, ok := f.Local(name)
@@ -90,7 +94,7 @@
 		if !knows || p.Leaving || !p.Carries.IsValid() || state.Trouble != gossiper.NoTrouble || !state.Carries {
 			continue
 		}
-		if tried[p.Carries] || f.shunned(p.Carries, now) {
+		if tried[p.Carries] || f.shunned(p, now) {
 			continue
 		}
 		if p.Zone == f.Zone {
@@ -108,21 +112,29 @@
 	return near[rand.IntN(len(near))], true
 }
 
-func (f *Forwarder) shunned(at netip.AddrPort, now time.Time) bool {
+// Reaches reports whether a live peer carries for a group.
+func (f *Forwarder) Reaches(group string) bool {
+	_, ok := f.peer(group, nil)
+	return ok
+}
+
+// shunned reports whether a peer didn't answer lately and hasn't been heard since.
+func (f *Forwarder) shunned(p gossiper.Peer, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return now.Before(f.shun[at])
+	at, lost := f.lost[p.Carries]
+	return lost && now.Sub(at) < shunFor && !p.Heard.After(at)
 }
 
 // miss passes a peer over for a while.
 func (f *Forwarder) miss(p gossiper.Peer, err error) {
-	f.Log.Info("forwarder: peer lost", zap.String("peer", p.Name), zap.Error(err))
+	f.Log.Info("forwarder: peer lost", zap.String("peer", p.Name), zap.Duration("heard", f.Now().Sub(p.Heard)), zap.Error(err))
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.shun == nil {
-		f.shun = map[netip.AddrPort]time.Time{}
+	if f.lost == nil {
+		f.lost = map[netip.AddrPort]time.Time{}
 	}
-	f.shun[p.Carries] = f.Now().Add(shunFor)
+	f.lost[p.Carries] = f.Now()
 }
 
 // ask sends a request to a peer.
--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,128 @@
+package forwarder
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/carrier"
+	"basildale.example/basildale/cataloger"
+	"basildale.example/basildale/gossiper"
+)
+
+var errLost = errors.New("connection lost")
+
+// fleet is a process that carries nothing itself, and peers that do.
+type fleet struct {
+	Forwarder
+	now   time.Time
+	peers []gossiper.Peer
+	// fails says what sending to a peer ends with; the others answer.
+	fails map[netip.AddrPort]error
+	asked []netip.AddrPort
+}
+
+func at(i byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 7440)
+}
+
+func newFleet(zones ...string) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), fails: map[netip.AddrPort]error{}}
+	c := &carrier.Carrier{Now: func() time.Time { return f.now }, Log: zap.NewNop(), Carry: func(string, int, int) int { return 0 }}
+	c.Divide(10, []cataloger.GroupSettings{{Name: "g", Connections: 40}})
+	c.Apply([]cataloger.Upstream{{ID: "a", Group: "g", Leads: true}})
+	for i, zone := range zones {
+		f.peers = append(f.peers, gossiper.Peer{Heard: f.now, State: gossiper.State{
+			Name: zone, Zone: zone, Carries: at(byte(i)), Groups: map[string]gossiper.GroupState{"g": {Carries: true}},
+		}})
+	}
+	f.Local, f.Zone, f.Log = c.Group, "home", zap.NewNop()
+	f.Now = func() time.Time { return f.now }
+	f.Live = func() []gossiper.Peer { return f.peers }
+	f.Send = f.send
+	return f
+}
+
+func (f *fleet) send(_ context.Context, to netip.AddrPort, _ json.RawMessage) (json.RawMessage, error) {
+	f.asked = append(f.asked, to)
+	if err := f.fails[to]; err != nil {
+		return nil, err
+	}
+	return json.Marshal(response{Answer: carrier.Answer{Signature: "s"}})
+}
+
+func (f *fleet) run(writes bool) carrier.Answer {
+	runner, _ := f.Group("g")
+	return runner.Run(&carrier.Job{Writes: writes, Arrived: f.now, Deadline: time.Now().Add(time.Second)}, carrier.Command{Verb: carrier.Read, ID: "r"})
+}
+
+func TestPeersOfTheOwnZoneGoFirst(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("away", "home")
+	for range 10 {
+		is.Equal(f.run(false).Code, carrier.OK)
+	}
+	for _, to := range f.asked {
+		is.Equal(to, at(1))
+	}
+}
+
+// Symptom: a booking is told to be in doubt that nobody has heard of. Sequence: the
+// peer that was to carry it can't be reached. Cause: a call that was never sent is
+// taken for one whose answer is lost.
+func TestAWriteThatWasNeverSentGoesToAnotherPeer(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("away", "home")
+	f.fails[at(1)] = errors.Mark(errLost, ErrUnsent)
+	is.Equal(f.run(true).Code, carrier.OK)
+	is.Equal(f.asked, []netip.AddrPort{at(1), at(0)})
+}
+
+// Symptom: a booking takes effect twice. Sequence: the peer that carries it is lost
+// after it was sent, and the statement goes to another one. Cause: a lost answer is
+// taken for a call that was never sent.
+func TestAWriteWhoseAnswerIsLostIsInDoubt(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("away", "home")
+	f.fails[at(1)] = errLost
+	is.Equal(f.run(true).Code, carrier.InDoubt)
+	is.Equal(len(f.asked), 1)
+	is.Equal(f.run(false).Code, carrier.OK) // a read may go again
+}
+
+// Symptom: each statement loses half a second on a peer that is cut off. Sequence:
+// the peer is asked once a second, whether it was heard of or not. Cause: it is
+// passed over for a fixed time only.
+func TestALostPeerIsPassedOverUntilItIsHeard(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("away", "home")
+	f.fails[at(1)] = errors.Mark(errLost, ErrUnsent)
+	f.run(false)
+	f.asked = nil
+	f.now = f.now.Add(2 * time.Second)
+	f.run(false)
+	is.Equal(f.asked, []netip.AddrPort{at(0)})
+	f.asked = nil
+	delete(f.fails, at(1))
+	f.peers[1].Heard = f.now
+	f.run(false)
+	is.Equal(f.asked, []netip.AddrPort{at(1)})
+}
+
+// A process knows whether some peer carries for a group, or none that it reaches.
+func TestReaches(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("home")
+	is.True(f.Reaches("g"))
+	is.True(!f.Reaches("other"))
+	f.fails[at(0)] = errors.Mark(errLost, ErrUnsent)
+	runner, _ := f.Group("g")
+	runner.Run(&carrier.Job{Arrived: f.now, Deadline: time.Now().Add(60 * time.Millisecond)}, carrier.Command{Verb: carrier.Read, ID: "r"})
+	is.True(!f.Reaches("g"))
+}
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/carrier"
@@ -123,6 +124,8 @@
 	case err == nil:
 		log.Info("forwarder: peer can't carry either", zap.String("request", t.job.Request), zap.String("peer", peer.Name))
 		return carrier.Answer{}, false
+	case errors.Is(err, ErrUnsent):
+		return carrier.Answer{}, false
 	case a == runOne && t.job.Writes || a == commitEmpty:
 		return carrier.Answer{Code: carrier.InDoubt, Text: "peer lost after the statement was sent"}, true
 	case time.Until(t.job.Deadline) <= 0:
@@ -218,7 +221,7 @@
 	t.open = false
 	resp, err := t.send(commitTx, j, cmd)
 	switch {
-	case err != nil && t.wrote:
+	case err != nil && t.wrote && !errors.Is(err, ErrUnsent):
 		return carrier.Answer{Code: carrier.InDoubt, Text: "peer lost after the commit was sent"}
 	case err != nil || resp.Refused:
 		return carrier.Answer{Code: carrier.Aborted, Text: "peer lost the transaction"}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -30,6 +30,7 @@
 	conn   *net.UDPConn
 	mu     sync.Mutex
 	roster Roster
+	heard  time.Time // when the last datagram came
 	done   chan struct{}
 	news   chan struct{}
 }
@@ -69,7 +70,7 @@
 func (g *Gossiper) Learn(name, zone string, at netip.AddrPort) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.roster.Learn(name, zone, at)
+	g.roster.Learn(name, zone, at, g.Now())
 }
 
 // Live returns the peers that were heard lately.
@@ -79,18 +80,19 @@
 	return g.roster.Live(g.Now())
 }
 
-// Known returns all processes that were listed or heard and not dropped since.
-func (g *Gossiper) Known() []State {
+// Silent reports whether no datagram has come for so long that this process is cut
+// off from its peers, if it has any: several come each half second.
+func (g *Gossiper) Silent() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.roster.Known()
+	return len(g.roster.peers) > 0 && g.Now().Sub(g.heard) > quiet
 }
 
-// Counted returns how many peers may hold connections.
-func (g *Gossiper) Counted() int {
+// Holders returns the processes that may hold connections.
+func (g *Gossiper) Holders() []State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.roster.Counted(g.Now())
+	return g.roster.Holders(g.Now())
 }
 
 func (g *Gossiper) receive() {
@@ -114,7 +116,8 @@
 			continue
 		}
 		g.mu.Lock()
-		g.roster.Hear(s, g.Now())
+		g.heard = g.Now()
+		g.roster.Hear(s, g.heard)
 		g.mu.Unlock()
 		if g.Heard != nil {
 			g.Heard(s)
--- a/gossiper/roster.go
+++ b/gossiper/roster.go
@@ -28,10 +28,13 @@
 	// patience is the number of rounds after which a peer that should have been
 	// heard counts as silent. Some of ten datagrams get lost; all never do.
 	patience = 4
+	// quiet is how long nobody may be heard before this process counts as cut off from
+	// all. In a fleet of nine 16 datagrams come each second, in larger ones 24.
+	quiet = 3 * Period / 2
 	// memory is how long a silent peer still counts as one that may hold
 	// connections. A process that is cut off from the others keeps its own.
 	memory = 30 * time.Second
-	// forget is when a peer that was never heard again is dropped altogether.
+	// forget is when a peer that isn't heard any more is dropped altogether.
 	forget = 10 * time.Minute
 )
 
@@ -86,6 +89,8 @@
 type Peer struct {
 	State
 	Heard time.Time
+	// Listed is when it was learned from the store's list.
+	Listed time.Time
 }
 
 // Roster holds the peers. Its zero value is empty.
@@ -94,14 +99,14 @@
 }
 
 // Learn takes in that a process may be at an address.
-func (r *Roster) Learn(name, zone string, at netip.AddrPort) {
+func (r *Roster) Learn(name, zone string, at netip.AddrPort, now time.Time) {
 	if r.peers == nil {
 		r.peers = map[string]*Peer{}
 	}
 	if p := r.peers[name]; p != nil {
 		return
 	}
-	r.peers[name] = &Peer{State: State{Name: name, Zone: zone, Peers: at}}
+	r.peers[name] = &Peer{State: State{Name: name, Zone: zone, Peers: at}, Listed: now}
 }
 
 // Hear takes in a datagram. One of an earlier run of the same process changes
@@ -128,12 +133,6 @@
 	return r.within(now, r.window())
 }
 
-// Counted returns how many peers may hold connections: those that live, and
-// those that did until a while ago.
-func (r *Roster) Counted(now time.Time) int {
-	return len(r.within(now, memory))
-}
-
 func (r *Roster) within(now time.Time, window time.Duration) []Peer {
 	var out []Peer
 	for _, p := range r.peers {
@@ -178,12 +177,16 @@
 	return false
 }
 
-// Known returns all processes that were listed or heard and not dropped since, by
-// name: those that live and those that may come back.
-func (r *Roster) Known() []State {
-	out := make([]State, 0, len(r.peers))
+// Holders returns the processes that may hold connections, by name: those that
+// were heard, or learned of, until a while ago. One that was replaced for good
+// drops out; counted for ever, it would keep its share of the connections from the
+// others.
+func (r *Roster) Holders(now time.Time) []State {
+	var out []State
 	for _, p := range r.peers {
-		out = append(out, p.State)
+		if now.Sub(p.Heard) < memory || now.Sub(p.Listed) < memory {
+			out = append(out, p.State)
+		}
 	}
 	slices.SortFunc(out, func(a, b State) int { return cmp.Compare(a.Name, b.Name) })
 	return out
@@ -192,7 +195,7 @@
 // Sweep drops peers that haven't been heard for long.
 func (r *Roster) Sweep(now time.Time) {
 	for name, p := range r.peers {
-		if !p.Heard.IsZero() && now.Sub(p.Heard) > forget {
+		if now.Sub(p.Heard) > forget && now.Sub(p.Listed) > forget {
 			delete(r.peers, name)
 		}
 	}
--- a/proxier/check.go
+++ b/proxier/check.go
@@ -25,6 +25,10 @@
 	// checkRank holds back each next process in the order of the kind, so that
 	// one reads and the others hear of it.
 	checkRank = 300 * time.Millisecond
+	// hearing is how long a process that has just started waits for word from peers
+	// before it watches. Without it each of 68 that start together takes itself for
+	// the first in the order, and each change is answered and paid for 68 times.
+	hearing = 1500 * time.Millisecond
 	// checkTick is the time between two looks whether a check is due.
 	checkTick = 100 * time.Millisecond
 )
@@ -86,7 +90,7 @@
 func (p *Proxier) check(ctx context.Context, f *follower, every time.Duration) {
 	ticker := time.NewTicker(checkTick)
 	defer ticker.Stop()
-	var tried time.Time
+	tried := bootClock() // the process lists everything as it starts
 	for {
 		select {
 		case <-ctx.Done():
@@ -119,6 +123,9 @@
 // watches reports whether this process is to watch a kind: it is among the first
 // in the order, or nobody has read the kind for so long that something is amiss.
 func (p *Proxier) watches(kind string, every time.Duration) bool {
+	if bootClock().Sub(p.began) < hearing {
+		return false
+	}
 	return p.checkRank(kind) < watchers || bootClock().Sub(p.checks.last(kind)) > 3*every
 }
 
--- a/proxier/enroll.go
+++ b/proxier/enroll.go
@@ -74,7 +74,6 @@
 			p.gossip.Learn(o.Name, e.Zone, e.Peers)
 		}
 	}
-	p.listed.Store(int64(len(all)))
 	p.Log.Info("proxier: enrolled", zap.Int("proxies", len(all)))
 	return nil
 }
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -37,6 +38,9 @@
 const (
 	// upkeep is the time between two looks after upstreams.
 	upkeep = 100 * time.Millisecond
+	// shareEvery is the number of these looks between two looks at who shares the
+	// connections: half a second, as often as peers are heard.
+	shareEvery = 5
 	// headerTimeout bounds how long an HTTP client may take over its head.
 	headerTimeout = 2 * time.Second
 	// openWait is how long a caller that connects to a process that has just
@@ -49,6 +53,10 @@
 	// statements under way on one.
 	peerHandshake = 300 * time.Millisecond
 	peerInFlight  = 1024
+	// peerSilence is how long a peer that carries may send nothing before it is asked
+	// whether it lives, and has to answer that. A statement takes 20 to 80 ms there;
+	// without it one that was cut off takes each statement's whole second.
+	peerSilence = 200 * time.Millisecond
 	// relayTimeout bounds the call to a peer for what it knows.
 	relayTimeout = time.Second
 )
@@ -59,6 +67,7 @@
 	Log      *zap.Logger
 
 	start    int64
+	began    time.Time // by the carrier's clock
 	store    *keeper.Client
 	carrier  *carrier.Carrier
 	holdings *holdings
@@ -71,7 +80,6 @@
 	meter    *meter.Meter
 	client   *http.Client
 	checks   checks
-	listed   atomic.Int64 // proxies that the store listed; 0 until it was asked
 	limit    atomic.Int64 // of a stop, as a time.Duration
 	leaving  atomic.Bool
 	fetching atomic.Bool
@@ -140,6 +148,7 @@
 func (p *Proxier) build() {
 	s := &p.Settings
 	p.start = time.Now().UnixNano()
+	p.began = bootClock()
 	p.limit.Store(int64(s.Stop))
 	p.registry = metrics.NewRegistry()
 	p.meter = &meter.Meter{Registry: p.registry}
@@ -192,7 +201,7 @@
 	p.peers = &messenger.Messenger{
 		Self: messenger.Peer{Addr: p.carryAt, Start: uint64(p.start)}, Keys: [][]byte{key[:]},
 		Handler:          messenger.Handler{Carry: p.carry},
-		HandshakeTimeout: peerHandshake, MaxInFlight: peerInFlight, Metrics: p.registry, Log: p.Log,
+		HandshakeTimeout: peerHandshake, Silence: peerSilence, MaxInFlight: peerInFlight, Metrics: p.registry, Log: p.Log,
 	}
 	go func() {
 		if err := p.peers.Serve(ln); err != nil {
@@ -211,6 +220,9 @@
 // send has a peer carry a statement.
 func (p *Proxier) send(ctx context.Context, to netip.AddrPort, payload json.RawMessage) (json.RawMessage, error) {
 	answer, err := p.peers.Carry(ctx, to, messenger.Carry{Payload: payload})
+	if errors.Is(err, messenger.ErrUnsent) || errors.Is(err, messenger.ErrBusy) {
+		err = errors.Mark(err, forwarder.ErrUnsent)
+	}
 	return answer.Payload, err
 }
 
@@ -290,27 +302,39 @@
 func (p *Proxier) keepUp(ctx context.Context) {
 	ticker := time.NewTicker(upkeep)
 	defer ticker.Stop()
-	proxies := 0
-	for {
+	var before []string
+	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
 		p.carrier.Tick()
-		if n := p.proxies(); n != proxies {
-			proxies = n
-			p.carrier.Divide(n, p.holdings.current().Config.Groups)
-			p.Log.Info("proxier: connections divided", zap.Int("proxies", n))
+		if n%shareEvery != 0 {
+			continue
+		}
+		names, alone := p.sharing(), p.aloneIn()
+		if now := append(alone, names...); !slices.Equal(now, before) {
+			before = now
+			p.carrier.Divide(len(names), p.holdings.current().Config.Groups)
+			p.Log.Info("proxier: connections divided", zap.Int("proxies", len(names)), zap.Strings("alone", alone))
 		}
 	}
 }
 
-// proxies returns how many processes share the upstreams' connections: those that
-// were heard, or those that the store listed at the start, whichever are more. A
-// process that has just started has heard nobody yet and would take all: after a
-// loss of power everywhere one sees upstreams refuse most connections for seconds.
-func (p *Proxier) proxies() int { return max(1+p.gossip.Counted(), int(p.listed.Load())) }
+// sharing returns the processes that share the upstreams' connections, this one
+// first: those that were heard or that the store listed until a while ago. A process
+// that has just started has heard nobody yet and would take all: after a loss of
+// power everywhere one sees upstreams refuse most connections for seconds.
+func (p *Proxier) sharing() []string {
+	names := []string{p.Settings.Name}
+	for _, s := range p.gossip.Holders() {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
+func (p *Proxier) proxies() int { return len(p.sharing()) }
 
 // self is what peers are told.
 func (p *Proxier) self() gossiper.State {
--- a/proxier/share.go
+++ b/proxier/share.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -18,21 +19,58 @@
 	// proxies have any: more than an upstream's 5 or 6 slots, so that one of them
 	// alone can fill it.
 	bundled = 8
+	// perZone bounds the proxies of each availability zone that carry for a group: two,
+	// so that one may fail. Those that carry for a group decide together on its leader
+	// and hear each other each half second only while they are few.
+	perZone = 2
+	// keptBack is the part of the connections, in percent, that carriers leave to
+	// processes that are cut off from them, and aloneShare what such a process takes of
+	// each upstream. Without it a process that is cut off from the others, and reaches
+	// the upstreams, refuses everything for the groups that it doesn't carry for.
+	keptBack   = 20
+	aloneShare = 1
+	// acquainted is how long after its start a process has heard of peers if there are
+	// any: some rounds of gossip.
+	acquainted = 3 * time.Second
 )
 
 // share returns how many connections this process may have to each upstream of a
 // group: an equal part where every proxy gets enough, else those of a few proxies,
-// which the others have their statements carried by.
+// which the others have their statements carried by. A process that reaches none
+// of these has some of its own, out of what is kept back for that.
 func (p *Proxier) share(group string, most, proxies int) int {
 	if most/max(1, proxies) >= fewest {
 		return most / proxies
 	}
-	carriers := max(1, most/bundled)
-	names := p.carriers(group, carriers)
-	if !slices.Contains(names, p.Settings.Name) {
-		return 0
+	names := p.carriers(group, max(1, most/bundled))
+	if slices.Contains(names, p.Settings.Name) {
+		return max(1, most*(100-keptBack)/100/len(names))
 	}
-	return max(1, most/len(names))
+	if p.cutOff(group) {
+		return aloneShare
+	}
+	return 0
+}
+
+// cutOff reports whether this process reaches no proxy that carries for a group,
+// and has run for long enough to have heard of one.
+func (p *Proxier) cutOff(group string) bool {
+	if p.forward == nil || bootClock().Sub(p.began) < acquainted {
+		return false
+	}
+	return p.gossip.Silent() || !p.forward.Reaches(group)
+}
+
+// aloneIn returns the groups for which this process is cut off from all carriers.
+func (p *Proxier) aloneIn() []string {
+	var out []string
+	for _, g := range p.carrier.Groups() {
+		if p.cutOff(g.Name()) {
+			out = append(out, g.Name())
+		}
+	}
+	slices.Sort(out)
+	return out
 }
 
 // candidate is a proxy that may have connections of a group.
@@ -46,7 +84,7 @@
 // that comes or goes changes one place.
 func (p *Proxier) carriers(group string, n int) []string {
 	all := []candidate{{name: p.Settings.Name, zone: p.Settings.Zone}}
-	for _, s := range p.gossip.Known() {
+	for _, s := range p.gossip.Holders() {
 		all = append(all, candidate{name: s.Name, zone: s.Zone})
 	}
 	byZone := map[string][]candidate{}
@@ -61,7 +99,7 @@
 	}
 	slices.Sort(zones)
 	var out []string
-	for turn := 0; len(out) < min(n, len(all)); turn++ {
+	for turn := 0; turn < perZone && len(out) < min(n, len(all)); turn++ {
 		for _, zone := range zones {
 			if turn < len(byZone[zone]) && len(out) < n {
 				out = append(out, byZone[zone][turn].name)
