carrier, limiter: a session's work is a class of its own before an upstream

Both were one class with one mean time; bookings have the shorter objective, so they were the first that couldn't be in time.

Change: limiter has a third class, Session, as heavy as a booking and with a service time of its own; what is refused first is what is worth least for its time.

--- a/carrier/gate.go
+++ b/carrier/gate.go
@@ -39,13 +39,19 @@
 	}
 }
 
-// class says what an answer in time is worth: a read that may be old counts half
-// as much as work that must see, or makes, the newest state.
+// class says what an answer in time is worth, and of which work the time that it
+// takes is typical. Bookings take a third of the time of a session's work: as one
+// class with it they were refused as if they took as long, and since they have the
+// shorter objective, first.
 func (j *Job) class() limiter.Class {
-	if j.latest() || j.Freshness == cataloger.Own {
+	switch {
+	case j.Freshness == cataloger.Own:
+		return limiter.Session
+	case j.latest():
 		return limiter.Booking
+	default:
+		return limiter.Lookup
 	}
-	return limiter.Lookup
 }
 
 // due is when the answer is worth having: the objective while it can be met, after
--- a/carrier/gate_test.go
+++ b/carrier/gate_test.go
@@ -17,6 +17,9 @@
 	"basildale.example/basildale/tracker"
 )
 
+// shortWork is the text of a statement that takes 11 ms in place of 37.
+const shortWork = "short"
+
 // slots is an upstream that runs a few statements at a time, in the order in which
 // they come, as those of the platform do.
 type slots struct {
@@ -41,7 +44,11 @@
 			case <-time.After(time.Until(deadline)):
 				return nil, true, context.DeadlineExceeded
 			}
-			time.Sleep(l.s.work())
+			work := l.s.work()
+			if c.Text == shortWork {
+				work = work * 11 / 37
+			}
+			time.Sleep(work)
 			<-l.s.free
 		}
 	}
@@ -63,10 +70,17 @@
 // offer sends reads that must see everything to one upstream by way of six
 // processes, for five seconds, and says what callers got within the objective.
 func offer(t *testing.T, perSecond float64, ungated bool) load {
+	t.Helper()
+	return offerMixed(t, perSecond, 0, ungated)[false]
+}
+
+// offerMixed is the same with a part of bookings, which take less time and aim at
+// 200 ms. What they get is under true.
+func offerMixed(t *testing.T, perSecond, bookings float64, ungated bool) map[bool]load {
 	t.Helper()
 	const carriers, objective, timeout = 6, 400 * time.Millisecond, time.Second
 	rng := rand.New(rand.NewPCG(3, 4))
-	var got load
+	got := map[bool]load{}
 	synctest.Test(t, func(*testing.T) {
 		var mu sync.Mutex
 		s := &slots{free: make(chan struct{}, 6), work: func() time.Duration {
@@ -81,13 +95,21 @@
 		var calls sync.WaitGroup
 		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); {
 			g := groups[rng.IntN(carriers)]
+			job := &Job{Freshness: cataloger.Own, Writes: true}
+			cmd, aim, booking := Command{Verb: Read, ID: "r"}, objective, rng.Float64() < bookings
+			if booking {
+				job, cmd.Text, aim = &Job{}, shortWork, objective/2
+			}
 			calls.Go(func() {
-				began := time.Now()
-				a := g.Run(&Job{Arrived: began, Aim: began.Add(objective), Deadline: began.Add(timeout)}, Command{Verb: Read, ID: "r"})
-				took := time.Since(began)
+				job.Arrived = time.Now()
+				job.Aim, job.Deadline = job.Arrived.Add(aim), job.Arrived.Add(timeout)
+				a := g.Run(job, cmd)
+				took := time.Since(job.Arrived)
 				mu.Lock()
 				defer mu.Unlock()
-				got.count(a, took, objective)
+				of := got[booking]
+				of.count(a, took, aim)
+				got[booking] = of
 			})
 			time.Sleep(time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)))
 		}
@@ -142,6 +164,19 @@
 	is.True(bare.inTime*100 < 30*bare.asked) // so the load is one that shows the fault
 }
 
+// Symptom: of the bookings more are refused than of the rest, though three of them
+// take the time of one of those. Sequence: an upstream gets half as much again as it
+// can do, a sixth of it bookings. Cause: both are taken to take as long, and the
+// bookings have the shorter objective.
+func TestBookingsAreTheLastToBeRefused(t *testing.T) {
+	is := is.New(t)
+	got := offerMixed(t, 270, 0.17, false)
+	bookings, rest := got[true], got[false]
+	t.Logf("bookings: %+v; the rest: %+v", bookings, rest)
+	is.True(bookings.inTime*100 >= 90*bookings.asked)
+	is.True(rest.inTime*100 >= 50*rest.asked)
+}
+
 // A load that the upstream can do isn't refused.
 func TestAGateCostsNothingWhereThereIsRoom(t *testing.T) {
 	is := is.New(t)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -16,6 +16,14 @@
 // carries for eight groups has about 310 bytes.
 const maxDatagram = 16 << 10
 
+// A process that has just started sends more often: after a loss of power everywhere
+// it knows of nobody who carries for the groups that it doesn't carry for, and hears
+// of twelve others in each round.
+const (
+	greetEvery = Period / 5
+	greetFor   = 2 * time.Second
+)
+
 // Gossiper sends and receives. Set the exported fields before Start.
 type Gossiper struct {
 	Address netip.AddrPort
@@ -127,13 +135,19 @@
 
 func (g *Gossiper) send() {
 	rng := rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0))
-	ticker := time.NewTicker(Period)
+	ticker := time.NewTicker(greetEvery)
 	defer ticker.Stop()
+	began := time.Now()
+	greeting := true
 	for {
 		select {
 		case <-g.done:
 			return
 		case <-ticker.C:
+			if greeting && time.Since(began) > greetFor {
+				greeting = false
+				ticker.Reset(Period)
+			}
 			g.round(rng)
 		case <-g.news:
 			g.round(rng)
--- a/gossiper/roster.go
+++ b/gossiper/roster.go
@@ -77,8 +77,8 @@
 	Configuration uint64 `cbor:"7,keyasint"`
 	// Entries is the highest revision of an upstream's entry known there.
 	Entries uint64 `cbor:"8,keyasint"`
-	// Checked says for each kind of the store's objects how long ago the sender
-	// read all of them, as of sending.
+	// Checked says for each kind of the store's objects how long ago some process read
+	// all of them, as far as the sender knows, as of sending.
 	Checked map[string]time.Duration `cbor:"9,keyasint,omitempty"`
 	Leaving bool                     `cbor:"10,keyasint,omitempty"`
 	// Groups are those that the sender carries for, or has the duty for.
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -12,8 +12,12 @@
 
 // The classes.
 const (
+	// Lookup is a read that may be old.
 	Lookup Class = iota
+	// Booking is work that makes, or must see, the newest state.
 	Booking
+	// Session is work that must see its session's own writes.
+	Session
 	classCount
 )
 
@@ -21,12 +25,12 @@
 const ClassCount = int(classCount)
 
 // Weight returns what an answer in time is worth when no preset says otherwise:
-// a booking weighs two lookups.
+// a booking, and a session's work, weigh two lookups.
 func (c Class) Weight() int {
-	if c == Booking {
-		return 2
+	if c == Lookup {
+		return 1
 	}
-	return 1
+	return 2
 }
 
 // Item is one request that wants a slot of the upstream. Tenant is a small
--- a/proxier/check.go
+++ b/proxier/check.go
@@ -33,21 +33,15 @@
 	checkTick = 100 * time.Millisecond
 )
 
-// checks knows when each kind was last read as a whole, by this process and by
-// any of the fleet.
+// checks knows when each kind was last read as a whole by any process of the fleet.
 type checks struct {
 	mu    sync.Mutex
-	own   map[string]time.Time
 	fleet map[string]time.Time
 }
 
 func (c *checks) done(kind string, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.own == nil {
-		c.own = map[string]time.Time{}
-	}
-	c.own[kind] = at
 	c.note(kind, at)
 }
 
@@ -69,12 +63,15 @@
 	}
 }
 
-// ages returns how long ago this process read each kind.
+// ages returns how long ago each kind was read, to be told to peers. What was heard
+// is told on: a process of a large fleet hears the reader itself each 3 to 8 s, and
+// would read for itself meanwhile. 68 processes made 1,254 calls to the store on a
+// calm day, where nine made 217.
 func (c *checks) ages(now time.Time) map[string]time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := make(map[string]time.Duration, len(c.own))
-	for kind, at := range c.own {
+	out := make(map[string]time.Duration, len(c.fleet))
+	for kind, at := range c.fleet {
 		out[kind] = now.Sub(at)
 	}
 	return out
--- a/proxier/enroll.go
+++ b/proxier/enroll.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -21,15 +22,12 @@
 	Start int64          `json:"start"`
 }
 
-// enroll writes where this process is, and learns where others are. It is done
-// once: later ones are heard of by gossip.
+// enroll learns where other processes are, and writes where this one is. It is
+// done once: later ones are heard of by gossip.
 func (p *Proxier) enroll(ctx context.Context) {
 	f := follower{log: p.Log}
 	for ctx.Err() == nil {
-		err := p.register(ctx)
-		if err == nil {
-			err = p.learn(ctx)
-		}
+		err := p.join(ctx, f.patience)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
@@ -38,9 +36,25 @@
 	}
 }
 
+// join learns first: a process that starts again at its place finds its own entry
+// and needs nothing else of the store. One that is new writes its entry and learns
+// once more, since two that start together may both have learned before either had
+// written.
+func (p *Proxier) join(ctx context.Context, patience func() time.Duration) error {
+	there, err := p.learn(ctx, patience())
+	if err != nil || there {
+		return err
+	}
+	if err := p.register(ctx, patience()); err != nil {
+		return err
+	}
+	_, err = p.learn(ctx, patience())
+	return err
+}
+
 // register writes this process's entry, over that of an earlier run.
-func (p *Proxier) register(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+func (p *Proxier) register(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	value := entry{Zone: p.Settings.Zone, Peers: p.gossip.Bound(), Start: p.start}
 	_, err := p.store.Put(ctx, proxiesKind, p.Settings.Name, 0, value)
@@ -48,21 +62,18 @@
 	if !errors.As(err, &conflict) {
 		return err
 	}
-	var there entry
-	if json.Unmarshal(conflict.Current.Value, &there) == nil && there.Peers == value.Peers {
-		return nil // an earlier run at the same place; peers hear of this one
-	}
 	_, err = p.store.Put(ctx, proxiesKind, p.Settings.Name, conflict.Current.Version, value)
 	return err
 }
 
-// learn reads where the others are.
-func (p *Proxier) learn(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// learn reads where the others are, and reports whether this process's own entry is
+// there as it should be.
+func (p *Proxier) learn(ctx context.Context, timeout time.Duration) (there bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	all, err := p.store.All(ctx, proxiesKind)
 	if err != nil {
-		return err
+		return false, err
 	}
 	for _, o := range all {
 		var e entry
@@ -70,10 +81,13 @@
 			p.Log.Error("proxier: entry of a proxy can't be read", zap.String("name", o.Name), zap.Error(err))
 			continue
 		}
-		if o.Name != p.Settings.Name {
-			p.gossip.Learn(o.Name, e.Zone, e.Peers)
+		if o.Name == p.Settings.Name {
+			there = e.Peers == p.gossip.Bound() && e.Zone == p.Settings.Zone
+			continue
 		}
+		p.gossip.Learn(o.Name, e.Zone, e.Peers)
 	}
-	p.Log.Info("proxier: enrolled", zap.Int("proxies", len(all)))
-	return nil
+	p.gossip.Tell()
+	p.Log.Info("proxier: peers learned", zap.Int("proxies", len(all)), zap.Bool("enrolled", there))
+	return there, nil
 }
--- a/proxier/follow.go
+++ b/proxier/follow.go
@@ -19,6 +19,12 @@
 	// callTimeout bounds a call that isn't a watch. A store that is slow takes
 	// some tens of times its usual 4 ms.
 	callTimeout = 3 * time.Second
+	// firstTimeout bounds the first calls of a process that has just started, and
+	// doubles with each that fails. What is sent while the store answers nobody is
+	// lost, and a connection is tried again by the kernel only after a second: with
+	// the whole time for the first call, processes that lost power in an outage of the
+	// store took callers 0.8 s later than the store did.
+	firstTimeout = 400 * time.Millisecond
 	// restEvery is the time between two looks whether this process is to watch.
 	restEvery = 300 * time.Millisecond
 	// firstRetry and lastRetry bound the time between calls that fail.
@@ -39,7 +45,8 @@
 
 	version uint64
 	listed  bool
-	stale   bool // others have watched since the last list
+	timeout time.Duration // of the next call of a list; zero before the first
+	stale   bool          // others have watched since the last list
 	down    bool
 	retry   time.Duration
 }
@@ -99,12 +106,13 @@
 	var version uint64
 	after := ""
 	for {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		ctx, cancel := context.WithTimeout(ctx, f.patience())
 		page, err := f.store.List(ctx, f.kind, after, keeper.PageItems)
 		cancel()
 		if err != nil {
 			return 0, err
 		}
+		f.timeout = callTimeout
 		if after == "" {
 			version = page.Version
 		}
@@ -118,6 +126,12 @@
 	return version, nil
 }
 
+// patience returns how long the next call may take.
+func (f *follower) patience() time.Duration {
+	f.timeout = min(max(2*f.timeout, firstTimeout), callTimeout)
+	return f.timeout
+}
+
 // report logs when the store is lost and when it is back.
 func (f *follower) report(err error) {
 	lost := err != nil && !errors.Is(err, keeper.ErrGone) && !errors.Is(err, context.Canceled)
