proxier: first calls of the store are made again beside each other; who knows nobody takes little

The log shows the first call given up after 0.4 s and begun anew, "connections divided proxies 1" meanwhile, and upstreams without room for most: a process that knew its configuration from a peer and nobody else took all connections for its own.

Change: a first call that has no answer after 0.4 s is made again beside the first, and once more after 0.8 s; the first answer counts. Until the store has told of peers, or 8 s have passed, a process takes one connection to each upstream.

--- a/proxier/enroll.go
+++ b/proxier/enroll.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/netip"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -27,7 +26,7 @@
 func (p *Proxier) enroll(ctx context.Context) {
 	f := follower{log: p.Log}
 	for ctx.Err() == nil {
-		err := p.join(ctx, f.patience)
+		err := p.join(ctx)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
@@ -40,21 +39,21 @@
 // and needs nothing else of the store. One that is new writes its entry and learns
 // once more, since two that start together may both have learned before either had
 // written.
-func (p *Proxier) join(ctx context.Context, patience func() time.Duration) error {
-	there, err := p.learn(ctx, patience())
+func (p *Proxier) join(ctx context.Context) error {
+	there, err := p.learn(ctx)
 	if err != nil || there {
 		return err
 	}
-	if err := p.register(ctx, patience()); err != nil {
+	if err := p.register(ctx); err != nil {
 		return err
 	}
-	_, err = p.learn(ctx, patience())
+	_, err = p.learn(ctx)
 	return err
 }
 
 // register writes this process's entry, over that of an earlier run.
-func (p *Proxier) register(ctx context.Context, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+func (p *Proxier) register(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	value := entry{Zone: p.Settings.Zone, Peers: p.gossip.Bound(), Start: p.start}
 	_, err := p.store.Put(ctx, proxiesKind, p.Settings.Name, 0, value)
@@ -68,10 +67,8 @@
 
 // learn reads where the others are, and reports whether this process's own entry is
 // there as it should be.
-func (p *Proxier) learn(ctx context.Context, timeout time.Duration) (there bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	all, err := p.store.All(ctx, proxiesKind)
+func (p *Proxier) learn(ctx context.Context) (there bool, err error) {
+	all, err := hedged(ctx, func(ctx context.Context) ([]keeper.Object, error) { return p.store.All(ctx, proxiesKind) })
 	if err != nil {
 		return false, err
 	}
@@ -87,6 +84,7 @@
 		}
 		p.gossip.Learn(o.Name, e.Zone, e.Peers)
 	}
+	p.learned.Store(true)
 	p.gossip.Tell()
 	p.Log.Info("proxier: peers learned", zap.Int("proxies", len(all)), zap.Bool("enrolled", there))
 	return there, nil
--- a/proxier/follow.go
+++ b/proxier/follow.go
@@ -19,11 +19,11 @@
 	// callTimeout bounds a call that isn't a watch. A store that is slow takes
 	// some tens of times its usual 4 ms.
 	callTimeout = 3 * time.Second
-	// firstTimeout bounds the first calls of a process that has just started, and
-	// doubles with each that fails. What is sent while the store answers nobody is
-	// lost, and a connection is tried again by the kernel only after a second: with
-	// the whole time for the first call, processes that lost power in an outage of the
-	// store took callers 0.8 s later than the store did.
+	// firstTimeout is how long a call of a process that has just started may be without
+	// an answer before it is made again beside the first. What is sent while the store
+	// answers nobody is lost, and a connection is tried again by the kernel only after a
+	// second: processes that lost power in an outage of the store took callers 0.8 s
+	// later than the store did.
 	firstTimeout = 400 * time.Millisecond
 	// restEvery is the time between two looks whether this process is to watch.
 	restEvery = 300 * time.Millisecond
@@ -45,8 +45,7 @@
 
 	version uint64
 	listed  bool
-	timeout time.Duration // of the next call of a list; zero before the first
-	stale   bool          // others have watched since the last list
+	stale   bool // others have watched since the last list
 	down    bool
 	retry   time.Duration
 }
@@ -106,13 +105,10 @@
 	var version uint64
 	after := ""
 	for {
-		ctx, cancel := context.WithTimeout(ctx, f.patience())
-		page, err := f.store.List(ctx, f.kind, after, keeper.PageItems)
-		cancel()
+		page, err := f.page(ctx, after)
 		if err != nil {
 			return 0, err
 		}
-		f.timeout = callTimeout
 		if after == "" {
 			version = page.Version
 		}
@@ -126,10 +122,17 @@
 	return version, nil
 }
 
-// patience returns how long the next call may take.
-func (f *follower) patience() time.Duration {
-	f.timeout = min(max(2*f.timeout, firstTimeout), callTimeout)
-	return f.timeout
+// page reads one page.
+func (f *follower) page(ctx context.Context, after string) (keeper.Page, error) {
+	list := func(ctx context.Context) (keeper.Page, error) {
+		return f.store.List(ctx, f.kind, after, keeper.PageItems)
+	}
+	if !f.listed {
+		return hedged(ctx, list)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return list(ctx)
 }
 
 // report logs when the store is lost and when it is back.
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -82,6 +82,7 @@
 	checks   checks
 	limit    atomic.Int64 // of a stop, as a time.Duration
 	leaving  atomic.Bool
+	learned  atomic.Bool // the store has told where peers are
 	fetching atomic.Bool
 	servers  []*http.Server
 	// The addresses that are bound, also where the settings leave the port open.
@@ -313,11 +314,11 @@
 		if n%shareEvery != 0 {
 			continue
 		}
-		names, alone := p.sharing(), p.aloneIn()
-		if now := append(alone, names...); !slices.Equal(now, before) {
+		names, alone, known := p.sharing(), p.aloneIn(), p.knowsPeers()
+		if now := append(alone, append(names, strconv.FormatBool(known))...); !slices.Equal(now, before) {
 			before = now
 			p.carrier.Divide(len(names), p.holdings.current().Config.Groups)
-			p.Log.Info("proxier: connections divided", zap.Int("proxies", len(names)), zap.Strings("alone", alone))
+			p.Log.Info("proxier: connections divided", zap.Int("proxies", len(names)), zap.Bool("known", known), zap.Strings("alone", alone))
 		}
 	}
 }
--- a/proxier/share.go
+++ b/proxier/share.go
@@ -29,6 +29,11 @@
 	// the upstreams, refuses everything for the groups that it doesn't carry for.
 	keptBack   = 20
 	aloneShare = 1
+	// unlearned is how long a process that the store hasn't told of its peers takes no
+	// more than aloneShare: until it has heard of them all by gossip. Before that it
+	// takes the few that it has heard for the whole fleet, and their part of the
+	// connections for its own.
+	unlearned = 8 * time.Second
 	// acquainted is how long after its start a process has heard of peers if there are
 	// any: some rounds of gossip.
 	acquainted = 3 * time.Second
@@ -39,6 +44,9 @@
 // which the others have their statements carried by. A process that reaches none
 // of these has some of its own, out of what is kept back for that.
 func (p *Proxier) share(group string, most, proxies int) int {
+	if !p.knowsPeers() {
+		return aloneShare
+	}
 	if most/max(1, proxies) >= fewest {
 		return most / proxies
 	}
@@ -52,6 +60,12 @@
 	return 0
 }
 
+// knowsPeers reports whether this process knows who else there is: the store has told
+// it, or it has had the time to hear of them.
+func (p *Proxier) knowsPeers() bool {
+	return p.learned.Load() || bootClock().Sub(p.began) >= unlearned
+}
+
 // cutOff reports whether this process reaches no proxy that carries for a group,
 // and has run for long enough to have heard of one.
 func (p *Proxier) cutOff(group string) bool {
--- a/proxier/share_test.go
+++ b/proxier/share_test.go
@@ -15,6 +15,7 @@
 // of returns the i-th of n proxies in three zones, which knows all others.
 func of(i, n int) *Proxier {
 	p := &Proxier{began: bootClock(), Settings: loader.Settings{Name: fmt.Sprint("p", i), Zone: fmt.Sprint("z", i%3)}, gossip: &gossiper.Gossiper{Now: bootClock}}
+	p.learned.Store(true)
 	for j := range n {
 		if j != i {
 			p.gossip.Learn(fmt.Sprint("p", j), fmt.Sprint("z", j%3), netip.AddrPort{})
@@ -83,3 +84,15 @@
 	is.Equal(carriers, 6)
 	is.Equal(alone, 62)
 }
+
+// Symptom: after a loss of power everywhere, while the store is slow, upstreams have no
+// room for most processes. Sequence: a process has its configuration from a peer and
+// hasn't learned of the others. Cause: it takes itself for the whole fleet.
+func TestAProcessThatKnowsNobodyTakesLittle(t *testing.T) {
+	is := is.New(t)
+	p := of(0, 2)
+	p.learned.Store(false)
+	is.Equal(p.share("billet", 49, 2), aloneShare)
+	p.began = bootClock().Add(-2 * unlearned)
+	is.Equal(p.share("billet", 49, 2), 24) // by then it has heard of all that live
+}
