forwarder: a process doesn't take itself for cut off while a leader is replaced

Cause: read in the code.

Change: whether a carrier is reached doesn't depend on what it finds of the leader. Two methods of carrier that shared the name "kept" with a function have names of their own.

Measured: the test fails before.

--- a/carrier/group.go
+++ b/carrier/group.go
@@ -310,8 +310,8 @@
 	m.lag.refused(g.carrier.Now(), had)
 }
 
-// kept takes in that a member's log had what a read needed.
-func (g *Group) kept(m *member, since tracker.Mark) {
+// sufficed takes in that a member's log had what a read needed.
+func (g *Group) sufficed(m *member, since tracker.Mark) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.carrier.Now()
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -301,7 +301,7 @@
 		answer.Waited = started.Sub(j.Arrived)
 		g.took(m, answer.Ran)
 		if !j.latest() {
-			g.kept(m, since)
+			g.sufficed(m, since)
 		}
 		return answer, false
 	}
--- a/carrier/watch.go
+++ b/carrier/watch.go
@@ -49,7 +49,7 @@
 	if shrink {
 		g.shrunk = now
 	}
-	keep := kept(g.carrier.share(g.name))
+	keep := lasting(g.carrier.share(g.name))
 	for _, m := range g.members {
 		if shrink {
 			go m.pool.Shrink(keep)
@@ -68,12 +68,12 @@
 	}
 }
 
-// kept is how many connections to an upstream stay open without need, of the share
+// lasting is how many connections to an upstream stay open without need, of the share
 // of this process: half of it. An upstream counts the connections of processes that
 // lost power for 3 s more. With all shares used before, those that came back had no
 // room there: of 53 connections five were left for six processes, and a fifth of
 // the requests of the first two seconds was late.
-func kept(share int) int { return (share + 1) / 2 }
+func lasting(share int) int { return (share + 1) / 2 }
 
 // silent reports whether a member has left something unanswered for too long
 // and answered nothing since. The caller has the lock.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -112,10 +112,17 @@
 	return near[rand.IntN(len(near))], true
 }
 
-// Reaches reports whether a live peer carries for a group.
+// Reaches reports whether a live peer carries for a group, whatever it finds of the
+// leader: while that is being replaced all carriers find it bad, and a process that
+// took itself for cut off would go to the upstreams on its own.
 func (f *Forwarder) Reaches(group string) bool {
-	_, ok := f.peer(group, nil)
-	return ok
+	now := f.Now()
+	for _, p := range f.Live() {
+		if p.Groups[group].Carries && !p.Leaving && !f.shunned(p, now) {
+			return true
+		}
+	}
+	return false
 }
 
 // shunned reports whether a peer didn't answer lately and hasn't been heard since.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -121,6 +121,9 @@
 	f := newFleet("home")
 	is.True(f.Reaches("g"))
 	is.True(!f.Reaches("other"))
+	f.peers[0].Groups["g"] = gossiper.GroupState{Carries: true, Trouble: gossiper.Unreachable}
+	is.True(f.Reaches("g")) // the leader is gone, not the peer
+	f.peers[0].Groups["g"] = gossiper.GroupState{Carries: true}
 	f.fails[at(0)] = errors.Mark(errLost, ErrUnsent)
 	runner, _ := f.Group("g")
 	runner.Run(&carrier.Job{Arrived: f.now, Deadline: time.Now().Add(60 * time.Millisecond)}, carrier.Command{Verb: carrier.Read, ID: "r"})
