carrier: the load tests draw from one goroutine

The race is the test's own.

Change: the work of a statement is drawn with its arrival and travels as its text. Bounds are unchanged.

--- a/carrier/gate_test.go
+++ b/carrier/gate_test.go
@@ -17,14 +17,10 @@
 	"basildale.example/basildale/tracker"
 )
 
-// shortWork is the text of a statement that takes 11 ms in place of 37.
-const shortWork = "short"
-
 // slots is an upstream that runs a few statements at a time, in the order in which
 // they come, as those of the platform do.
 type slots struct {
 	free chan struct{}
-	work func() time.Duration
 }
 
 func (s *slots) dial(context.Context, cataloger.Upstream) (Link, error) { return &slotLink{s}, nil }
@@ -44,12 +40,12 @@
 			case <-time.After(time.Until(deadline)):
 				return nil, true, context.DeadlineExceeded
 			}
-			work := l.s.work()
-			if c.Text == shortWork {
-				work = work * 11 / 37
-			}
+			work, err := time.ParseDuration(c.Text) // the text says how long it takes
 			time.Sleep(work)
 			<-l.s.free
+			if err != nil {
+				return nil, true, err
+			}
 		}
 	}
 	return answers, true, nil
@@ -83,11 +79,7 @@
 	got := map[bool]load{}
 	synctest.Test(t, func(*testing.T) {
 		var mu sync.Mutex
-		s := &slots{free: make(chan struct{}, 6), work: func() time.Duration {
-			mu.Lock()
-			defer mu.Unlock()
-			return time.Duration((0.3 + 1.4*rng.Float64()) * float64(37*time.Millisecond))
-		}}
+		s := &slots{free: make(chan struct{}, 6)}
 		var groups []*Group
 		for range carriers {
 			groups = append(groups, before(s, ungated))
@@ -96,10 +88,12 @@
 		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); {
 			g := groups[rng.IntN(carriers)]
 			job := &Job{Freshness: cataloger.Own, Writes: true}
-			cmd, aim, booking := Command{Verb: Read, ID: "r"}, objective, rng.Float64() < bookings
+			mean, aim, booking := 37*time.Millisecond, objective, rng.Float64() < bookings
 			if booking {
-				job, cmd.Text, aim = &Job{}, shortWork, objective/2
+				job, mean, aim = &Job{}, 11*time.Millisecond, objective/2
 			}
+			work := time.Duration((0.3 + 1.4*rng.Float64()) * float64(mean))
+			cmd := Command{Verb: Read, ID: "r", Text: work.String()}
 			calls.Go(func() {
 				job.Arrived = time.Now()
 				job.Aim, job.Deadline = job.Arrived.Add(aim), job.Arrived.Add(timeout)
