--- a/demonstrator/stage.go
+++ b/demonstrator/stage.go
@@ -214,8 +214,10 @@
 	return list
 }
 
-// closeWithin bounds the end of a deployment.
-const closeWithin = 4 * time.Second
+// closeWithin bounds the end of a deployment: the time that the settings give each
+// process for its stop, and as much again for a machine that is busy with other
+// work. With 4 s a demonstration failed whose processes were still within theirs.
+const closeWithin = 2 * loader.DefaultStop
 
 // close ends everything. A proxy that doesn't end is an error, and its upstreams
 // are left as they are.
