daemon: the test of a second signal waits until the session rests in its transaction

A session counts as resting in one once its worker has ended; the caller has its answer a moment before that, and the test went on at the answer.

Change: the test waits for the session to rest before it signals. What it checks is unchanged.

--- a/daemon/stop_test.go
+++ b/daemon/stop_test.go
@@ -27,6 +27,9 @@
 	c := f.connect(1, "")
 	_, err := c.Begin(t.Context())
 	is.NoErr(err)
+	for !rests(f.daemons[1]) {
+		runtime.Gosched() // the caller has its answer before the session comes to rest
+	}
 	is.True(f.daemons[1].Drain())
 	for !f.daemons[1].left.Load() {
 		runtime.Gosched() // only the test run's bound ends the wait
@@ -39,6 +42,12 @@
 	is.True(cut.Summary.Cut[0].Transaction)
 }
 
+// rests reports whether the only busy session of a process rests in a transaction.
+func rests(d *Daemon) bool {
+	busy := d.server.Load().Busy
+	return len(busy) == 1 && busy[0].Transaction
+}
+
 // Symptom: the fleet can't be restarted, or a stop without a platform hangs until
 // its deadline. Sequence: all proxies are drained one after another, with the
 // platform up and down. Cause: a stop waits for somebody to take the leadership
