demonstrator: the test of a broken promise breaks each one that was given

Under the race detector many bookings end with an unknown outcome (3 acknowledged beside 18 unknown were seen), and a missing one of these breaks no promise. The row of that run wasn't kept, so that it was such a one is inferred.

Change: the test deletes all bookings and expects each acknowledged one to be counted, which no longer depends on which row comes first and checks more.

--- a/demonstrator/demonstrator_test.go
+++ b/demonstrator/demonstrator_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -54,19 +55,33 @@
 	is := is.New(t)
 	var out bytes.Buffer
 	d := &Demo{Out: &out, Deployments: one(t), Requests: requests, BeforeCheck: func(groups []*upstream.Group) {
-		conn, err := pgconn.Connect(context.Background(), "postgres://x@"+groups[0].Primary().Addr().String()+"/x?sslmode=disable")
-		is.NoErr(err)
-		defer func() { _ = conn.Close(context.Background()) }()
-		rows := groups[0].Primary().Rows("bookings")
-		_, err = conn.Exec(context.Background(), "DELETE FROM bookings WHERE id = '"+rows[0][0]+"'").ReadAll()
-		is.NoErr(err)
+		for _, g := range groups {
+			empty(t, g)
+		}
 	}}
 	report, err := d.Run(context.Background())
 	is.NoErr(err)
-	is.Equal(report.Counts.Lost, 1)
+	is.True(report.Counts.Lost > 0)
+	// Each one that was acknowledged counts; those whose outcome is unknown, of which
+	// there are many where processor time is short, don't.
+	is.True(strings.Contains(out.String(), fmt.Sprintf("checked %d bookings that were acknowledged", report.Counts.Lost)))
 	is.True(strings.HasSuffix(out.String(), "\n"+report.Counts.String()+"\n"))
 }
 
+// empty deletes all bookings of a group.
+func empty(t *testing.T, g *upstream.Group) {
+	t.Helper()
+	is := is.New(t)
+	primary := g.Primary()
+	conn, err := pgconn.Connect(context.Background(), "postgres://x@"+primary.Addr().String()+"/x?sslmode=disable")
+	is.NoErr(err)
+	defer func() { _ = conn.Close(context.Background()) }()
+	for _, row := range primary.Rows("bookings") {
+		_, err = conn.Exec(context.Background(), "DELETE FROM bookings WHERE id = '"+row[0]+"'").ReadAll()
+		is.NoErr(err)
+	}
+}
+
 func TestDeploymentsHaveTheirRealSizes(t *testing.T) {
 	is := is.New(t)
 	list, err := Deployments()
