--- a/carrier/opener.go
+++ b/carrier/opener.go
@@ -10,8 +10,8 @@
 	// openings is how many connections this process opens at a time. A handshake
 	// takes 12 to 27 ms in one of an upstream's 5 or 6 slots; with two each, the six
 	// to nine processes that share it take its slots for two rounds at the most.
-	// When all asked for eight at once after a change of leader, the upstream's
-	// queue of new connections ran full and its callers waited for 5 s.
+	// When all asked for eight at once after a change of leader, opening timed out and
+	// the new leader was barred and freed by turns for 3.5 s.
 	openings = 2
 	// firstRefusal and longestRefusal bound how long no connection is asked of an
 	// upstream that had no room. Those of a process that lost power count for 3 s
--- a/carrier/opener_test.go
+++ b/carrier/opener_test.go
@@ -32,8 +32,8 @@
 	}
 }
 
-// Symptom: for seconds after a change of leader all its callers are late, and the
-// new leader is barred and freed by turns. Sequence: all statements of a group
+// Symptom: for seconds after a change of leader the new one is barred and freed by
+// turns. Sequence: all statements of a group
 // move to the new leader, and each process opens all its connections there at
 // once. Cause: handshakes fill the upstream's slots and its queue of new
 // connections, so that opening one times out.
