--- a/demonstrator/callers.go
+++ b/demonstrator/callers.go
@@ -13,10 +13,13 @@
 	"basildale.example/basildale/internal/faker/upstream"
 )
 
-// The load on each group: small beside what the groups can carry, since the
-// whole demonstration shares one machine.
+// DefaultRate is how many requests a second come to each group when nothing is set:
+// few beside what the groups can carry, since the whole demonstration shares one
+// machine.
+const DefaultRate = 60
+
+// The load on each group.
 const (
-	rate         = 60 // requests a second
 	bookings     = 0.35
 	transactions = 0.1
 	sessions     = 24
@@ -29,6 +32,7 @@
 type callers struct {
 	stage    *stage
 	seed     uint64
+	rate     float64 // requests a second to each group
 	ledger   checker.Ledger
 	gap      gap
 	progress progress
@@ -36,7 +40,7 @@
 }
 
 func newCallers(s *stage, requests int, seed uint64) *callers {
-	c := &callers{stage: s, seed: seed}
+	c := &callers{stage: s, seed: seed, rate: DefaultRate}
 	c.progress.each = requests
 	c.progress.all = requests * len(s.groups)
 	c.progress.wake = make(chan struct{}, 1)
@@ -98,7 +102,7 @@
 		Password:     password,
 		Database:     c.stage.Groups[i].Name,
 		Group:        c.stage.Groups[i].Name,
-		Rate:         rate,
+		Rate:         c.rate,
 		Bookings:     bookings,
 		Transactions: transactions,
 		Sessions:     sessions,
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -27,6 +27,8 @@
 	// Requests is how many requests come to each group; zero means
 	// DefaultRequests.
 	Requests int
+	// Rate is how many requests a second come to each group; zero means DefaultRate.
+	Rate float64
 	// Seed decides the callers' requests.
 	Seed uint64
 	// BeforeCheck, when set, may spoil what the groups hold before it is compared
--- a/demonstrator/play.go
+++ b/demonstrator/play.go
@@ -12,7 +12,7 @@
 
 // DefaultRequests is how many requests come to each group when none are set:
 // some 24 s at the rate of the callers.
-const DefaultRequests = 24 * rate
+const DefaultRequests = 24 * DefaultRate
 
 // limit ends a demonstration that doesn't come to its end by itself, for
 // instance because nothing is answered any more. A whole one takes some 26 s; a
@@ -36,6 +36,9 @@
 	for i, s := range stages {
 		running.Go(func() {
 			c := newCallers(s, requests, d.Seed+uint64(i)*uint64(len(s.groups)))
+			if d.Rate > 0 {
+				c.rate = d.Rate
+			}
 			outcomes[i], failed[i] = d.perform(ctx, say, c, script)
 		})
 	}
