overseer, carrier: a leader that fails what it is asked is replaced

Change: carrier follows the share of failures among an upstream's outcomes (what it ran and failed, and answers lost before their deadline; not what is only late). When two fifths of those who carry see that for 0.7 s it is replaced as planned, so nothing acknowledged can be lost. The leaders after it are left alone for 30 s: where they fail as well, it is the statements that are wrong. A failing leader counts as reached wherever that matters for fencing.

--- a/carrier/group.go
+++ b/carrier/group.go
@@ -319,6 +319,21 @@
 	m.lag.served(now, g.samples.needed(since, now))
 }
 
+// judge takes in how a statement that a member answered has ended. Only what it
+// ran tells whether it does its work.
+func (g *Group) judge(m *member, code Code) {
+	if code == OK || code == Failed {
+		g.ended(m, code == Failed)
+	}
+}
+
+// ended takes in whether a member failed what a statement asked of it.
+func (g *Group) ended(m *member, failed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.faults.note(g.carrier.Now(), failed)
+}
+
 // took takes in the time of an answer.
 func (g *Group) took(m *member, d time.Duration) {
 	g.mu.Lock()
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -289,6 +289,9 @@
 	if err != nil {
 		g.release(m, r.conn, false)
 		j.avoid(m)
+		if sent && time.Until(j.Deadline) > 0 {
+			g.ended(m, true) // lost, and not only late: an overloaded upstream doesn't fail
+		}
 		answer, again := lost(j, sent)
 		if !again {
 			g.took(m, failing*ordinary)
@@ -299,6 +302,7 @@
 	g.release(m, r.conn, usable)
 	answer.State = Idle
 	answer.Upstream = m.id
+	g.judge(m, answer.Code)
 	if answer.Code == OK {
 		answer.Ran = g.carrier.Now().Sub(started)
 		answer.Waited = started.Sub(j.Arrived)
--- a/carrier/member.go
+++ b/carrier/member.go
@@ -40,6 +40,7 @@
 	latency  time.Duration
 	measured time.Time // when latency last changed
 	lag      lag
+	faults   faults
 	mark     tracker.Mark
 
 	barred  bool
--- a/carrier/observe.go
+++ b/carrier/observe.go
@@ -40,7 +40,9 @@
 	Leader string
 	Leads  bool
 	// Stuck says that the leader doesn't acknowledge writes.
-	Stuck   bool
+	Stuck bool
+	// Failing says that the leader fails much of what it is asked, though it answers.
+	Failing bool
 	Term    tracker.Term
 	Members []Seen
 	// Floor, when set, is how far the log of a new leader must reach: some lost
@@ -65,6 +67,7 @@
 		out.Leader = g.leader.entry.ID
 		out.Leads = !g.leader.barred
 		out.Stuck = g.stuck(g.leader, now)
+		out.Failing = g.leader.faults.many(now)
 	}
 	return out
 }
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -128,10 +128,14 @@
 	answers, _, err := t.g.exchange(t.m, t.r, j.Deadline, append(prelude, cmd)...)
 	if err != nil {
 		j.avoid(t.m)
+		if time.Until(j.Deadline) > 0 {
+			t.g.ended(t.m, true)
+		}
 		return Answer{Code: Aborted, Text: "connection lost inside the transaction", State: Broken}
 	}
 	answer := verdict(answers, len(prelude))
 	answer.Upstream = t.m.id
+	t.g.judge(t.m, answer.Code)
 	if answer.Code == OK {
 		answer.Ran = t.g.carrier.Now().Sub(started)
 		t.g.took(t.m, answer.Ran)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -91,7 +91,7 @@
 	now := f.Now()
 	for _, p := range f.Live() {
 		state, knows := p.Groups[group]
-		if !knows || p.Leaving || !p.Carries.IsValid() || state.Trouble != gossiper.NoTrouble || !state.Carries {
+		if !knows || p.Leaving || !p.Carries.IsValid() || !state.Trouble.Reaches() || !state.Carries {
 			continue
 		}
 		if tried[p.Carries] || f.shunned(p, now) {
--- a/gossiper/roster.go
+++ b/gossiper/roster.go
@@ -49,8 +49,12 @@
 	NoTrouble   Trouble = iota
 	Unreachable         // it doesn't answer
 	Stuck               // it answers, but commits aren't acknowledged
+	Failing             // it answers, and fails much of what it is asked
 )
 
+// Reaches reports whether who sees the trouble can have statements run by the leader.
+func (t Trouble) Reaches() bool { return t == NoTrouble || t == Failing }
+
 // GroupState is what one process says of a database group.
 type GroupState struct {
 	Leader  string  `cbor:"1,keyasint,omitempty"`
--- a/overseer/doc.go
+++ b/overseer/doc.go
@@ -16,7 +16,8 @@
 //
 // A leader is dead when it doesn't answer this process and not most of its peers
 // either, or when its commits aren't acknowledged here and elsewhere. A leader
-// that this process reaches and many peers don't is replaced as planned.
+// that this process reaches and many peers don't is replaced as planned, and so is
+// one that answers and fails much of what callers want of it.
 //
 // # Usage
 //
--- a/overseer/duty_test.go
+++ b/overseer/duty_test.go
@@ -47,15 +47,18 @@
 	now := time.Unix(1000, 0)
 	leaving := peer("d", now, gossiper.GroupState{Carries: true, Trouble: gossiper.Unreachable})
 	leaving.Leaving = true
-	bad, voters := votes("g", []gossiper.Peer{
+	bad, failing, voters := votes("g", []gossiper.Peer{
 		peer("a", now, gossiper.GroupState{Carries: true, Trouble: gossiper.Unreachable}),
 		peer("b", now, gossiper.GroupState{Carries: true}),
 		peer("c", now, gossiper.GroupState{Token: 5, Trouble: gossiper.Stuck}), // holds the duty, carries nothing
+		peer("f", now, gossiper.GroupState{Carries: true, Trouble: gossiper.Failing}),
 		leaving,
 		{State: gossiper.State{Name: "e"}},
 	})
 	is.Equal(bad, 1)
-	is.Equal(voters, 2)
+	is.Equal(failing, 1)
+	is.Equal(voters, 3)
+	is.True(reached("g", "x", []gossiper.Peer{peer("a", now, gossiper.GroupState{Carries: true, Leader: "x", Trouble: gossiper.Failing})}))
 	is.True(reached("g", "x", []gossiper.Peer{peer("a", now, gossiper.GroupState{Carries: true, Leader: "x"})}))
 	is.True(!reached("g", "x", []gossiper.Peer{peer("a", now, gossiper.GroupState{Carries: true, Leader: "x", Trouble: gossiper.Stuck})}))
 }
@@ -75,3 +78,27 @@
 	is.True(telling(before, state(gossiper.GroupState{Leader: "x", Carries: true, Token: 1})))
 	is.True(telling(nil, before))
 }
+
+// Symptom: a group changes its leader again and again. Sequence: callers send what
+// every upstream fails; each new leader is taken for the cause. Cause: nobody
+// remembers that a change has mended nothing.
+func TestLeadersAfterOneThatFailedAreExcused(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var g group
+	is.True(!g.excuses("a", false, now))
+	is.True(!g.excuses("a", true, now))
+	is.True(g.excuses("b", true, now.Add(time.Second))) // it has just taken over
+	is.True(g.excuses("b", true, now.Add(excused)))
+	is.True(!g.excuses("b", true, now.Add(excused+2*time.Second)))
+}
+
+// A change of a leader that did well excuses nobody.
+func TestAPlannedChangeExcusesNobody(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var g group
+	is.True(!g.excuses("a", false, now))
+	is.True(!g.excuses("b", false, now.Add(time.Second)))
+	is.True(!g.excuses("b", true, now.Add(2*time.Second)))
+}
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -28,8 +28,12 @@
 	// replaced.
 	dwell = 100 * time.Millisecond
 	// shunned is how long many peers must miss a leader that this process
-	// reaches before it is replaced as planned.
+	// reaches, or see it fail, before it is replaced as planned.
 	shunned = 700 * time.Millisecond
+	// excused is how long the leaders that follow one that failed aren't replaced for
+	// failing. Where they fail as well it is the statements that are wrong, and another
+	// change would mend nothing.
+	excused = 30 * time.Second
 	// settling is the time after its start in which a process replaces nobody: it
 	// knows neither peers nor leaders yet.
 	settling = 2 * time.Second
@@ -86,6 +90,9 @@
 	stuck    time.Time // since when a leader that is cut off acknowledges nothing
 	heeded   time.Time // when a fence was last carried out
 	missed   time.Time // since when many peers miss a leader that works here
+	leader   string    // that was seen last
+	failed   bool      // somebody saw it fail
+	blamed   time.Time // when a leader that failed was last replaced
 }
 
 // States returns what this process says of its groups, for gossip.
@@ -203,6 +210,8 @@
 		return gossiper.Unreachable
 	case v.Stuck:
 		return gossiper.Stuck
+	case v.Failing:
+		return gossiper.Failing
 	default:
 		return gossiper.NoTrouble
 	}
@@ -211,17 +220,23 @@
 // view puts together what this process and its peers see of a group.
 func (o *Overseer) view(g *group, peers []gossiper.Peer, now time.Time) replacer.View {
 	seen := g.carried.Observe()
-	bad, voters := votes(g.carried.Name(), peers)
+	bad, failing, voters := votes(g.carried.Name(), peers)
 	own := trouble(seen)
+	if own == gossiper.Failing {
+		failing++
+	}
+	if g.excuses(seen.Leader, failing > 0, now) {
+		failing = 0
+	}
 	if !g.carried.Carries() {
 		return replacer.View{} // it sees nothing of the group itself
 	}
-	if own != gossiper.NoTrouble && 2*(bad+1) > voters+1 {
+	if !own.Reaches() && 2*(bad+1) > voters+1 {
 		g.bad = first(g.bad, now)
 	} else {
 		g.bad = time.Time{}
 	}
-	if own == gossiper.NoTrouble && 5*bad >= 2*(voters+1) {
+	if own.Reaches() && 5*(bad+failing) >= 2*(voters+1) {
 		g.missed = first(g.missed, now)
 	} else {
 		g.missed = time.Time{}
@@ -255,27 +270,40 @@
 	return !since.IsZero() && now.Sub(since) >= d
 }
 
-// votes counts the peers that see trouble with a group's leader, and all peers
-// that know the group.
-func votes(name string, peers []gossiper.Peer) (bad, voters int) {
+// excuses reports whether a leader that fails is left alone, since one that failed
+// was replaced a while ago. failing says that somebody sees the present one fail.
+func (g *group) excuses(leader string, failing bool, now time.Time) bool {
+	if g.leader != "" && leader != g.leader && g.failed {
+		g.blamed = now
+	}
+	g.leader, g.failed = leader, failing
+	return !g.blamed.IsZero() && now.Sub(g.blamed) < excused
+}
+
+// votes counts the peers that don't reach a group's leader or can't write there,
+// those that see it fail, and all peers that know the group.
+func votes(name string, peers []gossiper.Peer) (bad, failing, voters int) {
 	for _, p := range peers {
 		state, knows := p.Groups[name]
 		if !knows || p.Leaving || !state.Carries {
 			continue
 		}
 		voters++
-		if state.Trouble != gossiper.NoTrouble {
+		switch {
+		case state.Trouble == gossiper.Failing:
+			failing++
+		case state.Trouble != gossiper.NoTrouble:
 			bad++
 		}
 	}
-	return bad, voters
+	return bad, failing, voters
 }
 
 // reached reports whether a live peer finds the leader well.
 func reached(name, leader string, peers []gossiper.Peer) bool {
 	for _, p := range peers {
 		state, knows := p.Groups[name]
-		if knows && state.Carries && state.Leader == leader && state.Trouble == gossiper.NoTrouble {
+		if knows && state.Carries && state.Leader == leader && state.Trouble.Reaches() {
 			return true
 		}
 	}
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -317,3 +317,27 @@
 	})
 	is.Equal(f.group.Stats().Acknowledged, 1)
 }
+
+// Symptom: every write of a group fails for seconds. Sequence: the leader takes
+// connections and answers whoever asks how it is, and fails each statement of
+// callers. Cause: only a leader that doesn't answer is replaced.
+func TestALeaderThatFailsItsWorkIsReplaced(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3)
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	for _, m := range f.proxies {
+		c := f.dial(m, "seats")
+		group.Go(func() { c.writes(stop) })
+	}
+	f.until("writes", func() bool { return f.group.Stats().Acknowledged > 50 })
+	old := f.group.Leader()
+	old.Fail(true)
+	f.until("another leader", func() bool { return f.group.Leader() != old })
+	before := f.group.Stats().Acknowledged
+	f.until("writes again", func() bool { return f.group.Stats().Acknowledged > before+50 })
+	close(stop)
+	group.Wait()
+	is.Equal(f.group.Stats().Lost, 0)
+	is.Equal(f.group.Stats().Doubled, 0)
+}
--- a/replacer/message.go
+++ b/replacer/message.go
@@ -51,7 +51,8 @@
 	Stuck bool
 	// Reached says that a live peer reaches the leader and finds it well.
 	Reached bool
-	// Shunned says that the leader works, but many peers can't reach it.
+	// Shunned says that the leader answers, but many peers can't reach it or see it
+	// fail what they ask.
 	Shunned bool
 	// Term is the highest term heard of.
 	Term    tracker.Term
--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -129,7 +129,7 @@
 	case r.view.Leads && (leaving || r.view.Shunned):
 		r.planned = true
 		r.target = r.successor()
-		cause = "leader is leaving or out of reach for many"
+		cause = "leader is leaving, or out of reach or failing for many"
 		if r.target == "" {
 			return nil
 		}
