overseer, carrier, gossiper: silent peers and barred leaders don't hold a change of leader up

Its holder is removed at 3.0 s; a partition takes the leader from half of the fleet at 5.7. The duty is taken at 9.18, since a peer that was heard counts as such for 1.6 s and the silence begins after that, and peers that are gone or behind the partition keep their places in the order for 12 s. The order to promote goes out at 10.85: for 1.2 s peers behind the partition count as reaching the leader, by what they said 4 s before. The new leader leads at 11.9 and is known at 12.6, from the store's list: nobody asks the upstreams while a leader is known that is barred.

Change: silence counts from when the holder was heard; it tells those first who would take over, and may be silent for as many times as long as it needs turns for them. Places in the order, and who reaches a leader, count for 1.6 s. While the leader is barred the others are asked ten times a second, without those that are barred. Only those who have connections try to take a lead. Peers that refused a statement are asked again after 50, 100 and then 200 ms, not each 50.

--- a/carrier/fault_test.go
+++ b/carrier/fault_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/cataloger"
 )
 
 // Symptom: all writes of a group fail for as long as its leader is ill. Sequence: the
@@ -38,3 +42,27 @@
 		is.True(!f.many(now))
 	}
 }
+
+// Symptom: writes wait for half a second after another upstream leads. Sequence: the
+// leader dies and stays barred; another one is promoted, and the store lists that
+// later. Cause: nobody asks the others while a leader is known that doesn't answer.
+func TestALeaderIsSoughtWhileTheOldOneIsBarred(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &slots{free: make(chan struct{}, 6)}
+		c := &Carrier{Dial: s.dial, Now: time.Now, Log: zap.NewNop()}
+		c.Divide(1, []cataloger.GroupSettings{{Name: "g", Connections: 53}})
+		c.Apply([]cataloger.Upstream{{ID: "old", Group: "g", Leads: true}, {ID: "new", Group: "g"}})
+		g, _ := c.Group("g")
+		g.mu.Lock()
+		g.bar(g.leader, time.Now(), "silent")
+		g.mu.Unlock()
+		is.Equal(g.Observe().Leads, false)
+		c.Tick()
+		synctest.Wait()
+		is.Equal(g.Observe().Leader, "new")
+		is.Equal(g.Observe().Leads, true)
+		time.Sleep(2 * firstPause) // the search ends
+		c.Stop()
+	})
+}
--- a/carrier/watch.go
+++ b/carrier/watch.go
@@ -63,7 +63,7 @@
 			g.try(m)
 		}
 	}
-	if g.leader == nil {
+	if g.leader == nil || g.leader.barred {
 		g.seek()
 	}
 }
@@ -232,15 +232,25 @@
 	}()
 }
 
-// seek asks all members whether they lead, unless that is under way. A member
-// that leads takes an empty transaction, all others refuse it; it costs no slot.
-// The caller has the lock.
+// seek asks all members that answer whether they lead, unless that is under way. A
+// member that leads takes an empty transaction, all others refuse it; it costs no
+// slot. Those that are barred have looks of their own: asking them too would hold up
+// each round by half a second, and so would waiting for the store's list to say who
+// leads in place of one that is barred. The caller has the lock.
 func (g *Group) seek() {
-	if g.seeking || len(g.members) == 0 || !g.Carries() {
+	if g.seeking || !g.Carries() {
+		return
+	}
+	members := make([]*member, 0, len(g.members))
+	for _, m := range g.members {
+		if !m.barred {
+			members = append(members, m)
+		}
+	}
+	if len(members) == 0 {
 		return
 	}
 	g.seeking = true
-	members := append([]*member(nil), g.members...)
 	go func() {
 		done := make(chan struct{}, len(members))
 		for _, m := range members {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -29,9 +29,11 @@
 	sampleTimeout = 200 * time.Millisecond
 	// slack is what the peer's answer may be late by, beyond the statement's time.
 	slack = 50 * time.Millisecond
-	// recheck is the time between two looks whether this process or a peer can
-	// serve a statement that waits.
-	recheck = 50 * time.Millisecond
+	// recheck is the time until the second look whether this process or a peer can
+	// serve a statement that waits; each next one is twice as long, up to
+	// longestRecheck. A group is without a leader for 0.3 to 2 s.
+	recheck        = 50 * time.Millisecond
+	longestRecheck = 200 * time.Millisecond
 )
 
 // Forwarder decides who carries, and asks peers. Set the exported fields before
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -23,6 +23,7 @@
 	p     *path
 	job   *carrier.Job
 	tried map[netip.AddrPort]bool
+	pause time.Duration // before peers are asked again
 }
 
 func (p *path) turn(j *carrier.Job) *turn {
@@ -60,14 +61,14 @@
 // refuse for some tenths of a second and serve then. Without it a statement that
 // was refused by three of them waited for its whole second and was refused.
 func (t *turn) wait() bool {
-	left := time.Until(t.job.Deadline)
-	if left <= recheck {
+	t.pause = min(max(2*t.pause, recheck), longestRecheck)
+	if time.Until(t.job.Deadline) <= t.pause {
 		return false
 	}
 	select {
 	case <-t.job.Gone:
 		return false
-	case <-time.After(recheck):
+	case <-time.After(t.pause):
 		clear(t.tried) // one that was lost is passed over until it is heard again
 		return true
 	}
--- a/gossiper/roster.go
+++ b/gossiper/roster.go
@@ -23,8 +23,11 @@
 	// peers each hears from each other one twice a second.
 	fanout = 12
 	// strangers is how many of these are drawn at random in a larger fleet, where
-	// the rest goes to those that carry for the same groups.
+	// the rest, Nearest, goes to those that carry for the same groups.
 	strangers = 4
+	// Nearest is how many of those that carry for the same groups get a datagram each
+	// round, those of groups that the sender has the duty for first.
+	Nearest = fanout - strangers
 	// patience is the number of rounds after which a peer that should have been
 	// heard counts as silent. Some of ten datagrams get lost; all never do.
 	patience = 4
@@ -152,28 +155,45 @@
 }
 
 // Targets returns whom to send to this round: all peers while they are few. Else
-// those that carry for the same groups, which decide together on leaders, and
-// some drawn at random, silent ones included, since a partition heals.
+// first those that carry for a group that this process has the duty for, which take
+// it over when they don't hear of it, then those that carry for the same groups,
+// which decide together on leaders, and some drawn at random, silent ones included,
+// since a partition heals.
 func (r *Roster) Targets(self State, rng *rand.Rand) []netip.AddrPort {
-	var near, far []netip.AddrPort
+	var charges, near, far []netip.AddrPort
+	few := len(r.peers) <= fanout
 	for _, p := range r.peers {
-		if len(r.peers) > fanout && !together(self, p.State) {
-			far = append(far, p.Peers)
-		} else {
+		switch {
+		case Charge(self, p.State):
+			charges = append(charges, p.Peers)
+		case few || together(self, p.State):
 			near = append(near, p.Peers)
+		default:
+			far = append(far, p.Peers)
 		}
 	}
-	for _, list := range [][]netip.AddrPort{near, far} {
+	for _, list := range [][]netip.AddrPort{charges, near, far} {
 		slices.SortFunc(list, netip.AddrPort.Compare)
 		rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	}
-	if len(far) == 0 {
+	near = append(charges, near...)
+	if few {
 		return near
 	}
-	near = near[:min(len(near), fanout-strangers)]
+	near = near[:min(len(near), Nearest)]
 	return append(near, far[:min(len(far), fanout-len(near))]...)
 }
 
+// Charge reports whether a peer carries for a group that the holder has the duty for.
+func Charge(holder, peer State) bool {
+	for name, state := range holder.Groups {
+		if state.Token > 0 && peer.Groups[name].Carries {
+			return true
+		}
+	}
+	return false
+}
+
 // together reports whether two processes carry for the same group.
 func together(a, b State) bool {
 	for name, state := range a.Groups {
--- a/gossiper/roster_test.go
+++ b/gossiper/roster_test.go
@@ -108,3 +108,28 @@
 	now = now.Add(Period)
 	is.True(g.Silent())
 }
+
+// Symptom: processes take a duty from its holder, which lives. Sequence: the holder
+// carries for several groups, and tells eight of its 30 neighbours each round. Cause:
+// those who take the duty over are told as seldom as the others.
+func TestAHolderTellsThoseWhoWaitForIt(t *testing.T) {
+	is := is.New(t)
+	var r Roster
+	now := time.Unix(1000, 0)
+	self := State{Groups: map[string]GroupState{"held": {Carries: true, Token: 3}, "other": {Carries: true}}}
+	for i := range 36 {
+		s := State{Name: fmt.Sprint("p", i), Peers: at(i), Groups: map[string]GroupState{"other": {Carries: true}}}
+		if i < 6 {
+			s.Groups = map[string]GroupState{"held": {Carries: true}}
+		}
+		r.Hear(s, now)
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 20 {
+		targets := r.Targets(self, rng)
+		is.Equal(len(targets), Nearest) // everyone is near here
+		for i := range 6 {
+			is.True(slices.Contains(targets, at(i)))
+		}
+	}
+}
--- a/overseer/duty.go
+++ b/overseer/duty.go
@@ -16,8 +16,13 @@
 // Times of taking the duty over.
 const (
 	// holderSilence is how long no holder of a group is heard before another
-	// process takes the duty: some rounds of gossip.
-	holderSilence = 1600 * time.Millisecond
+	// process takes the duty: three rounds of gossip and some. A holder with more
+	// peers to tell than it tells each round has as many times as long.
+	holderSilence = 3*gossiper.Period + 100*time.Millisecond
+	// lately is how long what a peer said of a leader, and its place in the order,
+	// count. It counts as live for 12 s in a fleet of 74, and what one said that was cut
+	// off or has died meanwhile held a change of leader up for 5 s.
+	lately = holderSilence
 	// rankDelay holds back each next process in the order, so that one of them
 	// writes to the store and the others hear of it.
 	rankDelay = 400 * time.Millisecond
@@ -40,9 +45,10 @@
 
 // duty is what this process knows of the duty for one group.
 type duty struct {
-	token    uint64    // of this process; zero without the duty
-	heard    time.Time // when a holder was last heard, this process included
-	highest  uint64    // token heard of
+	token    uint64         // of this process; zero without the duty
+	holder   gossiper.State // that was heard last; empty when it is this process
+	heard    time.Time      // when a holder was last heard, this process included
+	highest  uint64         // token heard of
 	claiming bool
 	next     time.Time // no claim before
 }
@@ -56,15 +62,15 @@
 			continue
 		}
 		d.highest = max(d.highest, token)
-		if token >= d.highest && now.Sub(p.Heard) < holderSilence {
-			d.heard = now
+		if token >= d.highest && p.Heard.After(d.heard) {
+			d.heard, d.holder = p.Heard, p.State
 		}
 	}
 	if d.token > 0 && d.token < d.highest {
 		d.token = 0
 	}
 	if d.token > 0 {
-		d.heard = now
+		d.heard, d.holder = now, gossiper.State{}
 	}
 	if d.heard.IsZero() {
 		d.heard = now
@@ -72,11 +78,11 @@
 }
 
 // rank returns this process's place in the order of those that may take a duty.
-func (o *Overseer) rank(group string, peers []gossiper.Peer) int {
+func (o *Overseer) rank(group string, peers []gossiper.Peer, now time.Time) int {
 	own := weight(group, o.Name)
 	rank := 0
 	for _, p := range peers {
-		if !p.Leaving && p.Groups[group].Carries && weight(group, p.Name) > own {
+		if now.Sub(p.Heard) < lately && !p.Leaving && p.Groups[group].Carries && weight(group, p.Name) > own {
 			rank++
 		}
 	}
@@ -90,8 +96,24 @@
 	if d.token > 0 || d.claiming || now.Before(d.next) || o.Leaving() || !o.groups[group].carried.Carries() {
 		return false
 	}
-	wait := holderSilence + time.Duration(o.rank(group, peers))*rankDelay
-	return now.Sub(d.heard) > wait
+	silent := now.Sub(d.heard)
+	if silent <= holderSilence {
+		return false // the usual case, and the rest takes time
+	}
+	return silent > d.patience(peers)+time.Duration(o.rank(group, peers, now))*rankDelay
+}
+
+// patience is how long the holder may be silent. It tells so many of those that carry
+// for its groups each round, and the others in later ones.
+func (d *duty) patience(peers []gossiper.Peer) time.Duration {
+	charges := 0
+	for _, p := range peers {
+		if gossiper.Charge(d.holder, p.State) {
+			charges++
+		}
+	}
+	turns := max(1, (charges+gossiper.Nearest-1)/gossiper.Nearest)
+	return time.Duration(turns) * holderSilence
 }
 
 // claimed is the outcome of a claim.
--- a/overseer/duty_test.go
+++ b/overseer/duty_test.go
@@ -58,9 +58,9 @@
 	is.Equal(bad, 1)
 	is.Equal(failing, 1)
 	is.Equal(voters, 3)
-	is.True(reached("g", "x", []gossiper.Peer{peer("a", now, gossiper.GroupState{Carries: true, Leader: "x", Trouble: gossiper.Failing})}))
-	is.True(reached("g", "x", []gossiper.Peer{peer("a", now, gossiper.GroupState{Carries: true, Leader: "x"})}))
-	is.True(!reached("g", "x", []gossiper.Peer{peer("a", now, gossiper.GroupState{Carries: true, Leader: "x", Trouble: gossiper.Stuck})}))
+	is.True(reached("g", "x", []gossiper.Peer{peer("a", now, gossiper.GroupState{Carries: true, Leader: "x", Trouble: gossiper.Failing})}, now))
+	is.True(reached("g", "x", []gossiper.Peer{peer("a", now, gossiper.GroupState{Carries: true, Leader: "x"})}, now))
+	is.True(!reached("g", "x", []gossiper.Peer{peer("a", now, gossiper.GroupState{Carries: true, Leader: "x", Trouble: gossiper.Stuck})}, now))
 }
 
 // Symptom: a change of leader, or the first statements after a loss of power, take
@@ -102,3 +102,37 @@
 	is.True(!g.excuses("b", false, now.Add(time.Second)))
 	is.True(!g.excuses("b", true, now.Add(2*time.Second)))
 }
+
+// Symptom: a change of leader waits for 1.5 s more. Sequence: a partition; peers
+// behind it said last that they reach the leader, and count as live for 12 s. Cause:
+// what was said long ago is taken for what is.
+func TestWhatAPeerSaidLongAgoDoesntCount(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	behind := []gossiper.Peer{peer("a", now.Add(-lately), gossiper.GroupState{Carries: true, Leader: "x"})}
+	is.True(!reached("g", "x", behind, now))
+	o := &Overseer{Name: "self"}
+	for range 50 {
+		o.Name += "x" // some name that ranks behind the peer
+		if weight("g", o.Name) < weight("g", "a") {
+			break
+		}
+	}
+	is.Equal(o.rank("g", behind, now), 0)
+	is.Equal(o.rank("g", behind, now.Add(-time.Millisecond)), 1)
+}
+
+// Symptom: processes take a duty from one another while its holder lives. Sequence:
+// the holder carries for several groups and tells eight of its 18 peers each round.
+// Cause: the silence that is allowed doesn't grow with them.
+func TestAHolderWithManyPeersMayBeSilentForLonger(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var peers []gossiper.Peer
+	for i := range 18 {
+		peers = append(peers, peer(string(rune('a'+i)), now, gossiper.GroupState{Carries: true}))
+	}
+	d := duty{holder: peer("holder", now, gossiper.GroupState{Token: 1}).State}
+	is.Equal(d.patience(peers[:8]), holderSilence)
+	is.Equal(d.patience(peers), 3*holderSilence)
+}
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -247,7 +247,7 @@
 		Leads:   seen.Leads,
 		Dead:    settled && lasted(g.bad, now, dwell),
 		Stuck:   own == gossiper.Stuck,
-		Reached: reached(g.carried.Name(), seen.Leader, peers),
+		Reached: reached(g.carried.Name(), seen.Leader, peers, now),
 		Floor:   seen.Floor,
 		Shunned: settled && lasted(g.missed, now, shunned),
 		Term:    seen.Term,
@@ -299,11 +299,11 @@
 	return bad, failing, voters
 }
 
-// reached reports whether a live peer finds the leader well.
-func reached(name, leader string, peers []gossiper.Peer) bool {
+// reached reports whether a peer that was heard lately reaches the leader.
+func reached(name, leader string, peers []gossiper.Peer, now time.Time) bool {
 	for _, p := range peers {
 		state, knows := p.Groups[name]
-		if knows && state.Carries && state.Leader == leader && state.Trouble.Reaches() {
+		if now.Sub(p.Heard) < lately && knows && state.Carries && state.Leader == leader && state.Trouble.Reaches() {
 			return true
 		}
 	}
@@ -314,6 +314,9 @@
 // process reaches it.
 func (o *Overseer) heed(g *group, peers []gossiper.Peer, now time.Time) {
 	name := g.carried.Name()
+	if !g.carried.Carries() {
+		return // it has no connection to do it on
+	}
 	for _, p := range peers {
 		state := p.Groups[name]
 		if state.Fenced == "" || state.Token < g.duty.highest || now.Sub(g.heeded) < heedEvery {
