--- a/carrier/job.go
+++ b/carrier/job.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/cataloger"
-	"basildale.example/basildale/placer"
 	"basildale.example/basildale/tracker"
 )
 
@@ -85,108 +84,6 @@
 // refusal is the answer to a job that nothing of was run.
 func refusal(code Code, text string) Answer { return Answer{Code: code, Text: text} }
 
-// place finds a member for a job, and the mark that its log must contain. It
-// waits for a leader or a sample as long as that can help.
-func (g *Group) place(j *Job) (*member, tracker.Mark, Answer) {
-	for {
-		since, waiting, ok := g.floor(j)
-		if !ok {
-			if g.unsampled(j) {
-				return nil, since, refusal(Unplaced, "no sample of the leader's log")
-			}
-			if !wait(j, waiting) {
-				return nil, since, g.unplaced(j, placer.NoLeader)
-			}
-			continue
-		}
-		m, reason, changed := g.choose(placer.Need{Leader: j.latest(), Since: since}, j.tried)
-		if m != nil {
-			return m, since, Answer{}
-		}
-		if j.Elsewhere != nil && j.Elsewhere() {
-			return nil, since, refusal(Unplaced, string(reason))
-		}
-		if g.hopeless() || !wait(j, changed) {
-			return nil, since, g.unplaced(j, reason)
-		}
-	}
-}
-
-// unsampled reports whether a job that lacks a sample is better carried elsewhere:
-// there is no leader here to ask for one.
-func (g *Group) unsampled(j *Job) bool {
-	g.mu.Lock()
-	leads := g.leader != nil && !g.leader.barred
-	g.mu.Unlock()
-	return !leads && j.Elsewhere != nil && j.Elsewhere()
-}
-
-// floor returns the mark that a read needs. When no sample is fresh enough, it
-// returns a channel to wait on for a newer one.
-func (g *Group) floor(j *Job) (tracker.Mark, <-chan struct{}, bool) {
-	if j.latest() {
-		return tracker.Mark{}, nil, true
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	mark, ok := g.samples.since(j.Arrived.Add(margin - j.MaxAge))
-	newest, _ := g.samples.last()
-	var waiting <-chan struct{}
-	if !ok || g.carrier.Now().Sub(newest.asked) > j.MaxAge/ageing {
-		waiting = g.refresh()
-	}
-	if !ok {
-		if waiting == nil {
-			waiting = g.changed
-		}
-		return mark, waiting, false
-	}
-	if mark.Less(j.Own) {
-		mark = j.Own
-	}
-	return mark, nil, true
-}
-
-// wait waits for a change, and reports whether there is time left after it.
-func wait(j *Job, changed <-chan struct{}) bool {
-	left := time.Until(j.Deadline)
-	if left <= 0 {
-		return false
-	}
-	timer := time.NewTimer(left)
-	defer timer.Stop()
-	select {
-	case <-changed:
-		return true
-	case <-timer.C:
-		return false
-	case <-j.Gone:
-		return false
-	}
-}
-
-// pause lets some time pass, and reports whether there is time left after it.
-func pause(j *Job, d time.Duration) bool {
-	passed := make(chan struct{})
-	timer := time.AfterFunc(d, func() { close(passed) })
-	defer timer.Stop()
-	return wait(j, passed)
-}
-
-// hopeless reports whether the group has had no leader for so long that waiting
-// for one isn't worth a caller's time.
-func (g *Group) hopeless() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return !g.leaderless.IsZero() && g.carrier.Now().Sub(g.leaderless) > longestLeaderless
-}
-
-func (g *Group) unplaced(j *Job, reason placer.Reason) Answer {
-	g.log().Info("carrier: statement refused", zap.String("request", j.Request), zap.String("group", g.name),
-		zap.String("reason", string(reason)), zap.Bool("latest", j.latest()))
-	return refusal(Busy, string(reason)+"; come back in "+comeBack.String())
-}
-
 // exchange runs commands on a connection and keeps what the answer tells of the
 // member.
 func (g *Group) exchange(m *member, r *run, deadline time.Time, commands ...Command) ([]Answer, bool, error) {
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -3,17 +3,14 @@
 import (
 	"context"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/adapter/keeper"
 	"basildale.example/basildale/carrier"
 	"basildale.example/basildale/gossiper"
 	"basildale.example/basildale/replacer"
-	"basildale.example/basildale/tracker"
 )
 
 // Times of the control loop.
@@ -159,28 +156,6 @@
 	}
 }
 
-// state returns what this process says of a group. It says nothing of groups that
-// it neither carries for nor has the duty for: that would be most of a datagram.
-func (o *Overseer) state(g *group, leader string) gossiper.GroupState {
-	fenced, term := g.replacer.Fencing()
-	return gossiper.GroupState{
-		Leader: leader, Trouble: trouble(g.carried.Observe()), Carries: g.carried.Carries(),
-		Token: g.duty.token, Fenced: fenced, FenceTerm: term,
-	}
-}
-
-// telling reports whether peers should hear of the new states at once: who votes
-// on a leader, holds a duty, or carries for others, has changed.
-func telling(before, after map[string]gossiper.GroupState) bool {
-	for name, state := range after {
-		old := before[name]
-		if old.Trouble != state.Trouble || old.Token != state.Token || old.Fenced != state.Fenced || old.Carries != state.Carries {
-			return true
-		}
-	}
-	return false
-}
-
 // deliver takes a duty and hands the outcome to the control loop.
 func (o *Overseer) deliver(ctx context.Context, name string) {
 	c := o.claim(ctx, name)
@@ -204,190 +179,6 @@
 	return g
 }
 
-func trouble(v carrier.Observation) gossiper.Trouble {
-	switch {
-	case !v.Leads:
-		return gossiper.Unreachable
-	case v.Stuck:
-		return gossiper.Stuck
-	case v.Failing:
-		return gossiper.Failing
-	default:
-		return gossiper.NoTrouble
-	}
-}
-
-// view puts together what this process and its peers see of a group.
-func (o *Overseer) view(g *group, peers []gossiper.Peer, now time.Time) replacer.View {
-	seen := g.carried.Observe()
-	bad, failing, voters := votes(g.carried.Name(), peers)
-	own := trouble(seen)
-	if own == gossiper.Failing {
-		failing++
-	}
-	if g.excuses(seen.Leader, failing > 0, now) {
-		failing = 0
-	}
-	if !g.carried.Carries() {
-		return replacer.View{} // it sees nothing of the group itself
-	}
-	if !own.Reaches() && 2*(bad+1) > voters+1 {
-		g.bad = first(g.bad, now)
-	} else {
-		g.bad = time.Time{}
-	}
-	if own.Reaches() && 5*(bad+failing) >= 2*(voters+1) {
-		g.missed = first(g.missed, now)
-	} else {
-		g.missed = time.Time{}
-	}
-	settled := now.Sub(o.begun) > settling
-	v := replacer.View{
-		Leader:  seen.Leader,
-		Leads:   seen.Leads,
-		Dead:    settled && lasted(g.bad, now, dwell),
-		Stuck:   own == gossiper.Stuck,
-		Reached: reached(g.carried.Name(), seen.Leader, peers, now),
-		Floor:   seen.Floor,
-		Shunned: settled && lasted(g.missed, now, shunned),
-		Term:    seen.Term,
-		Token:   g.duty.token,
-	}
-	for _, m := range seen.Members {
-		v.Members = append(v.Members, replacer.Member{ID: m.ID, Leaving: m.Leaving, Lost: m.Lost})
-	}
-	return v
-}
-
-func first(t, now time.Time) time.Time {
-	if t.IsZero() {
-		return now
-	}
-	return t
-}
-
-func lasted(since, now time.Time, d time.Duration) bool {
-	return !since.IsZero() && now.Sub(since) >= d
-}
-
-// excuses reports whether a leader that fails is left alone, since one that failed
-// was replaced a while ago. failing says that somebody sees the present one fail.
-func (g *group) excuses(leader string, failing bool, now time.Time) bool {
-	if g.leader != "" && leader != g.leader && g.failed {
-		g.blamed = now
-	}
-	g.leader, g.failed = leader, failing
-	return !g.blamed.IsZero() && now.Sub(g.blamed) < excused
-}
-
-// votes counts the peers that don't reach a group's leader or can't write there,
-// those that see it fail, and all peers that know the group.
-func votes(name string, peers []gossiper.Peer) (bad, failing, voters int) {
-	for _, p := range peers {
-		state, knows := p.Groups[name]
-		if !knows || p.Leaving || !state.Carries {
-			continue
-		}
-		voters++
-		switch {
-		case state.Trouble == gossiper.Failing:
-			failing++
-		case state.Trouble != gossiper.NoTrouble:
-			bad++
-		}
-	}
-	return bad, failing, voters
-}
-
-// reached reports whether a peer that was heard lately reaches the leader.
-func reached(name, leader string, peers []gossiper.Peer, now time.Time) bool {
-	for _, p := range peers {
-		state, knows := p.Groups[name]
-		if now.Sub(p.Heard) < lately && knows && state.Carries && state.Leader == leader && state.Trouble.Reaches() {
-			return true
-		}
-	}
-	return false
-}
-
-// heed takes the lead from an upstream that the holder is replacing, if this
-// process reaches it.
-func (o *Overseer) heed(g *group, peers []gossiper.Peer, now time.Time) {
-	name := g.carried.Name()
-	if !g.carried.Carries() {
-		return // it has no connection to do it on
-	}
-	for _, p := range peers {
-		state := p.Groups[name]
-		if state.Fenced == "" || state.Token < g.duty.highest || now.Sub(g.heeded) < heedEvery {
-			continue
-		}
-		if seen := g.carried.Observe(); !seen.Leads || seen.Leader != state.Fenced {
-			continue
-		}
-		g.heeded = now
-		o.Log.Info("overseer: taking the lead from an upstream", zap.String("group", name), zap.String("upstream", state.Fenced),
-			zap.String("holder", p.Name), zap.Uint64("token", state.Token), zap.Stringer("term", state.FenceTerm))
-		o.demote(g, state.Fenced, state.FenceTerm)
-	}
-}
-
-// yield takes the lead from an upstream that is cut off together with this process:
-// it acknowledges nothing, and none of the others can be reached from here. On the
-// other side of the partition another one may be promoted. A replica that joins
-// on this side would then confirm commits that wait at the old leader, and that
-// the new one lacks: one sees acknowledged commits rolled back seconds later.
-// Where the others are only down, this costs another change of leader when one of
-// them is back.
-func (o *Overseer) yield(g *group, now time.Time) {
-	seen := g.carried.Observe()
-	if !seen.Leads || !seen.Stuck {
-		g.stuck = time.Time{}
-		return
-	}
-	g.stuck = first(g.stuck, now)
-	if !lasted(g.stuck, now, yieldAfter) || now.Sub(g.heeded) < yieldEvery {
-		return
-	}
-	g.heeded = now
-	go o.cutOff(g, seen, now.Sub(g.stuck))
-}
-
-// cutOff makes a stuck leader yield, unless another upstream answers here: then
-// whoever holds the duty replaces it.
-func (o *Overseer) cutOff(g *group, seen carrier.Observation, stuck time.Duration) {
-	for _, m := range seen.Members {
-		if m.ID == seen.Leader {
-			continue
-		}
-		_, err := g.carried.Control(m.ID, time.Now().Add(yieldTimeout), carrier.Command{Verb: carrier.Status})
-		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
-			return // it answers, or its process is down: no partition
-		}
-	}
-	report, err := g.carried.Control(seen.Leader, time.Now().Add(yieldTimeout), carrier.Command{Verb: carrier.Status})
-	if err != nil || !report.Leads {
-		o.Log.Info("overseer: no leader any more", zap.String("group", g.carried.Name()), zap.String("upstream", seen.Leader), zap.Error(err))
-		return
-	}
-	o.Log.Warn("overseer: a leader that is cut off yields", zap.String("group", g.carried.Name()), zap.String("upstream", seen.Leader),
-		zap.Duration("stuck", stuck), zap.Stringer("term", report.Term))
-	o.demote(g, seen.Leader, tracker.Term{Epoch: report.Term.Epoch + 1})
-}
-
-// demote takes the lead from an upstream. Whether it follows shows in its next
-// answers.
-func (o *Overseer) demote(g *group, id string, term tracker.Term) {
-	go func() {
-		report, err := g.carried.Control(id, time.Now().Add(askTimeout), carrier.Command{Verb: carrier.Demote, Term: term})
-		if err != nil {
-			o.Log.Info("overseer: lead not taken", zap.String("group", g.carried.Name()), zap.String("upstream", id), zap.Error(err))
-			return
-		}
-		o.Log.Info("overseer: lead taken", zap.String("group", g.carried.Name()), zap.String("upstream", id), zap.Bool("leads", report.Leads))
-	}()
-}
-
 // run carries out what the replacer of a group wants.
 func (o *Overseer) run(ctx context.Context, g *group, commands []replacer.Command) {
 	for _, cmd := range commands {
--- /dev/null
+++ b/overseer/view.go
@@ -0,0 +1,137 @@
+package overseer
+
+import (
+	"time"
+
+	"basildale.example/basildale/carrier"
+	"basildale.example/basildale/gossiper"
+	"basildale.example/basildale/replacer"
+)
+
+// state returns what this process says of a group. It says nothing of groups that
+// it neither carries for nor has the duty for: that would be most of a datagram.
+func (o *Overseer) state(g *group, leader string) gossiper.GroupState {
+	fenced, term := g.replacer.Fencing()
+	return gossiper.GroupState{
+		Leader: leader, Trouble: trouble(g.carried.Observe()), Carries: g.carried.Carries(),
+		Token: g.duty.token, Fenced: fenced, FenceTerm: term,
+	}
+}
+
+// telling reports whether peers should hear of the new states at once: who votes
+// on a leader, holds a duty, or carries for others, has changed.
+func telling(before, after map[string]gossiper.GroupState) bool {
+	for name, state := range after {
+		old := before[name]
+		if old.Trouble != state.Trouble || old.Token != state.Token || old.Fenced != state.Fenced || old.Carries != state.Carries {
+			return true
+		}
+	}
+	return false
+}
+
+func trouble(v carrier.Observation) gossiper.Trouble {
+	switch {
+	case !v.Leads:
+		return gossiper.Unreachable
+	case v.Stuck:
+		return gossiper.Stuck
+	case v.Failing:
+		return gossiper.Failing
+	default:
+		return gossiper.NoTrouble
+	}
+}
+
+// view puts together what this process and its peers see of a group.
+func (o *Overseer) view(g *group, peers []gossiper.Peer, now time.Time) replacer.View {
+	seen := g.carried.Observe()
+	bad, failing, voters := votes(g.carried.Name(), peers)
+	own := trouble(seen)
+	if own == gossiper.Failing {
+		failing++
+	}
+	if g.excuses(seen.Leader, failing > 0, now) {
+		failing = 0
+	}
+	if !g.carried.Carries() {
+		return replacer.View{} // it sees nothing of the group itself
+	}
+	if !own.Reaches() && 2*(bad+1) > voters+1 {
+		g.bad = first(g.bad, now)
+	} else {
+		g.bad = time.Time{}
+	}
+	if own.Reaches() && 5*(bad+failing) >= 2*(voters+1) {
+		g.missed = first(g.missed, now)
+	} else {
+		g.missed = time.Time{}
+	}
+	settled := now.Sub(o.begun) > settling
+	v := replacer.View{
+		Leader:  seen.Leader,
+		Leads:   seen.Leads,
+		Dead:    settled && lasted(g.bad, now, dwell),
+		Stuck:   own == gossiper.Stuck,
+		Reached: reached(g.carried.Name(), seen.Leader, peers, now),
+		Floor:   seen.Floor,
+		Shunned: settled && lasted(g.missed, now, shunned),
+		Term:    seen.Term,
+		Token:   g.duty.token,
+	}
+	for _, m := range seen.Members {
+		v.Members = append(v.Members, replacer.Member{ID: m.ID, Leaving: m.Leaving, Lost: m.Lost})
+	}
+	return v
+}
+
+func first(t, now time.Time) time.Time {
+	if t.IsZero() {
+		return now
+	}
+	return t
+}
+
+func lasted(since, now time.Time, d time.Duration) bool {
+	return !since.IsZero() && now.Sub(since) >= d
+}
+
+// excuses reports whether a leader that fails is left alone, since one that failed
+// was replaced a while ago. failing says that somebody sees the present one fail.
+func (g *group) excuses(leader string, failing bool, now time.Time) bool {
+	if g.leader != "" && leader != g.leader && g.failed {
+		g.blamed = now
+	}
+	g.leader, g.failed = leader, failing
+	return !g.blamed.IsZero() && now.Sub(g.blamed) < excused
+}
+
+// votes counts the peers that don't reach a group's leader or can't write there,
+// those that see it fail, and all peers that know the group.
+func votes(name string, peers []gossiper.Peer) (bad, failing, voters int) {
+	for _, p := range peers {
+		state, knows := p.Groups[name]
+		if !knows || p.Leaving || !state.Carries {
+			continue
+		}
+		voters++
+		switch {
+		case state.Trouble == gossiper.Failing:
+			failing++
+		case state.Trouble != gossiper.NoTrouble:
+			bad++
+		}
+	}
+	return bad, failing, voters
+}
+
+// reached reports whether a peer that was heard lately reaches the leader.
+func reached(name, leader string, peers []gossiper.Peer, now time.Time) bool {
+	for _, p := range peers {
+		state, knows := p.Groups[name]
+		if now.Sub(p.Heard) < lately && knows && state.Carries && state.Leader == leader && state.Trouble.Reaches() {
+			return true
+		}
+	}
+	return false
+}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -197,42 +196,6 @@
 	return p.gossip.Start()
 }
 
-// listenPeers takes statements of peers.
-func (p *Proxier) listenPeers() error {
-	ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(p.Settings.Carry))
-	if err != nil {
-		return errors.Wrapf(err, "proxier: listen on %s", p.Settings.Carry)
-	}
-	p.carryAt = ln.Addr().(*net.TCPAddr).AddrPort()
-	key := sha256.Sum256([]byte(fleetKey + p.Settings.Workspace))
-	p.peers = &messenger.Messenger{
-		Self: messenger.Peer{Addr: p.carryAt, Start: uint64(p.start)}, Keys: [][]byte{key[:]},
-		Handler:          messenger.Handler{Carry: p.carry},
-		HandshakeTimeout: peerHandshake, Silence: peerSilence, MaxInFlight: peerInFlight, Metrics: p.registry, Log: p.Log,
-	}
-	go func() {
-		if err := p.peers.Serve(ln); err != nil {
-			p.Log.Error("proxier: peers aren't served any more", zap.Error(err))
-		}
-	}()
-	return nil
-}
-
-// carry carries a statement for a peer.
-func (p *Proxier) carry(_ context.Context, from messenger.Peer, q messenger.Carry) (messenger.Carried, error) {
-	answer, err := p.forward.Serve(from.Addr.String()+"/"+strconv.FormatUint(from.Start, 36), q.Payload)
-	return messenger.Carried{Payload: answer}, err
-}
-
-// send has a peer carry a statement.
-func (p *Proxier) send(ctx context.Context, to netip.AddrPort, payload json.RawMessage) (json.RawMessage, error) {
-	answer, err := p.peers.Carry(ctx, to, messenger.Carry{Payload: payload})
-	if errors.Is(err, messenger.ErrUnsent) || errors.Is(err, messenger.ErrBusy) {
-		err = errors.Mark(err, forwarder.ErrUnsent)
-	}
-	return answer.Payload, err
-}
-
 // serve serves HTTP on an address, and returns the one that is bound.
 func (p *Proxier) serve(at netip.AddrPort, h http.Handler) (netip.AddrPort, error) {
 	ln, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at))
@@ -358,51 +321,5 @@
 
 func (p *Proxier) proxies() int { return len(p.sharing()) }
 
-// self is what peers are told.
-func (p *Proxier) self() gossiper.State {
-	return gossiper.State{
-		Name: p.Settings.Name, Zone: p.Settings.Zone, Start: p.start, Peers: p.gossip.Bound(), Carries: p.carryAt, Operators: p.operatorsAt,
-		Configuration: p.holdings.current().Config.Version, Entries: p.holdings.entries(), Checked: p.checks.ages(bootClock()),
-		Leaving: p.leaving.Load(), Groups: p.overseer.States(),
-	}
-}
-
-// heard takes in a peer's state: one that knows of something newer is asked for
-// it.
-func (p *Proxier) heard(s gossiper.State) {
-	p.checks.hear(s.Checked, bootClock())
-	newer := s.Configuration > p.holdings.current().Config.Version || s.Entries > p.holdings.entries()
-	if !newer || !p.fetching.CompareAndSwap(false, true) {
-		return
-	}
-	go func() {
-		defer p.fetching.Store(false)
-		if err := p.fetch(s.Operators); err != nil {
-			p.Log.Info("proxier: peer didn't tell its configuration", zap.String("peer", s.Name), zap.Error(err))
-		}
-	}()
-}
-
-// fetch takes in what a peer knows.
-func (p *Proxier) fetch(at netip.AddrPort) error {
-	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.String()+"/known", nil)
-	if err != nil {
-		return errors.Wrap(err, "proxier: ask a peer")
-	}
-	resp, err := p.client.Do(req)
-	if err != nil {
-		return errors.Wrap(err, "proxier: ask a peer")
-	}
-	defer resp.Body.Close()
-	var b bundle
-	if err := json.NewDecoder(resp.Body).Decode(&b); err != nil {
-		return errors.Wrap(err, "proxier: what a peer knows")
-	}
-	p.holdings.take(b)
-	return nil
-}
-
 // View returns the configuration in force.
 func (p *Proxier) View() *cataloger.View { return p.holdings.current() }
