forwarder: reads that need no leader go to peers that miss it

Where some processes carry for the others, a process without connections asks only peers that reach the leader. While a leader is replaced none does, and reads that replicas could answer, whose samples stay young enough for 1.5 to 2.5 s, were refused after a second.

Change: such a read may be carried by a peer that misses the leader when there is none that reaches it. Job.Latest, which says what needs the leader, is exported.

Test: fails first.

--- a/carrier/gate.go
+++ b/carrier/gate.go
@@ -63,7 +63,7 @@
 	switch {
 	case j.Freshness == cataloger.Own:
 		return limiter.Session
-	case j.latest():
+	case j.Latest():
 		return limiter.Booking
 	default:
 		return limiter.Lookup
@@ -102,7 +102,7 @@
 	}
 	back := max(time.Until(outcome.Back), busyPause).Round(time.Millisecond)
 	g.log().Info("carrier: statement not admitted", zap.String("request", j.Request), zap.String("group", g.name), zap.String("upstream", m.id),
-		zap.Stringer("cause", outcome.Cause), zap.Duration("back", back), zap.Duration("left", left), zap.Bool("leads", j.latest()))
+		zap.Stringer("cause", outcome.Cause), zap.Duration("back", back), zap.Duration("left", left), zap.Bool("leads", j.Latest()))
 	return 0, refusal(Busy, "upstream is overloaded; come back in "+back.String())
 }
 
@@ -111,7 +111,7 @@
 // placed there when nothing else is left, so that the statement would be offered
 // to the same upstream again and again until its time is over.
 func (g *Group) other(m *member, j *Job, since tracker.Mark) bool {
-	if j.latest() {
+	if j.Latest() {
 		return false
 	}
 	j.avoid(m)
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -70,8 +70,8 @@
 	tried map[*member]bool
 }
 
-// latest reports whether the job must run on the present leader.
-func (j *Job) latest() bool { return j.Writes || j.Freshness == cataloger.Latest }
+// Latest reports whether the job must run on the present leader.
+func (j *Job) Latest() bool { return j.Writes || j.Freshness == cataloger.Latest }
 
 // avoid remembers that the job failed at a member.
 func (j *Job) avoid(m *member) {
@@ -204,7 +204,7 @@
 		answer.Ran = g.carrier.Now().Sub(started)
 		answer.Waited = started.Sub(j.Arrived)
 		g.took(m, answer.Ran)
-		if !j.latest() {
+		if !j.Latest() {
 			g.sufficed(m, since)
 		}
 		return answer, false
@@ -295,19 +295,19 @@
 		j.avoid(m)
 	case ReadOnly:
 		g.deposed(m)
-		if j.latest() {
+		if j.Latest() {
 			return true
 		}
 		j.avoid(m)
 	case Overloaded:
-		anew := !j.latest() && !j.tried[m]
+		anew := !j.Latest() && !j.tried[m]
 		j.avoid(m)
 		if !anew && (j.Elsewhere == nil || !j.Elsewhere()) {
 			return pause(j, crowdedPause)
 		}
 	case Busy:
 		g.took(m, 4*ordinary)
-		if j.latest() {
+		if j.Latest() {
 			return pause(j, busyPause)
 		}
 		j.avoid(m)
--- a/carrier/place.go
+++ b/carrier/place.go
@@ -23,7 +23,7 @@
 			}
 			continue
 		}
-		m, reason, changed := g.choose(placer.Need{Leader: j.latest(), Since: since}, j.tried)
+		m, reason, changed := g.choose(placer.Need{Leader: j.Latest(), Since: since}, j.tried)
 		if m != nil {
 			return m, since, Answer{}
 		}
@@ -48,7 +48,7 @@
 // floor returns the mark that a read needs. When no sample is fresh enough, it
 // returns a channel to wait on for a newer one.
 func (g *Group) floor(j *Job) (tracker.Mark, <-chan struct{}, bool) {
-	if j.latest() {
+	if j.Latest() {
 		return tracker.Mark{}, nil, true
 	}
 	g.mu.Lock()
@@ -107,6 +107,6 @@
 
 func (g *Group) unplaced(j *Job, reason placer.Reason) Answer {
 	g.log().Info("carrier: statement refused", zap.String("request", j.Request), zap.String("group", g.name),
-		zap.String("reason", string(reason)), zap.Bool("latest", j.latest()))
+		zap.String("reason", string(reason)), zap.Bool("latest", j.Latest()))
 	return refusal(Busy, string(reason)+"; come back in "+comeBack.String())
 }
--- a/carrier/runner.go
+++ b/carrier/runner.go
@@ -42,7 +42,7 @@
 	defer g.mu.Unlock()
 	now := g.carrier.Now()
 	leads := g.leader != nil && !g.leader.barred
-	if j.latest() {
+	if j.Latest() {
 		return leads && !g.leader.full() && (!j.Writes || !g.stuck(g.leader, now))
 	}
 	_, fresh := g.samples.since(j.Arrived.Add(margin - j.MaxAge))
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -73,7 +73,7 @@
 // Sample asks a peer for a position of a group's leader that is taken after the
 // question.
 func (f *Forwarder) Sample(group string) (tracker.Mark, bool) {
-	p, ok := f.peer(group, nil)
+	p, ok := f.peer(group, true, nil)
 	if !ok {
 		return tracker.Mark{}, false
 	}
@@ -86,32 +86,46 @@
 	return resp.Answer.Mark, true
 }
 
-// peer returns a live peer that finds the leader of a group well: one of the own
-// availability zone, if there is any. Those in tried are passed over.
-func (f *Forwarder) peer(group string, tried map[netip.AddrPort]bool) (gossiper.Peer, bool) {
-	var near, far []gossiper.Peer
+// peer returns a live peer that carries for a group and reaches its leader: one of
+// the own availability zone, if there is any. Where the leader isn't needed, one that
+// doesn't reach it will do when there is no other: while a leader is replaced all
+// carriers miss it, and their samples stay young enough for some seconds. Those in
+// tried are passed over.
+func (f *Forwarder) peer(group string, leader bool, tried map[netip.AddrPort]bool) (gossiper.Peer, bool) {
+	var best []gossiper.Peer
+	rank := 0
 	now := f.Now()
 	for _, p := range f.Live() {
 		state, knows := p.Groups[group]
-		if !knows || p.Leaving || !p.Carries.IsValid() || !state.Trouble.Reaches() || !state.Carries {
+		if !knows || p.Leaving || !p.Carries.IsValid() || !state.Carries || tried[p.Carries] || f.shunned(p, now) {
 			continue
 		}
-		if tried[p.Carries] || f.shunned(p, now) {
-			continue
-		}
-		if p.Zone == f.Zone {
-			near = append(near, p)
-		} else {
-			far = append(far, p)
+		own := f.rank(p, state.Trouble.Reaches())
+		switch {
+		case leader && !state.Trouble.Reaches(), own < rank:
+		case own > rank:
+			best, rank = []gossiper.Peer{p}, own
+		default:
+			best = append(best, p)
 		}
 	}
-	if len(near) == 0 {
-		near = far
-	}
-	if len(near) == 0 {
+	if len(best) == 0 {
 		return gossiper.Peer{}, false
 	}
-	return near[rand.IntN(len(near))], true
+	return best[rand.IntN(len(best))], true
+}
+
+// rank says how good a peer is for a statement: one that reaches the leader before one
+// that doesn't, then one of the own availability zone before others.
+func (f *Forwarder) rank(p gossiper.Peer, reaches bool) int {
+	rank := 0
+	if reaches {
+		rank += 2
+	}
+	if p.Zone == f.Zone {
+		rank++
+	}
+	return rank
 }
 
 // Reaches reports whether a live peer carries for a group, whatever it finds of the
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -148,3 +148,25 @@
 	is.Equal(f.run(true).Code, carrier.OK)
 	is.Equal(len(f.asked), hops+1)
 }
+
+// Symptom: while a leader is replaced, processes without connections refuse reads that
+// replicas could answer. Sequence: all who carry for the group miss its leader. Cause:
+// whatever the statement needs, only peers that reach the leader are asked.
+func TestReadsThatNeedNoLeaderGoToPeersThatMissIt(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("home", "away")
+	missing := gossiper.GroupState{Carries: true, Trouble: gossiper.Unreachable}
+	f.peers[0].Groups["g"], f.peers[1].Groups["g"] = missing, missing
+	_, found := f.peer("g", true, nil)
+	is.True(!found)
+	p, found := f.peer("g", false, nil)
+	is.True(found)
+	is.Equal(p.Zone, "home")
+	f.peers[1].Groups["g"] = gossiper.GroupState{Carries: true}
+	p, _ = f.peer("g", false, nil)
+	is.Equal(p.Zone, "away") // it reaches the leader, too
+	runner, _ := f.Group("g")
+	f.peers[1].Groups["g"] = missing
+	job := &carrier.Job{Freshness: cataloger.Bounded, MaxAge: time.Second, Arrived: f.now, Deadline: time.Now().Add(time.Second)}
+	is.Equal(runner.Run(job, carrier.Command{Verb: carrier.Read, ID: "r"}).Code, carrier.OK)
+}
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -29,7 +29,7 @@
 func (p *path) turn(j *carrier.Job) *turn {
 	t := &turn{p: p, job: j}
 	j.Elsewhere = func() bool {
-		_, ok := p.f.peer(p.group.Name(), t.tried)
+		_, ok := p.f.peer(p.group.Name(), j.Latest(), t.tried)
 		return ok && len(t.tried) < hops
 	}
 	return t
@@ -43,7 +43,7 @@
 			return peer, true, true
 		}
 		if len(t.tried) < hops {
-			if peer, found := t.p.f.peer(t.p.group.Name(), t.tried); found {
+			if peer, found := t.p.f.peer(t.p.group.Name(), t.job.Latest(), t.tried); found {
 				return peer, false, true
 			}
 		}
