carrier: reads don't wait while replicas lag and there is no leader (reverted trial)

The reads that wait for up to a second come to the new leader together, while the replicas still lag.

What remains of that commit is that holders are told first.

Conclusion: reverted. A read of a lagging group may only wait where the leader that comes can carry what has waited.

--- a/carrier/group.go
+++ b/carrier/group.go
@@ -268,24 +268,12 @@
 		return nil, reason, g.changed
 	}
 	m := g.members[i]
-	if !need.Leader && g.lagging(m, candidates[i], need, tried) {
-		return nil, placer.Lagging, g.changed
-	}
 	if !need.Leader {
 		m.lag.trying(now)
 	}
 	return m, reason, nil
 }
 
-// lagging reports whether the best place for a read has refused it, or probably will,
-// while the group has no leader: the read waits for one then. Sent all the same, reads
-// were refused by each replica in turn within some milliseconds, 300 a second of one
-// group, and callers used up their tries while a leader was a second away. The caller
-// has the lock.
-func (g *Group) lagging(m *member, c placer.Candidate, need placer.Need, tried map[*member]bool) bool {
-	return g.present() == nil && (tried[m] || c.Behind && c.Mark.Less(need.Since))
-}
-
 // present returns the leader if it answers, or nil. The caller has the lock.
 func (g *Group) present() *member {
 	if g.leader == nil || g.leader.barred {
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -140,7 +140,7 @@
 		if answer.Code == Overloaded && j.Elsewhere != nil && j.Elsewhere() {
 			return refusal(Unplaced, answer.Text) // a peer may have connections there
 		}
-		if answer.Code == Overloaded || answer.Code == Busy || answer.Code == Behind && g.leads() == nil {
+		if answer.Code == Overloaded || answer.Code == Busy {
 			n-- // nothing was run; the deadline bounds these
 		}
 		g.log().Info("carrier: statement goes again", zap.String("request", j.Request), zap.String("group", g.name),
--- a/carrier/place.go
+++ b/carrier/place.go
@@ -30,25 +30,12 @@
 		if j.Elsewhere != nil && j.Elsewhere() {
 			return nil, since, refusal(Unplaced, string(reason))
 		}
-		if g.hopeless() || !g.await(j, reason, changed) {
+		if g.hopeless() || !wait(j, changed) {
 			return nil, since, g.unplaced(j, reason)
 		}
 	}
 }
 
-// await waits for what a job lacks. Replicas that lag may have caught up after a
-// while, also those that have refused the job, so it is placed anew then.
-func (g *Group) await(j *Job, reason placer.Reason, changed <-chan struct{}) bool {
-	if reason != placer.Lagging {
-		return wait(j, changed)
-	}
-	caughtUp := make(chan struct{})
-	timer := time.AfterFunc(lagRetry, func() { close(caughtUp) })
-	defer timer.Stop()
-	clear(j.tried)
-	return waitEither(j, changed, caughtUp)
-}
-
 // unsampled reports whether a job that lacks a sample is better carried elsewhere:
 // there is no leader here to ask for one.
 func (g *Group) unsampled(j *Job) bool {
@@ -82,10 +69,7 @@
 }
 
 // wait waits for a change, and reports whether there is time left after it.
-func wait(j *Job, changed <-chan struct{}) bool { return waitEither(j, changed, nil) }
-
-// waitEither is the same for the first of two changes.
-func waitEither(j *Job, one, other <-chan struct{}) bool {
+func wait(j *Job, changed <-chan struct{}) bool {
 	left := time.Until(j.Deadline)
 	if left <= 0 {
 		return false
@@ -93,9 +77,7 @@
 	timer := time.NewTimer(left)
 	defer timer.Stop()
 	select {
-	case <-one:
-		return true
-	case <-other:
+	case <-changed:
 		return true
 	case <-timer.C:
 		return false
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -74,7 +74,6 @@
 	NoLeader Reason = "no leader is known"
 	Silent   Reason = "the leader doesn't answer"
 	NoneLeft Reason = "no upstream answers"
-	Lagging  Reason = "no leader, and replicas lag"
 )
 
 // Choose returns the index of the best candidate, or None.
