cataloger, proxier: the removal of an upstream is news to those who don't watch

The log of one: two of three processes hear the store's word that the crashed leader's entry is gone; the third, which holds the duty, takes that leader for well for as long as the test runs. Those who don't watch ask a peer that knows of a higher revision; a removal comes with the revision of the entry's last change, so it raised nothing, then or later.

Change: a removal that a watch tells of counts one more than what was known, which is at most its real revision unless something newer came by a peer first. Who has taken in all that a peer knows counts as knowing it, and doesn't ask again.

--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -150,8 +150,20 @@
 	return true
 }
 
-// Remove takes in that an entry was removed at a revision.
+// Remove takes in that an entry was removed. The revision may be that of its last
+// change, which is what a watch states. Without a step of its own such a removal
+// raises nothing, and those who don't watch heard of it only with the next change of
+// another entry: one sees a process that takes a leader for well that is gone.
 func (c *Catalog) Remove(id string, revision uint64) bool {
+	before := c.changed
+	if !c.drop(id, revision) {
+		return false
+	}
+	c.changed = max(c.changed, before+1)
+	return true
+}
+
+func (c *Catalog) drop(id string, revision uint64) bool {
 	if c.removed == nil {
 		c.removed = map[string]uint64{}
 	}
@@ -167,6 +179,10 @@
 	return true
 }
 
+// Raise takes in that everything up to a revision of an entry or a removal is known:
+// a peer that has told all it knows had it.
+func (c *Catalog) Raise(changed uint64) { c.changed = max(c.changed, changed) }
+
 // Replace takes in a whole list as of a revision: what isn't in it and was not
 // changed later is gone.
 func (c *Catalog) Replace(list []Upstream, revision uint64) bool {
@@ -182,7 +198,7 @@
 	}
 	for id, u := range c.upstreams {
 		if !present[id] && u.Revision <= revision {
-			changed = c.Remove(id, revision) || changed
+			changed = c.drop(id, revision) || changed
 		}
 	}
 	return changed
--- a/cataloger/catalog_test.go
+++ b/cataloger/catalog_test.go
@@ -48,3 +48,23 @@
 	is.Equal(c.Changed(), uint64(12))
 	is.True(!c.Replace(nil, 9)) // an older list changes nothing
 }
+
+// Symptom: one of three processes takes a leader for well that is gone, and nobody is
+// promoted. Sequence: an upstream's entry is removed; two processes watch and hear of
+// it, with the revision of the entry's last change; the third asks peers that know of
+// something newer. Cause: the removal raises nothing.
+func TestARemovalIsNews(t *testing.T) {
+	is := is.New(t)
+	var watcher, other Catalog
+	list := []Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}}
+	watcher.Replace(list, 3)
+	other.Replace(list, 3)
+	is.True(watcher.Remove("a", 1))
+	is.True(watcher.Changed() > other.Changed())
+	is.True(other.Replace(watcher.Upstreams(), watcher.Complete()))
+	is.Equal(len(other.Upstreams()), 1)
+	other.Raise(watcher.Changed())
+	is.Equal(other.Changed(), watcher.Changed()) // it isn't asked for again
+	is.True(!watcher.Remove("a", 1))
+	is.Equal(watcher.Changed(), other.Changed())
+}
--- a/proxier/catalog.go
+++ b/proxier/catalog.go
@@ -130,6 +130,8 @@
 	// Complete is the revision up to which every change of the upstreams is in
 	// the list.
 	Complete uint64 `json:"complete"`
+	// Changed is the highest revision of an entry or a removal that is known.
+	Changed uint64 `json:"changed"`
 }
 
 // entries returns the highest revision of an entry that is known.
@@ -142,7 +144,7 @@
 func (h *holdings) bundle() bundle {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return bundle{Config: h.current().Config, Upstreams: h.catalog.Upstreams(), Complete: h.catalog.Complete()}
+	return bundle{Config: h.current().Config, Upstreams: h.catalog.Upstreams(), Complete: h.catalog.Complete(), Changed: h.catalog.Changed()}
 }
 
 // take takes in what a peer told. Its list takes out what it lacks only if it is
@@ -155,6 +157,9 @@
 	for _, u := range b.Upstreams {
 		changed = h.catalog.Put(u) || changed
 	}
+	if len(h.catalog.Upstreams()) == len(b.Upstreams) {
+		h.catalog.Raise(b.Changed) // nothing is known here that the peer lacks
+	}
 	if changed {
 		h.carrier.Apply(h.catalog.Upstreams())
 		h.tell()
