cataloger, proxier, carrier: a removal before a newer entry is heard of

Two processes watch; the holder of the duty asks the one that tells of a higher revision and gets the new entry, but not the removals, which leave no revision. From then on its highest revision is that of its peers, and it never asks again. It takes the old leader for well and tries a planned change, which can't halt an upstream whose address another one has.

Change: catalogs are told apart by the revision up to which they are complete and by a digest of their entries; watches raise the former. Whose digest differs and who is complete up to less asks. A leader that many peers miss is asked by the process that takes it for well, and an upstream that can't be reached under a control command is barred like under a statement.

--- a/carrier/fault_test.go
+++ b/carrier/fault_test.go
@@ -1,10 +1,12 @@
 package carrier
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
@@ -66,3 +68,38 @@
 		c.Stop()
 	})
 }
+
+// Symptom: a leader that has crashed is to be replaced as if it only failed for some,
+// again and again, and stays. Sequence: it crashes; the holder of the duty has sent it
+// nothing for a while and takes it for well, while its peers miss it. Cause: nobody
+// asks the leader at that process.
+func TestALeaderThatPeersMissIsAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &slots{free: make(chan struct{}, 6)}
+		crashed := false
+		c := &Carrier{Now: time.Now, Log: zap.NewNop()}
+		c.Dial = func(ctx context.Context, u cataloger.Upstream) (Link, error) {
+			if crashed {
+				return nil, errors.New("refused")
+			}
+			return s.dial(ctx, u)
+		}
+		c.Divide(1, []cataloger.GroupSettings{{Name: "g", Connections: 53}})
+		c.Apply([]cataloger.Upstream{{ID: "old", Group: "g", Leads: true}, {ID: "new", Group: "g"}})
+		g, _ := c.Group("g")
+		g.Verify()
+		is.Equal(g.Observe().Leads, true) // it is well
+		crashed = true
+		is.Equal(g.Observe().Leads, true) // nobody has looked
+		g.mu.Lock()
+		leader := g.leader
+		g.mu.Unlock()
+		leader.pool.Shrink(0)
+		leader.pool.Shrink(0) // what nobody needed since the first one goes
+		g.Verify()
+		synctest.Wait()
+		is.Equal(g.Observe().Leads, false)
+		c.Stop()
+	})
+}
--- a/carrier/observe.go
+++ b/carrier/observe.go
@@ -94,6 +94,7 @@
 	}
 	c, err := m.connection(deadline)
 	if err != nil {
+		g.refused(m, err)
 		return Report{}, err
 	}
 	r := &run{conn: c}
--- a/carrier/watch.go
+++ b/carrier/watch.go
@@ -296,6 +296,20 @@
 	return leads
 }
 
+// Verify asks the leader whether it leads, and bars it if it can't be reached. What
+// this process believes of a leader that it hasn't used lately may be old: one sees
+// the holder of a duty try a planned change of a leader that has crashed, again and
+// again, while its peers wait for another one.
+func (g *Group) Verify() {
+	m := g.leads()
+	if m == nil || g.ask(m) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.try(m)
+}
+
 // refresh takes a new sample of the leader's log, and returns a channel that is
 // closed when that has ended. Only one runs at a time. The caller has the lock.
 func (g *Group) refresh() <-chan struct{} {
--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Freshness says what a route's reads must see.
@@ -88,24 +90,36 @@
 }
 
 // Catalog is the state. Its zero value knows nothing.
+//
+// What is known of the upstreams is what the store held at one revision, up to which
+// it is complete, and perhaps some later changes. Of two catalogs whose digests
+// differ the one that is complete up to the higher revision knows something that the
+// other lacks. Nothing else tells them apart: a removal leaves no entry that is
+// newer. With the highest revision of an entry in its place, a process that had taken
+// in a newer entry first never heard of a removal before it, and took a leader that
+// was gone for well.
 type Catalog struct {
 	config    Config
 	upstreams map[string]Upstream
-	// removed holds the revision at which an upstream was taken out, so that an
-	// older list can't bring it back.
-	removed map[string]uint64
-	// complete is the revision up to which every change is known here.
+	// removed holds the revision at which an upstream was taken out after the
+	// revision that the rest is complete up to, so that an older event can't bring it
+	// back.
+	removed  map[string]uint64
 	complete uint64
-	// changed is the highest revision of an entry or a removal.
-	changed uint64
+	digest   uint64
 }
 
 // Complete returns the revision up to which every change of the entries is known.
 func (c *Catalog) Complete() uint64 { return c.complete }
 
-// Changed returns the highest revision of an entry or a removal. A catalog that
-// has a higher one knows something that the other doesn't.
-func (c *Catalog) Changed() uint64 { return c.changed }
+// Digest returns a hash of all entries; catalogs with the same entries have the same.
+func (c *Catalog) Digest() uint64 { return c.digest }
+
+// Lacks reports whether a catalog with the given digest, complete up to the given
+// revision, knows of upstreams what this one doesn't.
+func (c *Catalog) Lacks(complete, digest uint64) bool {
+	return digest != c.digest && complete > c.complete
+}
 
 // Configure takes in a configuration and reports whether it is newer than the
 // one in force. An older one changes nothing: a list from a lagging reader or a
@@ -134,54 +148,67 @@
 	return v
 }
 
-// Put takes in a changed entry and reports whether it is newer than the known.
+// Put takes in a changed entry and reports whether it is newer than the known. One
+// that isn't known, from before the revision that the catalog is complete up to, was
+// removed since.
 func (c *Catalog) Put(u Upstream) bool {
-	if c.upstreams == nil {
-		c.upstreams = map[string]Upstream{}
-	}
-	if old, ok := c.upstreams[u.ID]; ok && old.Revision >= u.Revision {
+	old, known := c.upstreams[u.ID]
+	if known && old.Revision >= u.Revision {
 		return false
 	}
-	if c.removed[u.ID] >= u.Revision {
+	if !known && (u.Revision <= c.complete || u.Revision <= c.removed[u.ID]) {
 		return false
 	}
-	c.upstreams[u.ID] = u
-	c.changed = max(c.changed, u.Revision)
+	c.put(u)
 	return true
 }
 
-// Remove takes in that an entry was removed. The revision may be that of its last
-// change, which is what a watch states. Without a step of its own such a removal
-// raises nothing, and those who don't watch heard of it only with the next change of
-// another entry: one sees a process that takes a leader for well that is gone.
-func (c *Catalog) Remove(id string, revision uint64) bool {
-	before := c.changed
-	if !c.drop(id, revision) {
-		return false
+func (c *Catalog) put(u Upstream) {
+	if c.upstreams == nil {
+		c.upstreams = map[string]Upstream{}
 	}
-	c.changed = max(c.changed, before+1)
-	return true
+	if old, known := c.upstreams[u.ID]; known {
+		c.digest ^= old.hash()
+	}
+	c.upstreams[u.ID] = u
+	c.digest ^= u.hash()
+}
+
+// hash is the entry's part of the digest.
+func (u *Upstream) hash() uint64 {
+	h := xxhash.NewWithSeed(u.Revision)
+	_, _ = h.WriteString(u.ID) // never fails, by its contract
+	return h.Sum64()
 }
 
-func (c *Catalog) drop(id string, revision uint64) bool {
+// Remove takes in that an entry was removed, at a revision or, as a watch states it,
+// at some time after the entry's last change.
+func (c *Catalog) Remove(id string, revision uint64) bool {
+	old, known := c.upstreams[id]
+	if known && old.Revision > revision {
+		return false
+	}
 	if c.removed == nil {
 		c.removed = map[string]uint64{}
 	}
-	if old, ok := c.upstreams[id]; ok && old.Revision > revision {
-		return false
-	}
 	c.removed[id] = max(c.removed[id], revision)
-	c.changed = max(c.changed, revision)
-	if _, ok := c.upstreams[id]; !ok {
+	if !known {
 		return false
 	}
 	delete(c.upstreams, id)
+	c.digest ^= old.hash()
 	return true
 }
 
-// Raise takes in that everything up to a revision of an entry or a removal is known:
-// a peer that has told all it knows had it.
-func (c *Catalog) Raise(changed uint64) { c.changed = max(c.changed, changed) }
+// Advance takes in that every change up to a revision is known: a watch has told of
+// all of them.
+func (c *Catalog) Advance(revision uint64) {
+	if revision <= c.complete {
+		return
+	}
+	c.complete = revision
+	maps.DeleteFunc(c.removed, func(_ string, at uint64) bool { return at <= revision })
+}
 
 // Replace takes in a whole list as of a revision: what isn't in it and was not
 // changed later is gone.
@@ -189,7 +216,6 @@
 	if revision < c.complete {
 		return false
 	}
-	c.complete = revision
 	changed := false
 	present := make(map[string]bool, len(list))
 	for _, u := range list {
@@ -198,9 +224,10 @@
 	}
 	for id, u := range c.upstreams {
 		if !present[id] && u.Revision <= revision {
-			changed = c.drop(id, revision) || changed
+			changed = c.Remove(id, revision) || changed
 		}
 	}
+	c.Advance(revision)
 	return changed
 }
 
--- a/gossiper/roster.go
+++ b/gossiper/roster.go
@@ -85,12 +85,16 @@
 	Operators netip.AddrPort `cbor:"6,keyasint"`
 	// Configuration is the version in force there.
 	Configuration uint64 `cbor:"7,keyasint"`
-	// Entries is the highest revision of an upstream's entry known there.
-	Entries uint64 `cbor:"8,keyasint"`
-	// Checked says for each kind of the store's objects how long ago some process read
-	// all of them, as far as the sender knows, as of sending.
-	Checked map[string]time.Duration `cbor:"9,keyasint,omitempty"`
-	Leaving bool                     `cbor:"10,keyasint,omitempty"`
+	// Complete is the revision up to which the entries of upstreams are all known
+	// there, and Digest a hash of them. Who has another digest, and is complete up to
+	// less, asks the sender.
+	Complete uint64 `cbor:"8,keyasint"`
+	Digest   uint64 `cbor:"12,keyasint"`
+	// Checked says for each kind of the store's objects that is read as a whole, in an
+	// order that all know, how long ago some process read it, as far as the sender knows,
+	// as of sending.
+	Checked []time.Duration `cbor:"9,keyasint,omitempty"`
+	Leaving bool            `cbor:"10,keyasint,omitempty"`
 	// Groups are those that the sender carries for, or has the duty for.
 	Groups map[string]GroupState `cbor:"11,keyasint,omitempty"`
 }
--- a/overseer/view.go
+++ b/overseer/view.go
@@ -63,6 +63,9 @@
 		g.bad = time.Time{}
 	}
 	if own.Reaches() && 5*(bad+failing) >= 2*(voters+1) {
+		if g.missed.IsZero() {
+			go g.carried.Verify()
+		}
 		g.missed = first(g.missed, now)
 	} else {
 		g.missed = time.Time{}
--- a/proxier/catalog.go
+++ b/proxier/catalog.go
@@ -81,30 +81,48 @@
 	h.configure(c, "store")
 }
 
+// objects takes in configuration objects, listed or watched.
 func (h *holdings) objects(list []keeper.Object, _ uint64) {
 	for _, o := range list {
 		h.object(o)
 	}
 }
 
-// upstream takes in a changed entry of an upstream.
-func (h *holdings) upstream(o keeper.Object) {
+// watched takes in changed entries of upstreams: all that changed up to a version.
+func (h *holdings) watched(list []keeper.Object, version uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	changed := false
+	for _, o := range list {
+		changed = h.entry(o) || changed
+	}
+	h.catalog.Advance(version)
+	h.publish(changed)
+}
+
+// entry takes in one changed entry. The caller has the lock.
+func (h *holdings) entry(o keeper.Object) bool {
 	if o.Deleted {
-		changed = h.catalog.Remove(o.Name, o.Version)
-	} else if u, err := translator.ParseUpstream(o); err == nil {
-		changed = h.catalog.Put(u)
-	} else {
+		return h.catalog.Remove(o.Name, o.Version)
+	}
+	u, err := translator.ParseUpstream(o)
+	if err != nil {
 		h.log.Error("proxier: entry of an upstream can't be read", zap.Error(err))
+		return false
 	}
-	if changed {
-		h.carrier.Apply(h.catalog.Upstreams())
-		h.tell()
+	return h.catalog.Put(u)
+}
+
+// publish hands the upstreams on when they have changed. The caller has the lock.
+func (h *holdings) publish(changed bool) {
+	if !changed {
+		return
 	}
+	h.carrier.Apply(h.catalog.Upstreams())
+	h.tell()
 }
 
+// upstreams takes in the list of all entries as of a version.
 func (h *holdings) upstreams(list []keeper.Object, version uint64) {
 	all := make([]cataloger.Upstream, 0, len(list))
 	for _, o := range list {
@@ -117,10 +135,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.catalog.Replace(all, version) {
-		h.carrier.Apply(h.catalog.Upstreams())
-		h.tell()
-	}
+	h.publish(h.catalog.Replace(all, version))
 }
 
 // bundle is what a peer is told.
@@ -130,40 +145,35 @@
 	// Complete is the revision up to which every change of the upstreams is in
 	// the list.
 	Complete uint64 `json:"complete"`
-	// Changed is the highest revision of an entry or a removal that is known.
-	Changed uint64 `json:"changed"`
 }
 
-// entries returns the highest revision of an entry that is known.
-func (h *holdings) entries() uint64 {
+// entries returns up to which revision all entries are known, and their digest.
+func (h *holdings) entries() (complete, digest uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.catalog.Changed()
+	return h.catalog.Complete(), h.catalog.Digest()
+}
+
+// lacks reports whether a peer with such entries knows what this process doesn't.
+func (h *holdings) lacks(complete, digest uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.catalog.Lacks(complete, digest)
 }
 
 func (h *holdings) bundle() bundle {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return bundle{Config: h.current().Config, Upstreams: h.catalog.Upstreams(), Complete: h.catalog.Complete(), Changed: h.catalog.Changed()}
+	return bundle{Config: h.current().Config, Upstreams: h.catalog.Upstreams(), Complete: h.catalog.Complete()}
 }
 
-// take takes in what a peer told. Its list takes out what it lacks only if it is
-// more complete than what is known here.
+// take takes in what a peer told. Its list counts only if it is at least as complete
+// as what is known here.
 func (h *holdings) take(b bundle) {
 	h.configure(b.Config, "peer")
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	changed := h.catalog.Replace(b.Upstreams, b.Complete)
-	for _, u := range b.Upstreams {
-		changed = h.catalog.Put(u) || changed
-	}
-	if len(h.catalog.Upstreams()) == len(b.Upstreams) {
-		h.catalog.Raise(b.Changed) // nothing is known here that the peer lacks
-	}
-	if changed {
-		h.carrier.Apply(h.catalog.Upstreams())
-		h.tell()
-	}
+	h.publish(h.catalog.Replace(b.Upstreams, b.Complete))
 }
 
 // served reports whether the process can serve: a configuration is in force and
--- a/proxier/check.go
+++ b/proxier/check.go
@@ -7,6 +7,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
+
+	"basildale.example/basildale/platform/translator"
 )
 
 // How often some process of the fleet reads each kind as a whole. A watch can
@@ -39,6 +41,13 @@
 	checkTick = 100 * time.Millisecond
 )
 
+// unread stands for the age of a kind that nobody is known to have read.
+const unread = time.Hour
+
+// kinds lists the kinds that are read as a whole, in the order in which peers are told
+// when that was. Told by their names, they took 15 of a datagram's 108 bytes.
+func kinds() []string { return []string{translator.Configuration, translator.Upstreams} }
+
 // checks knows when each kind was last read as a whole by any process of the fleet.
 type checks struct {
 	mu    sync.Mutex
@@ -60,12 +69,14 @@
 	}
 }
 
-// hear takes in when a peer read, as ages.
-func (c *checks) hear(ages map[string]time.Duration, now time.Time) {
+// hear takes in when a peer read, as ages in the order of the kinds.
+func (c *checks) hear(ages []time.Duration, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for kind, age := range ages {
-		c.note(kind, now.Add(-age))
+	for i, kind := range kinds() {
+		if i < len(ages) && ages[i] < unread {
+			c.note(kind, now.Add(-ages[i]))
+		}
 	}
 }
 
@@ -73,12 +84,12 @@
 // is told on: a process of a large fleet hears the reader itself each 3 to 8 s, and
 // would read for itself meanwhile. 68 processes made 1,254 calls to the store on a
 // calm day, where nine made 217.
-func (c *checks) ages(now time.Time) map[string]time.Duration {
+func (c *checks) ages(now time.Time) []time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := make(map[string]time.Duration, len(c.fleet))
-	for kind, at := range c.fleet {
-		out[kind] = now.Sub(at)
+	var out []time.Duration
+	for _, kind := range kinds() {
+		out = append(out, min(now.Sub(c.fleet[kind]), unread))
 	}
 	return out
 }
--- a/proxier/follow.go
+++ b/proxier/follow.go
@@ -36,9 +36,10 @@
 type follower struct {
 	store *keeper.Client
 	kind  string
-	// replace takes in a whole list as of a version, change one object.
+	// replace takes in a whole list as of a version, change all that has changed up to
+	// one.
 	replace func(list []keeper.Object, version uint64)
-	change  func(keeper.Object)
+	change  func(list []keeper.Object, version uint64)
 	log     *zap.Logger
 	// wanted, when set, says whether this process is to watch the kind.
 	wanted func() bool
@@ -97,9 +98,7 @@
 	if err != nil {
 		return err
 	}
-	for _, o := range page.Items {
-		f.change(o)
-	}
+	f.change(page.Items, page.Version)
 	f.version = max(f.version, page.Version)
 	return nil
 }
--- a/proxier/peers.go
+++ b/proxier/peers.go
@@ -55,9 +55,10 @@
 
 // self is what peers are told.
 func (p *Proxier) self() gossiper.State {
+	complete, digest := p.holdings.entries()
 	return gossiper.State{
 		Name: p.Settings.Name, Zone: p.Settings.Zone, Start: p.start, Peers: p.gossip.Bound(), Carries: p.carryAt, Operators: p.operatorsAt,
-		Configuration: p.holdings.current().Config.Version, Entries: p.holdings.entries(), Checked: p.checks.ages(bootClock()),
+		Configuration: p.holdings.current().Config.Version, Complete: complete, Digest: digest, Checked: p.checks.ages(bootClock()),
 		Leaving: p.leaving.Load(), Groups: p.overseer.States(),
 	}
 }
@@ -66,7 +67,7 @@
 // it.
 func (p *Proxier) heard(s gossiper.State) {
 	p.checks.hear(s.Checked, bootClock())
-	newer := s.Configuration > p.holdings.current().Config.Version || s.Entries > p.holdings.entries()
+	newer := s.Configuration > p.holdings.current().Config.Version || p.holdings.lacks(s.Complete, s.Digest)
 	if !newer || !p.fetching.CompareAndSwap(false, true) {
 		return
 	}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -130,8 +130,8 @@
 	}
 	p.Started()
 	close(p.started)
-	config := p.follower(translator.Configuration, p.holdings.objects, p.holdings.object)
-	upstreams := p.follower(translator.Upstreams, p.holdings.upstreams, p.holdings.upstream)
+	config := p.follower(translator.Configuration, p.holdings.objects, p.holdings.objects)
+	upstreams := p.follower(translator.Upstreams, p.holdings.upstreams, p.holdings.watched)
 	config.wanted = func() bool { return p.watches(translator.Configuration, configCheck) }
 	upstreams.wanted = func() bool { return p.watches(translator.Upstreams, upstreamsCheck) }
 	var running sync.WaitGroup
@@ -264,7 +264,7 @@
 }
 
 // follower keeps up with a kind of the store's objects.
-func (p *Proxier) follower(kind string, replace func([]keeper.Object, uint64), change func(keeper.Object)) *follower {
+func (p *Proxier) follower(kind string, replace, change func([]keeper.Object, uint64)) *follower {
 	// The first list counts as a check too. Without that all processes that start
 	// together watch until the first check, 2 s later, and list again after it: of the
 	// 881 calls of a fleet of 68 on a calm day 475 were lists and watches of upstreams,
