assigner, proxier, loader: carriers by their processors, and evenly

The process lost most carries for three groups with a fifth of a core: carriers were drawn for each group by itself, whatever their processor. Of 74 processes 35 carried for one to three groups, 6 large ones hardly more than others.

Change: package assigner gives groups to proxies by weighted rendezvous, each at most its part of the zone's places by its processor, rounded up. A group's shares are divided for all groups at once.

--- /dev/null
+++ b/assigner/assign.go
@@ -0,0 +1,133 @@
+package assigner
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// perZone bounds the proxies of each availability zone that carry for a group: two, so
+// that one may fail. Those that carry for a group decide together on its leader and
+// hear each other each half second only while they are few.
+const perZone = 2
+
+// Proxy is one process that may carry.
+type Proxy struct {
+	Name string
+	Zone string
+	// Millicores is its processor in thousandths of a core; zero counts as one.
+	Millicores int
+}
+
+// Group is a database group and the most proxies that may have connections of it.
+type Group struct {
+	Name string
+	Most int
+}
+
+// zone is the proxies of an availability zone, and what is left to give them.
+type zone struct {
+	proxies []Proxy
+	left    map[string]int // groups that a proxy may still get
+}
+
+// Assign returns the names of the proxies that carry for each group.
+//
+// A proxy gets at most its part of its zone's places, by its processor and rounded
+// up. Drawn for each group by itself, of 24 proxies of a zone before eight groups one
+// carries for three and half of them for none: after a loss of power everywhere, when
+// all are at what they can do, such a one with a fifth of a core answers its peers
+// too late and is given up by them, with all that it carries.
+func Assign(groups []Group, proxies []Proxy) map[string][]string {
+	groups = slices.SortedFunc(slices.Values(groups), func(a, b Group) int { return cmp.Compare(a.Name, b.Name) })
+	zones := divide(proxies)
+	names := slices.Sorted(maps.Keys(zones))
+	places := make([]map[string]int, len(groups))
+	total := map[string]int{}
+	for i, g := range groups {
+		places[i] = spread(min(max(1, g.Most), len(proxies)), names, zones)
+		for name, n := range places[i] {
+			total[name] += n
+		}
+	}
+	for name, z := range zones {
+		z.allow(total[name])
+	}
+	out := make(map[string][]string, len(groups))
+	for i, g := range groups {
+		for _, name := range names {
+			out[g.Name] = append(out[g.Name], zones[name].take(g.Name, places[i][name])...)
+		}
+	}
+	return out
+}
+
+func divide(proxies []Proxy) map[string]*zone {
+	zones := map[string]*zone{}
+	for _, p := range proxies {
+		if zones[p.Zone] == nil {
+			zones[p.Zone] = &zone{}
+		}
+		zones[p.Zone].proxies = append(zones[p.Zone].proxies, p)
+	}
+	return zones
+}
+
+// spread says how many proxies of each zone a group gets, one of each zone in turn.
+func spread(most int, names []string, zones map[string]*zone) map[string]int {
+	out := map[string]int{}
+	for turn := range perZone {
+		for _, name := range names {
+			if most > 0 && turn < len(zones[name].proxies) {
+				out[name]++
+				most--
+			}
+		}
+	}
+	return out
+}
+
+// allow divides the zone's places by the processors of its proxies.
+func (z *zone) allow(places int) {
+	all := 0
+	for _, p := range z.proxies {
+		all += p.power()
+	}
+	z.left = make(map[string]int, len(z.proxies))
+	for _, p := range z.proxies {
+		z.left[p.Name] = (places*p.power() + all - 1) / all
+	}
+}
+
+func (p *Proxy) power() int { return max(1, p.Millicores) }
+
+// take gives a group to n proxies of the zone: the first in its order that may have
+// another one. Where too few may, because those that may have it already, the others
+// follow.
+func (z *zone) take(group string, n int) []string {
+	order := slices.SortedFunc(slices.Values(z.proxies), func(a, b Proxy) int {
+		return cmp.Or(
+			cmp.Compare(min(1, z.left[b.Name]), min(1, z.left[a.Name])),
+			cmp.Compare(b.score(group), a.score(group)),
+			cmp.Compare(a.Name, b.Name),
+		)
+	})
+	out := make([]string, 0, n)
+	for _, p := range order[:n] {
+		z.left[p.Name]--
+		out = append(out, p.Name)
+	}
+	return out
+}
+
+// score is the proxy's weight in the group's order, by weighted rendezvous: the
+// chance to be the first of all is as large as the proxy's part of the processors.
+func (p *Proxy) score(group string) float64 {
+	const steps = 1 << 53 // that a float64 tells apart between 0 and 1
+	hash := xxhash.Sum64String("carry " + group + " " + p.Name)
+	drawn := (float64(hash%steps) + 0.5) / steps
+	return -float64(p.power()) / math.Log(drawn)
+}
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -29,9 +29,9 @@
 	Zone string
 	// Dial opens a link to an upstream.
 	Dial func(ctx context.Context, u cataloger.Upstream) (Link, error)
-	// Carry, when set, says how many connections this process may have to each
-	// upstream of a group that takes so many from so many proxies.
-	Carry func(group string, most, proxies int) int
+	// Carry, when set, says for each group how many connections this process may have
+	// to each upstream, which takes so many from so many proxies.
+	Carry func(most map[string]int, proxies int) map[string]int
 	// Count, when set, counts each choice of an upstream by its reason.
 	Count func(reason string)
 	// Sample, when set, asks a peer for a position of a group's leader that is
@@ -104,11 +104,11 @@
 // Divide says how many proxies share the connections of the upstreams, and how
 // many connections each upstream of a group takes.
 func (c *Carrier) Divide(proxies int, settings []cataloger.GroupSettings) {
-	shares, most := make(map[string]int, len(settings)), make(map[string]int, len(settings))
+	most := make(map[string]int, len(settings))
 	for _, s := range settings {
 		most[s.Name] = s.Connections - reserved
-		shares[s.Name] = c.divided(s.Name, most[s.Name], proxies)
 	}
+	shares := c.divided(most, proxies)
 	c.mu.Lock()
 	c.shares, c.most = shares, most
 	c.mu.Unlock()
@@ -120,11 +120,15 @@
 	}
 }
 
-func (c *Carrier) divided(group string, most, proxies int) int {
+func (c *Carrier) divided(most map[string]int, proxies int) map[string]int {
 	if c.Carry != nil {
-		return c.Carry(group, most, proxies)
+		return c.Carry(most, proxies)
 	}
-	return max(1, most/max(1, proxies))
+	shares := make(map[string]int, len(most))
+	for group, n := range most {
+		shares[group] = max(1, n/max(1, proxies))
+	}
+	return shares
 }
 
 // share returns how many connections this proxy may have to each upstream of a
--- a/carrier/share_test.go
+++ b/carrier/share_test.go
@@ -21,7 +21,7 @@
 		is := is.New(t)
 		share := 1
 		s := &slots{free: make(chan struct{}, 6)}
-		c := &Carrier{Dial: s.dial, Now: time.Now, Log: zap.NewNop(), Carry: func(string, int, int) int { return share }}
+		c := &Carrier{Dial: s.dial, Now: time.Now, Log: zap.NewNop(), Carry: func(map[string]int, int) map[string]int { return map[string]int{"g": share} }}
 		settings := []cataloger.GroupSettings{{Name: "g", Connections: 53}}
 		c.Divide(1, settings)
 		c.Apply([]cataloger.Upstream{{ID: "a", Group: "g", Leads: true}})
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -34,7 +34,7 @@
 
 func newFleet(zones ...string) *fleet {
 	f := &fleet{now: time.Unix(1000, 0), fails: map[netip.AddrPort]error{}}
-	c := &carrier.Carrier{Now: func() time.Time { return f.now }, Log: zap.NewNop(), Carry: func(string, int, int) int { return 0 }}
+	c := &carrier.Carrier{Now: func() time.Time { return f.now }, Log: zap.NewNop(), Carry: func(map[string]int, int) map[string]int { return map[string]int{"g": 0} }}
 	c.Divide(10, []cataloger.GroupSettings{{Name: "g", Connections: 40}})
 	c.Apply([]cataloger.Upstream{{ID: "a", Group: "g", Leads: true}})
 	for i, zone := range zones {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -77,11 +77,12 @@
 	}
 }
 
-// Learn takes in that a process may be at an address.
-func (g *Gossiper) Learn(name, zone string, at netip.AddrPort) {
+// Learn takes in what the store lists of a process: its name, availability zone,
+// processor and address for datagrams.
+func (g *Gossiper) Learn(s State) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.roster.Learn(name, zone, at, g.Now())
+	g.roster.Learn(s, g.Now())
 }
 
 // Live returns the peers that were heard lately.
--- a/gossiper/roster.go
+++ b/gossiper/roster.go
@@ -90,6 +90,8 @@
 	// less, asks the sender.
 	Complete uint64 `cbor:"8,keyasint"`
 	Digest   uint64 `cbor:"12,keyasint"`
+	// Millicores is its processor in thousandths of a core.
+	Millicores uint16 `cbor:"13,keyasint,omitempty"`
 	// Checked says for each kind of the store's objects that is read as a whole, in an
 	// order that all know, how long ago some process read it, as far as the sender knows,
 	// as of sending.
@@ -112,15 +114,15 @@
 	peers map[string]*Peer
 }
 
-// Learn takes in that a process may be at an address.
-func (r *Roster) Learn(name, zone string, at netip.AddrPort, now time.Time) {
+// Learn takes in that a process may be there.
+func (r *Roster) Learn(s State, now time.Time) {
 	if r.peers == nil {
 		r.peers = map[string]*Peer{}
 	}
-	if p := r.peers[name]; p != nil {
+	if p := r.peers[s.Name]; p != nil {
 		return
 	}
-	r.peers[name] = &Peer{State: State{Name: name, Zone: zone, Peers: at}, Listed: now}
+	r.peers[s.Name] = &Peer{State: s, Listed: now}
 }
 
 // Hear takes in a datagram. One of an earlier run of the same process changes
--- a/gossiper/roster_test.go
+++ b/gossiper/roster_test.go
@@ -19,7 +19,7 @@
 	is := is.New(t)
 	var r Roster
 	now := time.Unix(1000, 0)
-	r.Learn("a", "z", at(1), now)
+	r.Learn(State{Name: "a", Zone: "z", Peers: at(1)}, now)
 	is.Equal(len(r.Live(now)), 0) // listed, never heard
 	r.Hear(State{Name: "a", Start: 5}, now)
 	is.Equal(len(r.Live(now.Add(time.Second))), 1)
@@ -37,7 +37,7 @@
 	is := is.New(t)
 	var r Roster
 	now := time.Unix(1000, 0)
-	r.Learn("gone", "z", at(1), now)
+	r.Learn(State{Name: "gone", Zone: "z", Peers: at(1)}, now)
 	r.Hear(State{Name: "lives"}, now)
 	is.Equal(len(r.Holders(now.Add(time.Second))), 2) // it may just be cut off
 	r.Hear(State{Name: "lives"}, now.Add(memory))
@@ -101,7 +101,7 @@
 	now := time.Unix(1000, 0)
 	g := &Gossiper{Now: func() time.Time { return now }}
 	is.True(!g.Silent()) // it has no peers
-	g.Learn("a", "z", at(1))
+	g.Learn(State{Name: "a", Zone: "z", Peers: at(1)})
 	g.heard = now
 	now = now.Add(Period)
 	is.True(!g.Silent())
--- a/gossiper/state_test.go
+++ b/gossiper/state_test.go
@@ -16,7 +16,7 @@
 	s := State{
 		Name: "front-vejle-hal-1", Zone: "vejle-hal", Start: 1785262487014000000,
 		Peers: netip.MustParseAddrPort("10.1.0.8:7440"), Carries: netip.MustParseAddrPort("10.1.0.8:7440"), Operators: netip.MustParseAddrPort("10.1.0.8:7455"),
-		Configuration: 18, Complete: 1207, Digest: 0x9e3779b97f4a7c15, Checked: []time.Duration{300 * time.Millisecond, 900 * time.Millisecond},
+		Configuration: 18, Complete: 1207, Digest: 0x9e3779b97f4a7c15, Millicores: 192, Checked: []time.Duration{300 * time.Millisecond, 900 * time.Millisecond},
 	}
 	if groups > 0 {
 		s.Groups = map[string]GroupState{}
--- a/loader/checker.go
+++ b/loader/checker.go
@@ -20,6 +20,7 @@
 	minStop, maxStop         = time.Second, 10 * time.Minute
 	maxSlots, maxConnections = 1000, 10_000
 	maxConnect               = 10 * time.Second
+	minCores, maxCores       = 0.01, 64
 	minSecret                = 32
 )
 
@@ -52,6 +53,7 @@
 		{"secret", false, c.secret(&s.Secret)},
 		{"login", false, c.login(&s.Login)},
 		{"limits", false, c.limits(&s.Limits)},
+		{"processor", false, c.cores(&s.Processor)},
 		{"stop", false, c.span(&s.Stop, minStop, maxStop)},
 		{"log", false, c.level(&s.Log)},
 		{"groups", false, c.groups(s)},
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -41,8 +41,9 @@
 			Callers: DefaultCallers,
 			Buffer:  DefaultBuffer,
 		},
-		Wire: Postgres,
-		Stop: DefaultStop,
+		Wire:      Postgres,
+		Processor: DefaultProcessor,
+		Stop:      DefaultStop,
 	}
 	// Keys that stand twice are left to the walk, which reports them all.
 	tree, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -9,14 +9,15 @@
 
 // Defaults of the settings that may be left out.
 const (
-	DefaultUser    = "basildale"
-	DefaultMessage = 16 << 20
-	DefaultPending = 200
-	DefaultCallers = 8000
-	DefaultBuffer  = 256 << 10
-	DefaultStop    = 30 * time.Second
-	DefaultSlots   = 5
-	DefaultConnect = 30 * time.Millisecond
+	DefaultUser      = "basildale"
+	DefaultMessage   = 16 << 20
+	DefaultPending   = 200
+	DefaultCallers   = 8000
+	DefaultBuffer    = 256 << 10
+	DefaultProcessor = 1
+	DefaultStop      = 30 * time.Second
+	DefaultSlots     = 5
+	DefaultConnect   = 30 * time.Millisecond
 )
 
 // Settings are the settings of one proxy process.
@@ -54,6 +55,9 @@
 	Login Login
 	// Limits bound what callers can make the process hold.
 	Limits Limits
+	// Processor is what this process has of processors, in cores. Proxies that have
+	// more carry more for the others.
+	Processor float64
 	// Stop is how long a graceful stop may wait for work in flight.
 	Stop time.Duration
 	// Log is the least level that is logged.
--- a/loader/values.go
+++ b/loader/values.go
@@ -84,6 +84,23 @@
 	}
 }
 
+// cores reads a number of processors, or a part of one, into dst.
+func (r *reader) cores(dst *float64) func(string, ast.Node) {
+	allowed := fmt.Sprintf("allowed is a number from %v to %v", minCores, maxCores)
+	return func(path string, n ast.Node) {
+		s, ok := r.scalar(path, n, allowed)
+		if !ok {
+			return
+		}
+		v, err := strconv.ParseFloat(s, 64)
+		if err != nil || !(v >= minCores && v <= maxCores) {
+			r.fail(n, fmt.Sprintf("%s is %q", path, s), allowed)
+			return
+		}
+		*dst = v
+	}
+}
+
 // size reads a number of bytes such as 64KiB from low to high into dst.
 func (r *reader) size(dst *int, low, high int) func(string, ast.Node) {
 	allowed := fmt.Sprintf("allowed is a size from %s to %s", formatSize(low), formatSize(high))
--- a/proxier/enroll.go
+++ b/proxier/enroll.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/adapter/keeper"
+	"basildale.example/basildale/gossiper"
 )
 
 // proxiesKind is the kind of the objects by which processes find one another.
@@ -19,6 +20,8 @@
 	Zone  string         `json:"zone"`
 	Peers netip.AddrPort `json:"peers"`
 	Start int64          `json:"start"`
+	// Millicores is its processor in thousandths of a core.
+	Millicores uint16 `json:"millicores"`
 }
 
 // enroll learns where other processes are, and writes where this one is. It is
@@ -55,7 +58,7 @@
 func (p *Proxier) register(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	value := entry{Zone: p.Settings.Zone, Peers: p.gossip.Bound(), Start: p.start}
+	value := entry{Zone: p.Settings.Zone, Peers: p.gossip.Bound(), Start: p.start, Millicores: p.millicores()}
 	_, err := p.store.Put(ctx, proxiesKind, p.Settings.Name, 0, value)
 	var conflict *keeper.ConflictError
 	if !errors.As(err, &conflict) {
@@ -79,10 +82,10 @@
 			continue
 		}
 		if o.Name == p.Settings.Name {
-			there = e.Peers == p.gossip.Bound() && e.Zone == p.Settings.Zone
+			there = e.Peers == p.gossip.Bound() && e.Zone == p.Settings.Zone && e.Millicores == p.millicores()
 			continue
 		}
-		p.gossip.Learn(o.Name, e.Zone, e.Peers)
+		p.gossip.Learn(gossiper.State{Name: o.Name, Zone: e.Zone, Peers: e.Peers, Millicores: e.Millicores})
 	}
 	p.learned.Store(true)
 	p.back.send()
--- a/proxier/peers.go
+++ b/proxier/peers.go
@@ -59,7 +59,7 @@
 	return gossiper.State{
 		Name: p.Settings.Name, Zone: p.Settings.Zone, Start: p.start, Peers: p.gossip.Bound(), Carries: p.carryAt, Operators: p.operatorsAt,
 		Configuration: p.holdings.current().Config.Version, Complete: complete, Digest: digest, Checked: p.checks.ages(bootClock()),
-		Leaving: p.leaving.Load(), Groups: p.overseer.States(),
+		Millicores: p.millicores(), Leaving: p.leaving.Load(), Groups: p.overseer.States(),
 	}
 }
 
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -172,7 +172,7 @@
 	p.forward = &forwarder.Forwarder{Local: p.carrier.Group, Live: p.gossip.Live, Send: p.send, Zone: s.Zone, Now: bootClock, Log: p.Log}
 	p.carrier.Sample = p.forward.Sample
 	p.carrier.Count = p.meter.Route
-	p.carrier.Carry = p.share
+	p.carrier.Carry = p.shares
 	p.holdings.changed = p.gossip.Tell
 	p.meter.Gauge(func() int64 { return int64(p.receiver.Count()) }, "basildale_callers")
 	p.receiver = &receiver.Receiver{Address: s.Listen, Open: p.open, Now: bootClock, Log: p.Log}
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"basildale.example/basildale/gossiper"
 )
 
 func TestStatementsAndTransactions(t *testing.T) {
@@ -202,7 +204,7 @@
 	f := newFleet(t, 2)
 	f.platform.Away(true)
 	m := f.start(2)
-	m.gossip.Learn("proxy-0", "zone-0", f.proxies[0].gossip.Bound())
+	m.gossip.Learn(gossiper.State{Name: "proxy-0", Zone: "zone-0", Peers: f.proxies[0].gossip.Bound()})
 	f.until("ready", m.ready)
 	f.platform.Away(false)
 }
--- a/proxier/share.go
+++ b/proxier/share.go
@@ -1,11 +1,11 @@
 package proxier
 
 import (
-	"cmp"
+	"math"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"basildale.example/basildale/assigner"
 )
 
 // How connections are shared where there are few for many proxies.
@@ -19,10 +19,6 @@
 	// proxies have any: more than an upstream's 5 or 6 slots, so that one of them
 	// alone can fill it.
 	bundled = 8
-	// perZone bounds the proxies of each availability zone that carry for a group: two,
-	// so that one may fail. Those that carry for a group decide together on its leader
-	// and hear each other each half second only while they are few.
-	perZone = 2
 	// keptBack is the part of the connections, in percent, that carriers leave to
 	// processes that are cut off from them, and aloneShare what such a process takes of
 	// each upstream. Without it a process that is cut off from the others, and reaches
@@ -39,27 +35,52 @@
 	acquainted = 3 * time.Second
 )
 
-// share returns how many connections this process may have to each upstream of a
-// group: an equal part where every proxy gets enough, else those of a few proxies,
-// which the others have their statements carried by. A process that reaches none
-// of these has some of its own, out of what is kept back for that.
-func (p *Proxier) share(group string, most, proxies int) int {
-	if !p.knowsPeers() {
-		return aloneShare
+// shares returns how many connections this process may have to each upstream of each
+// group, of those that all processes share: an equal part where every proxy gets
+// enough, else those of a few proxies, which the others have their statements carried
+// by. A process that reaches none of these has some of its own, out of what is kept
+// back for that.
+func (p *Proxier) shares(most map[string]int, proxies int) map[string]int {
+	out := make(map[string]int, len(most))
+	var few []assigner.Group
+	for group, n := range most {
+		switch {
+		case !p.knowsPeers():
+			out[group] = aloneShare
+		case n/max(1, proxies) >= fewest:
+			out[group] = n / proxies
+		default:
+			few = append(few, assigner.Group{Name: group, Most: max(1, n/bundled)})
+		}
 	}
-	if most/max(1, proxies) >= fewest {
-		return most / proxies
+	if len(few) == 0 {
+		return out
 	}
-	names := p.carriers(group, max(1, most/bundled))
-	if slices.Contains(names, p.Settings.Name) {
-		return max(1, most*(100-keptBack)/100/len(names))
+	for group, carriers := range assigner.Assign(few, p.candidates()) {
+		switch {
+		case slices.Contains(carriers, p.Settings.Name):
+			out[group] = max(1, most[group]*(100-keptBack)/100/len(carriers))
+		case p.cutOff(group):
+			out[group] = aloneShare
+		default:
+			out[group] = 0 // others carry for it
+		}
 	}
-	if p.cutOff(group) {
-		return aloneShare
+	return out
+}
+
+// candidates returns the proxies that may have connections, this one included.
+func (p *Proxier) candidates() []assigner.Proxy {
+	out := []assigner.Proxy{{Name: p.Settings.Name, Zone: p.Settings.Zone, Millicores: int(p.millicores())}}
+	for _, s := range p.gossip.Holders() {
+		out = append(out, assigner.Proxy{Name: s.Name, Zone: s.Zone, Millicores: int(s.Millicores)})
 	}
-	return 0
+	return out
 }
 
+// millicores is this process's processor in thousandths of a core.
+func (p *Proxier) millicores() uint16 { return uint16(math.Round(1000 * p.Settings.Processor)) }
+
 // knowsPeers reports whether this process knows who else there is: the store has told
 // it, or it has had the time to hear of them.
 func (p *Proxier) knowsPeers() bool {
@@ -86,39 +107,3 @@
 	slices.Sort(out)
 	return out
 }
-
-// candidate is a proxy that may have connections of a group.
-type candidate struct {
-	name, zone string
-	weight     uint64
-}
-
-// carriers returns the proxies that have connections of a group: as many of each
-// availability zone as of another, within a zone by rendezvous, so that a proxy
-// that comes or goes changes one place.
-func (p *Proxier) carriers(group string, n int) []string {
-	all := []candidate{{name: p.Settings.Name, zone: p.Settings.Zone}}
-	for _, s := range p.gossip.Holders() {
-		all = append(all, candidate{name: s.Name, zone: s.Zone})
-	}
-	byZone := map[string][]candidate{}
-	for _, c := range all {
-		c.weight = xxhash.Sum64String("carry " + group + " " + c.name)
-		byZone[c.zone] = append(byZone[c.zone], c)
-	}
-	zones := make([]string, 0, len(byZone))
-	for zone, list := range byZone {
-		zones = append(zones, zone)
-		slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
-	}
-	slices.Sort(zones)
-	var out []string
-	for turn := 0; turn < perZone && len(out) < min(n, len(all)); turn++ {
-		for _, zone := range zones {
-			if turn < len(byZone[zone]) && len(out) < n {
-				out = append(out, byZone[zone][turn].name)
-			}
-		}
-	}
-	return out
-}
--- a/proxier/share_test.go
+++ b/proxier/share_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/netip"
 	"testing"
 	"testing/synctest"
 
@@ -23,7 +22,7 @@
 	p.learned.Store(true)
 	for j := range n {
 		if j != i {
-			p.gossip.Learn(fmt.Sprint("p", j), fmt.Sprint("z", j%3), netip.AddrPort{})
+			p.gossip.Learn(gossiper.State{Name: fmt.Sprint("p", j), Zone: fmt.Sprint("z", j%3)})
 		}
 	}
 	return p
@@ -47,7 +46,7 @@
 			zones := map[string]int{}
 			for i := range test.proxies {
 				p := of(i, test.proxies)
-				n := p.share("billet", test.most, test.proxies)
+				n := p.shares(map[string]int{"billet": test.most}, test.proxies)["billet"]
 				total += n
 				if n > 0 {
 					carriers++
@@ -75,9 +74,9 @@
 	for i := range 68 {
 		p := of(i, 68)
 		p.forward = &forwarder.Forwarder{}
-		before := p.share("billet", 162, 68)
+		before := p.shares(map[string]int{"billet": 162}, 68)["billet"]
 		p.began = bootClock().Add(-2 * acquainted) // it has had time to hear of others, and hears nobody
-		after := p.share("billet", 162, 68)
+		after := p.shares(map[string]int{"billet": 162}, 68)["billet"]
 		if before > 0 {
 			carriers++
 			is.Equal(after, before)
@@ -97,9 +96,9 @@
 	is := is.New(t)
 	p := of(0, 2)
 	p.learned.Store(false)
-	is.Equal(p.share("billet", 49, 2), aloneShare)
+	is.Equal(p.shares(map[string]int{"billet": 49}, 2)["billet"], aloneShare)
 	p.began = bootClock().Add(-2 * unlearned)
-	is.Equal(p.share("billet", 49, 2), 24) // by then it has heard of all that live
+	is.Equal(p.shares(map[string]int{"billet": 49}, 2)["billet"], 24) // by then it has heard of all that live
 }
 
 // Symptom: after a loss of power everywhere statements are offered to processes that
@@ -111,7 +110,7 @@
 	p := of(0, 68)
 	p.introduced = make(chan struct{}, 1)
 	p.Log = zap.NewNop()
-	p.carrier = &carrier.Carrier{Now: bootClock, Log: p.Log, Carry: p.share}
+	p.carrier = &carrier.Carrier{Now: bootClock, Log: p.Log, Carry: p.shares}
 	p.holdings = &holdings{carrier: p.carrier, proxies: p.proxies, log: p.Log}
 	p.learned.Store(false)
 	p.holdings.configure(cataloger.Config{Version: 1, Groups: []cataloger.GroupSettings{{Name: "g", Connections: 53}}}, "test")
