proxier: no connections while peers are being learned

Cause: after a loss of power everywhere the lists of upstreams and of peers come within a tenth of a second of each other, further apart where the store is slow. Between the two each of 74 processes took itself for one that carries, opened a connection to each of 24 upstreams (which take 53) and told its peers; these offered it their statements and were refused ("peer can't carry either" 4,500 times in a second and a half).

Change: a process that the store hasn't told of its peers takes no connections in its first second, and one to each upstream from then on, as before.

--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -84,8 +84,7 @@
 	back     signal      // the store answers again
 	learned  atomic.Bool // the store has told where peers are
 	// introduced says that it has just done so. Who carries is divided at once: until
-	// then each process that starts takes a connection to each upstream and tells its
-	// peers that it carries, and those ask it.
+	// then the process has no connections.
 	introduced chan struct{}
 	fetching   atomic.Bool
 	servers    []*http.Server
@@ -298,7 +297,7 @@
 // and returns what decided.
 func (p *Proxier) divide(before []string) []string {
 	names, alone, known := p.sharing(), p.aloneIn(), p.knowsPeers()
-	now := append(slices.Clone(alone), append(names, strconv.FormatBool(known))...)
+	now := append(slices.Clone(alone), append(names, strconv.FormatBool(known), strconv.Itoa(p.unlearnedShare()))...)
 	if slices.Equal(now, before) {
 		return before
 	}
--- a/proxier/share.go
+++ b/proxier/share.go
@@ -25,6 +25,12 @@
 	// the upstreams, refuses everything for the groups that it doesn't carry for.
 	keptBack   = 20
 	aloneShare = 1
+	// learning is how long a process that has just started takes no connections at all
+	// while the store hasn't told it of its peers. Lists of upstreams and of peers come
+	// within a tenth of a second of each other; between the two every process of a fleet
+	// opened a connection to every upstream, told its peers that it carries, and refused
+	// them a moment later.
+	learning = time.Second
 	// unlearned is how long a process that the store hasn't told of its peers takes no
 	// more than aloneShare: until it has heard of them all by gossip. Before that it
 	// takes the few that it has heard for the whole fleet, and their part of the
@@ -46,7 +52,7 @@
 	for group, n := range most {
 		switch {
 		case !p.knowsPeers():
-			out[group] = aloneShare
+			out[group] = p.unlearnedShare()
 		case n/max(1, proxies) >= fewest:
 			out[group] = n / proxies
 		default:
@@ -69,6 +75,14 @@
 	return out
 }
 
+// unlearnedShare is the share of a process that doesn't know who else there is.
+func (p *Proxier) unlearnedShare() int {
+	if bootClock().Sub(p.began) < learning {
+		return 0
+	}
+	return aloneShare
+}
+
 // candidates returns the proxies that may have connections, this one included.
 func (p *Proxier) candidates() []assigner.Proxy {
 	out := []assigner.Proxy{{Name: p.Settings.Name, Zone: p.Settings.Zone, Millicores: int(p.millicores())}}
--- a/proxier/share_test.go
+++ b/proxier/share_test.go
@@ -90,12 +90,15 @@
 }
 
 // Symptom: after a loss of power everywhere, while the store is slow, upstreams have no
-// room for most processes. Sequence: a process has its configuration from a peer and
-// hasn't learned of the others. Cause: it takes itself for the whole fleet.
+// room for most processes, and these offer their statements to others that refuse them.
+// Sequence: a process has its configuration, and hasn't learned of the others. Cause:
+// it takes itself for the whole fleet, or for one that carries.
 func TestAProcessThatKnowsNobodyTakesLittle(t *testing.T) {
 	is := is.New(t)
 	p := of(0, 2)
 	p.learned.Store(false)
+	is.Equal(p.shares(map[string]int{"billet": 49}, 2)["billet"], 0) // its peers' list is on its way
+	p.began = bootClock().Add(-2 * learning)
 	is.Equal(p.shares(map[string]int{"billet": 49}, 2)["billet"], aloneShare)
 	p.began = bootClock().Add(-2 * unlearned)
 	is.Equal(p.shares(map[string]int{"billet": 49}, 2)["billet"], 24) // by then it has heard of all that live
@@ -113,6 +116,7 @@
 	p.carrier = &carrier.Carrier{Now: bootClock, Log: p.Log, Carry: p.shares}
 	p.holdings = &holdings{carrier: p.carrier, proxies: p.proxies, log: p.Log}
 	p.learned.Store(false)
+	p.began = bootClock().Add(-2 * learning)
 	p.holdings.configure(cataloger.Config{Version: 1, Groups: []cataloger.GroupSettings{{Name: "g", Connections: 53}}}, "test")
 	p.holdings.upstreams(nil, 1)
 	p.carrier.Apply([]cataloger.Upstream{{ID: "a", Group: "g"}})
