cataloger, proxier: peers tell each other only what is lacking

Cause: bytes between availability zones are the second largest price on the grown sites.

Change: who asks says which configuration it has and up to which revision it knows all entries; it is told the configuration only if it is newer, the entries that changed since, and the ids of the rest.

A test plays 200 histories in which a catalog asks another now and then, and is the same as it each time.

--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -213,21 +213,56 @@
 // Replace takes in a whole list as of a revision: what isn't in it and was not
 // changed later is gone.
 func (c *Catalog) Replace(list []Upstream, revision uint64) bool {
-	if revision < c.complete {
+	return c.Merge(Changes{Upstreams: list, Complete: revision})
+}
+
+// Changes is what one catalog tells another. It travels between peers as JSON.
+type Changes struct {
+	// Upstreams are the entries that have changed since the revision that was asked
+	// for, and Kept the ids of those that haven't.
+	Upstreams []Upstream `json:"upstreams"`
+	Kept      []string   `json:"kept,omitempty"`
+	// Complete is the revision up to which this is everything.
+	Complete uint64 `json:"complete"`
+}
+
+// Since returns what a catalog that is complete up to a revision may lack. Told as a
+// whole, what processes that start together tell each other of 24 upstreams and 66
+// routes was two fifths of all bytes between availability zones in their first half
+// minute.
+func (c *Catalog) Since(revision uint64) Changes {
+	out := Changes{Complete: c.complete}
+	for _, u := range c.Upstreams() {
+		if u.Revision > revision {
+			out.Upstreams = append(out.Upstreams, u)
+		} else {
+			out.Kept = append(out.Kept, u.ID)
+		}
+	}
+	return out
+}
+
+// Merge takes in changes since a revision that this catalog was complete up to when it
+// asked, and reports whether they are news.
+func (c *Catalog) Merge(ch Changes) bool {
+	if ch.Complete < c.complete {
 		return false
 	}
 	changed := false
-	present := make(map[string]bool, len(list))
-	for _, u := range list {
+	present := make(map[string]bool, len(ch.Upstreams)+len(ch.Kept))
+	for _, id := range ch.Kept {
+		present[id] = true
+	}
+	for _, u := range ch.Upstreams {
 		present[u.ID] = true
 		changed = c.Put(u) || changed
 	}
 	for id, u := range c.upstreams {
-		if !present[id] && u.Revision <= revision {
-			changed = c.Remove(id, revision) || changed
+		if !present[id] && u.Revision <= ch.Complete {
+			changed = c.Remove(id, ch.Complete) || changed
 		}
 	}
-	c.Advance(revision)
+	c.Advance(ch.Complete)
 	return changed
 }
 
--- a/cataloger/catalog_test.go
+++ b/cataloger/catalog_test.go
@@ -1,6 +1,7 @@
 package cataloger
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	"github.com/matryer/is"
@@ -106,3 +107,43 @@
 	is.True(!reader.Replace(list, 90))
 	is.True(!other.Lacks(reader.Complete(), reader.Digest()))
 }
+
+// Symptom: a process lacks an upstream, or has one that is gone, for good. Sequence: it
+// asks a peer now and then for what has changed since it last knew everything; entries
+// come, change, go and come back meanwhile. Cause: what is told isn't all that it lacks.
+func TestChangesMakeTwoCatalogsTheSame(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(7, 8))
+	for range 200 {
+		var watcher, other Catalog
+		held := map[string]uint64{}
+		for revision := uint64(1); revision < 60; revision++ {
+			id := string('a' + rune(rng.IntN(6)))
+			last, there := held[id]
+			switch {
+			case there && rng.IntN(3) == 0:
+				watcher.Remove(id, last)
+				delete(held, id)
+			default:
+				watcher.Put(Upstream{ID: id, Revision: revision})
+				held[id] = revision
+			}
+			watcher.Advance(revision)
+			if rng.IntN(4) > 0 || !other.Lacks(watcher.Complete(), watcher.Digest()) {
+				continue
+			}
+			other.Merge(watcher.Since(other.Complete()))
+			is.Equal(other.Upstreams(), watcher.Upstreams())
+			is.Equal(other.Digest(), watcher.Digest())
+		}
+	}
+}
+
+// What has not changed is told by its id alone.
+func TestOnlyChangesAreTold(t *testing.T) {
+	is := is.New(t)
+	var c Catalog
+	c.Replace([]Upstream{{ID: "a", Revision: 3}, {ID: "b", Revision: 8}}, 9)
+	is.Equal(c.Since(5), Changes{Upstreams: []Upstream{{ID: "b", Revision: 8}}, Kept: []string{"a"}, Complete: 9})
+	is.Equal(len(c.Since(0).Kept), 0)
+}
--- a/proxier/catalog.go
+++ b/proxier/catalog.go
@@ -140,11 +140,9 @@
 
 // bundle is what a peer is told.
 type bundle struct {
-	Config    cataloger.Config     `json:"config"`
-	Upstreams []cataloger.Upstream `json:"upstreams"`
-	// Complete is the revision up to which every change of the upstreams is in
-	// the list.
-	Complete uint64 `json:"complete"`
+	// Config is nil when the peer has that version.
+	Config  *cataloger.Config `json:"config,omitempty"`
+	Entries cataloger.Changes `json:"entries"`
 }
 
 // entries returns up to which revision all entries are known, and their digest.
@@ -161,19 +159,27 @@
 	return h.catalog.Lacks(complete, digest)
 }
 
-func (h *holdings) bundle() bundle {
+// bundle returns what a peer lacks that has a version of the configuration and all
+// entries up to a revision.
+func (h *holdings) bundle(configuration, complete uint64) bundle {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return bundle{Config: h.current().Config, Upstreams: h.catalog.Upstreams(), Complete: h.catalog.Complete()}
+	b := bundle{Entries: h.catalog.Since(complete)}
+	if c := h.current().Config; c.Version > configuration {
+		b.Config = &c
+	}
+	return b
 }
 
-// take takes in what a peer told. Its list counts only if it is at least as complete
-// as what is known here.
+// take takes in what a peer told. Its entries count only if they are at least as
+// complete as what is known here.
 func (h *holdings) take(b bundle) {
-	h.configure(b.Config, "peer")
+	if b.Config != nil {
+		h.configure(*b.Config, "peer")
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.publish(h.catalog.Replace(b.Upstreams, b.Complete))
+	h.publish(h.catalog.Merge(b.Entries))
 }
 
 // served reports whether the process can serve: a configuration is in force and
--- a/proxier/peers.go
+++ b/proxier/peers.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -79,11 +80,39 @@
 	}()
 }
 
-// fetch takes in what a peer knows.
+// What a peer that asks says that it has: a version of the configuration, and the
+// revision up to which it knows all entries of upstreams.
+const (
+	hasConfiguration = "configuration"
+	hasComplete      = "complete"
+)
+
+// known tells a peer what it lacks.
+func (p *Proxier) known(w http.ResponseWriter, r *http.Request) {
+	number := func(name string) uint64 {
+		n, err := strconv.ParseUint(r.FormValue(name), 10, 64)
+		if err != nil {
+			p.Log.Warn("proxier: a peer doesn't say what it has, and is told all", zap.String("field", name), zap.Error(err))
+		}
+		return n
+	}
+	b := p.holdings.bundle(number(hasConfiguration), number(hasComplete))
+	if err := json.NewEncoder(w).Encode(b); err != nil {
+		p.Log.Info("proxier: answer to a peer lost", zap.Error(err))
+	}
+}
+
+// fetch takes in what a peer knows and this process doesn't.
 func (p *Proxier) fetch(at netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.String()+"/known", nil)
+	complete, _ := p.holdings.entries()
+	has := url.Values{
+		hasConfiguration: {strconv.FormatUint(p.holdings.current().Config.Version, 10)},
+		hasComplete:      {strconv.FormatUint(complete, 10)},
+	}
+	where := url.URL{Scheme: "http", Host: at.String(), Path: "/known", RawQuery: has.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, where.String(), nil)
 	if err != nil {
 		return errors.Wrap(err, "proxier: ask a peer")
 	}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"net/netip"
@@ -222,11 +221,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/", r.Handler())
-	mux.HandleFunc("GET /known", func(w http.ResponseWriter, _ *http.Request) {
-		if err := json.NewEncoder(w).Encode(p.holdings.bundle()); err != nil {
-			p.Log.Info("proxier: answer to a peer lost", zap.Error(err))
-		}
-	})
+	mux.HandleFunc("GET /known", p.known)
 	return mux
 }
 
