--- a/overseer/duty.go
+++ b/overseer/duty.go
@@ -40,7 +40,7 @@
 type record struct {
 	Holder string `json:"holder"`
 	// Start tells the runs of the holder apart.
-	Start int64  `json:"start"`
+	Start int64 `json:"start"`
 	// Token is the first of the holder's block of tokens.
 	Token uint64 `json:"token"`
 }
