--- a/replacer/world_test.go
+++ b/replacer/world_test.go
@@ -11,13 +11,13 @@
 
 // The world's sizes and times. A step is the period of the control loop.
 const (
-	step       = 50 * time.Millisecond
-	processes  = 3
-	copies     = 3
-	troubled   = 8 * time.Second  // faults come and go in this time
-	calm       = 14 * time.Second // then all is well, and a leader must be there at the end
-	promoting1 = 300 * time.Millisecond
-	listed     = time.Second // after which the store's list shows what has changed
+	step      = 50 * time.Millisecond
+	processes = 3
+	copies    = 3
+	troubled  = 8 * time.Second        // faults come and go in this time
+	calm      = 14 * time.Second       // then all is well, and a leader must be there at the end
+	soonest   = 300 * time.Millisecond // in which a promotion takes effect
+	listed    = time.Second            // after which the store's list shows what has changed
 )
 
 // variant breaks one rule of the protocol, or none.
@@ -53,7 +53,6 @@
 	reach [copies]bool
 	heard time.Time // when a holder was last heard
 	known string
-	floor time.Time
 }
 
 // order is a promotion that is under way.
@@ -109,7 +108,7 @@
 
 func (w *world) chance(n int) bool { return w.rng.IntN(n) == 0 }
 
-func (w *world) for_(least, most time.Duration) time.Time {
+func (w *world) after(least, most time.Duration) time.Time {
 	return w.now.Add(least + time.Duration(w.rng.Int64N(int64(most-least))))
 }
 
@@ -140,9 +139,9 @@
 	c := w.copies[w.rng.IntN(copies)]
 	switch w.rng.IntN(160) {
 	case 0, 1:
-		c.down = w.for_(2*time.Second, 6*time.Second)
+		c.down = w.after(2*time.Second, 6*time.Second)
 	case 2, 3:
-		c.deaf = w.for_(time.Second, 6*time.Second)
+		c.deaf = w.after(time.Second, 6*time.Second)
 	case 4:
 		w.linked[w.rng.IntN(copies)] = false
 	case 5:
@@ -151,7 +150,7 @@
 			p.reach[i] = w.chance(2)
 		}
 	case 6:
-		w.procs[w.rng.IntN(processes)].cut = w.for_(time.Second, 6*time.Second)
+		w.procs[w.rng.IntN(processes)].cut = w.after(time.Second, 6*time.Second)
 	case 7:
 		w.heal()
 	case 8, 9:
@@ -421,9 +420,9 @@
 		return
 	}
 	late := w.chance(4)
-	at := w.now.Add(promoting1)
+	at := w.now.Add(soonest)
 	if late {
-		at = w.for_(promoting1, 4*time.Second)
+		at = w.after(soonest, 4*time.Second)
 	}
 	w.orders = append(w.orders, order{Order: o, by: i, at: at})
 	if late && w.variant == forgetful {
