overseer: a holder that carries no longer gives the duty up

Its log: a process took the duty for the group at 18.5 s while it carried for it; at 22.5 s the connections were divided anew and it carried no longer. It kept the duty, saw nothing of the group, and nobody guarded, halted or promoted until all lost power at 34 s. That the list's word of the leaving came 2.9 s after the store's is a second, smaller delay that wasn't traced.

Change: a process that doesn't carry for a group gives its duty up; the others miss the holder 1.6 s later and take it.

Measured: tests of overseer (one new), proxier and layout pass.

--- a/overseer/duty.go
+++ b/overseer/duty.go
@@ -79,6 +79,18 @@
 	}
 }
 
+// abandon gives the duty up at a process that doesn't carry for the group any more: it
+// sees nothing of the group, and as long as it says that it has the duty nobody else
+// takes it. One sees a leader that leaves serve until it is gone, 10 s later. It
+// reports whether there was a duty.
+func (d *duty) abandon(carries bool) bool {
+	if carries || d.token == 0 {
+		return false
+	}
+	d.token = 0
+	return true
+}
+
 // rank returns this process's place in the order of those that may take a duty.
 func (o *Overseer) rank(group string, peers []gossiper.Peer, now time.Time) int {
 	own := weight(group, o.Name)
--- a/overseer/duty_test.go
+++ b/overseer/duty_test.go
@@ -41,6 +41,20 @@
 	is.Equal(d.heard, now)
 }
 
+// Symptom: a leader that leaves isn't replaced, and gets work until it is gone.
+// Sequence: a process takes the duty while it carries for the group; the connections are
+// divided anew, and it carries for it no longer. Cause: it keeps the duty, sees nothing
+// of the group, and the others hear that the duty is held.
+func TestAHolderThatCarriesNoLongerGivesTheDutyUp(t *testing.T) {
+	is := is.New(t)
+	d := duty{token: 7, highest: 7}
+	is.True(!d.abandon(true))
+	is.Equal(d.token, uint64(7))
+	is.True(d.abandon(false))
+	is.Equal(d.token, uint64(0))
+	is.True(!d.abandon(false)) // it is said once
+}
+
 // Only processes that carry for a group, and stay, have a vote on its leader.
 func TestVotes(t *testing.T) {
 	is := is.New(t)
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -135,6 +135,9 @@
 			g.bad, g.missed = time.Time{}, time.Time{}
 		}
 		g.duty.hear(c.Name(), peers, now)
+		if g.duty.abandon(c.Carries()) {
+			o.Log.Info("overseer: duty given up, other processes carry for the group now", zap.String("group", c.Name()))
+		}
 		view := o.view(g, peers, now)
 		o.heed(g, peers, now)
 		o.yield(g, now)
