assigner: a check that could not fail goes

Cause: read once more: a test asked whether a name that it had made itself is empty. Change: the line goes; the checks beside it stay as they are. Measured: the package's tests pass.

--- a/assigner/assign_test.go
+++ b/assigner/assign_test.go
@@ -38,7 +38,7 @@
 	is := is.New(t)
 	proxies := fleet(74)
 	carried := map[string]int{}
-	for name, carriers := range Assign(groups(8, 6), proxies) {
+	for _, carriers := range Assign(groups(8, 6), proxies) {
 		is.Equal(len(carriers), 6) // two of each zone
 		zones := map[string]int{}
 		for _, c := range carriers {
@@ -47,7 +47,6 @@
 			zones[proxies[i].Zone]++
 		}
 		is.Equal(zones, map[string]int{"z0": 2, "z1": 2, "z2": 2})
-		is.True(name != "")
 	}
 	larger := 0
 	for _, p := range proxies {
