carrier, forwarder, gossiper: refused at once where the next leader can't be reached

Some 500 requests of the group were held for their route's whole 0.8 s and then refused ("no proxy reaches the group", "no leader is known"): processes wait for the next leader, which they can't reach either.

Hypothesis: refused at once, callers try a process on the other side.

Change: a process that reaches none of the upstreams that could lead next is blind and refuses at once; it tells its peers, and who has no connections doesn't wait for peers that are all blind. A write isn't sent to a leader that acknowledges nothing meanwhile. What is known of how late a replica is, is logged.

--- a/carrier/group.go
+++ b/carrier/group.go
@@ -337,7 +337,10 @@
 	if had.IsZero() && len(g.samples.ring) > 0 {
 		had = g.samples.ring[0].asked // it is further behind than is known
 	}
-	m.lag.refused(g.carrier.Now(), had)
+	now := g.carrier.Now()
+	m.lag.refused(now, had)
+	g.log().Info("carrier: replica lags", zap.String("group", g.name), zap.String("upstream", m.id),
+		zap.Duration("by", now.Sub(had)), zap.Stringer("at", m.mark))
 }
 
 // sufficed takes in that a member's log had what a read needed.
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -31,10 +31,6 @@
 	// ageing is the part of a route's greatest age after which a new sample is
 	// asked for while the old one still serves.
 	ageing = 3
-	// longestLeaderless is how long statements wait for a leader, counted from its loss.
-	// A change of leader takes 1 to 2 s; one that has taken much longer waits for
-	// an upstream to come back, and callers are told so at once.
-	longestLeaderless = 4 * time.Second
 	// comeBack is told to callers who are refused for that.
 	comeBack = time.Second
 )
--- a/carrier/observe.go
+++ b/carrier/observe.go
@@ -41,6 +41,9 @@
 	// Leader is the upstream that leads or led last; Leads says that it answers.
 	Leader string
 	Leads  bool
+	// Blind says that none of the others can be reached either, so that the next
+	// leader can't be.
+	Blind bool
 	// Stuck says that the leader doesn't acknowledge writes.
 	Stuck bool
 	// Failing says that the leader fails much of what it is asked, though it answers.
@@ -66,6 +69,7 @@
 		}
 	}
 	out.Members, out.Floor = g.missing(out.Members, now)
+	out.Blind = g.present() == nil && g.blind()
 	if g.leader != nil {
 		out.Leader = g.leader.entry.ID
 		out.Leads = !g.leader.barred
--- a/carrier/place.go
+++ b/carrier/place.go
@@ -18,19 +18,22 @@
 			if g.unsampled(j) {
 				return nil, since, refusal(Unplaced, "no sample of the leader's log")
 			}
-			if !wait(j, waiting) {
+			if g.vain(j) || !wait(j, waiting) {
 				return nil, since, g.unplaced(j, placer.NoLeader)
 			}
 			continue
 		}
 		m, reason, changed := g.choose(placer.Need{Leader: j.Latest(), Since: since}, j.tried)
+		if m != nil && g.starves(j) {
+			m, reason = nil, placer.Starved
+		}
 		if m != nil {
 			return m, since, Answer{}
 		}
 		if j.Elsewhere != nil && j.Elsewhere() {
 			return nil, since, refusal(Unplaced, string(reason))
 		}
-		if g.hopeless() || !wait(j, changed) {
+		if g.vain(j) || !wait(j, changed) {
 			return nil, since, g.unplaced(j, reason)
 		}
 	}
@@ -94,12 +97,19 @@
 	return wait(j, passed)
 }
 
-// hopeless reports whether the group has had no leader for so long that waiting
-// for one isn't worth a caller's time.
-func (g *Group) hopeless() bool {
+// starves reports whether a job would be sent to a leader that can't do it.
+func (g *Group) starves(j *Job) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.futile(j, g.carrier.Now())
+}
+
+// vain reports whether a job can't be served here, however long it waits.
+func (g *Group) vain(j *Job) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.leaderless.IsZero() && g.carrier.Now().Sub(g.leaderless) > longestLeaderless
+	now := g.carrier.Now()
+	return g.hopeless(now) || g.futile(j, now)
 }
 
 func (g *Group) unplaced(j *Job, reason placer.Reason) Answer {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -141,6 +141,24 @@
 	return false
 }
 
+// Blind reports whether every peer that carries for a group is cut off from whichever
+// upstream leads next, and there is one. Waiting for them is in vain: see the comment
+// in carrier.
+func (f *Forwarder) Blind(group string) bool {
+	blind := false
+	for _, p := range f.Live() {
+		state, knows := p.Groups[group]
+		if !knows || p.Leaving || !state.Carries {
+			continue
+		}
+		if state.Trouble != gossiper.Blind {
+			return false
+		}
+		blind = true
+	}
+	return blind
+}
+
 // shunned reports whether a peer didn't answer lately and hasn't been heard since.
 func (f *Forwarder) shunned(p gossiper.Peer, now time.Time) bool {
 	f.mu.Lock()
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -170,3 +170,23 @@
 	job := &carrier.Job{Freshness: cataloger.Bounded, MaxAge: time.Second, Arrived: f.now, Deadline: time.Now().Add(time.Second)}
 	is.Equal(runner.Run(job, carrier.Command{Verb: carrier.Read, ID: "r"}).Code, carrier.OK)
 }
+
+// Symptom: callers of a process without connections wait out their statement's time.
+// Sequence: a partition leaves it with peers that are all cut off from whoever leads
+// next. Cause: it asks them again and again.
+func TestPeersThatAreAllCutOffAreNotWaitedFor(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("home", "away")
+	is.True(!f.Blind("g"))
+	for i := range f.peers {
+		is.True(!f.Blind("g"))
+		f.peers[i].Groups["g"] = gossiper.GroupState{Carries: true, Trouble: gossiper.Blind}
+	}
+	is.True(f.Blind("g"))
+	is.Equal(f.run(true).Code, carrier.Busy)
+	is.Equal(len(f.asked), 0)
+	f.peers[1].Groups["g"] = gossiper.GroupState{Carries: true, Trouble: gossiper.Unreachable}
+	is.True(!f.Blind("g")) // that one may reach the next leader
+	f.peers = nil
+	is.True(!f.Blind("g")) // nobody is heard: a process that has just started
+}
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -50,7 +50,7 @@
 		if t.p.group.Carries() {
 			return peer, true, true // it waits for a leader there
 		}
-		if !t.wait() {
+		if t.p.f.Blind(t.p.group.Name()) || !t.wait() {
 			return peer, false, false
 		}
 	}
--- a/gossiper/roster.go
+++ b/gossiper/roster.go
@@ -53,6 +53,7 @@
 	Unreachable         // it doesn't answer
 	Stuck               // it answers, but commits aren't acknowledged
 	Failing             // it answers, and fails much of what it is asked
+	Blind               // it doesn't answer, and nobody does who could lead next
 )
 
 // Reaches reports whether who sees the trouble can have statements run by the leader.
--- a/overseer/view.go
+++ b/overseer/view.go
@@ -32,6 +32,8 @@
 
 func trouble(v carrier.Observation) gossiper.Trouble {
 	switch {
+	case v.Blind:
+		return gossiper.Blind
 	case !v.Leads:
 		return gossiper.Unreachable
 	case v.Stuck:
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -73,6 +73,7 @@
 	Cheapest Reason = "least expected time"
 	NoLeader Reason = "no leader is known"
 	Silent   Reason = "the leader doesn't answer"
+	Starved  Reason = "the leader's commits aren't acknowledged"
 	NoneLeft Reason = "no upstream answers"
 )
 
