carrier, overseer, replacer: a leader alone with late replicas is replaced as planned

All of the group's work goes to one upstream of three, at 1.4 times what it can do and more; 801 refusals of sessions' reads and 482 of lookups between seconds 12 and 20. No way of trying replicas mends that.

Hypothesis: after a planned change of leader the former one, whose log is complete, is a replica that isn't late, and the promoted one leads with all that it has received: two upstreams serve. The old one leads until then.

Change: a leader is alone when it refuses work while every replica that answers is later than any read of the group may be; alone for 1 s, as the holder of the duty sees it, it is replaced as planned, and not again within 15 s.

--- a/carrier/gate.go
+++ b/carrier/gate.go
@@ -100,12 +100,20 @@
 	if ticket != 0 {
 		return ticket, Answer{}
 	}
+	g.turnedAway(m)
 	back := max(time.Until(outcome.Back), busyPause).Round(time.Millisecond)
 	g.log().Info("carrier: statement not admitted", zap.String("request", j.Request), zap.String("group", g.name), zap.String("upstream", m.id),
 		zap.Stringer("cause", outcome.Cause), zap.Duration("back", back), zap.Duration("left", left), zap.Bool("leads", j.Latest()))
 	return 0, refusal(Busy, "upstream is overloaded; come back in "+back.String())
 }
 
+// turnedAway notes that a member's gate refused a statement.
+func (g *Group) turnedAway(m *member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.turned = g.carrier.Now()
+}
+
 // other reports whether a statement that a member didn't admit may try another
 // one, which probably has what it needs. One that leaves doesn't count: it is only
 // placed there when nothing else is left, so that the statement would be offered
--- a/carrier/group.go
+++ b/carrier/group.go
@@ -36,6 +36,7 @@
 	// changed is closed, and made anew, when the leader or a member changes.
 	changed  chan struct{}
 	samples  samples
+	oldest   time.Duration // the greatest age that a read here was allowed
 	sampling chan struct{} // closed when the running sampling has ended; nil when none runs
 	seeking  bool
 	ticked   time.Time
--- a/carrier/lag.go
+++ b/carrier/lag.go
@@ -56,3 +56,12 @@
 		l.retry = now.Add(lagRetry)
 	}
 }
+
+// by returns how late the replica was when it was last seen to lack something; zero
+// when that is long ago.
+func (l *lag) by(now time.Time) time.Duration {
+	if l.seen.IsZero() || now.Sub(l.seen) > lately {
+		return 0
+	}
+	return l.seen.Sub(l.had)
+}
--- a/carrier/member.go
+++ b/carrier/member.go
@@ -41,6 +41,7 @@
 	latency  time.Duration
 	measured time.Time // when latency last changed
 	lag      lag
+	turned   time.Time // when its gate last refused a statement
 	faults   faults
 	mark     tracker.Mark
 	// restart is when it was found to have started again, and floor how far the log of
--- a/carrier/observe.go
+++ b/carrier/observe.go
@@ -48,6 +48,9 @@
 	Stuck bool
 	// Failing says that the leader fails much of what it is asked, though it answers.
 	Failing bool
+	// Alone says that the leader is asked for more than it can do, while the replicas
+	// are too late for any read.
+	Alone   bool
 	Term    tracker.Term
 	Members []Seen
 	// Floor, when set, is how far the log of a new leader must reach: some lost
@@ -75,6 +78,7 @@
 		out.Leads = !g.leader.barred
 		out.Stuck = g.stuck(g.leader, now)
 		out.Failing = g.leader.faults.many(now)
+		out.Alone = g.alone(now)
 	}
 	return out
 }
--- a/carrier/place.go
+++ b/carrier/place.go
@@ -53,6 +53,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.oldest = max(g.oldest, j.MaxAge)
 	mark, ok := g.samples.since(j.Arrived.Add(margin - j.MaxAge))
 	newest, _ := g.samples.last()
 	var waiting <-chan struct{}
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -31,6 +31,11 @@
 	// failing. Where they fail as well it is the statements that are wrong, and another
 	// change would mend nothing.
 	excused = 30 * time.Second
+	// alone is how long a leader must have had more work than it can do, while all
+	// replicas were too late for any read, before it is replaced as planned.
+	alone = time.Second
+	// relieved is how long a group's leader isn't replaced for that again.
+	relieved = 15 * time.Second
 	// settling is the time after its start in which a process replaces nobody: it
 	// knows neither peers nor leaders yet.
 	settling = 2 * time.Second
@@ -90,6 +95,8 @@
 	leader   string    // that was seen last
 	failed   bool      // somebody saw it fail
 	blamed   time.Time // when a leader that failed was last replaced
+	alone    time.Time // since when the leader is alone with too much work
+	relieved time.Time // when it was last replaced for that
 }
 
 // States returns what this process says of its groups, for gossip.
--- a/overseer/view.go
+++ b/overseer/view.go
@@ -81,6 +81,7 @@
 		Reached: reached(g.carried.Name(), seen.Leader, peers, now),
 		Floor:   seen.Floor,
 		Shunned: settled && lasted(g.missed, now, shunned),
+		Alone:   settled && g.relieves(seen, now),
 		Term:    seen.Term,
 		Token:   g.duty.token,
 	}
@@ -90,6 +91,26 @@
 	return v
 }
 
+// relieves reports whether the leader is to be replaced because it is alone with more
+// work than it can do. Upstreams apply commits in order, so that one replica that is
+// late with one commit serves no reads until that is done: 15 s were seen after what
+// made it late had ended. The one that is promoted leads with all that it has
+// received, and the former leader, whose log is complete, is a replica that isn't late.
+func (g *group) relieves(seen carrier.Observation, now time.Time) bool {
+	if !seen.Alone {
+		g.alone = time.Time{}
+		return false
+	}
+	g.alone = first(g.alone, now)
+	if !lasted(g.alone, now, alone) || !g.relieved.IsZero() && now.Sub(g.relieved) < relieved {
+		return false
+	}
+	if g.duty.token > 0 {
+		g.relieved = now
+	}
+	return true
+}
+
 func first(t, now time.Time) time.Time {
 	if t.IsZero() {
 		return now
--- a/replacer/message.go
+++ b/replacer/message.go
@@ -65,6 +65,9 @@
 	// Shunned says that the leader answers, but many peers can't reach it or see it
 	// fail what they ask.
 	Shunned bool
+	// Alone says that the leader is asked for more than it can do while all replicas
+	// are too late to help.
+	Alone bool
 	// Term is the highest term heard of.
 	Term    tracker.Term
 	Members []Member
--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -150,10 +150,13 @@
 		r.planned = false
 		r.target = ""
 		cause = "leader is dead"
-	case r.view.Leads && (leaving || r.view.Shunned):
+	case r.view.Leads && (leaving || r.view.Shunned || r.view.Alone):
 		r.planned = true
 		r.target = r.successor()
 		cause = "leader is leaving, or out of reach or failing for many"
+		if !leaving && !r.view.Shunned {
+			cause = "leader is alone with more than it can do, the replicas are late"
+		}
 		if r.target == "" {
 			return nil
 		}
--- a/replacer/replacer_test.go
+++ b/replacer/replacer_test.go
@@ -346,3 +346,18 @@
 	is.True(s.held["b"] > 1) // once more
 	is.Equal(s.orders[0].Upstream, "c")
 }
+
+// A leader that is alone with more work than it can do is replaced as planned: it
+// leads until the replica that follows it has everything.
+func TestALeaderThatIsAloneIsReplaced(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	s.view.Alone = true
+	s.play(300 * time.Millisecond)
+	is.Equal(s.orders[0].Upstream, "a") // earlier orders are refused from now on
+	s.outcome(Accepted)
+	s.play(300 * time.Millisecond)
+	is.Equal(s.orders[len(s.orders)-1].Upstream, "b")
+	is.True(s.held["c"] > 1)
+	is.Equal(s.held["b"], uint32(0)) // it receives until the end
+}
