carrier, overseer: a leader is alone when replicas are too late for the least age

A leader counted as alone only when they serve nothing, and for a second: 3.5 s after they fell behind at the soonest.

Change: it counts from the least age that a read of the group is allowed, and for 0.5 s.

--- a/carrier/place.go
+++ b/carrier/place.go
@@ -53,7 +53,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.oldest = max(g.oldest, j.MaxAge)
+	if g.oldest == 0 || j.MaxAge < g.oldest {
+		g.oldest = j.MaxAge
+	}
 	mark, ok := g.samples.since(j.Arrived.Add(margin - j.MaxAge))
 	newest, _ := g.samples.last()
 	var waiting <-chan struct{}
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -33,7 +33,7 @@
 	excused = 30 * time.Second
 	// alone is how long a leader must have had more work than it can do, while all
 	// replicas were too late for any read, before it is replaced as planned.
-	alone = time.Second
+	alone = 500 * time.Millisecond
 	// relieved is how long a group's leader isn't replaced for that again.
 	relieved = 15 * time.Second
 	// settling is the time after its start in which a process replaces nobody: it
