carrier: an upstream that only the store has lost is used until it is replaced

Its entry lapses after 3.4 s and all processes drop it as one that is gone, though it runs all that it is asked: 2 s without a leader, until the entry is back.

Change: an upstream that neither said that it leaves nor stopped answering, and that nobody succeeds at its address, goes on as one that leaves for 3 s. A leader that leaves is replaced as planned, which takes 1.1 to 1.5 s, and leads until then.

--- a/carrier/group.go
+++ b/carrier/group.go
@@ -55,7 +55,11 @@
 		kept = append(kept, g.update(u))
 	}
 	for _, m := range g.members {
-		if !containsMember(kept, m) {
+		switch {
+		case containsMember(kept, m):
+		case g.survives(m, list):
+			kept = append(kept, m)
+		default:
 			g.drop(m)
 		}
 	}
@@ -91,7 +95,7 @@
 			break
 		}
 		before := m.entry
-		m.entry = u
+		m.entry, m.unlisted = u, time.Time{}
 		if u.Leaving != before.Leaving {
 			g.log().Info("carrier: upstream leaving", zap.String("group", g.name), zap.String("upstream", u.ID), zap.Bool("leaving", u.Leaving))
 		}
--- a/carrier/member.go
+++ b/carrier/member.go
@@ -44,6 +44,7 @@
 	turned   time.Time // when its gate last refused a statement
 	faults   faults
 	mark     tracker.Mark
+	unlisted time.Time // since when the store doesn't list it, though it answers
 	// restart is when it was found to have started again, and floor how far the log of
 	// a new leader must reach for that.
 	restart time.Time
--- a/carrier/watch.go
+++ b/carrier/watch.go
@@ -49,6 +49,7 @@
 	if shrink {
 		g.shrunk = now
 	}
+	g.expire(now)
 	keep := lasting(g.carrier.share(g.name))
 	for _, m := range g.members {
 		if shrink {
