carrier: the test of an unlisted leader waits for its own goroutines

Cause: the test ended while a goroutine that had sought a leader still slept, which the test's bubble reports as a deadlock. Change: it sleeps a second after it has stopped the group. Measured: go test ./carrier passes.

--- a/carrier/unlisted_test.go
+++ b/carrier/unlisted_test.go
@@ -47,6 +47,7 @@
 		c.Tick()
 		is.True(!g.Observe().Leads) // a few seconds after it was lost it gets nothing new
 		c.Stop()
+		time.Sleep(time.Second) // what sought a leader has ended
 	})
 }
 
