limiter, carrier: lost answers neither hold slots nor count as a slow upstream

A lost answer holds the process's one slot at the leader until the statement's 0.8 s are over, and counts as a booking that took as long.

Change: an item that runs for more than eight mean times of its class is written off: its slot goes to the next, without bound if an answer to a later one has overtaken it, up to as many as the window holds else. An overtaken one is no sample of the service time, another one no more than what makes it overdue. The queue of the PostgreSQL interface doesn't use it.

--- a/carrier/gate.go
+++ b/carrier/gate.go
@@ -28,6 +28,11 @@
 	// mostWindow bounds the window's growth: twice an upstream's 5 or 6 slots and
 	// some, so that one process alone can keep it busy.
 	mostWindow = 16
+	// lostAfter is how many mean service times a statement may run before its answer
+	// counts as lost and another one is sent. Of the work of these upstreams one of
+	// some hundred takes longer; a fifth of the answers lost makes the mean 2.4 times as
+	// long, so that a booking of 6 ms can still be in time.
+	lostAfter = 8
 	// longestQueue is how many statements may wait here for one upstream. At 160 a
 	// second, what six slots do, that is 1.6 s of work, more than the time of most
 	// statements.
@@ -40,6 +45,7 @@
 		Queue: limiter.Queue{
 			Length: longestQueue, Service: ordinary,
 			Window: limiter.Window{Least: leastWindow, Most: mostWindow},
+			Lost:   lostAfter,
 		},
 		Now: time.Now,
 	}
--- a/limiter/admitter.go
+++ b/limiter/admitter.go
@@ -110,8 +110,13 @@
 // can't be in time is refused long before its deadline.
 func (q *Queue) remaining(now time.Time) time.Duration {
 	sum := time.Duration(0)
+	lost := q.lost(now)
 	for _, i := range q.active {
 		n := &q.nodes[i]
+		if lost > 0 && q.overdue(n, now) {
+			lost--
+			continue
+		}
 		took := now.Sub(n.since)
 		left := q.service[n.item.Class] - took
 		sum += max(left, took/2)
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -81,6 +81,8 @@
 	arrival uint64
 	gen     uint32
 	phase   phase
+	// overtaken says that an item which was granted later has been served.
+	overtaken bool
 }
 
 type account struct {
@@ -108,6 +110,9 @@
 	Service time.Duration // service time assumed before the first sample
 	Window  Window        // how many items may run at a time
 	Classes [ClassCount]ClassLimits
+	// Lost is how many mean service times an item may run before its answer counts as
+	// lost and its slot is given to the next; zero is never.
+	Lost int
 
 	nodes    []node
 	free     []int32
@@ -218,7 +223,7 @@
 			q.refuse(0, now)
 			continue
 		}
-		if len(q.active) >= q.Window.Limit() {
+		if len(q.active) >= q.slots(now) {
 			return Event{}, false
 		}
 		at := q.choose()
@@ -236,7 +241,7 @@
 	n := &q.nodes[i]
 	q.remove(at)
 	q.accounts[n.item.Tenant].used += q.service[n.item.Class]
-	n.phase, n.since = running, now
+	n.phase, n.since, n.overtaken = running, now, false
 	q.runs[n.item.Class]++
 	q.active = append(q.active, i)
 }
@@ -252,13 +257,16 @@
 		return
 	}
 	n := &q.nodes[i]
-	full := len(q.active) >= q.Window.Limit()
+	full := len(q.active) >= q.slots(now)
 	at := slices.Index(q.active, i)
 	q.active[at] = q.active[len(q.active)-1]
 	q.active = q.active[:len(q.active)-1]
 	q.runs[n.item.Class]--
-	took := now.Sub(n.since)
-	if c := n.item.Class; served || took > q.service[c] {
+	if served {
+		q.overtake(n)
+	}
+	if took, counts := q.sample(n, now, served); counts {
+		c := n.item.Class
 		q.service[c] += (took - q.service[c]) / serviceGain
 		q.Window.Observe(c, took, full)
 	}
