auditor, cmd/basildale, conductor: losses, the command that tells where requests were lost

Change: `basildale losses LOG...` counts, by two seconds and group, what was in time, late, refused by cause and in doubt, and reads by replicas; it finds the times in which a group acknowledged no write and divides them into noticing, deciding, promoting and hearing. The line of a request says for that whether the upstream led, what the route must see, and whether it may write.

--- a/carrier/command.go
+++ b/carrier/command.go
@@ -115,6 +115,8 @@
 	Ran    time.Duration
 	// Upstream is the id of the one that answered, for the log.
 	Upstream string
+	// Led says that it led the group, as far as the process that asked it knew.
+	Led bool
 	// Report is the answer to Status, Suspend, Resume and Demote.
 	Report Report
 }
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -194,7 +194,7 @@
 	usable := answer.State == Idle && answer.Code != NoStatement
 	g.release(m, r.conn, usable)
 	answer.State = Idle
-	answer.Upstream = m.id
+	answer.Upstream, answer.Led = m.id, g.leads() == m
 	g.judge(m, answer.Code)
 	if answer.Code == OK {
 		answer.Ran = g.carrier.Now().Sub(started)
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -134,7 +134,7 @@
 		return Answer{Code: Aborted, Text: "connection lost inside the transaction", State: Broken}
 	}
 	answer := verdict(answers, len(prelude))
-	answer.Upstream = t.m.id
+	answer.Upstream, answer.Led = t.m.id, t.g.leads() == t.m
 	t.g.judge(t.m, answer.Code)
 	if answer.Code == OK {
 		answer.Ran = t.g.carrier.Now().Sub(started)
--- a/cmd/basildale/cli.go
+++ b/cmd/basildale/cli.go
@@ -32,6 +32,7 @@
 	Check    checkCmd    `cmd:"" help:"Check a settings file and name every wrong setting with its line."`
 	Status   statusCmd   `cmd:"" help:"Show what a running process sees: groups, upstreams, peers, preset."`
 	Explain  explainCmd  `cmd:"" help:"Show decisions of a running process with their reasons."`
+	Losses   lossesCmd   `cmd:"" help:"Tell from logs where requests were lost, and why."`
 	Drain    drainCmd    `cmd:"" help:"Stop a running process gracefully."`
 	Breaker  breakerCmd  `cmd:"" help:"Force an upstream's circuit breaker at a running process."`
 	Apply    applyCmd    `cmd:"" help:"Make the fleet's objects what documents say."`
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -358,6 +358,21 @@
 	return Reply{Rows: a.Rows, Signature: a.Signature, Code: a.Code, Text: a.Text, Mark: a.Mark}
 }
 
+// writes reports whether a statement may change what is stored: a write, or the commit
+// of a transaction that isn't read only.
+func (s *Session) writes(st Statement) bool {
+	switch st.Verb {
+	case Write:
+		return true
+	case Execute:
+		return s.prepared[st.Name].Writes
+	case Commit:
+		return !s.readOnly
+	default:
+		return false
+	}
+}
+
 // note logs how a request ended, with what decided it, and counts it.
 func (s *Session) note(st Statement, route cataloger.Route, a carrier.Answer, arrived time.Time) {
 	took := s.Now().Sub(arrived)
@@ -366,7 +381,8 @@
 	}
 	if ce := s.Log.Check(zap.InfoLevel, "conductor: request ended"); ce != nil {
 		ce.Write(zap.String("request", st.ID), zap.String("database", s.Database), zap.String("group", route.Group),
-			zap.String("upstream", a.Upstream), zap.Stringer("code", a.Code), zap.String("cause", a.Text),
+			zap.String("upstream", a.Upstream), zap.Bool("led", a.Led), zap.Stringer("freshness", route.Freshness),
+			zap.Bool("writes", s.writes(st)), zap.Stringer("code", a.Code), zap.String("cause", a.Text),
 			zap.Duration("took", took), zap.Duration("waited", a.Waited), zap.Duration("objective", route.Objective),
 			zap.Duration("timeout", route.Timeout), zap.Uint64("configuration", s.View().Config.Version))
 	}
