carrier, overseer: samples and lags by the ages that reads are allowed

Cause: three figures came from the first deployments: 100 ms as the lag of a replica that keeps up (usual lags were 8 to 20 ms; the further customer's are 60 and 150), 3.2 s of samples (no route allowed more than 2.5 s), and a relief of a lonely leader each 15 s whether it helps or not.

Change: a replica keeps up within an eighth of the least age that the group's reads are allowed; samples cover the greatest; a relief that has to be repeated soon is repeated twice as late.

--- a/carrier/alone.go
+++ b/carrier/alone.go
@@ -21,7 +21,7 @@
 		if m == leader || m.barred || m.entry.Leaving {
 			continue
 		}
-		if m.lag.by(now) <= g.oldest {
+		if m.lag.by(now) <= g.ages.least {
 			return false
 		}
 		late++
--- a/carrier/alone_test.go
+++ b/carrier/alone_test.go
@@ -203,7 +203,8 @@
 			c := &Carrier{Now: func() time.Time { return now }, Log: zap.NewNop()}
 			c.Apply([]cataloger.Upstream{startedAt("a", 1), startedAt("b", 1), startedAt("c", 1)})
 			g, _ := c.Group("g")
-			g.leader, g.oldest = g.members[0], 2500*time.Millisecond
+			g.leader = g.members[0]
+			g.ages.add(2500 * time.Millisecond)
 			g.members[0].turned = now
 			for _, m := range g.members[1:] {
 				m.lag.refused(now, now.Add(-4*time.Second))
--- a/carrier/group.go
+++ b/carrier/group.go
@@ -36,7 +36,7 @@
 	// changed is closed, and made anew, when the leader or a member changes.
 	changed  chan struct{}
 	samples  samples
-	oldest   time.Duration // the greatest age that a read here was allowed
+	ages     ages
 	sampling chan struct{} // closed when the running sampling has ended; nil when none runs
 	seeking  bool
 	ticked   time.Time
@@ -353,7 +353,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.carrier.Now()
-	m.lag.served(now, g.samples.needed(since, now))
+	m.lag.served(now, g.samples.needed(since, now), g.ages.little())
 }
 
 // judge takes in how a statement that a member answered has ended. Only what it
--- a/carrier/lag.go
+++ b/carrier/lag.go
@@ -7,9 +7,6 @@
 	// before one of them tries it again. A fifth of all arrivals at the upstreams were
 	// refused for lag when each read tried each replica anew.
 	lagRetry = 250 * time.Millisecond
-	// keepsUp is a lag that isn't worth reckoning with: some times that of a replica
-	// that is well, 8 to 20 ms.
-	keepsUp = 100 * time.Millisecond
 )
 
 // lag is what is known of how far a replica is behind its leader. Its zero value
@@ -29,11 +26,12 @@
 	l.retry = now.Add(lagRetry)
 }
 
-// served takes in that a replica had what a read needed, complete up to a moment.
-func (l *lag) served(now, upTo time.Time) {
+// served takes in that a replica had what a read needed, complete up to a moment. One
+// that is behind by a little at most keeps up.
+func (l *lag) served(now, upTo time.Time, little time.Duration) {
 	switch {
 	case l.seen.IsZero():
-	case now.Sub(upTo) < keepsUp:
+	case now.Sub(upTo) < little:
 		*l = lag{}
 	case now.Sub(upTo) < l.seen.Sub(l.had):
 		l.had, l.seen = upTo, now
--- a/carrier/lag_test.go
+++ b/carrier/lag_test.go
@@ -13,6 +13,7 @@
 // after 60 ms, so each read tried each replica anew.
 func TestALaggingReplicaIsSparedWhatItLacks(t *testing.T) {
 	is := is.New(t)
+	const little = 100 * time.Millisecond
 	now := time.Unix(1000, 0)
 	var l lag
 	is.True(!l.lacks(now, now)) // nothing is known against it
@@ -24,10 +25,10 @@
 	is.True(!l.lacks(now, now)) // one read tries again
 	l.trying(now)
 	is.True(l.lacks(now, now)) // and the next ones don't
-	l.served(now, now.Add(-500*time.Millisecond))
+	l.served(now, now.Add(-500*time.Millisecond), little)
 	is.True(!l.lacks(now, now.Add(-600*time.Millisecond))) // it has caught up by half
 	is.True(l.lacks(now, now.Add(-400*time.Millisecond)))
-	l.served(now, now.Add(-50*time.Millisecond))
+	l.served(now, now.Add(-50*time.Millisecond), little)
 	is.True(!l.lacks(now, now)) // it keeps up
 }
 
--- a/carrier/place.go
+++ b/carrier/place.go
@@ -53,12 +53,11 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.oldest == 0 || j.MaxAge < g.oldest {
-		g.oldest = j.MaxAge
-	}
+	g.ages.add(j.MaxAge)
 	mark, ok := g.samples.since(j.Arrived.Add(margin - j.MaxAge))
 	newest, _ := g.samples.last()
 	var waiting <-chan struct{}
+	g.samples.spacing = g.ages.spacing()
 	if !ok || g.carrier.Now().Sub(newest.asked) > j.MaxAge/ageing {
 		waiting = g.refresh()
 	}
--- a/carrier/samples.go
+++ b/carrier/samples.go
@@ -8,14 +8,42 @@
 
 // Bounds of the kept samples of a leader's log.
 const (
-	// sampleSpacing keeps the ring small: reads of 1.5 s and more don't care for
-	// less.
+	// sampleSpacing is the least time between two samples. It keeps the ring small:
+	// reads of 1.5 s and more don't care for less.
 	sampleSpacing = 50 * time.Millisecond
-	// sampleCount covers 3.2 s at that spacing, more than the greatest age that
-	// the deployments' routes allow (2.5 s).
+	// sampleCount is how many are kept: at the least spacing they cover 3.2 s.
 	sampleCount = 64
+	// covered is how many samples cover the greatest age that a read is allowed, so
+	// that the ring holds some older ones too. With fewer, a replica that is late by
+	// most of that age is named a newer position than the read needs.
+	covered = 48
 )
 
+// ages are the ages that the reads of a group are allowed, as its routes have them.
+type ages struct {
+	least, greatest time.Duration
+}
+
+// add takes in the age of one read.
+func (a *ages) add(age time.Duration) {
+	if age <= 0 {
+		return
+	}
+	if a.least == 0 || age < a.least {
+		a.least = age
+	}
+	a.greatest = max(a.greatest, age)
+}
+
+// spacing returns the time between two samples with which the ring covers the greatest
+// age.
+func (a *ages) spacing() time.Duration { return max(sampleSpacing, a.greatest/covered) }
+
+// little returns a lag that isn't worth reckoning with: an eighth of the least age, 190
+// ms of 1.5 s. The replicas of the deployments that were played are 8 to 150 ms late
+// when they are well.
+func (a *ages) little() time.Duration { return a.least / 8 }
+
 // sample is a position of the leader's log: everything acknowledged before asked
 // is at or before mark.
 type sample struct {
@@ -26,7 +54,8 @@
 // samples keeps positions of the leader's log by the time at which they were
 // asked for, the newest last.
 type samples struct {
-	ring []sample
+	ring    []sample
+	spacing time.Duration // the least time between two; sampleSpacing if that is more
 }
 
 // add takes in a proven position. One that was asked for before the newest, or
@@ -35,7 +64,7 @@
 	if n := len(s.ring); n > 0 {
 		newest := s.ring[n-1]
 		sameTerm := newest.mark.Term == mark.Term
-		if sameTerm && asked.Sub(newest.asked) < sampleSpacing {
+		if sameTerm && asked.Sub(newest.asked) < max(s.spacing, sampleSpacing) {
 			return
 		}
 		if asked.Before(newest.asked) || mark.Term.Less(newest.mark.Term) {
--- a/carrier/samples_test.go
+++ b/carrier/samples_test.go
@@ -95,3 +95,22 @@
 	is.True(slow > 400*time.Millisecond)
 	is.True(m.expected(now.Add(2*fading)) < slow/2) // it is tried again some time
 }
+
+// A ring covers the greatest age that reads are allowed, however long that is.
+func TestSamplesCoverTheAges(t *testing.T) {
+	is := is.New(t)
+	var a ages
+	a.add(10 * time.Second)
+	a.add(time.Second)
+	a.add(0) // a route that allows none
+	is.Equal(a.least, time.Second)
+	s := samples{spacing: a.spacing()}
+	start := time.Unix(1000, 0)
+	for i := range 2000 {
+		s.add(start.Add(time.Duration(i)*10*time.Millisecond), mark(1, uint64(i)))
+	}
+	end := start.Add(20 * time.Second)
+	oldest, ok := s.since(end.Add(-10 * time.Second))
+	is.True(ok)
+	is.True(oldest.Pos < 1030) // of 1,000 at that moment
+}
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -34,8 +34,11 @@
 	// alone is how long a leader must have had more work than it can do, while all
 	// replicas were too late for any read, before it is replaced as planned.
 	alone = 500 * time.Millisecond
-	// relieved is how long a group's leader isn't replaced for that again.
-	relieved = 15 * time.Second
+	// relieved is how long a group's leader isn't replaced for that again. When it is
+	// again soon after, the time is doubled, up to mostRelieved: another change hasn't
+	// helped, and each costs some statements.
+	relieved     = 15 * time.Second
+	mostRelieved = 4 * time.Minute
 	// settling is the time after its start in which a process replaces nobody: it
 	// knows neither peers nor leaders yet.
 	settling = 2 * time.Second
@@ -88,15 +91,16 @@
 	carried  *carrier.Group
 	duty     duty
 	replacer replacer.Replacer
-	bad      time.Time // since when most who vote see trouble
-	stuck    time.Time // since when a leader that is cut off acknowledges nothing
-	heeded   time.Time // when a fence was last carried out
-	missed   time.Time // since when many peers miss a leader that works here
-	leader   string    // that was seen last
-	failed   bool      // somebody saw it fail
-	blamed   time.Time // when a leader that failed was last replaced
-	alone    time.Time // since when the leader is alone with too much work
-	relieved time.Time // when it was last replaced for that
+	bad      time.Time     // since when most who vote see trouble
+	stuck    time.Time     // since when a leader that is cut off acknowledges nothing
+	heeded   time.Time     // when a fence was last carried out
+	missed   time.Time     // since when many peers miss a leader that works here
+	leader   string        // that was seen last
+	failed   bool          // somebody saw it fail
+	blamed   time.Time     // when a leader that failed was last replaced
+	alone    time.Time     // since when the leader is alone with too much work
+	relieved time.Time     // when it was last replaced for that
+	pause    time.Duration // until it may be again
 }
 
 // States returns what this process says of its groups, for gossip.
--- a/overseer/view.go
+++ b/overseer/view.go
@@ -102,12 +102,19 @@
 		return false
 	}
 	g.alone = first(g.alone, now)
-	if !lasted(g.alone, now, alone) || !g.relieved.IsZero() && now.Sub(g.relieved) < relieved {
+	since := now.Sub(g.relieved)
+	if !lasted(g.alone, now, alone) || !g.relieved.IsZero() && since < g.pause {
 		return false
 	}
-	if g.duty.token > 0 {
-		g.relieved = now
+	if g.duty.token == 0 {
+		return true // the holder decides
 	}
+	if g.relieved.IsZero() || since > 2*g.pause {
+		g.pause = relieved
+	} else {
+		g.pause = min(2*g.pause, mostRelieved)
+	}
+	g.relieved = now
 	return true
 }
 
--- a/overseer/view_test.go
+++ b/overseer/view_test.go
@@ -24,6 +24,18 @@
 	is.True(!g.relieves(seen, now.Add(3*alone)))
 	is.True(!g.relieves(seen, now.Add(2*alone+relieved-1)))
 	is.True(g.relieves(seen, now.Add(2*alone+relieved)))
+
+	// It hasn't helped, so the next one is later.
+	is.True(!g.relieves(seen, now.Add(2*alone+2*relieved)))
+	is.True(g.relieves(seen, now.Add(2*alone+3*relieved)))
+	is.True(!g.relieves(seen, now.Add(2*alone+6*relieved)))
+
+	// After a long time without trouble all is as at first.
+	later := now.Add(time.Hour)
+	is.True(!g.relieves(carrier.Observation{}, later))
+	is.True(!g.relieves(seen, later))
+	is.True(g.relieves(seen, later.Add(alone)))
+	is.True(g.relieves(seen, later.Add(alone+relieved)))
 }
 
 // A process that sees it without holding the duty keeps nothing back from the holder.
