carrier: nobody waits for the slowest in the search for a leader

All members are asked in rounds, the former leader, which has more work than it can do, has no connection free for 0.5 s, and the next round waits for it.

Change: each member is asked again as soon as it has answered, 50 ms apart at least.

--- a/carrier/group.go
+++ b/carrier/group.go
@@ -38,7 +38,7 @@
 	samples  samples
 	ages     ages
 	sampling chan struct{} // closed when the running sampling has ended; nil when none runs
-	seeking  bool
+	sought   time.Time     // when members were last asked who leads
 	ticked   time.Time
 	shrunk   time.Time // when connections that nobody needed were last let go
 }
--- a/carrier/member.go
+++ b/carrier/member.go
@@ -54,6 +54,7 @@
 	since   time.Time // when it was barred
 	probeAt time.Time // when to try it again, while barred
 	probing bool
+	asked   bool // whether it leads; the answer is on its way
 	pause   time.Duration
 	gone    bool
 }
--- a/carrier/outlook_test.go
+++ b/carrier/outlook_test.go
@@ -17,7 +17,9 @@
 	c.Apply([]cataloger.Upstream{startedAt("a", 1), startedAt("b", 1), startedAt("c", 1)})
 	g, _ := c.Group("g")
 	g.led, g.leaderless = "a", time.Now().Add(-lost)
-	g.seeking = true // nobody can be asked in this test
+	for _, m := range g.members {
+		m.asked = true // nobody can be asked in this test
+	}
 	return g
 }
 
--- a/carrier/watch.go
+++ b/carrier/watch.go
@@ -37,6 +37,8 @@
 	longestPause = 800 * time.Millisecond
 	// lookTimeout is how long a look may take.
 	lookTimeout = 500 * time.Millisecond
+	// seekEvery is the least time between two questions who leads.
+	seekEvery = 50 * time.Millisecond
 )
 
 // tick bars members that have gone silent and looks at those that are barred.
@@ -233,41 +235,30 @@
 	}()
 }
 
-// seek asks all members that answer whether they lead, unless that is under way. A
+// seek asks the members that answer whether they lead, each unless that is under way. A
 // member that leads takes an empty transaction, all others refuse it; it costs no
-// slot. Those that are barred have looks of their own: asking them too would hold up
-// each round by half a second, and so would waiting for the store's list to say who
-// leads in place of one that is barred. The caller has the lock.
+// slot. Those that are barred have looks of their own, and nobody waits for the slowest:
+// a former leader with more work than it can do has no connection free for half a
+// second, and asked in rounds that wait for all, processes heard of the next leader as
+// much later than the first one. The caller has the lock.
 func (g *Group) seek() {
-	if g.seeking || !g.Carries() {
+	now := g.carrier.Now()
+	if !g.Carries() || now.Sub(g.sought) < seekEvery {
 		return
 	}
-	members := make([]*member, 0, len(g.members))
+	g.sought = now
 	for _, m := range g.members {
-		if !m.barred {
-			members = append(members, m)
+		if m.barred || m.asked {
+			continue
 		}
+		m.asked = true
+		go func() {
+			g.ask(m)
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			m.asked = false
+		}()
 	}
-	if len(members) == 0 {
-		return
-	}
-	g.seeking = true
-	go func() {
-		done := make(chan struct{}, len(members))
-		for _, m := range members {
-			go func() {
-				g.ask(m)
-				done <- struct{}{}
-			}()
-		}
-		for range members {
-			<-done
-		}
-		time.Sleep(firstPause) // not more often than ten times a second
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.seeking = false
-	}()
 }
 
 // ask begins and ends an empty transaction at a member. It reports whether the
