carrier: a lost answer doesn't make a leader stuck

A write that was given up made the leader stuck until the next one was answered, also where it had answered others since that one was sent; with four writes a second at each process enough of them vote so at the same time.

Change: only a write since whose sending none was answered counts.

--- a/carrier/job.go
+++ b/carrier/job.go
@@ -89,7 +89,7 @@
 	answers, sent, err := r.conn.Exchange(deadline, commands...)
 	g.mu.Lock()
 	took := g.carrier.Now().Sub(r.started)
-	if err != nil && r.harmful && took > stuckAfter {
+	if err != nil && r.harmful && took > stuckAfter && m.wrote.Before(r.started) {
 		m.starved = g.carrier.Now()
 	}
 	r.started = time.Time{}
--- a/carrier/member.go
+++ b/carrier/member.go
@@ -37,7 +37,7 @@
 	running  map[*run]struct{}
 	answered time.Time // when it last answered anything
 	wrote    time.Time // when it last acknowledged a write
-	starved  time.Time // when a write was last given up there, unanswered for long
+	starved  time.Time // when a write was last given up there, and none had been answered since it was sent
 	latency  time.Duration
 	measured time.Time // when latency last changed
 	lag      lag
