--- a/auditor/audit_test.go
+++ b/auditor/audit_test.go
@@ -19,7 +19,7 @@
 	is := is.New(t)
 	f, err := os.Open("testdata/change.log")
 	is.NoErr(err)
-	defer f.Close()
+	defer func() { _ = f.Close() }() // it was only read
 	var a Audit
 	is.NoErr(a.Read(f))
 	report := a.Report()
--- a/cmd/basildale/losses.go
+++ b/cmd/basildale/losses.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return errors.Wrap(err, "open a log")
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }() // it was only read
 	return audit.Read(f)
 }
 
