carrier: an entry that lapses is no new start

The holder of the duty takes a start that differs for a new one and drops what the upstream reported: one that was halted, and then cut off from the store, would have to be halted again, and can't be.

Change: what is known of an unlisted upstream keeps its start.

Measured: the test fails on the code before.

--- a/carrier/lost.go
+++ b/carrier/lost.go
@@ -104,7 +104,7 @@
 			floor = further(floor, newest.mark)
 			continue
 		}
-		seen = append(seen, Seen{ID: id, Leaving: a.entry.Leaving, Barred: true, Lost: true})
+		seen = append(seen, Seen{ID: id, Born: a.entry.Born, Leaving: a.entry.Leaving, Barred: true, Lost: true})
 	}
 	return seen, floor
 }
--- a/carrier/restart_test.go
+++ b/carrier/restart_test.go
@@ -13,7 +13,7 @@
 
 func startedAt(id string, ms int64) cataloger.Upstream {
 	return cataloger.Upstream{
-		ID: id, Group: "g", Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1000+len(id))),
+		ID: id, Group: "g", Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(id[0])),
 		Slots: 3, Born: time.UnixMilli(ms),
 	}
 }
@@ -57,6 +57,18 @@
 	}
 }
 
+// Symptom: a change of leader never ends. Sequence: a replica that was halted is cut off
+// from the store, so that its entry lapses. Cause: an upstream that isn't listed was
+// told of without its start, and what it had reported was dropped as that of a former one.
+func TestAnEntryThatLapsesIsNoNewStart(t *testing.T) {
+	is := is.New(t)
+	g, _ := restarting()
+	g.carrier.Apply([]cataloger.Upstream{startedAt("b", 1)})
+	for _, m := range g.Observe().Members {
+		is.True(m.Born.Equal(time.UnixMilli(1)))
+	}
+}
+
 // News of the former start that arrive late change nothing, nor does an entry that
 // doesn't say when the upstream started.
 func TestLateNewsOfAFormerStart(t *testing.T) {
