carrier: a test's upstream counts its writes safely

Change: an atomic counter. Measured: go test -race of carrier, limiter, overseer, replacer, forwarder, auditor, cataloger and translator passes beside seven busy jobs.

--- a/carrier/stuck_test.go
+++ b/carrier/stuck_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,13 +15,12 @@
 )
 
 // forgetful is an upstream that leads and answers each write at once, but for the first.
-type forgetful struct{ writes int }
+type forgetful struct{ writes atomic.Int32 }
 
 func (f *forgetful) Exchange(deadline time.Time, commands ...Command) ([]Answer, bool, error) {
 	last := commands[len(commands)-1]
 	if last.Verb == Write {
-		f.writes++
-		if f.writes == 1 {
+		if f.writes.Add(1) == 1 {
 			time.Sleep(time.Until(deadline))
 			return nil, true, context.DeadlineExceeded
 		}
@@ -64,7 +64,7 @@
 		is.True(!g.Observe().Stuck)
 
 		// Where none is answered, it is stuck.
-		f.writes = 0
+		f.writes.Store(0)
 		time.Sleep(time.Second)
 		is.Equal(write(), InDoubt)
 		is.True(g.Observe().Stuck)
