platform/faker, proxier: tests take an upstream's entry from the stand-in

Cause: a test outside of platform/ wrote an entry in the platform's words. Change: the stand-in makes entries for itself and for tests.

--- a/proxier/catalog_test.go
+++ b/proxier/catalog_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"basildale.example/basildale/adapter/keeper"
 	"basildale.example/basildale/carrier"
 	"basildale.example/basildale/cataloger"
+	"basildale.example/basildale/platform/faker"
 )
 
 // holding returns the holdings of a process whose configuration names the group huvo,
@@ -32,8 +34,12 @@
 }
 
 func upstreamOf(group, name string, version uint64) keeper.Object {
-	spec := fmt.Sprintf(`{"service":%q,"address":"10.0.0.1:%d","zone":"z","slots":3,"state":"ready","db_role":"replica"}`, group, 1000+version)
-	return object(name, version, spec)
+	address := netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1000+version))
+	spec, err := json.Marshal(faker.Entry(group, address, "z", false, false))
+	if err != nil {
+		panic(err) // plain values can always be written
+	}
+	return object(name, version, string(spec))
 }
 
 // used lists the upstreams that statements may go to.
