--- a/replacer/halt.go
+++ b/replacer/halt.go
@@ -1,6 +1,7 @@
 package replacer
 
 import (
+	"strings"
 	"time"
 
 	"basildale.example/basildale/tracker"
@@ -177,7 +178,19 @@
 	if best == nil || best.Received.Less(r.view.Floor) {
 		return nil
 	}
-	return r.promote(now, "furthest of all replicas at "+best.Received.String())
+	return r.promote(now, "furthest of all replicas: "+r.standing(r.halted()...))
+}
+
+// standing says how far upstreams have received, for the log.
+func (r *Replacer) standing(ids ...string) string {
+	out := make([]string, len(ids))
+	for i, id := range ids {
+		out[i] = id + " doesn't answer"
+		if e := r.entry(id); e.heard {
+			out[i] = id + " at " + e.Received.String()
+		}
+	}
+	return strings.Join(out, ", ")
 }
 
 // catch waits until the chosen replica has what the leader's log held after the
@@ -187,7 +200,7 @@
 		return r.giveUp(now, "another leader, or none")
 	}
 	if now.Sub(r.began) > catchUp {
-		return r.giveUp(now, "the chosen replica doesn't catch up")
+		return r.giveUp(now, "the chosen replica doesn't catch up: "+r.standing(r.from, r.target))
 	}
 	leader := r.entry(r.from)
 	if r.need.IsZero() {
--- a/replacer/release.go
+++ b/replacer/release.go
@@ -1,6 +1,9 @@
 package replacer
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // calledOff ends an attempt and leaves what was halted to the next one.
 func (r *Replacer) calledOff(now time.Time, cause string) []Command {
@@ -14,10 +17,10 @@
 func (r *Replacer) stuck(now time.Time) []Command {
 	switch {
 	case r.planned && now.Sub(r.began) > catchUp:
-		return r.giveUp(now, "a replica can't be halted")
+		return r.giveUp(now, "not halted: "+r.unhalted())
 	case !r.planned && now.Sub(r.began) > stuckFor:
 		r.enter(halting, now) // counts anew, where nobody else takes the duty
-		out := []Command{Explain{"resign", "", "a replica can't be halted from here"}}
+		out := []Command{Explain{"resign", "", "not halted from here: " + r.unhalted()}}
 		return append(append(out, r.release()...), Resign{})
 	default:
 		return nil
@@ -82,3 +85,15 @@
 	}
 	return out
 }
+
+// unhalted names the upstreams that must stop receiving and haven't said that they did,
+// for the log: which member holds a change of leader up can't be told without it.
+func (r *Replacer) unhalted() string {
+	var out []string
+	for _, id := range r.halted() {
+		if e := r.entry(id); !e.heard || e.Held.Less(r.term) {
+			out = append(out, id)
+		}
+	}
+	return strings.Join(out, ", ")
+}
