replacer, overseer: each copy of an order has a token of its own

What callers would see: acknowledged writes that are gone after a change of leader. Cause: copies of an order had one token. One that is carried out seconds late, after its upstream has lost the lead and before the platform sees the next choice, makes it lead again. Change: a copy takes the next token, so the platform refuses earlier ones once it has seen it; only a refusal of the last one says that another holder has the duty.

--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -250,7 +250,7 @@
 		o.Log.Info("overseer: order answered", zap.String("group", order.Group), zap.String("upstream", order.Upstream),
 			zap.Uint64("token", order.Token), zap.Stringer("outcome", outcome), zap.Error(err))
 		o.post(ctx, func(now time.Time) {
-			if outcome == replacer.Rejected {
+			if outcome == replacer.Rejected && g.replacer.Last(order) {
 				o.rejected(g, order, now)
 			}
 			o.run(ctx, g, g.replacer.Handle(replacer.Ordered{Order: order, Outcome: outcome}, now))
--- a/replacer/doc.go
+++ b/replacer/doc.go
@@ -16,8 +16,8 @@
 //
 // An order to promote may be carried out seconds after it was sent, also when
 // its answer is lost. So an order, once sent, is repeated unchanged until the
-// platform answers, and the replicas stay stopped meanwhile. The next choice has a
-// higher token, so that the platform refuses what it would carry out after that. A
+// platform answers, and the replicas stay stopped meanwhile. Each copy, and each next
+// choice, has a higher token, so that the platform refuses earlier ones after that. A
 // holder that the platform refuses gives the duty up; it never uses that token again.
 //
 // A Replacer is a pure state machine of one group: Handle takes an event and the
--- a/replacer/history_test.go
+++ b/replacer/history_test.go
@@ -16,7 +16,7 @@
 // from the store, from each other and from upstreams; leaders are to leave; questions
 // and answers are lost, orders are carried out seconds late.
 //
-// Of 30,000 histories seven lose a commit (the first of them is 2970), for two causes
+// Of 30,000 histories four lose a commit (the first of them is 3554), for two causes
 // that are left: an order that is carried out late, between the moment in which the next
 // holder has halted the replicas of a dead leader and the one in which the platform sees
 // its order; and a holder that doesn't know yet that it was replaced, and releases what
--- a/replacer/order.go
+++ b/replacer/order.go
@@ -33,11 +33,12 @@
 func (r *Replacer) choice(target, step, cause string, now time.Time) []Command {
 	r.target = target
 	r.sent = now
+	r.first = r.token + r.chosen
 	r.chosen++
 	return []Command{Explain{step, target, cause}, Promote{Order: r.order()}}
 }
 
-// order is the one that was chosen last. Each choice has a token of its own: one that
+// order is the one that was sent last. Each choice has a token of its own: one that
 // got no answer may be carried out seconds later, and with the token of the next
 // choice it would depose the leader that this one made. One sees commits lost that
 // were acknowledged since.
@@ -46,7 +47,11 @@
 }
 
 // repeat sends an order again that got no answer. It isn't changed: the first one
-// may still be carried out, and two different ones in turn could lose commits.
+// may still be carried out, and two different ones in turn could lose commits. But it has
+// a token of its own, so that the platform refuses earlier ones once it has seen this: one
+// that is carried out seconds late makes its upstream lead again, after it has lost the
+// lead and before the platform sees who is next. One sees commits lost that it confirmed
+// then: 7 of 30,000 drawn histories lost some with one token for all copies, 4 do now.
 func (r *Replacer) repeat(now time.Time) []Command {
 	if r.view.Token != r.token {
 		// Another holder may have chosen by now, and halted or released what it needs.
@@ -56,21 +61,32 @@
 		return nil
 	}
 	r.sent = now
+	if r.chosen < Block {
+		r.chosen++
+	}
 	return []Command{Promote{Order: r.order()}}
 }
 
+// Last reports whether an order is the one that was sent last. Only of that one a refusal
+// says that another holder has the duty: the platform refuses earlier ones for this.
+func (r *Replacer) Last(o Order) bool { return o == r.order() }
+
+// answers reports whether an order is the present choice, however often it was sent.
+func (r *Replacer) answers(o Order) bool {
+	return o.Upstream == r.target && o.Token >= r.first && o.Token <= r.order().Token
+}
+
 func (r *Replacer) ordered(ev Ordered, now time.Time) []Command {
-	if r.phase != promoting && r.phase != guarding || ev.Order != r.order() {
+	if r.phase != promoting && r.phase != guarding || !r.answers(ev.Order) {
 		return nil
 	}
-	switch ev.Outcome {
-	case Accepted:
-		if r.phase == guarding {
-			return r.guardedBy(now)
-		}
+	switch {
+	case ev.Outcome == Accepted && r.phase == guarding:
+		return r.guardedBy(now)
+	case ev.Outcome == Accepted:
 		r.enter(settling, now)
 		return []Command{Explain{"accepted", r.target, ""}}
-	case Rejected:
+	case ev.Outcome == Rejected && r.Last(ev.Order):
 		// The token is too low or the upstream is down. The duty is given up with that:
 		// the next holder halts the replicas anew, or releases them.
 		r.enter(quiet, now)
--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -63,7 +63,7 @@
 	planned bool
 	view    View
 	token   uint64 // of the holder's block
-	chosen  uint64 // orders of this block that were chosen, each with a token of its own
+	chosen  uint64 // orders of this block that were sent, each with a token of its own
 	term    tracker.Term
 	target  string
 	from    string       // the leader that is replaced
@@ -72,6 +72,7 @@
 	began   time.Time // of the phase
 	fenced  time.Time // crash: no choice before
 	sent    time.Time // of the last order
+	first   uint64    // token of the first copy of the last choice
 	next    time.Time // no attempt before
 	taken   time.Time // when this block of tokens was first seen
 	tidied  bool      // what an earlier holder left halted was released
