carrier, placer, loader: an upstream that leaves gets no work when its time is over

What callers saw: requests reached a leader beyond the time in which one that leaves may get any, and could end with it. Cause: the time was nowhere kept. A leader that leaves was used until another one led, and where none can (its replicas are away, or lack what only it has) until it was gone. The class: a bound that holds only if another mechanism succeeds in time. Change: the setting leave, filled in by the platform; a second before it is over the upstream gets no new work and no read, at the choice and again where a connection has been had; callers are refused at once, with when to come back. Its lead isn't denied, so the change of leader goes on. Who meets it leaving already counts half of the time. Why it holds: it is looked at by whoever sends, and needs nothing from anybody else.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -27,6 +27,9 @@
 type Carrier struct {
 	// Zone is this process's availability zone.
 	Zone string
+	// Leave is how long an upstream that says that it leaves may get new work; zero sets
+	// no bound.
+	Leave time.Duration
 	// Dial opens a link to an upstream.
 	Dial func(ctx context.Context, u cataloger.Upstream) (Link, error)
 	// Carry, when set, says for each group how many connections this process may have
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/cataloger"
+	"basildale.example/basildale/placer"
 	"basildale.example/basildale/tracker"
 )
 
@@ -106,6 +107,10 @@
 // open gets a connection to a member for a job.
 func (g *Group) open(m *member, j *Job) (*run, Answer) {
 	c, err := m.connection(j.Deadline)
+	if err == nil && g.isClosed(m) {
+		g.release(m, c, true)
+		return nil, refusal(Busy, string(placer.Closed))
+	}
 	if err != nil {
 		g.refused(m, err)
 		switch {
--- a/carrier/member.go
+++ b/carrier/member.go
@@ -44,6 +44,8 @@
 	turned   time.Time // when its gate last refused a statement
 	faults   faults
 	mark     tracker.Mark
+	ends     time.Time // when its time for new work is over; zero while that isn't known
+	closing  bool      // that it is over was logged
 	unlisted time.Time // since when the store doesn't list it, though it answers
 	// restart is when it was found to have started again, and floor how far the log of
 	// a new leader must reach for that.
@@ -73,6 +75,7 @@
 	return placer.Candidate{
 		Leads:   leads,
 		Leaving: m.entry.Leaving,
+		Closed:  m.closed(now),
 		Barred:  m.barred,
 		Local:   local,
 		Behind:  m.lag.lacks(now, upTo),
--- a/carrier/place.go
+++ b/carrier/place.go
@@ -33,7 +33,7 @@
 		if j.Elsewhere != nil && j.Elsewhere() {
 			return nil, since, refusal(Unplaced, string(reason))
 		}
-		if g.vain(j) || !wait(j, changed) {
+		if reason == placer.Closed || g.vain(j) || !wait(j, changed) {
 			return nil, since, g.unplaced(j, reason)
 		}
 	}
--- a/carrier/runner.go
+++ b/carrier/runner.go
@@ -43,14 +43,14 @@
 	now := g.carrier.Now()
 	leads := g.present() != nil
 	if j.Latest() {
-		return leads && !g.leader.full() && (!j.Writes || !g.stuck(g.leader, now))
+		return leads && !g.leader.closed(now) && !g.leader.full() && (!j.Writes || !g.stuck(g.leader, now))
 	}
 	_, fresh := g.samples.since(j.Arrived.Add(margin - j.MaxAge))
 	if !fresh && !leads {
 		return false
 	}
 	for _, m := range g.members {
-		if !m.barred && !m.full() {
+		if !m.barred && !m.closed(now) && !m.full() {
 			return true
 		}
 	}
--- a/loader/checker.go
+++ b/loader/checker.go
@@ -18,6 +18,7 @@
 	maxCallers               = 1_000_000
 	minBuffer, maxBuffer     = 16 * kib, 64 * mib
 	minStop, maxStop         = time.Second, 10 * time.Minute
+	minLeave, maxLeave       = 2 * time.Second, 10 * time.Minute
 	maxSlots, maxConnections = 1000, 10_000
 	maxConnect               = 10 * time.Second
 	minCores, maxCores       = 0.01, 64
@@ -55,6 +56,7 @@
 		{"limits", false, c.limits(&s.Limits)},
 		{"processor", false, c.cores(&s.Processor)},
 		{"stop", false, c.span(&s.Stop, minStop, maxStop)},
+		{"leave", false, c.span(&s.Leave, minLeave, maxLeave)},
 		{"log", false, c.level(&s.Log)},
 		{"groups", false, c.groups(s)},
 		{"callers", false, c.callers(s)},
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -60,6 +60,9 @@
 	Processor float64
 	// Stop is how long a graceful stop may wait for work in flight.
 	Stop time.Duration
+	// Leave is how long an upstream that says that it leaves may get new work; zero
+	// sets no bound.
+	Leave time.Duration
 	// Log is the least level that is logged.
 	Log zapcore.Level
 	// Groups lists database groups for a process without a platform.
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -37,6 +37,8 @@
 type Candidate struct {
 	Leads   bool
 	Leaving bool
+	// Closed says that it gets no more work.
+	Closed bool
 	// Barred says that it doesn't answer.
 	Barred bool
 	Local  bool
@@ -73,6 +75,7 @@
 	Cheapest Reason = "least expected time"
 	NoLeader Reason = "no leader is known"
 	Silent   Reason = "the leader doesn't answer"
+	Closed   Reason = "the leader leaves and gets no more work"
 	Starved  Reason = "the leader's commits aren't acknowledged"
 	NoneLeft Reason = "no upstream answers"
 )
@@ -85,7 +88,7 @@
 	best, least := None, time.Duration(0)
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Barred {
+		if c.Barred || c.Closed {
 			continue
 		}
 		cost := cost(c, need)
@@ -105,6 +108,8 @@
 		case !c.Leads:
 		case c.Barred:
 			return None, Silent
+		case c.Closed:
+			return None, Closed
 		default:
 			return i, ByNeed
 		}
--- a/proxier/fleet_test.go
+++ b/proxier/fleet_test.go
@@ -19,6 +19,9 @@
 	"basildale.example/basildale/platform/faker"
 )
 
+// leave is how long an upstream that says that it leaves may get new work.
+const leave = 3 * time.Second
+
 // fleet is a platform with one group and some proxies before it.
 type fleet struct {
 	t        *testing.T
@@ -65,7 +68,7 @@
 	m := &member{ended: make(chan struct{}), Proxier: &Proxier{Log: log, Settings: loader.Settings{
 		Name: fmt.Sprintf("proxy-%d", i), Zone: fmt.Sprintf("zone-%d", i%3), Wire: loader.Lines,
 		Listen: local, Ready: local, Peers: local, Operators: local, Carry: local,
-		Platform: []netip.AddrPort{f.platform.Address()}, Orders: f.platform.Address(), Stop: time.Second,
+		Platform: []netip.AddrPort{f.platform.Address()}, Orders: f.platform.Address(), Stop: time.Second, Leave: leave,
 	}}}
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -159,7 +159,7 @@
 	p.client = &http.Client{Transport: translator.Base()}
 	p.store = &keeper.Client{Addrs: s.Platform, Transport: &translator.Transport{Base: translator.Base()}}
 	dialer := &connector.Connector{Name: s.Name}
-	p.carrier = &carrier.Carrier{Zone: s.Zone, Dial: dialer.Dial, Now: bootClock, Log: p.Log}
+	p.carrier = &carrier.Carrier{Zone: s.Zone, Leave: s.Leave, Dial: dialer.Dial, Now: bootClock, Log: p.Log}
 	p.gossip = &gossiper.Gossiper{Address: s.Peers, Self: p.self, Heard: p.heard, Dropped: p.clear, Now: bootClock, Log: p.Log}
 	p.holdings = &holdings{carrier: p.carrier, proxies: p.proxies, log: p.Log}
 	orders := &orderer.Orderer{Address: s.Orders, Holder: s.Name}
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -371,3 +371,33 @@
 		})
 	}
 }
+
+// Symptom: callers' requests reach a leader beyond the time in which one that leaves may
+// get any. Sequence: both replicas are dark, and the leader says that it leaves. Cause:
+// nothing but a change of leader ended its work. Reads that may be old are refused as
+// well: nobody else answers.
+func TestALeaderThatNobodyCanFollowGetsNoMoreWork(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3)
+	c, g := f.dial(f.proxies[0], "seats"), f.dial(f.proxies[1], "times")
+	is.Equal(c.ask("WRITE seat anna").code, "")
+	is.Equal(g.ask("READ seat").code, "")
+	for _, u := range f.group.Replicas() {
+		u.Silence()
+	}
+	old := f.group.Leader()
+	old.Leave()
+	is.Equal(c.ask("READ seat").code, "") // it serves on
+	f.until("no more work", func() bool { return c.ask("READ seat").code == "CONGESTED" && g.ask("READ seat").code == "CONGESTED" })
+	ran := old.Ran()
+	for _, m := range f.proxies {
+		is.Equal(f.dial(m, "seats").ask("READ seat").code, "CONGESTED")
+	}
+	is.Equal(old.Ran(), ran)
+	for _, u := range f.group.Replicas() {
+		u.Speak()
+	}
+	f.until("another leader", func() bool { l := f.group.Leader(); return l != nil && l != old })
+	f.until("work", func() bool { return c.ask("READ seat").code == "" })
+	is.Equal(f.group.Stats().Lost, 0)
+}
