replacer: copies of orders leave tokens for the choices of an attempt

Cause: found in reading the change. Since each copy of an order takes a token, a platform that answers nothing for five minutes uses a block up, and the next choice would take the first token of the next holder's block: two holders with one token. Change: copies stop short of the block's end, and a holder resigns there. Measured: the new test fails when an attempt begins with one token left, and passes now.

--- a/replacer/message.go
+++ b/replacer/message.go
@@ -11,6 +11,10 @@
 // a change of leader uses one or two.
 const Block = 1 << 10
 
+// spare is how many tokens of a block copies of orders leave for the choices of an
+// attempt: two, and one for each 1.2 s in which earlier orders may be under way.
+const spare = 32
+
 // Order asks the platform to make an upstream the leader of its group.
 type Order struct {
 	Group    string
--- a/replacer/order.go
+++ b/replacer/order.go
@@ -51,7 +51,7 @@
 		return nil
 	}
 	r.sent = now
-	if r.chosen < Block {
+	if r.chosen < Block-spare {
 		r.order.Token = r.token + r.chosen
 		r.cleared = time.Time{}
 		r.chosen++
--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -83,7 +83,7 @@
 	around  bool // planned: some of those that are to be halted don't answer
 	view    View
 	token   uint64 // of the holder's block
-	chosen  uint64 // orders of this block that were chosen, each with a token of its own
+	chosen  uint64 // orders of this block that were sent, each with a token of its own
 	term    tracker.Term
 	target  string
 	from    string       // the leader that is replaced
@@ -172,7 +172,7 @@
 		r.taken, r.tidied, r.guarded = now, false, false
 		r.cleared = time.Time{}
 	}
-	if r.chosen >= Block {
+	if r.chosen >= Block-spare {
 		return []Command{Explain{"resign", "", "the tokens of the block are used up"}, Resign{}}
 	}
 	r.must = r.leaving(r.view.Leader) || r.view.Shunned
--- a/replacer/replacer_test.go
+++ b/replacer/replacer_test.go
@@ -397,3 +397,26 @@
 	s.play(2 * tidyAfter)
 	is.Equal(s.held["b"], uint32(0))
 }
+
+// Symptom: two holders order with one token. Sequence: the platform answers nothing for
+// minutes, and each copy of an order takes another token. Cause: the holder goes on into
+// the block of the next one.
+func TestTokensStayInTheirBlock(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	s.crash()
+	s.play(10 * time.Minute)
+	is.True(len(s.orders) > Block)
+	for _, o := range s.orders {
+		is.True(o.Token < 7+Block)
+	}
+
+	s = newScene()
+	s.play(step)
+	s.r.token, s.r.chosen = 7, Block-1 // what earlier changes left
+	s.view.Members[0].Leaving = true
+	s.prompt = true
+	s.play(time.Second)
+	is.Equal(s.resigned, 1)
+	is.Equal(len(s.orders), 0)
+}
