controller: a primary that leaves isn't moved to a replica that is dark

On the PostgreSQL side the change away from a primary that leaves goes to the replica with the longest log, as it last told. One that is silent without a reset keeps its place: writes are held for a second, the target doesn't catch up, and the next change goes there again, since no other log grows meanwhile. Change: only a replica that told its state within 2.5 s is moved to. Measured: the new test fails without it (goes to the dark one) and passes; go test ./controller ./coordinator passes. Not played with processes.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -139,7 +139,7 @@
 	now = start.Add(time.Second)
 	cmds := c.Handle(Listed{Leaving: []netip.AddrPort{one, three}}, now)
 	is.Equal(published(cmds).Hold, now.Add(moveWithin)) // writes wait for it
-	is.Equal(c.groups["billet-db-1"].successor(), 1)
+	is.Equal(c.groups["billet-db-1"].successor(now), 1)
 	cmds = c.Handle(Listed{Leaving: []netip.AddrPort{one, three}}, now.Add(moveWithin/2))
 	is.Equal(published(cmds), nil) // it is under way
 	c, _ = standalone(t)
@@ -149,6 +149,30 @@
 	is.Equal(published(cmds).Hold, time.Time{}) // there is nowhere to go
 }
 
+// Symptom: writes of a group are held for a second again and again, and its primary, which
+// leaves, isn't replaced. Sequence: the replica with the longest log goes dark, without a
+// reset. Cause: the change goes to what was last heard, however long ago; while writes are
+// held no other log gets longer.
+func TestLeavingPrimaryIsNotMovedToOneThatIsDark(t *testing.T) {
+	is := is.New(t)
+	c, _ := standalone(t)
+	state := func(upstream netip.AddrPort, pos tracker.Position, now time.Time) {
+		s := leading(1, pos)
+		s.Role = tracker.Replica
+		c.Handle(Stated{Group: "billet-db-1", Upstream: upstream, State: s, Following: one, Sent: now, Received: now}, now)
+	}
+	now := start.Add(time.Millisecond)
+	state(two, 10, now)
+	state(three, 9, now)
+	g := c.groups["billet-db-1"]
+	is.Equal(g.successor(now), 1) // the longest log
+	now = now.Add(5 * time.Second)
+	c.Handle(Failed{Group: "billet-db-1", Upstream: two, Trouble: promoter.Quiet}, now)
+	state(three, 9, now)
+	is.Equal(g.successor(now), 2)
+	is.Equal(g.successor(now.Add(time.Minute)), -1) // nobody answers
+}
+
 func TestEventsOfUnknownGroupsAndUpstreamsChangeNothing(t *testing.T) {
 	is := is.New(t)
 	c, _ := standalone(t)
--- a/controller/group.go
+++ b/controller/group.go
@@ -18,6 +18,7 @@
 	tracker  tracker.Group
 	live     []promoter.Member
 	leaving  []bool
+	stated   []time.Time // when each upstream last told its state
 	hold     time.Time
 	moving   time.Time // until when a planned change that was asked for may take
 	dirty    bool      // something that traffic reads has changed
@@ -42,6 +43,7 @@
 		local[i] = u.Zone == zone
 	}
 	g.tracker = tracker.Group{Local: local}
+	g.stated = make([]time.Time, len(local))
 }
 
 // bar marks the upstreams that are leaving.
@@ -60,6 +62,12 @@
 // are held meanwhile.
 const moveWithin = time.Second
 
+// statedWithin is how long ago a replica may have told its state to be moved to: one
+// sample that is missed isn't enough, they come each 0.5 to 1 s. The log of one that is
+// dark stays the longest while writes are held for it, so that they were held for a second
+// again and again, and the primary that leaves stayed.
+const statedWithin = 2500 * time.Millisecond
+
 // evacuate asks for a planned change if the group's primary is leaving. Reads
 // are kept away from an upstream by the router, writes only by this: without it
 // they would go there until it is switched off, and the group would be without a
@@ -70,7 +78,7 @@
 	if i < 0 || !g.leaving[i] || !g.promoter.Leads() || c.now.Before(g.moving) {
 		return
 	}
-	target := g.successor()
+	target := g.successor(c.now)
 	if target < 0 {
 		return // all are leaving
 	}
@@ -78,13 +86,13 @@
 	c.promotion(g, promoter.Move{Target: g.conf.Upstreams[target].Address, Deadline: g.moving})
 }
 
-// successor returns the replica with the longest log that isn't leaving, -1 if
-// there is none.
-func (g *group) successor() int {
+// successor returns the replica with the longest log that answers and isn't leaving, -1
+// if there is none.
+func (g *group) successor(now time.Time) int {
 	best := -1
 	seen := g.tracker.Snapshot().Upstreams
 	for i, u := range seen {
-		if g.leaving[i] || u.Role != tracker.Replica {
+		if g.leaving[i] || u.Role != tracker.Replica || now.Sub(g.stated[i]) > statedWithin {
 			continue
 		}
 		if best < 0 || seen[best].Mark.Less(u.Mark) {
@@ -173,6 +181,7 @@
 	if i < 0 {
 		return
 	}
+	g.stated[i] = c.now
 	g.tracker.Observe(tracker.Sample{Upstream: i, State: ev.State, Sent: ev.Sent, Received: ev.Received})
 	g.dirty = true
 	c.promotion(g, promoter.Stated{Upstream: ev.Upstream, State: ev.State, Following: ev.Following, Sent: ev.Sent})
