--- a/carrier/group.go
+++ b/carrier/group.go
@@ -97,7 +97,7 @@
 		before := m.entry
 		m.entry, m.unlisted = u, time.Time{}
 		if u.Leaving != before.Leaving {
-			g.leaves(m, g.carrier.Leave)
+			g.noteLeaving(m, g.carrier.Leave)
 			g.log().Info("carrier: upstream leaving", zap.String("group", g.name), zap.String("upstream", u.ID), zap.Bool("leaving", u.Leaving))
 		}
 		if u.Leads && !before.Leads {
@@ -119,7 +119,7 @@
 		None:  errUnshared,
 	}
 	m.opener.permit = m.pool.Permit
-	g.leaves(m, g.carrier.Leave/2)
+	g.noteLeaving(m, g.carrier.Leave/2)
 	g.log().Info("carrier: upstream joined", zap.String("group", g.name), zap.String("upstream", u.ID),
 		zap.Stringer("address", u.Address), zap.String("zone", u.Zone), zap.Bool("leads", u.Leads), zap.Uint64("revision", u.Revision))
 	if u.Leads {
--- a/carrier/leave.go
+++ b/carrier/leave.go
@@ -11,7 +11,7 @@
 // gossip, 0.5 s, from a peer; what is sent arrives late, by 0.2 s where a packet is lost.
 const early = time.Second
 
-// leaves takes in whether a member leaves, and for how much longer it may get new work.
+// noteLeaving takes in whether a member leaves, and for how much longer it may get new work.
 // One that is new here and leaves already has said so at some time before: it gets half
 // of the time. The caller has the lock.
 //
@@ -19,7 +19,7 @@
 // none can: its last replica is away, or has missed what only the leader has. Callers
 // then saw their statements taken by an upstream that was about to end, up to 10 s after
 // it had said so. They are refused instead, and told to come back.
-func (g *Group) leaves(m *member, left time.Duration) {
+func (g *Group) noteLeaving(m *member, left time.Duration) {
 	m.ends, m.closing = time.Time{}, false
 	if m.entry.Leaving && left > 0 {
 		m.ends = g.carrier.Now().Add(left - early)
@@ -35,9 +35,9 @@
 	return m.closed(g.carrier.Now())
 }
 
-// close says once that a member's time is over, and wakes who waits for it. The caller
+// noteClosed says once that a member's time is over, and wakes who waits for it. The caller
 // has the lock.
-func (g *Group) close(m *member, now time.Time) {
+func (g *Group) noteClosed(m *member, now time.Time) {
 	if m.closing || !m.closed(now) {
 		return
 	}
--- a/carrier/leave_test.go
+++ b/carrier/leave_test.go
@@ -71,7 +71,7 @@
 	now = now.Add(leaving/2 - early)
 	is.True(g.isClosed(g.members[0]))
 	c.Leave = 0 // no bound
-	g.leaves(g.members[0], c.Leave)
+	g.noteLeaving(g.members[0], c.Leave)
 	is.True(!g.isClosed(g.members[0]))
 }
 
--- a/carrier/watch.go
+++ b/carrier/watch.go
@@ -57,7 +57,7 @@
 		if shrink {
 			go m.pool.Shrink(keep)
 		}
-		g.close(m, now)
+		g.noteClosed(m, now)
 		switch {
 		case stood:
 			m.answered = now
--- a/replacer/halt.go
+++ b/replacer/halt.go
@@ -122,9 +122,9 @@
 		r.fenced = now
 		return append(append(out, Demote{ID: r.from, Term: r.term}), r.fence(now)...)
 	case now.Sub(r.began) > stuckFor:
-		return r.leave(now)
+		return r.handOver(now)
 	default:
-		return append(out, r.instead(now)...)
+		return append(out, r.haltFormer(now)...)
 	}
 }
 
@@ -145,10 +145,10 @@
 	return missing <= most
 }
 
-// instead halts a former leader that answers and leads no more, in place of a replica
+// haltFormer halts a former leader that answers and leads no more, in place of a replica
 // that doesn't answer. Without it a group whose leader gave the lead up for a planned
 // change, and whose holder died then, waits for that replica.
-func (r *Replacer) instead(now time.Time) []Command {
+func (r *Replacer) haltFormer(now time.Time) []Command {
 	e := r.entry(r.from)
 	switch {
 	case r.from == "" || now.Sub(r.began) < haltFor || e.heard && e.Leads || !e.due(now):
@@ -183,8 +183,8 @@
 	return r.choose(now)
 }
 
-// joined halts replicas that have come since the others were halted, or didn't answer.
-func (r *Replacer) joined(now time.Time) []Command {
+// haltRest halts replicas that have come since the others were halted, or didn't answer.
+func (r *Replacer) haltRest(now time.Time) []Command {
 	var out []Command
 	for _, id := range r.halted() {
 		e := r.entry(id)
@@ -195,13 +195,13 @@
 	return out
 }
 
-// late is the same while an order is out, unless the leader has given the lead up: then
+// haltJoined is the same while an order is out, unless the leader has given the lead up: then
 // nobody can confirm anything.
-func (r *Replacer) late(now time.Time) []Command {
+func (r *Replacer) haltJoined(now time.Time) []Command {
 	if r.around {
 		return nil
 	}
-	return r.joined(now)
+	return r.haltRest(now)
 }
 
 // Fencing returns the upstream that peers are to take the lead from, and the term
--- a/replacer/plan.go
+++ b/replacer/plan.go
@@ -138,7 +138,7 @@
 	if r.overtaken() {
 		return r.giveUp(now, "another leader, or none")
 	}
-	out := r.joined(now)
+	out := r.haltRest(now)
 	switch {
 	case r.unhalted() == "":
 		r.around = false
--- a/replacer/release.go
+++ b/replacer/release.go
@@ -12,11 +12,11 @@
 	return []Command{Explain{"called off", r.from, cause}}
 }
 
-// leave lets another process take the duty that may reach those who don't answer here.
+// handOver lets another process take the duty that may reach those who don't answer here.
 // What was halted is released, so the attempt ends with that: an answer that is on its
 // way would pass for that of a replica that has stopped. Where nobody takes the duty
 // another attempt follows.
-func (r *Replacer) leave(now time.Time) []Command {
+func (r *Replacer) handOver(now time.Time) []Command {
 	out := []Command{Explain{"resign", "", "not halted from here: " + r.unhalted()}}
 	r.enter(quiet, now)
 	r.next = now.Add(rest)
--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -153,9 +153,9 @@
 	case yielding:
 		return r.yield(now)
 	case promoting:
-		return append(r.late(now), r.repeat(now)...)
+		return append(r.haltJoined(now), r.repeat(now)...)
 	case settling:
-		return append(r.late(now), r.settle(now)...)
+		return append(r.haltJoined(now), r.settle(now)...)
 	default:
 		return nil
 	}
