--- a/replacer/order.go
+++ b/replacer/order.go
@@ -41,7 +41,7 @@
 // a token of its own, so that the platform refuses earlier ones once it has seen this: one
 // that is carried out seconds late makes its upstream lead again, after it has lost the
 // lead and before the platform sees who is next. One sees commits lost that it confirmed
-// then: 7 of 30,000 drawn histories lost some with one token for all copies, 4 do now.
+// then: with one token for all copies in 7 of 30,000 drawn histories, with one each in 4.
 func (r *Replacer) repeat(now time.Time) []Command {
 	if r.view.Token != r.token {
 		// Another holder may have chosen by now, and halted or released what it needs.
--- a/replacer/plan.go
+++ b/replacer/plan.go
@@ -39,9 +39,9 @@
 }
 
 // probe waits for a replica that has received what the leader had, and only then lets
-// the others be halted. Where the successor was the first that stays, one that was dark
-// or deaf was chosen: with the others halted nobody confirmed commits any more, which
-// ended in doubt for 2 s a try, and the leader that had to go stayed.
+// the others be halted. Halted for the sake of one that is dark or deaf they leave nobody
+// who confirms commits: one sees writes end in doubt, for 2 s a try, and the leader that
+// has to go stay.
 func (r *Replacer) probe(now time.Time) []Command {
 	if r.overtaken() {
 		return r.calledOff(now, "another leader, or none")
