carrier: an upstream that is listed again as leaving has a time

Cause: found in reading the change. One that only the store has lost counts as leaving until it is listed again; where its entry then says that it leaves, that was no news, and its time for new work had no end. Change: such an entry is news. Measured: the new test fails without it and passes; go test ./carrier passes.

--- a/carrier/group.go
+++ b/carrier/group.go
@@ -95,8 +95,10 @@
 			break
 		}
 		before := m.entry
+		// One that wasn't listed counts as leaving without having said so.
+		news := u.Leaving != before.Leaving || u.Leaving && !m.unlisted.IsZero()
 		m.entry, m.unlisted = u, time.Time{}
-		if u.Leaving != before.Leaving {
+		if news {
 			g.noteLeaving(m, g.carrier.Leave)
 			g.log().Info("carrier: upstream leaving", zap.String("group", g.name), zap.String("upstream", u.ID), zap.Bool("leaving", u.Leaving))
 		}
--- a/carrier/leave_test.go
+++ b/carrier/leave_test.go
@@ -113,3 +113,23 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Symptom: callers' requests reach a leader beyond the time in which one that leaves may
+// get any. Sequence: only the store has lost the leader, which counts as leaving meanwhile;
+// its entry is back, and says that it leaves. Cause: that was no news.
+func TestAnUpstreamThatIsListedAgainAsLeavingHasATime(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := &Carrier{Leave: leaving, Now: func() time.Time { return now }, Log: zap.NewNop()}
+	all := []cataloger.Upstream{listedAt("a", 1), listedAt("b", 2)}
+	c.Apply(all)
+	g, _ := c.Group("g")
+	m := g.members[0]
+	m.answered = now
+	c.Apply(all[1:])
+	is.True(m.entry.Leaving)
+	is.True(m.ends.IsZero())
+	all[0].Leaving = true
+	c.Apply(all)
+	is.Equal(m.ends, now.Add(leaving-early))
+}
