proxier: what peers tell each other is logged and counted

Cause: the log said when a configuration came into force and from where, but not when it was first heard of, nor how long and how large each answer between peers was; an answer given up was one line without its size. Change: a line for the first word of a version, and for each answer received, given up and sent, with bytes and time; counters of them; gauges of the version in force and the newest heard of.

--- a/proxier/peers.go
+++ b/proxier/peers.go
@@ -68,6 +68,9 @@
 // it.
 func (p *Proxier) heard(s gossiper.State) {
 	p.checks.hear(s.Checked, bootClock())
+	if s.Configuration > p.holdings.current().Config.Version {
+		p.notice(s.Name, s.Configuration)
+	}
 	newer := s.Configuration > p.holdings.current().Config.Version || p.holdings.lacks(s.Complete, s.Digest)
 	newer = p.gossip.Lacks(s.Fleet) || !p.learned.Load() || newer
 	if !newer || !p.fetching.CompareAndSwap(false, true) {
@@ -75,9 +78,9 @@
 	}
 	go func() {
 		defer p.fetching.Store(false)
-		if err := p.fetch(s.Operators); err != nil {
-			p.Log.Info("proxier: peer didn't tell its configuration", zap.String("peer", s.Name), zap.Error(err))
-		}
+		began := bootClock()
+		bytes, err := p.fetch(s.Operators)
+		p.received(s.Operators, bytes, began, err)
 	}()
 }
 
@@ -102,13 +105,15 @@
 	if p.learned.Load() && number(hasFleet) != uint64(p.gossip.Digest()) {
 		b.Fleet = p.gossip.Members()
 	}
-	if err := json.NewEncoder(w).Encode(b); err != nil {
-		p.Log.Info("proxier: answer to a peer lost", zap.Error(err))
-	}
+	began := bootClock()
+	out := &tally{Writer: w}
+	err := json.NewEncoder(out).Encode(b)
+	p.sent(r.RemoteAddr, out.bytes, began, err)
 }
 
-// fetch takes in what a peer knows and this process doesn't.
-func (p *Proxier) fetch(at netip.AddrPort) error {
+// fetch takes in what a peer knows and this process doesn't, and returns the bytes that
+// came.
+func (p *Proxier) fetch(at netip.AddrPort) (int64, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
 	defer cancel()
 	complete, _ := p.holdings.entries()
@@ -120,16 +125,17 @@
 	where := url.URL{Scheme: "http", Host: at.String(), Path: "/known", RawQuery: has.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, where.String(), nil)
 	if err != nil {
-		return errors.Wrap(err, "proxier: ask a peer")
+		return 0, errors.Wrap(err, "proxier: ask a peer")
 	}
 	resp, err := p.client.Do(req)
 	if err != nil {
-		return errors.Wrap(err, "proxier: ask a peer")
+		return 0, errors.Wrap(err, "proxier: ask a peer")
 	}
 	defer resp.Body.Close()
 	var b bundle
-	if err := json.NewDecoder(resp.Body).Decode(&b); err != nil {
-		return errors.Wrap(err, "proxier: what a peer knows")
+	in := &tally{Reader: resp.Body}
+	if err := json.NewDecoder(in).Decode(&b); err != nil {
+		return in.bytes, errors.Wrap(err, "proxier: what a peer knows")
 	}
 	p.holdings.take(b)
 	if len(b.Fleet) > 0 {
@@ -137,5 +143,5 @@
 		p.introduce()
 		p.Log.Info("proxier: fleet learned", zap.Int("proxies", len(b.Fleet)), zap.String("source", at.String()))
 	}
-	return nil
+	return in.bytes, nil
 }
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -89,6 +89,7 @@
 	// then the process has no connections.
 	introduced chan struct{}
 	fetching   atomic.Bool
+	noticed    atomic.Uint64 // the newest configuration heard of, as logged
 	// assigned is who carries for each group where only some do.
 	assigned atomic.Pointer[map[string][]string]
 	servers  []*http.Server
@@ -179,6 +180,8 @@
 	p.holdings.changed = p.gossip.Pass
 	p.meter.Gauge(func() int64 { return int64(p.receiver.Count()) }, "basildale_callers")
 	p.meter.Gauge(p.gossip.Unread, "basildale_datagrams_unread")
+	p.meter.Gauge(func() int64 { return int64(p.holdings.current().Config.Version) }, "basildale_configuration_version")
+	p.meter.Gauge(func() int64 { return int64(p.noticed.Load()) }, "basildale_configuration_heard")
 	p.receiver = &receiver.Receiver{Address: s.Listen, Open: p.open, Now: bootClock, Log: p.Log}
 }
 
