--- a/proxier/catalog.go
+++ b/proxier/catalog.go
@@ -175,10 +175,8 @@
 	h.publish(h.catalog.Replace(all, version))
 }
 
-// bundle is what a peer is told.
+// bundle is what a peer is told of upstreams and processes.
 type bundle struct {
-	// Config is nil when the peer has that version.
-	Config  *cataloger.Config `json:"config,omitempty"`
 	Entries cataloger.Changes `json:"entries"`
 	// Fleet is the list of the fleet; empty when the peer has the same.
 	Fleet []gossiper.Member `json:"fleet,omitempty"`
@@ -198,27 +196,19 @@
 	return h.catalog.Lacks(complete, digest)
 }
 
-// bundle returns what a peer lacks that has a version of the configuration and all
-// entries up to a revision.
-func (h *holdings) bundle(configuration, complete uint64) bundle {
+// since returns what a peer may lack that has all entries up to a revision.
+func (h *holdings) since(complete uint64) cataloger.Changes {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	b := bundle{Entries: h.catalog.Since(complete)}
-	if c := h.current().Config; c.Version > configuration {
-		b.Config = &c
-	}
-	return b
+	return h.catalog.Since(complete)
 }
 
 // take takes in what a peer told. Its entries count only if they are at least as
 // complete as what is known here.
-func (h *holdings) take(b bundle) {
-	if b.Config != nil {
-		h.configure(*b.Config, "peer")
-	}
+func (h *holdings) take(changes cataloger.Changes) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.publish(h.catalog.Merge(b.Entries))
+	h.publish(h.catalog.Merge(changes))
 }
 
 // served reports whether the process can serve: a configuration is in force and
--- a/proxier/peers.go
+++ b/proxier/peers.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/adapter/messenger"
+	"basildale.example/basildale/cataloger"
 	"basildale.example/basildale/forwarder"
 	"basildale.example/basildale/gossiper"
 )
@@ -70,39 +71,41 @@
 	p.checks.hear(s.Checked, bootClock())
 	if s.Configuration > p.holdings.current().Config.Version {
 		p.notice(s.Name, s.Configuration)
+		p.configurations.hear(s.Operators, s.Configuration)
 	}
-	newer := s.Configuration > p.holdings.current().Config.Version || p.holdings.lacks(s.Complete, s.Digest)
-	newer = p.gossip.Lacks(s.Fleet) || !p.learned.Load() || newer
-	if !newer || !p.fetching.CompareAndSwap(false, true) {
-		return
+	if p.holdings.lacks(s.Complete, s.Digest) {
+		p.entries.hear(s.Operators, s.Complete)
+	}
+	if (p.gossip.Lacks(s.Fleet) || !p.learned.Load()) && p.listing.CompareAndSwap(false, true) {
+		go func() {
+			defer p.listing.Store(false)
+			_ = p.askKnown(s.Operators) // logged; who still lacks the list asks again
+		}()
 	}
-	go func() {
-		defer p.fetching.Store(false)
-		began := bootClock()
-		bytes, err := p.fetch(s.Operators)
-		p.received(s.Operators, bytes, began, err)
-	}()
 }
 
-// What a peer that asks says that it has: a version of the configuration, and the
-// revision up to which it knows all entries of upstreams.
+// What a peer that asks says that it has: a version of the configuration, the revision
+// up to which it knows all entries of upstreams, and a hash of its list of the fleet.
 const (
 	hasConfiguration = "configuration"
 	hasComplete      = "complete"
 	hasFleet         = "fleet"
 )
 
-// known tells a peer what it lacks.
-func (p *Proxier) known(w http.ResponseWriter, r *http.Request) {
-	number := func(name string) uint64 {
-		n, err := strconv.ParseUint(r.FormValue(name), 10, 64)
-		if err != nil {
-			p.Log.Warn("proxier: a peer doesn't say what it has, and is told all", zap.String("field", name), zap.Error(err))
-		}
-		return n
+// number reads what a peer says that it has.
+func (p *Proxier) number(r *http.Request, name string) uint64 {
+	n, err := strconv.ParseUint(r.FormValue(name), 10, 64)
+	if err != nil {
+		p.Log.Warn("proxier: a peer doesn't say what it has, and is told all", zap.String("field", name), zap.Error(err))
 	}
-	b := p.holdings.bundle(number(hasConfiguration), number(hasComplete))
-	if p.learned.Load() && number(hasFleet) != uint64(p.gossip.Digest()) {
+	return n
+}
+
+// known tells a peer which entries of upstreams and which processes of the fleet it
+// lacks.
+func (p *Proxier) known(w http.ResponseWriter, r *http.Request) {
+	b := bundle{Entries: p.holdings.since(p.number(r, hasComplete))}
+	if p.learned.Load() && p.number(r, hasFleet) != uint64(p.gossip.Digest()) {
 		b.Fleet = p.gossip.Members()
 	}
 	began := bootClock()
@@ -111,37 +114,79 @@
 	p.sent(r.RemoteAddr, out.bytes, began, err)
 }
 
-// fetch takes in what a peer knows and this process doesn't, and returns the bytes that
-// came.
-func (p *Proxier) fetch(at netip.AddrPort) (int64, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
-	defer cancel()
+// configuration tells a peer the configuration, if it lacks it.
+func (p *Proxier) configuration(w http.ResponseWriter, r *http.Request) {
+	config := p.holdings.current().Config
+	if config.Version <= p.number(r, hasConfiguration) {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	began := bootClock()
+	out := &tally{Writer: w}
+	body, err := pack(&config)
+	if err == nil {
+		_, err = out.Write(body)
+	}
+	p.sent(r.RemoteAddr, out.bytes, began, err)
+}
+
+// pack returns a configuration as it is sent to peers.
+func pack(c *cataloger.Config) ([]byte, error) { return json.Marshal(c) }
+
+// askKnown takes in the entries and the list of the fleet that a peer has.
+func (p *Proxier) askKnown(at netip.AddrPort) error {
 	complete, _ := p.holdings.entries()
-	has := url.Values{
-		hasConfiguration: {strconv.FormatUint(p.holdings.current().Config.Version, 10)},
-		hasComplete:      {strconv.FormatUint(complete, 10)},
-		hasFleet:         {strconv.FormatUint(uint64(p.gossip.Digest()), 10)},
+	var b bundle
+	err := p.get(at, "/known", url.Values{
+		hasComplete: {strconv.FormatUint(complete, 10)},
+		hasFleet:    {strconv.FormatUint(uint64(p.gossip.Digest()), 10)},
+	}, &b)
+	if err != nil {
+		return err
+	}
+	p.holdings.take(b.Entries)
+	if len(b.Fleet) > 0 {
+		p.gossip.Take(b.Fleet)
+		p.introduce()
+		p.Log.Info("proxier: fleet learned", zap.Int("proxies", len(b.Fleet)), zap.Stringer("source", at))
+	}
+	return nil
+}
+
+// askConfiguration takes in the configuration that a peer has.
+func (p *Proxier) askConfiguration(at netip.AddrPort) error {
+	var c cataloger.Config
+	has := strconv.FormatUint(p.holdings.current().Config.Version, 10)
+	if err := p.get(at, "/configuration", url.Values{hasConfiguration: {has}}, &c); err != nil {
+		return err
 	}
-	where := url.URL{Scheme: "http", Host: at.String(), Path: "/known", RawQuery: has.Encode()}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, where.String(), nil)
+	p.holdings.configure(c, "peer")
+	return nil
+}
+
+// get reads what a peer tells; nothing where it has nothing newer.
+func (p *Proxier) get(at netip.AddrPort, path string, has url.Values, out any) (err error) {
+	began := bootClock()
+	in := &tally{Reader: http.NoBody}
+	defer func() { p.received(at, path, in.bytes, began, err) }()
+	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+	defer cancel()
+	where := url.URL{Scheme: "http", Host: at.String(), Path: path, RawQuery: has.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, where.String(), http.NoBody)
 	if err != nil {
-		return 0, errors.Wrap(err, "proxier: ask a peer")
+		return errors.Wrap(err, "proxier: ask a peer")
 	}
 	resp, err := p.client.Do(req)
 	if err != nil {
-		return 0, errors.Wrap(err, "proxier: ask a peer")
+		return errors.Wrap(err, "proxier: ask a peer")
 	}
 	defer resp.Body.Close()
-	var b bundle
-	in := &tally{Reader: resp.Body}
-	if err := json.NewDecoder(in).Decode(&b); err != nil {
-		return in.bytes, errors.Wrap(err, "proxier: what a peer knows")
+	in.Reader = resp.Body
+	if resp.StatusCode == http.StatusNoContent {
+		return nil
 	}
-	p.holdings.take(b)
-	if len(b.Fleet) > 0 {
-		p.gossip.Take(b.Fleet)
-		p.introduce()
-		p.Log.Info("proxier: fleet learned", zap.Int("proxies", len(b.Fleet)), zap.String("source", at.String()))
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("proxier: peer answers with status %d", resp.StatusCode)
 	}
-	return in.bytes, nil
+	return errors.Wrap(json.NewDecoder(in).Decode(out), "proxier: what a peer knows")
 }
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -88,8 +88,11 @@
 	// introduced says that it has just done so. Who carries is divided at once: until
 	// then the process has no connections.
 	introduced chan struct{}
-	fetching   atomic.Bool
-	noticed    atomic.Uint64 // the newest configuration heard of, as logged
+	listing    atomic.Bool // a peer is asked for the list of the fleet
+	// configurations and entries are had from peers that have newer ones.
+	configurations *syncer
+	entries        *syncer
+	noticed        atomic.Uint64 // the newest configuration heard of, as logged
 	// assigned is who carries for each group where only some do.
 	assigned atomic.Pointer[map[string][]string]
 	servers  []*http.Server
@@ -168,6 +171,8 @@
 	p.carrier = &carrier.Carrier{Zone: s.Zone, Leave: s.Leave, Dial: dialer.Dial, Now: bootClock, Log: p.Log}
 	p.gossip = &gossiper.Gossiper{Address: s.Peers, Self: p.self, Heard: p.heard, Dropped: p.clear, Now: bootClock, Log: p.Log}
 	p.holdings = &holdings{carrier: p.carrier, proxies: p.proxies, log: p.Log}
+	p.configurations = &syncer{held: func() uint64 { return p.holdings.current().Config.Version }, ask: p.askConfiguration}
+	p.entries = &syncer{held: func() uint64 { complete, _ := p.holdings.entries(); return complete }, ask: p.askKnown}
 	orders := &orderer.Orderer{Address: s.Orders, Holder: s.Name}
 	p.overseer = &overseer.Overseer{
 		Name: s.Name, Start: p.start, Groups: p.carrier.Groups, Store: p.store, Live: p.gossip.Live, Silent: p.gossip.Silent,
@@ -231,6 +236,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", r.Handler())
 	mux.HandleFunc("GET /known", p.known)
+	mux.HandleFunc("GET /configuration", p.configuration)
 	return mux
 }
 
--- a/proxier/transfer.go
+++ b/proxier/transfer.go
@@ -42,17 +42,17 @@
 }
 
 // received notes how a transfer from a peer ended, with what came of it.
-func (p *Proxier) received(from netip.AddrPort, bytes int64, began time.Time, err error) {
+func (p *Proxier) received(from netip.AddrPort, path string, bytes int64, began time.Time, err error) {
 	p.count(bytesReceived, bytes)
 	took := bootClock().Sub(began)
 	if err != nil {
 		p.count(transfersFailed, 1)
-		p.Log.Info("proxier: peer didn't tell what it knows", zap.Stringer("peer", from), zap.Int64("bytes", bytes),
+		p.Log.Info("proxier: peer didn't tell what it knows", zap.Stringer("peer", from), zap.String("path", path), zap.Int64("bytes", bytes),
 			zap.Duration("took", took), zap.Uint64("configuration", p.holdings.current().Config.Version), zap.Error(err))
 		return
 	}
 	p.count(transfersReceived, 1)
-	p.Log.Info("proxier: peer told what it knows", zap.Stringer("peer", from), zap.Int64("bytes", bytes),
+	p.Log.Info("proxier: peer told what it knows", zap.Stringer("peer", from), zap.String("path", path), zap.Int64("bytes", bytes),
 		zap.Duration("took", took), zap.Uint64("configuration", p.holdings.current().Config.Version))
 }
 
