fetcher, proxier: what peers don't deliver is read in the store

What callers saw: a database whose route had been confirmed was unknown to some processes for more than 5 s. Cause: a process that heard of a newer version asked whoever told it last, again and again, and had no other way to it: that others had just read the store, which they said, kept it from reading. So long as the link of the one it asked was full, it stayed behind. The class: a cache whose peers are its only source. Change: package fetcher remembers which peers have the newest version, passes over for a while who failed, and after 1 to 1.5 s without it says that the store is to be read, and again each 2 to 3 s. Both kinds that are relayed go by it, the configuration and the entries of upstreams. The tests of a fleet's spread play a store that serves only the two that watch. Why it holds: what the store has doesn't depend on any peer's link.

--- /dev/null
+++ b/fetcher/fetcher_test.go
@@ -0,0 +1,143 @@
+package fetcher
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func peer(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7440)
+}
+
+func newFetcher() (*Fetcher, time.Time) {
+	return &Fetcher{Rand: rand.New(rand.NewPCG(1, 1))}, time.Unix(1_800_000_000, 0)
+}
+
+func TestNothingIsAskedForThatIsHeld(t *testing.T) {
+	is := is.New(t)
+	f, now := newFetcher()
+	f.Hold(5)
+	f.Hear(peer(1), 5, now)
+	_, ok := f.Next(now.Add(time.Hour))
+	is.True(!ok)
+}
+
+func TestOnePeerIsAskedAtATime(t *testing.T) {
+	is := is.New(t)
+	f, now := newFetcher()
+	f.Hear(peer(1), 2, now)
+	f.Hear(peer(2), 2, now)
+	s, ok := f.Next(now)
+	is.True(ok)
+	is.True(!s.IsStore())
+	_, ok = f.Next(now)
+	is.True(!ok)
+	f.Hold(2)
+	f.Done(s, Told, now)
+	_, ok = f.Next(now.Add(time.Hour))
+	is.True(!ok)
+}
+
+// Guards against a process that stays with a peer that can't deliver while others could.
+func TestAnotherPeerIsAskedWhenOneFailsOrIsBusy(t *testing.T) {
+	for _, outcome := range []Outcome{Busy, Failed} {
+		is := is.New(t)
+		f, now := newFetcher()
+		f.Hear(peer(1), 2, now)
+		first, ok := f.Next(now)
+		is.True(ok)
+		f.Hear(peer(2), 2, now)
+		f.Done(first, outcome, now)
+		f.Hear(peer(1), 2, now) // what it says doesn't make it less busy
+		second, ok := f.Next(now)
+		is.True(ok)
+		is.Equal(second, Source{Peer: peer(2)})
+		f.Done(second, outcome, now)
+		_, ok = f.Next(now)
+		is.True(!ok) // both are passed over
+		again, ok := f.Next(now.Add(2 * busyFor))
+		is.Equal(ok, outcome == Busy)
+		is.True(!again.IsStore() || !ok)
+	}
+}
+
+// Guards against a loop on a peer that no longer has what it said.
+func TestAPeerThatHasNothingNewIsForgotten(t *testing.T) {
+	is := is.New(t)
+	f, now := newFetcher()
+	f.Hear(peer(1), 2, now)
+	s, ok := f.Next(now)
+	is.True(ok)
+	f.Done(s, Told, now)
+	_, ok = f.Next(now)
+	is.True(!ok)
+}
+
+// Guards against a process that trusts its peers for ever.
+func TestTheStoreIsReadWhenPeersDontDeliver(t *testing.T) {
+	is := is.New(t)
+	f, now := newFetcher()
+	began := now
+	f.Hear(peer(1), 2, now)
+	s, _ := f.Next(now)
+	is.True(!s.IsStore())
+	var reads []time.Duration
+	for now.Sub(began) < 8*time.Second {
+		now = now.Add(100 * time.Millisecond)
+		f.Hear(peer(2), 2, now) // others go on to say that they have it
+		if s, ok := f.Next(now); ok && s.IsStore() {
+			reads = append(reads, now.Sub(began))
+			f.Done(s, Failed, now)
+		}
+	}
+	is.True(len(reads) >= 3)
+	is.True(reads[0] >= patience)
+	is.True(reads[0] <= 2*patience)
+	for i := 1; i < len(reads); i++ {
+		is.True(reads[i]-reads[i-1] >= storeEvery)
+	}
+}
+
+// Guards against a read of the store for each of many versions that follow one another.
+func TestProgressPutsTheStoreOff(t *testing.T) {
+	is := is.New(t)
+	f, now := newFetcher()
+	for version := uint64(2); version < 40; version++ {
+		if version == 2 {
+			f.Hear(peer(1), version, now)
+		}
+		s, ok := f.Next(now)
+		is.True(ok)
+		is.True(!s.IsStore())
+		f.Hear(peer(1), version+1, now) // while it sends the one before
+		now = now.Add(300 * time.Millisecond)
+		f.Hold(version)
+		f.Done(s, Told, now)
+	}
+}
+
+// Guards against a list of peers that grows with the fleet.
+func TestOffersAreBounded(t *testing.T) {
+	is := is.New(t)
+	f, now := newFetcher()
+	for i := range 200 {
+		f.Hear(peer(i), 2, now)
+	}
+	is.Equal(len(f.offers), mostOffers)
+	f.Hold(2)
+	is.Equal(len(f.offers), 0)
+}
+
+func TestTheNewestVersionIsAskedFor(t *testing.T) {
+	is := is.New(t)
+	f, now := newFetcher()
+	f.Hear(peer(1), 3, now)
+	f.Hear(peer(2), 2, now)
+	s, ok := f.Next(now)
+	is.True(ok)
+	is.Equal(s, Source{Peer: peer(1)})
+}
--- a/proxier/check.go
+++ b/proxier/check.go
@@ -5,10 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"go.uber.org/zap"
-
 	"basildale.example/basildale/platform/translator"
+	"github.com/cespare/xxhash/v2"
 )
 
 // How often some process of the fleet reads each kind as a whole. A watch can
@@ -119,9 +117,7 @@
 			continue
 		}
 		tried = now
-		if _, err := f.list(ctx); err != nil && ctx.Err() == nil {
-			p.Log.Info("proxier: check of the store failed", zap.String("kind", f.kind), zap.Error(err))
-		}
+		_ = f.reread(ctx) // logged; the next check is due as after one that went well
 	}
 }
 
--- a/proxier/follow.go
+++ b/proxier/follow.go
@@ -84,7 +84,7 @@
 // step lists once, and then watches.
 func (f *follower) step(ctx context.Context) error {
 	if !f.listed || f.stale {
-		version, err := f.list(ctx)
+		version, err := f.list(ctx, f.page)
 		if err == nil {
 			f.version = max(f.version, version)
 			f.listed = true
@@ -105,13 +105,13 @@
 
 // list reads all pages. The watch goes on from the first page's version, so that
 // a change between two pages isn't missed.
-func (f *follower) list(ctx context.Context) (uint64, error) {
+func (f *follower) list(ctx context.Context, read reader) (uint64, error) {
 	began := bootClock()
 	var all []keeper.Object
 	var version uint64
 	after := ""
 	for {
-		page, err := f.page(ctx, after)
+		page, err := read(ctx, after)
 		if err != nil {
 			return 0, err
 		}
@@ -131,17 +131,31 @@
 	return version, nil
 }
 
-// page reads one page.
+// reader reads one page of a list, from after a name on.
+type reader func(ctx context.Context, after string) (keeper.Page, error)
+
+// page reads a page for the goroutine that follows.
 func (f *follower) page(ctx context.Context, after string) (keeper.Page, error) {
-	list := func(ctx context.Context) (keeper.Page, error) {
-		return f.store.List(ctx, f.kind, after, keeper.PageItems)
-	}
-	if !f.listed {
-		return hedged(ctx, list)
+	if f.listed {
+		return f.call(ctx, after)
 	}
+	return hedged(ctx, func(ctx context.Context) (keeper.Page, error) { return f.call(ctx, after) })
+}
+
+// call reads a page by one call.
+func (f *follower) call(ctx context.Context, after string) (keeper.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return list(ctx)
+	return f.store.List(ctx, f.kind, after, keeper.PageItems)
+}
+
+// reread reads the kind as a whole, beside the goroutine that follows.
+func (f *follower) reread(ctx context.Context) error {
+	_, err := f.list(ctx, f.call)
+	if err != nil && ctx.Err() == nil {
+		f.log.Info("proxier: store not read", zap.String("kind", f.kind), zap.Error(err))
+	}
+	return err
 }
 
 // report logs when the store is lost and when it is back.
--- a/proxier/peers.go
+++ b/proxier/peers.go
@@ -79,7 +79,7 @@
 	if (p.gossip.Lacks(s.Fleet) || !p.learned.Load()) && p.listing.CompareAndSwap(false, true) {
 		go func() {
 			defer p.listing.Store(false)
-			_ = p.askKnown(s.Operators) // logged; who still lacks the list asks again
+			_ = p.askKnown(context.Background(), s.Operators) // logged; who still lacks the list asks again
 		}()
 	}
 }
@@ -134,10 +134,10 @@
 func pack(c *cataloger.Config) ([]byte, error) { return json.Marshal(c) }
 
 // askKnown takes in the entries and the list of the fleet that a peer has.
-func (p *Proxier) askKnown(at netip.AddrPort) error {
+func (p *Proxier) askKnown(ctx context.Context, at netip.AddrPort) error {
 	complete, _ := p.holdings.entries()
 	var b bundle
-	err := p.get(at, "/known", url.Values{
+	err := p.get(ctx, at, "/known", url.Values{
 		hasComplete: {strconv.FormatUint(complete, 10)},
 		hasFleet:    {strconv.FormatUint(uint64(p.gossip.Digest()), 10)},
 	}, &b)
@@ -154,22 +154,30 @@
 }
 
 // askConfiguration takes in the configuration that a peer has.
-func (p *Proxier) askConfiguration(at netip.AddrPort) error {
+func (p *Proxier) askConfiguration(ctx context.Context, at netip.AddrPort) error {
 	var c cataloger.Config
 	has := strconv.FormatUint(p.holdings.current().Config.Version, 10)
-	if err := p.get(at, "/configuration", url.Values{hasConfiguration: {has}}, &c); err != nil {
+	if err := p.get(ctx, at, "/configuration", url.Values{hasConfiguration: {has}}, &c); err != nil {
 		return err
 	}
 	p.holdings.configure(c, "peer")
 	return nil
 }
 
+// fallBack reads a kind in the store that peers say has changed and don't deliver.
+func (p *Proxier) fallBack(ctx context.Context, f *follower) error {
+	complete, _ := p.holdings.entries()
+	p.Log.Warn("proxier: peers don't deliver, the store is read", zap.String("kind", f.kind), zap.Uint64("heard", p.noticed.Load()),
+		zap.Uint64("configuration", p.holdings.current().Config.Version), zap.Uint64("complete", complete))
+	return f.reread(ctx)
+}
+
 // get reads what a peer tells; nothing where it has nothing newer.
-func (p *Proxier) get(at netip.AddrPort, path string, has url.Values, out any) (err error) {
+func (p *Proxier) get(ctx context.Context, at netip.AddrPort, path string, has url.Values, out any) (err error) {
 	began := bootClock()
 	in := &tally{Reader: http.NoBody}
 	defer func() { p.received(at, path, in.bytes, began, err) }()
-	ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	where := url.URL{Scheme: "http", Host: at.String(), Path: path, RawQuery: has.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, where.String(), http.NoBody)
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -92,7 +92,10 @@
 	// configurations and entries are had from peers that have newer ones.
 	configurations *syncer
 	entries        *syncer
-	noticed        atomic.Uint64 // the newest configuration heard of, as logged
+	// config and upstreams follow the store.
+	config    *follower
+	upstreams *follower
+	noticed   atomic.Uint64 // the newest configuration heard of, as logged
 	// assigned is who carries for each group where only some do.
 	assigned atomic.Pointer[map[string][]string]
 	servers  []*http.Server
@@ -137,15 +140,13 @@
 	}
 	p.Started()
 	close(p.started)
-	config := p.follower(translator.Configuration, p.holdings.objects, p.holdings.objects)
-	upstreams := p.follower(translator.Upstreams, p.holdings.upstreams, p.holdings.watched)
-	config.wanted = func() bool { return p.watches(translator.Configuration, configCheck) }
-	upstreams.wanted = func() bool { return p.watches(translator.Upstreams, upstreamsCheck) }
 	var running sync.WaitGroup
-	running.Go(func() { config.run(inner) })
-	running.Go(func() { upstreams.run(inner) })
-	running.Go(func() { p.check(inner, config, configCheck) })
-	running.Go(func() { p.check(inner, upstreams, upstreamsCheck) })
+	running.Go(func() { p.config.run(inner) })
+	running.Go(func() { p.upstreams.run(inner) })
+	running.Go(func() { p.check(inner, p.config, configCheck) })
+	running.Go(func() { p.check(inner, p.upstreams, upstreamsCheck) })
+	running.Go(func() { p.configurations.run(inner) })
+	running.Go(func() { p.entries.run(inner) })
 	running.Go(func() { p.enroll(inner) })
 	running.Go(func() { p.overseer.Run(inner) })
 	running.Go(func() { p.keepUp(inner) })
@@ -171,8 +172,7 @@
 	p.carrier = &carrier.Carrier{Zone: s.Zone, Leave: s.Leave, Dial: dialer.Dial, Now: bootClock, Log: p.Log}
 	p.gossip = &gossiper.Gossiper{Address: s.Peers, Self: p.self, Heard: p.heard, Dropped: p.clear, Now: bootClock, Log: p.Log}
 	p.holdings = &holdings{carrier: p.carrier, proxies: p.proxies, log: p.Log}
-	p.configurations = &syncer{held: func() uint64 { return p.holdings.current().Config.Version }, ask: p.askConfiguration}
-	p.entries = &syncer{held: func() uint64 { complete, _ := p.holdings.entries(); return complete }, ask: p.askKnown}
+	p.follow()
 	orders := &orderer.Orderer{Address: s.Orders, Holder: s.Name}
 	p.overseer = &overseer.Overseer{
 		Name: s.Name, Start: p.start, Groups: p.carrier.Groups, Store: p.store, Live: p.gossip.Live, Silent: p.gossip.Silent,
@@ -272,6 +272,26 @@
 	p.meter.Outcome(route.Group, class, a.Code.String())
 }
 
+// follow makes what keeps up with the store, and with peers that know more of it.
+func (p *Proxier) follow() {
+	p.config = p.follower(translator.Configuration, p.holdings.objects, p.holdings.objects)
+	p.upstreams = p.follower(translator.Upstreams, p.holdings.upstreams, p.holdings.watched)
+	p.config.wanted = func() bool { return p.watches(translator.Configuration, configCheck) }
+	p.upstreams.wanted = func() bool { return p.watches(translator.Upstreams, upstreamsCheck) }
+	p.configurations = &syncer{
+		held: func() uint64 { return p.holdings.current().Config.Version },
+		ask:  p.askConfiguration,
+		read: func(ctx context.Context) error { return p.fallBack(ctx, p.config) },
+		wake: make(chan struct{}, 1),
+	}
+	p.entries = &syncer{
+		held: func() uint64 { complete, _ := p.holdings.entries(); return complete },
+		ask:  p.askKnown,
+		read: func(ctx context.Context) error { return p.fallBack(ctx, p.upstreams) },
+		wake: make(chan struct{}, 1),
+	}
+}
+
 // follower keeps up with a kind of the store's objects.
 func (p *Proxier) follower(kind string, replace, change func([]keeper.Object, uint64)) *follower {
 	// The first list counts as a check too. Without that all processes that start
--- a/proxier/spread_test.go
+++ b/proxier/spread_test.go
@@ -126,6 +126,10 @@
 	if !ok {
 		return
 	}
+	if source.IsStore() { // it serves only those that watch
+		f.After(wayDelay, func() { f.end(p, source, fetcher.Failed) })
+		return
+	}
 	o := f.at[source.Peer]
 	version := o.state.Configuration
 	f.After(2*wayDelay, func() { f.transfer(p, o, version, source) })
