--- a/adapter/keeper/client.go
+++ b/adapter/keeper/client.go
@@ -16,6 +16,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
+
+	"basildale.example/basildale/versioner"
 )
 
 // Defaults of a Client, and the bound of one answer.
@@ -29,6 +31,9 @@
 	idlePerHost  = 8       // connections kept open
 )
 
+// EraHeader is the header of an answer that states the platform's era.
+const EraHeader = "Era"
+
 // Client is one process's way to the platform. Set the fields before the first
 // call; all methods are safe for use by several goroutines.
 type Client struct {
@@ -41,6 +46,15 @@
 	Burst int
 	// Transport carries the calls; nil means one of its own.
 	Transport http.RoundTripper
+	// Renewed, when set, is called when an answer states a later era than was known: the
+	// platform has been restored from an older copy.
+	Renewed func(before, now uint64)
+	// Dropped, when set, is called for each answer that doesn't count because of the era
+	// that it states.
+	Dropped func(call string, why versioner.Verdict)
+
+	eraMu sync.Mutex
+	eras  versioner.Eras
 
 	once    sync.Once
 	budget  *rate.Limiter
@@ -73,7 +87,8 @@
 	path   string
 	match  uint64
 	body   []byte
-	out    any // what a 200 is decoded into; nil to skip it
+	out    any    // what a 200 is decoded into; nil to skip it
+	era    uint64 // of the answer
 }
 
 // changes reports whether the call can have an effect.
@@ -133,9 +148,42 @@
 	if len(body) > maxAnswer {
 		return ErrLarge
 	}
+	if err := c.place(r, resp.Header.Get(EraHeader)); err != nil {
+		return err
+	}
 	return judge(r, resp.StatusCode, body)
 }
 
+// place finds the era of an answer. One of an earlier era, or of none where the platform
+// has them, says nothing that holds now.
+func (c *Client) place(r *request, stated string) error {
+	c.eraMu.Lock()
+	before := c.eras.Current()
+	verdict := c.eras.Judge(stated)
+	r.era = c.eras.Current()
+	c.eraMu.Unlock()
+	if verdict == versioner.Later && c.Renewed != nil {
+		c.Renewed(before, r.era)
+	}
+	if verdict.Counts() {
+		return nil
+	}
+	if c.Dropped != nil {
+		c.Dropped(r.method+" "+r.path, verdict)
+	}
+	if r.changes() {
+		return errors.Wrapf(ErrLost, "%s %s: era %s", r.method, r.path, verdict)
+	}
+	return errors.Wrapf(ErrEra, "%s %s: %s", r.method, r.path, verdict)
+}
+
+// Era returns the platform's era as far as it is known.
+func (c *Client) Era() uint64 {
+	c.eraMu.Lock()
+	defer c.eraMu.Unlock()
+	return c.eras.Current()
+}
+
 // failed names the outcome of a call without an answer.
 func failed(r *request, sent bool, cause error) error {
 	if r.changes() && sent {
@@ -160,6 +208,7 @@
 		if err := json.Unmarshal(body, &conflict.Current); err != nil {
 			return errors.Wrapf(ErrConflict, "and the answer can't be read: %v", err)
 		}
+		conflict.Current.Era = r.era
 		return conflict
 	case http.StatusNotFound:
 		return errors.Wrapf(ErrMissing, "%s", r.path)
--- a/adapter/keeper/errors.go
+++ b/adapter/keeper/errors.go
@@ -23,6 +23,9 @@
 	// ErrGone reports a watch from a version whose history the platform has
 	// dropped: what has changed since can only be had from a new list.
 	ErrGone = errors.New("keeper: the history is gone")
+	// ErrEra reports an answer that states an earlier era than is known, or none. Nothing
+	// follows from it; the call may be made again at once.
+	ErrEra = errors.New("keeper: the answer is of no era that counts")
 	// ErrLarge reports an answer over the bound.
 	ErrLarge = errors.New("keeper: the answer is too large")
 )
--- a/adapter/keeper/object.go
+++ b/adapter/keeper/object.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"basildale.example/basildale/versioner"
 )
 
 // PageItems is how many items one call asks for at most.
@@ -26,16 +28,26 @@
 	Version uint64          `json:"version"`
 	Value   json.RawMessage `json:"value,omitempty"`
 	Deleted bool            `json:"deleted,omitempty"`
+	// Era is the platform's at the answer.
+	Era uint64 `json:"-"`
 }
 
+// At returns the object's version with its era.
+func (o *Object) At() versioner.Version { return versioner.Version{Era: o.Era, Revision: o.Version} }
+
 // Page is the answer to a list or a watch. For a watch, Version is where the
 // next one goes on. More says that the platform cut the page at the limit.
 type Page struct {
 	Items   []Object `json:"items"`
 	Version uint64   `json:"version"`
 	More    bool     `json:"more"`
+	// Era is the platform's at the answer.
+	Era uint64 `json:"-"`
 }
 
+// At returns the page's version with its era.
+func (p *Page) At() versioner.Version { return versioner.Version{Era: p.Era, Revision: p.Version} }
+
 // Instance is one line of the platform's list of instances, which lags.
 type Instance struct {
 	Name    string         `json:"name"`
@@ -55,7 +67,9 @@
 	ctx, cancel := timed(ctx, 0)
 	defer cancel()
 	var o Object
-	err := c.do(ctx, &request{method: http.MethodGet, path: objectPath(kind, name), out: &o})
+	r := &request{method: http.MethodGet, path: objectPath(kind, name), out: &o}
+	err := c.do(ctx, r)
+	o.Era = r.era
 	return o, err
 }
 
@@ -71,7 +85,9 @@
 		return Object{}, errors.Wrapf(ErrRefused, "%v", err)
 	}
 	var o Object
-	err = c.do(ctx, &request{method: http.MethodPut, path: objectPath(kind, name), match: match, body: body, out: &o})
+	r := &request{method: http.MethodPut, path: objectPath(kind, name), match: match, body: body, out: &o}
+	err = c.do(ctx, r)
+	o.Era = r.era
 	return o, err
 }
 
@@ -95,11 +111,16 @@
 func (c *Client) All(ctx context.Context, kind string) ([]Object, error) {
 	var all []Object
 	after := ""
+	var era uint64
 	for {
 		p, err := c.List(ctx, kind, after, PageItems)
 		if err != nil {
 			return nil, err
 		}
+		if after != "" && p.Era != era {
+			return nil, errors.Wrapf(ErrEra, "pages of %s are of eras %d and %d", kind, era, p.Era)
+		}
+		era = p.Era
 		all = append(all, p.Items...)
 		if !p.More || len(p.Items) == 0 {
 			return all, nil
@@ -131,7 +152,12 @@
 
 func (c *Client) pageOf(ctx context.Context, path string, limit int) (Page, error) {
 	var p Page
-	err := c.do(ctx, &request{method: http.MethodGet, path: path + "&limit=" + strconv.Itoa(limit), out: &p})
+	r := &request{method: http.MethodGet, path: path + "&limit=" + strconv.Itoa(limit), out: &p}
+	err := c.do(ctx, r)
+	p.Era = r.era
+	for i := range p.Items {
+		p.Items[i].Era = r.era
+	}
 	return p, err
 }
 
