--- a/carrier/group.go
+++ b/carrier/group.go
@@ -91,7 +91,7 @@
 		}
 		if restarted(m.entry, u) {
 			g.log().Warn("carrier: upstream started again", zap.String("group", g.name), zap.String("upstream", u.ID),
-				zap.Time("born", u.Born), zap.Time("before", m.entry.Born), zap.Uint64("revision", u.Revision))
+				zap.Time("born", u.Born), zap.Time("before", m.entry.Born), zap.Stringer("version", u.Version))
 			break
 		}
 		before := m.entry
@@ -123,7 +123,7 @@
 	m.opener.permit = m.pool.Permit
 	g.noteLeaving(m, g.carrier.Leave/2)
 	g.log().Info("carrier: upstream joined", zap.String("group", g.name), zap.String("upstream", u.ID),
-		zap.Stringer("address", u.Address), zap.String("zone", u.Zone), zap.Bool("leads", u.Leads), zap.Uint64("revision", u.Revision))
+		zap.Stringer("address", u.Address), zap.String("zone", u.Zone), zap.Bool("leads", u.Leads), zap.Stringer("version", u.Version))
 	if u.Leads {
 		g.claims(m)
 	}
@@ -149,7 +149,7 @@
 		g.lead(nil, "gone")
 	}
 	g.miss(m)
-	g.log().Info("carrier: upstream gone", zap.String("group", g.name), zap.String("upstream", m.id), zap.Uint64("revision", m.entry.Revision))
+	g.log().Info("carrier: upstream gone", zap.String("group", g.name), zap.String("upstream", m.id), zap.Stringer("version", m.entry.Version))
 }
 
 // lead takes in who leads. The caller has the lock.
--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -1,12 +1,15 @@
 package cataloger
 
 import (
+	"encoding/binary"
 	"maps"
 	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"basildale.example/basildale/versioner"
 )
 
 // Freshness says what a route's reads must see.
@@ -59,12 +62,13 @@
 
 // Upstream is one upstream as the store lists it.
 type Upstream struct {
-	ID       string
-	Revision uint64
-	Group    string
-	Address  netip.AddrPort
-	Zone     string
-	Slots    int
+	ID string
+	// Version is the store's at the last change of the entry.
+	Version versioner.Version
+	Group   string
+	Address netip.AddrPort
+	Zone    string
+	Slots   int
 	// Born is when it started; zero where it doesn't say. An upstream that starts
 	// again under its ID holds nothing of before.
 	Born    time.Time
@@ -94,39 +98,44 @@
 
 // Catalog is the state. Its zero value knows nothing.
 //
-// What is known of the upstreams is what the store held at one revision, up to which
+// What is known of the upstreams is what the store held at one version, up to which
 // it is complete, and perhaps some later changes. Of two catalogs whose digests
-// differ the one that is complete up to the higher revision knows something that the
+// differ the one that is complete up to the later version knows something that the
 // other lacks. Nothing else tells them apart: a removal leaves no entry that is
-// newer. With the highest revision of an entry in its place, a process that had taken
+// newer. With the latest version of an entry in its place, a process that had taken
 // in a newer entry first never heard of a removal before it, and took a leader that
 // was gone for well.
+//
+// A store that is restored has lost the latest entries, and whoever wrote them writes
+// them again, if it lives. So what the first list of a new era lacks is carried over
+// until Expire: dropped at once, an upstream that works would get no statements.
 type Catalog struct {
 	config    Config
 	upstreams map[string]Upstream
-	// removed holds the revision at which an upstream was taken out after the
-	// revision that the rest is complete up to, so that an older event can't bring it
+	// removed holds the version at which an upstream was taken out after the
+	// version that the rest is complete up to, so that an older event can't bring it
 	// back.
-	removed  map[string]uint64
-	complete uint64
+	removed  map[string]versioner.Version
+	complete versioner.Version
 	digest   uint64
 }
 
-// Complete returns the revision up to which every change of the entries is known.
-func (c *Catalog) Complete() uint64 { return c.complete }
+// Complete returns the version up to which every change of the entries is known.
+func (c *Catalog) Complete() versioner.Version { return c.complete }
 
 // Digest returns a hash of all entries; catalogs with the same entries have the same.
 func (c *Catalog) Digest() uint64 { return c.digest }
 
 // Lacks reports whether a catalog with the given digest, complete up to the given
-// revision, knows of upstreams what this one doesn't.
-func (c *Catalog) Lacks(complete, digest uint64) bool {
-	return digest != c.digest && complete > c.complete
+// version, knows of upstreams what this one doesn't.
+func (c *Catalog) Lacks(complete versioner.Version, digest uint64) bool {
+	return c.complete.Less(complete) && (digest != c.digest || complete.Era != c.complete.Era)
 }
 
 // Configure takes in a configuration and reports whether it is newer than the
-// one in force. An older one changes nothing: a list from a lagging reader or a
-// peer that was cut off would else bring removed routes back.
+// one in force. An older one changes nothing: a list from a lagging reader, a
+// peer that was cut off or a store that was restored would else bring removed routes
+// back.
 func (c *Catalog) Configure(config Config) bool {
 	if config.Version <= c.config.Version {
 		return false
@@ -152,20 +161,37 @@
 }
 
 // Put takes in a changed entry and reports whether it is newer than the known. One
-// that isn't known, from before the revision that the catalog is complete up to, was
+// that isn't known, from before the version that the catalog is complete up to, was
 // removed since.
 func (c *Catalog) Put(u Upstream) bool {
 	old, known := c.upstreams[u.ID]
-	if known && old.Revision >= u.Revision {
+	if known && !old.Version.Less(u.Version) {
 		return false
 	}
-	if !known && (u.Revision <= c.complete || u.Revision <= c.removed[u.ID]) {
+	if !known && (!c.complete.Less(u.Version) || !c.removed[u.ID].Less(u.Version)) {
 		return false
 	}
+	if known && old.Version.Era < u.Version.Era {
+		u = u.restored(old)
+	}
 	c.put(u)
 	return true
 }
 
+// restored returns an entry of a store that was restored, with what is known to be later
+// than the copy: that the upstream has started again since, and that it is leaving. It
+// will say so again.
+func (u Upstream) restored(known Upstream) Upstream {
+	if u.Born.Before(known.Born) {
+		known.Version = u.Version
+		return known
+	}
+	if u.Born.Equal(known.Born) && known.Leaving {
+		u.Leaving = true
+	}
+	return u
+}
+
 func (c *Catalog) put(u Upstream) {
 	if c.upstreams == nil {
 		c.upstreams = map[string]Upstream{}
@@ -179,22 +205,23 @@
 
 // hash is the entry's part of the digest.
 func (u *Upstream) hash() uint64 {
-	h := xxhash.NewWithSeed(u.Revision)
-	_, _ = h.WriteString(u.ID) // never fails, by its contract
+	h := xxhash.NewWithSeed(u.Version.Revision)
+	_, _ = h.WriteString(u.ID) // neither ever fails, by its contract
+	_, _ = h.Write(binary.AppendUvarint(nil, u.Version.Era))
 	return h.Sum64()
 }
 
-// Remove takes in that an entry was removed, at a revision or, as a watch states it,
+// Remove takes in that an entry was removed, at a version or, as a watch states it,
 // at some time after the entry's last change.
-func (c *Catalog) Remove(id string, revision uint64) bool {
+func (c *Catalog) Remove(id string, version versioner.Version) bool {
 	old, known := c.upstreams[id]
-	if known && old.Revision > revision {
+	if known && version.Less(old.Version) {
 		return false
 	}
 	if c.removed == nil {
-		c.removed = map[string]uint64{}
+		c.removed = map[string]versioner.Version{}
 	}
-	c.removed[id] = max(c.removed[id], revision)
+	c.removed[id] = c.removed[id].Max(version)
 	if !known {
 		return false
 	}
@@ -203,52 +230,56 @@
 	return true
 }
 
-// Advance takes in that every change up to a revision is known: a watch has told of
-// all of them.
-func (c *Catalog) Advance(revision uint64) {
-	if revision <= c.complete {
+// Advance takes in that every change up to a version is known: a watch has told of
+// all of them, or a list.
+func (c *Catalog) Advance(version versioner.Version) {
+	if !c.complete.Less(version) {
 		return
 	}
-	c.complete = revision
-	maps.DeleteFunc(c.removed, func(_ string, at uint64) bool { return at <= revision })
+	c.complete = version
+	maps.DeleteFunc(c.removed, func(_ string, at versioner.Version) bool { return !version.Less(at) })
 }
 
-// Replace takes in a whole list as of a revision: what isn't in it and was not
-// changed later is gone.
-func (c *Catalog) Replace(list []Upstream, revision uint64) bool {
-	return c.Merge(Changes{Upstreams: list, Complete: revision})
+// Replace takes in a whole list as of a version: what isn't in it and was not
+// changed later is gone, or carried over from an earlier era.
+func (c *Catalog) Replace(list []Upstream, version versioner.Version) bool {
+	return c.Merge(Changes{Upstreams: list, Complete: version})
 }
 
 // Changes is what one catalog tells another. It travels between peers as JSON.
 type Changes struct {
-	// Upstreams are the entries that have changed since the revision that was asked
+	// Upstreams are the entries that have changed since the version that was asked
 	// for, and Kept the ids of those that haven't.
 	Upstreams []Upstream `json:"upstreams"`
 	Kept      []string   `json:"kept,omitempty"`
-	// Complete is the revision up to which this is everything.
-	Complete uint64 `json:"complete"`
+	// Complete is the version up to which this is everything.
+	Complete versioner.Version `json:"complete"`
 }
 
-// Since returns what a catalog that is complete up to a revision may lack. Told as a
+// Since returns what a catalog that is complete up to a version may lack. Told as a
 // whole, what processes that start together tell each other of 24 upstreams and 66
 // routes was two fifths of all bytes between availability zones in their first half
 // minute.
-func (c *Catalog) Since(revision uint64) Changes {
+func (c *Catalog) Since(version versioner.Version) Changes {
 	out := Changes{Complete: c.complete}
 	for _, u := range c.Upstreams() {
-		if u.Revision > revision {
+		carried := u.Version.Era < c.complete.Era
+		switch {
+		case carried && version.Era == c.complete.Era:
+			// Whoever has listed this era knows better what became of it.
+		case version.Less(u.Version):
 			out.Upstreams = append(out.Upstreams, u)
-		} else {
+		default:
 			out.Kept = append(out.Kept, u.ID)
 		}
 	}
 	return out
 }
 
-// Merge takes in changes since a revision that this catalog was complete up to when it
+// Merge takes in changes since a version that this catalog was complete up to when it
 // asked, and reports whether they are news.
 func (c *Catalog) Merge(ch Changes) bool {
-	if ch.Complete < c.complete {
+	if ch.Complete.Less(c.complete) {
 		return false
 	}
 	changed := false
@@ -261,7 +292,7 @@
 		changed = c.Put(u) || changed
 	}
 	for id, u := range c.upstreams {
-		if !present[id] && u.Revision <= ch.Complete {
+		if !present[id] && u.Version.Era == ch.Complete.Era && !ch.Complete.Less(u.Version) {
 			changed = c.Remove(id, ch.Complete) || changed
 		}
 	}
@@ -269,6 +300,31 @@
 	return changed
 }
 
+// Carried returns the ids of the upstreams that were listed in an earlier era and not yet
+// in the present one, in their order.
+func (c *Catalog) Carried() []string {
+	var out []string
+	for _, u := range c.Upstreams() {
+		if u.Version.Era < c.complete.Era {
+			out = append(out, u.ID)
+		}
+	}
+	return out
+}
+
+// Expire drops the upstreams that are carried over into an era, and returns their ids.
+// It changes nothing once a later era is known.
+func (c *Catalog) Expire(era uint64) []string {
+	if c.complete.Era != era {
+		return nil
+	}
+	gone := c.Carried()
+	for _, id := range gone {
+		c.Remove(id, c.complete)
+	}
+	return gone
+}
+
 // Upstreams returns all entries in the order of their IDs.
 func (c *Catalog) Upstreams() []Upstream {
 	out := make([]Upstream, 0, len(c.upstreams))
--- a/cataloger/catalog_test.go
+++ b/cataloger/catalog_test.go
@@ -5,8 +5,13 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"basildale.example/basildale/versioner"
 )
 
+// at returns a version of a store that was never restored.
+func at(revision uint64) versioner.Version { return versioner.Version{Revision: revision} }
+
 // Symptom: a route that was removed serves again. Sequence: a newer configuration
 // is in force, then a list from a lagging reader, or a peer that was cut off,
 // brings an older one. Cause: what comes last wins.
@@ -26,13 +31,13 @@
 func TestRemovedUpstreamStaysRemoved(t *testing.T) {
 	is := is.New(t)
 	var c Catalog
-	is.True(c.Put(Upstream{ID: "a", Revision: 5}))
-	is.True(c.Put(Upstream{ID: "b", Revision: 6}))
-	is.True(c.Remove("a", 8))
-	is.True(!c.Put(Upstream{ID: "a", Revision: 5}))
-	is.True(!c.Replace([]Upstream{{ID: "a", Revision: 5}, {ID: "b", Revision: 6}}, 7))
+	is.True(c.Put(Upstream{ID: "a", Version: at(5)}))
+	is.True(c.Put(Upstream{ID: "b", Version: at(6)}))
+	is.True(c.Remove("a", at(8)))
+	is.True(!c.Put(Upstream{ID: "a", Version: at(5)}))
+	is.True(!c.Replace([]Upstream{{ID: "a", Version: at(5)}, {ID: "b", Version: at(6)}}, at(7)))
 	is.Equal(len(c.Upstreams()), 1)
-	is.True(c.Put(Upstream{ID: "a", Revision: 9})) // it has come back
+	is.True(c.Put(Upstream{ID: "a", Version: at(9)})) // it has come back
 }
 
 // Symptom: an upstream that has just joined is dropped. Sequence: a list is read,
@@ -41,13 +46,13 @@
 func TestListDropsOnlyWhatItKnowsOf(t *testing.T) {
 	is := is.New(t)
 	var c Catalog
-	c.Put(Upstream{ID: "old", Revision: 3})
-	c.Put(Upstream{ID: "new", Revision: 12})
-	is.True(c.Replace(nil, 10))
-	is.Equal(c.Upstreams(), []Upstream{{ID: "new", Revision: 12}})
-	is.Equal(c.Complete(), uint64(10))
-	is.True(!c.Put(Upstream{ID: "old", Revision: 3})) // from before the list
-	is.True(!c.Replace(nil, 9))                       // an older list changes nothing
+	c.Put(Upstream{ID: "old", Version: at(3)})
+	c.Put(Upstream{ID: "new", Version: at(12)})
+	is.True(c.Replace(nil, at(10)))
+	is.Equal(c.Upstreams(), []Upstream{{ID: "new", Version: at(12)}})
+	is.Equal(c.Complete(), at(10))
+	is.True(!c.Put(Upstream{ID: "old", Version: at(3)})) // from before the list
+	is.True(!c.Replace(nil, at(9)))                      // an older list changes nothing
 }
 
 // Symptom: one of three processes takes a leader for well that is gone, and nobody is
@@ -57,18 +62,18 @@
 func TestARemovalIsNews(t *testing.T) {
 	is := is.New(t)
 	var watcher, other Catalog
-	list := []Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}}
-	watcher.Replace(list, 3)
-	other.Replace(list, 3)
+	list := []Upstream{{ID: "a", Version: at(1)}, {ID: "b", Version: at(2)}}
+	watcher.Replace(list, at(3))
+	other.Replace(list, at(3))
 	is.True(!other.Lacks(watcher.Complete(), watcher.Digest()))
-	is.True(watcher.Remove("a", 1))
-	watcher.Advance(5)
+	is.True(watcher.Remove("a", at(1)))
+	watcher.Advance(at(5))
 	is.True(other.Lacks(watcher.Complete(), watcher.Digest()))
 	is.True(!watcher.Lacks(other.Complete(), other.Digest()))
 	is.True(other.Replace(watcher.Upstreams(), watcher.Complete()))
 	is.Equal(len(other.Upstreams()), 1)
 	is.True(!other.Lacks(watcher.Complete(), watcher.Digest())) // it isn't asked for again
-	is.True(!watcher.Remove("a", 1))
+	is.True(!watcher.Remove("a", at(1)))
 	is.Equal(watcher.Digest(), other.Digest())
 }
 
@@ -80,18 +85,18 @@
 func TestARemovalBeforeANewerEntryIsNews(t *testing.T) {
 	is := is.New(t)
 	var watcher, holder Catalog
-	list := []Upstream{{ID: "leader", Revision: 1}, {ID: "deaf", Revision: 2}, {ID: "old", Revision: 3}}
-	watcher.Replace(list, 4)
-	holder.Replace(list, 4)
-	watcher.Remove("old", 3)
-	watcher.Remove("leader", 1)
-	back := Upstream{ID: "new", Revision: 13}
+	list := []Upstream{{ID: "leader", Version: at(1)}, {ID: "deaf", Version: at(2)}, {ID: "old", Version: at(3)}}
+	watcher.Replace(list, at(4))
+	holder.Replace(list, at(4))
+	watcher.Remove("old", at(3))
+	watcher.Remove("leader", at(1))
+	back := Upstream{ID: "new", Version: at(13)}
 	is.True(watcher.Put(back))
 	is.True(holder.Put(back))
-	watcher.Advance(13)
+	watcher.Advance(at(13))
 	is.True(holder.Lacks(watcher.Complete(), watcher.Digest()))
 	is.True(holder.Replace(watcher.Upstreams(), watcher.Complete()))
-	is.Equal(holder.Upstreams(), []Upstream{{ID: "deaf", Revision: 2}, back})
+	is.Equal(holder.Upstreams(), []Upstream{{ID: "deaf", Version: at(2)}, back})
 	is.Equal(holder.Digest(), watcher.Digest())
 }
 
@@ -101,10 +106,10 @@
 func TestALongerCompleteListIsNoNews(t *testing.T) {
 	is := is.New(t)
 	var reader, other Catalog
-	list := []Upstream{{ID: "a", Revision: 1}}
-	reader.Replace(list, 3)
-	other.Replace(list, 3)
-	is.True(!reader.Replace(list, 90))
+	list := []Upstream{{ID: "a", Version: at(1)}}
+	reader.Replace(list, at(3))
+	other.Replace(list, at(3))
+	is.True(!reader.Replace(list, at(90)))
 	is.True(!other.Lacks(reader.Complete(), reader.Digest()))
 }
 
@@ -122,13 +127,13 @@
 			last, there := held[id]
 			switch {
 			case there && rng.IntN(3) == 0:
-				watcher.Remove(id, last)
+				watcher.Remove(id, at(last))
 				delete(held, id)
 			default:
-				watcher.Put(Upstream{ID: id, Revision: revision})
+				watcher.Put(Upstream{ID: id, Version: at(revision)})
 				held[id] = revision
 			}
-			watcher.Advance(revision)
+			watcher.Advance(at(revision))
 			if rng.IntN(4) > 0 || !other.Lacks(watcher.Complete(), watcher.Digest()) {
 				continue
 			}
@@ -143,7 +148,7 @@
 func TestOnlyChangesAreTold(t *testing.T) {
 	is := is.New(t)
 	var c Catalog
-	c.Replace([]Upstream{{ID: "a", Revision: 3}, {ID: "b", Revision: 8}}, 9)
-	is.Equal(c.Since(5), Changes{Upstreams: []Upstream{{ID: "b", Revision: 8}}, Kept: []string{"a"}, Complete: 9})
-	is.Equal(len(c.Since(0).Kept), 0)
+	c.Replace([]Upstream{{ID: "a", Version: at(3)}, {ID: "b", Version: at(8)}}, at(9))
+	is.Equal(c.Since(at(5)), Changes{Upstreams: []Upstream{{ID: "b", Version: at(8)}}, Kept: []string{"a"}, Complete: at(9)})
+	is.Equal(len(c.Since(at(0)).Kept), 0)
 }
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"basildale.example/basildale/versioner"
 )
 
 const (
@@ -44,45 +46,45 @@
 	// Rand draws among peers and times; nil means the runtime's source.
 	Rand *rand.Rand
 
-	held   uint64    // the version that this process has
-	newest uint64    // the newest that was heard of
-	heard  time.Time // when that was first heard of
-	due    time.Time // when the store is read; set while something is lacking
-	offers []offer   // the latest last
+	held   versioner.Version // that this process has
+	newest versioner.Version // that was heard of
+	heard  time.Time         // when that was first heard of
+	due    time.Time         // when the store is read; set while something is lacking
+	offers []offer           // the latest last
 
 	askingPeer  bool
 	askingStore bool
-	asked       uint64 // the version that the peer said it has
+	asked       versioner.Version // that the peer said it has
 }
 
 // offer is a peer that has a newer version.
 type offer struct {
 	peer    netip.AddrPort
-	version uint64
+	version versioner.Version
 	after   time.Time // it isn't asked before
 }
 
 // Hold takes in the version that this process has.
-func (f *Fetcher) Hold(version uint64) {
-	if version <= f.held {
+func (f *Fetcher) Hold(version versioner.Version) {
+	if !f.held.Less(version) {
 		return
 	}
 	f.held = version
-	f.offers = slices.DeleteFunc(f.offers, func(o offer) bool { return o.version <= version })
+	f.offers = slices.DeleteFunc(f.offers, func(o offer) bool { return !version.Less(o.version) })
 	if f.lacks() {
 		f.due = f.heard.Add(f.vary(patience))
 	}
 }
 
 // Hear takes in that a peer has a version.
-func (f *Fetcher) Hear(peer netip.AddrPort, version uint64, now time.Time) {
-	if version <= f.held {
+func (f *Fetcher) Hear(peer netip.AddrPort, version versioner.Version, now time.Time) {
+	if !f.held.Less(version) {
 		return
 	}
 	if !f.lacks() {
 		f.due = now.Add(f.vary(patience))
 	}
-	if version > f.newest {
+	if f.newest.Less(version) {
 		f.newest, f.heard = version, now
 	}
 	f.put(offer{peer: peer, version: version})
@@ -134,13 +136,13 @@
 	}
 }
 
-func (f *Fetcher) lacks() bool { return f.newest > f.held }
+func (f *Fetcher) lacks() bool { return f.held.Less(f.newest) }
 
 // put remembers an offer, in place of an earlier one of the same peer.
 func (f *Fetcher) put(o offer) {
 	for i := range f.offers {
 		if f.offers[i].peer == o.peer {
-			f.offers[i].version = max(f.offers[i].version, o.version)
+			f.offers[i].version = f.offers[i].version.Max(o.version)
 			return
 		}
 	}
@@ -156,7 +158,7 @@
 	for _, o := range f.offers {
 		switch {
 		case now.Before(o.after):
-		case len(best) == 0 || o.version > best[0].version:
+		case len(best) == 0 || best[0].version.Less(o.version):
 			best = []offer{o}
 		case o.version == best[0].version:
 			best = append(best, o)
--- a/fetcher/fetcher_test.go
+++ b/fetcher/fetcher_test.go
@@ -7,8 +7,12 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"basildale.example/basildale/versioner"
 )
 
+func version(revision uint64) versioner.Version { return versioner.Version{Revision: revision} }
+
 func peer(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7440)
 }
@@ -20,8 +24,8 @@
 func TestNothingIsAskedForThatIsHeld(t *testing.T) {
 	is := is.New(t)
 	f, now := newFetcher()
-	f.Hold(5)
-	f.Hear(peer(1), 5, now)
+	f.Hold(version(5))
+	f.Hear(peer(1), version(5), now)
 	_, ok := f.Next(now.Add(time.Hour))
 	is.True(!ok)
 }
@@ -29,14 +33,14 @@
 func TestOnePeerIsAskedAtATime(t *testing.T) {
 	is := is.New(t)
 	f, now := newFetcher()
-	f.Hear(peer(1), 2, now)
-	f.Hear(peer(2), 2, now)
+	f.Hear(peer(1), version(2), now)
+	f.Hear(peer(2), version(2), now)
 	s, ok := f.Next(now)
 	is.True(ok)
 	is.True(!s.IsStore())
 	_, ok = f.Next(now)
 	is.True(!ok)
-	f.Hold(2)
+	f.Hold(version(2))
 	f.Done(s, Told, now)
 	_, ok = f.Next(now.Add(time.Hour))
 	is.True(!ok)
@@ -47,12 +51,12 @@
 	for _, outcome := range []Outcome{Busy, Failed} {
 		is := is.New(t)
 		f, now := newFetcher()
-		f.Hear(peer(1), 2, now)
+		f.Hear(peer(1), version(2), now)
 		first, ok := f.Next(now)
 		is.True(ok)
-		f.Hear(peer(2), 2, now)
+		f.Hear(peer(2), version(2), now)
 		f.Done(first, outcome, now)
-		f.Hear(peer(1), 2, now) // what it says doesn't make it less busy
+		f.Hear(peer(1), version(2), now) // what it says doesn't make it less busy
 		second, ok := f.Next(now)
 		is.True(ok)
 		is.Equal(second, Source{Peer: peer(2)})
@@ -69,7 +73,7 @@
 func TestAPeerThatHasNothingNewIsForgotten(t *testing.T) {
 	is := is.New(t)
 	f, now := newFetcher()
-	f.Hear(peer(1), 2, now)
+	f.Hear(peer(1), version(2), now)
 	s, ok := f.Next(now)
 	is.True(ok)
 	f.Done(s, Told, now)
@@ -82,13 +86,13 @@
 	is := is.New(t)
 	f, now := newFetcher()
 	began := now
-	f.Hear(peer(1), 2, now)
+	f.Hear(peer(1), version(2), now)
 	s, _ := f.Next(now)
 	is.True(!s.IsStore())
 	var reads []time.Duration
 	for now.Sub(began) < 8*time.Second {
 		now = now.Add(100 * time.Millisecond)
-		f.Hear(peer(2), 2, now) // others go on to say that they have it
+		f.Hear(peer(2), version(2), now) // others go on to say that they have it
 		if s, ok := f.Next(now); ok && s.IsStore() {
 			reads = append(reads, now.Sub(began))
 			f.Done(s, Failed, now)
@@ -106,16 +110,16 @@
 func TestProgressPutsTheStoreOff(t *testing.T) {
 	is := is.New(t)
 	f, now := newFetcher()
-	for version := uint64(2); version < 40; version++ {
-		if version == 2 {
-			f.Hear(peer(1), version, now)
+	for n := uint64(2); n < 40; n++ {
+		if n == 2 {
+			f.Hear(peer(1), version(n), now)
 		}
 		s, ok := f.Next(now)
 		is.True(ok)
 		is.True(!s.IsStore())
-		f.Hear(peer(1), version+1, now) // while it sends the one before
+		f.Hear(peer(1), version(n+1), now) // while it sends the one before
 		now = now.Add(300 * time.Millisecond)
-		f.Hold(version)
+		f.Hold(version(n))
 		f.Done(s, Told, now)
 	}
 }
@@ -125,18 +129,18 @@
 	is := is.New(t)
 	f, now := newFetcher()
 	for i := range 200 {
-		f.Hear(peer(i), 2, now)
+		f.Hear(peer(i), version(2), now)
 	}
 	is.Equal(len(f.offers), mostOffers)
-	f.Hold(2)
+	f.Hold(version(2))
 	is.Equal(len(f.offers), 0)
 }
 
 func TestTheNewestVersionIsAskedFor(t *testing.T) {
 	is := is.New(t)
 	f, now := newFetcher()
-	f.Hear(peer(1), 3, now)
-	f.Hear(peer(2), 2, now)
+	f.Hear(peer(1), version(3), now)
+	f.Hear(peer(2), version(2), now)
 	s, ok := f.Next(now)
 	is.True(ok)
 	is.Equal(s, Source{Peer: peer(1)})
--- a/gossiper/state.go
+++ b/gossiper/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"basildale.example/basildale/tracker"
+	"basildale.example/basildale/versioner"
 )
 
 // Times and bounds of the roster.
@@ -102,11 +103,11 @@
 	Operators netip.AddrPort `cbor:"6,keyasint"`
 	// Configuration is the version in force there.
 	Configuration uint64 `cbor:"7,keyasint"`
-	// Complete is the revision up to which the entries of upstreams are all known
+	// Complete is the version up to which the entries of upstreams are all known
 	// there, and Digest a hash of them. Who has another digest, and is complete up to
 	// less, asks the sender.
-	Complete uint64 `cbor:"8,keyasint"`
-	Digest   uint64 `cbor:"12,keyasint"`
+	Complete versioner.Version `cbor:"17,keyasint,omitzero"`
+	Digest   uint64            `cbor:"12,keyasint"`
 	// Millicores is its processor in thousandths of a core.
 	Millicores uint16 `cbor:"13,keyasint,omitempty"`
 	// Checked says for each kind of the store's objects that is read as a whole, in an
--- a/gossiper/state_test.go
+++ b/gossiper/state_test.go
@@ -9,13 +9,14 @@
 	"github.com/matryer/is"
 
 	"basildale.example/basildale/tracker"
+	"basildale.example/basildale/versioner"
 )
 
 func full(groups int) State {
 	s := State{
 		Name: "front-vejle-hal-1", Zone: "vejle-hal", Start: 1785262487014000000,
 		Peers: netip.MustParseAddrPort("10.1.0.8:7440"), Carries: netip.MustParseAddrPort("10.1.0.8:7440"), Operators: netip.MustParseAddrPort("10.1.0.8:7455"),
-		Configuration: 18, Complete: 1207, Digest: 0x9e3779b97f4a7c15, Fleet: 0x9e3779b9, Millicores: 192, Checked: []time.Duration{300 * time.Millisecond, 900 * time.Millisecond},
+		Configuration: 18, Complete: versioner.Version{Era: 2, Revision: 1207}, Digest: 0x9e3779b97f4a7c15, Fleet: 0x9e3779b9, Millicores: 192, Checked: []time.Duration{300 * time.Millisecond, 900 * time.Millisecond},
 	}
 	if groups > 0 {
 		s.Groups = map[string]GroupState{}
--- a/proxier/catalog.go
+++ b/proxier/catalog.go
@@ -13,6 +13,7 @@
 	"basildale.example/basildale/cataloger"
 	"basildale.example/basildale/gossiper"
 	"basildale.example/basildale/platform/translator"
+	"basildale.example/basildale/versioner"
 )
 
 // awaitEvery is the time between two looks for the first configuration.
@@ -33,8 +34,9 @@
 
 	mu      sync.Mutex
 	catalog cataloger.Catalog
-	unread  map[string]uint64 // revisions at which entries couldn't be read, as logged
+	unread  map[string]versioner.Version // at which entries couldn't be read, as logged
 	view    atomic.Pointer[cataloger.View]
+	restore restore
 }
 
 // current returns the configuration in force.
@@ -89,14 +91,14 @@
 }
 
 // objects takes in configuration objects, listed or watched.
-func (h *holdings) objects(list []keeper.Object, _ uint64) {
+func (h *holdings) objects(list []keeper.Object, _ versioner.Version) {
 	for _, o := range list {
 		h.object(o)
 	}
 }
 
 // watched takes in changed entries of upstreams: all that changed up to a version.
-func (h *holdings) watched(list []keeper.Object, version uint64) {
+func (h *holdings) watched(list []keeper.Object, version versioner.Version) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	changed := false
@@ -105,16 +107,17 @@
 	}
 	h.catalog.Advance(version)
 	h.publish(changed)
+	h.renew()
 }
 
 // entry takes in one changed entry. The caller has the lock.
 func (h *holdings) entry(o keeper.Object) bool {
 	if o.Deleted {
-		return h.catalog.Remove(o.Name, o.Version)
+		return h.catalog.Remove(o.Name, o.At())
 	}
 	u, ok := h.read(o)
 	if !ok {
-		return h.catalog.Remove(o.Name, o.Version)
+		return h.catalog.Remove(o.Name, o.At())
 	}
 	return h.catalog.Put(u)
 }
@@ -128,14 +131,14 @@
 		delete(h.unread, o.Name)
 		return u, true
 	}
-	if at, logged := h.unread[o.Name]; logged && at >= o.Version {
+	if at, logged := h.unread[o.Name]; logged && !at.Less(o.At()) {
 		return u, false
 	}
 	if h.unread == nil || len(h.unread) >= mostUnread {
-		h.unread = map[string]uint64{}
+		h.unread = map[string]versioner.Version{}
 	}
-	h.unread[o.Name] = o.Version
-	h.log.Error("proxier: entry names no upstream", zap.String("upstream", o.Name), zap.Uint64("revision", o.Version), zap.Error(err))
+	h.unread[o.Name] = o.At()
+	h.log.Error("proxier: entry names no upstream", zap.String("upstream", o.Name), zap.Stringer("version", o.At()), zap.Error(err))
 	return u, false
 }
 
@@ -163,7 +166,7 @@
 }
 
 // upstreams takes in the list of all entries as of a version.
-func (h *holdings) upstreams(list []keeper.Object, version uint64) {
+func (h *holdings) upstreams(list []keeper.Object, version versioner.Version) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	all := make([]cataloger.Upstream, 0, len(list))
@@ -173,6 +176,7 @@
 		}
 	}
 	h.publish(h.catalog.Replace(all, version))
+	h.renew()
 }
 
 // bundle is what a peer is told of upstreams and processes.
@@ -182,22 +186,22 @@
 	Fleet []gossiper.Member `json:"fleet,omitempty"`
 }
 
-// entries returns up to which revision all entries are known, and their digest.
-func (h *holdings) entries() (complete, digest uint64) {
+// entries returns up to which version all entries are known, and their digest.
+func (h *holdings) entries() (complete versioner.Version, digest uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.catalog.Complete(), h.catalog.Digest()
 }
 
 // lacks reports whether a peer with such entries knows what this process doesn't.
-func (h *holdings) lacks(complete, digest uint64) bool {
+func (h *holdings) lacks(complete versioner.Version, digest uint64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.catalog.Lacks(complete, digest)
 }
 
-// since returns what a peer may lack that has all entries up to a revision.
-func (h *holdings) since(complete uint64) cataloger.Changes {
+// since returns what a peer may lack that has all entries up to a version.
+func (h *holdings) since(complete versioner.Version) cataloger.Changes {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.catalog.Since(complete)
@@ -209,6 +213,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.publish(h.catalog.Merge(changes))
+	h.renew()
 }
 
 // served reports whether the process can serve: a configuration is in force and
--- a/proxier/catalog_test.go
+++ b/proxier/catalog_test.go
@@ -16,8 +16,12 @@
 	"basildale.example/basildale/carrier"
 	"basildale.example/basildale/cataloger"
 	"basildale.example/basildale/platform/faker"
+	"basildale.example/basildale/versioner"
 )
 
+// at returns a version of a store that was never restored.
+func at(revision uint64) versioner.Version { return versioner.Version{Revision: revision} }
+
 // holding returns the holdings of a process whose configuration names the group huvo,
 // and what it logs of errors.
 func holding() (*holdings, *observer.ObservedLogs) {
@@ -65,17 +69,17 @@
 		list = append(list, upstreamOf("huvo", fmt.Sprintf("i-%03d", i), uint64(i+1)))
 	}
 	list[250] = object("i-250", 251, `{"state":"who knows"}`)
-	h.upstreams(list, 500)
+	h.upstreams(list, at(500))
 	is.Equal(len(used(h)), 499)
 
-	h.watched([]keeper.Object{object("i-007", 501, `"bytes"`), upstreamOf("huvo", "i-250", 502)}, 502)
+	h.watched([]keeper.Object{object("i-007", 501, `"bytes"`), upstreamOf("huvo", "i-250", 502)}, at(502))
 	is.Equal(len(used(h)), 499) // one went, one came
 	is.Equal(used(h)[7], "i-008")
 	is.Equal(logs.Len(), 2)
 
 	list[7], list[250] = object("i-007", 501, `"bytes"`), upstreamOf("huvo", "i-250", 502)
-	h.upstreams(list, 503)
-	h.upstreams(list, 504)
+	h.upstreams(list, at(503))
+	h.upstreams(list, at(504))
 	is.Equal(len(used(h)), 499)
 	is.Equal(logs.Len(), 2) // said once, not with each list
 }
@@ -86,7 +90,7 @@
 func TestAGroupThatNobodyConfiguredIsNotUsed(t *testing.T) {
 	is := is.New(t)
 	h, _ := holding()
-	h.upstreams([]keeper.Object{upstreamOf("huvo", "i-1", 1), upstreamOf("nobody", "i-2", 2)}, 2)
+	h.upstreams([]keeper.Object{upstreamOf("huvo", "i-1", 1), upstreamOf("nobody", "i-2", 2)}, at(2))
 	is.Equal(used(h), []string{"i-1"})
 	_, known := h.carrier.Group("nobody")
 	is.True(!known)
--- a/proxier/check_test.go
+++ b/proxier/check_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/adapter/keeper"
+	"basildale.example/basildale/versioner"
 )
 
 // Symptom: the calls to the store grow with the fleet. Sequence: one process reads a
@@ -49,7 +50,7 @@
 	p := of(0, 68)
 	p.Log = zap.NewNop()
 	p.store = &keeper.Client{Addrs: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")}, Transport: page{}}
-	f := p.follower("config", func([]keeper.Object, uint64) {}, nil)
+	f := p.follower("config", func([]keeper.Object, versioner.Version) {}, nil)
 	began := bootClock()
 	is.NoErr(f.step(t.Context()))
 	is.True(f.listed)
--- a/proxier/enroll.go
+++ b/proxier/enroll.go
@@ -27,13 +27,24 @@
 	Millicores uint16 `json:"millicores"`
 }
 
+// serves reports whether an entry says what another does, but for the run.
+func (e entry) serves(o entry) bool {
+	e.Start = o.Start
+	return e == o
+}
+
 // enroll learns where other processes are, and writes where this one is. It is
-// done once: later ones are heard of by gossip.
+// done once, and again for what a restored store has lost: later processes are heard of
+// by gossip.
 func (p *Proxier) enroll(ctx context.Context) {
 	f := follower{log: p.Log, back: &p.back}
 	for ctx.Err() == nil {
 		err := p.join(ctx)
-		if err == nil || ctx.Err() != nil {
+		if err == nil {
+			p.keepEnrolled(ctx)
+			return
+		}
+		if ctx.Err() != nil {
 			return
 		}
 		p.Log.Info("proxier: not enrolled yet", zap.Error(err))
@@ -50,7 +61,7 @@
 	if err != nil || there {
 		return err
 	}
-	if err := p.register(ctx); err != nil {
+	if _, err := p.register(ctx); err != nil {
 		return err
 	}
 	select {
@@ -62,18 +73,34 @@
 	return err
 }
 
-// register writes this process's entry, over that of an earlier run.
-func (p *Proxier) register(ctx context.Context) error {
+// register writes this process's entry, over that of an earlier run, and reports whether
+// it wasn't there yet.
+func (p *Proxier) register(ctx context.Context) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	value := entry{Zone: p.Settings.Zone, Peers: p.gossip.Bound(), Carries: p.carryAt, Start: p.start, Millicores: p.millicores()}
+	value := p.entry()
 	_, err := p.store.Put(ctx, proxiesKind, p.Settings.Name, 0, value)
 	var conflict *keeper.ConflictError
 	if !errors.As(err, &conflict) {
-		return err
+		return err == nil, err
+	}
+	if held, err := readEntry(conflict.Current); err == nil && held.serves(value) {
+		return false, nil
 	}
 	_, err = p.store.Put(ctx, proxiesKind, p.Settings.Name, conflict.Current.Version, value)
-	return err
+	return err == nil, err
+}
+
+// entry returns this process's entry.
+func (p *Proxier) entry() entry {
+	return entry{Zone: p.Settings.Zone, Peers: p.gossip.Bound(), Carries: p.carryAt, Start: p.start, Millicores: p.millicores()}
+}
+
+// readEntry reads the value of an object.
+func readEntry(o keeper.Object) (entry, error) {
+	var e entry
+	err := json.Unmarshal(o.Value, &e)
+	return e, errors.Wrap(err, "proxier: entry of a proxy")
 }
 
 // learn reads where the others are, and reports whether this process's own entry is
@@ -84,13 +111,13 @@
 		return false, err
 	}
 	for _, o := range all {
-		var e entry
-		if err := json.Unmarshal(o.Value, &e); err != nil {
+		e, err := readEntry(o)
+		if err != nil {
 			p.Log.Error("proxier: entry of a proxy can't be read", zap.String("name", o.Name), zap.Error(err))
 			continue
 		}
 		if o.Name == p.Settings.Name {
-			there = e.Peers == p.gossip.Bound() && e.Carries == p.carryAt && e.Zone == p.Settings.Zone && e.Millicores == p.millicores()
+			there = e.serves(p.entry())
 			continue
 		}
 		p.gossip.Learn(gossiper.State{Name: o.Name, Zone: e.Zone, Peers: e.Peers, Carries: e.Carries, Millicores: e.Millicores, Start: e.Start})
--- a/proxier/fleet_test.go
+++ b/proxier/fleet_test.go
@@ -40,9 +40,15 @@
 // newFleet starts a platform and n proxies, one in each of three zones by turns,
 // and waits until they serve.
 func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	return newFleetOn(t, &faker.Platform{}, n)
+}
+
+// newFleetOn does so on a platform that isn't started yet.
+func newFleetOn(t *testing.T, platform *faker.Platform, n int) *fleet {
 	t.Helper()
 	is := is.New(t)
-	f := &fleet{t: t, platform: &faker.Platform{}}
+	f := &fleet{t: t, platform: platform}
 	is.NoErr(f.platform.Start())
 	t.Cleanup(f.platform.Stop)
 	g, err := f.platform.AddGroup("billet", "zone-0", "zone-1", "zone-2")
--- a/proxier/follow.go
+++ b/proxier/follow.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/adapter/keeper"
+	"basildale.example/basildale/versioner"
 )
 
 // Times of following the store.
@@ -38,8 +39,8 @@
 	kind  string
 	// replace takes in a whole list as of a version, change all that has changed up to
 	// one.
-	replace func(list []keeper.Object, version uint64)
-	change  func(list []keeper.Object, version uint64)
+	replace func(list []keeper.Object, version versioner.Version)
+	change  func(list []keeper.Object, version versioner.Version)
 	log     *zap.Logger
 	// wanted, when set, says whether this process is to watch the kind.
 	wanted func() bool
@@ -49,8 +50,10 @@
 	// read, when set, is told that the kind was read as a whole at a moment of the
 	// carrier's clock.
 	read func(at time.Time)
+	// renewed, when set, tells that the store has been restored.
+	renewed *signal
 
-	version uint64
+	version versioner.Version
 	listed  bool
 	stale   bool // others have watched since the last list
 	down    bool
@@ -83,40 +86,61 @@
 
 // step lists once, and then watches.
 func (f *follower) step(ctx context.Context) error {
-	if !f.listed || f.stale {
+	renewed := f.renewed.sent()
+	if !f.listed || f.stale || f.version.Era < f.store.Era() {
 		version, err := f.list(ctx, f.page)
 		if err == nil {
-			f.version = max(f.version, version)
+			f.version = f.version.Max(version)
 			f.listed = true
 			f.stale = false
 		}
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
-	defer cancel()
-	page, err := f.store.Watch(ctx, f.kind, f.version, watchWait)
+	page, err := f.watch(ctx, renewed)
 	if err != nil {
 		return err
 	}
-	f.change(page.Items, page.Version)
-	f.version = max(f.version, page.Version)
+	f.change(page.Items, page.At())
+	f.version = page.At()
 	return nil
 }
 
+// watch waits for changes. What a store that was restored tells doesn't go on from what
+// is known, also where it has given the revision out again: that has to be listed.
+func (f *follower) watch(ctx context.Context, renewed <-chan struct{}) (keeper.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	defer cancel()
+	go func() {
+		select {
+		case <-renewed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	page, err := f.store.Watch(ctx, f.kind, f.version.Revision, watchWait)
+	if f.version.Era < f.store.Era() || err == nil && page.Era != f.version.Era {
+		return keeper.Page{}, keeper.ErrGone
+	}
+	return page, err
+}
+
 // list reads all pages. The watch goes on from the first page's version, so that
 // a change between two pages isn't missed.
-func (f *follower) list(ctx context.Context, read reader) (uint64, error) {
+func (f *follower) list(ctx context.Context, read reader) (versioner.Version, error) {
 	began := bootClock()
 	var all []keeper.Object
-	var version uint64
+	var version versioner.Version
 	after := ""
 	for {
 		page, err := read(ctx, after)
 		if err != nil {
-			return 0, err
+			return versioner.Version{}, err
 		}
 		if after == "" {
-			version = page.Version
+			version = page.At()
+		}
+		if page.Era != version.Era {
+			return versioner.Version{}, errors.Wrapf(keeper.ErrEra, "pages of %s are of eras %d and %d", f.kind, version.Era, page.Era)
 		}
 		all = append(all, page.Items...)
 		if !page.More || len(page.Items) == 0 {
@@ -166,10 +190,10 @@
 	}
 	f.down = lost
 	if lost {
-		f.log.Warn("proxier: store lost", zap.String("kind", f.kind), zap.Uint64("version", f.version), zap.Error(err))
+		f.log.Warn("proxier: store lost", zap.String("kind", f.kind), zap.Stringer("version", f.version), zap.Error(err))
 		return
 	}
-	f.log.Info("proxier: store is back", zap.String("kind", f.kind), zap.Uint64("version", f.version))
+	f.log.Info("proxier: store is back", zap.String("kind", f.kind), zap.Stringer("version", f.version))
 	f.back.send()
 }
 
--- a/proxier/peers.go
+++ b/proxier/peers.go
@@ -19,6 +19,7 @@
 	"basildale.example/basildale/cataloger"
 	"basildale.example/basildale/forwarder"
 	"basildale.example/basildale/gossiper"
+	"basildale.example/basildale/versioner"
 )
 
 // listenPeers takes statements of peers.
@@ -73,8 +74,9 @@
 	p.checks.hear(s.Checked, bootClock())
 	if s.Configuration > p.holdings.current().Config.Version {
 		p.notice(s.Name, s.Configuration)
-		p.configurations.hear(s.Operators, s.Configuration)
+		p.configurations.hear(s.Operators, versioner.Version{Revision: s.Configuration})
 	}
+	p.raise(s.Complete.Era, s.Name)
 	if p.holdings.lacks(s.Complete, s.Digest) {
 		p.entries.hear(s.Operators, s.Complete)
 	}
@@ -86,7 +88,7 @@
 	}
 }
 
-// What a peer that asks says that it has: a version of the configuration, the revision
+// What a peer that asks says that it has: a version of the configuration, the version
 // up to which it knows all entries of upstreams, and a hash of its list of the fleet.
 const (
 	hasConfiguration = "configuration"
@@ -106,13 +108,17 @@
 // known tells a peer which entries of upstreams and which processes of the fleet it
 // lacks.
 func (p *Proxier) known(w http.ResponseWriter, r *http.Request) {
-	b := bundle{Entries: p.holdings.since(p.number(r, hasComplete))}
+	complete, err := versioner.Parse(r.FormValue(hasComplete))
+	if err != nil {
+		p.Log.Warn("proxier: a peer doesn't say what it has, and is told all", zap.String("field", hasComplete), zap.Error(err))
+	}
+	b := bundle{Entries: p.holdings.since(complete)}
 	if p.learned.Load() && p.number(r, hasFleet) != uint64(p.gossip.Digest()) {
 		b.Fleet = p.gossip.Members()
 	}
 	began := bootClock()
 	out := &tally{Writer: w}
-	err := json.NewEncoder(out).Encode(b)
+	err = json.NewEncoder(out).Encode(b)
 	p.sent(r.RemoteAddr, out.bytes, began, err)
 }
 
@@ -156,7 +162,7 @@
 func (p *Proxier) askKnown(ctx context.Context, at netip.AddrPort) error {
 	complete, _ := p.holdings.entries()
 	has := url.Values{
-		hasComplete: {strconv.FormatUint(complete, 10)},
+		hasComplete: {complete.String()},
 		hasFleet:    {strconv.FormatUint(uint64(p.gossip.Digest()), 10)},
 	}
 	return p.get(ctx, at, "/known", has, func(body io.Reader) error {
@@ -191,7 +197,7 @@
 func (p *Proxier) fallBack(ctx context.Context, f *follower) error {
 	complete, _ := p.holdings.entries()
 	p.Log.Warn("proxier: peers don't deliver, the store is read", zap.String("kind", f.kind), zap.Uint64("heard", p.noticed.Load()),
-		zap.Uint64("configuration", p.holdings.current().Config.Version), zap.Uint64("complete", complete))
+		zap.Uint64("configuration", p.holdings.current().Config.Version), zap.Stringer("complete", complete))
 	return f.reread(ctx)
 }
 
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -32,6 +32,7 @@
 	"basildale.example/basildale/platform/prober"
 	"basildale.example/basildale/platform/receiver"
 	"basildale.example/basildale/platform/translator"
+	"basildale.example/basildale/versioner"
 )
 
 const (
@@ -87,7 +88,10 @@
 	checks   checks
 	limit    atomic.Int64 // of a stop, as a time.Duration
 	leaving  atomic.Bool
-	back     signal      // the store answers again
+	back     signal // the store answers again
+	renewed  signal // the store has been restored
+	heardEra atomic.Uint64
+	drops    complaint
 	learned  atomic.Bool // the store has told where peers are
 	// introduced says that it has just done so. Who carries is divided at once: until
 	// then the process has no connections.
@@ -174,7 +178,7 @@
 	p.registry = metrics.NewRegistry()
 	p.meter = &meter.Meter{Registry: p.registry}
 	p.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdle, DisableCompression: true}}
-	p.store = &keeper.Client{Addrs: s.Platform, Transport: &translator.Transport{Base: translator.Base()}}
+	p.store = &keeper.Client{Addrs: s.Platform, Transport: &translator.Transport{Base: translator.Base()}, Renewed: p.restored, Dropped: p.dropped}
 	dialer := &connector.Connector{Name: s.Name}
 	p.carrier = &carrier.Carrier{Zone: s.Zone, Leave: s.Leave, Dial: dialer.Dial, Now: bootClock, Log: p.Log}
 	p.gossip = &gossiper.Gossiper{Address: s.Peers, Self: p.self, Heard: p.heard, Dropped: p.clear, Now: bootClock, Log: p.Log}
@@ -286,13 +290,18 @@
 	p.config.wanted = func() bool { return p.watches(translator.Configuration, configCheck) }
 	p.upstreams.wanted = func() bool { return p.watches(translator.Upstreams, upstreamsCheck) }
 	p.configurations = &syncer{
-		held: func() uint64 { return p.holdings.current().Config.Version },
+		held: func() versioner.Version {
+			return versioner.Version{Revision: p.holdings.current().Config.Version}
+		},
 		ask:  p.askConfiguration,
 		read: func(ctx context.Context) error { return p.fallBack(ctx, p.config) },
 		wake: make(chan struct{}, 1),
 	}
 	p.entries = &syncer{
-		held: func() uint64 { complete, _ := p.holdings.entries(); return complete },
+		held: func() versioner.Version {
+			complete, _ := p.holdings.entries()
+			return complete
+		},
 		ask:  p.askKnown,
 		read: func(ctx context.Context) error { return p.fallBack(ctx, p.upstreams) },
 		wake: make(chan struct{}, 1),
@@ -300,12 +309,12 @@
 }
 
 // follower keeps up with a kind of the store's objects.
-func (p *Proxier) follower(kind string, replace, change func([]keeper.Object, uint64)) *follower {
+func (p *Proxier) follower(kind string, replace, change func([]keeper.Object, versioner.Version)) *follower {
 	// The first list counts as a check too. Without that all processes that start
 	// together watch until the first check, and list again after it: most of a calm
 	// fleet's calls to the store.
 	read := func(at time.Time) { p.checks.done(kind, at) }
-	return &follower{store: p.store, kind: kind, replace: replace, change: change, read: read, back: &p.back, log: p.Log}
+	return &follower{store: p.store, kind: kind, replace: replace, change: change, read: read, back: &p.back, renewed: &p.renewed, log: p.Log}
 }
 
 // keepUp looks after upstreams and the shares of their connections.
@@ -322,6 +331,7 @@
 			continue
 		case <-ticker.C:
 		}
+		p.holdings.expire(bootClock())
 		p.carrier.Tick()
 		if n%shareEvery == 0 {
 			before = p.divide(before)
--- /dev/null
+++ b/proxier/restore_test.go
@@ -0,0 +1,106 @@
+package proxier
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basildale.example/basildale/adapter/keeper"
+	"basildale.example/basildale/platform/faker"
+	"basildale.example/basildale/versioner"
+)
+
+func (f *fleet) serves(database string) bool {
+	for _, m := range f.proxies {
+		if _, ok := m.View().Route(database); !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against changes that are skipped because the store has given their revisions out
+// before.
+func TestChangesAtRevisionsOfAnEarlierEraAreHeardOf(t *testing.T) {
+	is := is.New(t)
+	f := newFleetOn(t, &faker.Platform{Era: 1}, 2)
+	early := f.platform.Revision()
+	for range 40 {
+		f.platform.Write("others", "counter", f.platform.Revision())
+	}
+	leaving := f.group.Replicas()[0]
+	leaving.Crash()
+	is.NoErr(leaving.Return()) // its entry has a late revision
+	f.platform.Route("extra", "billet", "primary", 0)
+	f.until("the route", func() bool { return f.serves("extra") })
+	late := f.platform.Revision()
+
+	f.platform.Away(true)
+	f.platform.Restore(early)
+	f.platform.Rewrite()
+	leaving.Leave()
+	for f.platform.Revision() <= late {
+		f.platform.Write("others", "counter", f.platform.Revision())
+	}
+	f.platform.Away(false)
+	for _, m := range f.proxies {
+		f.until("the upstream that leaves", func() bool {
+			g, ok := m.carrier.Group("billet")
+			if !ok {
+				return false
+			}
+			for _, member := range g.Observe().Members {
+				if member.ID == leaving.ID {
+					return member.Leaving
+				}
+			}
+			return false
+		})
+	}
+	f.platform.Unroute("extra")
+	f.until("no route", func() bool { return !f.serves("extra") })
+	is.True(f.serves("seats"))
+}
+
+// Guards against statements that are refused while the upstreams write their entries
+// again.
+func TestUpstreamsThatARestoreHasLostAreUsed(t *testing.T) {
+	is := is.New(t)
+	f := newFleetOn(t, &faker.Platform{Era: 1}, 2)
+	c := f.dial(f.proxies[0], "seats")
+	is.Equal(c.ask("WRITE seat anna").code, "")
+	f.platform.Restore(0)
+	f.until("the later era", func() bool {
+		complete, _ := f.proxies[0].holdings.entries()
+		return complete.Era == 2
+	})
+	for range 50 {
+		is.Equal(c.one("READ seat"), "anna")
+	}
+	f.platform.Rewrite()
+	carried := func() int {
+		h := f.proxies[0].holdings
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return len(h.catalog.Carried())
+	}
+	f.until("listed again", func() bool { return carried() == 0 })
+	is.Equal(c.one("READ seat"), "anna")
+}
+
+// Guards against upstreams that are kept for good though nobody lists them any more.
+func TestUpstreamsThatStayUnlistedAreDropped(t *testing.T) {
+	is := is.New(t)
+	h, _ := holding()
+	h.upstreams([]keeper.Object{upstreamOf("huvo", "i-1", 1), upstreamOf("huvo", "i-2", 2)}, at(3))
+	is.Equal(len(used(h)), 2)
+	listed := upstreamOf("huvo", "i-1", 1)
+	listed.Era = 1
+	h.upstreams([]keeper.Object{listed}, versioner.Version{Era: 1, Revision: 1})
+	now := bootClock()
+	h.expire(now)
+	is.Equal(len(used(h)), 2)
+	h.expire(now.Add(rewritten + time.Second))
+	is.Equal(used(h), []string{"i-1"})
+}
--- a/proxier/share_test.go
+++ b/proxier/share_test.go
@@ -119,7 +119,7 @@
 	p.learned.Store(false)
 	p.began = bootClock().Add(-2 * learning)
 	p.holdings.configure(cataloger.Config{Version: 1, Groups: []cataloger.GroupSettings{{Name: "g", Connections: 53}}}, "test")
-	p.holdings.upstreams(nil, 1)
+	p.holdings.upstreams(nil, at(1))
 	p.carrier.Apply([]cataloger.Upstream{{ID: "a", Group: "g"}})
 	g, _ := p.carrier.Group("g")
 	is.True(g.Carries()) // it doesn't know its peers
--- a/proxier/spread_test.go
+++ b/proxier/spread_test.go
@@ -1,6 +1,7 @@
 package proxier
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -13,12 +14,17 @@
 	"basildale.example/basildale/fetcher"
 	"basildale.example/basildale/gossiper"
 	"basildale.example/basildale/internal/modeler"
+	"basildale.example/basildale/versioner"
 )
 
 const (
 	wayDelay = time.Millisecond
 	// narrow is the rate of a process's link in bytes a second, 10 Mbit/s.
 	narrow = 1.25e6
+	// storeAnswer is how long the store takes for a call, and controlPeriod the time
+	// between two looks of a holder at its duties.
+	storeAnswer   = 4 * time.Millisecond
+	controlPeriod = 50 * time.Millisecond
 	// beside is how many processes carry for the same groups as one of them.
 	beside = 20
 )
@@ -104,8 +110,8 @@
 		}
 		f.After(wayDelay, func() {
 			o.roster.Hear(state, f.Now)
-			o.fetch.Hold(o.state.Configuration)
-			o.fetch.Hear(state.Operators, state.Configuration, f.Now)
+			o.fetch.Hold(at(o.state.Configuration))
+			o.fetch.Hear(state.Operators, at(state.Configuration), f.Now)
 			f.ask(o)
 		})
 	}
@@ -122,7 +128,7 @@
 
 // ask has a process ask whom it is to ask now.
 func (f *spread) ask(p *spreader) {
-	p.fetch.Hold(p.state.Configuration)
+	p.fetch.Hold(at(p.state.Configuration))
 	source, ok := p.fetch.Next(f.Now)
 	if !ok {
 		return
@@ -169,7 +175,7 @@
 }
 
 func (f *spread) end(p *spreader, source fetcher.Source, outcome fetcher.Outcome) {
-	p.fetch.Hold(p.state.Configuration)
+	p.fetch.Hold(at(p.state.Configuration))
 	p.fetch.Done(source, outcome, f.Now)
 	f.ask(p)
 }
@@ -280,3 +286,52 @@
 		})
 	}
 }
+
+// Guards against a fleet that takes long to agree on a restored store, or asks it for as
+// much as there are processes.
+func TestARestoredStoreIsKnownToAllSoon(t *testing.T) {
+	const (
+		bound  = upstreamsCheck // as of any other change
+		latest = lastRetry      // after the store's return one of those that watch finds it
+	)
+	for _, n := range []int{9, 91, 195} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			groups := max(3, n/10)
+			var entries []cataloger.Upstream
+			for i := range 3 * groups {
+				entries = append(entries, cataloger.Upstream{
+					ID: fmt.Sprintf("i-%010x", i), Version: versioner.Version{Era: 2, Revision: uint64(i)}, Group: fmt.Sprint("group-", i/3),
+					Address: netip.MustParseAddrPort("10.1.64.33:8102"), Zone: "vejle-hal", Slots: 5, Born: time.UnixMilli(1_785_262_487_014),
+				})
+			}
+			body, err := json.Marshal(bundle{Entries: cataloger.Changes{Upstreams: entries}})
+			is.NoErr(err)
+			f := newSpread(n, len(body), 0.1)
+			f.RunFor(3 * time.Second)
+			back := f.Now
+			var found time.Duration
+			for i := range watchers {
+				at := latest/2 + time.Duration(f.rng.Int64N(int64(latest/2)))
+				if i == 0 || at < found {
+					found = at
+				}
+				f.After(at, func() { f.take(f.procs[i], 2) })
+			}
+			f.RunUntil(back.Add(bound))
+			last, duties := time.Duration(0), time.Duration(0)
+			for i, p := range f.procs {
+				is.Equal(p.state.Configuration, uint64(2))
+				took := p.began.Sub(back)
+				last = max(last, took)
+				if i < groups { // it has the duty for one, and looks at it each period
+					look := time.Duration(f.rng.Int64N(int64(controlPeriod)))
+					duties = max(duties, took+look+2*(storeAnswer+2*wayDelay))
+				}
+			}
+			calls := 2*watchers + 2*n + 2*groups // lists of two kinds, own entries twice, claims
+			t.Logf("%d groups: found after %s, known to all after %s, duties taken anew after %s, %.2f MB between processes, %d calls to the store",
+				groups, found, last, duties, f.sent/1e6, calls)
+		})
+	}
+}
--- a/proxier/syncer.go
+++ b/proxier/syncer.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"basildale.example/basildale/fetcher"
+	"basildale.example/basildale/versioner"
 )
 
 // errBusy says that a peer refused to tell because it is sending to others.
@@ -17,7 +18,7 @@
 // syncer keeps one kind of what the store holds as new as peers have it.
 type syncer struct {
 	// held returns the version that this process has.
-	held func() uint64
+	held func() versioner.Version
 	// ask takes in what a peer has, and read what the store has. Both log what went
 	// wrong.
 	ask  func(ctx context.Context, peer netip.AddrPort) error
@@ -29,7 +30,7 @@
 }
 
 // hear takes in that a peer has a newer version.
-func (s *syncer) hear(peer netip.AddrPort, version uint64) {
+func (s *syncer) hear(peer netip.AddrPort, version versioner.Version) {
 	s.mu.Lock()
 	s.fetcher.Hold(s.held())
 	s.fetcher.Hear(peer, version, bootClock())
