overseer: a duty's tokens come from the version of its record

Cause: the token of a new holder was the record's number plus a block. A record that a restore took back gave out a token again that an earlier holder had used: two holders with one token, and orders carried out late that nothing tells apart. Change: the token is era, revision and place in the block, of the answer to the claim's write or to reading it back; nothing about it is stored. A holder claims once more in a new era, between two changes of a leader. A claim answered in an earlier era than is known is dropped. Tokens were multiples of 1,024 before and stay so; on a store without eras they are the record's revision times 1,024, above any that an earlier build gave out there.

--- a/overseer/duty.go
+++ b/overseer/duty.go
@@ -12,6 +12,7 @@
 	"basildale.example/basildale/adapter/keeper"
 	"basildale.example/basildale/gossiper"
 	"basildale.example/basildale/replacer"
+	"basildale.example/basildale/versioner"
 )
 
 // Times of taking the duty over.
@@ -39,12 +40,29 @@
 // record is the value of such an object.
 type record struct {
 	Holder string `json:"holder"`
-	// Start tells the runs of the holder apart.
-	Start int64 `json:"start"`
-	// Token is the first of the holder's block of tokens.
-	Token uint64 `json:"token"`
+	// Start tells the runs of the holder apart, and Claim its claims.
+	Start int64  `json:"start"`
+	Claim uint64 `json:"claim"`
 }
 
+// revisionBits is how many bits of a token the revision of a claim takes, after those of
+// the place in the block: a store that is written to 400 times a second gets there after
+// five years.
+const revisionBits = 36
+
+// tokenOf returns the first of the block of tokens of a claim that was written at a
+// version. It depends on nothing that a restore takes away: a store gives no version out
+// twice, and one that is later is higher, whoever remembers the earlier ones.
+func tokenOf(v versioner.Version) (uint64, error) {
+	if v.Era > versioner.MostEra || v.Revision >= 1<<revisionBits {
+		return 0, errors.Newf("overseer: no token for the version %s", v)
+	}
+	return (v.Era<<revisionBits | v.Revision) * replacer.Block, nil
+}
+
+// eraOf returns the era that a token was taken in.
+func eraOf(token uint64) uint64 { return token / replacer.Block >> revisionBits }
+
 // duty is what this process knows of the duty for one group.
 type duty struct {
 	token    uint64         // of this process; zero without the duty
@@ -117,6 +135,16 @@
 	return silent > d.patience(peers)+time.Duration(o.rank(group, peers, now))*rankDelay
 }
 
+// renews reports whether this process should take a duty that it has once more: the store
+// was restored, and the record of the duty may be gone.
+func (o *Overseer) renews(g *group, now time.Time) bool {
+	d := &g.duty
+	if d.token == 0 || d.claiming || now.Before(d.next) || o.Leaving() {
+		return false
+	}
+	return eraOf(d.token) < o.Era() && !g.replacer.Busy()
+}
+
 // patience is how long the holder may be silent. It tells so many of those that carry
 // for its groups each round, and the others in later ones.
 func (d *duty) patience(peers []gossiper.Peer) time.Duration {
@@ -142,34 +170,41 @@
 func (o *Overseer) claim(ctx context.Context, group string) claimed {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	held, version, err := o.read(ctx, group)
+	_, at, err := o.read(ctx, group)
 	if err != nil {
 		return claimed{group: group, err: err}
 	}
-	next := record{Holder: o.Name, Start: o.Start, Token: held.Token + replacer.Block}
-	_, err = o.Store.Put(ctx, kind, group, version, next)
+	next := record{Holder: o.Name, Start: o.Start, Claim: o.claims.Add(1)}
+	written, err := o.Store.Put(ctx, kind, group, at.Revision, next)
+	at = written.At()
 	if errors.Is(err, keeper.ErrLost) {
-		if held, _, err = o.read(ctx, group); err == nil && held != next {
+		var held record
+		if held, at, err = o.read(ctx, group); err == nil && held != next {
 			err = keeper.ErrConflict
 		}
 	}
 	if err != nil {
 		return claimed{group: group, err: err}
 	}
-	return claimed{group: group, token: next.Token}
+	if known := o.Era(); at.Era < known {
+		err := errors.Wrapf(keeper.ErrEra, "claimed in era %d, and %d is known", at.Era, known)
+		return claimed{group: group, err: err}
+	}
+	token, err := tokenOf(at)
+	return claimed{group: group, token: token, err: err}
 }
 
-func (o *Overseer) read(ctx context.Context, group string) (record, uint64, error) {
+func (o *Overseer) read(ctx context.Context, group string) (record, versioner.Version, error) {
 	object, err := o.Store.Get(ctx, kind, group)
 	if errors.Is(err, keeper.ErrMissing) {
-		return record{}, 0, nil
+		return record{}, versioner.Version{}, nil
 	}
 	if err != nil {
-		return record{}, 0, err
+		return record{}, versioner.Version{}, err
 	}
 	var held record
 	err = json.Unmarshal(object.Value, &held)
-	return held, object.Version, errors.Wrap(err, "overseer: record of a duty")
+	return held, object.At(), errors.Wrap(err, "overseer: record of a duty")
 }
 
 // took takes in the outcome of a claim.
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -65,6 +66,8 @@
 	// Groups returns the groups of this process.
 	Groups func() []*carrier.Group
 	Store  *keeper.Client
+	// Era returns the store's era as far as this process knows it.
+	Era func() uint64
 	// Live returns the peers that were heard lately.
 	Live func() []gossiper.Peer
 	// Silent, when set, reports whether this process has peers and hears none of them.
@@ -79,6 +82,7 @@
 	Now     func() time.Time
 	Log     *zap.Logger
 
+	claims atomic.Uint64 // made by this run
 	groups map[string]*group
 	events chan func(now time.Time)
 	ticked time.Time
@@ -169,7 +173,7 @@
 		if c.Carries() || g.duty.token > 0 {
 			states[c.Name()] = o.state(g, view.Leader)
 		}
-		if o.wants(&g.duty, c.Name(), peers, now) {
+		if o.wants(&g.duty, c.Name(), peers, now) || o.renews(g, now) {
 			g.duty.claiming = true
 			go o.deliver(ctx, c.Name())
 		}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -186,7 +186,7 @@
 	p.follow()
 	orders := &orderer.Orderer{Address: s.Orders, Holder: s.Name}
 	p.overseer = &overseer.Overseer{
-		Name: s.Name, Start: p.start, Groups: p.carrier.Groups, Store: p.store, Live: p.gossip.Live, Silent: p.gossip.Silent,
+		Name: s.Name, Start: p.start, Groups: p.carrier.Groups, Store: p.store, Era: p.era, Live: p.gossip.Live, Silent: p.gossip.Silent,
 		Promote: orders.Promote, Tell: p.gossip.Tell, Leaving: p.leaving.Load, Now: bootClock, Log: p.Log,
 	}
 	p.forward = &forwarder.Forwarder{Local: p.carrier.Group, Carriers: p.carriers, Trouble: p.overseer.Trouble, Send: p.send, Zone: s.Zone, Now: bootClock, Log: p.Log}
--- a/proxier/restore_test.go
+++ b/proxier/restore_test.go
@@ -1,6 +1,7 @@
 package proxier
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -8,9 +9,20 @@
 
 	"basildale.example/basildale/adapter/keeper"
 	"basildale.example/basildale/platform/faker"
+	"basildale.example/basildale/replacer"
 	"basildale.example/basildale/versioner"
 )
 
+// eraOfDuty returns the era that the duty for the group was taken in, and zero where
+// nobody has it.
+func (f *fleet) eraOfDuty() uint64 {
+	holder := f.holder()
+	if holder == nil {
+		return 0
+	}
+	return holder.overseer.States()["billet"].Token / replacer.Block >> 36
+}
+
 func (f *fleet) serves(database string) bool {
 	for _, m := range f.proxies {
 		if _, ok := m.View().Route(database); !ok {
@@ -20,6 +32,39 @@
 	return true
 }
 
+// enrolled reports whether the store has the entries of all processes.
+func (f *fleet) enrolled() bool {
+	listed, err := f.proxies[0].store.All(context.Background(), proxiesKind)
+	return err == nil && len(listed) == len(f.proxies)
+}
+
+// Guards against a fleet that goes back to an older configuration, keeps duties that the
+// store doesn't know, or is missing from the store's list.
+func TestAFleetOutlivesARestoreOfTheStore(t *testing.T) {
+	for _, restores := range []int{1, 2} {
+		is := is.New(t)
+		f := newFleetOn(t, &faker.Platform{Era: 1}, 3)
+		is.Equal(f.eraOfDuty(), uint64(1))
+		f.platform.Route("extra", "billet", "primary", 0)
+		f.until("the route", func() bool { return f.serves("extra") })
+		for range restores {
+			f.platform.Restore(0) // nothing that anybody wrote is left
+		}
+		era := uint64(1 + restores)
+		f.until("the duty of this era", func() bool { return f.eraOfDuty() == era })
+		is.True(f.serves("extra"))
+		is.Equal(f.dial(f.proxies[1], "extra").one("READ seat"), "none")
+		f.start(3) // the store has no configuration, the others have
+		f.until("the configuration of the peers", func() bool { return f.serves("extra") })
+		f.platform.Rewrite()
+		f.until("all entries", f.enrolled)
+		f.platform.Route("more", "billet", "primary", 0)
+		f.until("the next configuration", func() bool { return f.serves("more") })
+		c := f.dial(f.proxies[0], "more")
+		f.until("a write", func() bool { return c.ask("WRITE seat anna").code == "" })
+	}
+}
+
 // Guards against changes that are skipped because the store has given their revisions out
 // before.
 func TestChangesAtRevisionsOfAnEarlierEraAreHeardOf(t *testing.T) {
