proxier: the bound of a transfer ends with it

Cause: the time by which a peer must have been sent a configuration stayed on its connection, which is kept for 2 s: an answer on it more than a second later would have been cut. Change: the bound is taken off when the answer is written. Evidence: TestTheBoundOfATransferEndsWithIt fails without the line (one bound set, none taken off). A constant stands where its comment is.

--- a/proxier/parcel_test.go
+++ b/proxier/parcel_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
@@ -75,3 +76,25 @@
 	p.transfers.Release(mostTransfers)
 	is.Equal(ask("1"), http.StatusOK)
 }
+
+// bounded notes the bounds that a handler sets on its connection.
+type bounded struct {
+	httptest.ResponseRecorder
+	deadlines []time.Time
+}
+
+func (b *bounded) SetWriteDeadline(t time.Time) error {
+	b.deadlines = append(b.deadlines, t)
+	return nil
+}
+
+// Guards against a bound of one answer that breaks the next one on the same connection.
+func TestTheBoundOfATransferEndsWithIt(t *testing.T) {
+	is := is.New(t)
+	var p Proxier
+	w := &bounded{}
+	is.NoErr(p.deliver(w, http.NewResponseController(w), &cataloger.Config{Version: 2}))
+	is.Equal(len(w.deadlines), 2)
+	is.True(w.deadlines[0].After(time.Now()))
+	is.True(w.deadlines[1].IsZero())
+}
--- a/proxier/peers.go
+++ b/proxier/peers.go
@@ -152,6 +152,8 @@
 	if err := link.SetWriteDeadline(time.Now().Add(relayTimeout)); err != nil {
 		return errors.Wrap(err, "proxier: bound a transfer")
 	}
+	// The connection is kept, and the bound would hold for what is sent on it later.
+	defer func() { _ = link.SetWriteDeadline(time.Time{}) }()
 	if _, err := out.Write(body); err != nil {
 		return errors.Wrap(err, "proxier: send the configuration")
 	}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -61,10 +61,10 @@
 	// connection for such calls stays open: whoever tells first is asked, and one kept to
 	// each that ever was takes descriptors and the kernel's probes.
 	relayTimeout = time.Second
+	peerIdle     = 2 * time.Second
 	// mostTransfers is how many peers are told the configuration at a time. On a link of
 	// 10 Mbit/s the largest one that the store takes reaches that many in 0.2 s.
 	mostTransfers = 4
-	peerIdle      = 2 * time.Second
 )
 
 // Proxier is one process. Set the exported fields before Run.
