versioner, overseer: tokens leave more room for revisions

Cause: a token had room for revisions up to 2^36, and a claim beyond fails; a store may begin its revisions anywhere above zero. Change: 2^40, and eras up to 8,191 in place of 131,071, so that a token still fits into 63 bits.

--- a/overseer/duty.go
+++ b/overseer/duty.go
@@ -45,10 +45,10 @@
 	Claim uint64 `json:"claim"`
 }
 
-// revisionBits is how many bits of a token the revision of a claim takes, after those of
-// the place in the block: a store that is written to 400 times a second gets there after
-// five years.
-const revisionBits = 36
+// revisionBits is how many bits of a token the revision of a claim takes, before those of
+// the place in the block: a store that is written to 400 times a second needs more after
+// 87 years.
+const revisionBits = 40
 
 // tokenOf returns the first of the block of tokens of a claim that was written at a
 // version. It depends on nothing that a restore takes away: a store gives no version out
--- a/versioner/eras.go
+++ b/versioner/eras.go
@@ -2,10 +2,10 @@
 
 import "strconv"
 
-// MostEra is the highest era that counts: a store that is restored each minute gets there
-// after three months. What states a higher one is taken for broken, since it would keep
-// all later answers out.
-const MostEra = 1<<17 - 1
+// MostEra is the highest era that counts: a store that is restored each day gets there
+// after 22 years. What states a higher one is taken for broken, since it would keep all
+// later answers out.
+const MostEra = 1<<13 - 1
 
 // Verdict says whether an answer counts.
 type Verdict uint8
