--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -15,9 +15,10 @@
 	patience = time.Second
 	// storeEvery is the time between two reads of the store, up to half as long again.
 	storeEvery = 2 * time.Second
-	// shunned is how long a peer that failed isn't asked, and busyFor one that is busy.
-	shunned = 2 * time.Second
-	busyFor = 200 * time.Millisecond
+	// failedFor is how long a peer that failed isn't asked again, and busyFor one that is
+	// busy.
+	failedFor = 2 * time.Second
+	busyFor   = 200 * time.Millisecond
 	// mostOffers bounds how many peers are remembered.
 	mostOffers = 16
 )
@@ -132,7 +133,7 @@
 	case Busy:
 		f.offers[i].after = now.Add(f.vary(busyFor))
 	case Failed:
-		f.offers[i].after = now.Add(f.vary(shunned))
+		f.offers[i].after = now.Add(f.vary(failedFor))
 	}
 }
 
--- a/proxier/peers.go
+++ b/proxier/peers.go
@@ -73,10 +73,10 @@
 func (p *Proxier) heard(s gossiper.State) {
 	p.checks.hear(s.Checked, bootClock())
 	if s.Configuration > p.holdings.current().Config.Version {
-		p.notice(s.Name, s.Configuration)
+		p.logNewer(s.Name, s.Configuration)
 		p.configurations.hear(s.Operators, versioner.Version{Revision: s.Configuration})
 	}
-	p.raise(s.Complete.Era, s.Name)
+	p.hearEra(s.Complete.Era, s.Name)
 	if p.holdings.lacks(s.Complete, s.Digest) {
 		p.entries.hear(s.Operators, s.Complete)
 	}
@@ -117,7 +117,7 @@
 		b.Fleet = p.gossip.Members()
 	}
 	began := bootClock()
-	out := &tally{Writer: w}
+	out := &byteCounter{Writer: w}
 	err = json.NewEncoder(out).Encode(b)
 	p.sent(r.RemoteAddr, out.bytes, began, err)
 }
@@ -138,7 +138,7 @@
 	}
 	defer p.transfers.Release(1)
 	began := bootClock()
-	out := &tally{Writer: w}
+	out := &byteCounter{Writer: w}
 	err := p.deliver(out, http.NewResponseController(w), &config)
 	p.sent(r.RemoteAddr, out.bytes, began, err)
 }
@@ -206,7 +206,7 @@
 // get has what a peer tells taken in; nothing where it has nothing newer.
 func (p *Proxier) get(ctx context.Context, at netip.AddrPort, path string, has url.Values, take func(body io.Reader) error) (err error) {
 	began := bootClock()
-	in := &tally{Reader: http.NoBody}
+	in := &byteCounter{Reader: http.NoBody}
 	defer func() { p.received(at, path, in.bytes, began, err) }()
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"golang.org/x/sync/semaphore"
+	"golang.org/x/time/rate"
 
 	"basildale.example/basildale/adapter/keeper"
 	"basildale.example/basildale/adapter/messenger"
@@ -91,8 +92,8 @@
 	back     signal // the store answers again
 	renewed  signal // the store has been restored
 	heardEra atomic.Uint64
-	drops    complaint
-	learned  atomic.Bool // the store has told where peers are
+	drops    rate.Sometimes // bounds the lines about answers of the store that don't count
+	learned  atomic.Bool    // the store has told where peers are
 	// introduced says that it has just done so. Who carries is divided at once: until
 	// then the process has no connections.
 	introduced chan struct{}
@@ -173,6 +174,7 @@
 	p.start = time.Now().UnixNano()
 	p.began = bootClock()
 	p.introduced = make(chan struct{}, 1)
+	p.drops = rate.Sometimes{First: 1, Interval: time.Second}
 	p.transfers = semaphore.NewWeighted(mostTransfers)
 	p.limit.Store(int64(s.Stop))
 	p.registry = metrics.NewRegistry()
--- a/proxier/restore.go
+++ b/proxier/restore.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -35,29 +34,12 @@
 	answersDropped = "basildale_store_answers_dropped"
 )
 
-// complaint bounds a line of the log to one a second. Its zero value is ready for use.
-type complaint struct {
-	mu   sync.Mutex
-	next time.Time
-}
-
-// due reports whether the line is to be written.
-func (c *complaint) due(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if now.Before(c.next) {
-		return false
-	}
-	c.next = now.Add(time.Second)
-	return true
-}
-
 // era returns the store's era as far as this process knows it, from the store or from
 // peers.
 func (p *Proxier) era() uint64 { return max(p.store.Era(), p.heardEra.Load()) }
 
-// raise takes in an era that a peer knows.
-func (p *Proxier) raise(era uint64, peer string) {
+// hearEra takes in an era that a peer knows.
+func (p *Proxier) hearEra(era uint64, peer string) {
 	if era > versioner.MostEra {
 		return
 	}
@@ -81,9 +63,9 @@
 // dropped takes in that an answer of the store doesn't count.
 func (p *Proxier) dropped(call string, why versioner.Verdict) {
 	metrics.GetOrRegisterCounter(answersDropped, p.registry).Inc(1)
-	if p.drops.due(bootClock()) {
+	p.drops.Do(func() {
 		p.Log.Warn("proxier: answer of the store dropped", zap.String("call", call), zap.Stringer("era", why), zap.Uint64("known", p.store.Era()))
-	}
+	})
 }
 
 // keepEnrolled writes this process's entry again when the store was restored.
--- a/proxier/transfer.go
+++ b/proxier/transfer.go
@@ -20,22 +20,22 @@
 	bytesSent         = "basildale_transfer_bytes_sent"
 )
 
-// tally counts the bytes of a transfer in either direction.
-type tally struct {
+// byteCounter counts the bytes of a transfer in either direction.
+type byteCounter struct {
 	io.Reader
 	io.Writer
 	bytes int64
 }
 
-func (t *tally) Read(b []byte) (int, error) {
-	n, err := t.Reader.Read(b)
-	t.bytes += int64(n)
+func (c *byteCounter) Read(b []byte) (int, error) {
+	n, err := c.Reader.Read(b)
+	c.bytes += int64(n)
 	return n, err
 }
 
-func (t *tally) Write(b []byte) (int, error) {
-	n, err := t.Writer.Write(b)
-	t.bytes += int64(n)
+func (c *byteCounter) Write(b []byte) (int, error) {
+	n, err := c.Writer.Write(b)
+	c.bytes += int64(n)
 	return n, err
 }
 
@@ -69,8 +69,8 @@
 		zap.Duration("took", bootClock().Sub(began)), zap.Uint64("configuration", p.holdings.current().Config.Version), zap.Error(err))
 }
 
-// notice logs a version of the configuration that a peer is the first to tell of.
-func (p *Proxier) notice(peer string, version uint64) {
+// logNewer logs a version of the configuration that a peer is the first to tell of.
+func (p *Proxier) logNewer(peer string, version uint64) {
 	for {
 		known := p.noticed.Load()
 		if version <= known {
