--- a/overseer/restore_test.go
+++ b/overseer/restore_test.go
@@ -35,6 +35,8 @@
 
 	moment int
 	claims []outcome
+	seen   uint64 // the highest token that the platform has seen
+	orders []int  // those that it carried out, by the claim that they were given under
 }
 
 // written is the record of the duty at a revision, and the one that it replaces.
@@ -129,6 +131,21 @@
 	}
 }
 
+// order has a holder give an order under a claim that it once had, which the platform
+// carries out unless it has seen a higher token.
+func (d *drilled) order() {
+	if len(d.claims) == 0 {
+		return
+	}
+	i := d.rng.IntN(len(d.claims))
+	token := d.claims[i].token + uint64(d.rng.IntN(replacer.Block))
+	if token < d.seen {
+		return
+	}
+	d.seen = token
+	d.orders = append(d.orders, i)
+}
+
 // RoundTrip carries a call out, or loses it or its answer.
 func (d *drilled) RoundTrip(req *http.Request) (*http.Response, error) {
 	if trace := httptrace.ContextClientTrace(req.Context()); trace != nil && trace.GotConn != nil {
@@ -204,9 +221,50 @@
 			}
 		}
 	}
+	for k, i := range d.orders {
+		for _, j := range d.orders[:k] {
+			if a, b := d.claims[i], d.claims[j]; a.end < b.began {
+				return fmt.Sprintf("an order of %s under %d counts after one of %s under %d", a.holder, a.token, b.holder, b.token)
+			}
+		}
+	}
 	return ""
 }
 
+// steps are what may happen at a time.
+func (d *drilled) steps() []func() {
+	return []func(){
+		func() { d.claim(d.claimants[0]) },
+		func() { d.claim(d.claimants[1]) },
+		d.order,
+		func() { d.revision++ }, // a write of another object
+		d.meanwhile,
+	}
+}
+
+// Guards against steps whose order a restore between them turns round.
+func TestEachPairOfStepsAroundRestores(t *testing.T) {
+	const draws = 100 // of each pair
+	is := is.New(t)
+	steps := len(newDrilled(0).steps())
+	for pair := range steps * steps {
+		for drills := 1; drills <= 2; drills++ {
+			for seed := range uint64(draws) {
+				d := newDrilled(uint64(pair)<<32 | uint64(drills)<<16 | seed)
+				d.claim(d.claimants[2])
+				d.steps()[pair/steps]()
+				for range drills {
+					d.drill()
+				}
+				d.steps()[pair%steps]()
+				d.claim(d.claimants[2])
+				d.order()
+				is.Equal(d.wrong(), "")
+			}
+		}
+	}
+}
+
 // Guards against two holders of one token, and against a later holder whose orders the
 // platform refuses for those of an earlier one, over restores of the store.
 func TestTokensRiseOverRestores(t *testing.T) {
@@ -218,6 +276,7 @@
 		for range 2 + d.rng.IntN(6) {
 			d.meanwhile()
 			d.claim(d.claimants[d.rng.IntN(len(d.claimants))])
+			d.order()
 		}
 		taken += len(d.claims)
 		if wrong := d.wrong(); wrong != "" {
--- a/proxier/restore.go
+++ b/proxier/restore.go
@@ -70,8 +70,7 @@
 
 // keepEnrolled writes this process's entry again when the store was restored.
 func (p *Proxier) keepEnrolled(ctx context.Context) {
-	written := p.era()
-	var again time.Time // the second look; zero when there is none to come
+	own := enrolment{era: p.era()}
 	ticker := time.NewTicker(eraTick)
 	defer ticker.Stop()
 	for {
@@ -80,22 +79,41 @@
 			return
 		case <-ticker.C:
 		}
-		era, now := p.era(), bootClock()
-		if era == written && (again.IsZero() || now.Before(again)) {
+		era := p.era()
+		if !own.due(era, bootClock()) {
 			continue
 		}
-		first := era != written
-		if first && !sleep(ctx, rand.N(max(reenrollWithin, time.Duration(p.proxies())*reenrollEach))) {
+		if own.first(era) && !sleep(ctx, rand.N(max(reenrollWithin, time.Duration(p.proxies())*reenrollEach))) {
 			return
 		}
 		if err := p.reenroll(ctx); err != nil {
 			continue // logged, and due again at the next tick
 		}
-		written, again = era, time.Time{}
-		if first {
-			again = bootClock().Add(reenrollAgain)
-		}
+		own.done(era, bootClock())
+	}
+}
+
+// enrolment is when this process last looked after its entry.
+type enrolment struct {
+	era   uint64    // of the store, then
+	again time.Time // when it looks once more; zero when it needn't
+}
+
+// first reports whether the entry hasn't been looked after in an era.
+func (e *enrolment) first(era uint64) bool { return era != e.era }
+
+// due reports whether the entry is to be looked after.
+func (e *enrolment) due(era uint64, now time.Time) bool {
+	return e.first(era) || !e.again.IsZero() && !now.Before(e.again)
+}
+
+// done takes in that the entry was looked after.
+func (e *enrolment) done(era uint64, now time.Time) {
+	again := time.Time{}
+	if e.first(era) {
+		again = now.Add(reenrollAgain)
 	}
+	e.era, e.again = era, again
 }
 
 // sleep waits, and reports whether the context is still open.
--- a/proxier/restore_test.go
+++ b/proxier/restore_test.go
@@ -58,6 +58,9 @@
 		f.until("the configuration of the peers", func() bool { return f.serves("extra") })
 		f.platform.Rewrite()
 		f.until("all entries", f.enrolled)
+		for _, m := range f.proxies[:3] {
+			is.True(m.proxies() >= 3) // who is in the fleet doesn't depend on the store's list
+		}
 		f.platform.Route("more", "billet", "primary", 0)
 		f.until("the next configuration", func() bool { return f.serves("more") })
 		c := f.dial(f.proxies[0], "more")
@@ -65,6 +68,23 @@
 	}
 }
 
+// Guards against an entry that a call of before the restore takes away late.
+func TestOwnEntriesAreLookedAfterTwiceInAnEra(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	own := enrolment{era: 1}
+	is.True(!own.due(1, now.Add(time.Hour)))
+	is.True(own.due(2, now))
+	is.True(own.first(2))
+	own.done(2, now)
+	is.True(!own.due(2, now.Add(reenrollAgain-time.Second)))
+	is.True(own.due(2, now.Add(reenrollAgain)))
+	is.True(!own.first(2))
+	own.done(2, now.Add(reenrollAgain))
+	is.True(!own.due(2, now.Add(time.Hour)))
+	is.True(own.due(4, now)) // two restores
+}
+
 // Guards against changes that are skipped because the store has given their revisions out
 // before.
 func TestChangesAtRevisionsOfAnEarlierEraAreHeardOf(t *testing.T) {
