pooler: connections may belong to owners

Cause: upstreams are told the workspace that a connection is for, and serve it alone. The pool gave any idle connection to whoever asked. Change: GetFor and TryGetFor give out the connections of one owner. At the limit, which counts all owners together, the connection that was idle for longest is closed to make room. One that comes back goes to the first in line of its owner, past the first of all three times at most. Get and TryGet take any, as before.

--- a/carrier/group.go
+++ b/carrier/group.go
@@ -115,7 +115,7 @@
 	m.opener = &opener{now: g.carrier.Now, after: func(d time.Duration, f func()) { time.AfterFunc(d, f) }}
 	m.pool = &pooler.Pool[*conn]{
 		Limit: g.carrier.share(g.name),
-		Dial:  func(ctx context.Context) (*conn, error) { return g.dial(ctx, m) },
+		Dial:  func(ctx context.Context, _ string) (*conn, error) { return g.dial(ctx, m) },
 		Close: func(c *conn) { _ = c.Close() }, // a connection that is dropped has nothing left to say
 		Pace:  m.opener.want,
 		None:  errUnshared,
--- a/pooler/doc.go
+++ b/pooler/doc.go
@@ -7,6 +7,10 @@
 // goroutine of its own: Dial and Close are seams, and opening runs in the
 // goroutine of the one who asks.
 //
+// Connections may belong to owners, such as the workspace that an upstream was told
+// when they were opened. GetFor and TryGetFor give out those of one owner only, Get and
+// TryGet any. The limit counts all of them together.
+//
 // # Usage
 //
 //	pool := &pooler.Pool[*Conn]{Limit: 4, Dial: dial, Close: shut}
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -20,10 +21,13 @@
 type Pool[C any] struct {
 	// Limit is the greatest number of connections open at once; 0 allows none.
 	Limit int
-	// Dial opens a connection. It runs without the pool's lock.
-	Dial func(ctx context.Context) (C, error)
+	// Dial opens a connection for an owner. It runs without the pool's lock.
+	Dial func(ctx context.Context, owner string) (C, error)
 	// Close ends a connection. It runs without the pool's lock.
 	Close func(C)
+	// Owner, when set, tells whom a connection was opened for; without it all are of
+	// the owner "".
+	Owner func(C) string
 	// Pace, when set, spreads the opening of connections: it is called once for
 	// each that somebody waits for, without the pool's lock, and has to call
 	// Permit once, now or later. Warm isn't paced.
@@ -33,7 +37,7 @@
 	None error
 
 	mu     sync.Mutex
-	idle   []C
+	idle   []warm[C] // the one that was used last is at the end
 	open   int
 	spare  int // the fewest that were idle since the last Shrink
 	asked  int // permits asked for that have not come
@@ -41,8 +45,24 @@
 	closed bool
 }
 
+// warm is a connection that nobody uses, and whom it was opened for.
+type warm[C any] struct {
+	conn  C
+	owner string
+}
+
+// request says which connections will do.
+type request struct {
+	owner string
+	any   bool // those of every owner
+}
+
+func (r request) takes(owner string) bool { return r.any || r.owner == owner }
+
 // waiter is one who waits in line. Its channel has room for one grant.
 type waiter[C any] struct {
+	request
+	passed  int // connections that went to others behind it in line
 	granted chan grant[C]
 }
 
@@ -53,6 +73,10 @@
 	err  error
 }
 
+// mostPassed is how many connections of other owners may go to those behind the first
+// in line before one is closed to make room for it.
+const mostPassed = 3
+
 // Stats counts a pool's connections and those who wait for one.
 type Stats struct {
 	Limit   int
@@ -62,11 +86,20 @@
 }
 
 // Get returns a connection that belongs to the one who asks until Put or
-// Discard. It takes a warm one, opens one within the limit, or waits until ctx
-// ends. The error is that of ctx or of Dial, or ErrClosed.
-func (p *Pool[C]) Get(ctx context.Context) (C, error) {
-	g, w, wanted := p.ask()
-	p.pace(wanted)
+// Discard, whomever it was opened for. It takes a warm one, opens one within the
+// limit, or waits until ctx ends. The error is that of ctx or of Dial, or ErrClosed.
+func (p *Pool[C]) Get(ctx context.Context) (C, error) { return p.get(ctx, request{any: true}) }
+
+// GetFor is Get for a connection that was opened for an owner and is used for no
+// other. Where the limit is reached, the connection of another owner that has been
+// idle for longest is closed to make room.
+func (p *Pool[C]) GetFor(ctx context.Context, owner string) (C, error) {
+	return p.get(ctx, request{owner: owner})
+}
+
+func (p *Pool[C]) get(ctx context.Context, r request) (C, error) {
+	g, w, o := p.ask(r)
+	p.settle(o)
 	if w != nil {
 		var err error
 		if g, err = p.wait(ctx, w); err != nil {
@@ -74,63 +107,102 @@
 			return none, err
 		}
 	}
-	return p.use(ctx, g)
+	return p.use(ctx, r.owner, g)
+}
+
+// TryGet returns a warm connection of any owner if there is one, without waiting or
+// dialing.
+func (p *Pool[C]) TryGet() (C, bool) { return p.try(request{any: true}) }
+
+// TryGetFor is TryGet for the connections of one owner.
+func (p *Pool[C]) TryGetFor(owner string) (C, bool) { return p.try(request{owner: owner}) }
+
+// Has reports whether a connection of an owner is idle.
+func (p *Pool[C]) Has(owner string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.find(request{owner: owner}) >= 0
 }
 
-// TryGet returns a warm connection if there is one, without waiting or dialing.
-func (p *Pool[C]) TryGet() (c C, ok bool) {
+func (p *Pool[C]) try(r request) (c C, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle) == 0 || p.open > p.Limit {
+	if p.closed || p.open > p.Limit {
 		return c, false
 	}
-	return p.pop(), true
+	return p.pop(r)
+}
+
+// outcome is what is to be done once the pool's lock is released.
+type outcome[C any] struct {
+	wanted int // permits to ask for
+	closed []C // connections to close
 }
 
-// ask takes a grant at once or joins the line, and returns how many permits are
-// to be asked for.
-func (p *Pool[C]) ask() (grant[C], *waiter[C], int) {
+func (p *Pool[C]) settle(o outcome[C]) {
+	for range o.wanted {
+		p.Pace()
+	}
+	for _, c := range o.closed {
+		p.Close(c)
+	}
+}
+
+// ask takes a grant at once or joins the line.
+func (p *Pool[C]) ask(r request) (grant[C], *waiter[C], outcome[C]) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		return grant[C]{err: ErrClosed}, nil, 0
+		return grant[C]{err: ErrClosed}, nil, outcome[C]{}
 	}
-	if n := len(p.idle); n > 0 && p.open <= p.Limit {
-		return grant[C]{conn: p.pop(), warm: true}, nil, 0
+	if p.open <= p.Limit {
+		if c, ok := p.pop(r); ok {
+			return grant[C]{conn: c, warm: true}, nil, outcome[C]{}
+		}
 	}
 	if p.none() {
-		return grant[C]{err: p.None}, nil, 0
-	}
-	if p.open < p.Limit && p.Pace == nil {
-		p.open++
-		return grant[C]{}, nil, 0
+		return grant[C]{err: p.None}, nil, outcome[C]{}
 	}
-	w := &waiter[C]{granted: make(chan grant[C], 1)}
+	w := &waiter[C]{request: r, granted: make(chan grant[C], 1)}
 	p.line = append(p.line, w)
-	return grant[C]{}, w, p.admit()
+	o := p.admit()
+	select {
+	case g := <-w.granted:
+		return g, nil, o
+	default:
+		return grant[C]{}, w, o
+	}
 }
 
 // none reports whether who asks for a connection is told so at once.
 func (p *Pool[C]) none() bool { return p.Limit == 0 && p.None != nil }
 
-// pace asks for permits.
-func (p *Pool[C]) pace(n int) {
-	for range n {
-		p.Pace()
-	}
-}
-
 // Permit lets the first in line open a connection within the limit, and reports
 // whether somebody does. A permit that nobody needs any more is lost.
 func (p *Pool[C]) Permit() bool {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.asked--
-	if len(p.line) == 0 || p.open >= p.Limit {
+	var o outcome[C]
+	permitted := len(p.line) > 0 && p.room(&o)
+	if permitted {
+		p.next(0).granted <- grant[C]{}
+	}
+	p.mu.Unlock()
+	p.settle(o)
+	return permitted
+}
+
+// room takes a place for one more connection, that of the connection which has been
+// idle for longest if there is no other, and reports whether there is one.
+func (p *Pool[C]) room(o *outcome[C]) bool {
+	switch {
+	case p.open < p.Limit:
+		p.open++
+		return true
+	case p.open > p.Limit || len(p.idle) == 0:
 		return false
 	}
-	p.open++
-	p.next().granted <- grant[C]{}
+	o.closed = append(o.closed, p.take(0))
 	return true
 }
 
@@ -144,17 +216,34 @@
 
 func (p *Pool[C]) refuse(err error) {
 	for len(p.line) > 0 {
-		p.next().granted <- grant[C]{err: err}
+		p.next(0).granted <- grant[C]{err: err}
+	}
+}
+
+// find returns the place of the connection that was used last of those that will do,
+// or a negative number.
+func (p *Pool[C]) find(r request) int {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if r.takes(p.idle[i].owner) {
+			return i
+		}
+	}
+	return -1
+}
+
+func (p *Pool[C]) pop(r request) (c C, ok bool) {
+	i := p.find(r)
+	if i < 0 {
+		return c, false
 	}
+	return p.take(i), true
 }
 
-func (p *Pool[C]) pop() C {
-	var none C
-	n := len(p.idle) - 1
-	c := p.idle[n]
-	p.idle[n] = none
-	p.idle = p.idle[:n]
-	p.spare = min(p.spare, n)
+// take takes out one of the idle connections.
+func (p *Pool[C]) take(i int) C {
+	c := p.idle[i].conn
+	p.idle = slices.Delete(p.idle, i, i+1)
+	p.spare = min(p.spare, len(p.idle))
 	return c
 }
 
@@ -164,10 +253,8 @@
 func (p *Pool[C]) Shrink(keep int) {
 	p.mu.Lock()
 	n := max(0, min(p.spare, p.open-keep, len(p.idle)))
-	cut := append([]C(nil), p.idle[:n]...) // the front of the stack was idle for longest
-	rest := copy(p.idle, p.idle[n:])
-	clear(p.idle[rest:])
-	p.idle = p.idle[:rest]
+	cut := connections(p.idle[:n]) // the front of the stack was idle for longest
+	p.idle = slices.Delete(p.idle, 0, n)
 	p.open -= n
 	p.spare = len(p.idle)
 	p.mu.Unlock()
@@ -176,6 +263,14 @@
 	}
 }
 
+func connections[C any](list []warm[C]) []C {
+	out := make([]C, 0, len(list))
+	for _, w := range list {
+		out = append(out, w.conn)
+	}
+	return out
+}
+
 func (p *Pool[C]) wait(ctx context.Context, w *waiter[C]) (grant[C], error) {
 	select {
 	case g := <-w.granted:
@@ -203,11 +298,11 @@
 	return false
 }
 
-func (p *Pool[C]) use(ctx context.Context, g grant[C]) (C, error) {
+func (p *Pool[C]) use(ctx context.Context, owner string, g grant[C]) (C, error) {
 	if g.warm || g.err != nil {
 		return g.conn, g.err
 	}
-	c, err := p.Dial(ctx)
+	c, err := p.Dial(ctx, owner)
 	if err != nil {
 		p.drop()
 		return c, errors.Wrap(err, "pooler: dial")
@@ -217,31 +312,51 @@
 
 // Put gives a connection back to be used again.
 func (p *Pool[C]) Put(c C) {
-	if !p.keep(c) {
+	kept, o := p.keep(c)
+	p.settle(o)
+	if !kept {
 		p.Discard(c)
 	}
 }
 
-// keep hands c to the first in line or makes it idle. It returns false when
-// the pool is closed or above its limit.
-func (p *Pool[C]) keep(c C) bool {
+// keep hands c to one in line or makes it idle. It returns false when the pool is
+// closed or above its limit.
+func (p *Pool[C]) keep(c C) (bool, outcome[C]) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || p.open > p.Limit {
-		return false
+		return false, outcome[C]{}
 	}
-	if len(p.line) > 0 {
-		p.next().granted <- grant[C]{conn: c, warm: true}
-		return true
+	owner := ""
+	if p.Owner != nil {
+		owner = p.Owner(c)
 	}
-	p.idle = append(p.idle, c)
-	return true
+	if i := p.heir(owner); i >= 0 {
+		p.next(i).granted <- grant[C]{conn: c, warm: true}
+		return true, outcome[C]{}
+	}
+	p.idle = append(p.idle, warm[C]{c, owner})
+	return true, p.admit()
 }
 
-func (p *Pool[C]) next() *waiter[C] {
-	w := p.line[0]
-	p.line[0] = nil
-	p.line = p.line[1:]
+// heir returns the place in line of who gets a connection that has come back, or a
+// negative number. Opening another one costs the upstream's time, so that the first
+// in line whom it was opened for goes before others, but not for ever.
+func (p *Pool[C]) heir(owner string) int {
+	i := slices.IndexFunc(p.line, func(w *waiter[C]) bool { return w.takes(owner) })
+	if i > 0 {
+		if p.line[0].passed >= mostPassed {
+			return -1
+		}
+		p.line[0].passed++
+	}
+	return i
+}
+
+// next takes one out of the line.
+func (p *Pool[C]) next(i int) *waiter[C] {
+	w := p.line[i]
+	p.line = slices.Delete(p.line, i, i+1)
 	return w
 }
 
@@ -255,31 +370,30 @@
 func (p *Pool[C]) drop() {
 	p.mu.Lock()
 	p.open--
-	wanted := p.admit()
+	o := p.admit()
 	p.mu.Unlock()
-	p.pace(wanted)
+	p.settle(o)
 }
 
-// admit lets those in line open connections within the limit, or returns how many
-// permits are to be asked for.
-func (p *Pool[C]) admit() (wanted int) {
+// admit lets those in line open connections within the limit, or asks for permits.
+func (p *Pool[C]) admit() (o outcome[C]) {
 	if p.Pace != nil {
-		wanted = max(0, min(len(p.line), p.Limit-p.open)-p.asked)
-		p.asked += wanted
-		return wanted
+		places := max(0, p.Limit-p.open) + len(p.idle)
+		o.wanted = max(0, min(len(p.line), places)-p.asked)
+		p.asked += o.wanted
+		return o
 	}
-	for len(p.line) > 0 && p.open < p.Limit {
-		p.open++
-		p.next().granted <- grant[C]{}
+	for len(p.line) > 0 && p.room(&o) {
+		p.next(0).granted <- grant[C]{}
 	}
-	return 0
+	return o
 }
 
 // Warm opens connections until n are open or the limit is reached, and leaves
 // them idle, so that later owners don't wait for dialing.
 func (p *Pool[C]) Warm(ctx context.Context, n int) error {
 	for p.reserve(n) {
-		c, err := p.use(ctx, grant[C]{})
+		c, err := p.use(ctx, "", grant[C]{})
 		if err != nil {
 			return err
 		}
@@ -307,18 +421,17 @@
 		p.refuse(p.None)
 	}
 	cut := p.trim()
-	wanted := p.admit()
+	o := p.admit()
 	p.mu.Unlock()
-	p.pace(wanted)
-	for _, c := range cut {
-		p.Close(c)
-	}
+	o.closed = append(o.closed, cut...)
+	p.settle(o)
 }
 
+// trim takes out the idle connections above the limit, that of longest rest first.
 func (p *Pool[C]) trim() []C {
 	var cut []C
 	for p.open > p.Limit && len(p.idle) > 0 {
-		cut = append(cut, p.pop())
+		cut = append(cut, p.take(0))
 		p.open--
 	}
 	return cut
@@ -327,16 +440,14 @@
 // Flush closes all idle connections, for instance when their upstream is gone.
 func (p *Pool[C]) Flush() {
 	p.mu.Lock()
-	idle := p.idle
+	idle := connections(p.idle)
 	p.idle = nil
 	p.spare = 0
 	p.open -= len(idle)
-	wanted := p.admit()
+	o := p.admit()
 	p.mu.Unlock()
-	p.pace(wanted)
-	for _, c := range idle {
-		p.Close(c)
-	}
+	o.closed = append(o.closed, idle...)
+	p.settle(o)
 }
 
 // Sweep closes the idle connections that are not alive any more. alive runs with
@@ -344,23 +455,19 @@
 func (p *Pool[C]) Sweep(alive func(C) bool) {
 	p.mu.Lock()
 	var dead []C
-	kept := p.idle[:0]
-	for _, c := range p.idle {
-		if alive(c) {
-			kept = append(kept, c)
-		} else {
-			dead = append(dead, c)
+	p.idle = slices.DeleteFunc(p.idle, func(w warm[C]) bool {
+		if alive(w.conn) {
+			return false
 		}
-	}
-	clear(p.idle[len(kept):])
-	p.idle = kept
+		dead = append(dead, w.conn)
+		return true
+	})
+	p.spare = min(p.spare, len(p.idle))
 	p.open -= len(dead)
-	wanted := p.admit()
+	o := p.admit()
 	p.mu.Unlock()
-	p.pace(wanted)
-	for _, c := range dead {
-		p.Close(c)
-	}
+	o.closed = append(o.closed, dead...)
+	p.settle(o)
 }
 
 // Stop closes the pool: idle connections at once, others when they come back;
--- a/pooler/pool_test.go
+++ b/pooler/pool_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -23,7 +25,7 @@
 	n.closed = map[int]bool{}
 	return &Pool[int]{
 		Limit: limit,
-		Dial: func(context.Context) (int, error) {
+		Dial: func(context.Context, string) (int, error) {
 			n.next++
 			return n.next, n.fail
 		},
@@ -250,7 +252,7 @@
 	none := errors.New("none")
 	p := &Pool[int]{
 		Limit: 1, None: none, Close: func(int) {},
-		Dial: func(context.Context) (int, error) { return 1, nil },
+		Dial: func(context.Context, string) (int, error) { return 1, nil },
 	}
 	c, err := p.Get(t.Context())
 	is.NoErr(err)
@@ -272,3 +274,139 @@
 	_, err = p.Get(t.Context())
 	is.NoErr(err)
 }
+
+// owned is a connection and whom it was opened for.
+type owned struct {
+	owner  string
+	number int
+}
+
+// keyed is a pool that tells owners apart, and what it has closed.
+type keyed struct {
+	Pool[owned]
+	mu     sync.Mutex
+	opened int
+	closed []owned
+}
+
+func newKeyed(limit int) *keyed {
+	k := &keyed{}
+	k.Limit = limit
+	k.Dial = func(_ context.Context, owner string) (owned, error) {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.opened++
+		return owned{owner, k.opened}, nil
+	}
+	k.Close = func(c owned) {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.closed = append(k.closed, c)
+	}
+	k.Owner = func(c owned) string { return c.owner }
+	return k
+}
+
+// Guards against a statement of one tenant on a connection that was opened for another.
+func TestAConnectionServesItsOwnerOnly(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	k := newKeyed(2)
+	a, err := k.GetFor(ctx, "a")
+	is.NoErr(err)
+	k.Put(a)
+	is.True(k.Has("a"))
+	_, ok := k.TryGetFor("b")
+	is.True(!ok)
+	b, err := k.GetFor(ctx, "b")
+	is.NoErr(err)
+	is.Equal(b, owned{"b", 2})
+	again, err := k.GetFor(ctx, "a")
+	is.NoErr(err)
+	is.Equal(again, a) // opened once
+	k.Put(b)
+	whichever, err := k.Get(ctx)
+	is.NoErr(err)
+	is.Equal(whichever, b) // the pool's own work takes whatever is there
+}
+
+// Guards against a pool whose connections all belong to tenants that have gone quiet.
+func TestTheConnectionIdleForLongestMakesRoom(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	k := newKeyed(2)
+	a, _ := k.GetFor(ctx, "a")
+	b, _ := k.GetFor(ctx, "b")
+	k.Put(a)
+	k.Put(b)
+	c, err := k.GetFor(ctx, "c")
+	is.NoErr(err)
+	is.Equal(c.owner, "c")
+	is.Equal(k.closed, []owned{a})
+	is.Equal(k.Stats().Open, 2)
+}
+
+// Guards against a tenant that keeps all connections for itself by asking without a
+// pause.
+func TestNobodyIsPassedOverForEver(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(*testing.T) {
+		ctx := context.Background()
+		k := newKeyed(1)
+		held, _ := k.GetFor(ctx, "busy")
+		var order []string
+		for _, owner := range []string{"quiet", "busy", "busy", "busy", "busy", "busy"} {
+			go func() {
+				c, err := k.GetFor(ctx, owner)
+				is.NoErr(err)
+				k.mu.Lock()
+				order = append(order, owner)
+				k.mu.Unlock()
+				time.Sleep(time.Millisecond)
+				k.Put(c)
+			}()
+			synctest.Wait()
+		}
+		k.Put(held)
+		time.Sleep(time.Second)
+		is.Equal(order, []string{"busy", "busy", "busy", "quiet", "busy", "busy"})
+	})
+}
+
+// Plays drawn uses by many tenants: no connection is ever used by another owner, and
+// no more are open than the limit says.
+func TestOwnersInDrawnUses(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(*testing.T) {
+		k := newKeyed(4)
+		var inUse sync.Map
+		for i := range 40 {
+			go func() {
+				rng := rand.New(rand.NewPCG(7, uint64(i)))
+				for range 50 {
+					owner := string(rune('a' + rng.IntN(9)))
+					ctx, cancel := context.WithTimeout(context.Background(), time.Duration(rng.IntN(20))*time.Millisecond)
+					c, err := k.GetFor(ctx, owner)
+					cancel()
+					if err != nil {
+						continue
+					}
+					is.Equal(c.owner, owner)
+					_, twice := inUse.LoadOrStore(c.number, true)
+					is.True(!twice) // one user at a time
+					time.Sleep(time.Duration(rng.IntN(5)) * time.Millisecond)
+					inUse.Delete(c.number)
+					if rng.IntN(10) == 0 {
+						k.Discard(c)
+					} else {
+						k.Put(c)
+					}
+				}
+			}()
+		}
+		time.Sleep(time.Minute)
+		s := k.Stats()
+		is.Equal(s.Waiting, 0)
+		is.True(s.Open <= 4 && s.Open == s.Idle)
+	})
+}
--- a/server/pools.go
+++ b/server/pools.go
@@ -155,7 +155,7 @@
 		p.Pace = p.pace
 	}
 	p.Close = func(u *relayer.Upstream) { u.Terminate() }
-	p.Dial = func(ctx context.Context) (*relayer.Upstream, error) {
+	p.Dial = func(ctx context.Context, _ string) (*relayer.Upstream, error) {
 		c, err := d.Dial(ctx, address)
 		if err != nil {
 			return nil, err
