conductor, carrier, platform: callers need a workspace's key, and connections are the workspace's

Cause: the translator took neither tenants nor public routes from a configuration, the key of a CONNECT was dropped, and all connections to upstreams were opened under one name. Change: the configuration holds workspaces with the fingerprints of their keys; no process keeps or passes on a key. A session's workspace is decided anew at each statement, also inside a transaction and at its commit. Connections to upstreams are opened for a workspace and carry only its statements. Of the proxies that carry for a group, one goes first for each workspace, so that its connections are there; choosing an upstream reckons the time of opening one.

--- a/carrier/alone_test.go
+++ b/carrier/alone_test.go
@@ -59,7 +59,7 @@
 	return s.leader == id
 }
 
-func (s *stuckGroup) dial(_ context.Context, u cataloger.Upstream) (Link, error) {
+func (s *stuckGroup) dial(_ context.Context, u cataloger.Upstream, _ string) (Link, error) {
 	return &stuckLink{s, u.ID}, nil
 }
 
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -30,8 +30,9 @@
 	// Leave is how long an upstream that says that it leaves may get new work; zero sets
 	// no bound.
 	Leave time.Duration
-	// Dial opens a link to an upstream.
-	Dial func(ctx context.Context, u cataloger.Upstream) (Link, error)
+	// Dial opens a link to an upstream for the statements of a workspace; "" stands for
+	// those that belong to none, and for the process's own.
+	Dial func(ctx context.Context, u cataloger.Upstream, workspace string) (Link, error)
 	// Carry, when set, says for each group how many connections this process may have
 	// to each upstream, which takes so many from so many proxies.
 	Carry func(most map[string]int, proxies int) map[string]int
--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -39,8 +39,10 @@
 // conn is a connection with what its last owners left on it.
 type conn struct {
 	Link
-	values   []Value // in the order in which they were set
-	prepared map[Prepared]bool
+	// workspace is the one whose statements it carries, and no other's.
+	workspace string
+	values    []Value // in the order in which they were set
+	prepared  map[Prepared]bool
 }
 
 // prelude returns the commands that make the connection fit a session: they go
--- a/carrier/fault_test.go
+++ b/carrier/fault_test.go
@@ -79,11 +79,11 @@
 		s := &slots{free: make(chan struct{}, 6)}
 		crashed := false
 		c := &Carrier{Now: time.Now, Log: zap.NewNop()}
-		c.Dial = func(ctx context.Context, u cataloger.Upstream) (Link, error) {
+		c.Dial = func(ctx context.Context, u cataloger.Upstream, workspace string) (Link, error) {
 			if crashed {
 				return nil, errors.New("refused")
 			}
-			return s.dial(ctx, u)
+			return s.dial(ctx, u, workspace)
 		}
 		c.Divide(1, []cataloger.GroupSettings{{Name: "g", Connections: 53}})
 		c.Apply([]cataloger.Upstream{{ID: "old", Group: "g", Leads: true}, {ID: "new", Group: "g"}})
--- a/carrier/gate_test.go
+++ b/carrier/gate_test.go
@@ -23,7 +23,9 @@
 	free chan struct{}
 }
 
-func (s *slots) dial(context.Context, cataloger.Upstream) (Link, error) { return &slotLink{s}, nil }
+func (s *slots) dial(context.Context, cataloger.Upstream, string) (Link, error) {
+	return &slotLink{s}, nil
+}
 
 type slotLink struct{ s *slots }
 
--- a/carrier/group.go
+++ b/carrier/group.go
@@ -115,8 +115,9 @@
 	m.opener = &opener{now: g.carrier.Now, after: func(d time.Duration, f func()) { time.AfterFunc(d, f) }}
 	m.pool = &pooler.Pool[*conn]{
 		Limit: g.carrier.share(g.name),
-		Dial:  func(ctx context.Context, _ string) (*conn, error) { return g.dial(ctx, m) },
+		Dial:  func(ctx context.Context, workspace string) (*conn, error) { return g.dial(ctx, m, workspace) },
 		Close: func(c *conn) { _ = c.Close() }, // a connection that is dropped has nothing left to say
+		Owner: func(c *conn) string { return c.workspace },
 		Pace:  m.opener.want,
 		None:  errUnshared,
 	}
@@ -194,13 +195,17 @@
 }
 
 // dial opens a connection for a member's pool.
-func (g *Group) dial(ctx context.Context, m *member) (*conn, error) {
+func (g *Group) dial(ctx context.Context, m *member, workspace string) (*conn, error) {
 	g.mu.Lock()
 	entry := m.entry
 	g.mu.Unlock()
-	l, err := g.carrier.Dial(ctx, entry)
+	began := g.carrier.Now()
+	l, err := g.carrier.Dial(ctx, entry, workspace)
 	full := errors.Is(err, ErrOverloaded)
 	m.opener.opened(full)
+	if err == nil {
+		m.opener.took(g.carrier.Now().Sub(began))
+	}
 	if full {
 		g.crowded(m)
 	}
@@ -208,7 +213,7 @@
 		return nil, errors.Wrapf(err, "carrier: open a connection to %s", entry.ID)
 	}
 	g.heard(m, l.Greeted())
-	return &conn{Link: l}, nil
+	return &conn{Link: l, workspace: workspace}, nil
 }
 
 // heard takes in that a member has answered, and how far its log is.
@@ -267,7 +272,7 @@
 
 // choose picks a member for a job, or says why there is none. The leader that
 // is missing is sought meanwhile.
-func (g *Group) choose(need placer.Need, tried map[*member]bool) (*member, placer.Reason, <-chan struct{}) {
+func (g *Group) choose(need placer.Need, workspace string, tried map[*member]bool) (*member, placer.Reason, <-chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.carrier.Now()
@@ -275,7 +280,7 @@
 	share := g.carrier.share(g.name)
 	upTo := g.samples.needed(need.Since, now)
 	for i, m := range g.members {
-		candidates[i] = m.candidate(now, upTo, m == g.leader, m.entry.Zone == g.carrier.Zone, tried[m], share)
+		candidates[i] = m.candidate(now, upTo, m == g.leader, m.entry.Zone == g.carrier.Zone, tried[m], share, workspace)
 	}
 	i, reason := placer.Choose(candidates, need)
 	if g.carrier.Count != nil {
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -39,7 +39,9 @@
 // Job is what the statements of one operation have in common.
 type Job struct {
 	// Request is the caller's id of the statement, for the log.
-	Request   string
+	Request string
+	// Workspace is whose statement it is; "" where anyone may ask.
+	Workspace string
 	Freshness cataloger.Freshness
 	MaxAge    time.Duration
 	// Own is the furthest of the session's own writes.
@@ -106,7 +108,7 @@
 
 // open gets a connection to a member for a job.
 func (g *Group) open(m *member, j *Job) (*run, Answer) {
-	c, err := m.connection(j.Deadline)
+	c, err := m.connectionFor(j.Workspace, j.Deadline)
 	if err == nil && g.isClosed(m) {
 		g.release(m, c, true)
 		return nil, refusal(Busy, string(placer.Closed))
--- a/carrier/lost.go
+++ b/carrier/lost.go
@@ -120,7 +120,7 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	l, err := g.carrier.Dial(ctx, a.entry)
+	l, err := g.carrier.Dial(ctx, a.entry, "")
 	if err != nil {
 		return Report{}, err
 	}
--- a/carrier/member.go
+++ b/carrier/member.go
@@ -68,10 +68,14 @@
 	harmful bool      // its loss leaves the caller in doubt, so it isn't aborted
 }
 
-func (m *member) candidate(now, upTo time.Time, leads, local, tried bool, places int) placer.Candidate {
+func (m *member) candidate(now, upTo time.Time, leads, local, tried bool, places int, workspace string) placer.Candidate {
 	if m.opener.refused() {
 		places = m.pool.Stats().Open
 	}
+	opening := time.Duration(0)
+	if workspace != "" && !m.pool.Has(workspace) {
+		opening = m.opener.expected()
+	}
 	return placer.Candidate{
 		Leads:   leads,
 		Leaving: m.entry.Leaving,
@@ -85,6 +89,7 @@
 		Wait:    m.gate.Wait(),
 		Places:  places,
 		Latency: m.expected(now),
+		Opening: opening,
 	}
 }
 
@@ -109,17 +114,30 @@
 	m.measured = now
 }
 
-// connection returns a connection, opening one if need be, before the deadline.
+// connection returns a connection for what runs no statement of a caller, opening one
+// if need be, before the deadline.
 func (m *member) connection(deadline time.Time) (*conn, error) {
 	if l, ok := m.pool.TryGet(); ok {
 		return l, nil
 	}
+	return m.wait(deadline, m.pool.Get)
+}
+
+// connectionFor returns a connection for the statements of a workspace.
+func (m *member) connectionFor(workspace string, deadline time.Time) (*conn, error) {
+	if l, ok := m.pool.TryGetFor(workspace); ok {
+		return l, nil
+	}
+	return m.wait(deadline, func(ctx context.Context) (*conn, error) { return m.pool.GetFor(ctx, workspace) })
+}
+
+func (m *member) wait(deadline time.Time, get func(context.Context) (*conn, error)) (*conn, error) {
 	if m.full() {
 		return nil, ErrOverloaded
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	return m.pool.Get(ctx)
+	return get(ctx)
 }
 
 // full reports whether the upstream has no room for this process, which has no
--- a/carrier/opener.go
+++ b/carrier/opener.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"cmp"
 	"sync"
 	"time"
 )
@@ -18,6 +19,9 @@
 	// more; asked for by each statement, they are refused hundreds of times a second.
 	firstRefusal   = 150 * time.Millisecond
 	longestRefusal = 600 * time.Millisecond
+	// usualOpening is how long opening one is assumed to take before the first has been
+	// opened.
+	usualOpening = 20 * time.Millisecond
 )
 
 // opener spreads the opening of connections to one upstream: a few at a time, and
@@ -35,6 +39,7 @@
 	pause   time.Duration
 	until   time.Time // no connection is opened before
 	waking  bool
+	mean    time.Duration // moving mean of how long opening one takes; zero before the first
 }
 
 // want asks for one connection. It is the pool's Pace.
@@ -59,6 +64,23 @@
 	o.grant()
 }
 
+// took takes in how long opening a connection has taken.
+func (o *opener) took(d time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.mean == 0 {
+		o.mean = d
+	}
+	o.mean += time.Duration(smoothing * float64(d-o.mean))
+}
+
+// expected returns how long opening a connection will take.
+func (o *opener) expected() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return cmp.Or(o.mean, usualOpening)
+}
+
 // refused reports whether the upstream had no room a moment ago.
 func (o *opener) refused() bool {
 	o.mu.Lock()
--- a/carrier/place.go
+++ b/carrier/place.go
@@ -23,7 +23,7 @@
 			}
 			continue
 		}
-		m, reason, changed := g.choose(placer.Need{Leader: j.Latest(), Since: since}, j.tried)
+		m, reason, changed := g.choose(placer.Need{Leader: j.Latest(), Since: since}, j.Workspace, j.tried)
 		if m != nil && g.starves(j) {
 			m, reason = nil, placer.Starved
 		}
--- a/carrier/seek_test.go
+++ b/carrier/seek_test.go
@@ -21,12 +21,12 @@
 		is := is.New(t)
 		s := newStuckGroup()
 		c := &Carrier{Now: time.Now, Log: zap.NewNop()}
-		c.Dial = func(ctx context.Context, u cataloger.Upstream) (Link, error) {
+		c.Dial = func(ctx context.Context, u cataloger.Upstream, workspace string) (Link, error) {
 			if u.ID == "a" {
 				<-ctx.Done() // no room for another connection
 				return nil, ErrCrowded
 			}
-			return s.dial(ctx, u)
+			return s.dial(ctx, u, workspace)
 		}
 		c.Divide(1, []cataloger.GroupSettings{{Name: "g", Connections: 23}})
 		c.Apply([]cataloger.Upstream{listedAt("a", 1), listedAt("b", 2), listedAt("c", 3)})
--- a/carrier/stuck_test.go
+++ b/carrier/stuck_test.go
@@ -45,7 +45,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := &forgetful{}
-		c := &Carrier{Now: time.Now, Log: zap.NewNop(), Dial: func(context.Context, cataloger.Upstream) (Link, error) { return f, nil }}
+		c := &Carrier{Now: time.Now, Log: zap.NewNop(), Dial: func(context.Context, cataloger.Upstream, string) (Link, error) { return f, nil }}
 		c.Divide(1, []cataloger.GroupSettings{{Name: "g", Connections: 23}})
 		u := listedAt("a", 1)
 		u.Leads = true
--- a/carrier/watch.go
+++ b/carrier/watch.go
@@ -105,7 +105,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), tryTimeout)
 		defer cancel()
-		l, err := g.carrier.Dial(ctx, entry)
+		l, err := g.carrier.Dial(ctx, entry, "")
 		if err == nil {
 			_ = l.Close() // it has told what it was opened for
 		}
--- /dev/null
+++ b/carrier/workspace_test.go
@@ -0,0 +1,109 @@
+package carrier
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/cataloger"
+)
+
+// owned is an upstream's connection for one workspace, which notes whose statements it
+// carries. The text of each says whose it is.
+type owned struct {
+	slotLink
+	workspace string
+	foreign   func(text, workspace string)
+}
+
+func (o *owned) Exchange(_ time.Time, commands ...Command) ([]Answer, bool, error) {
+	answers := make([]Answer, len(commands))
+	for i, c := range commands {
+		answers[i] = Answer{Signature: "-", Mark: mark(1, 1)}
+		if c.Verb == Begin {
+			answers[i].State = Open
+		}
+		if c.ID != "" && c.ID != o.workspace {
+			o.foreign(c.ID, o.workspace)
+		}
+	}
+	time.Sleep(time.Millisecond)
+	return answers, true, nil
+}
+
+// Guards against a statement, a transaction or a retry of one workspace on a connection
+// that was opened for another; the process's own questions may go on any.
+func TestStatementsUseConnectionsOfTheirWorkspace(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(*testing.T) {
+		var mu sync.Mutex
+		var wrong []string
+		opened, open, most := 0, 0, 0
+		dial := func(_ context.Context, _ cataloger.Upstream, workspace string) (Link, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			opened++
+			open++
+			most = max(most, open)
+			return &closing{owned{workspace: workspace, foreign: func(text, of string) {
+				mu.Lock()
+				defer mu.Unlock()
+				wrong = append(wrong, text+" on "+of)
+			}}, func() {
+				mu.Lock()
+				defer mu.Unlock()
+				open--
+			}}, nil
+		}
+		c := &Carrier{Dial: dial, Now: time.Now, Log: zap.NewNop(), Carry: func(map[string]int, int) map[string]int { return map[string]int{"g": 4} }}
+		c.Divide(1, []cataloger.GroupSettings{{Name: "g", Connections: 8}})
+		c.Apply([]cataloger.Upstream{{ID: "a", Group: "g", Leads: true, Slots: 4}})
+		g, _ := c.Group("g")
+		rng := rand.New(rand.NewPCG(3, 4))
+		for range 400 {
+			workspace := fmt.Sprint("w", rng.IntN(12))
+			j := &Job{Request: workspace, Workspace: workspace, Arrived: time.Now(), Deadline: time.Now().Add(time.Second), Writes: rng.IntN(2) == 0}
+			cmd := Command{ID: workspace, Verb: Read}
+			if rng.IntN(3) > 0 {
+				go g.Run(j, cmd)
+			} else {
+				go func() {
+					tx, answer := g.Start(j, false, cmd)
+					if answer.Code == OK {
+						tx.Do(j, cmd)
+						tx.Commit(j, Command{ID: workspace, Verb: Commit})
+					}
+				}()
+			}
+			if rng.IntN(4) == 0 {
+				time.Sleep(time.Duration(rng.IntN(4)) * time.Millisecond)
+			}
+		}
+		time.Sleep(2 * time.Second)
+		is.Equal(wrong, nil)
+		is.True(most <= 4)
+		before := opened
+		g.Sample()
+		is.Equal(opened, before) // any connection will do
+		c.Stop()
+		synctest.Wait()
+	})
+}
+
+// closing tells when a connection is closed.
+type closing struct {
+	owned
+	closed func()
+}
+
+func (c *closing) Close() error {
+	c.closed()
+	return nil
+}
--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -39,6 +39,8 @@
 	Objective time.Duration `json:"objective"`
 	// Priority orders routes: 0 is served first.
 	Priority int `json:"priority"`
+	// Public says that callers need no key.
+	Public bool `json:"public,omitempty"`
 }
 
 // GroupSettings is what the configuration says of a database group.
@@ -58,6 +60,9 @@
 	Groups  []GroupSettings `json:"groups"`
 	// Rest is how long a transaction may be left idle by its caller.
 	Rest time.Duration `json:"rest"`
+	// Keyed says that callers of routes that aren't public need the key of a workspace.
+	Keyed      bool        `json:"keyed,omitempty"`
+	Workspaces []Workspace `json:"workspaces,omitempty"`
 }
 
 // Upstream is one upstream as the store lists it.
@@ -82,6 +87,8 @@
 	Config Config
 	routes map[string]Route
 	groups map[string]GroupSettings
+	keys   map[Fingerprint]string // names of workspaces
+	quotas map[string]*Quota      // by workspace
 }
 
 // Route returns the route of a database.
@@ -150,6 +157,8 @@
 		Config: c.config,
 		routes: make(map[string]Route, len(c.config.Routes)),
 		groups: make(map[string]GroupSettings, len(c.config.Groups)),
+		keys:   map[Fingerprint]string{},
+		quotas: make(map[string]*Quota, len(c.config.Workspaces)),
 	}
 	for _, r := range c.config.Routes {
 		v.routes[r.Database] = r
@@ -157,6 +166,12 @@
 	for _, g := range c.config.Groups {
 		v.groups[g.Name] = g
 	}
+	for _, w := range c.config.Workspaces {
+		v.quotas[w.Name] = w.Quota
+		for _, key := range w.Keys {
+			v.keys[key] = w.Name
+		}
+	}
 	return v
 }
 
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -29,12 +29,17 @@
 // statement.
 type Session struct {
 	Database string
+	// Key is the one that the caller has shown.
+	Key cataloger.Fingerprint
 	// View returns the configuration in force.
 	View func() *cataloger.View
 	// Group finds a database group.
 	Group func(name string) (carrier.Runner, bool)
 	// Now is the clock of package carrier.
 	Now func() time.Time
+	// Admit, when set, takes one operation off a workspace's quota, and says what the
+	// caller is told if it has none left.
+	Admit func(workspace string, deadline time.Time) carrier.Answer
 	// Observe, when set, is told how each request ended.
 	Observe func(route cataloger.Route, a carrier.Answer, took time.Duration)
 	Log     *zap.Logger
@@ -46,7 +51,7 @@
 
 	state    carrier.State
 	readOnly bool
-	route    cataloger.Route // of the open transaction
+	scope    scope // of the open transaction
 	began    time.Time
 	tx       carrier.Transaction
 	ended    []carrier.Transaction // to be rolled back once the caller has its answer
@@ -139,11 +144,11 @@
 	if s.state != carrier.Idle {
 		return failure(carrier.Malformed, "a transaction is open")
 	}
-	route, ok := s.View().Route(s.Database)
-	if !ok {
-		return failure(carrier.NoDatabase, "no route to the database "+s.Database)
+	scope, refused := s.enter()
+	if refused.Code != carrier.OK {
+		return refused
 	}
-	s.route = route
+	s.scope = scope
 	s.readOnly = st.Verb == BeginRead
 	s.began = arrived
 	s.state = carrier.Open
@@ -210,19 +215,22 @@
 	if s.state == carrier.Open {
 		return s.inside(st, cmd, prepared, writes, arrived)
 	}
-	route, ok := s.View().Route(s.Database)
-	if !ok {
-		return failure(carrier.NoDatabase, "no route to the database "+s.Database)
+	scope, refused := s.enter()
+	if refused.Code != carrier.OK {
+		return refused
 	}
-	group, ok := s.Group(route.Group)
+	group, ok := s.Group(scope.route.Group)
 	if !ok {
 		return failure(carrier.Busy, "no upstream of the group is known")
 	}
-	job := s.job(st, route, arrived)
+	job := s.job(st, scope, arrived)
 	job.Prepared = prepared
 	job.Writes = writes
-	answer := group.Run(job, cmd)
-	s.note(st, route, answer, arrived)
+	answer := s.admit(job)
+	if answer.Code == carrier.OK {
+		answer = group.Run(job, cmd)
+	}
+	s.note(st, scope.route, answer, arrived)
 	if answer.Code == carrier.OK && writes {
 		s.advance(answer.Mark)
 	}
@@ -232,16 +240,19 @@
 // inside runs a statement of the open transaction, the first of which begins it
 // at an upstream.
 func (s *Session) inside(st Statement, cmd carrier.Command, prepared *carrier.Prepared, writes bool, arrived time.Time) Reply {
-	job := s.job(st, s.route, arrived)
+	job := s.job(st, s.scope, arrived)
 	job.Prepared = prepared
 	job.Writes = writes
 	var answer carrier.Answer
-	if s.tx != nil {
+	switch {
+	case s.revoked():
+		answer = forbidden()
+	case s.tx != nil:
 		answer = s.tx.Do(job, cmd)
-	} else {
+	default:
 		answer = s.start(job, cmd)
 	}
-	s.note(st, s.route, answer, arrived)
+	s.note(st, s.scope.route, answer, arrived)
 	if answer.Code != carrier.OK {
 		s.drop()
 		s.state = carrier.Broken
@@ -250,7 +261,7 @@
 }
 
 func (s *Session) start(job *carrier.Job, cmd carrier.Command) carrier.Answer {
-	group, ok := s.Group(s.route.Group)
+	group, ok := s.Group(s.scope.route.Group)
 	if !ok {
 		return carrier.Answer{Code: carrier.Busy, Text: "no upstream of the group is known"}
 	}
@@ -258,14 +269,19 @@
 	if !s.readOnly {
 		job.Writes = true
 	}
+	if refused := s.admit(job); refused.Code != carrier.OK {
+		return refused
+	}
 	tx, answer := group.Start(job, s.readOnly, cmd)
 	s.tx = tx
 	return answer
 }
 
-func (s *Session) job(st Statement, route cataloger.Route, arrived time.Time) *carrier.Job {
+func (s *Session) job(st Statement, in scope, arrived time.Time) *carrier.Job {
+	route := &in.route
 	job := &carrier.Job{
 		Request:   st.ID,
+		Workspace: in.workspace,
 		Freshness: route.Freshness,
 		MaxAge:    route.MaxAge,
 		Arrived:   arrived,
@@ -288,8 +304,12 @@
 		s.finish()
 		return failure(carrier.Aborted, "the transaction has failed and was rolled back")
 	}
+	if s.revoked() {
+		s.finish()
+		return reply(forbidden())
+	}
 	arrived := s.Now()
-	job := s.job(st, s.route, arrived)
+	job := s.job(st, s.scope, arrived)
 	cmd := carrier.Command{ID: st.ID, Verb: carrier.Commit, Text: st.Text}
 	if s.tx == nil {
 		return s.commitEmpty(st, job, cmd)
@@ -297,7 +317,7 @@
 	answer := s.tx.Commit(job, cmd)
 	s.tx = nil
 	s.finish()
-	s.note(st, s.route, answer, arrived)
+	s.note(st, s.scope.route, answer, arrived)
 	if answer.Code == carrier.OK {
 		s.advance(answer.Mark)
 	}
@@ -308,12 +328,14 @@
 // signature of an upstream all the same.
 func (s *Session) commitEmpty(st Statement, job *carrier.Job, cmd carrier.Command) Reply {
 	answer := carrier.Answer{Code: carrier.Busy, Text: "no upstream of the group is known"}
-	if group, ok := s.Group(s.route.Group); ok {
+	if group, ok := s.Group(s.scope.route.Group); ok {
 		job.Writes = !s.readOnly
-		answer = group.CommitEmpty(job, s.readOnly, cmd)
+		if answer = s.admit(job); answer.Code == carrier.OK {
+			answer = group.CommitEmpty(job, s.readOnly, cmd)
+		}
 	}
 	s.finish()
-	s.note(st, s.route, answer, s.began)
+	s.note(st, s.scope.route, answer, s.began)
 	return reply(answer)
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -47,7 +47,8 @@
 	Trouble func(group string) gossiper.Trouble
 	// Send hands a payload to the peer at an address and returns its answer.
 	Send func(ctx context.Context, to netip.AddrPort, payload json.RawMessage) (json.RawMessage, error)
-	// Zone is this process's availability zone.
+	// Name and Zone are this process's, the latter its availability zone.
+	Name string
 	Zone string
 	// Now is the clock of package carrier.
 	Now func() time.Time
@@ -76,7 +77,7 @@
 // Sample asks a peer for a position of a group's leader that is taken after the
 // question.
 func (f *Forwarder) Sample(group string) (tracker.Mark, bool) {
-	p, ok := f.peer(group, true, nil)
+	p, ok := f.peer(wish{group: group, leader: true})
 	if !ok {
 		return tracker.Mark{}, false
 	}
@@ -89,24 +90,33 @@
 	return resp.Answer.Mark, true
 }
 
+// wish is what a peer is looked for.
+type wish struct {
+	group     string
+	workspace string
+	leader    bool                    // only the leader will do
+	tried     map[netip.AddrPort]bool // these are passed over
+}
+
 // peer returns a peer that carries for a group and reaches its leader: one of
-// the own availability zone, if there is any. Where the leader isn't needed, one that
+// the own availability zone, if there is any, or the first in the order of the
+// statement's workspace. Where the leader isn't needed, one that
 // doesn't reach it will do when there is no other: while a leader is replaced all
-// carriers miss it, and their samples stay young enough for some seconds. Those in
-// tried are passed over.
-func (f *Forwarder) peer(group string, leader bool, tried map[netip.AddrPort]bool) (Candidate, bool) {
+// carriers miss it, and their samples stay young enough for some seconds.
+func (f *Forwarder) peer(w wish) (Candidate, bool) {
 	var best []Candidate
 	rank := 0
 	now := f.Now()
-	for _, p := range f.Carriers(group) {
-		if !p.Address.IsValid() || tried[p.Address] || f.shunned(p, now) {
+	for _, p := range f.Carriers(w.group) {
+		if !p.Address.IsValid() || w.tried[p.Address] || f.shunned(p, now) {
 			continue
 		}
-		reaches := f.trouble(group, p, now).Reaches()
+		reaches := f.trouble(w.group, p, now).Reaches()
 		own := f.rank(p, reaches)
 		switch {
-		case leader && !reaches, own < rank:
-		case own > rank:
+		case w.leader && !reaches, own < rank && w.workspace == "":
+		case w.workspace != "" && len(best) > 0 && !f.precedes(w, p, best[0], now):
+		case w.workspace != "" || own > rank:
 			best, rank = []Candidate{p}, own
 		default:
 			best = append(best, p)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -167,13 +167,13 @@
 	f := newFleet("home", "away")
 	missing := gossiper.GroupState{Carries: true, Trouble: gossiper.Unreachable}
 	f.peers[0].Groups["g"], f.peers[1].Groups["g"] = missing, missing
-	_, found := f.peer("g", true, nil)
+	_, found := f.peer(wish{group: "g", leader: true})
 	is.True(!found)
-	p, found := f.peer("g", false, nil)
+	p, found := f.peer(wish{group: "g"})
 	is.True(found)
 	is.Equal(p.Zone, "home")
 	f.peers[1].Groups["g"] = gossiper.GroupState{Carries: true}
-	p, _ = f.peer("g", false, nil)
+	p, _ = f.peer(wish{group: "g"})
 	is.Equal(p.Zone, "away") // it reaches the leader, too
 	runner, _ := f.Group("g")
 	f.peers[1].Groups["g"] = missing
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -32,6 +32,7 @@
 	ReadOnly bool   `json:"readonly,omitempty"`
 
 	Request   string              `json:"request,omitempty"`
+	Workspace string              `json:"workspace,omitempty"`
 	Freshness cataloger.Freshness `json:"freshness,omitempty"`
 	MaxAge    time.Duration       `json:"maxage,omitempty"`
 	Own       tracker.Mark        `json:"own,omitzero"`
@@ -59,7 +60,7 @@
 // asked returns the request for a job.
 func asked(a action, group string, j *carrier.Job, cmd carrier.Command, now time.Time) request {
 	return request{
-		Action: a, Group: group, Request: j.Request, Freshness: j.Freshness, MaxAge: j.MaxAge, Own: j.Own, Writes: j.Writes,
+		Action: a, Group: group, Request: j.Request, Workspace: j.Workspace, Freshness: j.Freshness, MaxAge: j.MaxAge, Own: j.Own, Writes: j.Writes,
 		Age: now.Sub(j.Arrived), Left: time.Until(j.Deadline), Aim: j.Aim.Sub(now), Values: j.Values, Prepared: j.Prepared, Command: cmd,
 	}
 }
@@ -69,7 +70,7 @@
 // older.
 func (r *request) job(now time.Time) *carrier.Job {
 	return &carrier.Job{
-		Request: r.Request, Freshness: r.Freshness, MaxAge: r.MaxAge, Own: r.Own, Writes: r.Writes,
+		Request: r.Request, Workspace: r.Workspace, Freshness: r.Freshness, MaxAge: r.MaxAge, Own: r.Own, Writes: r.Writes,
 		Arrived: now.Add(-r.Age), Aim: now.Add(r.Aim), Deadline: time.Now().Add(r.Left), Values: r.Values, Prepared: r.Prepared,
 	}
 }
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -28,23 +28,30 @@
 func (p *path) turn(j *carrier.Job) *turn {
 	t := &turn{p: p, job: j}
 	j.Elsewhere = func() bool {
-		_, ok := p.f.peer(p.group.Name(), j.Latest(), t.tried)
+		_, ok := p.f.peer(t.wish())
 		return ok && len(t.tried) < hops
 	}
 	return t
 }
 
+func (t *turn) wish() wish {
+	return wish{group: t.p.group.Name(), workspace: t.job.Workspace, leader: t.job.Latest(), tried: t.tried}
+}
+
 // next says who is to carry the statement: this process, or the peer that is
 // returned. It waits while neither can, and reports false when time is over.
 func (t *turn) next() (peer Candidate, local, ok bool) {
 	for {
-		if t.p.group.Serves(t.job) {
+		found := false
+		if len(t.tried) < hops {
+			peer, found = t.p.f.peer(t.wish())
+		}
+		better := found && t.p.f.prefers(t.wish(), peer)
+		if !better && t.p.group.Serves(t.job) {
 			return peer, true, true
 		}
-		if len(t.tried) < hops {
-			if peer, found := t.p.f.peer(t.p.group.Name(), t.job.Latest(), t.tried); found {
-				return peer, false, true
-			}
+		if found {
+			return peer, false, true
 		}
 		if t.p.group.Carries() {
 			return peer, true, true // it waits for a leader there
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -30,6 +30,9 @@
 	// leading is what the leader adds for work that a replica could do, since
 	// only it can do the rest.
 	leading = 4 * time.Millisecond
+	// opening is how often the time of opening a connection counts: the statement waits
+	// for it, and so do others for the slot that it takes meanwhile.
+	opening = 2
 )
 
 // Candidate is one upstream as this proxy sees it.
@@ -55,6 +58,9 @@
 	Places int
 	// Latency is the expected time of an answer.
 	Latency time.Duration
+	// Opening is the expected time until a connection is open there; zero where one
+	// that will do is idle.
+	Opening time.Duration
 }
 
 // Need is what the work asks for.
@@ -121,7 +127,7 @@
 const last = time.Minute
 
 func cost(c *Candidate, need Need) time.Duration {
-	cost := c.Wait + c.Latency + time.Duration(perRunning*float64(c.Running)*float64(c.Latency))
+	cost := c.Wait + c.Latency + opening*c.Opening + time.Duration(perRunning*float64(c.Running)*float64(c.Latency))
 	if !c.Local {
 		cost += remote
 	}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -191,7 +191,7 @@
 		Name: s.Name, Start: p.start, Groups: p.carrier.Groups, Store: p.store, Era: p.era, Live: p.gossip.Live, Silent: p.gossip.Silent,
 		Promote: orders.Promote, Tell: p.gossip.Tell, Leaving: p.leaving.Load, Now: bootClock, Log: p.Log,
 	}
-	p.forward = &forwarder.Forwarder{Local: p.carrier.Group, Carriers: p.carriers, Trouble: p.overseer.Trouble, Send: p.send, Zone: s.Zone, Now: bootClock, Log: p.Log}
+	p.forward = &forwarder.Forwarder{Local: p.carrier.Group, Carriers: p.carriers, Trouble: p.overseer.Trouble, Send: p.send, Name: s.Name, Zone: s.Zone, Now: bootClock, Log: p.Log}
 	p.carrier.Sample = p.forward.Sample
 	p.carrier.Count = p.meter.Route
 	p.carrier.Carry = p.shares
@@ -264,17 +264,22 @@
 }
 
 // open makes a caller's session.
-func (p *Proxier) open(database string) (*conductor.Session, carrier.Code, string) {
+func (p *Proxier) open(database string, key cataloger.Fingerprint) (*conductor.Session, carrier.Code, string) {
 	view := p.holdings.await(openWait)
 	if view.Config.Version == 0 {
 		p.Log.Info("proxier: caller refused before the first configuration", zap.String("database", database))
 		return nil, carrier.Busy, "no configuration yet; come back in 1s"
 	}
-	if _, ok := view.Route(database); !ok {
+	route, ok := view.Route(database)
+	if !ok {
 		p.Log.Info("proxier: caller refused", zap.String("database", database), zap.Uint64("configuration", view.Config.Version))
 		return nil, carrier.NoDatabase, "no route to the database " + database
 	}
-	s := &conductor.Session{Database: database, View: p.holdings.current, Group: p.forward.Group, Now: bootClock, Observe: p.observe, Log: p.Log}
+	if _, ok := view.Identify(&route, key); !ok {
+		p.Log.Info("proxier: caller refused, key unknown", zap.String("database", database), zap.Stringer("key", key), zap.Uint64("configuration", view.Config.Version))
+		return nil, carrier.Forbidden, "the key is unknown"
+	}
+	s := &conductor.Session{Database: database, Key: key, View: p.holdings.current, Group: p.forward.Group, Now: bootClock, Observe: p.observe, Log: p.Log}
 	return s, carrier.OK, ""
 }
 
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"basildale.example/basildale/cataloger"
 	"basildale.example/basildale/gossiper"
 )
 
@@ -60,7 +61,7 @@
 	is.Equal(line, "ERROR MALFORMED not a message\r\n")
 	_, err = c.in.ReadString('\n')
 	is.True(err != nil) // closed
-	session, code, _ := f.proxies[0].open("nowhere")
+	session, code, _ := f.proxies[0].open("nowhere", cataloger.Fingerprint{})
 	is.True(session == nil)
 	is.Equal(code.String(), "no database")
 }
