throttler, proxier: the quotas of workspaces hold over the whole fleet

Cause: nothing bounded what a workspace asks. Change: package throttler. Each of n processes makes one nth of all tokens and gives them away, as spans of time, to the holder of each of eight shards of workspaces; a token can be spent for as long after it was made as the burst lasts at the rate. Nothing rests on who believes to be the holder. An operation (a statement, or a transaction at its first) asks the holder before it costs an upstream anything; beyond the quota it is refused at once with when to come back.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -37,6 +37,9 @@
 	Self func() State
 	// Heard, when set, is called for each datagram of a peer.
 	Heard func(State)
+	// Other, when set, is called for each datagram that isn't a state, from the address
+	// of its sender. The bytes are valid until it returns.
+	Other func(b []byte, from netip.AddrPort)
 	// Dropped, when set, is called with the name of a peer that hasn't been heard for
 	// so long that it is gone for good.
 	Dropped func(name string)
@@ -219,7 +222,7 @@
 func (g *Gossiper) receive() {
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, _, err := g.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := g.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -228,6 +231,10 @@
 			time.Sleep(Period) // an error that stays mustn't keep the process busy
 			continue
 		}
+		if g.Other != nil && n > 0 && !isState(buffer[0]) {
+			g.Other(buffer[:n], from)
+			continue
+		}
 		s, err := decode(buffer[:n])
 		if err != nil {
 			g.drop(err)
@@ -315,6 +322,21 @@
 	}
 }
 
+// Send sends a datagram that isn't a state to a peer.
+func (g *Gossiper) Send(b []byte, to netip.AddrPort) error {
+	_, err := g.conn.WriteToUDPAddrPort(b, to)
+	return errors.Wrapf(err, "gossiper: send to %s", to)
+}
+
+// isState reports whether a datagram with such a first byte is a state: a CBOR map.
+func isState(first byte) bool {
+	const (
+		majorBits = 5
+		majorMap  = 5
+	)
+	return first>>majorBits == majorMap
+}
+
 // encode writes a state. An address that is told once isn't told twice.
 func encode(s State) ([]byte, error) {
 	if s.Carries == s.Peers {
--- a/loader/checker.go
+++ b/loader/checker.go
@@ -18,6 +18,9 @@
 	maxCallers               = 1_000_000
 	minBuffer, maxBuffer     = 16 * kib, 64 * mib
 	minStop, maxStop         = time.Second, 10 * time.Minute
+	minWindow, maxWindow     = time.Second, time.Minute
+	maxExcess                = 1.0 // of rate and burst
+	maxSlack                 = 1e6 // operations
 	minLeave, maxLeave       = 2 * time.Second, 10 * time.Minute
 	maxSlots, maxConnections = 1000, 10_000
 	maxConnect               = 10 * time.Second
@@ -57,6 +60,7 @@
 		{"processor", false, c.cores(&s.Processor)},
 		{"stop", false, c.span(&s.Stop, minStop, maxStop)},
 		{"leave", false, c.span(&s.Leave, minLeave, maxLeave)},
+		{"quota", false, c.quota(&s.Quota)},
 		{"log", false, c.level(&s.Log)},
 		{"groups", false, c.groups(s)},
 		{"callers", false, c.callers(s)},
@@ -176,6 +180,16 @@
 	}
 }
 
+func (c *checker) quota(q *Quota) func(string, ast.Node) {
+	return func(path string, n ast.Node) {
+		c.mapping(path, n, []field{
+			{"window", false, c.span(&q.Window, minWindow, maxWindow)},
+			{"excess", false, c.number(&q.Excess, 0, maxExcess)},
+			{"slack", false, c.number(&q.Slack, 0, maxSlack)},
+		})
+	}
+}
+
 func (c *checker) tls(t *TLS) func(string, ast.Node) {
 	return func(path string, n ast.Node) {
 		c.mapping(path, n, []field{
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -139,7 +139,7 @@
 	is := is.New(t)
 	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	is.NoErr(err)
-	_, problems := Check("x", []byte("?: 1\nlimits: {?: 1}\ntls: {?: 1}"), nil)
+	_, problems := Check("x", []byte("?: 1\nlimits: {?: 1}\ntls: {?: 1}\nquota: {?: 1}"), nil)
 	named := 0
 	for _, p := range problems {
 		prefix, found := strings.CutSuffix(p.Wrong, "? is not a setting")
@@ -147,7 +147,7 @@
 			continue
 		}
 		for _, key := range strings.Split(strings.TrimPrefix(p.Allowed, "allowed are "), ", ") {
-			if key == "limits" || key == "tls" {
+			if key == "limits" || key == "tls" || key == "quota" {
 				continue // their own keys are looked for
 			}
 			named++
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -63,6 +63,8 @@
 	// Leave is how long an upstream that says that it leaves may get new work; zero
 	// sets no bound.
 	Leave time.Duration
+	// Quota says how exactly the quotas of workspaces are to be kept.
+	Quota Quota
 	// Log is the least level that is logged.
 	Log zapcore.Level
 	// Groups lists database groups for a process without a platform.
@@ -71,6 +73,14 @@
 	Callers []Caller
 }
 
+// Quota says how exactly the quotas of workspaces are to be kept: in any Window no more
+// operations than rate and burst allow, but for a part of that, Excess, and Slack more.
+type Quota struct {
+	Window time.Duration
+	Excess float64
+	Slack  float64
+}
+
 // Wire is a protocol of callers and upstreams.
 type Wire string
 
--- a/loader/values.go
+++ b/loader/values.go
@@ -86,14 +86,19 @@
 
 // cores reads a number of processors, or a part of one, into dst.
 func (r *reader) cores(dst *float64) func(string, ast.Node) {
-	allowed := fmt.Sprintf("allowed is a number from %v to %v", minCores, maxCores)
+	return r.number(dst, minCores, maxCores)
+}
+
+// number reads a number from low to high into dst.
+func (r *reader) number(dst *float64, low, high float64) func(string, ast.Node) {
+	allowed := fmt.Sprintf("allowed is a number from %v to %v", low, high)
 	return func(path string, n ast.Node) {
 		s, ok := r.scalar(path, n, allowed)
 		if !ok {
 			return
 		}
 		v, err := strconv.ParseFloat(s, 64)
-		if err != nil || !(v >= minCores && v <= maxCores) {
+		if err != nil || !(v >= low && v <= high) {
 			r.fail(n, fmt.Sprintf("%s is %q", path, s), allowed)
 			return
 		}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -33,6 +33,7 @@
 	"basildale.example/basildale/platform/prober"
 	"basildale.example/basildale/platform/receiver"
 	"basildale.example/basildale/platform/translator"
+	"basildale.example/basildale/throttler"
 	"basildale.example/basildale/versioner"
 )
 
@@ -81,6 +82,7 @@
 	gossip   *gossiper.Gossiper
 	overseer *overseer.Overseer
 	forward  *forwarder.Forwarder
+	throttle *throttle
 	peers    *messenger.Messenger
 	receiver *receiver.Receiver
 	registry metrics.Registry
@@ -161,6 +163,7 @@
 	running.Go(func() { p.enroll(inner) })
 	running.Go(func() { p.overseer.Run(inner) })
 	running.Go(func() { p.keepUp(inner) })
+	running.Go(func() { p.throttle.run(inner, p.knowsPeers, p.leaving.Load) })
 	<-ctx.Done()
 	p.stop()
 	cancel()
@@ -184,6 +187,12 @@
 	dialer := &connector.Connector{Name: s.Name}
 	p.carrier = &carrier.Carrier{Zone: s.Zone, Leave: s.Leave, Dial: dialer.Dial, Now: bootClock, Log: p.Log}
 	p.gossip = &gossiper.Gossiper{Address: s.Peers, Self: p.self, Heard: p.heard, Dropped: p.clear, Now: bootClock, Log: p.Log}
+	p.throttle = &throttle{
+		gossip: p.gossip, view: p.View, count: p.count, now: bootClock, log: p.Log, millicores: int(p.millicores()),
+		node:  throttler.Node{Self: s.Name, Terms: throttler.Terms{Window: s.Quota.Window, Excess: s.Quota.Excess, Slack: s.Quota.Slack}},
+		await: map[uint64]chan throttler.Verdict{},
+	}
+	p.gossip.Other = p.throttle.receive
 	p.holdings = &holdings{carrier: p.carrier, proxies: p.proxies, log: p.Log}
 	p.follow()
 	orders := &orderer.Orderer{Address: s.Orders, Holder: s.Name}
@@ -279,7 +288,7 @@
 		p.Log.Info("proxier: caller refused, key unknown", zap.String("database", database), zap.Stringer("key", key), zap.Uint64("configuration", view.Config.Version))
 		return nil, carrier.Forbidden, "the key is unknown"
 	}
-	s := &conductor.Session{Database: database, Key: key, View: p.holdings.current, Group: p.forward.Group, Now: bootClock, Observe: p.observe, Log: p.Log}
+	s := &conductor.Session{Database: database, Key: key, View: p.holdings.current, Group: p.forward.Group, Now: bootClock, Admit: p.throttle.admit, Observe: p.observe, Log: p.Log}
 	return s, carrier.OK, ""
 }
 
--- /dev/null
+++ b/throttler/fleet_test.go
@@ -0,0 +1,237 @@
+package throttler
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"basildale.example/basildale/cataloger"
+)
+
+// step is how often the fleet's processes look after themselves.
+const step = 100 * time.Millisecond
+
+// process is one process of a simulated fleet.
+type process struct {
+	node    *Node
+	address netip.AddrPort
+	skew    time.Duration // of its clock
+	offset  time.Duration // of its steps
+	down    bool
+	cut     int // which part of the fleet it reaches
+	words   map[uint64]func(Verdict)
+}
+
+// event is something that happens at a moment.
+type event struct {
+	at   time.Time
+	turn int
+	do   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].turn < e[j].turn
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// fleet plays processes in virtual time.
+type fleet struct {
+	now       time.Time
+	rng       *rand.Rand
+	terms     Terms
+	quota     cataloger.Quota
+	lost      float64 // part of the messages
+	slowest   time.Duration
+	processes []*process
+	queue     events
+	turn      int
+	asked     uint64
+	sent      int
+	// granted is when each operation was granted, refused counts the others.
+	granted []time.Time
+	refused int
+}
+
+func newFleet(n int, terms Terms, quota cataloger.Quota, seed uint64) *fleet {
+	f := &fleet{
+		now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), terms: terms, quota: quota, slowest: 2 * time.Millisecond,
+	}
+	for i := range n {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7440)
+		p := &process{address: address, skew: time.Duration(f.rng.IntN(1000)) * time.Hour, offset: time.Duration(f.rng.IntN(100)) * time.Millisecond}
+		f.processes = append(f.processes, p)
+		f.start(p)
+	}
+	return f
+}
+
+func (f *fleet) name(p *process) string { return p.address.Addr().String() }
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.turn++
+	heap.Push(&f.queue, event{f.now.Add(d), f.turn, do})
+}
+
+// start starts a process that knows nothing of before.
+func (f *fleet) start(p *process) {
+	p.down = false
+	p.words = map[uint64]func(Verdict){}
+	node := &Node{Self: f.name(p), Terms: f.terms}
+	p.node = node
+	f.after(p.offset, func() { f.look(p, node) })
+}
+
+// look is a process's step. Those that are cut off stay on the list of the fleet.
+func (f *fleet) look(p *process, node *Node) {
+	if p.down || p.node != node {
+		return
+	}
+	now := f.now.Add(p.skew)
+	if !node.joined {
+		var others []Member
+		for _, o := range f.processes {
+			if o != p {
+				others = append(others, Member{Name: f.name(o), Address: o.address})
+			}
+		}
+		node.Join(Member{Name: f.name(p)}, others, len(f.processes), now)
+	}
+	f.send(p, node.Tick(now))
+	f.after(step, func() { f.look(p, node) })
+}
+
+func (f *fleet) send(from *process, out []Envelope) {
+	for _, e := range out {
+		f.sent++
+		to := f.at(e.To)
+		if from.cut != to.cut || f.rng.Float64() < f.lost {
+			continue
+		}
+		way := time.Millisecond/2 + time.Duration(f.rng.Int64N(int64(f.slowest)))
+		f.after(way, func() { f.receive(to, e.Message, from.address) })
+	}
+}
+
+func (f *fleet) at(a netip.AddrPort) *process {
+	b := a.Addr().As4()
+	return f.processes[int(b[1])<<16|int(b[2])<<8|int(b[3])]
+}
+
+func (f *fleet) receive(p *process, m Message, from netip.AddrPort) {
+	if p.down {
+		return
+	}
+	if m.Kind == Word {
+		if word := p.words[m.ID]; word != nil {
+			delete(p.words, m.ID)
+			word(m.Verdict)
+		}
+		return
+	}
+	quota := func(string) *cataloger.Quota { return &f.quota }
+	f.send(p, p.node.Receive(&m, from, quota, f.now.Add(p.skew)))
+}
+
+// ask has a process ask for a token, as long as there is patience.
+func (f *fleet) ask(p *process, workspace string, patience time.Duration) {
+	if p.down {
+		return
+	}
+	now := f.now.Add(p.skew)
+	holder, remote := p.node.Holder(workspace)
+	settle := func(v Verdict) {
+		switch {
+		case v.Granted:
+			f.granted = append(f.granted, f.now)
+		case v.Unsure && patience > v.Back:
+			f.after(max(v.Back, time.Millisecond), func() { f.ask(p, workspace, patience-max(v.Back, time.Millisecond)) })
+		default:
+			f.refused++
+		}
+	}
+	if !remote {
+		v, out := p.node.Take(workspace, f.quota, now)
+		f.send(p, out)
+		settle(v)
+		return
+	}
+	f.asked++
+	id := f.asked
+	p.words[id] = settle
+	f.send(p, []Envelope{{holder.Address, Message{Kind: Ask, From: f.name(p), To: holder.Name, ID: id, Workspace: workspace}}})
+	const timeout = 240 * time.Millisecond
+	f.after(timeout, func() {
+		if word := p.words[id]; word != nil {
+			delete(p.words, id)
+			p.node.Missed(holder.Name, f.now.Add(p.skew))
+			patience -= timeout
+			word(Verdict{Unsure: true})
+		}
+	})
+}
+
+// run plays until a moment.
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		e := heap.Pop(&f.queue).(event)
+		f.now = e.at
+		e.do()
+	}
+	f.now = end
+}
+
+// most returns how many operations were granted in the fullest window.
+func (f *fleet) most(window time.Duration) int {
+	most, first := 0, 0
+	for last, at := range f.granted {
+		for at.Sub(f.granted[first]) >= window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// allowed is how many operations the terms allow in a window.
+func (f *fleet) allowed() float64 {
+	return (f.quota.Rate*f.terms.Window.Seconds()+f.quota.Burst)*(1+f.terms.Excess) + f.terms.Slack
+}
+
+// load has operations arrive at some processes, at a rate in the mean.
+func (f *fleet) load(rate float64, at []int, d time.Duration) {
+	end := f.now.Add(d)
+	var next func()
+	next = func() {
+		if f.now.After(end) {
+			return
+		}
+		f.ask(f.processes[at[f.rng.IntN(len(at))]], "w", 600*time.Millisecond)
+		f.after(time.Duration(f.rng.ExpFloat64()/rate*float64(time.Second)), next)
+	}
+	next()
+}
+
+func all(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+func (f *fleet) String() string {
+	return fmt.Sprintf("granted %d, refused %d, fullest window %d of %.0f", len(f.granted), f.refused, f.most(f.terms.Window), f.allowed())
+}
--- /dev/null
+++ b/throttler/node.go
@@ -0,0 +1,285 @@
+package throttler
+
+import (
+	"net/netip"
+	"time"
+
+	"basildale.example/basildale/cataloger"
+)
+
+const (
+	// Period is the time between two gifts to a holder.
+	Period = 400 * time.Millisecond
+	// patience is how long a holder may take to thank for a gift before another one is
+	// taken in its place.
+	patience = 500 * time.Millisecond
+	// doubted is how long it may take when another process claims the shard.
+	doubted = 150 * time.Millisecond
+	// claimEvery is the least time between two claims of a shard.
+	claimEvery = 200 * time.Millisecond
+	// shunFor is how long a holder that didn't answer is passed over.
+	shunFor = 2 * time.Second
+	// longestWay is how long a gift may have been under way. One that was held up counts
+	// for nothing: what was made then has ended meanwhile.
+	longestWay = 250 * time.Millisecond
+)
+
+// Envelope is a message and where to send it.
+type Envelope struct {
+	To      netip.AddrPort
+	Message Message
+}
+
+// stamp is what a holder's clock said, and when that was heard.
+type stamp struct {
+	clock int64
+	heard time.Time
+}
+
+// Node is what one process knows and decides. Set the exported fields before the first
+// event. It isn't safe for concurrent use.
+type Node struct {
+	Self  string
+	Terms Terms
+	// Leaving says that the process ends soon: it asks givers to take another holder.
+	Leaving bool
+
+	others  []Member
+	self    Member
+	fleet   int
+	census  census
+	joined  bool
+	given   [Shards]time.Time    // up to when the time is given away
+	holders [Shards]Member       // by this process's belief
+	awaited map[string]time.Time // holders that owe thanks, and since when
+	shunned map[string]time.Time // until when
+	stamps  map[string]stamp
+	bank    bank
+	gave    time.Time // when all holders last got something
+	claimed [Shards]time.Time
+}
+
+// Join takes in who is in the fleet: this process, the others that answer, and how many
+// there are in all, whether they answer or not. It is called when that changes, and once
+// a minute. Before the first call the process makes no tokens: it doesn't know how small
+// its part of them is.
+func (n *Node) Join(self Member, others []Member, fleet int, now time.Time) {
+	if !n.joined {
+		n.joined = true
+		for i := range n.given {
+			n.given[i] = now
+		}
+	}
+	n.self, n.others = self, others
+	n.self.rank()
+	for i := range n.others {
+		n.others[i].rank()
+	}
+	n.fleet = n.census.count(max(fleet, len(others)+1), now)
+	n.elect(now)
+}
+
+// elect decides who the holders are.
+func (n *Node) elect(now time.Time) {
+	for shard := range n.holders {
+		best := &n.self
+		for i := range n.others {
+			m := &n.others[i]
+			if now.Before(n.shunned[m.Name]) {
+				continue
+			}
+			if m.scores[shard] > best.scores[shard] {
+				best = m
+			}
+		}
+		n.holders[shard] = *best
+	}
+}
+
+// Holder returns whom to ask for the tokens of a workspace, and whether that is another
+// process.
+func (n *Node) Holder(workspace string) (Member, bool) {
+	h := n.holders[Shard(workspace)]
+	return h, h.Name != n.self.Name
+}
+
+// Tick is called several times in a Period. It gives the time since the last gift to
+// the holders once in a Period, and at once when one of them has changed.
+func (n *Node) Tick(now time.Time) []Envelope {
+	if !n.joined {
+		return nil
+	}
+	changed := n.expire(now)
+	if !changed && now.Sub(n.gave) < Period {
+		return nil
+	}
+	n.gave = now
+	var out []Envelope
+	for shard := range n.holders {
+		if e, ok := n.give(shard, now); ok {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// expire passes over holders that owe thanks, and reports whether others may be holders
+// now.
+func (n *Node) expire(now time.Time) bool {
+	changed := false
+	for name, since := range n.awaited {
+		if now.Sub(since) >= patience {
+			n.shun(name, now)
+			changed = true
+		}
+	}
+	for name, until := range n.shunned {
+		if !now.Before(until) {
+			delete(n.shunned, name)
+			changed = true
+		}
+	}
+	if changed {
+		n.elect(now)
+	}
+	return changed
+}
+
+// Missed takes in that a holder hasn't answered an operation.
+func (n *Node) Missed(name string, now time.Time) {
+	n.shun(name, now)
+	n.elect(now)
+}
+
+func (n *Node) shun(name string, now time.Time) {
+	if n.shunned == nil {
+		n.shunned = map[string]time.Time{}
+	}
+	n.shunned[name] = now.Add(shunFor)
+	delete(n.awaited, name)
+	delete(n.stamps, name)
+}
+
+// give gives the time of a shard to its holder. One whose clock isn't known gets none
+// yet, and tells its clock with its thanks.
+func (n *Node) give(shard int, now time.Time) (Envelope, bool) {
+	h := n.holders[shard]
+	span := min(now.Sub(n.given[shard]), longestLife)
+	if h.Name == n.self.Name {
+		n.given[shard] = now
+		n.bank.deposit(shard, span, n.fleet, now)
+		return Envelope{}, false
+	}
+	m := Message{Kind: Gift, From: n.self.Name, To: h.Name, Shard: shard, Fleet: n.fleet}
+	if s, known := n.stamps[h.Name]; known {
+		m.Span, m.Stamp, m.Since = span, s.clock, now.Sub(s.heard)
+		n.given[shard] = now
+	}
+	if n.awaited == nil {
+		n.awaited = map[string]time.Time{}
+	}
+	if _, waits := n.awaited[h.Name]; !waits {
+		n.awaited[h.Name] = now
+	}
+	return Envelope{h.Address, m}, true
+}
+
+// Receive takes in a message of the peer at an address, but for a Word, which is for
+// whoever has asked. The quota of a workspace is nil where it has none.
+func (n *Node) Receive(m *Message, from netip.AddrPort, quota func(workspace string) *cataloger.Quota, now time.Time) []Envelope {
+	if m.To != n.Self {
+		return nil
+	}
+	switch m.Kind {
+	case Gift:
+		n.accept(m, now)
+		return []Envelope{{from, Message{Kind: Thanks, From: n.Self, To: m.From, Shard: m.Shard, Stamp: now.UnixNano(), Leaving: n.Leaving}}}
+	case Thanks:
+		return n.thanked(m, now)
+	case Ask:
+		v, out := Verdict{Unsure: true, Back: leastBack}, []Envelope(nil)
+		if q := quota(m.Workspace); q != nil {
+			v, out = n.Take(m.Workspace, *q, now)
+		}
+		return append(out, Envelope{from, Message{Kind: Word, From: n.Self, To: m.From, ID: m.ID, Verdict: v}})
+	case Claim:
+		return n.doubt(m.Shard, now)
+	default:
+		return nil
+	}
+}
+
+// accept takes in a gift that wasn't under way for too long.
+func (n *Node) accept(m *Message, now time.Time) {
+	way := now.Sub(time.Unix(0, m.Stamp).Add(m.Since))
+	if m.Stamp == 0 || m.Fleet <= 0 || m.Span <= 0 || way > longestWay || way < -longestWay {
+		return
+	}
+	n.bank.deposit(m.Shard, min(m.Span, longestLife), max(m.Fleet, n.fleet), now)
+}
+
+// thanked takes in that a holder lives, and gives it what it didn't get before its clock
+// was known.
+func (n *Node) thanked(m *Message, now time.Time) []Envelope {
+	delete(n.awaited, m.From)
+	if m.Leaving {
+		n.Missed(m.From, now)
+		return nil
+	}
+	if n.stamps == nil {
+		n.stamps = map[string]stamp{}
+	}
+	_, known := n.stamps[m.From]
+	n.stamps[m.From] = stamp{m.Stamp, now}
+	if known {
+		return nil
+	}
+	var out []Envelope
+	for shard, h := range n.holders {
+		if h.Name != m.From {
+			continue
+		}
+		if e, ok := n.give(shard, now); ok {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// claim tells all that this process is asked for the tokens of a shard: its holder may
+// have ended, which the others would notice only later.
+func (n *Node) claim(shard int, now time.Time) []Envelope {
+	if now.Sub(n.claimed[shard]) < claimEvery {
+		return nil
+	}
+	n.claimed[shard] = now
+	out := make([]Envelope, 0, len(n.others))
+	for i := range n.others {
+		out = append(out, Envelope{n.others[i].Address, Message{Kind: Claim, From: n.Self, To: n.others[i].Name, Shard: shard}})
+	}
+	return out
+}
+
+// doubt takes in that a process claims a shard. A holder that owes thanks is passed over
+// sooner then.
+func (n *Node) doubt(shard int, now time.Time) []Envelope {
+	h := n.holders[shard]
+	since, owes := n.awaited[h.Name]
+	if !owes || now.Sub(since) < doubted {
+		return nil
+	}
+	n.Missed(h.Name, now)
+	if e, ok := n.give(shard, now); ok {
+		return []Envelope{e}
+	}
+	return nil
+}
+
+// Take spends a token of a workspace here.
+func (n *Node) Take(workspace string, q cataloger.Quota, now time.Time) (Verdict, []Envelope) {
+	v := n.bank.take(workspace, n.Terms.grade(q), now)
+	if !v.Unsure {
+		return v, nil
+	}
+	return v, n.claim(Shard(workspace), now)
+}
--- /dev/null
+++ b/throttler/node_test.go
@@ -0,0 +1,209 @@
+package throttler
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basildale.example/basildale/cataloger"
+)
+
+// histories is how many drawn histories are played; more are played by hand.
+var histories = flag.Int("histories", 400, "drawn histories of a fleet")
+
+var (
+	terms = Terms{Window: 5 * time.Second, Excess: 0.1, Slack: 20}
+	small = cataloger.Quota{Rate: 5, Burst: 5}
+	large = cataloger.Quota{Rate: 117, Burst: 117}
+)
+
+// A workspace below its quota is served, whichever processes its operations arrive at;
+// one beyond it gets what it may have.
+func TestQuotasFollowTheLoad(t *testing.T) {
+	for _, quota := range []cataloger.Quota{small, large} {
+		for _, n := range []int{1, 9, 83} {
+			for _, at := range []int{1, 5, n} {
+				t.Run(fmt.Sprint(quota.Rate, " a second, ", min(at, n), " of ", n), func(t *testing.T) {
+					is := is.New(t)
+					f := newFleet(n, terms, quota, 1)
+					f.run(4 * time.Second)
+					f.load(0.625*quota.Rate, all(min(at, n)), 20*time.Second)
+					f.run(21 * time.Second)
+					is.Equal(f.refused, 0)
+					f.load(4*quota.Rate, all(min(at, n)), 20*time.Second)
+					f.run(21 * time.Second)
+					is.True(float64(f.most(terms.Window)) <= f.allowed())
+					is.True(float64(f.most(20*time.Second)) >= 0.95*20*quota.Rate)
+				})
+			}
+		}
+	}
+}
+
+// disturb has something happen to a fleet.
+func disturb(f *fleet, rng *rand.Rand) {
+	p := f.processes[rng.IntN(len(f.processes))]
+	some := func(do func(*process)) {
+		share := rng.Float64()
+		for _, p := range f.processes {
+			if rng.Float64() < share {
+				do(p)
+			}
+		}
+	}
+	span := time.Duration(rng.IntN(4000)) * time.Millisecond
+	switch rng.IntN(7) {
+	case 0: // it ends, and is back
+		p.down = true
+		f.after(span, func() { f.start(p) })
+	case 1: // many end at once
+		some(func(p *process) {
+			p.down = true
+			f.after(span, func() { f.start(p) })
+		})
+	case 2: // the fleet is cut in two
+		some(func(p *process) { p.cut = 1 })
+		f.after(span, func() {
+			for _, p := range f.processes {
+				p.cut = 0
+			}
+		})
+	case 3: // the holder ends
+		holder, _ := p.node.Holder("w")
+		for _, p := range f.processes {
+			if f.name(p) == holder.Name {
+				p.down = true
+				f.after(span, func() { f.start(p) })
+			}
+		}
+	case 4: // messages get lost
+		f.lost = rng.Float64() / 2
+		f.after(span, func() { f.lost = 0 })
+	case 5: // messages are slow
+		f.slowest = time.Duration(1+rng.IntN(800)) * time.Millisecond
+		f.after(span, func() { f.slowest = 2 * time.Millisecond })
+	case 6: // a process ends at once, without a pause
+		f.start(p)
+	}
+}
+
+// Guards against more operations than a quota allows, in any window: while processes
+// end, are cut off or start anew, and messages are lost or late, at any moment.
+func TestNoWindowHoldsMoreThanTheQuotaAllows(t *testing.T) {
+	for seed := range uint64(*histories) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		quota := cataloger.Quota{Rate: float64(1 + rng.IntN(150))}
+		quota.Burst = quota.Rate * (0.2 + 2*rng.Float64())
+		n := 1 + rng.IntN(9)
+		f := newFleet(n, terms, quota, seed)
+		f.run(time.Duration(rng.IntN(3000)) * time.Millisecond)
+		f.load(quota.Rate*(0.5+6*rng.Float64()), all(n), 12*time.Second)
+		for range 1 + rng.IntN(6) {
+			f.after(time.Duration(rng.IntN(12000))*time.Millisecond, func() { disturb(f, rng) })
+		}
+		f.run(14 * time.Second)
+		if float64(f.most(terms.Window)) > f.allowed() {
+			t.Fatalf("seed %d: %d processes, %+v: %s", seed, n, quota, f)
+		}
+	}
+}
+
+// Guards against a process that starts with a burst: a fleet that loses power again and
+// again would spend one each time.
+func TestAStartHandsOutNoBurst(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(9, terms, large, 1)
+	f.run(5 * time.Second)
+	f.load(8*large.Rate, all(9), 20*time.Second)
+	for range 10 {
+		f.run(2 * time.Second)
+		for _, p := range f.processes {
+			f.start(p)
+		}
+	}
+	is.True(float64(f.most(terms.Window)) <= f.allowed())
+}
+
+// Guards against a workspace that gets nothing while its holder is gone: the others
+// give their time to the next one.
+func TestTheNextHolderGrants(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(83, terms, small, 1)
+	f.run(5 * time.Second)
+	holder, _ := f.processes[0].node.Holder("w")
+	f.load(0.625*small.Rate, all(83), 10*time.Second)
+	f.run(2 * time.Second)
+	for _, p := range f.processes {
+		p.down = f.name(p) == holder.Name
+	}
+	before := len(f.granted)
+	f.run(2 * time.Second)
+	is.True(len(f.granted)-before >= 3) // of some six in two seconds
+	f.run(7 * time.Second)
+	is.True(f.refused <= 4)
+}
+
+// Guards against a process that knows nobody and takes the whole quota for its own.
+func TestWhoKnowsNobodyGrantsNothing(t *testing.T) {
+	is := is.New(t)
+	n := Node{Self: "a", Terms: terms}
+	now := time.Unix(1000, 0)
+	for range 100 {
+		is.Equal(len(n.Tick(now)), 0)
+		v, _ := n.Take("w", small, now)
+		is.True(!v.Granted)
+		now = now.Add(step)
+	}
+}
+
+// Guards against a half of a fleet that forgets the other half, which goes on.
+func TestAFleetStaysAsLargeAsItWas(t *testing.T) {
+	is := is.New(t)
+	var c census
+	now := time.Unix(1000, 0)
+	is.Equal(c.count(83, now), 83)
+	is.Equal(c.count(40, now.Add(time.Minute)), 83)
+	is.Equal(c.count(40, now.Add(9*time.Minute)), 83)
+	is.Equal(c.count(40, now.Add(11*time.Minute)), 40)
+	is.Equal(c.count(90, now.Add(11*time.Minute)), 90)
+}
+
+// Guards against a limit that was lowered and is kept only later.
+func TestALowerQuotaHoldsAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(9, terms, large, 1)
+	f.run(4 * time.Second)
+	f.load(2*large.Rate, all(9), 30*time.Second)
+	f.run(10 * time.Second)
+	f.quota = small
+	f.run(terms.Window)
+	f.granted = nil
+	f.run(15 * time.Second)
+	is.True(float64(f.most(terms.Window)) <= f.allowed())
+}
+
+func TestMessagesTravel(t *testing.T) {
+	is := is.New(t)
+	m := Message{
+		Kind: Word, From: "a", To: "b", ID: 7, Shard: 3, Workspace: "w", Span: time.Second, Fleet: 9, Stamp: 5, Since: time.Minute,
+		Verdict: Verdict{Unsure: true, Back: time.Second}, Leaving: true,
+	}
+	b, err := Encode(&m)
+	is.NoErr(err)
+	got, err := Decode(b)
+	is.NoErr(err)
+	is.Equal(got, m)
+	for _, bad := range [][]byte{nil, {0xff}, {0xa0}, {0x80}, b[:len(b)/2]} {
+		_, err := Decode(bad)
+		is.True(err != nil) // not a message
+	}
+	m.Shard = Shards
+	b, err = Encode(&m)
+	is.NoErr(err)
+	_, err = Decode(b)
+	is.True(err != nil) // no such shard
+}
