pooler: a connection that makes room is closed before the next is opened

Cause: who got the place of another owner's connection was let go under the pool's lock, and the old one was closed after it, so that an upstream saw one connection more than the limit for a moment. Seen once: carrier's test of workspaces found five connections of four. Change: what the pool has decided is carried out in an order: close, grant, ask for permits.

--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -133,19 +133,24 @@
 	return p.pop(r)
 }
 
-// outcome is what is to be done once the pool's lock is released.
+// outcome is what is to be done once the pool's lock is released, in this order: who
+// gets the place of a connection opens another one only when that is closed.
 type outcome[C any] struct {
-	wanted int // permits to ask for
-	closed []C // connections to close
+	closed  []C          // connections to close
+	granted []*waiter[C] // who may open one
+	wanted  int          // permits to ask for
 }
 
 func (p *Pool[C]) settle(o outcome[C]) {
-	for range o.wanted {
-		p.Pace()
-	}
 	for _, c := range o.closed {
 		p.Close(c)
 	}
+	for _, w := range o.granted {
+		w.granted <- grant[C]{}
+	}
+	for range o.wanted {
+		p.Pace()
+	}
 }
 
 // ask takes a grant at once or joins the line.
@@ -165,13 +170,7 @@
 	}
 	w := &waiter[C]{request: r, granted: make(chan grant[C], 1)}
 	p.line = append(p.line, w)
-	o := p.admit()
-	select {
-	case g := <-w.granted:
-		return g, nil, o
-	default:
-		return grant[C]{}, w, o
-	}
+	return grant[C]{}, w, p.admit()
 }
 
 // none reports whether who asks for a connection is told so at once.
@@ -185,7 +184,7 @@
 	var o outcome[C]
 	permitted := len(p.line) > 0 && p.room(&o)
 	if permitted {
-		p.next(0).granted <- grant[C]{}
+		o.granted = append(o.granted, p.next(0))
 	}
 	p.mu.Unlock()
 	p.settle(o)
@@ -384,7 +383,7 @@
 		return o
 	}
 	for len(p.line) > 0 && p.room(&o) {
-		p.next(0).granted <- grant[C]{}
+		o.granted = append(o.granted, p.next(0))
 	}
 	return o
 }
--- a/pooler/pool_test.go
+++ b/pooler/pool_test.go
@@ -369,6 +369,8 @@
 		}
 		k.Put(held)
 		time.Sleep(time.Second)
+		k.mu.Lock()
+		defer k.mu.Unlock()
 		is.Equal(order, []string{"busy", "busy", "busy", "quiet", "busy", "busy"})
 	})
 }
