gossiper: the processes of the fleet are kept in their order

Cause: each look at the fleet, some 50 a second of each process, walked all names and looked each up in a map: 18 % of what a process at rest spends at 120 processes. Change: the records themselves are kept in the order of their names.

--- a/gossiper/roster.go
+++ b/gossiper/roster.go
@@ -11,10 +11,10 @@
 
 	// digest is that of the list, this process included.
 	digest uint32
-	// The names of all, in their order, and the processes that this one sends to each
-	// round, or is sent to by, because they are its neighbours on the circles. They are
-	// found anew when the list has changed.
-	names  []string
+	// All processes, by name, and the names of those that this one sends to each round,
+	// or is sent to by, because they are its neighbours on the circles. They are found
+	// anew when the list has changed.
+	order  []*record
 	after  []string
 	before map[string]bool
 	stale  bool
@@ -141,9 +141,9 @@
 		return r.fleet
 	}
 	r.turn()
-	r.fleet = make([]Member, 0, len(r.names))
-	for _, name := range r.names {
-		if p := r.peers[name]; p.said.Condition != Gone {
+	r.fleet = make([]Member, 0, len(r.order))
+	for _, p := range r.order {
+		if p.said.Condition != Gone {
 			r.fleet = append(r.fleet, p.said)
 		}
 	}
@@ -155,8 +155,8 @@
 func (r *Roster) Live(now time.Time) []Peer {
 	r.turn()
 	var out []Peer
-	for _, name := range r.names {
-		if p := r.peers[name]; now.Sub(p.Heard) < silence {
+	for _, p := range r.order {
+		if now.Sub(p.Heard) < silence {
 			out = append(out, p.Peer)
 		}
 	}
@@ -185,9 +185,9 @@
 func (r *Roster) Answering(now time.Time) []string {
 	r.turn()
 	var out []string
-	for _, name := range r.names {
-		if r.peers[name].answers(now) {
-			out = append(out, name)
+	for _, p := range r.order {
+		if p.answers(now) {
+			out = append(out, p.Name)
 		}
 	}
 	return out
--- a/gossiper/targets.go
+++ b/gossiper/targets.go
@@ -26,15 +26,14 @@
 	r.turn()
 	var holders, charges, near []netip.AddrPort
 	all := len(r.peers) <= few
-	for _, name := range r.names {
-		p := r.peers[name]
+	for _, p := range r.order {
 		lately := r.swept.Sub(p.Heard) < silence // what it said before needn't hold any more
 		switch {
 		case lately && Charge(p.State, self):
 			holders = append(holders, p.Peers)
 		case lately && Charge(self, p.State):
 			charges = append(charges, p.Peers)
-		case all || r.near[name] || r.accused[name] || lately && together(self, p.State):
+		case all || r.near[p.Name] || r.accused[p.Name] || lately && together(self, p.State):
 			near = append(near, p.Peers)
 		}
 	}
@@ -66,16 +65,16 @@
 
 // others adds the next on the circles, and some drawn at random.
 func (r *Roster) others(targets []netip.AddrPort, rng *rand.Rand) []netip.AddrPort {
-	add := func(name string) {
-		if p := r.peers[name]; p != nil && !slices.Contains(targets, p.Peers) {
+	add := func(p *record) {
+		if p != nil && !slices.Contains(targets, p.Peers) {
 			targets = append(targets, p.Peers)
 		}
 	}
 	for _, name := range r.after {
-		add(name)
+		add(r.peers[name])
 	}
 	for range strangers {
-		add(r.names[rng.IntN(len(r.names))])
+		add(r.order[rng.IntN(len(r.order))])
 	}
 	return targets
 }
--- a/gossiper/watch.go
+++ b/gossiper/watch.go
@@ -1,6 +1,8 @@
 package gossiper
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -13,14 +15,13 @@
 	stood := now.Sub(r.swept) > stalled
 	r.swept = now
 	var dropped []string
-	for _, name := range r.names {
-		p := r.peers[name]
+	for _, p := range r.order {
 		if stood {
 			p.expected = time.Time{}
 		}
 		r.watch(p, now)
 		if p.said.Condition == Gone && now.Sub(p.changed) > forget && now.Sub(p.Heard) > forget {
-			dropped = append(dropped, name)
+			dropped = append(dropped, p.Name)
 		}
 	}
 	for _, name := range dropped {
@@ -36,15 +37,11 @@
 		return
 	}
 	r.stale = false
-	r.names = r.names[:0]
-	for name := range r.peers {
-		r.names = append(r.names, name)
-	}
-	slices.Sort(r.names)
+	r.order = slices.SortedFunc(maps.Values(r.peers), func(a, b *record) int { return cmp.Compare(a.Name, b.Name) })
 	var there []string
-	for _, name := range r.names {
-		if r.peers[name].said.Condition != Gone {
-			there = append(there, name)
+	for _, p := range r.order {
+		if p.said.Condition != Gone {
+			there = append(there, p.Name)
 		}
 	}
 	after, before := neighbours(r.self.Name, there)
