overseer: who isn't concerned by any group looks less often, and at no peer

Cause: each process copied its live peers 20 times a second, also the many that carry for no group. Change: peers are asked for only when a group concerns this process, and the time between two looks is four times as long while none does.

--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -19,6 +19,8 @@
 	// period is the time between two looks at the groups. Each step of a change of
 	// leader waits for half of it, in the mean.
 	period = 50 * time.Millisecond
+	// unconcerned is the same while no group concerns this process.
+	unconcerned = 4 * period
 	// stoodStill is the time between two looks beyond which this process was
 	// stopped: what it believed of others is void.
 	stoodStill = 600 * time.Millisecond
@@ -130,34 +132,40 @@
 	o.groups = map[string]*group{}
 	o.events = make(chan func(time.Time), 256)
 	o.begun = o.Now()
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
+	timer := time.NewTimer(period)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case f := <-o.events:
 			f(o.Now())
-		case <-ticker.C:
-			o.tick(ctx, o.Now())
+		case <-timer.C:
+			if o.tick(ctx, o.Now()) {
+				timer.Reset(period)
+			} else {
+				timer.Reset(unconcerned)
+			}
 		}
 	}
 }
 
-func (o *Overseer) tick(ctx context.Context, now time.Time) {
+// tick looks at the groups that concern this process, and reports whether any does.
+func (o *Overseer) tick(ctx context.Context, now time.Time) bool {
 	stood := !o.ticked.IsZero() && now.Sub(o.ticked) > stoodStill
 	o.ticked = now
 	if stood {
 		o.Log.Warn("overseer: this process stood still; its duties are given up")
 		o.begun = now
 	}
-	peers := o.Live()
-	states := map[string]gossiper.GroupState{}
-	for _, c := range o.Groups() {
-		g := o.group(c)
-		if !g.concerns() {
-			continue
-		}
+	concerned := o.concerned()
+	var peers []gossiper.Peer
+	if len(concerned) > 0 {
+		peers = o.Live()
+	}
+	states := make(map[string]gossiper.GroupState, len(concerned))
+	for _, g := range concerned {
+		c := g.carried
 		if stood {
 			// Another process may have taken the duty meanwhile.
 			g.duty = duty{highest: g.duty.highest}
@@ -186,6 +194,18 @@
 	if news && o.Tell != nil {
 		o.Tell()
 	}
+	return len(concerned) > 0
+}
+
+// concerned returns the groups that this process has to look at.
+func (o *Overseer) concerned() []*group {
+	var out []*group
+	for _, c := range o.Groups() {
+		if g := o.group(c); g.concerns() {
+			out = append(out, g)
+		}
+	}
+	return out
 }
 
 // deliver takes a duty and hands the outcome to the control loop.
