carrier: groups without connections aren't looked after

Cause: each process walked all members of all groups ten times a second, and allocated for each, though it has connections to few of them. Change: a group of which this process has no share and nothing open is passed over until its members or the share change.

--- a/carrier/group.go
+++ b/carrier/group.go
@@ -41,6 +41,9 @@
 	sought   time.Time     // when members were last asked who leads
 	ticked   time.Time
 	shrunk   time.Time // when connections that nobody needed were last let go
+	// quiet says that there is nothing to look after: this process has no share of the
+	// connections and none open. A change of the members or the share ends that.
+	quiet bool
 }
 
 // Name returns the group's name.
@@ -64,6 +67,7 @@
 		}
 	}
 	g.members = kept
+	g.quiet = false
 	g.account()
 	g.signal()
 }
@@ -187,6 +191,7 @@
 	share := g.carrier.share(g.name)
 	g.mu.Lock()
 	members := append([]*member(nil), g.members...)
+	g.quiet = false
 	g.mu.Unlock()
 	for _, m := range members {
 		m.gate.Least(g.carrier.window(g.name, m.slots))
--- a/carrier/unlisted.go
+++ b/carrier/unlisted.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -51,6 +52,9 @@
 // expire drops members that the store hasn't listed for too long, or that have stopped
 // answering since. The caller has the lock.
 func (g *Group) expire(now time.Time) {
+	if !slices.ContainsFunc(g.members, func(m *member) bool { return !m.unlisted.IsZero() }) {
+		return
+	}
 	kept := make([]*member, 0, len(g.members))
 	for _, m := range g.members {
 		if !m.unlisted.IsZero() && (m.barred || now.Sub(m.unlisted) >= unlistedFor) {
--- a/carrier/watch.go
+++ b/carrier/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,9 @@
 func (g *Group) tick(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.quiet {
+		return
+	}
 	stood := now.Sub(g.ticked) > gap
 	g.ticked = now
 	shrink := now.Sub(g.shrunk) >= lettingGo
@@ -70,6 +74,13 @@
 	if g.present() == nil {
 		g.seek()
 	}
+	g.quiet = keep == 0 && !slices.ContainsFunc(g.members, (*member).needsCare)
+}
+
+// needsCare reports whether there is something at a member that has to be looked after
+// though this process has no share of its connections. The caller has the lock.
+func (m *member) needsCare() bool {
+	return !m.unlisted.IsZero() || m.probing || len(m.running) > 0 || !m.ends.IsZero() && !m.closing || m.pool.Stats().Open > 0
 }
 
 // lasting is how many connections to an upstream stay open without need, of the share
