proxier: no look at a check before it can be due

Cause: ten times a second and for both kinds each process worked out its place among all others to see whether it has to read the store: 11 % of what a process at rest spends. Change: it sleeps until the earliest time at which a check may be due; quotas are looked after only while some workspace has one.

--- a/proxier/check.go
+++ b/proxier/check.go
@@ -100,21 +100,24 @@
 
 // check reads a kind as a whole when nobody else has for a while.
 func (p *Proxier) check(ctx context.Context, f *follower, every time.Duration) {
-	ticker := time.NewTicker(checkTick)
-	defer ticker.Stop()
 	tried := bootClock() // the process lists everything as it starts
+	timer := time.NewTimer(every)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		now := bootClock()
-		due := every
-		if rank := p.checkRank(f.kind); rank > 0 {
-			due += checkGrace + time.Duration(rank)*checkRank
+		last := p.checks.last(f.kind)
+		// Nobody's check is due before then, however the order changes.
+		if left := later(last, tried).Add(every).Sub(now); left > 0 {
+			timer.Reset(left)
+			continue
 		}
-		if now.Sub(p.checks.last(f.kind)) < due || now.Sub(tried) < every {
+		timer.Reset(checkTick)
+		if now.Sub(last) < p.checkDue(f.kind, every) {
 			continue
 		}
 		tried = now
@@ -122,6 +125,22 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// checkDue returns how long after the last check this process makes one.
+func (p *Proxier) checkDue(kind string, every time.Duration) time.Duration {
+	rank := p.checkRank(kind)
+	if rank == 0 {
+		return every
+	}
+	return every + checkGrace + time.Duration(rank)*checkRank
+}
+
 // watchers is how many processes of the fleet watch each kind. Each change answers
 // each watch, and each answer is paid for; the others hear of it by gossip, at
 // once, and ask who told them.
--- a/proxier/quota.go
+++ b/proxier/quota.go
@@ -16,7 +16,9 @@
 
 const (
 	// throttleEvery is the time between two looks after gifts and holders.
-	throttleEvery = throttler.Period / 4
+	throttleEvery = throttler.Period / 2
+	// unthrottled is the time between two looks whether any workspace has a quota.
+	unthrottled = time.Second
 	// askAgain is how long the word of a holder is awaited before it is asked once
 	// more: datagrams get lost.
 	askAgain = 60 * time.Millisecond
@@ -152,19 +154,21 @@
 
 // run gives the tokens that this process makes to their holders, once it knows its peers.
 func (t *throttle) run(ctx context.Context, known, leaving func() bool) {
-	ticker := time.NewTicker(throttleEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(throttleEvery)
+	defer timer.Stop()
 	var joined time.Time
 	var digest uint32
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		if len(t.view().Config.Workspaces) == 0 {
+			timer.Reset(unthrottled)
 			continue
 		}
+		timer.Reset(throttleEvery)
 		now := t.now()
 		changed := t.gossip.Digest() != digest
 		if (changed || now.Sub(joined) >= time.Minute) && known() {
