carrier: reads keep to one replica of their workspace, and off the leader

Cause: an upstream that has an idle connection of the workspace goes before one that has to open it. The leader has one of everybody who writes, so reads that a replica may serve were drawn to it, and took the slots and connections that only it can give. Change: for such reads the leader counts as one without a connection, and of the replicas one is the workspace's, by rendezvous; at another one opening counts twice.

--- a/carrier/group.go
+++ b/carrier/group.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
@@ -284,8 +285,10 @@
 	candidates := make([]placer.Candidate, len(g.members))
 	share := g.carrier.share(g.name)
 	upTo := g.samples.needed(need.Since, now)
+	home := g.home(workspace)
 	for i, m := range g.members {
-		candidates[i] = m.candidate(now, upTo, m == g.leader, m.entry.Zone == g.carrier.Zone, tried[m], share, workspace)
+		candidates[i] = m.candidate(now, upTo, m == g.leader, m.entry.Zone == g.carrier.Zone, tried[m], share)
+		candidates[i].Opening = m.opening(workspace, m == g.leader, m == home)
 	}
 	i, reason := placer.Choose(candidates, need)
 	if g.carrier.Count != nil {
@@ -304,6 +307,26 @@
 	return m, reason, nil
 }
 
+// home returns the replica where a workspace's reads should have their connections, nil
+// where any will do. Each workspace with connections to one replica rather than to all
+// halves what has to be opened. The caller has the lock.
+func (g *Group) home(workspace string) *member {
+	if workspace == "" {
+		return nil
+	}
+	var home *member
+	var most uint64
+	for _, m := range g.members {
+		if m == g.leader || m.barred || m.entry.Leaving {
+			continue
+		}
+		if weight := xxhash.Sum64String(workspace + " " + m.id); home == nil || weight > most {
+			home, most = m, weight
+		}
+	}
+	return home
+}
+
 // present returns the leader if it answers, or nil. The caller has the lock.
 func (g *Group) present() *member {
 	if g.leader == nil || g.leader.barred {
--- a/carrier/member.go
+++ b/carrier/member.go
@@ -68,14 +68,10 @@
 	harmful bool      // its loss leaves the caller in doubt, so it isn't aborted
 }
 
-func (m *member) candidate(now, upTo time.Time, leads, local, tried bool, places int, workspace string) placer.Candidate {
+func (m *member) candidate(now, upTo time.Time, leads, local, tried bool, places int) placer.Candidate {
 	if m.opener.refused() {
 		places = m.pool.Stats().Open
 	}
-	opening := time.Duration(0)
-	if workspace != "" && !m.pool.Has(workspace) {
-		opening = m.opener.expected()
-	}
 	return placer.Candidate{
 		Leads:   leads,
 		Leaving: m.entry.Leaving,
@@ -89,7 +85,24 @@
 		Wait:    m.gate.Wait(),
 		Places:  places,
 		Latency: m.expected(now),
-		Opening: opening,
+	}
+}
+
+// astray is how often the time of opening a connection counts at another replica than the
+// one where the workspace's reads should have theirs.
+const astray = 2
+
+// opening returns what opening a connection for a workspace counts as in the choice of an
+// upstream for a read. The leader has one for whatever only it may do; reads that follow
+// that would take its slots from such work, so for them it counts as one that has none.
+func (m *member) opening(workspace string, leads, home bool) time.Duration {
+	switch {
+	case workspace == "", !leads && m.pool.Has(workspace):
+		return 0
+	case home:
+		return m.opener.expected()
+	default:
+		return astray * m.opener.expected()
 	}
 }
 
--- a/carrier/workspace_test.go
+++ b/carrier/workspace_test.go
@@ -107,3 +107,68 @@
 	c.closed()
 	return nil
 }
+
+// reads plays reads that may be old, of many workspaces at three upstreams that take a
+// few connections, and returns the parts of them that opened one and that ran at the
+// leader.
+func reads(t *testing.T) (opening, led float64) {
+	t.Helper()
+	const (
+		workspaces = 28
+		share      = 7
+		handshake  = 12 * time.Millisecond
+		perSecond  = 20
+		length     = 30 * time.Second
+	)
+	synctest.Test(t, func(*testing.T) {
+		var mu sync.Mutex
+		opened, ran, atLeader := 0, 0, 0
+		dial := func(_ context.Context, u cataloger.Upstream, workspace string) (Link, error) {
+			time.Sleep(handshake)
+			mu.Lock()
+			defer mu.Unlock()
+			opened++
+			return &owned{workspace: workspace, foreign: func(string, string) {}}, nil
+		}
+		c := &Carrier{Dial: dial, Now: time.Now, Log: zap.NewNop(), Carry: func(map[string]int, int) map[string]int { return map[string]int{"g": share} }}
+		c.Divide(1, []cataloger.GroupSettings{{Name: "g", Connections: share}})
+		c.Apply([]cataloger.Upstream{{ID: "a", Group: "g", Leads: true, Slots: 2}, {ID: "b", Group: "g", Slots: 2}, {ID: "c", Group: "g", Slots: 2}})
+		g, _ := c.Group("g")
+		rng := rand.New(rand.NewPCG(3, 4))
+		for now := time.Duration(0); now < length; {
+			pause := time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second))
+			time.Sleep(pause)
+			now += pause
+			// A few workspaces ask for most.
+			workspace := fmt.Sprint("w", int(workspaces*rng.Float64()*rng.Float64()*rng.Float64()))
+			j := &Job{
+				Workspace: workspace, Freshness: cataloger.Bounded, MaxAge: 1500 * time.Millisecond,
+				Arrived: time.Now(), Aim: time.Now().Add(300 * time.Millisecond), Deadline: time.Now().Add(time.Second),
+			}
+			go func() {
+				answer := g.Run(j, Command{ID: workspace, Verb: Read})
+				mu.Lock()
+				defer mu.Unlock()
+				ran++
+				if answer.Led {
+					atLeader++
+				}
+			}()
+		}
+		time.Sleep(2 * time.Second)
+		c.Stop()
+		synctest.Wait()
+		opening, led = float64(opened)/float64(ran), float64(atLeader)/float64(ran)
+	})
+	return opening, led
+}
+
+// Guards against reads that open connections all over: a workspace's go to one replica,
+// and to the leader only where no replica will do.
+func TestReadsKeepToTheirReplica(t *testing.T) {
+	is := is.New(t)
+	opening, led := reads(t)
+	t.Logf("%.0f %% of the reads opened a connection, %.0f %% ran at the leader", 100*opening, 100*led)
+	is.True(opening < 0.2)
+	is.True(led < 0.05)
+}
