throttler: a question costs one token, however often it is asked

Cause: an asker that hears no word sends its question again after 60 ms, and the holder took a token for each. A small machine may stand still for a tenth of a second, so that an operation cost two tokens and more, and others of its workspace were refused below the quota. Found by reading. Who was refused since no holder could tell was told that the quota is used up, which isn't known. Change: a holder remembers its verdicts for a second; askers number their questions from the moment of their start, so that no run repeats another's. The text says which of the two it is.

--- a/carrier/workspace_test.go
+++ b/carrier/workspace_test.go
@@ -123,7 +123,7 @@
 	synctest.Test(t, func(*testing.T) {
 		var mu sync.Mutex
 		opened, ran, atLeader := 0, 0, 0
-		dial := func(_ context.Context, u cataloger.Upstream, workspace string) (Link, error) {
+		dial := func(_ context.Context, _ cataloger.Upstream, workspace string) (Link, error) {
 			time.Sleep(handshake)
 			mu.Lock()
 			defer mu.Unlock()
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -190,7 +190,7 @@
 	p.throttle = &throttle{
 		gossip: p.gossip, view: p.View, count: p.count, now: bootClock, log: p.Log, millicores: int(p.millicores()),
 		node:  throttler.Node{Self: s.Name, Began: p.began, Terms: throttler.Terms{Window: s.Quota.Window, Excess: s.Quota.Excess, Slack: s.Quota.Slack}},
-		await: map[uint64]chan throttler.Verdict{},
+		asked: uint64(p.start), await: map[uint64]chan throttler.Verdict{},
 	}
 	p.gossip.Other = p.throttle.receive
 	p.holdings = &holdings{carrier: p.carrier, proxies: p.proxies, log: p.Log}
--- a/proxier/quota.go
+++ b/proxier/quota.go
@@ -24,6 +24,8 @@
 	askAgain = 60 * time.Millisecond
 	// asks is how often a holder is asked before another one is taken in its place.
 	asks = 4
+	// leastBack is the shortest time that a caller is told to come back after.
+	leastBack = 50 * time.Millisecond
 	// askFor is how long a statement may wait for a word that is sure.
 	askFor = 600 * time.Millisecond
 )
@@ -85,7 +87,12 @@
 	t.mu.Unlock()
 	t.log.Info("proxier: operation beyond the quota", zap.String("workspace", workspace), zap.Float64("rate", quota.Rate), zap.Float64("burst", quota.Burst),
 		zap.String("holder", holder.Name), zap.Bool("unsure", v.Unsure), zap.Duration("back", v.Back), zap.Uint64("configuration", t.view().Config.Version))
-	return carrier.Answer{Code: carrier.Busy, Text: "the workspace's quota is used up; come back in " + v.Back.Round(time.Millisecond).String()}
+	cause := "the workspace's quota is used up"
+	if v.Unsure {
+		cause = "what is left of the workspace's quota isn't known"
+	}
+	back := max(v.Back, leastBack).Round(time.Millisecond)
+	return carrier.Answer{Code: carrier.Busy, Text: cause + "; come back in " + back.String()}
 }
 
 // take has a token spent by its holder.
--- a/throttler/message.go
+++ b/throttler/message.go
@@ -28,7 +28,7 @@
 	// From is the sender, and To whom it is meant for: addresses are used again.
 	From ID
 	To   ID
-	// ID pairs an answer with its question.
+	// ID pairs an answer with its question; no run of a process uses those of another.
 	ID    uint64
 	Shard int
 	// Workspace is that of an Ask.
--- a/throttler/node.go
+++ b/throttler/node.go
@@ -1,6 +1,7 @@
 package throttler
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
@@ -15,6 +16,8 @@
 	patience = 500 * time.Millisecond
 	// doubted is how long it may take when another process claims the shard.
 	doubted = 150 * time.Millisecond
+	// rememberFor is how long a verdict is remembered for an asker that didn't hear it.
+	rememberFor = time.Second
 	// claimEvery is the least time between two claims of a shard.
 	claimEvery = 200 * time.Millisecond
 	// shunFor is how long a holder that didn't answer is passed over.
@@ -36,6 +39,18 @@
 	heard time.Time
 }
 
+// question is what an asker asks once, in as many messages as it takes.
+type question struct {
+	from ID
+	id   uint64
+}
+
+// word is the answer to a question, and when it was given.
+type word struct {
+	verdict Verdict
+	given   time.Time
+}
+
 // Node is what one process knows and decides. Set the exported fields before the first
 // event. It isn't safe for concurrent use.
 type Node struct {
@@ -59,6 +74,7 @@
 	bank    bank
 	gave    time.Time // when all holders last got something
 	claimed [Shards]time.Time
+	words   map[question]word
 }
 
 // Join takes in who is in the fleet: this process, the others that answer, and how many
@@ -116,6 +132,7 @@
 		return nil
 	}
 	n.gave = now
+	maps.DeleteFunc(n.words, func(_ question, w word) bool { return now.Sub(w.given) > rememberFor })
 	var out []Envelope
 	for shard := range n.holders {
 		if e, ok := n.give(shard, now); ok {
@@ -200,10 +217,7 @@
 	case Thanks:
 		return n.thanked(m, now)
 	case Ask:
-		v, out := Verdict{Unsure: true, Back: leastBack}, []Envelope(nil)
-		if q := quota(m.Workspace); q != nil {
-			v, out = n.Take(m.Workspace, *q, now)
-		}
+		v, out := n.answer(m, quota(m.Workspace), now)
 		return append(out, Envelope{from, Message{Kind: Word, From: self, To: m.From, ID: m.ID, Verdict: v}})
 	case Claim:
 		return n.doubt(m.Shard, now)
@@ -249,6 +263,24 @@
 	return out
 }
 
+// answer returns the verdict on what a peer asks. One that asks again, since no word has
+// come, gets the same: a token more would be spent for each word that is lost or late.
+func (n *Node) answer(m *Message, quota *cataloger.Quota, now time.Time) (Verdict, []Envelope) {
+	asked := question{m.From, m.ID}
+	if w, known := n.words[asked]; known {
+		return w.verdict, nil
+	}
+	if quota == nil {
+		return Verdict{Unsure: true, Back: leastBack}, nil
+	}
+	v, out := n.Take(m.Workspace, *quota, now)
+	if n.words == nil {
+		n.words = map[question]word{}
+	}
+	n.words[asked] = word{v, now}
+	return v, out
+}
+
 // claim tells all that this process is asked for the tokens of a shard: its holder may
 // have ended, which the others would notice only later.
 func (n *Node) claim(shard int, now time.Time) []Envelope {
--- a/throttler/node_test.go
+++ b/throttler/node_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -207,3 +208,25 @@
 	_, err = Decode(b)
 	is.True(err != nil) // no such shard
 }
+
+// Guards against a word that is lost or late and costs the workspace two tokens.
+func TestAQuestionCostsOneToken(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	n := Node{Self: "a", Terms: terms, Began: now.Add(-time.Minute)}
+	n.Join(Member{Name: "a"}, nil, 1, now)
+	n.Tick(now)
+	quota := func(string) *cataloger.Quota { return &small }
+	ask := func(id uint64) Verdict {
+		m := Message{Kind: Ask, From: NewID("b"), To: NewID("a"), ID: id, Workspace: "w"}
+		out := n.Receive(&m, netip.AddrPort{}, quota, now)
+		return out[len(out)-1].Message.Verdict
+	}
+	granted := 0
+	for ask(uint64(granted)).Granted {
+		granted++
+	}
+	is.True(granted > 2)
+	is.True(ask(0).Granted) // asked before
+	is.True(!ask(99).Granted)
+}
