--- a/carrier/workspace_test.go
+++ b/carrier/workspace_test.go
@@ -87,11 +87,17 @@
 			}
 		}
 		time.Sleep(2 * time.Second)
-		is.Equal(wrong, nil)
-		is.True(most <= 4)
-		before := opened
+		seen := func() (int, int, []string) {
+			mu.Lock()
+			defer mu.Unlock()
+			return opened, most, wrong
+		}
+		before, fullest, foreign := seen()
+		is.Equal(foreign, nil)
+		is.True(fullest <= 4)
 		g.Sample()
-		is.Equal(opened, before) // any connection will do
+		after, _, _ := seen()
+		is.Equal(after, before) // any connection will do
 		c.Stop()
 		synctest.Wait()
 	})
@@ -158,6 +164,8 @@
 		time.Sleep(2 * time.Second)
 		c.Stop()
 		synctest.Wait()
+		mu.Lock()
+		defer mu.Unlock()
 		opening, led = float64(opened)/float64(ran), float64(atLeader)/float64(ran)
 	})
 	return opening, led
