throttler, proxier: a process that doesn't know the fleet makes no tokens

Cause: in a fleet that starts for the first time each process lists the others before they have written their entries, takes itself for the only one for 0.6 s, and makes all of a quota's tokens. Change: tokens are made only once a process has found its own entry, has listed again after it wrote one, was told by a peer that knows, or has run for 8 s. It asks and answers all the same. TestWhoDoesNotKnowTheFleetMakesNoTokens fails before.

--- a/proxier/catalog.go
+++ b/proxier/catalog.go
@@ -184,6 +184,8 @@
 	Entries cataloger.Changes `json:"entries"`
 	// Fleet is the list of the fleet; empty when the peer has the same.
 	Fleet []gossiper.Member `json:"fleet,omitempty"`
+	// Settled says that the sender knows the whole fleet.
+	Settled bool `json:"settled,omitempty"`
 }
 
 // entries returns up to which version all entries are known, and their digest.
--- a/proxier/enroll.go
+++ b/proxier/enroll.go
@@ -58,9 +58,13 @@
 // before lacks those that came later.
 func (p *Proxier) join(ctx context.Context) error {
 	there, err := p.learn(ctx)
-	if err != nil || there {
+	if err != nil {
 		return err
 	}
+	if there {
+		p.settled.Store(true)
+		return nil
+	}
 	if _, err := p.register(ctx); err != nil {
 		return err
 	}
@@ -69,8 +73,11 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	_, err = p.learn(ctx)
-	return err
+	if _, err = p.learn(ctx); err != nil {
+		return err
+	}
+	p.settled.Store(true)
+	return nil
 }
 
 // register writes this process's entry, over that of an earlier run, and reports whether
--- a/proxier/peers.go
+++ b/proxier/peers.go
@@ -115,6 +115,7 @@
 	b := bundle{Entries: p.holdings.since(complete)}
 	if p.learned.Load() && p.number(r, hasFleet) != uint64(p.gossip.Digest()) {
 		b.Fleet = p.gossip.Members()
+		b.Settled = p.settled.Load()
 	}
 	began := bootClock()
 	out := &byteCounter{Writer: w}
@@ -175,6 +176,9 @@
 		p.holdings.take(b.Entries)
 		if len(b.Fleet) > 0 {
 			p.gossip.Take(b.Fleet)
+			if b.Settled {
+				p.settled.Store(true)
+			}
 			p.introduce()
 			p.Log.Info("proxier: fleet learned", zap.Int("proxies", len(b.Fleet)), zap.Stringer("source", at))
 		}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -96,6 +96,7 @@
 	heardEra atomic.Uint64
 	drops    rate.Sometimes // bounds the lines about answers of the store that don't count
 	learned  atomic.Bool    // the store has told where peers are
+	settled  atomic.Bool    // and all that started together with this process
 	// introduced says that it has just done so. Who carries is divided at once: until
 	// then the process has no connections.
 	introduced chan struct{}
@@ -163,7 +164,7 @@
 	running.Go(func() { p.enroll(inner) })
 	running.Go(func() { p.overseer.Run(inner) })
 	running.Go(func() { p.keepUp(inner) })
-	running.Go(func() { p.throttle.run(inner, p.knowsPeers, p.leaving.Load) })
+	running.Go(func() { p.throttle.run(inner, p.knowsPeers, p.knowsFleet, p.leaving.Load) })
 	<-ctx.Done()
 	p.stop()
 	cancel()
--- a/proxier/quota.go
+++ b/proxier/quota.go
@@ -160,7 +160,7 @@
 }
 
 // run gives the tokens that this process makes to their holders, once it knows its peers.
-func (t *throttle) run(ctx context.Context, known, leaving func() bool) {
+func (t *throttle) run(ctx context.Context, known, settled, leaving func() bool) {
 	timer := time.NewTimer(throttleEvery)
 	defer timer.Stop()
 	var joined time.Time
@@ -183,7 +183,7 @@
 			t.join(now)
 		}
 		t.mu.Lock()
-		t.node.Leaving = leaving()
+		t.node.Leaving, t.node.Settled = leaving(), settled()
 		out := t.node.Tick(now)
 		t.mu.Unlock()
 		t.send(out)
--- a/proxier/share.go
+++ b/proxier/share.go
@@ -151,6 +151,12 @@
 	return p.learned.Load() || bootClock().Sub(p.began) >= unlearned
 }
 
+// knowsFleet reports whether this process knows of all others. One that is new, and so
+// may have started together with the whole fleet, doesn't before it has listed them again.
+func (p *Proxier) knowsFleet() bool {
+	return p.settled.Load() || bootClock().Sub(p.began) >= unlearned
+}
+
 // cutOff reports whether this process reaches no proxy that carries for a group,
 // and has run for long enough to have heard of one.
 func (p *Proxier) cutOff(group string) bool {
--- a/throttler/doc.go
+++ b/throttler/doc.go
@@ -9,6 +9,8 @@
 // quota's burst lasts at its rate, so that nothing needs to be handed over when the
 // holder changes: what the old one holds ends by itself.
 //
+// A process that doesn't know yet how many there are makes none.
+//
 // So the bound doesn't rest on who believes to be the holder. Two halves of a fleet that
 // is cut in two have two holders of a shard, each with the tokens of its half. A process
 // that starts again begins to make tokens when it starts. A span that is lost, late or
--- a/throttler/fleet_test.go
+++ b/throttler/fleet_test.go
@@ -88,7 +88,7 @@
 func (f *fleet) start(p *process) {
 	p.down = false
 	p.words = map[uint64]func(Verdict){}
-	node := &Node{Self: f.name(p), Terms: f.terms, Began: f.now.Add(p.skew)}
+	node := &Node{Self: f.name(p), Terms: f.terms, Began: f.now.Add(p.skew), Settled: true}
 	p.node = node
 	f.after(p.offset, func() { f.look(p, node) })
 }
--- a/throttler/node.go
+++ b/throttler/node.go
@@ -58,6 +58,9 @@
 	Terms Terms
 	// Began is when the process started. It makes tokens from then on.
 	Began time.Time
+	// Settled says that the process knows the whole fleet. Before that it makes no tokens:
+	// it would take the few that it has heard of for all, and its part for a larger one.
+	Settled bool
 	// Leaving says that the process ends soon: it asks givers to take another holder.
 	Leaving bool
 
@@ -79,8 +82,7 @@
 
 // Join takes in who is in the fleet: this process, the others that answer, and how many
 // there are in all, whether they answer or not. It is called when that changes, and once
-// a minute. Before the first call the process makes no tokens: it doesn't know how small
-// its part of them is.
+// a minute.
 func (n *Node) Join(self Member, others []Member, fleet int, now time.Time) {
 	if !n.joined {
 		n.joined = true
@@ -185,12 +187,14 @@
 	h := n.holders[shard]
 	span := min(now.Sub(n.given[shard]), longestLife)
 	if h.Name == n.self.Name {
-		n.given[shard] = now
-		n.bank.deposit(shard, span, n.fleet, now)
+		if n.Settled {
+			n.given[shard] = now
+			n.bank.deposit(shard, span, n.fleet, now)
+		}
 		return Envelope{}, false
 	}
 	m := Message{Kind: Gift, From: n.self.id, To: h.id, Shard: shard, Fleet: n.fleet}
-	if s, known := n.stamps[h.id]; known {
+	if s, known := n.stamps[h.id]; known && n.Settled {
 		m.Span, m.Stamp, m.Since = span, s.clock, now.Sub(s.heard)
 		n.given[shard] = now
 	}
--- a/throttler/node_test.go
+++ b/throttler/node_test.go
@@ -161,6 +161,29 @@
 	}
 }
 
+// Guards against a fleet that starts for the first time, in which each process takes
+// itself for the only one and grants the whole quota.
+func TestWhoDoesNotKnowTheFleetMakesNoTokens(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	n := Node{Self: "a", Terms: terms, Began: now}
+	n.Join(Member{Name: "a"}, nil, 1, now)
+	for range 10 {
+		n.Tick(now)
+		v, _ := n.Take("w", small, now)
+		is.True(!v.Granted && v.Unsure)
+		now = now.Add(step)
+	}
+	n.Settled = true
+	n.Join(Member{Name: "a"}, nil, 5, now)
+	n.Tick(now.Add(Period))
+	granted := 0
+	for v, _ := n.Take("w", small, now); v.Granted; v, _ = n.Take("w", small, now) {
+		granted++
+	}
+	is.True(granted <= 2) // its fifth of what can be spent at once
+}
+
 // Guards against a half of a fleet that forgets the other half, which goes on.
 func TestAFleetStaysAsLargeAsItWas(t *testing.T) {
 	is := is.New(t)
@@ -213,7 +236,7 @@
 func TestAQuestionCostsOneToken(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	n := Node{Self: "a", Terms: terms, Began: now.Add(-time.Minute)}
+	n := Node{Self: "a", Terms: terms, Began: now.Add(-time.Minute), Settled: true}
 	n.Join(Member{Name: "a"}, nil, 1, now)
 	n.Tick(now)
 	quota := func(string) *cataloger.Quota { return &small }
