assigner: keeps its result until the proxies of a zone or the groups change

Cause: each configuration that arrived had all gateways computed anew, though the groups were the same: a score and a share of a sort for each pair of a group and a process, a million at 985 processes and 1,000 groups. And the sixth place of every group lay in the zone that is first by name, where there are five zones: 2,000 of 6,000 places.

Change: an Assigner keeps the result of each zone; the best proxies are picked without a sort, proxies without quota aren't scored, and the zone of the first turn depends on the group. Processes of earlier builds compute other gateways where the places don't divide evenly among the zones.

Places of the five zones 1,100 to 1,300 of 6,000.

--- a/assigner/assign.go
+++ b/assigner/assign.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -30,13 +31,21 @@
 	MaxGateways int
 }
 
-// zone is the proxies of an availability zone and their remaining quotas.
-type zone struct {
-	proxies []Proxy
-	quota   map[string]int // groups that a proxy may still get
+// Assigner computes the gateways of groups, and keeps the result of each zone until the
+// zone's proxies or the groups change. Its zero value is ready for use. It is safe for
+// concurrent use.
+type Assigner struct {
+	mu       sync.Mutex
+	groups   []Group
+	zones    map[string]*zone
+	gateways map[string][]string
+
+	// scored counts the scores that were computed.
+	scored int
 }
 
-// Assign returns the names of the gateways of each group.
+// Assign returns the names of the gateways of each group. The result is shared and must not
+// be modified.
 //
 // A proxy gets at most its share of the places of its zone, in proportion to its CPU and
 // rounded up. If each group chose its gateways independently, then of 24 proxies in a zone and
@@ -44,30 +53,52 @@
 // power loss everywhere, when all proxies are at their limits, such a proxy with a fifth of a
 // core answers its peers too late and is considered dead by them, together with everything it
 // forwards.
-func Assign(groups []Group, proxies []Proxy) map[string][]string {
+func (a *Assigner) Assign(groups []Group, proxies []Proxy) map[string][]string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	groups = slices.SortedFunc(slices.Values(groups), func(a, b Group) int { return cmp.Compare(a.Name, b.Name) })
 	zones := groupByZone(proxies)
 	names := slices.Sorted(maps.Keys(zones))
-	places := make([]map[string]int, len(groups))
-	total := map[string]int{}
-	for i, g := range groups {
-		places[i] = proxiesPerZone(min(max(1, g.MaxGateways), len(proxies)), names, zones)
-		for name, n := range places[i] {
-			total[name] += n
+	setPlaces(groups, len(proxies), names, zones)
+	sameGroups := slices.EqualFunc(groups, a.groups, func(a, b Group) bool { return a.Name == b.Name })
+	changed := !sameGroups || len(zones) != len(a.zones)
+	for name, z := range zones {
+		if before := a.zones[name]; sameGroups && before != nil && before.equal(z) {
+			zones[name] = before
+			continue
 		}
+		a.scored += z.assignAll(groups)
+		changed = true
 	}
-	for name, z := range zones {
-		z.setQuotas(total[name])
+	a.groups, a.zones = groups, zones
+	if changed {
+		a.gateways = joinZones(groups, names, zones)
 	}
+	return a.gateways
+}
+
+func joinZones(groups []Group, names []string, zones map[string]*zone) map[string][]string {
 	out := make(map[string][]string, len(groups))
 	for i, g := range groups {
+		gateways := make([]string, 0, preferredGateways)
 		for _, name := range names {
-			out[g.Name] = append(out[g.Name], zones[name].assign(g.Name, places[i][name])...)
+			gateways = append(gateways, zones[name].gateways[i]...)
+		}
+		if len(gateways) > 0 {
+			out[g.Name] = gateways
 		}
 	}
 	return out
 }
 
+// zone is the proxies of an availability zone, and the gateways among them.
+type zone struct {
+	proxies  []Proxy    // by name
+	places   []int      // how many gateways each group gets, in the order of the groups
+	quotas   []int      // groups that each proxy may still get
+	gateways [][]string // names of the gateways of each group
+}
+
 func groupByZone(proxies []Proxy) map[string]*zone {
 	zones := map[string]*zone{}
 	for _, p := range proxies {
@@ -76,19 +107,47 @@
 		}
 		zones[p.Zone].proxies = append(zones[p.Zone].proxies, p)
 	}
+	for _, z := range zones {
+		slices.SortFunc(z.proxies, func(a, b Proxy) int { return cmp.Compare(a.Name, b.Name) })
+	}
 	return zones
 }
 
-// proxiesPerZone returns how many proxies of each zone a group gets. It takes one of each zone
-// in turn, so that each zone gets at least one as long as the group has enough.
-func proxiesPerZone(maxProxies int, names []string, zones map[string]*zone) map[string]int {
-	out := map[string]int{}
-	remaining := min(maxProxies, max(preferredGateways, len(names)))
+// equal reports whether two zones have the same proxies and places.
+func (z *zone) equal(o *zone) bool {
+	return slices.Equal(z.proxies, o.proxies) && slices.Equal(z.places, o.places)
+}
+
+// setPlaces sets how many gateways of each zone each group gets.
+func setPlaces(groups []Group, proxies int, names []string, zones map[string]*zone) {
+	for i, g := range groups {
+		places := proxiesPerZone(g, proxies, names, zones)
+		for j, name := range names {
+			if zones[name].places == nil {
+				zones[name].places = make([]int, len(groups))
+			}
+			zones[name].places[i] = places[j]
+		}
+	}
+}
+
+// proxiesPerZone returns how many proxies of each zone a group gets, in the order of the
+// names. It takes one of each zone in turn, so that each zone gets at least one as long as
+// the group has enough. The zone of the first turn depends on the group: the places that are
+// left after whole rounds would otherwise all be in the same zones.
+func proxiesPerZone(g Group, proxies int, names []string, zones map[string]*zone) []int {
+	out := make([]int, len(names))
+	if len(names) == 0 {
+		return out
+	}
+	remaining := min(max(1, g.MaxGateways), proxies, max(preferredGateways, len(names)))
+	first := int(xxhash.Sum64String("first zone "+g.Name) % uint64(len(names)))
 	for round := 0; remaining > 0; round++ {
 		before := remaining
-		for _, name := range names {
-			if remaining > 0 && round < len(zones[name].proxies) {
-				out[name]++
+		for i := range names {
+			j := (first + i) % len(names)
+			if remaining > 0 && round < len(zones[names[j]].proxies) {
+				out[j]++
 				remaining--
 			}
 		}
@@ -99,15 +158,29 @@
 	return out
 }
 
+// assignAll gives each group its gateways, and returns how many scores it computed.
+func (z *zone) assignAll(groups []Group) int {
+	z.setQuotas()
+	z.gateways = make([][]string, len(groups))
+	scored := 0
+	for i, g := range groups {
+		scored += z.assign(g.Name, i)
+	}
+	return scored
+}
+
 // setQuotas divides the zone's places among its proxies in proportion to their CPU.
-func (z *zone) setQuotas(places int) {
-	totalCPU := 0
+func (z *zone) setQuotas() {
+	places, totalCPU := 0, 0
+	for _, n := range z.places {
+		places += n
+	}
 	for _, p := range z.proxies {
 		totalCPU += p.cpu()
 	}
-	z.quota = make(map[string]int, len(z.proxies))
-	for _, p := range z.proxies {
-		z.quota[p.Name] = (places*p.cpu() + totalCPU - 1) / totalCPU
+	z.quotas = make([]int, len(z.proxies))
+	for i, p := range z.proxies {
+		z.quotas[i] = (places*p.cpu() + totalCPU - 1) / totalCPU
 	}
 }
 
@@ -115,35 +188,54 @@
 
 // candidate is a proxy with its place in the order of a group.
 type candidate struct {
-	name  string
+	proxy int // index
 	quota int // groups that the proxy may still get, capped at 1
 	score float64
 }
 
-// assign gives a group to n proxies of the zone: the first in its order that have quota left.
-// A proxy gets a group only once. So there may be too few with quota left, and proxies
-// without quota follow.
-func (z *zone) assign(group string, n int) []string {
-	order := make([]candidate, 0, len(z.proxies))
-	for _, p := range z.proxies {
-		order = append(order, candidate{p.Name, min(1, z.quota[p.Name]), p.score(group)})
+// compare orders candidates: those with quota left come first, then those with a higher
+// score. Equal ones are in the order of their names.
+func (c candidate) compare(o candidate) int {
+	return cmp.Or(cmp.Compare(o.quota, c.quota), cmp.Compare(o.score, c.score), cmp.Compare(c.proxy, o.proxy))
+}
+
+// assign gives the i-th group its gateways: the first proxies in its order that have quota
+// left. A proxy gets a group only once. So there may be too few with quota left, and proxies
+// without quota follow. It returns how many scores it computed: none for proxies that others
+// precede by their quota.
+func (z *zone) assign(group string, i int) int {
+	n := z.places[i]
+	if n == 0 {
+		return 0
+	}
+	key := append([]byte("carry "), group...)
+	key = append(key, ' ')
+	best := make([]candidate, 0, n+1) // sorted
+	scored := 0
+	for j := range z.proxies {
+		c := candidate{proxy: j, quota: min(1, z.quotas[j])}
+		if len(best) == n && c.quota < best[n-1].quota {
+			continue
+		}
+		c.score = z.proxies[j].score(key)
+		scored++
+		at, _ := slices.BinarySearchFunc(best, c, candidate.compare)
+		best = slices.Insert(best, at, c)
+		best = best[:min(len(best), n)]
 	}
-	slices.SortFunc(order, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.quota, a.quota), cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
-	})
-	out := make([]string, 0, n)
-	for _, p := range order[:n] {
-		z.quota[p.name]--
-		out = append(out, p.name)
+	z.gateways[i] = make([]string, 0, n)
+	for _, c := range best {
+		z.quotas[c.proxy]--
+		z.gateways[i] = append(z.gateways[i], z.proxies[c.proxy].Name)
 	}
-	return out
+	return scored
 }
 
-// score is the proxy's weight in the group's order, by weighted rendezvous hashing: the
-// probability of being first equals the proxy's share of the CPU.
-func (p *Proxy) score(group string) float64 {
+// score is the proxy's weight in the order of the group with this key, by weighted rendezvous
+// hashing: the probability of being first equals the proxy's share of the CPU.
+func (p *Proxy) score(key []byte) float64 {
 	const steps = 1 << 53 // that a float64 distinguishes between 0 and 1
-	hash := xxhash.Sum64String("carry " + group + " " + p.Name)
+	hash := xxhash.Sum64(append(key, p.Name...))
 	uniform := (float64(hash%steps) + 0.5) / steps
 	return -float64(p.cpu()) / math.Log(uniform)
 }
--- a/assigner/assign_test.go
+++ b/assigner/assign_test.go
@@ -30,6 +30,12 @@
 	return out
 }
 
+// assign returns the gateways that a process computes that has computed none before.
+func assign(groups []Group, proxies []Proxy) map[string][]string {
+	var a Assigner
+	return a.Assign(groups, proxies)
+}
+
 // Guards against processes that answer their peers too late after a power loss everywhere and
 // are considered dead by them: with 74 processes and eight groups, six of the processes
 // larger, each group chooses its six gateways independently, so that a small process becomes
@@ -38,7 +44,7 @@
 	is := is.New(t)
 	proxies := fleet(74)
 	load := map[string]int{}
-	for _, gateways := range Assign(groups(8, 6), proxies) {
+	for _, gateways := range assign(groups(8, 6), proxies) {
 		is.Equal(len(gateways), 6) // two of each zone
 		zones := map[string]int{}
 		for _, c := range gateways {
@@ -66,12 +72,12 @@
 func TestLeavingProxyMovesFewGroups(t *testing.T) {
 	is := is.New(t)
 	before := fleet(74)
-	old := Assign(groups(8, 6), before)
+	old := assign(groups(8, 6), before)
 	maxMoved, totalMoved := 0, 0
 	for i := range before {
 		after := slices.Delete(slices.Clone(before), i, i+1)
 		moved := 0
-		for name, gateways := range Assign(groups(8, 6), after) {
+		for name, gateways := range assign(groups(8, 6), after) {
 			for _, c := range gateways {
 				if !slices.Contains(old[name], c) {
 					moved++
@@ -89,10 +95,10 @@
 func TestOrderOfProxiesAndGroupsDoesNotMatter(t *testing.T) {
 	is := is.New(t)
 	proxies, all := fleet(20), groups(5, 6)
-	first := Assign(all, proxies)
+	first := assign(all, proxies)
 	slices.Reverse(proxies)
 	slices.Reverse(all)
-	is.Equal(Assign(all, proxies), first)
+	is.Equal(assign(all, proxies), first)
 }
 
 // Guards against a number of gateways that grows with the zones: in a fleet of five zones with
@@ -105,7 +111,7 @@
 		for i := range proxies {
 			proxies[i].Zone = fmt.Sprint("z", i%zones)
 		}
-		for _, names := range Assign(groups(20, 14), proxies) {
+		for _, names := range assign(groups(20, 14), proxies) {
 			is.Equal(len(names), gateways)
 			covered := map[string]bool{}
 			for _, c := range names {
@@ -121,9 +127,94 @@
 // zone.
 func TestSmallFleets(t *testing.T) {
 	is := is.New(t)
-	is.Equal(Assign(groups(1, 6), []Proxy{{Name: "a", Zone: "z"}})["g0"], []string{"a"})
-	is.Equal(len(Assign(groups(1, 20), fleet(4))["g0"]), 4)
-	is.Equal(len(Assign(groups(1, 1), fleet(74))["g0"]), 1)
-	is.Equal(len(Assign(groups(1, 0), fleet(74))["g0"]), 1)
-	is.Equal(len(Assign(groups(2, 3), nil)), 0)
+	is.Equal(assign(groups(1, 6), []Proxy{{Name: "a", Zone: "z"}})["g0"], []string{"a"})
+	is.Equal(len(assign(groups(1, 20), fleet(4))["g0"]), 4)
+	is.Equal(len(assign(groups(1, 1), fleet(74))["g0"]), 1)
+	is.Equal(len(assign(groups(1, 0), fleet(74))["g0"]), 1)
+	is.Equal(len(assign(groups(2, 3), nil)), 0)
+}
+
+// sizes are the numbers of processes and of groups for which the work is counted.
+var sizes = []int{100, 1000, 2000}
+
+// fleetOf returns n proxies in five zones, a twentieth of them with four times the CPU of the
+// others.
+func fleetOf(n int) []Proxy {
+	proxies := fleet(n)
+	for i := range proxies {
+		proxies[i].Zone = fmt.Sprint("z", i%5)
+		proxies[i].Millicores = 192
+		if i%20 < 1 {
+			proxies[i].Millicores = 800
+		}
+	}
+	return proxies
+}
+
+// Guards against a process of a large fleet that spends most of its time on the assignment: it
+// was computed anew for each configuration that arrived, though the groups were the same, with
+// a score for each pair of a group and a process.
+func TestUnchangedFleetIsNotScoredAgain(t *testing.T) {
+	for _, n := range sizes {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			var a Assigner
+			proxies := fleetOf(n)
+			first := a.Assign(groups(n, 33), proxies)
+			is.True(a.scored <= n*n)
+			a.scored = 0
+			slices.Reverse(proxies)
+			is.Equal(a.Assign(groups(n, 33), proxies), first)
+			is.Equal(a.scored, 0)
+		})
+	}
+}
+
+// A process that leaves or joins has only its own zone assigned again, with the same result as
+// an assignment from scratch, and moves few groups.
+func TestChangeConcernsOneZone(t *testing.T) {
+	for _, n := range sizes {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			var a Assigner
+			proxies := fleetOf(n)
+			before := a.Assign(groups(n, 33), proxies)
+			a.scored = 0
+			left := slices.Delete(slices.Clone(proxies), 7, 8)
+			after := a.Assign(groups(n, 33), left)
+			is.True(a.scored <= n*n/5)
+			is.Equal(after, assign(groups(n, 33), left))
+			moved := 0
+			for name, gateways := range after {
+				for _, c := range gateways {
+					if !slices.Contains(before[name], c) {
+						moved++
+					}
+				}
+			}
+			t.Logf("%d of %d places move, %d scores", moved, 6*n, a.scored)
+		})
+	}
+}
+
+// Guards against a zone that has a third of all places in a fleet of five zones: each group has
+// six gateways, and the sixth place of every group was in the same zone.
+func TestPlacesAreSpreadOverZones(t *testing.T) {
+	is := is.New(t)
+	places := map[string]int{}
+	proxies := fleetOf(1000)
+	zones := map[string]string{}
+	for _, p := range proxies {
+		zones[p.Name] = p.Zone
+	}
+	for _, gateways := range assign(groups(1000, 33), proxies) {
+		is.Equal(len(gateways), 6)
+		for _, c := range gateways {
+			places[zones[c]]++
+		}
+	}
+	is.Equal(len(places), 5)
+	for _, n := range places {
+		is.True(n >= 1100 && n <= 1300) // a fifth of 6,000 each, give or take
+	}
 }
--- a/assigner/doc.go
+++ b/assigner/doc.go
@@ -15,5 +15,6 @@
 //
 // # Usage
 //
-//	gateways := assigner.Assign(groups, proxies)["billet-db"] // names of proxies
+//	var a assigner.Assigner
+//	gateways := a.Assign(groups, proxies)["billet-db"] // names of proxies
 package assigner
--- a/gossiper/harness_test.go
+++ b/gossiper/harness_test.go
@@ -122,7 +122,7 @@
 		for _, m := range members {
 			proxies = append(proxies, assigner.Proxy{Name: m.Name, Zone: m.Zone, Millicores: int(m.Millicores)})
 		}
-		gateways = assigner.Assign(f.groups, proxies)
+		gateways = new(assigner.Assigner).Assign(f.groups, proxies)
 		f.assignments[from] = gateways
 	}
 	p.groups = map[string]GroupState{}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -20,6 +20,7 @@
 	"basildale.example/basildale/adapter/keeper"
 	"basildale.example/basildale/adapter/messenger"
 	"basildale.example/basildale/adapter/reporter"
+	"basildale.example/basildale/assigner"
 	"basildale.example/basildale/carrier"
 	"basildale.example/basildale/cataloger"
 	"basildale.example/basildale/conductor"
@@ -102,6 +103,7 @@
 	// peersLearned signals that a list of peers has arrived. The connections are then divided
 	// at once: until then the process has none.
 	peersLearned    chan struct{}
+	assigner        assigner.Assigner
 	isFetchingFleet atomic.Bool // a request for the list of the fleet is in flight
 	// configSyncer and entrySyncer fetch newer versions from peers.
 	configSyncer *syncer
--- a/proxier/share.go
+++ b/proxier/share.go
@@ -68,7 +68,7 @@
 		p.setGateways(nil)
 		return out
 	}
-	assigned := assigner.Assign(few, p.candidates())
+	assigned := p.assigner.Assign(few, p.candidates())
 	p.setGateways(assigned)
 	for group, gateways := range assigned {
 		switch {
