proxier: a syncer wakes up only while a newer version is known

Cause: two tickers of 0.1 s in each process, for sources that failed or were busy, run also while there is nothing to fetch: 20 wake-ups a second, each charged.

Change: a timer that is set only while a peer has offered a newer version.

--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -72,7 +72,7 @@
 	}
 	f.held = version
 	f.offers = slices.DeleteFunc(f.offers, func(o offer) bool { return !version.Less(o.version) })
-	if f.isBehind() {
+	if f.IsBehind() {
 		f.storeReadAt = f.newestAt.Add(f.jitter(peerTimeout))
 	}
 }
@@ -82,7 +82,7 @@
 	if !f.held.Less(version) {
 		return
 	}
-	if !f.isBehind() {
+	if !f.IsBehind() {
 		f.storeReadAt = now.Add(f.jitter(peerTimeout))
 	}
 	if f.newest.Less(version) {
@@ -94,7 +94,7 @@
 // Next returns the source to fetch from now, if there is one. One peer request and one read of
 // the store may be in flight at a time.
 func (f *Fetcher) Next(now time.Time) (Source, bool) {
-	if !f.isBehind() {
+	if !f.IsBehind() {
 		return Source{}, false
 	}
 	if !f.isReadingStore && !now.Before(f.storeReadAt) {
@@ -137,7 +137,8 @@
 	}
 }
 
-func (f *Fetcher) isBehind() bool { return f.held.Less(f.newest) }
+// IsBehind reports whether a peer has offered a newer version than this process has.
+func (f *Fetcher) IsBehind() bool { return f.held.Less(f.newest) }
 
 // putOffer stores an offer. A peer has one offer, with the newest version that it reported.
 func (f *Fetcher) putOffer(o offer) {
--- a/proxier/syncer.go
+++ b/proxier/syncer.go
@@ -46,10 +46,11 @@
 	}
 }
 
-// run fetches until the context ends.
+// run fetches until the context ends. The timer runs only while a newer version is known: it
+// is for sources that failed or were busy.
 func (s *syncer) run(ctx context.Context) {
-	ticker := time.NewTicker(maintenanceInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(maintenanceInterval)
+	defer timer.Stop()
 	var requests sync.WaitGroup
 	defer requests.Wait()
 	for {
@@ -57,14 +58,23 @@
 		case <-ctx.Done():
 			return
 		case <-s.wake:
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		for source, ok := s.nextSource(); ok; source, ok = s.nextSource() {
 			requests.Go(func() { s.fetch(ctx, source) })
 		}
+		if s.isBehind() {
+			timer.Reset(maintenanceInterval)
+		}
 	}
 }
 
+func (s *syncer) isBehind() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fetcher.IsBehind()
+}
+
 func (s *syncer) nextSource() (fetcher.Source, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
