throttler: the slack of the tolerance is granted as burst

Cause: small workspaces that stay below their quota are refused: of what the tolerance allows beyond the quota, most of it slack, all went into a higher rate of tokens (7.9 a second for a quota of 5), and the burst stayed at a second of it. Operations come in clusters, so a workspace at nine tenths of its rate ran out of tokens.

Change: the rate exceeds the quota's by the excess only, and tokens live as long as the tolerance then allows, at most 5 s as before. The bound on any window is the same sum.

--- a/throttler/doc.go
+++ b/throttler/doc.go
@@ -6,8 +6,8 @@
 // produces one nth of them, for as long as it runs. It does not produce single tokens but
 // credits time: the span since its last credit. Workspaces are divided among shards, and
 // each shard has an owner, a process that collects the spans of all processes and grants
-// operations for them. A token expires a fixed time after it was produced: the time in
-// which its quota's rate produces the burst. So nothing needs to be handed over when the
+// operations for them. A token expires a fixed time after it was produced: as long as the
+// quota's tolerance allows, which makes the burst. So nothing needs to be handed over when the
 // owner changes: the tokens of the old one expire by themselves.
 //
 // So the limit does not depend on which processes consider themselves owners. Two halves
--- a/throttler/tolerance.go
+++ b/throttler/tolerance.go
@@ -22,8 +22,7 @@
 	// grantedShare is the part of Excess and Slack that is granted. The rest covers that
 	// processes may assume different sizes of the fleet.
 	grantedShare = 0.8
-	// A token can be spent for as long as the rate takes to produce the burst, within these
-	// bounds.
+	// Bounds of the time for which a token can be spent.
 	minTokenLife = 500 * time.Millisecond
 	maxTokenLife = 5 * time.Second
 )
@@ -36,7 +35,11 @@
 }
 
 // tokenLimit returns a quota in tokens. The tokens spent in any window were produced in
-// it, or before it by at most their life and the time in transit to their owner.
+// it, or before it by at most their life and the time in transit to their owner. Their rate
+// exceeds that of the quota by no more than Excess, and what is allowed beyond it makes
+// their life longer: a workspace that stays below its rate, but whose operations come in
+// clusters, needs a burst and no higher rate. For a small workspace most of what is allowed
+// is Slack.
 func (t Tolerance) tokenLimit(q cataloger.Quota) tokenLimit {
 	if q.Rate <= 0 {
 		return tokenLimit{}
@@ -45,8 +48,9 @@
 	if window == 0 {
 		window = defaultWindow
 	}
-	life := time.Duration(q.Burst / q.Rate * float64(time.Second))
+	factor := 1 + grantedShare*t.Excess
+	allowed := (q.Rate*window.Seconds()+q.Burst)*factor + grantedShare*t.Slack
+	life := time.Duration(allowed/(q.Rate*factor)*float64(time.Second)) - window - maxTransit
 	life = min(max(life, minTokenLife), maxTokenLife)
-	allowed := (q.Rate*window.Seconds()+q.Burst)*(1+grantedShare*t.Excess) + grantedShare*t.Slack
 	return tokenLimit{allowed / (window + life + maxTransit).Seconds(), life}
 }
