proxier: bounds the log of invalid upstream entries in a fleet of any size

Cause: 1,024 invalid entries were remembered as logged, "far more than the upstreams of a large fleet"; with more of them all were forgotten and logged again with each list.

Change: further entries are counted in one line a second, and those that a list no longer has are forgotten.

Measured: TestManyInvalidEntriesAreLoggedOnce: 10,000 such entries in five lists are 1,025 lines, and the upstream beside them is used.

--- a/proxier/catalog.go
+++ b/proxier/catalog.go
@@ -1,12 +1,14 @@
 package proxier
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"basildale.example/basildale/adapter/keeper"
 	"basildale.example/basildale/carrier"
@@ -19,8 +21,8 @@
 // configPollInterval is the time between two checks for the first configuration.
 const configPollInterval = 10 * time.Millisecond
 
-// maxInvalidEntries bounds how many invalid entries are remembered as logged. It is far more
-// than the upstreams of a large fleet, 24 in the largest deployment tried.
+// maxInvalidEntries bounds how many invalid entries are remembered as logged. Further ones are
+// only counted in the log.
 const maxInvalidEntries = 1024
 
 // stateCache is what this process knows of the store's configuration and upstreams, from the
@@ -35,8 +37,11 @@
 	mu      sync.Mutex
 	catalog cataloger.Catalog
 	invalid map[string]versioner.Version // by name, the version at which an invalid entry was logged
-	view    atomic.Pointer[cataloger.View]
-	restore restoreState
+	// furtherInvalid counts the invalid entries of a list or change that are not remembered.
+	furtherInvalid int
+	invalidLimit   rate.Sometimes // limits the log lines that count them
+	view           atomic.Pointer[cataloger.View]
+	restore        restoreState
 }
 
 // current returns the configuration in force.
@@ -106,6 +111,7 @@
 		changed = s.applyUpstreamEntry(o) || changed
 	}
 	s.catalog.Advance(version)
+	s.logFurtherInvalid()
 	s.publish(changed)
 	s.updateRestore()
 }
@@ -134,15 +140,45 @@
 	if at, logged := s.invalid[o.Name]; logged && !at.Less(o.At()) {
 		return u, false
 	}
-	if s.invalid == nil || len(s.invalid) >= maxInvalidEntries {
+	if s.invalid == nil {
 		s.invalid = map[string]versioner.Version{}
 	}
 	s.invalid[o.Name] = o.At()
+	if _, known := s.invalid[o.Name]; !known && len(s.invalid) >= maxInvalidEntries {
+		s.furtherInvalid++
+		return u, false
+	}
 	s.log.Error("proxier: upstream entry is invalid", zap.String("upstream", o.Name), zap.Stringer("version", o.At()), zap.Error(err))
 	return u, false
 }
 
-// publish passes the upstreams on if they have changed. The caller holds the lock.
+// logFurtherInvalid logs how many entries of a list or change are invalid beyond those that are
+// logged one by one. The caller holds the lock.
+func (s *stateCache) logFurtherInvalid() {
+	if s.furtherInvalid == 0 {
+		return
+	}
+	s.invalidLimit.Do(func() {
+		s.log.Error("proxier: further upstream entries are invalid", zap.Int("count", s.furtherInvalid))
+	})
+	s.furtherInvalid = 0
+}
+
+// forgetInvalid forgets the invalid entries that a whole list no longer has. The caller holds
+// the lock.
+func (s *stateCache) forgetInvalid(list []keeper.Object) {
+	if len(s.invalid) == 0 {
+		return
+	}
+	listed := make(map[string]bool, len(list))
+	for _, o := range list {
+		listed[o.Name] = true
+	}
+	maps.DeleteFunc(s.invalid, func(name string, _ versioner.Version) bool { return !listed[name] })
+}
+
+// publish passes the upstreams of the groups on in which some have changed. The caller holds
+// the lock.
 func (s *stateCache) publish(changed bool) {
 	if !changed {
 		return
@@ -185,12 +221,14 @@
 	// Fleet is the list of the fleet; empty if the peer has the same list.
 	Fleet []gossiper.Member `json:"fleet,omitempty"`
 	// FleetKnown is true if the sender knows the whole fleet.
+	s.forgetInvalid(list)
 	FleetKnown bool `json:"settled,omitempty"`
 }
 
 // completeVersion returns the version up to which all entries are known, and their digest.
 func (s *stateCache) completeVersion() (complete versioner.Version, digest uint64) {
 	s.mu.Lock()
+	s.logFurtherInvalid()
 	defer s.mu.Unlock()
 	return s.catalog.CompleteVersion(), s.catalog.Digest()
 }
--- a/proxier/catalog_test.go
+++ b/proxier/catalog_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
+	"golang.org/x/time/rate"
 
 	"basildale.example/basildale/adapter/keeper"
 	"basildale.example/basildale/carrier"
@@ -84,6 +85,27 @@
 	is.Equal(logs.Len(), 2) // logged once, not with each list
 }
 
+// Guards against a log that fills up when another writer's entries, more than are remembered as
+// logged, come with each list.
+func TestManyInvalidEntriesAreLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	cache, logs := newTestCache()
+	cache.invalidLimit = rate.Sometimes{First: 1}
+	var list []keeper.Object
+	for i := range 10_000 {
+		list = append(list, newObject(fmt.Sprintf("x-%05d", i), uint64(i+1), `"bytes"`))
+	}
+	list = append(list, upstreamObject("huvo", "i-1", 10_001))
+	for n := range uint64(5) {
+		cache.replaceUpstreams(list, atRevision(20_000+n))
+		is.Equal(usableUpstreams(cache), []string{"i-1"})
+	}
+	is.Equal(logs.Len(), maxInvalidEntries+1)
+	is.True(len(cache.invalid) <= maxInvalidEntries)
+	cache.replaceUpstreams(nil, atRevision(30_000))
+	is.Equal(len(cache.invalid), 0)
+}
+
 // Guards against connections to addresses that belong to no upstream. They come about when
 // another writer's entry names a group that is not configured: if a group is created for it,
 // the process starts to search for its leader.
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -197,7 +197,7 @@
 		lastRequestID: uint64(p.incarnation), pending: map[uint64]chan throttler.Verdict{},
 	}
 	p.gossip.OnDatagram = p.quotas.receive
-	p.cache = &stateCache{carrier: p.carrier, fleetSize: p.fleetSize, log: p.Log}
+	p.cache = &stateCache{carrier: p.carrier, fleetSize: p.fleetSize, invalidLimit: rate.Sometimes{First: 1, Interval: time.Second}, log: p.Log}
 	p.buildStoreSync()
 	orders := &orderer.Orderer{Address: s.Orders, Holder: s.Name}
 	p.overseer = &overseer.Overseer{
