cataloger, proxier: a change of one upstream costs what has changed

Cause: each change of an upstream was sent to each process with the IDs of all others (40 MB for 985 processes and 3,000 upstreams), and each process then sorted all upstreams and applied them to all 1,000 groups, which woke whatever waited there.

Change: a catalog remembers its latest changes by the digest before each. A peer that states a digest it remembers gets only what has changed since; any other one gets the IDs as before. Only groups with a change are published, and a group ignores a list that is the same.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -95,8 +95,13 @@
 	}
 }
 
-// ensure creates a group unless it exists.
-func (c *Registry) ensure(name string) {
+// SetGroupUpstreams replaces the known upstreams of one group.
+func (c *Registry) SetGroupUpstreams(group string, list []cataloger.Upstream) {
+	c.ensure(group).apply(list)
+}
+
+// ensure returns a group, and creates it unless it exists.
+func (c *Registry) ensure(name string) *Group {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.groups == nil {
@@ -105,6 +110,7 @@
 	if c.groups[name] == nil {
 		c.groups[name] = &Group{name: name, registry: c, changed: make(chan struct{}), leaderlessSince: c.Now()}
 	}
+	return c.groups[name]
 }
 
 // DivideConnections sets how many proxies share the connections of the upstreams, and how
--- a/carrier/group.go
+++ b/carrier/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 	registry *Registry
 
 	mu        sync.Mutex
+	listed    []cataloger.Upstream // as last applied
 	upstreams []*upstream
 	// absent holds, by id, upstreams that the store no longer lists and whose logs are not
 	// accounted for.
@@ -55,6 +57,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	kept := make([]*upstream, 0, len(list))
+	if slices.Equal(list, g.listed) {
+		return
+	}
+	g.listed = list
 	for _, listed := range list {
 		kept = append(kept, g.update(listed))
 	}
--- a/cataloger/catalog.go
+++ b/cataloger/catalog.go
@@ -122,11 +122,16 @@
 type Catalog struct {
 	config    Config
 	upstreams map[string]Upstream
+	// groups holds the sorted IDs of the upstreams of each group, and changed the groups with
+	// changes since the last call of TakeChanged.
+	groups  map[string][]string
+	changed map[string]bool
 	// removed holds the version at which an upstream was removed, for removals after
 	// completeVersion, so that an older event cannot add it again.
 	removed         map[string]versioner.Version
 	completeVersion versioner.Version
 	digest          uint64
+	history         history
 }
 
 // CompleteVersion returns the version up to which every change of the entries is known.
@@ -213,11 +218,48 @@
 	if c.upstreams == nil {
 		c.upstreams = map[string]Upstream{}
 	}
+	c.history.add(c.digest, u.ID)
 	if old, known := c.upstreams[u.ID]; known {
 		c.digest ^= old.hash()
+		c.removeFromGroup(old)
 	}
 	c.upstreams[u.ID] = u
 	c.digest ^= u.hash()
+	c.addToGroup(u)
+}
+
+func (c *Catalog) addToGroup(u Upstream) {
+	if c.groups == nil {
+		c.groups, c.changed = map[string][]string{}, map[string]bool{}
+	}
+	ids := c.groups[u.Group]
+	i, _ := slices.BinarySearch(ids, u.ID)
+	c.groups[u.Group] = slices.Insert(ids, i, u.ID)
+	c.changed[u.Group] = true
+}
+
+func (c *Catalog) removeFromGroup(u Upstream) {
+	ids := c.groups[u.Group]
+	if i, found := slices.BinarySearch(ids, u.ID); found {
+		c.groups[u.Group] = slices.Delete(ids, i, i+1)
+	}
+	c.changed[u.Group] = true
+}
+
+// TakeChanged returns the groups whose upstreams have changed since the last call.
+func (c *Catalog) TakeChanged() []string {
+	out := slices.Sorted(maps.Keys(c.changed))
+	clear(c.changed)
+	return out
+}
+
+// UpstreamsOf returns the entries of a group sorted by ID.
+func (c *Catalog) UpstreamsOf(group string) []Upstream {
+	out := make([]Upstream, 0, len(c.groups[group]))
+	for _, id := range c.groups[group] {
+		out = append(out, c.upstreams[id])
+	}
+	return out
 }
 
 // hash returns the entry's contribution to the digest.
@@ -243,8 +285,10 @@
 	if !known {
 		return false
 	}
+	c.history.add(c.digest, id)
 	delete(c.upstreams, id)
 	c.digest ^= old.hash()
+	c.removeFromGroup(old)
 	return true
 }
 
@@ -271,15 +315,39 @@
 	// Unchanged the IDs of the others.
 	Upstreams []Upstream `json:"upstreams"`
 	Unchanged []string   `json:"kept,omitempty"`
+	// Base, when set, is the digest of the catalog that the changes apply to. They then
+	// name only what has changed: Upstreams, and the IDs in Removed.
+	Base    uint64   `json:"base,omitempty"`
+	Removed []string `json:"removed,omitempty"`
 	// CompleteVersion is the version up to which the changes are complete.
 	CompleteVersion versioner.Version `json:"complete"`
 }
 
-// ChangesSince returns the changes that a catalog which is complete up to a version may
-// lack. When whole catalogs were sent, the exchange of 24 upstreams and 66 routes
-// between processes that start together was two fifths of all bytes between
-// availability zones in their first 30 s.
-func (c *Catalog) ChangesSince(version versioner.Version) Changes {
+// ChangesSince returns the changes that a catalog lacks which is complete up to a version
+// and has a digest. If this catalog has had the same entries, the changes name only what
+// has changed since; otherwise they name every entry, those that the other one has by
+// their IDs.
+func (c *Catalog) ChangesSince(version versioner.Version, digest uint64) Changes {
+	if ids, ok := c.history.since(digest); ok && version.Era == c.completeVersion.Era {
+		return c.changesOf(ids, digest)
+	}
+	return c.allChangesSince(version)
+}
+
+// changesOf returns the present state of the entries with the given IDs.
+func (c *Catalog) changesOf(ids []string, base uint64) Changes {
+	out := Changes{CompleteVersion: c.completeVersion, Base: base}
+	for _, id := range ids {
+		if u, known := c.upstreams[id]; known {
+			out.Upstreams = append(out.Upstreams, u)
+		} else {
+			out.Removed = append(out.Removed, id)
+		}
+	}
+	return out
+}
+
+func (c *Catalog) allChangesSince(version versioner.Version) Changes {
 	out := Changes{CompleteVersion: c.completeVersion}
 	for _, u := range c.Upstreams() {
 		earlierEra := u.Version.Era < c.completeVersion.Era
@@ -301,6 +369,9 @@
 	if ch.CompleteVersion.Less(c.completeVersion) {
 		return false
 	}
+	if ch.Base != 0 {
+		return c.mergeDifference(ch)
+	}
 	changed := false
 	listed := make(map[string]bool, len(ch.Upstreams)+len(ch.Unchanged))
 	for _, id := range ch.Unchanged {
@@ -319,15 +390,33 @@
 	return changed
 }
 
+// mergeDifference merges changes that name only what differs from the catalog with their
+// base digest. It ignores them if this one has changed since it requested them.
+func (c *Catalog) mergeDifference(ch Changes) bool {
+	if ch.Base != c.digest || ch.CompleteVersion.Era != c.completeVersion.Era {
+		return false
+	}
+	changed := false
+	for _, id := range ch.Removed {
+		changed = c.Remove(id, ch.CompleteVersion) || changed
+	}
+	for _, u := range ch.Upstreams {
+		changed = c.Put(u) || changed
+	}
+	c.Advance(ch.CompleteVersion)
+	return changed
+}
+
 // FromEarlierEra returns the sorted IDs of the upstreams that were listed in an earlier
 // era and not yet in the current one.
 func (c *Catalog) FromEarlierEra() []string {
 	var out []string
-	for _, u := range c.Upstreams() {
+	for id, u := range c.upstreams {
 		if u.Version.Era < c.completeVersion.Era {
-			out = append(out, u.ID)
+			out = append(out, id)
 		}
 	}
+	slices.Sort(out)
 	return out
 }
 
--- a/cataloger/catalog_test.go
+++ b/cataloger/catalog_test.go
@@ -139,7 +139,7 @@
 			if rng.IntN(4) > 0 || !other.NeedsUpdate(watcher.CompleteVersion(), watcher.Digest()) {
 				continue
 			}
-			other.Merge(watcher.ChangesSince(other.CompleteVersion()))
+			other.Merge(watcher.ChangesSince(other.CompleteVersion(), other.Digest()))
 			is.Equal(other.Upstreams(), watcher.Upstreams())
 			is.Equal(other.Digest(), watcher.Digest())
 		}
@@ -151,6 +151,6 @@
 	is := is.New(t)
 	var c Catalog
 	c.Replace([]Upstream{{ID: "a", Version: versionAt(3)}, {ID: "b", Version: versionAt(8)}}, versionAt(9))
-	is.Equal(c.ChangesSince(versionAt(5)), Changes{Upstreams: []Upstream{{ID: "b", Version: versionAt(8)}}, Unchanged: []string{"a"}, CompleteVersion: versionAt(9)})
-	is.Equal(len(c.ChangesSince(versionAt(0)).Unchanged), 0)
+	is.Equal(c.ChangesSince(versionAt(5), 1), Changes{Upstreams: []Upstream{{ID: "b", Version: versionAt(8)}}, Unchanged: []string{"a"}, CompleteVersion: versionAt(9)})
+	is.Equal(len(c.ChangesSince(versionAt(0), 0).Unchanged), 0)
 }
--- a/cataloger/restore_test.go
+++ b/cataloger/restore_test.go
@@ -56,8 +56,8 @@
 	after.Replace([]Upstream{{ID: "a", Version: versionIn(2, 31)}, {ID: "b", Version: versionIn(2, 32)}}, versionIn(2, 33))
 	is.True(!after.NeedsUpdate(before.CompleteVersion(), before.Digest()))
 	is.True(before.NeedsUpdate(after.CompleteVersion(), after.Digest()))
-	is.True(!after.Merge(before.ChangesSince(versionIn(1, 50))))
-	is.True(before.Merge(after.ChangesSince(before.CompleteVersion())))
+	is.True(!after.Merge(before.ChangesSince(versionIn(1, 50), after.Digest())))
+	is.True(before.Merge(after.ChangesSince(before.CompleteVersion(), before.Digest())))
 	is.Equal(before.Digest(), after.Digest())
 	is.Equal(before.Upstreams(), after.Upstreams())
 }
@@ -204,7 +204,7 @@
 func (s *restoredStore) syncFromPeer() {
 	p, from := s.randomProcess(), s.randomProcess()
 	if p.NeedsUpdate(from.CompleteVersion(), from.Digest()) {
-		p.Merge(from.ChangesSince(p.CompleteVersion()))
+		p.Merge(from.ChangesSince(p.CompleteVersion(), p.Digest()))
 	}
 }
 
@@ -258,7 +258,7 @@
 	reader.Replace(list, versionIn(s.era, s.revision))
 	for _, p := range s.procs[1:] {
 		if p.NeedsUpdate(reader.CompleteVersion(), reader.Digest()) {
-			p.Merge(reader.ChangesSince(p.CompleteVersion()))
+			p.Merge(reader.ChangesSince(p.CompleteVersion(), p.Digest()))
 		}
 	}
 	for i, p := range s.procs {
--- a/proxier/catalog.go
+++ b/proxier/catalog.go
@@ -66,12 +66,13 @@
 func (s *stateCache) setConfig(c cataloger.Config, source string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.current()
 	if !s.catalog.Configure(c) {
 		return
 	}
 	s.view.Store(s.catalog.View())
 	s.carrier.DivideConnections(s.fleetSize(), c.Groups)
-	s.publish(true)
+	s.republish(before, c.Groups)
 	s.log.Info("proxier: configuration in force", zap.Uint64("version", c.Version), zap.Int("routes", len(c.Routes)),
 		zap.Int("groups", len(c.Groups)), zap.String("source", source))
 }
@@ -183,22 +184,37 @@
 	if !changed {
 		return
 	}
-	s.carrier.SetUpstreams(s.filterConfigured(s.catalog.Upstreams()))
+	for _, group := range s.catalog.TakeChanged() {
+		if s.isUsable(group) {
+			s.carrier.SetGroupUpstreams(group, s.catalog.UpstreamsOf(group))
+		}
+	}
 	s.notifyChanged()
 }
 
-// filterConfigured returns the upstreams whose groups the configuration names, or all of them
-// while there is no configuration. No statements go to any other group, and without the filter
-// a writer that invents groups would make this process connect to any address it names.
-func (s *stateCache) filterConfigured(all []cataloger.Upstream) []cataloger.Upstream {
-	view := s.current()
-	if view.Config.Version == 0 {
-		return all
+// republish passes the upstreams on after a change of the configuration, if it names other
+// groups than before. The caller holds the lock.
+func (s *stateCache) republish(before *cataloger.View, groups []cataloger.GroupSettings) {
+	isKnown := func(g cataloger.GroupSettings) bool { _, known := before.Group(g.Name); return known }
+	if len(groups) != len(before.Config.Groups) || slices.ContainsFunc(groups, func(g cataloger.GroupSettings) bool { return !isKnown(g) }) {
+		s.catalog.TakeChanged()
+		s.carrier.SetUpstreams(s.usableUpstreams())
 	}
-	return slices.DeleteFunc(all, func(u cataloger.Upstream) bool {
-		_, named := view.Group(u.Group)
-		return !named
-	})
+	s.notifyChanged()
+}
+
+// usableUpstreams returns the upstreams of the usable groups.
+func (s *stateCache) usableUpstreams() []cataloger.Upstream {
+	return slices.DeleteFunc(s.catalog.Upstreams(), func(u cataloger.Upstream) bool { return !s.isUsable(u.Group) })
+}
+
+// isUsable reports whether the configuration names a group, or there is no configuration yet.
+// No statements go to any other group, and without this filter a writer that invents groups
+// would make this process connect to any address it names.
+func (s *stateCache) isUsable(group string) bool {
+	view := s.current()
+	_, named := view.Group(group)
+	return named || view.Config.Version == 0
 }
 
 // replaceUpstreams applies the list of all upstream entries as of a version.
@@ -241,11 +257,12 @@
 	return s.catalog.NeedsUpdate(complete, digest)
 }
 
-// changesSince returns the changes that a peer may lack that has all entries up to a version.
-func (s *stateCache) changesSince(complete versioner.Version) cataloger.Changes {
+// changesSince returns the changes that a peer lacks that has all entries up to a version, with
+// their digest.
+func (s *stateCache) changesSince(complete versioner.Version, digest uint64) cataloger.Changes {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.catalog.ChangesSince(complete)
+	return s.catalog.ChangesSince(complete, digest)
 }
 
 // merge applies the changes that a peer sent. They are ignored unless they are at least as
--- a/proxier/peers.go
+++ b/proxier/peers.go
@@ -88,12 +88,13 @@
 }
 
 // Parameters by which a requesting peer states what it has: its version of the configuration,
-// the version up to which it knows all upstream entries, and the hash of its list of the
-// fleet.
+// the version up to which it knows all upstream entries and their hash, and the hash of its
+// list of the fleet.
 const (
 	paramConfiguration = "configuration"
 	paramComplete      = "complete"
 	paramFleet         = "fleet"
+	paramEntries       = "entries"
 )
 
 // formNumber parses a number from a peer's request; it is zero if missing or invalid.
@@ -111,7 +112,7 @@
 	if err != nil {
 		p.Log.Warn("proxier: peer sent no valid version, sending it everything", zap.String("field", paramComplete), zap.Error(err))
 	}
-	update := peerUpdate{Entries: p.cache.changesSince(complete)}
+	update := peerUpdate{Entries: p.cache.changesSince(complete, p.formNumber(r, paramEntries))}
 	if p.peersKnown.Load() && p.formNumber(r, paramFleet) != uint64(p.gossip.Digest()) {
 		update.Fleet = p.gossip.Members()
 		update.FleetKnown = p.fleetKnown.Load()
@@ -200,7 +201,7 @@
 
 // readFromStore lists a kind that peers report as changed but do not deliver.
 func (p *Proxier) readFromStore(ctx context.Context, watcher *storeWatcher) error {
-	complete, _ := p.cache.completeVersion()
+	complete, entries := p.cache.completeVersion()
 	p.Log.Warn("proxier: peers do not deliver, reading the store", zap.String("kind", watcher.kind), zap.Uint64("heard", p.newestConfig.Load()),
 		zap.Uint64("configuration", p.cache.current().Config.Version), zap.Stringer("complete", complete))
 	return watcher.listAll(ctx)
@@ -212,6 +213,7 @@
 	began := bootClock()
 	in := &byteCounter{Reader: http.NoBody}
 	defer func() { p.recordReceived(addr, path, in.bytes, began, err) }()
+		paramEntries:  {strconv.FormatUint(entries, 10)},
 	ctx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
 	defer cancel()
 	target := url.URL{Scheme: "http", Host: addr.String(), Path: path, RawQuery: params.Encode()}
