gossiper: lists are compared by ranges, and only differing ones are sent

Cause: a process whose list of the fleet differed from most was sent the whole list, some 200 bytes of JSON for each process of the fleet.

Change: the request states a hash for each range of some 16 members, and the answer has the members of the ranges that differ. The hashes cover start and incarnation too.

--- a/gossiper/doc.go
+++ b/gossiper/doc.go
@@ -11,8 +11,9 @@
 // the same entries hold the same list, in whatever order the entries arrived. The entry
 // with the later start and incarnation wins, and a process refutes a false entry about
 // itself with a higher incarnation. Updates are piggybacked on datagrams, a bounded
-// number on each. Datagrams also contain a hash of the list, and a process whose list
-// differs from that of most others requests the whole list from one of them.
+// number on each. Datagrams also contain a hash of the list. A process whose list differs
+// from that of most others requests from one of them the entries in those ranges of the list
+// whose hashes differ.
 //
 // # Failure detection
 //
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -113,14 +113,23 @@
 	g.roster.AddListed(s, g.Now())
 }
 
-// Members returns the membership list, to send to a peer whose list differs.
-func (g *Gossiper) Members() []Member {
+// Ranges returns the ranges of the membership list, by which a peer finds out what this
+// process lacks.
+func (g *Gossiper) Ranges() Ranges {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.roster.Members()
+	return g.roster.Ranges()
 }
 
-// Merge merges the membership list of a peer into this one.
+// MembersDiffering returns the part of the membership list to send to a peer whose list has
+// these ranges.
+func (g *Gossiper) MembersDiffering(other Ranges) []Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.roster.MembersDiffering(other)
+}
+
+// Merge merges the membership list of a peer, or a part of it, into this one.
 func (g *Gossiper) Merge(list []Member) {
 	g.mu.Lock()
 	g.roster.Merge(list, g.Now())
--- a/gossiper/harness_test.go
+++ b/gossiper/harness_test.go
@@ -28,9 +28,10 @@
 
 	loss  float64
 	isCut func(from, to *proc) bool
-	// counts of what was sent: datagrams, updates in them, whole lists, and datagrams to
-	// ring successors
+	// counts of what was sent: datagrams, updates in them, lists, and datagrams to ring
+	// successors
 	datagramsSent, updatesSent, listsSent, successorDatagrams int
+	entriesSent                                               int // in lists
 }
 
 // proc is one process. Its machine can be without power, or partitioned from the others.
@@ -179,10 +180,13 @@
 		return
 	}
 	f.listsSent++
+	ranges := to.Ranges()
 	f.After(2*networkDelay, func() {
 		if from.up && to.up {
 			to.knowsFleet = true
-			to.Merge(from.Members(), f.Now)
+			members := from.MembersDiffering(ranges)
+			f.entriesSent += len(members)
+			to.Merge(members, f.Now)
 		}
 	})
 }
--- a/gossiper/list.go
+++ b/gossiper/list.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Merge merges another process's list. New entries are not sent on as updates: each
+// Merge merges another process's list, or a part of it. New entries are not sent on as updates: each
 // process requests the list if its own lacks something.
 func (r *Roster) Merge(list []Member, now time.Time) {
 	for _, m := range list {
--- a/proxier/peers.go
+++ b/proxier/peers.go
@@ -88,13 +88,15 @@
 }
 
 // Parameters by which a requesting peer states what it has: its version of the configuration,
-// the version up to which it knows all upstream entries and their hash, and the hash of its
-// list of the fleet.
+// the version up to which it knows all upstream entries and their hash, the hash of its list
+// of the fleet, and those of the list's ranges.
 const (
 	paramConfiguration = "configuration"
 	paramComplete      = "complete"
 	paramFleet         = "fleet"
 	paramEntries       = "entries"
+	paramFleet         = "fleet"
+	paramRanges        = "ranges"
 )
 
 // formNumber parses a number from a peer's request; it is zero if missing or invalid.
@@ -106,6 +108,16 @@
 	return n
 }
 
+// formRanges parses the ranges of the list of the fleet from a peer's request. Without valid
+// ones the peer is sent the whole list.
+func (p *Proxier) formRanges(r *http.Request) gossiper.Ranges {
+	ranges, err := gossiper.ParseRanges(r.FormValue(paramRanges))
+	if err != nil {
+		p.Log.Warn("proxier: peer sent no valid ranges, sending it the whole list", zap.Error(err))
+	}
+	return ranges
+}
+
 // serveKnown sends a peer the upstream entries and the processes of the fleet that it lacks.
 func (p *Proxier) serveKnown(w http.ResponseWriter, r *http.Request) {
 	complete, err := versioner.Parse(r.FormValue(paramComplete))
@@ -113,9 +125,9 @@
 		p.Log.Warn("proxier: peer sent no valid version, sending it everything", zap.String("field", paramComplete), zap.Error(err))
 	}
 	update := peerUpdate{Entries: p.cache.changesSince(complete, p.formNumber(r, paramEntries))}
+	update.FleetKnown = p.fleetKnown.Load()
 	if p.peersKnown.Load() && p.formNumber(r, paramFleet) != uint64(p.gossip.Digest()) {
-		update.Fleet = p.gossip.Members()
-		update.FleetKnown = p.fleetKnown.Load()
+		update.Fleet = p.gossip.MembersDiffering(p.formRanges(r))
 	}
 	began := bootClock()
 	out := &byteCounter{Writer: w}
@@ -204,6 +216,7 @@
 	complete, entries := p.cache.completeVersion()
 	p.Log.Warn("proxier: peers do not deliver, reading the store", zap.String("kind", watcher.kind), zap.Uint64("heard", p.newestConfig.Load()),
 		zap.Uint64("configuration", p.cache.current().Config.Version), zap.Stringer("complete", complete))
+		paramRanges:   {p.gossip.Ranges().String()},
 	return watcher.listAll(ctx)
 }
 
