carrier, overseer: state and checks only for groups of this process

Cause: each process kept a pool, an admission queue and an opener for each of 3,000 upstreams and logged a line for each; it checked 1,000 groups ten times a second in carrier and twenty times in overseer, and for each of its groups went through the states of all live peers several times, which it had picked from all peers.

Change: pools and queues come with the first share of a group's connections; only groups with something to check are checked; overseer asks for the groups that this process is a gateway of, and looks at the peers that report on each; the roster keeps the peers that were received lately.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -49,8 +49,9 @@
 
 	mu       sync.Mutex
 	groups   map[string]*Group
-	shares   map[string]int // connections of this process to each upstream of a group
-	maxConns map[string]int // connections to each upstream of a group that all proxies share
+	busy     map[*Group]bool // those with something to check; the others are idle
+	shares   map[string]int  // connections of this process to each upstream of a group
+	maxConns map[string]int  // connections to each upstream of a group that all proxies share
 }
 
 // reservedConns is how many connections of each upstream are left out of the shares. They
@@ -105,14 +106,40 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.groups == nil {
-		c.groups = map[string]*Group{}
+		c.groups, c.busy = map[string]*Group{}, map[*Group]bool{}
 	}
 	if c.groups[name] == nil {
-		c.groups[name] = &Group{name: name, registry: c, changed: make(chan struct{}), leaderlessSince: c.Now()}
+		c.groups[name] = &Group{name: name, registry: c, changed: make(chan struct{}), leaderlessSince: c.Now(), active: c.ConnectionShares == nil}
+		c.busy[c.groups[name]] = true
 	}
 	return c.groups[name]
 }
 
+// setBusy records whether a group has something to check.
+func (c *Registry) setBusy(g *Group, busy bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !busy:
+		delete(c.busy, g)
+	case c.busy == nil:
+		c.busy = map[*Group]bool{g: true}
+	default:
+		c.busy[g] = true
+	}
+}
+
+// busyGroups returns the groups that have something to check.
+func (c *Registry) busyGroups() []*Group {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]*Group, 0, len(c.busy))
+	for g := range c.busy {
+		out = append(out, g)
+	}
+	return out
+}
+
 // DivideConnections sets how many proxies share the connections of the upstreams, and how
 // many connections each upstream of a group accepts.
 func (c *Registry) DivideConnections(proxies int, settings []cataloger.GroupSettings) {
@@ -121,17 +148,35 @@
 		maxConns[s.Name] = s.MaxConnections - reservedConns
 	}
 	shares := c.computeShares(maxConns, proxies)
-	c.mu.Lock()
-	c.shares, c.maxConns = shares, maxConns
-	c.mu.Unlock()
 	for _, s := range settings {
 		c.ensure(s.Name)
 	}
+	for _, g := range c.Groups() {
+		if shares[g.name] > 0 {
+			g.activate() // before the share shows that the group can be used
+		}
+	}
+	c.mu.Lock()
+	c.shares, c.maxConns = shares, maxConns
+	c.mu.Unlock()
 	for _, g := range c.Groups() {
 		g.applyShare()
 	}
 }
 
+// Gateways returns the groups that this process is a gateway of.
+func (c *Registry) Gateways() []*Group {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*Group
+	for name, share := range c.shares {
+		if g := c.groups[name]; share > 0 && g != nil {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
 func (c *Registry) computeShares(maxConns map[string]int, proxies int) map[string]int {
 	if c.ConnectionShares != nil {
 		return c.ConnectionShares(maxConns, proxies)
@@ -143,12 +188,12 @@
 	return shares
 }
 
-// share returns how many connections this proxy may have to each upstream of a group; one
-// while the group's share is not known.
+// share returns how many connections this proxy may have to each upstream of a group. While
+// the group's share is not known it is zero, or one where nothing divides the connections.
 func (c *Registry) share(group string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n, known := c.shares[group]; known {
+	if n, known := c.shares[group]; known || c.ConnectionShares != nil {
 		return n
 	}
 	return 1
@@ -166,7 +211,7 @@
 // CheckUpstreams checks upstreams that do not answer. It must be called about ten times a second.
 func (c *Registry) CheckUpstreams() {
 	now := c.Now()
-	for _, g := range c.Groups() {
+	for _, g := range c.busyGroups() {
 		g.tick(now)
 	}
 }
--- a/carrier/group.go
+++ b/carrier/group.go
@@ -44,9 +44,10 @@
 	searchedAt time.Time     // when upstreams were last asked who leads
 	tickedAt   time.Time
 	shrunkAt   time.Time // when unneeded connections were last closed
-	// idle is set while there is nothing to check: this process has no share of the
-	// connections and none open. A change of the upstreams or of the share clears it.
-	idle bool
+	// active is set once this process has had a share of the connections. Until then the
+	// upstreams have no pools and gates: in a large fleet a process is a gateway of few
+	// groups.
+	active bool
 }
 
 // Name returns the group's name.
@@ -56,11 +57,11 @@
 func (g *Group) apply(list []cataloger.Upstream) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	kept := make([]*upstream, 0, len(list))
 	if slices.Equal(list, g.listed) {
 		return
 	}
 	g.listed = list
+	kept := make([]*upstream, 0, len(list))
 	for _, listed := range list {
 		kept = append(kept, g.update(listed))
 	}
@@ -74,7 +75,7 @@
 		}
 	}
 	g.upstreams = kept
-	g.idle = false
+	g.registry.setBusy(g, true)
 	g.resolveAbsent()
 	g.notifyWaiters()
 }
@@ -121,7 +122,37 @@
 		}
 		return u
 	}
-	u := &upstream{id: listed.ID, slots: listed.Slots, entry: listed, gate: newGate(), running: map[*run]struct{}{}}
+	u := &upstream{id: listed.ID, slots: listed.Slots, entry: listed}
+	if g.active {
+		g.activateUpstream(u)
+	}
+	g.setDrainTime(u, g.registry.LeaveTimeout/2)
+	g.logChange("carrier: upstream joined", zap.String("group", g.name), zap.String("upstream", listed.ID),
+		zap.Stringer("address", listed.Address), zap.String("zone", listed.Zone), zap.Bool("leads", listed.Leads), zap.Stringer("version", listed.Version))
+	if listed.Leads {
+		g.handleLeaderClaim(u)
+	}
+	return u
+}
+
+// activate creates the pools and gates of the group's upstreams. It must be called before
+// this process has a share of their connections.
+func (g *Group) activate() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.active {
+		return
+	}
+	g.active = true
+	for _, u := range g.upstreams {
+		g.activateUpstream(u)
+	}
+}
+
+// activateUpstream creates the pool and gate of an upstream. The caller must hold g.mu.
+func (g *Group) activateUpstream(u *upstream) {
+	u.running = map[*run]struct{}{}
+	u.gate = newGate()
 	u.gate.SetWindowMin(g.registry.minWindow(g.name, u.slots))
 	u.opener = &opener{now: g.registry.Now, after: func(d time.Duration, f func()) { time.AfterFunc(d, f) }}
 	u.pool = &pooler.Pool[*conn]{
@@ -133,13 +164,16 @@
 		ZeroLimitErr:  errNoShare,
 	}
 	u.opener.permit = u.pool.Permit
-	g.setDrainTime(u, g.registry.LeaveTimeout/2)
-	g.log().Info("carrier: upstream joined", zap.String("group", g.name), zap.String("upstream", listed.ID),
-		zap.Stringer("address", listed.Address), zap.String("zone", listed.Zone), zap.Bool("leads", listed.Leads), zap.Stringer("version", listed.Version))
-	if listed.Leads {
-		g.handleLeaderClaim(u)
+}
+
+// logChange logs a change of the group's upstreams, at a lower level while this process has
+// never been a gateway of the group: in a large fleet most lines would be of such groups.
+func (g *Group) logChange(message string, fields ...zap.Field) {
+	level := zap.DebugLevel
+	if g.active {
+		level = zap.InfoLevel
 	}
-	return u
+	g.log().Log(level, message, fields...)
 }
 
 // handleLeaderClaim handles an upstream's own claim that it leads. Where another upstream
@@ -147,23 +181,26 @@
 // when it was replaced claims to lead until it learns of its successor. The caller must
 // hold g.mu.
 func (g *Group) handleLeaderClaim(u *upstream) {
-	if g.reachableLeaderLocked() == nil {
+	switch {
+	case g.reachableLeaderLocked() == nil:
 		g.setLeader(u, "listed")
-		return
+	case g.active:
+		go g.checkLeader(u)
 	}
-	go g.checkLeader(u)
 }
 
 // drop stops the pool of an upstream that is no longer listed and records it as absent. The
 // caller must hold g.mu.
 func (g *Group) drop(u *upstream) {
 	u.removed = true
-	go u.pool.Stop()
+	if u.pool != nil {
+		go u.pool.Stop()
+	}
 	if g.leader == u {
 		g.setLeader(nil, "gone")
 	}
 	g.recordAbsent(u)
-	g.log().Info("carrier: upstream removed", zap.String("group", g.name), zap.String("upstream", u.id), zap.Stringer("version", u.entry.Version))
+	g.logChange("carrier: upstream removed", zap.String("group", g.name), zap.String("upstream", u.id), zap.Stringer("version", u.entry.Version))
 }
 
 // setLeader records which upstream leads. The caller must hold g.mu.
@@ -175,7 +212,7 @@
 	if u != nil {
 		id = u.id
 	}
-	g.log().Info("carrier: leader changed", zap.String("group", g.name), zap.String("upstream", id),
+	g.logChange("carrier: leader changed", zap.String("group", g.name), zap.String("upstream", id),
 		zap.String("before", g.lastLeader), zap.String("evidence", evidence))
 	g.leader = u
 	if u == nil && g.leaderlessSince.IsZero() {
@@ -201,8 +238,12 @@
 func (g *Group) applyShare() {
 	share := g.registry.share(g.name)
 	g.mu.Lock()
+	if !g.active {
+		g.mu.Unlock()
+		return
+	}
 	upstreams := append([]*upstream(nil), g.upstreams...)
-	g.idle = false
+	g.registry.setBusy(g, true)
 	g.mu.Unlock()
 	for _, u := range upstreams {
 		u.gate.SetWindowMin(g.registry.minWindow(g.name, u.slots))
--- a/carrier/health.go
+++ b/carrier/health.go
@@ -48,9 +48,6 @@
 func (g *Group) tick(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.idle {
-		return
-	}
 	wasPaused := now.Sub(g.tickedAt) > pauseThreshold
 	g.tickedAt = now
 	shrink := now.Sub(g.shrunkAt) >= shrinkInterval
@@ -60,7 +57,7 @@
 	g.dropExpired(now)
 	keep := keptConns(g.registry.share(g.name))
 	for _, u := range g.upstreams {
-		if shrink {
+		if shrink && g.active {
 			go u.pool.Shrink(keep)
 		}
 		g.reportDrainEnded(u, now)
@@ -76,13 +73,15 @@
 	if g.reachableLeaderLocked() == nil {
 		g.searchLeader()
 	}
-	g.idle = keep == 0 && !slices.ContainsFunc(g.upstreams, (*upstream).needsTicks)
+	if keep == 0 && !slices.ContainsFunc(g.upstreams, (*upstream).needsTicks) {
+		g.registry.setBusy(g, false) // until its upstreams or this process's share change
+	}
 }
 
 // needsTicks reports whether something on the upstream has to be checked although this
 // process has no share of its connections. The caller must hold the group's lock.
 func (u *upstream) needsTicks() bool {
-	return !u.unlistedSince.IsZero() || u.probing || len(u.running) > 0 || !u.drainBy.IsZero() && !u.drainEndReported || u.pool.Stats().Open > 0
+	return !u.unlistedSince.IsZero() || u.probing || len(u.running) > 0 || !u.drainBy.IsZero() && !u.drainEndReported || u.pool != nil && u.pool.Stats().Open > 0
 }
 
 // keptConns returns how many connections to an upstream stay open without being needed:
--- a/gossiper/roster.go
+++ b/gossiper/roster.go
@@ -1,6 +1,10 @@
 package gossiper
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Roster is one process's knowledge of the fleet: the membership list, on which all
 // processes converge, and, apart from it, when a state of each peer was last
@@ -19,7 +23,8 @@
 	successors    []string
 	predecessors  map[string]bool
 	ringsOutdated bool
-	fleetCache    []Member // result of Fleet; nil after a change
+	fleetCache    []Member  // result of Fleet; nil after a change
+	recent        []*record // received within aliveTimeout, and maybe some others; by name
 
 	changes          []Change        // since the last call of Changes
 	groupPeers       map[string]bool // gateways of the same groups, by the assignment
@@ -37,6 +42,7 @@
 	changedAt     time.Time // when its condition last changed
 	expectedSince time.Time // since when a datagram is expected in each round; zero if none is
 	trustedUntil  time.Time // until when this process does not suspect it
+	isRecent      bool      // it is one of Roster.recent
 }
 
 // Change is a change of a process's condition, found here or received from others.
@@ -111,6 +117,7 @@
 	r.compareDigest(s.FleetDigest)
 	s.Updates = nil
 	p.State, p.LastSeen = s, now
+	r.addRecent(p)
 	if p.entry.Condition != Alive {
 		r.notifySuspect(p)
 	}
@@ -154,15 +161,29 @@
 	return r.fleetCache
 }
 
+// addRecent adds a process to the recent ones.
+func (r *Roster) addRecent(p *record) {
+	if p.isRecent {
+		return
+	}
+	p.isRecent = true
+	i, _ := slices.BinarySearchFunc(r.recent, p.Name, func(o *record, name string) int { return cmp.Compare(o.Name, name) })
+	r.recent = slices.Insert(r.recent, i, p)
+}
+
 // Live returns the peers that were received lately, by name. They include all peers that
 // this process decides with, since it receives those in each round.
 func (r *Roster) Live(now time.Time) []Peer {
-	r.refreshRings()
-	var out []Peer
-	for _, p := range r.sorted {
-		if now.Sub(p.LastSeen) < aliveTimeout {
-			out = append(out, p.Peer)
-		}
+	r.recent = slices.DeleteFunc(r.recent, func(p *record) bool {
+		p.isRecent = now.Sub(p.LastSeen) < aliveTimeout
+		return !p.isRecent
+	})
+	if len(r.recent) == 0 {
+		return nil
+	}
+	out := make([]Peer, 0, len(r.recent))
+	for _, p := range r.recent {
+		out = append(out, p.Peer)
 	}
 	return out
 }
--- a/overseer/doc.go
+++ b/overseer/doc.go
@@ -22,6 +22,6 @@
 //
 // # Usage
 //
-//	o := &overseer.Overseer{Name: name, Groups: c.Groups, Store: store, LivePeers: g.Live, Promote: promote}
+//	o := &overseer.Overseer{Name: name, Gateways: c.Gateways, Store: store, LivePeers: g.Live, Promote: promote}
 //	go o.Run(ctx)
 package overseer
--- a/overseer/lease.go
+++ b/overseer/lease.go
@@ -72,7 +72,7 @@
 	nextClaim    time.Time // earliest time of the next claim
 }
 
-// update applies what the live peers report about the lease holder. A process that sees a
+// update applies what the peers that report on the group say about the lease holder. A process that sees a
 // higher token than its own has been replaced.
 func (l *lease) update(group string, peers []gossiper.Peer, now time.Time) {
 	for _, p := range peers {
@@ -122,16 +122,18 @@
 
 func weight(group, name string) uint64 { return xxhash.Sum64String(group + " " + name) }
 
-// shouldClaim reports whether this process should claim the lease now.
-func (o *Overseer) shouldClaim(l *lease, group string, peers []gossiper.Peer, now time.Time) bool {
-	if l.token > 0 || l.claiming || now.Before(l.nextClaim) || o.Leaving() || !o.groups[group].carrierGroup.IsGateway() {
+// shouldClaim reports whether this process should claim the lease of a group now. peers are
+// those that report on the group, live all that are live.
+func (o *Overseer) shouldClaim(g *group, peers, live []gossiper.Peer, now time.Time) bool {
+	l := &g.lease
+	if l.token > 0 || l.claiming || now.Before(l.nextClaim) || o.Leaving() || !g.carrierGroup.IsGateway() {
 		return false
 	}
 	silence := now.Sub(l.holderSeenAt)
 	if silence <= holderTimeout {
 		return false // the usual case; computing the rest costs CPU time
 	}
-	return silence > l.maxSilence(peers)+time.Duration(o.rank(group, peers, now))*rankDelay
+	return silence > l.maxSilence(live)+time.Duration(o.rank(g.carrierGroup.Name(), peers, now))*rankDelay
 }
 
 // shouldReclaim reports whether this process should claim a lease again that it already holds:
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -68,9 +68,9 @@
 type Overseer struct {
 	Name  string
 	Start int64
-	// Groups returns the groups of this process.
-	Groups func() []*carrier.Group
-	Store  *keeper.Client
+	// Gateways returns the groups that this process is a gateway of.
+	Gateways func() []*carrier.Group
+	Store    *keeper.Client
 	// Era returns the latest era of the store that this process knows.
 	Era func() uint64
 	// LivePeers returns the peers that were seen recently.
@@ -88,8 +88,8 @@
 	Now     func() time.Time
 	Log     *zap.Logger
 
-	claimCount  atomic.Uint64 // made by this incarnation
-	groups      map[string]*group
+	claimCount  atomic.Uint64     // made by this incarnation
+	groups      map[string]*group // those that were relevant to this process at some time
 	events      chan func(now time.Time)
 	lastTick    time.Time
 	activeSince time.Time
@@ -163,13 +163,15 @@
 		o.activeSince = now
 	}
 	relevant := o.relevantGroups()
-	var peers []gossiper.Peer
+	var live []gossiper.Peer
 	if len(relevant) > 0 {
-		peers = o.LivePeers()
+		live = o.LivePeers()
 	}
+	reporting := peersByGroup(live, relevant)
 	states := make(map[string]gossiper.GroupState, len(relevant))
 	for _, g := range relevant {
 		c := g.carrierGroup
+		peers := reporting[c.Name()]
 		if paused {
 			// Another process may have claimed the lease in the meantime.
 			g.lease = lease{maxToken: g.lease.maxToken}
@@ -185,7 +187,7 @@
 		if c.IsGateway() || g.lease.token > 0 {
 			states[c.Name()] = o.groupState(g, view.Leader)
 		}
-		if o.shouldClaim(&g.lease, c.Name(), peers, now) || o.shouldReclaim(g, now) {
+		if o.shouldClaim(g, peers, live, now) || o.shouldReclaim(g, now) {
 			g.lease.claiming = true
 			go o.claimAndReport(ctx, c.Name())
 		}
@@ -203,15 +205,34 @@
 
 // relevantGroups returns the groups that this process has to check.
 func (o *Overseer) relevantGroups() []*group {
+	for _, c := range o.Gateways() {
+		o.group(c)
+	}
 	var out []*group
-	for _, c := range o.Groups() {
-		if g := o.group(c); g.isRelevant() {
+	for _, g := range o.groups {
+		if g.isRelevant() {
 			out = append(out, g)
 		}
 	}
 	return out
 }
 
+// peersByGroup returns, for each of the groups, the peers that report a state of it.
+func peersByGroup(peers []gossiper.Peer, groups []*group) map[string][]gossiper.Peer {
+	out := make(map[string][]gossiper.Peer, len(groups))
+	for _, g := range groups {
+		out[g.carrierGroup.Name()] = nil
+	}
+	for _, p := range peers {
+		for name := range p.Groups {
+			if reporting, relevant := out[name]; relevant {
+				out[name] = append(reporting, p)
+			}
+		}
+	}
+	return out
+}
+
 // claimAndReport claims a lease and passes the result to the control loop.
 func (o *Overseer) claimAndReport(ctx context.Context, name string) {
 	c := o.claim(ctx, name)
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -201,7 +201,7 @@
 	p.buildStoreSync()
 	orders := &orderer.Orderer{Address: s.Orders, Holder: s.Name}
 	p.overseer = &overseer.Overseer{
-		Name: s.Name, Start: p.incarnation, Groups: p.carrier.Groups, Store: p.store, Era: p.storeEra, LivePeers: p.gossip.LivePeers, IsPartitioned: p.gossip.IsPartitioned,
+		Name: s.Name, Start: p.incarnation, Gateways: p.carrier.Gateways, Store: p.store, Era: p.storeEra, LivePeers: p.gossip.LivePeers, IsPartitioned: p.gossip.IsPartitioned,
 		Promote: orders.Promote, NotifyPeers: p.gossip.NotifyPeers, Leaving: p.leaving.Load, Now: bootClock, Log: p.Log,
 	}
 	p.forward = &forwarder.Forwarder{Local: p.carrier.Group, Gateways: p.gateways, LeaderFault: p.overseer.LeaderFault, Send: p.forwardToPeer, Name: s.Name, Zone: s.Zone, Now: bootClock, Log: p.Log}
