proxier: a reader's rank is computed once a gossip round

Cause: whether a check of the store is due, or a watch, was decided by hashing the names of the whole fleet, some ten times a second in each process.

Change: the rank is kept for a gossip round.

--- a/proxier/check.go
+++ b/proxier/check.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"basildale.example/basildale/gossiper"
 	"basildale.example/basildale/platform/translator"
 )
 
@@ -170,7 +171,8 @@
 	return minWatchers << (missed + 1)
 }
 
-// readerRank returns this process's rank among those that read a kind.
+// readerRank returns this process's rank among those that read a kind. It is at most
+// rankMaxAge old: it is needed several times a second, and computed from all names.
 func (p *Proxier) readerRank(kind string) int {
 	ownHash := xxhash.Sum64String(kind + " " + p.Settings.Name)
 	rank := 0
@@ -197,3 +199,44 @@
 // isStarting reports whether this process started so recently that peers may not have sent it
 // updates yet.
 func (p *Proxier) isStarting() bool { return bootClock().Sub(p.startedAt) < peerDiscoveryTimeout }
+	return p.ranks.get(kind, bootClock(), p.isStarting(), func() int { return p.computeRank(kind) })
+}
+
+func (p *Proxier) computeRank(kind string) int {
+// rankMaxAge is how long a rank is used: a gossip round, which brings the changes on which it
+// depends.
+const rankMaxAge = gossiper.RoundInterval
+
+// rankCache holds the ranks of this process. Its zero value is empty; it is safe for concurrent
+// use.
+type rankCache struct {
+	mu    sync.Mutex
+	ranks map[rankKey]cachedRank
+}
+
+// rankKey is a kind, and whether the rank is among the peers of a process that is starting.
+type rankKey struct {
+	kind     string
+	starting bool
+}
+
+type cachedRank struct {
+	rank       int
+	validUntil time.Time
+}
+
+func (c *rankCache) get(kind string, now time.Time, starting bool, compute func() int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := rankKey{kind, starting}
+	if r, known := c.ranks[key]; known && now.Before(r.validUntil) {
+		return r.rank
+	}
+	if c.ranks == nil {
+		c.ranks = map[rankKey]cachedRank{}
+	}
+	rank := compute()
+	c.ranks[key] = cachedRank{rank, now.Add(rankMaxAge)}
+	return rank
+}
+
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -103,6 +103,7 @@
 	// peersLearned signals that a list of peers has arrived. The connections are then divided
 	// at once: until then the process has none.
 	peersLearned    chan struct{}
+	ranks           rankCache
 	assigner        assigner.Assigner
 	isFetchingFleet atomic.Bool // a request for the list of the fleet is in flight
 	// configSyncer and entrySyncer fetch newer versions from peers.
