proxier: connections only for a fleet that is known and groups that are in use

Cause: a process that had started took a connection to each upstream after a second without a list of its peers, and after its first list of a fleet that was just starting it took itself for one of few and gave itself a share of every group. With 985 processes before 3,000 upstreams, which take 269 connections each, that is up to 2.9 million connections; all groups were then in its datagrams, some 30 kB, more than a receiver reads. A process that was cut off did the same.

Change: no connection before the list of the fleet is complete (as the store or a peer that knows it has it, or after 8 s), and when it is, a division at once. A process whose gateways are all unreachable takes a connection only for groups that it has had a statement for within 10 s; the first statement for another one has the connections divided at once.

--- a/proxier/enroll.go
+++ b/proxier/enroll.go
@@ -62,7 +62,7 @@
 		return err
 	}
 	if isListed {
-		p.fleetKnown.Store(true)
+		p.setFleetKnown()
 		return nil
 	}
 	if _, err := p.writeEntry(ctx); err != nil {
@@ -76,10 +76,17 @@
 	if _, err = p.loadPeers(ctx); err != nil {
 		return err
 	}
-	p.fleetKnown.Store(true)
+	p.setFleetKnown()
 	return nil
 }
 
+// setFleetKnown records that this process knows the whole fleet, and has the connections
+// divided.
+func (p *Proxier) setFleetKnown() {
+	p.fleetKnown.Store(true)
+	p.requestDivision()
+}
+
 // writeEntry writes this process's entry, replacing that of an earlier incarnation, and
 // reports whether it had to be written.
 func (p *Proxier) writeEntry(ctx context.Context) (bool, error) {
@@ -130,22 +137,12 @@
 		p.gossip.AddListed(gossiper.State{Name: o.Name, Zone: e.Zone, GossipAddr: e.GossipAddr, GatewayAddr: e.GatewayAddr, Millicores: e.Millicores, Start: e.Start})
 	}
 	p.storeBack.notify()
-	p.notifyPeersLearned()
+	p.peersKnown.Store(true)
 	p.gossip.NotifyPeers()
 	p.Log.Info("proxier: peers loaded from the store", zap.Int("proxies", len(objects)), zap.Bool("enrolled", isListed))
 	return isListed, nil
 }
 
-// notifyPeersLearned triggers an immediate division of the connections after a list of the
-// fleet has arrived.
-func (p *Proxier) notifyPeersLearned() {
-	p.peersKnown.Store(true)
-	select {
-	case p.peersLearned <- struct{}{}:
-	default: // a notification is already pending
-	}
-}
-
 // deleteEntry deletes the store entry of a process that is gone for good. Only the process of
 // rank 0 does so. If nobody did, the list would grow with each machine that was ever replaced,
 // and each process that starts would take them all into account.
--- a/proxier/peers.go
+++ b/proxier/peers.go
@@ -188,10 +188,7 @@
 		p.cache.merge(update.Entries)
 		if len(update.Fleet) > 0 {
 			p.gossip.Merge(update.Fleet)
-			if update.FleetKnown {
-				p.fleetKnown.Store(true)
-			}
-			p.notifyPeersLearned()
+			p.peersKnown.Store(true)
 			p.Log.Info("proxier: list of the fleet received from a peer", zap.Int("proxies", len(update.Fleet)), zap.Stringer("source", addr))
 		}
 		return nil
@@ -231,6 +228,10 @@
 	defer cancel()
 	target := url.URL{Scheme: "http", Host: addr.String(), Path: path, RawQuery: params.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), http.NoBody)
+		if update.FleetKnown && !p.fleetKnown.Load() {
+			p.peersKnown.Store(true)
+			p.setFleetKnown()
+		}
 	if err != nil {
 		return errors.Wrap(err, "proxier: request to a peer")
 	}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -100,9 +100,11 @@
 	droppedLogLimit rate.Sometimes // limits log lines about dropped answers of the store
 	peersKnown      atomic.Bool    // the list of peers has arrived, from the store or from a peer
 	fleetKnown      atomic.Bool    // the list also contains all processes that started together with this one
-	// peersLearned signals that a list of peers has arrived. The connections are then divided
-	// at once: until then the process has none.
-	peersLearned    chan struct{}
+	// divisionDue signals that the connections are to be divided at once: the list of the
+	// fleet has arrived, until which this process has none, or a statement has arrived for a
+	// group whose gateways are all unreachable.
+	divisionDue     chan struct{}
+	usage           groupUsage
 	ranks           rankCache
 	assigner        assigner.Assigner
 	isFetchingFleet atomic.Bool // a request for the list of the fleet is in flight
@@ -181,7 +183,7 @@
 	s := &p.Settings
 	p.incarnation = time.Now().UnixNano()
 	p.startedAt = bootClock()
-	p.peersLearned = make(chan struct{}, 1)
+	p.divisionDue = make(chan struct{}, 1)
 	p.droppedLogLimit = rate.Sometimes{First: 1, Interval: time.Second}
 	p.transferSlots = semaphore.NewWeighted(maxTransfers)
 	p.stopTimeout.Store(int64(s.Stop))
@@ -293,7 +295,7 @@
 		p.Log.Info("proxier: caller refused, key unknown", zap.String("database", database), zap.Stringer("key", key), zap.Uint64("configuration", view.Config.Version))
 		return nil, carrier.Forbidden, "the key is unknown"
 	}
-	s := &conductor.Session{Database: database, Key: key, View: p.cache.current, Group: p.forward.Group, Now: bootClock, Admit: p.quotas.admit, Observe: p.recordRequest, Log: p.Log}
+	s := &conductor.Session{Database: database, Key: key, View: p.cache.current, Group: p.group, Now: bootClock, Admit: p.quotas.admit, Observe: p.recordRequest, Log: p.Log}
 	return s, carrier.OK, ""
 }
 
@@ -348,7 +350,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-p.peersLearned:
+		case <-p.divisionDue:
 			previous = p.divideConnections(previous)
 			continue
 		case <-ticker.C:
@@ -364,8 +366,8 @@
 // divideConnections divides the upstreams' connections again if its inputs have changed, and
 // returns the current inputs.
 func (p *Proxier) divideConnections(previous []string) []string {
-	names, isolated, known := p.sharingProxies(), p.isolatedGroups(), p.knowsPeers()
-	inputs := append(slices.Clone(isolated), append(names, strconv.FormatBool(known), strconv.Itoa(p.provisionalShare()))...)
+	names, isolated, known := p.sharingProxies(), p.isolatedGroups(), p.knowsFleet()
+	inputs := append(slices.Clone(isolated), append(names, strconv.FormatBool(known))...)
 	if slices.Equal(inputs, previous) {
 		return previous
 	}
@@ -387,7 +389,7 @@
 	return names
 }
 
-func (p *Proxier) fleetSize() int { return len(p.sharingProxies()) }
+func (p *Proxier) fleetSize() int { return len(p.gossip.Fleet()) + 1 }
 
 // View returns the configuration in force.
 func (p *Proxier) View() *cataloger.View { return p.cache.current() }
--- a/proxier/share.go
+++ b/proxier/share.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"basildale.example/basildale/assigner"
+	"basildale.example/basildale/carrier"
 	"basildale.example/basildale/forwarder"
 	"basildale.example/basildale/gossiper"
 )
@@ -26,16 +27,11 @@
 	// the upstreams, refuses everything for the groups of which it is not a gateway.
 	reservedPercent = 20
 	isolatedShare   = 1
-	// noConnectionsTimeout is how long a process that has just started takes no connections at
-	// all while it has no list of its peers. The lists of upstreams and of peers arrive within
-	// a tenth of a second of each other. Without the delay every process of a fleet opened a
-	// connection to every upstream in between, reported to its peers that it was a gateway,
-	// and refused their statements a moment later.
-	noConnectionsTimeout = time.Second
-	// peersUnknownTimeout is how long a process without a list of its peers takes no more than
-	// isolatedShare: until it has received the state of all of them by gossip. Before that it
+	// peersUnknownTimeout is how long a process without the list of the fleet takes no
+	// connections: until it has received the state of all others by gossip. Before that it
 	// would take the few that it knows for the whole fleet, and the others' part of the
-	// connections for its own.
+	// connections for its own. Even one connection to each upstream is too much: a fleet may
+	// have more processes than an upstream takes connections.
 	peersUnknownTimeout = 8 * time.Second
 	// peerStateMaxAge is how long a peer's reported state of a group counts. Gateways of the
 	// same groups receive each other's state every half second. From others, updates arrive by
@@ -49,18 +45,20 @@
 // shares returns how many connections this process may have to each upstream of each group,
 // out of the total for all processes: an equal part if that is enough for every proxy.
 // Otherwise only a few gateways have connections, and the other proxies forward their
-// statements to them. A process that reaches none of the gateways gets some of its own out of
-// the reserve.
+// statements to them. A process that reaches none of the gateways of a group that it has
+// statements for gets some of its own out of the reserve. A process that does not know the
+// fleet has none.
 func (p *Proxier) shares(limits map[string]int, proxies int) map[string]int {
 	out := make(map[string]int, len(limits))
+	if !p.knowsFleet() {
+		p.setGateways(nil)
+		return out
+	}
 	var few []assigner.Group
 	for group, n := range limits {
-		switch {
-		case !p.knowsPeers():
-			out[group] = p.provisionalShare()
-		case n/max(1, proxies) >= minShare:
+		if n/max(1, proxies) >= minShare {
 			out[group] = n / proxies
-		default:
+		} else {
 			few = append(few, assigner.Group{Name: group, MaxGateways: max(1, n/gatewayConnections)})
 		}
 	}
@@ -71,26 +69,18 @@
 	assigned := p.assigner.Assign(few, p.candidates())
 	p.setGateways(assigned)
 	for group, gateways := range assigned {
-		switch {
-		case slices.Contains(gateways, p.Settings.Name):
+		if slices.Contains(gateways, p.Settings.Name) {
 			out[group] = max(1, limits[group]*(100-reservedPercent)/100/len(gateways))
-		case p.isIsolated(group):
+		}
+	}
+	for _, group := range p.isolatedGroups() {
+		if out[group] == 0 && assigned[group] != nil {
 			out[group] = isolatedShare
-		default:
-			out[group] = 0 // its gateways run the statements
 		}
 	}
 	return out
 }
 
-// provisionalShare returns the share of a process that does not know its peers yet.
-func (p *Proxier) provisionalShare() int {
-	if bootClock().Sub(p.startedAt) < noConnectionsTimeout {
-		return 0
-	}
-	return isolatedShare
-}
-
 // setGateways stores the gateways of each group that has dedicated ones, and has this process
 // send its state each round to the gateways of the same groups.
 func (p *Proxier) setGateways(gateways map[string][]string) {
@@ -167,14 +157,25 @@
 	return p.gossip.IsPartitioned() || !p.forward.HasLiveGateway(group)
 }
 
-// isolatedGroups returns the groups whose gateways are all unreachable for this process.
+// isolatedGroups returns those of the groups with recent statements whose gateways are all
+// unreachable for this process.
 func (p *Proxier) isolatedGroups() []string {
-	var out []string
-	for _, g := range p.carrier.Groups() {
-		if p.isIsolated(g.Name()) {
-			out = append(out, g.Name())
-		}
+	return slices.DeleteFunc(p.usage.recent(bootClock()), func(group string) bool { return !p.isIsolated(group) })
+}
+
+// group returns the runner of a group's statements, and records that the group is in use. If
+// its gateways turn out to be unreachable, the connections are divided at once.
+func (p *Proxier) group(name string) (carrier.Runner, bool) {
+	if p.usage.record(name, bootClock()) && p.isIsolated(name) {
+		p.requestDivision()
+	}
+	return p.forward.Group(name)
+}
+
+// requestDivision has the connections divided at once.
+func (p *Proxier) requestDivision() {
+	select {
+	case p.divisionDue <- struct{}{}:
+	default: // a request is already pending
 	}
-	slices.Sort(out)
-	return out
 }
