proxier: a start of the fleet reads the store's long lists a few times, not all of them

Cause: each process read each list whole as it started: 15 pages of upstreams, five of processes, and these five again if it was new. 985 starts are some 25,000 calls and 1 GB of answers on the store's link.

Change: a list that has more than one page is read on by two processes only. The others wait for their peers to deliver the rest, a second and longer by their rank; deliveries of 100 entries and more are compressed. A process that restarts learns from the first page, or from the refusal to write its entry, that it is listed, and a new one reads the pages of processes once, after it has written its own.

Tried and reverted: claiming a lease by creating its record first, to save the read. TestTokensRiseOverRestores and TestStepPairsAroundRestores found two holders with the same token: the first answer may state no era.

--- a/adapter/keeper/object.go
+++ b/adapter/keeper/object.go
@@ -109,15 +109,19 @@
 
 // All returns every object of a kind, by name, in pages.
 func (c *Client) All(ctx context.Context, kind string) ([]Object, error) {
+	return c.AllAfter(ctx, kind, "")
+}
+
+// AllAfter returns the objects of a kind that follow a name, by name, in pages.
+func (c *Client) AllAfter(ctx context.Context, kind, after string) ([]Object, error) {
 	var all []Object
-	after := ""
 	var era uint64
-	for {
+	for first := true; ; first = false {
 		p, err := c.List(ctx, kind, after, PageItems)
 		if err != nil {
 			return nil, err
 		}
-		if after != "" && p.Era != era {
+		if !first && p.Era != era {
 			return nil, errors.Wrapf(ErrEra, "pages of %s are of eras %d and %d", kind, era, p.Era)
 		}
 		era = p.Era
--- a/proxier/catalog.go
+++ b/proxier/catalog.go
@@ -111,8 +111,8 @@
 	for _, o := range list {
 		changed = s.applyUpstreamEntry(o) || changed
 	}
-	s.catalog.Advance(version)
 	s.logFurtherInvalid()
+	s.catalog.Advance(version)
 	s.publish(changed)
 	s.updateRestore()
 }
@@ -144,11 +144,11 @@
 	if s.invalid == nil {
 		s.invalid = map[string]versioner.Version{}
 	}
-	s.invalid[o.Name] = o.At()
 	if _, known := s.invalid[o.Name]; !known && len(s.invalid) >= maxInvalidEntries {
 		s.furtherInvalid++
 		return u, false
 	}
+	s.invalid[o.Name] = o.At()
 	s.log.Error("proxier: upstream entry is invalid", zap.String("upstream", o.Name), zap.Stringer("version", o.At()), zap.Error(err))
 	return u, false
 }
@@ -221,12 +221,14 @@
 func (s *stateCache) replaceUpstreams(list []keeper.Object, version versioner.Version) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.forgetInvalid(list)
 	all := make([]cataloger.Upstream, 0, len(list))
 	for _, o := range list {
 		if u, ok := s.parseUpstream(o); ok {
 			all = append(all, u)
 		}
 	}
+	s.logFurtherInvalid()
 	s.publish(s.catalog.Replace(all, version))
 	s.updateRestore()
 }
@@ -237,14 +239,20 @@
 	// Fleet is the list of the fleet; empty if the peer has the same list.
 	Fleet []gossiper.Member `json:"fleet,omitempty"`
 	// FleetKnown is true if the sender knows the whole fleet.
-	s.forgetInvalid(list)
 	FleetKnown bool `json:"settled,omitempty"`
 }
 
+// largeUpdate is the number of entries from which an update is compressed. A compressor takes
+// more memory than a small update is worth.
+const largeUpdate = 100
+
+func (u *peerUpdate) isLarge() bool {
+	return len(u.Entries.Upstreams)+len(u.Entries.Unchanged)+len(u.Fleet) >= largeUpdate
+}
+
 // completeVersion returns the version up to which all entries are known, and their digest.
 func (s *stateCache) completeVersion() (complete versioner.Version, digest uint64) {
 	s.mu.Lock()
-	s.logFurtherInvalid()
 	defer s.mu.Unlock()
 	return s.catalog.CompleteVersion(), s.catalog.Digest()
 }
--- a/proxier/check.go
+++ b/proxier/check.go
@@ -9,6 +9,7 @@
 
 	"basildale.example/basildale/gossiper"
 	"basildale.example/basildale/platform/translator"
+	"basildale.example/basildale/versioner"
 )
 
 // Intervals at which some process of the fleet lists each kind of object in full. A watch may
@@ -171,9 +172,53 @@
 	return minWatchers << (missed + 1)
 }
 
+// Times for which a process that starts leaves a list of several pages to its peers. Some of
+// them read it and pass it on, compressed. When all processes of a fleet that starts read the
+// whole list, those calls are most of its calls to the store, and the store's link is busy for
+// seconds.
+const (
+	// deliveryTimeout is how long the readers and three or four steps from peer to peer may
+	// take before other processes read the list too.
+	deliveryTimeout = time.Second
+	// deliveryRankDelay is the extra delay per rank, so that the others do not all read at
+	// the same moment.
+	deliveryRankDelay = 20 * time.Millisecond
+	// deliveryPollInterval is the time between two checks for a delivery.
+	deliveryPollInterval = 25 * time.Millisecond
+)
+
+// awaitUpstreams waits for peers to deliver the upstreams up to a version, unless this process
+// is one of those that read them, and reports whether they did.
+func (p *Proxier) awaitUpstreams(ctx context.Context, version versioner.Version) bool {
+	began := bootClock()
+	for {
+		if complete, _ := p.cache.completeVersion(); !complete.Less(version) {
+			return true
+		}
+		if p.knowsPeers() && bootClock().Sub(began) >= deliveryDelay(p.readerRank(translator.Upstreams)) {
+			return false
+		}
+		if !sleep(ctx, deliveryPollInterval) {
+			return false
+		}
+	}
+}
+
+// deliveryDelay returns how long a process of a rank waits for its peers.
+func deliveryDelay(rank int) time.Duration {
+	if rank < minWatchers {
+		return 0
+	}
+	return deliveryTimeout + time.Duration(rank)*deliveryRankDelay
+}
+
 // readerRank returns this process's rank among those that read a kind. It is at most
 // rankMaxAge old: it is needed several times a second, and computed from all names.
 func (p *Proxier) readerRank(kind string) int {
+	return p.ranks.get(kind, bootClock(), p.isStarting(), func() int { return p.computeRank(kind) })
+}
+
+func (p *Proxier) computeRank(kind string) int {
 	ownHash := xxhash.Sum64String(kind + " " + p.Settings.Name)
 	rank := 0
 	for _, name := range p.rankedPeers() {
@@ -184,25 +229,6 @@
 	return rank
 }
 
-// rankedPeers returns the names of the peers among which this process is ranked.
-func (p *Proxier) rankedPeers() []string {
-	var names []string
-	if !p.isStarting() {
-		return p.gossip.ReachableNames()
-	}
-	for _, m := range p.gossip.Fleet() {
-		names = append(names, m.Name)
-	}
-	return names
-}
-
-// isStarting reports whether this process started so recently that peers may not have sent it
-// updates yet.
-func (p *Proxier) isStarting() bool { return bootClock().Sub(p.startedAt) < peerDiscoveryTimeout }
-	return p.ranks.get(kind, bootClock(), p.isStarting(), func() int { return p.computeRank(kind) })
-}
-
-func (p *Proxier) computeRank(kind string) int {
 // rankMaxAge is how long a rank is used: a gossip round, which brings the changes on which it
 // depends.
 const rankMaxAge = gossiper.RoundInterval
@@ -240,3 +266,18 @@
 	return rank
 }
 
+// rankedPeers returns the names of the peers among which this process is ranked.
+func (p *Proxier) rankedPeers() []string {
+	var names []string
+	if !p.isStarting() {
+		return p.gossip.ReachableNames()
+	}
+	for _, m := range p.gossip.Fleet() {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+// isStarting reports whether this process started so recently that peers may not have sent it
+// updates yet.
+func (p *Proxier) isStarting() bool { return bootClock().Sub(p.startedAt) < peerDiscoveryTimeout }
--- a/proxier/enroll.go
+++ b/proxier/enroll.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/netip"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -52,29 +51,38 @@
 	}
 }
 
-// tryEnroll makes one attempt to enroll. It reads the list first: a process that restarts
-// unchanged finds its own entry and needs nothing else from the store. A new process writes its
-// entry, and reads the list again once those that start together with it have written theirs,
-// because the first list lacks the ones that came later.
+// tryEnroll makes one attempt to enroll. It reads the first page of the list: a process that
+// restarts unchanged finds its own entry there, or learns from the refusal to write it that it
+// is listed. A new process writes its entry, and reads the list once those that start together
+// with it have written theirs, because the first page lacks the ones that came later.
 func (p *Proxier) tryEnroll(ctx context.Context) error {
-	isListed, err := p.loadPeers(ctx)
+	first, err := hedged(ctx, func(ctx context.Context) (keeper.Page, error) {
+		return p.store.List(ctx, proxiesKind, "", keeper.PageItems)
+	})
 	if err != nil {
 		return err
 	}
-	if isListed {
-		p.setFleetKnown()
-		return nil
-	}
-	if _, err := p.writeEntry(ctx); err != nil {
-		return err
+	isListed := p.addPeers(first.Items)
+	if !isListed {
+		written, err := p.writeEntry(ctx)
+		if err != nil {
+			return err
+		}
+		if written && !sleep(ctx, gossiper.JoinWindow) {
+			return ctx.Err()
+		}
+		isListed = !written
 	}
-	select {
-	case <-time.After(gossiper.JoinWindow):
-	case <-ctx.Done():
-		return ctx.Err()
+	after := ""
+	if isListed && len(first.Items) > 0 {
+		after = first.Items[len(first.Items)-1].Name // nobody else is expected on the first page
 	}
-	if _, err = p.loadPeers(ctx); err != nil {
-		return err
+	if !isListed || first.More {
+		rest, err := hedged(ctx, func(ctx context.Context) ([]keeper.Object, error) { return p.store.AllAfter(ctx, proxiesKind, after) })
+		if err != nil {
+			return err
+		}
+		p.addPeers(rest)
 	}
 	p.setFleetKnown()
 	return nil
@@ -117,13 +125,9 @@
 	return e, errors.Wrap(err, "proxier: parse the entry of a proxy")
 }
 
-// loadPeers reads the entries of the other processes, and reports whether this process's own
-// entry is present and correct.
-func (p *Proxier) loadPeers(ctx context.Context) (isListed bool, err error) {
-	objects, err := hedged(ctx, func(ctx context.Context) ([]keeper.Object, error) { return p.store.All(ctx, proxiesKind) })
-	if err != nil {
-		return false, err
-	}
+// addPeers adds the processes that the store lists, and reports whether this process's own
+// entry is among them and correct.
+func (p *Proxier) addPeers(objects []keeper.Object) (isListed bool) {
 	for _, o := range objects {
 		e, err := parseEntry(o)
 		if err != nil {
@@ -140,7 +144,7 @@
 	p.peersKnown.Store(true)
 	p.gossip.NotifyPeers()
 	p.Log.Info("proxier: peers loaded from the store", zap.Int("proxies", len(objects)), zap.Bool("enrolled", isListed))
-	return isListed, nil
+	return isListed
 }
 
 // deleteEntry deletes the store entry of a process that is gone for good. Only the process of
--- a/proxier/follow.go
+++ b/proxier/follow.go
@@ -43,6 +43,9 @@
 	log      *zap.Logger
 	// shouldWatch, when set, reports whether this process is to watch the kind.
 	shouldWatch func() bool
+	// awaitPeers, when set, is called before the second page of the first list. It reports
+	// whether peers have delivered the kind up to a version meanwhile.
+	awaitPeers func(ctx context.Context, version versioner.Version) bool
 	// storeBack, when set, signals that another call of this process has reached the store
 	// again.
 	storeBack *signal
@@ -87,7 +90,15 @@
 func (w *storeWatcher) step(ctx context.Context) error {
 	restored := w.storeRestored.wait()
 	if !w.listed || w.isStale || w.version.Era < w.store.Era() {
-		version, err := w.list(ctx, w.listPageHedged)
+		await := w.awaitPeers
+		if w.listed {
+			await = nil
+		}
+		version, err := w.list(ctx, w.listPageHedged, await)
+		if errors.Is(err, errDelivered) {
+			w.listed, w.isStale = true, true
+			return nil
+		}
 		if err == nil {
 			w.version = w.version.Max(version)
 			w.listed = true
@@ -124,9 +135,13 @@
 	return page, err
 }
 
+// errDelivered means that a list was not read to its end because peers have delivered it.
+var errDelivered = errors.New("proxier: delivered by peers")
+
 // list reads all pages. The watch continues from the first page's version, so that a change
-// between two pages is not missed.
-func (w *storeWatcher) list(ctx context.Context, read pageReader) (versioner.Version, error) {
+// between two pages is not missed. If there is more than one page and await reports that peers
+// have delivered the rest, the error is errDelivered.
+func (w *storeWatcher) list(ctx context.Context, read pageReader, await func(context.Context, versioner.Version) bool) (versioner.Version, error) {
 	began := bootClock()
 	var all []keeper.Object
 	var version versioner.Version
@@ -146,6 +161,9 @@
 		if !page.More || len(page.Items) == 0 {
 			break
 		}
+		if after == "" && await != nil && await(ctx, version) {
+			return version, errDelivered
+		}
 		after = page.Items[len(page.Items)-1].Name
 	}
 	w.onList(all, version)
@@ -175,7 +193,7 @@
 
 // listAll reads the kind in full, concurrently with the watching goroutine.
 func (w *storeWatcher) listAll(ctx context.Context) error {
-	_, err := w.list(ctx, w.listPage)
+	_, err := w.list(ctx, w.listPage, nil)
 	if err != nil && ctx.Err() == nil {
 		w.log.Info("proxier: listing the store failed", zap.String("kind", w.kind), zap.Error(err))
 	}
--- a/proxier/peers.go
+++ b/proxier/peers.go
@@ -1,6 +1,7 @@
 package proxier
 
 import (
+	"compress/gzip"
 	"context"
 	"crypto/sha256"
 	"encoding/json"
@@ -93,7 +94,6 @@
 const (
 	paramConfiguration = "configuration"
 	paramComplete      = "complete"
-	paramFleet         = "fleet"
 	paramEntries       = "entries"
 	paramFleet         = "fleet"
 	paramRanges        = "ranges"
@@ -131,10 +131,45 @@
 	}
 	began := bootClock()
 	out := &byteCounter{Writer: w}
-	err = json.NewEncoder(out).Encode(update)
+	if update.isLarge() && r.Header.Get(acceptEncoding) == gzipEncoding {
+		w.Header().Set(contentEncoding, gzipEncoding)
+		err = writeCompressed(out, update)
+	} else {
+		err = json.NewEncoder(out).Encode(update)
+	}
 	p.recordSent(r.RemoteAddr, out.bytes, began, err)
 }
 
+// Headers by which peers agree on compression, as in RFC 9110. The client's own compression
+// would hide how many bytes are transferred.
+const (
+	acceptEncoding  = "Accept-Encoding"
+	contentEncoding = "Content-Encoding"
+	gzipEncoding    = "gzip"
+)
+
+// writeCompressed writes a value as compressed JSON. The entries of all upstreams differ in
+// little but their IDs and addresses.
+func writeCompressed(out io.Writer, value any) error {
+	w, err := gzip.NewWriterLevel(out, gzip.BestSpeed)
+	if err != nil {
+		return errors.Wrap(err, "proxier: compress for a peer")
+	}
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		return errors.Wrap(err, "proxier: send to a peer")
+	}
+	return errors.Wrap(w.Close(), "proxier: send to a peer")
+}
+
+// bodyOf returns the body of a peer's response, decompressed.
+func bodyOf(resp *http.Response, in io.Reader) (io.Reader, error) {
+	if resp.Header.Get(contentEncoding) != gzipEncoding {
+		return in, nil
+	}
+	body, err := gzip.NewReader(in)
+	return body, errors.Wrap(err, "proxier: decompress the response of a peer")
+}
+
 // serveConfiguration sends a peer the configuration if it lacks it. The number of concurrent
 // transfers is limited to what the link can complete before the peers time out; the others are
 // refused at once and find another source.
@@ -175,10 +210,12 @@
 
 // fetchKnown requests a peer's upstream entries and its list of the fleet, and merges them.
 func (p *Proxier) fetchKnown(ctx context.Context, addr netip.AddrPort) error {
-	complete, _ := p.cache.completeVersion()
+	complete, entries := p.cache.completeVersion()
 	params := url.Values{
 		paramComplete: {complete.String()},
+		paramEntries:  {strconv.FormatUint(entries, 10)},
 		paramFleet:    {strconv.FormatUint(uint64(p.gossip.Digest()), 10)},
+		paramRanges:   {p.gossip.Ranges().String()},
 	}
 	return p.fetch(ctx, addr, "/known", params, func(body io.Reader) error {
 		var update peerUpdate
@@ -191,6 +228,10 @@
 			p.peersKnown.Store(true)
 			p.Log.Info("proxier: list of the fleet received from a peer", zap.Int("proxies", len(update.Fleet)), zap.Stringer("source", addr))
 		}
+		if update.FleetKnown && !p.fleetKnown.Load() {
+			p.peersKnown.Store(true)
+			p.setFleetKnown()
+		}
 		return nil
 	})
 }
@@ -210,10 +251,9 @@
 
 // readFromStore lists a kind that peers report as changed but do not deliver.
 func (p *Proxier) readFromStore(ctx context.Context, watcher *storeWatcher) error {
-	complete, entries := p.cache.completeVersion()
+	complete, _ := p.cache.completeVersion()
 	p.Log.Warn("proxier: peers do not deliver, reading the store", zap.String("kind", watcher.kind), zap.Uint64("heard", p.newestConfig.Load()),
 		zap.Uint64("configuration", p.cache.current().Config.Version), zap.Stringer("complete", complete))
-		paramRanges:   {p.gossip.Ranges().String()},
 	return watcher.listAll(ctx)
 }
 
@@ -223,18 +263,14 @@
 	began := bootClock()
 	in := &byteCounter{Reader: http.NoBody}
 	defer func() { p.recordReceived(addr, path, in.bytes, began, err) }()
-		paramEntries:  {strconv.FormatUint(entries, 10)},
 	ctx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
 	defer cancel()
 	target := url.URL{Scheme: "http", Host: addr.String(), Path: path, RawQuery: params.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), http.NoBody)
-		if update.FleetKnown && !p.fleetKnown.Load() {
-			p.peersKnown.Store(true)
-			p.setFleetKnown()
-		}
 	if err != nil {
 		return errors.Wrap(err, "proxier: request to a peer")
 	}
+	req.Header.Set(acceptEncoding, gzipEncoding)
 	resp, err := p.client.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "proxier: request to a peer")
@@ -243,7 +279,11 @@
 	in.Reader = resp.Body
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return apply(in)
+		body, err := bodyOf(resp, in)
+		if err != nil {
+			return err
+		}
+		return apply(body)
 	case http.StatusNoContent:
 		return nil
 	case http.StatusServiceUnavailable:
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -311,6 +311,7 @@
 func (p *Proxier) buildStoreSync() {
 	p.configWatcher = p.newStoreWatcher(translator.Configuration, p.cache.applyConfigObjects, p.cache.applyConfigObjects)
 	p.upstreamWatcher = p.newStoreWatcher(translator.Upstreams, p.cache.replaceUpstreams, p.cache.applyUpstreamChanges)
+	p.upstreamWatcher.awaitPeers = p.awaitUpstreams
 	p.configWatcher.shouldWatch = func() bool { return p.shouldWatch(translator.Configuration, configCheckInterval) }
 	p.upstreamWatcher.shouldWatch = func() bool { return p.shouldWatch(translator.Upstreams, upstreamsCheckInterval) }
 	p.configSyncer = &syncer{
