assigner: groups share gateways where there are several for each process

Cause: each group chose its six gateways by itself, so a process of 0.192 cores decided together with 30 others and one of 0.8 with some 110, of which 48 get a datagram in a round. Datagrams grew with the groups of a process, and decisions on leaders rested on states that didn't come in each round.

Change: groups are combined into bundles that have the same gateways, one or two for each process.

--- a/assigner/assign.go
+++ b/assigner/assign.go
@@ -37,6 +37,7 @@
 type Assigner struct {
 	mu       sync.Mutex
 	groups   []Group
+	bundles  []bundled
 	zones    map[string]*zone
 	gateways map[string][]string
 
@@ -57,35 +58,39 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	groups = slices.SortedFunc(slices.Values(groups), func(a, b Group) int { return cmp.Compare(a.Name, b.Name) })
+	bundles := bundle(groups, len(proxies))
 	zones := groupByZone(proxies)
 	names := slices.Sorted(maps.Keys(zones))
-	setPlaces(groups, len(proxies), names, zones)
-	sameGroups := slices.EqualFunc(groups, a.groups, func(a, b Group) bool { return a.Name == b.Name })
-	changed := !sameGroups || len(zones) != len(a.zones)
+	setPlaces(bundles, len(proxies), names, zones)
+	sameBundles := slices.EqualFunc(bundles, a.bundles, func(a, b bundled) bool { return a.name == b.name })
+	changed := !slices.Equal(groups, a.groups) || !sameBundles || len(zones) != len(a.zones)
 	for name, z := range zones {
-		if before := a.zones[name]; sameGroups && before != nil && before.equal(z) {
+		if before := a.zones[name]; sameBundles && before != nil && before.equal(z) {
 			zones[name] = before
 			continue
 		}
-		a.scored += z.assignAll(groups)
+		a.scored += z.assignAll(bundles)
 		changed = true
 	}
-	a.groups, a.zones = groups, zones
+	a.groups, a.bundles, a.zones = groups, bundles, zones
 	if changed {
-		a.gateways = joinZones(groups, names, zones)
+		a.gateways = joinZones(bundles, names, zones)
 	}
 	return a.gateways
 }
 
-func joinZones(groups []Group, names []string, zones map[string]*zone) map[string][]string {
-	out := make(map[string][]string, len(groups))
-	for i, g := range groups {
-		gateways := make([]string, 0, preferredGateways)
+func joinZones(bundles []bundled, names []string, zones map[string]*zone) map[string][]string {
+	out := map[string][]string{}
+	for i, b := range bundles {
+		var gateways []string
 		for _, name := range names {
 			gateways = append(gateways, zones[name].gateways[i]...)
 		}
-		if len(gateways) > 0 {
-			out[g.Name] = gateways
+		if len(gateways) == 0 {
+			continue
+		}
+		for _, group := range b.groups {
+			out[group] = gateways
 		}
 	}
 	return out
@@ -94,9 +99,9 @@
 // zone is the proxies of an availability zone, and the gateways among them.
 type zone struct {
 	proxies  []Proxy    // by name
-	places   []int      // how many gateways each group gets, in the order of the groups
-	quotas   []int      // groups that each proxy may still get
-	gateways [][]string // names of the gateways of each group
+	places   []int      // how many gateways each bundle gets, in the order of the bundles
+	quotas   []int      // bundles that each proxy may still get
+	gateways [][]string // names of the gateways of each bundle
 }
 
 func groupByZone(proxies []Proxy) map[string]*zone {
@@ -118,30 +123,30 @@
 	return slices.Equal(z.proxies, o.proxies) && slices.Equal(z.places, o.places)
 }
 
-// setPlaces sets how many gateways of each zone each group gets.
-func setPlaces(groups []Group, proxies int, names []string, zones map[string]*zone) {
-	for i, g := range groups {
-		places := proxiesPerZone(g, proxies, names, zones)
+// setPlaces sets how many gateways of each zone each bundle gets.
+func setPlaces(bundles []bundled, proxies int, names []string, zones map[string]*zone) {
+	for i, b := range bundles {
+		places := proxiesPerZone(b, proxies, names, zones)
 		for j, name := range names {
 			if zones[name].places == nil {
-				zones[name].places = make([]int, len(groups))
+				zones[name].places = make([]int, len(bundles))
 			}
 			zones[name].places[i] = places[j]
 		}
 	}
 }
 
-// proxiesPerZone returns how many proxies of each zone a group gets, in the order of the
+// proxiesPerZone returns how many proxies of each zone a bundle gets, in the order of the
 // names. It takes one of each zone in turn, so that each zone gets at least one as long as
-// the group has enough. The zone of the first turn depends on the group: the places that are
-// left after whole rounds would otherwise all be in the same zones.
-func proxiesPerZone(g Group, proxies int, names []string, zones map[string]*zone) []int {
+// the bundle has enough. The zone of the first turn depends on the bundle: the places that
+// are left after whole rounds would otherwise all be in the same zones.
+func proxiesPerZone(b bundled, proxies int, names []string, zones map[string]*zone) []int {
 	out := make([]int, len(names))
 	if len(names) == 0 {
 		return out
 	}
-	remaining := min(max(1, g.MaxGateways), proxies, max(preferredGateways, len(names)))
-	first := int(xxhash.Sum64String("first zone "+g.Name) % uint64(len(names)))
+	remaining := min(b.maxGateways, proxies, max(preferredGateways, len(names)))
+	first := int(xxhash.Sum64String("first zone "+b.name) % uint64(len(names)))
 	for round := 0; remaining > 0; round++ {
 		before := remaining
 		for i := range names {
@@ -158,13 +163,13 @@
 	return out
 }
 
-// assignAll gives each group its gateways, and returns how many scores it computed.
-func (z *zone) assignAll(groups []Group) int {
+// assignAll gives each bundle its gateways, and returns how many scores it computed.
+func (z *zone) assignAll(bundles []bundled) int {
 	z.setQuotas()
-	z.gateways = make([][]string, len(groups))
+	z.gateways = make([][]string, len(bundles))
 	scored := 0
-	for i, g := range groups {
-		scored += z.assign(g.Name, i)
+	for i, b := range bundles {
+		scored += z.assign(b.name, i)
 	}
 	return scored
 }
@@ -186,10 +191,10 @@
 
 func (p *Proxy) cpu() int { return max(1, p.Millicores) }
 
-// candidate is a proxy with its place in the order of a group.
+// candidate is a proxy with its place in the order of a bundle.
 type candidate struct {
 	proxy int // index
-	quota int // groups that the proxy may still get, capped at 1
+	quota int // bundles that the proxy may still get, capped at 1
 	score float64
 }
 
@@ -199,16 +204,16 @@
 	return cmp.Or(cmp.Compare(o.quota, c.quota), cmp.Compare(o.score, c.score), cmp.Compare(c.proxy, o.proxy))
 }
 
-// assign gives the i-th group its gateways: the first proxies in its order that have quota
-// left. A proxy gets a group only once. So there may be too few with quota left, and proxies
+// assign gives the i-th bundle its gateways: the first proxies in its order that have quota
+// left. A proxy gets a bundle only once. So there may be too few with quota left, and proxies
 // without quota follow. It returns how many scores it computed: none for proxies that others
 // precede by their quota.
-func (z *zone) assign(group string, i int) int {
+func (z *zone) assign(bundle string, i int) int {
 	n := z.places[i]
 	if n == 0 {
 		return 0
 	}
-	key := append([]byte("carry "), group...)
+	key := append([]byte("carry "), bundle...)
 	key = append(key, ' ')
 	best := make([]candidate, 0, n+1) // sorted
 	scored := 0
@@ -219,9 +224,11 @@
 		}
 		c.score = z.proxies[j].score(key)
 		scored++
+		if len(best) == n && c.compare(best[n-1]) > 0 {
+			continue
+		}
 		at, _ := slices.BinarySearchFunc(best, c, candidate.compare)
-		best = slices.Insert(best, at, c)
-		best = best[:min(len(best), n)]
+		best = slices.Insert(best[:min(len(best), n-1)], at, c)
 	}
 	z.gateways[i] = make([]string, 0, n)
 	for _, c := range best {
@@ -231,7 +238,7 @@
 	return scored
 }
 
-// score is the proxy's weight in the order of the group with this key, by weighted rendezvous
+// score is the proxy's weight in the order of the bundle with this key, by weighted rendezvous
 // hashing: the probability of being first equals the proxy's share of the CPU.
 func (p *Proxy) score(key []byte) float64 {
 	const steps = 1 << 53 // that a float64 distinguishes between 0 and 1
--- a/assigner/assign_test.go
+++ b/assigner/assign_test.go
@@ -218,3 +218,60 @@
 		is.True(n >= 1100 && n <= 1300) // a fifth of 6,000 each, give or take
 	}
 }
+
+// Guards against a process whose datagrams grow with the groups: with 1,000 groups before 985
+// processes, each chosen gateways of its own, a small process was a gateway beside 30 others and
+// a larger one beside 110, most of which it sent nothing to in a round.
+func TestGatewaysShareTheirGroups(t *testing.T) {
+	const smallPeers, largePeers = 10, 48
+	for _, n := range sizes {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			peers := map[string]map[string]bool{}
+			load := map[string]int{}
+			for _, gateways := range assign(groups(n, 33), fleetOf(n)) {
+				is.Equal(len(gateways), 6)
+				for _, c := range gateways {
+					load[c]++
+					if peers[c] == nil {
+						peers[c] = map[string]bool{}
+					}
+					for _, o := range gateways {
+						peers[c][o] = true
+					}
+				}
+			}
+			mostGroups := 0
+			for _, p := range fleetOf(n) {
+				others := max(0, len(peers[p.Name])-1)
+				if p.Millicores > 192 {
+					is.True(others <= largePeers)
+					continue
+				}
+				is.True(others <= smallPeers)
+				mostGroups = max(mostGroups, load[p.Name])
+			}
+			t.Logf("a small process is a gateway of at most %d groups", mostGroups)
+			is.True(mostGroups <= 12) // twice the mean
+		})
+	}
+}
+
+// A group that is added or removed moves few others.
+func TestNewGroupMovesFewOthers(t *testing.T) {
+	for _, n := range sizes {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			proxies := fleetOf(n)
+			before, after := assign(groups(n-1, 33), proxies), assign(groups(n, 33), proxies)
+			moved := 0
+			for name, gateways := range before {
+				if !slices.Equal(after[name], gateways) {
+					moved++
+				}
+			}
+			t.Logf("%d of %d groups move", moved, n)
+			is.True(moved <= n/20)
+		})
+	}
+}
--- a/assigner/doc.go
+++ b/assigner/doc.go
@@ -9,6 +9,10 @@
 // the CPU of the others gets up to four times as many, and no proxy gets several while
 // others have none.
 //
+// Where there are several groups for each process, groups are combined into bundles with the
+// same gateways, so that the number of processes that a gateway decides together with does
+// not grow with its groups.
+//
 // Every proxy computes the assignment by itself, from what it knows of the others. Proxies
 // with the same knowledge compute the same assignment. Groups are assigned by weighted
 // rendezvous hashing, so that a proxy that joins or leaves moves few other groups.
