proxier: a new process gets the list of the fleet from a peer that knows it

Cause: each new process read the whole list of processes after it had written its entry.

Change: states say whether their sender knows the whole fleet. A process that doesn't requests the list from one that does; two processes read it from the store, the others only when no peer delivers. A list of one page is still read at once by a process that restarts.

Measured: TestFewProcessesReadLongLists: two readers at 100, 1,000 and 2,000 processes, and without a delivery 50 in a second.

--- a/gossiper/state.go
+++ b/gossiper/state.go
@@ -134,6 +134,9 @@
 	// learned lately about members.
 	FleetDigest uint32   `cbor:"15,keyasint,omitempty"`
 	Updates     []Member `cbor:"16,keyasint,omitempty"`
+	// FleetKnown is set once the sender knows the whole fleet. A process that does not
+	// requests the list from one that does.
+	FleetKnown bool `cbor:"18,keyasint,omitempty"`
 }
 
 // Peer is another process: its last state and when that was received.
--- a/proxier/check.go
+++ b/proxier/check.go
@@ -187,15 +187,24 @@
 	deliveryPollInterval = 25 * time.Millisecond
 )
 
-// awaitUpstreams waits for peers to deliver the upstreams up to a version, unless this process
-// is one of those that read them, and reports whether they did.
+// awaitUpstreams waits for peers to deliver the upstreams up to a version, and reports whether
+// they did.
 func (p *Proxier) awaitUpstreams(ctx context.Context, version versioner.Version) bool {
+	return p.awaitDelivery(ctx, translator.Upstreams, func() bool {
+		complete, _ := p.cache.completeVersion()
+		return !complete.Less(version)
+	})
+}
+
+// awaitDelivery waits for peers to deliver a kind, unless this process is one of those that
+// read it, and reports whether they did.
+func (p *Proxier) awaitDelivery(ctx context.Context, kind string, delivered func() bool) bool {
 	began := bootClock()
 	for {
-		if complete, _ := p.cache.completeVersion(); !complete.Less(version) {
+		if delivered() {
 			return true
 		}
-		if p.knowsPeers() && bootClock().Sub(began) >= deliveryDelay(p.readerRank(translator.Upstreams)) {
+		if p.knowsPeers() && bootClock().Sub(began) >= deliveryDelay(p.readerRank(kind)) {
 			return false
 		}
 		if !sleep(ctx, deliveryPollInterval) {
--- a/proxier/check_test.go
+++ b/proxier/check_test.go
@@ -1,6 +1,8 @@
 package proxier
 
 import (
+	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -9,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
@@ -128,3 +131,65 @@
 		(*signal)(nil).notify() // a nil signal is valid
 	})
 }
+
+// Guards against a fleet whose processes all read lists of many pages as they start: those calls
+// are most of its calls to the store.
+func TestFewProcessesReadLongLists(t *testing.T) {
+	for _, n := range []int{100, 1000, 2000} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			p := newTestProxier(0, n)
+			readers, soon := 0, 0
+			for i := range n {
+				p.Settings.Name = fmt.Sprint("p", i)
+				p.ranks = rankCache{}
+				switch delay := deliveryDelay(p.readerRank("servers")); {
+				case delay == 0:
+					readers++
+				case delay < deliveryTimeout+time.Second:
+					soon++
+				}
+			}
+			is.Equal(readers, minWatchers)
+			is.True(soon <= int(time.Second/deliveryRankDelay)) // without a delivery, so many in a second
+		})
+	}
+}
+
+// A list is read on after its first page only by a process whose peers don't deliver it, and one
+// of a single page is read at once.
+func TestListOfManyPagesWaitsForPeers(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		pages         int
+		isDelivered   bool
+		reads, awaits int
+		err           error
+	}{
+		{"one page", 1, true, 1, 0, nil},
+		{"delivered", 15, true, 1, 1, errDelivered},
+		{"not delivered", 15, false, 15, 1, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			reads, awaits, listed := 0, 0, 0
+			w := &storeWatcher{onList: func(list []keeper.Object, _ versioner.Version) { listed = len(list) }}
+			read := func(context.Context, string) (keeper.Page, error) {
+				reads++
+				return keeper.Page{Items: []keeper.Object{{Name: fmt.Sprint(reads)}}, Version: 7, More: reads < test.pages}, nil
+			}
+			await := func(_ context.Context, version versioner.Version) bool {
+				awaits++
+				is.Equal(version, atRevision(7))
+				return test.isDelivered
+			}
+			_, err := w.list(t.Context(), read, await)
+			is.True(errors.Is(err, test.err))
+			is.Equal(reads, test.reads)
+			is.Equal(awaits, test.awaits)
+			if err == nil {
+				is.Equal(listed, test.pages)
+			}
+		})
+	}
+}
--- a/proxier/enroll.go
+++ b/proxier/enroll.go
@@ -53,46 +53,55 @@
 
 // tryEnroll makes one attempt to enroll. It reads the first page of the list: a process that
 // restarts unchanged finds its own entry there, or learns from the refusal to write it that it
-// is listed. A new process writes its entry, and reads the list once those that start together
-// with it have written theirs, because the first page lacks the ones that came later.
+// is listed. A new process writes its entry, and reads the list again once those that start
+// together with it have written theirs. The whole list is read by few processes; the others get
+// it from a peer that knows the fleet.
 func (p *Proxier) tryEnroll(ctx context.Context) error {
-	first, err := hedged(ctx, func(ctx context.Context) (keeper.Page, error) {
-		return p.store.List(ctx, proxiesKind, "", keeper.PageItems)
-	})
+	page, err := p.firstPage(ctx)
 	if err != nil {
 		return err
 	}
-	isListed := p.addPeers(first.Items)
-	if !isListed {
-		written, err := p.writeEntry(ctx)
-		if err != nil {
+	isNew := false
+	if !p.addPeers(page.Items) {
+		if isNew, err = p.writeEntry(ctx); err != nil {
 			return err
 		}
-		if written && !sleep(ctx, gossiper.JoinWindow) {
-			return ctx.Err()
-		}
-		isListed = !written
+	}
+	if isNew && !sleep(ctx, gossiper.JoinWindow) {
+		return ctx.Err()
+	}
+	if !isNew && !page.More || p.awaitDelivery(ctx, proxiesKind, p.fleetKnown.Load) {
+		p.setFleetKnown()
+		return nil
 	}
 	after := ""
-	if isListed && len(first.Items) > 0 {
-		after = first.Items[len(first.Items)-1].Name // nobody else is expected on the first page
+	if !isNew && len(page.Items) > 0 {
+		after = page.Items[len(page.Items)-1].Name
 	}
-	if !isListed || first.More {
-		rest, err := hedged(ctx, func(ctx context.Context) ([]keeper.Object, error) { return p.store.AllAfter(ctx, proxiesKind, after) })
-		if err != nil {
-			return err
-		}
-		p.addPeers(rest)
+	rest, err := hedged(ctx, func(ctx context.Context) ([]keeper.Object, error) { return p.store.AllAfter(ctx, proxiesKind, after) })
+	if err != nil {
+		return err
 	}
+	p.addPeers(rest)
 	p.setFleetKnown()
 	return nil
 }
 
-// setFleetKnown records that this process knows the whole fleet, and has the connections
-// divided.
+// firstPage reads the first page of the list of processes.
+func (p *Proxier) firstPage(ctx context.Context) (keeper.Page, error) {
+	return hedged(ctx, func(ctx context.Context) (keeper.Page, error) {
+		return p.store.List(ctx, proxiesKind, "", keeper.PageItems)
+	})
+}
+
+// setFleetKnown records that this process knows the whole fleet, has the connections divided,
+// and notifies peers that may still lack the list.
 func (p *Proxier) setFleetKnown() {
-	p.fleetKnown.Store(true)
+	if p.fleetKnown.Swap(true) {
+		return
+	}
 	p.requestDivision()
+	p.gossip.NotifySuccessors()
 }
 
 // writeEntry writes this process's entry, replacing that of an earlier incarnation, and
--- a/proxier/peers.go
+++ b/proxier/peers.go
@@ -65,7 +65,7 @@
 	return gossiper.State{
 		Name: p.Settings.Name, Zone: p.Settings.Zone, Start: p.incarnation, GossipAddr: p.gossip.LocalAddr(), GatewayAddr: p.gatewayAddr, OperatorsAddr: p.operatorsAddr,
 		Configuration: p.cache.current().Config.Version, CatalogComplete: complete, CatalogDigest: digest, StoreReadAges: p.fullReads.ages(bootClock()),
-		Millicores: p.millicores(), Leaving: p.leaving.Load(), Groups: p.overseer.States(),
+		Millicores: p.millicores(), Leaving: p.leaving.Load(), FleetKnown: p.fleetKnown.Load(), Groups: p.overseer.States(),
 	}
 }
 
@@ -80,7 +80,8 @@
 	if p.cache.needsUpdate(s.CatalogComplete, s.CatalogDigest) {
 		p.entrySyncer.addOffer(s.OperatorsAddr, s.CatalogComplete)
 	}
-	if (p.gossip.ShouldRequestList(s.FleetDigest) || !p.peersKnown.Load()) && p.isFetchingFleet.CompareAndSwap(false, true) {
+	lacksFleet := s.FleetKnown && !p.fleetKnown.Load() || !p.peersKnown.Load()
+	if (p.gossip.ShouldRequestList(s.FleetDigest) || lacksFleet) && p.isFetchingFleet.CompareAndSwap(false, true) {
 		go func() {
 			defer p.isFetchingFleet.Store(false)
 			_ = p.fetchKnown(context.Background(), s.OperatorsAddr) // errors are logged; a process that still lacks the list requests it again
