proxier: after a loss of power everywhere, few processes read the store's lists

The logs of eleven processes: from 29.5 s on all lists of the store ended as "dial: i/o timeout" or "context deadline exceeded". All processes read the page of processes, the whole configuration and a page of upstreams at the same moment, some 1 MB each by count, and each call was hedged twice; nothing arrived within a call's 3 s, so all was asked again. The first configuration came at 42 s. Those that had got the list of the fleet and the configuration from peers went on asking the store. A process that knew nobody took itself for the whole fleet after 8 s.

Change: configuration and upstreams are first listed once the peers are known, or after a call's time; where there are more processes than a page lists, by two of them, while the others wait for peers. What peers have delivered is not listed again by a process that isn't to watch, and the own entry is all that such a process checks. A call whose answer has begun to arrive is not hedged. The wait of the last rank is bounded by four seconds. A process that knows nobody stays without connections.

A start of the earlier deployments makes one call after another where it made them side by side: 8 to 12 ms more, by count.

--- a/proxier/check.go
+++ b/proxier/check.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"basildale.example/basildale/adapter/keeper"
 	"basildale.example/basildale/gossiper"
 	"basildale.example/basildale/platform/translator"
 	"basildale.example/basildale/versioner"
@@ -180,13 +181,34 @@
 	// deliveryTimeout is how long the readers and three or four steps from peer to peer may
 	// take before other processes read the list too.
 	deliveryTimeout = time.Second
-	// deliveryRankDelay is the extra delay per rank, so that the others do not all read at
-	// the same moment.
-	deliveryRankDelay = 20 * time.Millisecond
-	// deliveryPollInterval is the time between two checks for a delivery.
+	// maxDeliveryRankDelay is the extra delay per rank, so that the others do not all read at
+	// the same moment, and maxDeliverySpread bounds that of the last rank: a process that
+	// none of its peers reaches must have the list before it acts on what it knows.
+	maxDeliveryRankDelay = 20 * time.Millisecond
+	maxDeliverySpread    = peersUnknownTimeout / 2
+	// deliveryPollInterval is the time between two checks for a delivery, and
+	// peersPollInterval between two for the list of peers.
 	deliveryPollInterval = 25 * time.Millisecond
+	peersPollInterval    = 5 * time.Millisecond
 )
 
+// awaitTurn waits until this process is to make its first list of a kind, and reports false if
+// peers have delivered the kind meanwhile. It waits for the list of its peers, unless that takes
+// longer than a call: all processes of a fleet that lost power would otherwise read everything
+// at the same moment. In a fleet of more processes than a page lists, most then leave it to the
+// readers.
+func (p *Proxier) awaitTurn(ctx context.Context, kind string, delivered func() bool) bool {
+	for bootClock().Sub(p.startedAt) < callTimeout && !p.peersKnown.Load() {
+		if !sleep(ctx, peersPollInterval) {
+			return true
+		}
+	}
+	if p.fleetSize() < keeper.PageItems {
+		return true
+	}
+	return !p.awaitDelivery(ctx, kind, delivered)
+}
+
 // awaitUpstreams waits for peers to deliver the upstreams up to a version, and reports whether
 // they did.
 func (p *Proxier) awaitUpstreams(ctx context.Context, version versioner.Version) bool {
@@ -204,7 +226,7 @@
 		if delivered() {
 			return true
 		}
-		if p.knowsPeers() && bootClock().Sub(began) >= deliveryDelay(p.readerRank(kind)) {
+		if p.knowsPeers() && bootClock().Sub(began) >= deliveryDelay(p.readerRank(kind), p.fleetSize()) {
 			return false
 		}
 		if !sleep(ctx, deliveryPollInterval) {
@@ -213,12 +235,12 @@
 	}
 }
 
-// deliveryDelay returns how long a process of a rank waits for its peers.
-func deliveryDelay(rank int) time.Duration {
+// deliveryDelay returns how long a process of a rank waits for its peers in a fleet of a size.
+func deliveryDelay(rank, fleet int) time.Duration {
 	if rank < minWatchers {
 		return 0
 	}
-	return deliveryTimeout + time.Duration(rank)*deliveryRankDelay
+	return deliveryTimeout + time.Duration(rank)*min(maxDeliveryRankDelay, maxDeliverySpread/time.Duration(fleet))
 }
 
 // readerRank returns this process's rank among those that read a kind. It is at most
--- a/proxier/enroll.go
+++ b/proxier/enroll.go
@@ -56,7 +56,15 @@
 // is listed. A new process writes its entry, and reads the list again once those that start
 // together with it have written theirs. The whole list is read by few processes; the others get
 // it from a peer that knows the fleet.
+//
+// Once a peer has delivered the list, only the own entry is checked: after a loss of power
+// everywhere, processes that went on reading lists would keep the store's link full for those
+// that still need them.
 func (p *Proxier) tryEnroll(ctx context.Context) error {
+	if p.fleetKnown.Load() {
+		_, err := p.writeEntry(ctx)
+		return err
+	}
 	page, err := p.firstPage(ctx)
 	if err != nil {
 		return err
--- a/proxier/hedge.go
+++ b/proxier/hedge.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,10 +14,14 @@
 // more after twice that time. The first answer wins. A call sent while the store answers
 // nobody is lost, so it has to be repeated; a call that is canceled in favor of a new one
 // would start over at a store that is merely slow, so the earlier calls stay open. An error
-// ends the hedged call at once: the caller backs off before it retries.
+// ends the hedged call at once: the caller backs off before it retries. A call whose answer
+// has begun to arrive is not repeated: the store answers, and more calls would only make a full
+// link slower.
 func hedged[T any](ctx context.Context, call func(context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel() // also ends the calls that are no longer needed
+	var answering atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { answering.Store(true) }})
 	type outcome struct {
 		value T
 		err   error
@@ -35,7 +41,7 @@
 			return o.value, o.err
 		case <-timer.C:
 		}
-		if calls < maxHedgedCalls {
+		if calls < maxHedgedCalls && !answering.Load() {
 			calls++
 			go start()
 			delay *= 2
--- a/proxier/hedge_test.go
+++ b/proxier/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http/httptrace"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -48,6 +49,24 @@
 	is.Equal(made, 2)
 }
 
+// Guards against calls that fill the store's link after a loss of power everywhere: each answer
+// takes more than a second to arrive, and repeated calls would triple what the link carries.
+func TestCallWhoseAnswerArrivesIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		_, err := hedged(t.Context(), func(ctx context.Context) (int, error) {
+			calls++
+			time.Sleep(hedgeDelay / 2)
+			httptrace.ContextClientTrace(ctx).GotFirstResponseByte()
+			time.Sleep(4 * hedgeDelay)
+			return 0, nil
+		})
+		is.NoErr(err)
+		is.Equal(calls, 1)
+	})
+}
+
 // Guards against processes that start while the store is slow and have neither configuration
 // nor peers for seconds. Each call takes half a second, so a call that is canceled in favor
 // of a new one starts over each time.
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -312,6 +312,14 @@
 	p.configWatcher = p.newStoreWatcher(translator.Configuration, p.cache.applyConfigObjects, p.cache.applyConfigObjects)
 	p.upstreamWatcher = p.newStoreWatcher(translator.Upstreams, p.cache.replaceUpstreams, p.cache.applyUpstreamChanges)
 	p.upstreamWatcher.awaitPeers = p.awaitUpstreams
+	p.configWatcher.isDelivered = func() bool { return p.cache.current().Config.Version > 0 }
+	p.upstreamWatcher.isDelivered = func() bool {
+		complete, _ := p.cache.completeVersion()
+		return complete != versioner.Version{}
+	}
+	for _, w := range []*storeWatcher{p.configWatcher, p.upstreamWatcher} {
+		w.awaitTurn = func(ctx context.Context) bool { return p.awaitTurn(ctx, w.kind, w.isDelivered) }
+	}
 	p.configWatcher.shouldWatch = func() bool { return p.shouldWatch(translator.Configuration, configCheckInterval) }
 	p.upstreamWatcher.shouldWatch = func() bool { return p.shouldWatch(translator.Upstreams, upstreamsCheckInterval) }
 	p.configSyncer = &syncer{
--- a/proxier/share.go
+++ b/proxier/share.go
@@ -143,9 +143,10 @@
 }
 
 // knowsFleet reports whether this process knows all others. A new process, which may have
-// started together with the whole fleet, does not until it has read the list a second time.
+// started together with the whole fleet, does not until it has read the list a second time. One
+// that knows nobody at all is not a fleet of one: it has not reached the others yet.
 func (p *Proxier) knowsFleet() bool {
-	return p.fleetKnown.Load() || bootClock().Sub(p.startedAt) >= peersUnknownTimeout
+	return p.fleetKnown.Load() || bootClock().Sub(p.startedAt) >= peersUnknownTimeout && len(p.gossip.Fleet()) > 0
 }
 
 // isIsolated reports whether this process reaches no gateway of a group, after an uptime in
