proxier: an unknown full read is not overdue when a process starts

Change: a process counts the time since the last full read from its own start at the earliest, so that ranks decide who reads.

Measured: TestUnknownReadsAreNotOverdueAtStart: at 100, 1,000 and 2,000 processes two are to watch and one check is due; before, all. TestFewProcessesWatchReturningStore now has processes that have run for long, of which its cases speak.

--- a/proxier/check.go
+++ b/proxier/check.go
@@ -112,7 +112,7 @@
 		case <-timer.C:
 		}
 		now := bootClock()
-		last := p.fullReads.lastRead(w.kind)
+		last := p.lastFullRead(w.kind)
 		// Before this time no process's check is due, however the ranks change.
 		if remaining := laterOf(last, lastAttempt).Add(interval).Sub(now); remaining > 0 {
 			timer.Reset(remaining)
@@ -152,12 +152,19 @@
 // for them are assumed to have failed.
 const missedChecksThreshold = 3
 
+// lastFullRead returns when some process last read a kind in full, or when this process started
+// if that is later: after a loss of power everywhere nobody knows of any read, and all checks
+// would be due at the same moment.
+func (p *Proxier) lastFullRead(kind string) time.Time {
+	return laterOf(p.fullReads.lastRead(kind), p.startedAt)
+}
+
 // shouldWatch reports whether this process is to watch a kind.
 func (p *Proxier) shouldWatch(kind string, interval time.Duration) bool {
 	if p.isStarting() && !p.peersKnown.Load() {
 		return false
 	}
-	return p.readerRank(kind) < watcherCount(bootClock().Sub(p.fullReads.lastRead(kind)), interval)
+	return p.readerRank(kind) < watcherCount(bootClock().Sub(p.lastFullRead(kind)), interval)
 }
 
 // watcherCount returns how many of the first ranks are to watch a kind that was last read in
--- a/proxier/check_test.go
+++ b/proxier/check_test.go
@@ -87,6 +87,7 @@
 	procs := make([]*Proxier, fleet)
 	for i := range procs {
 		procs[i] = newTestProxier(i, fleet)
+		procs[i].startedAt = time.Time{} // long ago
 	}
 	for _, test := range []struct {
 		away        time.Duration
@@ -241,27 +242,49 @@
 func TestFirstListsOfLargeFleetAreLeftToReaders(t *testing.T) {
 	for _, test := range []struct{ processes, readers int }{{9, 9}, {100, 100}, {1000, minWatchers}, {2000, minWatchers}} {
 		t.Run(fmt.Sprint(test.processes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newTestProxier(0, test.processes)
+				readers := 0
+				for i := range test.processes {
+					p.Settings.Name = fmt.Sprint("p", i)
+					p.ranks = rankCache{}
+					waited := false
+					delivered := func() bool {
+						defer func() { waited = true }()
+						return waited // by the second check
+					}
+					if p.awaitTurn(t.Context(), "config", delivered) {
+						readers++
+					}
+				}
+				is.Equal(readers, test.readers)
+			})
+		})
+	}
+}
+
+// Guards against a fleet in which every process lists the store a second after a loss of power
+// everywhere: no process knows of a full read, so all checks are overdue and all are to watch.
+func TestUnknownReadsAreNotOverdueAtStart(t *testing.T) {
+	for _, n := range []int{100, 1000, 2000} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			is := is.New(t)
-			p := newTestProxier(0, test.processes)
-			readers := 0
-			for i := range test.processes {
+			p := newTestProxier(0, n)
+			watching, due := 0, 0
+			for i := range n {
 				p.Settings.Name = fmt.Sprint("p", i)
 				p.ranks = rankCache{}
-				ctx, cancel := context.WithCancel(t.Context())
-				asked := 0
-				delivered := func() bool {
-					asked++
-					if asked > 1 {
-						cancel() // it waits
-					}
-					return asked > 1
+				if p.shouldWatch("config", configCheckInterval) {
+					watching++
 				}
-				if p.awaitTurn(ctx, "config", delivered) {
-					readers++
+				if p.checkDelay("config", configCheckInterval) <= configCheckInterval {
+					due++
 				}
-				cancel()
 			}
-			is.Equal(readers, test.readers)
+			is.Equal(watching, minWatchers)
+			is.Equal(due, 1)
+			is.True(bootClock().Sub(p.lastFullRead("config")) < configCheckInterval)
 		})
 	}
 }
