loader, carrier, gossiper: settings, job fields and gossip that the parts under load share

Cause: decisions under load that are to be built side by side need the same settings, the same priority of a statement and the same state of peers. No decision uses any of it yet.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -42,6 +42,8 @@
 	// RequestSample, when set, requests from a peer a position of the group's leader that
 	// is taken after the request.
 	RequestSample func(group string) (tracker.Mark, bool)
+	// Features, when set, returns the features in force. They can change at any time.
+	Features func() Features
 	// Now is a clock that also counts the time in which the machine is suspended. Its times
 	// are only compared with each other.
 	Now func() time.Time
--- a/carrier/command.go
+++ b/carrier/command.go
@@ -119,6 +119,13 @@
 	// Led reports whether that upstream led the group, as far as the process that used it
 	// knew.
 	Led bool
+	// Queued is how long the statement waited in an upstream's admission queue, and Place
+	// how many statements of the same workspace were ahead of it when it was refused there.
+	Queued time.Duration `json:",omitempty"`
+	Place  int           `json:",omitempty"`
+	// Gateway is the name of the process that ran or refused a forwarded statement; empty
+	// for statements that were not forwarded.
+	Gateway string `json:",omitempty"`
 	// Report is the answer to Status, Suspend, Resume and Demote.
 	Report Report
 }
--- a/carrier/group.go
+++ b/carrier/group.go
@@ -48,6 +48,8 @@
 	// upstreams have no pools and gates: in a large fleet a process is a gateway of few
 	// groups.
 	active bool
+	// peerLoads holds the latest loads that peers have reported, by name.
+	peerLoads map[string]peerLoad
 }
 
 // Name returns the group's name.
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -43,7 +43,9 @@
 	// Request is the id of the caller's request, for the log.
 	Request string
 	// Workspace is the workspace of the statement; empty if it belongs to none.
-	Workspace    string
+	Workspace string
+	// Priority is that of the route, from 0, the most urgent, to MaxPriority.
+	Priority     int
 	Freshness    cataloger.Freshness
 	MaxStaleness time.Duration
 	// LastWrite is the furthest position of the session's own writes.
@@ -71,6 +73,12 @@
 	tried map[*upstream]bool
 }
 
+// MaxPriority is the priority of the least urgent work.
+const MaxPriority = 15
+
+// ClampPriority returns the nearest priority that a Job can have.
+func ClampPriority(p int) int { return min(max(p, 0), MaxPriority) }
+
 // RequiresLeader reports whether only the current leader may run the job.
 func (j *Job) RequiresLeader() bool { return j.Writes || j.Freshness == cataloger.Latest }
 
--- a/conductor/identity.go
+++ b/conductor/identity.go
@@ -56,5 +56,5 @@
 	if s.Admit == nil || job.Workspace == "" {
 		return carrier.Answer{}
 	}
-	return s.Admit(job.Workspace, job.Deadline)
+	return s.Admit(job)
 }
--- a/conductor/identity_test.go
+++ b/conductor/identity_test.go
@@ -122,8 +122,8 @@
 	k := newKeyedSession()
 	counted := 0
 	left := 2
-	k.Admit = func(workspace string, _ time.Time) carrier.Answer {
-		is.Equal(workspace, "depot")
+	k.Admit = func(job *carrier.Job) carrier.Answer {
+		is.Equal(job.Workspace, "depot")
 		counted++
 		if counted > left {
 			return carrier.Answer{Code: carrier.Busy, Text: "come back in 1s"}
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -36,9 +36,9 @@
 	Group func(name string) (carrier.Runner, bool)
 	// Now is the clock of package carrier.
 	Now func() time.Time
-	// Admit, when set, charges one operation to the quota of a workspace, and returns a
-	// refusal when the quota is used up.
-	Admit func(workspace string, deadline time.Time) carrier.Answer
+	// Admit, when set, charges the operation that a job begins to the quota of its
+	// workspace, and returns a refusal when the quota is used up.
+	Admit func(job *carrier.Job) carrier.Answer
 	// Observe, when set, is called with the answer to each request.
 	Observe func(route cataloger.Route, a carrier.Answer, took time.Duration)
 	Log     *zap.Logger
@@ -282,6 +282,7 @@
 	job := &carrier.Job{
 		Request:      st.ID,
 		Workspace:    in.workspace,
+		Priority:     carrier.ClampPriority(route.Priority),
 		Freshness:    route.Freshness,
 		MaxStaleness: route.MaxStaleness,
 		Arrived:      arrived,
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -31,8 +31,10 @@
 	Stream   uint64 `json:"stream,omitempty"`
 	ReadOnly bool   `json:"readonly,omitempty"`
 
-	Request      string              `json:"request,omitempty"`
-	Workspace    string              `json:"workspace,omitempty"`
+	Request   string `json:"request,omitempty"`
+	Workspace string `json:"workspace,omitempty"`
+	// Rank is the priority plus one; zero in requests of processes that do not state it.
+	Rank         int                 `json:"rank,omitempty"`
 	Freshness    cataloger.Freshness `json:"freshness,omitempty"`
 	MaxStaleness time.Duration       `json:"maxage,omitempty"`
 	LastWrite    tracker.Mark        `json:"own,omitzero"`
@@ -59,16 +61,25 @@
 // newRequest returns the request for a job.
 func newRequest(a action, group string, j *carrier.Job, cmd carrier.Command, now time.Time) request {
 	return request{
-		Action: a, Group: group, Request: j.Request, Workspace: j.Workspace, Freshness: j.Freshness, MaxStaleness: j.MaxStaleness, LastWrite: j.LastWrite, Writes: j.Writes,
+		Action: a, Group: group, Request: j.Request, Workspace: j.Workspace, Rank: j.Priority + 1, Freshness: j.Freshness, MaxStaleness: j.MaxStaleness, LastWrite: j.LastWrite, Writes: j.Writes,
 		Age: now.Sub(j.Arrived), Left: time.Until(j.Deadline), Objective: j.ObjectiveAt.Sub(now), Values: j.Values, Prepared: j.Prepared, Command: cmd,
 	}
 }
 
+// priority returns the priority of a request. A request that states none counts as the least
+// urgent, so that it never delays one that does.
+func (r *request) priority() int {
+	if r.Rank == 0 {
+		return carrier.MaxPriority
+	}
+	return carrier.ClampPriority(r.Rank - 1)
+}
+
 // job returns the job of a request. The time in transit is not subtracted: the operation
 // counts as younger than it is, which requires fresher data, never older.
 func (r *request) job(now time.Time) *carrier.Job {
 	return &carrier.Job{
-		Request: r.Request, Workspace: r.Workspace, Freshness: r.Freshness, MaxStaleness: r.MaxStaleness, LastWrite: r.LastWrite, Writes: r.Writes,
+		Request: r.Request, Workspace: r.Workspace, Priority: r.priority(), Freshness: r.Freshness, MaxStaleness: r.MaxStaleness, LastWrite: r.LastWrite, Writes: r.Writes,
 		Arrived: now.Add(-r.Age), ObjectiveAt: now.Add(r.Objective), Deadline: time.Now().Add(r.Left), Values: r.Values, Prepared: r.Prepared,
 	}
 }
--- a/gossiper/state.go
+++ b/gossiper/state.go
@@ -100,6 +100,34 @@
 	// reach that upstream demote it.
 	FencedLeader string       `cbor:"5,keyasint,omitempty"`
 	FenceTerm    tracker.Term `cbor:"6,keyasint,omitzero"`
+	// Upstreams is the sender's load of the group's upstreams; empty unless a feature of
+	// the sender needs it.
+	Upstreams []UpstreamLoad `cbor:"7,keyasint,omitempty"`
+}
+
+// UpstreamLoad is what one gateway has at an upstream.
+type UpstreamLoad struct {
+	ID string `cbor:"1,keyasint"`
+	// Running and Waiting are the statements that the gateway has there, and in its queue.
+	Running int `cbor:"2,keyasint,omitempty"`
+	Waiting int `cbor:"3,keyasint,omitempty"`
+	// Lag is the estimated replication lag in milliseconds; zero when unknown.
+	Lag int `cbor:"4,keyasint,omitempty"`
+	// Used lists the workspaces with the most service time in the last second. Rest is the
+	// service time of all others, in milliseconds, and Others their number.
+	Used   []WorkspaceUse `cbor:"5,keyasint,omitempty"`
+	Rest   int            `cbor:"6,keyasint,omitempty"`
+	Others int            `cbor:"7,keyasint,omitempty"`
+}
+
+// WorkspaceUse is what one workspace uses of an upstream through one gateway.
+type WorkspaceUse struct {
+	// ID is a hash of the workspace's name.
+	ID uint32 `cbor:"1,keyasint"`
+	// Busy is its service time in the last second, in milliseconds.
+	Busy int `cbor:"2,keyasint,omitempty"`
+	// Waiting is how many of its statements wait in the gateway's queue.
+	Waiting int `cbor:"3,keyasint,omitempty"`
 }
 
 // State is the state that a process sends to its peers.
--- a/limiter/gate.go
+++ b/limiter/gate.go
@@ -57,6 +57,13 @@
 	g.deliver(0)
 }
 
+// Waiting returns the number of waiting items; see [Queue.Waiting].
+func (g *Gate) Waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Queue.Waiting()
+}
+
 // ExpectedWait returns the expected wait for a slot; see [Queue.ExpectedWait].
 func (g *Gate) ExpectedWait() time.Duration {
 	g.mu.Lock()
--- a/loader/checker.go
+++ b/loader/checker.go
@@ -61,6 +61,8 @@
 		{"stop", false, c.span(&s.Stop, minStop, maxStop)},
 		{"leave", false, c.span(&s.Leave, minLeave, maxLeave)},
 		{"quota", false, c.quota(&s.Quota)},
+		{"rules", false, c.rules(&s.Rules)},
+		{"load", false, c.load(&s.Load)},
 		{"log", false, c.level(&s.Log)},
 		{"groups", false, c.groups(s)},
 		{"callers", false, c.callers(s)},
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -139,7 +139,7 @@
 	is := is.New(t)
 	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	is.NoErr(err)
-	_, problems := Check("x", []byte("?: 1\nlimits: {?: 1}\ntls: {?: 1}\nquota: {?: 1}"), nil)
+	_, problems := Check("x", []byte("?: 1\nlimits: {?: 1}\ntls: {?: 1}\nquota: {?: 1}\nload: {?: 1}"), nil)
 	named := 0
 	for _, p := range problems {
 		prefix, found := strings.CutSuffix(p.Wrong, "? is not a setting")
@@ -147,7 +147,7 @@
 			continue
 		}
 		for _, key := range strings.Split(strings.TrimPrefix(p.Allowed, "allowed are "), ", ") {
-			if key == "limits" || key == "tls" || key == "quota" {
+			if key == "limits" || key == "tls" || key == "quota" || key == "load" {
 				continue // their own keys are looked for
 			}
 			named++
@@ -156,3 +156,19 @@
 	}
 	is.True(named > 15) // the problems list the settings
 }
+
+// A choice that the settings leave open is the one that the platform's rules ask for, and one
+// that they make goes first.
+func TestChoicesOfTheSettingsGoFirst(t *testing.T) {
+	is := is.New(t)
+	data := "name: a\nzone: z\nworkspace: w\nwire: lines\nlisten: 10.0.0.1:1\npeers: 10.0.0.1:2\noperators: 10.0.0.1:3\nready: 10.0.0.1:4\n" +
+		"orders: 10.0.0.2:1\ncarry: 10.0.0.1:2\nplatform: [10.0.0.2:2]\nrules: [base, pressure]\nload: {admission: plain, weights: {Alpha: 2.5}}\n"
+	s, problems := Check("x", []byte(data), nil)
+	is.Equal(problems, nil)
+	is.Equal(s.Rules, []string{"base", "pressure"})
+	got := s.Load.Or(Choices{Admission: Fair, Quota: Ranked})
+	is.Equal(got.Admission, Plain)
+	is.Equal(got.Quota, Ranked)
+	is.Equal(got.Weight("Alpha"), 2.5)
+	is.Equal(got.Weight("Beta"), 1.0)
+}
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -65,6 +65,11 @@
 	Leave time.Duration
 	// Quota says how exactly the quotas of workspaces are to be kept.
 	Quota Quota
+	// Rules lists the platform's names of the rules in force, which ask for some of the
+	// choices that Load leaves open.
+	Rules []string
+	// Load says how the process decides under load.
+	Load Choices
 	// Log is the least level that is logged.
 	Log zapcore.Level
 	// Groups lists database groups for a process without a platform.
--- a/overseer/view.go
+++ b/overseer/view.go
@@ -14,7 +14,7 @@
 	fenced, term := g.replacer.FenceTarget()
 	return gossiper.GroupState{
 		Leader: leader, LeaderFault: faultOf(g.carrierGroup.Observe()), IsGateway: g.carrierGroup.IsGateway(),
-		Token: g.lease.token, FencedLeader: fenced, FenceTerm: term,
+		Token: g.lease.token, FencedLeader: fenced, FenceTerm: term, Upstreams: g.carrierGroup.Loads(o.Now()),
 	}
 }
 
--- a/proxier/peers.go
+++ b/proxier/peers.go
@@ -72,6 +72,7 @@
 // onPeerState handles a peer's state. If the peer has something newer, it is requested.
 func (p *Proxier) onPeerState(s gossiper.State) {
 	p.fullReads.merge(s.StoreReadAges, bootClock())
+	p.setPeerLoads(&s)
 	if s.Configuration > p.cache.current().Config.Version {
 		p.noteNewerConfig(s.Name, s.Configuration)
 		p.configSyncer.addOffer(s.OperatorsAddr, versioner.Version{Revision: s.Configuration})
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -124,6 +124,7 @@
 	readyAddr     netip.AddrPort
 	operatorsAddr netip.AddrPort
 	gatewayAddr   netip.AddrPort
+	load          atomic.Pointer[loader.Choices]
 	started       chan struct{}
 	once          sync.Once
 }
@@ -134,10 +135,12 @@
 	return p.started
 }
 
-// Reload applies settings that were read again. Only the stop timeout changes in a running
-// process; addresses are bound, and everything else comes from the store.
+// Reload applies settings that were read again. Only the stop timeout and the choices under
+// load change in a running process; addresses are bound, and everything else comes from the
+// store.
 func (p *Proxier) Reload(s loader.Settings) {
 	p.stopTimeout.Store(int64(s.Stop))
+	p.setLoad(&s)
 	p.Log.Info("proxier: settings reloaded", zap.Duration("stop", s.Stop))
 }
 
@@ -187,12 +190,13 @@
 	p.droppedLogLimit = rate.Sometimes{First: 1, Interval: time.Second}
 	p.transferSlots = semaphore.NewWeighted(maxTransfers)
 	p.stopTimeout.Store(int64(s.Stop))
+	p.setLoad(s)
 	p.registry = metrics.NewRegistry()
 	p.meter = &meter.Meter{Registry: p.registry}
 	p.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, DisableCompression: true}}
 	p.store = &keeper.Client{Addrs: s.Platform, Transport: &translator.Transport{Base: translator.Base()}, Renewed: p.onStoreRestored, Dropped: p.onAnswerDropped}
 	dialer := &connector.Connector{Name: s.Name}
-	p.carrier = &carrier.Registry{Zone: s.Zone, LeaveTimeout: s.Leave, Dial: dialer.Dial, Now: bootClock, Log: p.Log}
+	p.carrier = &carrier.Registry{Zone: s.Zone, LeaveTimeout: s.Leave, Dial: dialer.Dial, Features: p.features, Now: bootClock, Log: p.Log}
 	p.gossip = &gossiper.Gossiper{Address: s.Peers, Self: p.ownState, OnState: p.onPeerState, OnForgotten: p.deleteEntry, Now: bootClock, Log: p.Log}
 	p.quotas = &quotaLimiter{
 		gossip: p.gossip, view: p.View, increment: p.incrementCounter, now: bootClock, log: p.Log, millicores: int(p.millicores()),
--- a/proxier/quota.go
+++ b/proxier/quota.go
@@ -58,7 +58,8 @@
 
 // admit takes a token for one operation out of a workspace's quota, or returns the refusal if
 // it gets none.
-func (q *quotaLimiter) admit(workspace string, deadline time.Time) carrier.Answer {
+func (q *quotaLimiter) admit(job *carrier.Job) carrier.Answer {
+	workspace, deadline := job.Workspace, job.Deadline
 	quota := q.view().Quota(workspace)
 	if quota == nil {
 		return carrier.Answer{}
