limiter, carrier, forwarder: fair admission among workspaces, switched at run time

Cause: the admission queue before an upstream knows no workspaces and no priorities, and each gateway's queue knows nothing of the others. Change: limiter.Queue has a fair policy that orders items by the excess of their workspace over its max-min fair share, then by priority and deadline, with a starvation floor; limiter.FairWindow divides an upstream among gateways by what they report; carrier reports uses by workspace and applies both where the setting asks for it; forwarder cancels a waiting statement at a peer when its caller disconnects. The default decides as before.

--- a/carrier/admission.go
+++ b/carrier/admission.go
@@ -103,7 +103,11 @@
 	ctx, cancel := context.WithDeadline(context.Background(), j.Deadline)
 	defer cancel()
 	class := j.admissionClass()
-	ticket, outcome := u.gate.Acquire(ctx, limiter.Item{Class: class, Deadline: j.admissionDeadline(now, u.gate.MeanServiceTime(class), left)})
+	item := limiter.Item{Class: class, Deadline: j.admissionDeadline(now, u.gate.MeanServiceTime(class), left)}
+	if f := g.registry.features(); g.applyFairness(u, f) {
+		return g.admitFairly(ctx, u, j, f, item, left)
+	}
+	ticket, outcome := u.gate.Acquire(ctx, item)
 	if ticket != 0 {
 		return ticket, Answer{}
 	}
--- a/carrier/health.go
+++ b/carrier/health.go
@@ -46,6 +46,7 @@
 // also closes connections that are not needed, drops upstreams that have been unlisted for
 // too long, and searches for the leader while none answers.
 func (g *Group) tick(now time.Time) {
+	features := g.registry.features()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	wasPaused := now.Sub(g.tickedAt) > pauseThreshold
@@ -60,6 +61,9 @@
 		if shrink && g.active {
 			go u.pool.Shrink(keep)
 		}
+		if g.active {
+			g.updateFairness(u, features, now)
+		}
 		g.reportDrainEnded(u, now)
 		switch {
 		case wasPaused:
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -82,6 +82,16 @@
 // RequiresLeader reports whether only the current leader may run the job.
 func (j *Job) RequiresLeader() bool { return j.Writes || j.Freshness == cataloger.Latest }
 
+// callerGone reports whether the caller has disconnected.
+func (j *Job) callerGone() bool {
+	select {
+	case <-j.CallerGone:
+		return true
+	default:
+		return false
+	}
+}
+
 // markTried records that the job failed on an upstream.
 func (j *Job) markTried(u *upstream) {
 	if j.tried == nil {
@@ -165,11 +175,12 @@
 // attempt sends a statement to an upstream once. It reports whether the statement may and
 // should be sent again.
 func (g *Group) attempt(u *upstream, j *Job, cmd Command, since tracker.Mark) (Answer, bool) {
-	ticket, refused := g.admit(u, j)
+	ticket, admission := g.admit(u, j)
 	if ticket == 0 {
-		return refused, g.hasAlternative(u, j, since)
+		return admission, !j.callerGone() && g.hasAlternative(u, j, since)
 	}
 	answer, again := g.runAdmitted(u, j, cmd, since)
+	answer.Queued = admission.Queued
 	u.gate.Release(ticket, answer.Code == OK)
 	if !again {
 		return answer, false
--- a/carrier/loads.go
+++ b/carrier/loads.go
@@ -57,7 +57,7 @@
 	}
 	var out []gossiper.UpstreamLoad
 	for _, u := range g.upstreams {
-		if l, ok := u.load(now); ok && len(out) < maxUpstreamLoads {
+		if l, ok := u.load(now, f); ok && len(out) < maxUpstreamLoads {
 			out = append(out, l)
 		}
 	}
@@ -70,9 +70,12 @@
 
 // load returns what this process has at an upstream, and whether that is anything. The
 // caller must hold the group's lock.
-func (u *upstream) load(_ time.Time) (gossiper.UpstreamLoad, bool) {
+func (u *upstream) load(_ time.Time, f Features) (gossiper.UpstreamLoad, bool) {
 	l := gossiper.UpstreamLoad{ID: u.id, Running: len(u.running), Waiting: u.gate.Waiting()}
-	return l, l.Running > 0 || l.Waiting > 0
+	if f.FairAdmission {
+		u.addUses(&l)
+	}
+	return l, l.Running > 0 || l.Waiting > 0 || len(l.Used) > 0
 }
 
 // SetPeerLoads records what a peer has at the upstreams of a group. Entries that cannot be
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -32,16 +32,17 @@
 		if readOnly && j.Freshness != cataloger.Latest {
 			begin = Command{Verb: BeginRead, Since: since}
 		}
-		ticket, rejection := g.admit(u, j)
+		ticket, admission := g.admit(u, j)
 		if ticket == 0 {
-			answer = rejection
-			if g.hasAlternative(u, j, since) {
+			answer = admission
+			if !j.callerGone() && g.hasAlternative(u, j, since) {
 				continue
 			}
 			return nil, answer
 		}
 		var tx *Tx
 		tx, answer = g.startTx(u, j, begin, cmd)
+		answer.Queued = admission.Queued
 		u.gate.Release(ticket, answer.Code == OK)
 		if tx != nil {
 			return tx, answer
--- a/carrier/upstream.go
+++ b/carrier/upstream.go
@@ -34,6 +34,8 @@
 	gate   *limiter.Gate
 	entry  cataloger.Upstream
 
+	fairness fairness
+
 	running          map[*run]struct{}
 	answeredAt       time.Time     // when it last answered anything
 	wroteAt          time.Time     // when it last answered a write
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -49,6 +49,9 @@
 	LeaderFault func(group string) gossiper.LeaderFault
 	// Send sends a payload to the peer at an address and returns its answer.
 	Send func(ctx context.Context, to netip.AddrPort, payload json.RawMessage) (json.RawMessage, error)
+	// CancelsWaiting, when set, reports whether a statement leaves a peer's queue when its
+	// caller disconnects.
+	CancelsWaiting func() bool
 	// Name is this process's name, and Zone its availability zone.
 	Name string
 	Zone string
@@ -58,6 +61,7 @@
 
 	streams      atomic.Uint64
 	transactions transactionTable
+	served       servedTable
 
 	mu        sync.Mutex
 	lostPeers map[netip.AddrPort]time.Time // peers that did not answer, and when
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -20,6 +20,7 @@
 	rollbackTx
 	commitEmpty
 	takeSample
+	cancelOne
 )
 
 // request asks a peer to run something. Times are sent as durations, since the clocks of
@@ -27,7 +28,8 @@
 type request struct {
 	Action action `json:"action"`
 	Group  string `json:"group"`
-	// Stream identifies a transaction among those of the sender.
+	// Stream identifies a transaction, or a statement that may be canceled, among those of
+	// the sender.
 	Stream   uint64 `json:"stream,omitempty"`
 	ReadOnly bool   `json:"readonly,omitempty"`
 
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -127,6 +127,12 @@
 	if modify != nil {
 		modify(&r)
 	}
+	if s.job.CallerGone != nil && s.runner.f.cancelsWaiting() {
+		if r.Stream == 0 {
+			r.Stream = s.runner.f.streams.Add(1)
+		}
+		defer s.cancelWhenGone(peer, r)()
+	}
 	ctx, cancel := withDeadline(s.job)
 	defer cancel()
 	resp, err := s.runner.f.call(ctx, peer, r)
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"encoding/json"
 	"sync"
 	"time"
@@ -42,13 +43,13 @@
 }
 
 // Serve runs what a peer requests. The peer's name distinguishes peers, and incarnations
-// of one peer.
-func (f *Forwarder) Serve(peer string, payload json.RawMessage) (json.RawMessage, error) {
+// of one peer. The context ends when the peer no longer waits.
+func (f *Forwarder) Serve(ctx context.Context, peer string, payload json.RawMessage) (json.RawMessage, error) {
 	var r request
 	if err := json.Unmarshal(payload, &r); err != nil {
 		return nil, errors.Wrap(err, "forwarder: request")
 	}
-	resp := f.serve(peer, &r)
+	resp := f.serve(ctx, peer, &r)
 	if f.LeaderFault != nil {
 		resp.LeaderFault = f.LeaderFault(r.Group)
 	}
@@ -56,11 +57,13 @@
 	return out, errors.Wrap(err, "forwarder: response")
 }
 
-func (f *Forwarder) serve(peer string, r *request) response {
+func (f *Forwarder) serve(ctx context.Context, peer string, r *request) response {
 	k := transactionKey{peer, r.Stream}
 	switch r.Action {
 	case doTx, commitTx, rollbackTx:
 		return f.serveInTransaction(k, r)
+	case cancelOne:
+		return response{Refused: !f.served.cancel(k)}
 	}
 	g, ok := f.Local(r.Group)
 	if !ok || !g.IsGateway() {
@@ -74,6 +77,7 @@
 	if !g.CanServe(j) {
 		return response{Refused: true}
 	}
+	defer f.watchCaller(ctx, k, j)()
 	j.CanForward = func() bool { return true } // the sender tries the next peer rather than wait here
 	switch r.Action {
 	case runOne:
--- a/limiter/admitter.go
+++ b/limiter/admitter.go
@@ -67,6 +67,18 @@
 	a.count--
 	q.waitingByClass[n.item.Class]--
 	a.queued = max(a.queued-q.meanService[n.item.Class], 0)
+	if q.fair != nil {
+		q.leaveFair(n)
+	}
+}
+
+// refuseLate drops the waiting node at index at, by the policy in force.
+func (q *Queue) refuseLate(at int, now time.Time) {
+	if q.fair != nil {
+		q.refuseFair(at, retrier.Late, now)
+		return
+	}
+	q.refuse(at, now)
 }
 
 // refuse drops the waiting node at index at because it cannot meet its deadline.
@@ -80,6 +92,10 @@
 
 // admit refuses items until all that wait can meet their deadlines.
 func (q *Queue) admit(now time.Time) {
+	if q.fair != nil {
+		q.admitFair(now)
+		return
+	}
 	for {
 		late := q.firstLate(now)
 		if late < 0 {
@@ -128,7 +144,10 @@
 // choose returns the index of the item to serve next: the one with the earliest
 // deadline among the tenants within the fair limit, otherwise the one with the earliest
 // deadline of all, or -1 if no class with waiting items may use another slot.
-func (q *Queue) choose() int {
+func (q *Queue) choose(now time.Time) int {
+	if q.fair != nil {
+		return q.chooseFair(now)
+	}
 	limit := q.fairLimit()
 	first := -1
 	for at, i := range q.order {
--- a/limiter/gate.go
+++ b/limiter/gate.go
@@ -30,23 +30,52 @@
 // ticket must be given back by Release. The wait ends with the context, which should
 // have the item's deadline.
 func (g *Gate) Acquire(ctx context.Context, it Item) (Ticket, retrier.Outcome) {
+	own := g.Enter(ctx, nil, it)
+	if !own.Granted {
+		return 0, own.outcome()
+	}
+	return own.Ticket, retrier.Outcome{}
+}
+
+// Enter does the same as Acquire and returns the whole event. The wait also ends when gone
+// is closed; nil never is.
+func (g *Gate) Enter(ctx context.Context, gone <-chan struct{}, it Item) Event {
 	g.mu.Lock()
 	t, refusal := g.Queue.Offer(g.Now(), it)
 	if t == 0 {
 		g.deliver(0)
 		g.mu.Unlock()
-		return 0, refusal.outcome()
+		return refusal
 	}
 	events := g.register(t)
 	own, settled := g.deliver(t)
 	g.mu.Unlock()
 	if !settled {
-		own = g.await(ctx, t, events)
+		own = g.await(ctx, gone, t, events)
 	}
-	if !own.Granted {
-		return 0, own.outcome()
-	}
-	return t, retrier.Outcome{}
+	return own
+}
+
+// SetFair switches the fair policy; see [Queue.SetFair].
+func (g *Gate) SetFair(on bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Queue.SetFair(g.Now(), on)
+	g.deliver(0)
+}
+
+// SetPeers sets what workspaces want through other gateways; see [Queue.SetPeers].
+func (g *Gate) SetPeers(peers map[uint32]time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Queue.SetPeers(peers)
+}
+
+// AppendUsage appends what each workspace uses; see [Queue.AppendUsage].
+func (g *Gate) AppendUsage(to []Usage) []Usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Queue.AppendUsage(g.Now(), to)
 }
 
 // Release gives back a slot; see [Queue.Done].
@@ -121,14 +150,15 @@
 	return e, ok
 }
 
-// await waits for the event of t. When the context ends first, it cancels the item. If
+// await waits for the event of t. When the context ends first, or the caller is gone, it cancels the item. If
 // the event was already sent, it takes the event and releases a granted slot. Otherwise
 // the slot would be leaked: the window would be full with nothing running.
-func (g *Gate) await(ctx context.Context, t Ticket, events chan Event) Event {
+func (g *Gate) await(ctx context.Context, gone <-chan struct{}, t Ticket, events chan Event) Event {
 	select {
 	case e := <-events:
 		return e
 	case <-ctx.Done():
+	case <-gone:
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -35,9 +35,17 @@
 
 // Item is one request for a slot of the upstream. Tenant is a small number that the
 // caller assigns to each tenant, counted from zero.
+//
+// The fair policy uses Account, a hash of the workspace's name, in place of Tenant, the
+// workspace's Weight (zero stands for one), Priority, of which 0 is the most urgent, and
+// Spread, a hash of the request.
 type Item struct {
 	Tenant   uint16
 	Class    Class
+	Priority uint8
+	Account  uint32
+	Spread   uint32
+	Weight   float64
 	Deadline time.Time
 }
 
@@ -46,11 +54,13 @@
 
 // Event reports what became of a queued item: either it was granted a slot, or it was
 // refused and has not run. RetryAt is when it makes sense to offer a refused item again.
+// Place is how many items of the same workspace waited before it, under the fair policy.
 type Event struct {
 	Ticket  Ticket
 	Granted bool
 	Cause   retrier.Cause
 	RetryAt time.Time
+	Place   int
 }
 
 // Defaults of a queue.
@@ -83,6 +93,11 @@
 	arrival    uint64
 	generation uint32
 	phase      phase
+	// account, cost and bucket are the item's place under the fair policy: its account, the
+	// service time that it counts with, and its rank.
+	account int32
+	cost    time.Duration
+	bucket  uint8
 	// overtaken is set when an item that was granted later has been served.
 	overtaken bool
 }
@@ -127,6 +142,7 @@
 	waitingByClass [ClassCount]int
 	runningByClass [ClassCount]int
 	arrivals       uint64
+	fair           *fair // nil while the fair policy is off
 }
 
 // Apply sets the limits of a preset. Items may be waiting and running. Items above a
@@ -152,7 +168,7 @@
 // full reports whether no further item of the class may wait.
 func (q *Queue) full(c Class) bool {
 	maxWaiting := q.Classes[c].Queue
-	return len(q.order) >= q.MaxLength || len(q.free) == 0 || (maxWaiting > 0 && q.waitingByClass[c] >= maxWaiting)
+	return len(q.order) >= q.MaxLength && q.fair == nil || len(q.free) == 0 || (maxWaiting > 0 && q.waitingByClass[c] >= maxWaiting)
 }
 
 func (q *Queue) start() {
@@ -194,6 +210,9 @@
 	n.generation++
 	t := q.ticket(i)
 	q.insert(i)
+	if q.fair != nil {
+		q.enterFair(i, now)
+	}
 	q.admit(now)
 	if n.phase == vacant {
 		return 0, q.takeRefusal(t)
@@ -223,13 +242,13 @@
 		}
 		i := q.order[0]
 		if it := q.nodes[i].item; now.Add(q.meanService[it.Class]).After(it.Deadline) {
-			q.refuse(0, now)
+			q.refuseLate(0, now)
 			continue
 		}
 		if len(q.active) >= q.slots(now) {
 			return Event{}, false
 		}
-		at := q.choose()
+		at := q.choose(now)
 		if at < 0 {
 			return Event{}, false
 		}
@@ -245,6 +264,9 @@
 	q.remove(at)
 	q.accounts[n.item.Tenant].used += q.meanService[n.item.Class]
 	n.phase, n.grantedAt, n.overtaken = running, now, false
+	if q.fair != nil {
+		q.grantFair(n, now)
+	}
 	q.runningByClass[n.item.Class]++
 	q.active = append(q.active, i)
 }
@@ -265,6 +287,9 @@
 	q.active[at] = q.active[len(q.active)-1]
 	q.active = q.active[:len(q.active)-1]
 	q.runningByClass[n.item.Class]--
+	if q.fair != nil {
+		q.doneFair(n, now)
+	}
 	if served {
 		q.markOvertaken(n)
 	}
--- a/proxier/peers.go
+++ b/proxier/peers.go
@@ -45,8 +45,8 @@
 }
 
 // serveForwarded runs a statement that a peer forwarded.
-func (p *Proxier) serveForwarded(_ context.Context, from messenger.Peer, q messenger.Carry) (messenger.Carried, error) {
-	answer, err := p.forward.Serve(from.Addr.String()+"/"+strconv.FormatUint(from.Start, 36), q.Payload)
+func (p *Proxier) serveForwarded(ctx context.Context, from messenger.Peer, q messenger.Carry) (messenger.Carried, error) {
+	answer, err := p.forward.Serve(ctx, from.Addr.String()+"/"+strconv.FormatUint(from.Start, 36), q.Payload)
 	return messenger.Carried{Payload: answer}, err
 }
 
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -212,6 +212,7 @@
 		Promote: orders.Promote, NotifyPeers: p.gossip.NotifyPeers, Leaving: p.leaving.Load, Now: bootClock, Log: p.Log,
 	}
 	p.forward = &forwarder.Forwarder{Local: p.carrier.Group, Gateways: p.gateways, LeaderFault: p.overseer.LeaderFault, Send: p.forwardToPeer, Name: s.Name, Zone: s.Zone, Now: bootClock, Log: p.Log}
+	p.forward.CancelsWaiting = func() bool { return p.features().FairAdmission }
 	p.carrier.RequestSample = p.forward.Sample
 	p.carrier.CountPlacement = p.meter.Route
 	p.carrier.ConnectionShares = p.shares
