limiter, carrier: fair shares by priority, tests and figures of fair admission

Cause: with one fair share for all priorities a surge of less urgent work took the share of urgent work, and equal shares among gateways left the one with a hot workspace short.

--- a/carrier/fairness.go
+++ b/carrier/fairness.go
@@ -27,6 +27,14 @@
 	weights   map[uint32]float64
 }
 
+// weight returns the weight of a workspace, one where none is known.
+func (s *fairness) weight(id uint32) float64 {
+	if w, ok := s.weights[id]; ok {
+		return w
+	}
+	return 1
+}
+
 // workspaceID returns the hash of a workspace's name that gateways exchange.
 func workspaceID(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
@@ -42,6 +50,9 @@
 	if event.Granted {
 		return event.Ticket, Answer{Queued: queued}
 	}
+	if j.callerGone() {
+		return 0, refusal(Busy, "caller has disconnected")
+	}
 	g.recordRejection(u)
 	retryDelay := max(time.Until(event.RetryAt), busyRetryDelay).Round(time.Millisecond)
 	text := "upstream is overloaded; come back in " + retryDelay.String()
@@ -56,6 +67,11 @@
 	return 0, answer
 }
 
+// isAbandoned reports whether a job need not be tried elsewhere because its caller is gone.
+func (g *Group) isAbandoned(j *Job) bool {
+	return g.registry.features().FairAdmission && j.callerGone()
+}
+
 // weight returns the weight of a workspace.
 func (f Features) weight(workspace string) float64 {
 	if f.Weight == nil {
@@ -105,14 +121,11 @@
 	s.updatedAt = now
 	loads, elsewhere := g.loadsAt(u, now)
 	u.gate.SetPeers(elsewhere)
-	total, equal := g.registry.totalWindow(g.name, u.slots)
-	weight := func(id uint32) float64 {
-		if w, ok := s.weights[id]; ok {
-			return w
-		}
-		return 1
+	d := limiter.Division{
+		Slots: float64(u.slots), Stretch: u.gate.Stretch(), Total: slotFillFactor * float64(u.slots),
+		Equal: g.registry.minWindow(g.name, u.slots), Mean: u.gate.MeanServiceTime(limiter.Lookup), Weight: s.weight,
 	}
-	u.gate.SetWindowMin(min(limiter.FairWindow(total, equal, u.gate.MeanServiceTime(limiter.Lookup), weight, loads), maxWindow))
+	u.gate.SetWindowMin(min(d.Window(loads), maxWindow))
 }
 
 // loadsAt returns what this process, first, and its peers have at an upstream, and the
@@ -127,7 +140,7 @@
 		for _, w := range l.Used {
 			use := limiter.Usage{Account: w.ID, Busy: milliseconds(w.Busy), Waiting: min(w.Waiting, maxQueueLength)}
 			load.Used = append(load.Used, use)
-			elsewhere[w.ID] += use.Busy + time.Duration(use.Waiting)*mean
+			elsewhere[w.ID] += use.Demand(mean)
 		}
 		loads = append(loads, load)
 	})
@@ -160,17 +173,3 @@
 	}
 	l.Rest, l.Others = int(own.Rest.Milliseconds()), own.Others
 }
-
-// totalWindow returns how many statements all processes together may always have at an
-// upstream, and this process's equal part.
-func (c *Registry) totalWindow(group string, slots int) (total float64, equal int) {
-	share := c.share(group)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	connections := c.maxConns[group]
-	equal = windowShare(slots, share, connections)
-	if slots == 0 || connections <= 0 || share <= 0 {
-		return 0, equal
-	}
-	return float64(equal) * float64(connections) / float64(share), equal
-}
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -177,7 +177,7 @@
 func (g *Group) attempt(u *upstream, j *Job, cmd Command, since tracker.Mark) (Answer, bool) {
 	ticket, admission := g.admit(u, j)
 	if ticket == 0 {
-		return admission, !j.callerGone() && g.hasAlternative(u, j, since)
+		return admission, !g.isAbandoned(j) && g.hasAlternative(u, j, since)
 	}
 	answer, again := g.runAdmitted(u, j, cmd, since)
 	answer.Queued = admission.Queued
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -35,7 +35,7 @@
 		ticket, admission := g.admit(u, j)
 		if ticket == 0 {
 			answer = admission
-			if !j.callerGone() && g.hasAlternative(u, j, since) {
+			if !g.isAbandoned(j) && g.hasAlternative(u, j, since) {
 				continue
 			}
 			return nil, answer
--- /dev/null
+++ b/internal/comparer/fair_test.go
@@ -0,0 +1,77 @@
+package comparer
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basildale.example/basildale/internal/matcher"
+)
+
+// inTime returns the part of the requests of a kind and group that were answered in time.
+func inTime(counts map[string]*FairCount, kind, group string) float64 {
+	for key, n := range counts {
+		if strings.Contains(key, kind) && strings.HasSuffix(key, group) {
+			return float64(n.InTime) / float64(n.Asked)
+		}
+	}
+	return 0
+}
+
+// Guards against a hot workspace that delays or displaces others, at one gateway and at six,
+// and against less urgent work that delays urgent work in a surge.
+func TestFairLoads(t *testing.T) {
+	is := is.New(t)
+	var b strings.Builder
+	for _, c := range []FairCase{
+		{Name: "one gateway", Gateways: 1},
+		{Name: "six gateways, the hot workspace at one", Gateways: 6, HotAtOne: true},
+		{Name: "six gateways, the hot workspace at all", Gateways: 6},
+		{Name: "one gateway, surges", Gateways: 1, Surges: true},
+		{Name: "six gateways, surges, the hot workspace at one", Gateways: 6, HotAtOne: true, Surges: true},
+		{Name: "one gateway, surges, no hot workspace", Gateways: 1, Surges: true, Calm: true},
+		{Name: "six gateways, no hot workspace", Gateways: 6, Calm: true},
+	} {
+		name := c.Name
+		for _, c.Fair = range []bool{false, true} {
+			c.Name = name + map[bool]string{false: ": plain", true: ": fair"}[c.Fair]
+			counts, left := PlayFair(c, 1)
+			b.WriteString(FairReport(c, counts))
+			is.Equal(left, 0)
+			if !c.Fair {
+				continue
+			}
+			is.True(inTime(counts, "submissions", "small") >= 0.995)
+			is.True(inTime(counts, "waves", "small") >= 0.99)
+			is.True(c.Surges || inTime(counts, "dashboards", "small") >= 0.99)
+			is.True(c.Calm || inTime(counts, "submissions", "hot") >= 0.99)
+		}
+	}
+	matcher.Golden(t, "testdata/fair.golden", b.String())
+}
+
+// Guards against a part of the group that suffers when the exchange of reports fails: without
+// reports each gateway is fair by itself, and none is trusted or counted beyond its bounds.
+func TestFairFailures(t *testing.T) {
+	is := is.New(t)
+	var b strings.Builder
+	for _, c := range []FairCase{
+		{Name: "all reports lost", Report: func(_, _ int, _ time.Duration) int { return 0 }},
+		{Name: "no reports from 5 s on", Report: func(_, _ int, at time.Duration) int { return map[bool]int{true: 1}[at < 5*time.Second] }},
+		{Name: "the first gateway receives none", Report: func(_, to int, _ time.Duration) int { return min(to, 1) }},
+		{Name: "each report twice", Report: func(_, _ int, _ time.Duration) int { return 2 }},
+		{Name: "one gateway reports nonsense", Wrong: true},
+		{Name: "a gateway dies", Dies: 5 * time.Second},
+		{Name: "switched each 300 ms", Switched: 300 * time.Millisecond},
+	} {
+		c.Gateways, c.Fair, c.HotAtOne = 6, true, true
+		counts, left := PlayFair(c, 1)
+		b.WriteString(FairReport(c, counts))
+		is.Equal(left, 0) // nothing waits or holds a slot
+		is.True(inTime(counts, "submissions", "small") >= 0.99)
+		is.True(inTime(counts, "waves", "small") >= 0.93)
+	}
+	matcher.Golden(t, "testdata/fair_failures.golden", b.String())
+}
--- a/limiter/admitter.go
+++ b/limiter/admitter.go
@@ -61,14 +61,15 @@
 
 // remove takes the waiting node at index at out of the order and its account.
 func (q *Queue) remove(at int) {
-	n := &q.nodes[q.order[at]]
+	i := q.order[at]
+	n := &q.nodes[i]
 	q.order = slices.Delete(q.order, at, at+1)
 	a := &q.accounts[n.item.Tenant]
 	a.count--
 	q.waitingByClass[n.item.Class]--
 	a.queued = max(a.queued-q.meanService[n.item.Class], 0)
 	if q.fair != nil {
-		q.leaveFair(n)
+		q.leaveFair(i)
 	}
 }
 
--- a/limiter/doc.go
+++ b/limiter/doc.go
@@ -1,6 +1,10 @@
 // Package limiter keeps the load on upstreams within what they can take and spends
 // that capacity on the requests that can still meet their deadlines.
 //
+// [Queue.SetFair] switches a Queue to the fair policy, which divides the slots among
+// workspaces and serves the urgent first, and [Division] divides an upstream among
+// gateways by what they report of its use.
+//
 // [Shares] divides the connections of an upstream among the proxies of a group. The
 // shares never add up to more than the limit, even while the proxies have different
 // views of the fleet. [Queue] is the admission queue of one upstream at one proxy: it
--- a/limiter/fair.go
+++ b/limiter/fair.go
@@ -19,6 +19,12 @@
 	// floorTurn is the starvation floor: of so many items served, at least one is less
 	// urgent than the others, while such items wait.
 	floorTurn = 8
+	// lessUrgentPart is the part of the slots that less urgent work may claim against the
+	// fair shares of more urgent work. The starvation floor serves one of eight statements,
+	// and those of less urgent work take about twice as long as others.
+	lessUrgentPart = 0.25
+	// minRate is the least fair share, in slots; smaller ones can't be told apart.
+	minRate = 1e-4
 	// minPart bounds how little of its weight a workspace keeps at a gateway when most of
 	// its work is at other gateways.
 	minPart = 1.0 / 16
@@ -35,14 +41,21 @@
 )
 
 // excessTier returns the tier of an item by how far it is above its workspace's fair share,
-// as the time after which the fair rate would reach it. Tier 0 is within the share.
-func excessTier(excess time.Duration) int {
-	for tier, bound := range [...]time.Duration{0, 25 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond} {
-		if excess <= bound {
-			return tier
-		}
+// as the nanoseconds after which the fair rate would reach it. Tier 0 is within the share.
+func excessTier(excess float64) uint8 {
+	const millisecond = float64(time.Millisecond)
+	switch {
+	case excess <= 0:
+		return 0
+	case excess <= 25*millisecond:
+		return 1
+	case excess <= 100*millisecond:
+		return 2
+	case excess <= 400*millisecond:
+		return 3
+	default:
+		return tierCount - 1
 	}
-	return tierCount - 1
 }
 
 // Usage is what a workspace uses of an upstream.
@@ -55,24 +68,39 @@
 // fair is the state of the fair policy of one queue. Items are served in the order of the
 // tier of their workspace's excess, then of their priority, then of their deadline.
 //
-// The excess of an item counts only work of its workspace that is at least as urgent. So a
-// workspace that has used up its share with less urgent work still has all of it for its
-// urgent work, and an urgent item waits behind a less urgent one of another workspace only
-// if the urgent work of its own workspace alone exceeds the fair share.
+// The excess of an item counts only work of its workspace that is at least as urgent, against
+// a fair share from which less urgent work of others takes no more than lessUrgentPart of the
+// slots. So neither the less urgent work of its own workspace nor a surge of that of others
+// delays it: an urgent item waits behind a less urgent one of another workspace only if the
+// urgent work of its own workspace alone exceeds that share.
 type fair struct {
 	epoch    time.Time
 	accounts map[uint32]int32
 	list     []fairAccount
+	nodes    []fairNode // by index of the queue's node
 	free     []int32
 	peers    map[uint32]time.Duration // service time that workspaces want at other gateways
-	level    float64                  // fair share in slots per unit of weight
-	levelAt  time.Time
-	demands  []Demand
-	run      int // items served in a row while less urgent ones waited
-	scans    uint64
-	sums     [bucketCount]time.Duration
+	// levels are the fair shares by priority, in slots per unit of weight.
+	levels  [PriorityCount]float64
+	levelAt time.Time
+	demands []Demand
+	run     int // items served in a row while less urgent ones waited
+	scans   uint64
+	sums    [bucketCount]time.Duration
 }
 
+// fairNode is the place of an item under the fair policy.
+type fairNode struct {
+	due      time.Duration // its deadline
+	cost     time.Duration // the service time that it counts with
+	account  int32
+	priority uint8
+	class    Class
+	bucket   uint8
+}
+
+func (n *fairNode) tier() uint8 { return n.bucket / PriorityCount }
+
 // fairAccount is the account of one workspace. Times count from the epoch of the policy.
 type fairAccount struct {
 	id      uint32
@@ -80,18 +108,18 @@
 	waiting int
 	running int
 	weight  float64
-	rate    float64 // fair share in slots
-	// reached holds, for each priority, the time at which the fair rate has provided the
-	// service received by items of that or a more urgent priority.
-	reached [PriorityCount]time.Duration
-	// queued holds, for each priority, the service time of waiting items of that or a more
-	// urgent priority.
-	queued [PriorityCount]time.Duration
-	used   usage
-	denied usage // service time of refused items, which is demand too
+	urgency [PriorityCount]fairUrgency
+	used    usage
+	wanted  [PriorityCount]usage // service time by priority, with that of refused items
+}
 
-	scan  uint64 // number of the scan that ahead belongs to
-	ahead [PriorityCount]time.Duration
+// fairUrgency is what an account holds of items of one or a more urgent priority.
+type fairUrgency struct {
+	pace    float64       // inverse of the fair share in slots
+	reached time.Duration // when the fair share has provided the service received
+	queued  time.Duration // service time of waiting items
+	scan    uint64        // number of the last scan that set excess
+	excess  float64       // that of the next item of the scan, in nanoseconds
 }
 
 // usage counts service time over a sliding window of two parts.
@@ -132,7 +160,7 @@
 	a := &f.list[i]
 	if w := it.weight(); a.weight != w {
 		a.weight = w
-		a.rate = f.level * w
+		a.setPaces(&f.levels, w*f.part(a.id, time.Millisecond))
 	}
 	return i
 }
@@ -162,7 +190,7 @@
 		if !a.inUse || a.waiting > 0 || a.running > 0 {
 			continue
 		}
-		if all || a.used.sum(t)+a.denied.sum(t) == 0 && a.reached[PriorityCount-1] <= t {
+		if all || a.demand(t, 0, PriorityCount) == 0 && a.urgency[PriorityCount-1].reached <= t {
 			delete(f.accounts, a.id)
 			a.inUse = false
 			f.free = append(f.free, int32(i))
@@ -170,9 +198,26 @@
 	}
 }
 
-// demand returns the service time that a workspace wants in a second.
-func (a *fairAccount) demand(t time.Duration) time.Duration {
-	return a.used.sum(t) + a.denied.sum(t) + a.queued[PriorityCount-1]
+// demand returns the service time that a workspace wants in a second for items of the
+// priorities from the first up to, but not including, the last.
+func (a *fairAccount) demand(t time.Duration, from, to int) time.Duration {
+	sum := time.Duration(0)
+	for p := from; p < to; p++ {
+		sum += a.wanted[p].sum(t)
+	}
+	if to > 0 {
+		sum += waitingFactor * a.urgency[to-1].queued
+	}
+	if from > 0 {
+		sum -= waitingFactor * a.urgency[from-1].queued
+	}
+	return sum
+}
+
+func (a *fairAccount) setPaces(levels *[PriorityCount]float64, weight float64) {
+	for p, level := range levels {
+		a.urgency[p].pace = 1 / max(level*weight, minRate)
+	}
 }
 
 // refresh computes the fair rates anew. Where a workspace also has work at other gateways,
@@ -184,21 +229,47 @@
 	f.levelAt = now
 	t := now.Sub(f.epoch)
 	f.forget(t, false)
-	f.demands = f.demands[:0]
+	var wanted [PriorityCount]time.Duration
+	for i := range f.list {
+		for p := range wanted {
+			if a := &f.list[i]; a.inUse {
+				wanted[p] += a.demand(t, p, p+1)
+			}
+		}
+	}
+	less := time.Duration(0) // demand of less urgent work
+	for _, d := range wanted {
+		less += d
+	}
+	for p, d := range wanted {
+		less -= d
+		if p > 0 && d == 0 {
+			f.levels[p] = f.levels[p-1]
+			continue
+		}
+		f.levels[p] = f.levelOf(t, p, float64(slots), less)
+	}
 	for i := range f.list {
 		if a := &f.list[i]; a.inUse {
-			demand := a.demand(t)
-			f.demands = append(f.demands, Demand{Weight: a.weight * f.part(a.id, demand), Slots: demand.Seconds()})
+			a.setPaces(&f.levels, a.weight*f.part(a.id, a.demand(t, 0, PriorityCount)))
 		}
 	}
-	f.level = fairLevel(float64(slots), f.demands)
-	at := 0
+}
+
+// levelOf returns the fair share of work of a priority, given the demand of less urgent work.
+func (f *fair) levelOf(t time.Duration, priority int, slots float64, less time.Duration) float64 {
+	scale := 1.0
+	if most := lessUrgentPart * slots; less.Seconds() > most {
+		scale = most / less.Seconds()
+	}
+	f.demands = f.demands[:0]
 	for i := range f.list {
 		if a := &f.list[i]; a.inUse {
-			a.rate = f.level * f.demands[at].Weight
-			at++
+			urgent, rest := a.demand(t, 0, priority+1), a.demand(t, priority+1, PriorityCount)
+			f.demands = append(f.demands, Demand{Weight: a.weight * f.part(a.id, urgent+rest), Slots: urgent.Seconds() + scale*rest.Seconds()})
 		}
 	}
+	return fairLevel(slots, f.demands)
 }
 
 // part returns the part of a workspace's demand that is at this gateway.
@@ -210,46 +281,48 @@
 	return max(float64(here)/float64(here+elsewhere), minPart)
 }
 
-// over divides work by a rate in slots.
-func over(work time.Duration, rate float64) time.Duration {
-	const most = time.Hour
-	if rate <= 0 {
-		return most
-	}
-	return time.Duration(min(float64(work)/rate, float64(most)))
+// times returns how long work takes at a pace.
+func times(work time.Duration, pace float64) time.Duration {
+	return time.Duration(float64(work) * pace)
 }
 
 // charge adds service time received by an item to its workspace's account.
 func (a *fairAccount) charge(t, work, credit time.Duration, priority uint8) {
-	passed := over(work, a.rate)
-	earliest := t - over(credit, a.rate)
 	for p := int(priority); p < PriorityCount; p++ {
-		a.reached[p] = min(max(a.reached[p], earliest)+passed, t+usageWindow)
+		u := &a.urgency[p]
+		u.reached = min(max(u.reached, t-times(credit, u.pace))+times(work, u.pace), t+usageWindow)
 	}
 }
 
 // correct adds the difference between an item's service time and what was charged for it.
 func (a *fairAccount) correct(work time.Duration, priority uint8) {
-	passed := time.Duration(float64(work) / max(a.rate, 1e-6))
-	passed = min(max(passed, -usageWindow), usageWindow)
 	for p := int(priority); p < PriorityCount; p++ {
-		a.reached[p] += passed
+		u := &a.urgency[p]
+		u.reached += min(max(times(work, u.pace), -usageWindow), usageWindow)
 	}
 }
 
 // queue adds work to what waits, or takes it away.
 func (a *fairAccount) queue(work time.Duration, priority uint8) {
 	for p := int(priority); p < PriorityCount; p++ {
-		a.queued[p] += work
+		a.urgency[p].queued += work
 	}
 }
 
-// bucket returns the place in the order of an item with the given work of its workspace
-// ahead of it: by the tier of its excess, then by its priority.
-func (a *fairAccount) bucket(t, ahead, credit time.Duration, priority uint8) uint8 {
-	reached := max(a.reached[priority], t-over(credit, a.rate))
-	tier := excessTier(reached + over(ahead, a.rate) - t)
-	return uint8(tier*PriorityCount) + priority
+// next returns the bucket of the account's next item in the order of the scan. Its excess
+// counts the more urgent items of the account, and those that the scan has passed.
+func (a *fairAccount) next(scan uint64, t, credit time.Duration, n *fairNode) uint8 {
+	u := &a.urgency[n.priority]
+	if u.scan != scan {
+		u.scan = scan
+		u.excess = max(float64(u.reached-t), -float64(credit)*u.pace)
+		if n.priority > 0 {
+			u.excess += float64(a.urgency[n.priority-1].queued) * u.pace
+		}
+	}
+	tier := excessTier(u.excess)
+	u.excess += float64(n.cost) * u.pace
+	return tier*PriorityCount + n.priority
 }
 
 func (it *Item) weight() float64 {
--- a/limiter/fair_queue.go
+++ b/limiter/fair_queue.go
@@ -21,14 +21,17 @@
 		q.fair = nil
 		return
 	}
-	q.fair = &fair{epoch: now, accounts: map[uint32]int32{}, level: float64(q.Window.Limit()), levelAt: now}
+	q.fair = &fair{epoch: now, accounts: map[uint32]int32{}, levelAt: now}
+	for p := range q.fair.levels {
+		q.fair.levels[p] = float64(q.Window.Limit())
+	}
 	for _, i := range q.order {
 		q.enterFair(i, now)
 	}
 	for _, i := range q.active {
 		q.enterFair(i, now)
-		q.leaveFair(&q.nodes[i])
-		q.fair.list[q.nodes[i].account].running++
+		q.leaveFair(i)
+		q.fair.list[q.fair.nodes[i].account].running++
 	}
 }
 
@@ -58,11 +61,27 @@
 	}
 	mean := q.meanService[Lookup]
 	slices.SortFunc(to, func(a, b Usage) int {
-		return cmp.Or(cmp.Compare(b.demand(mean), a.demand(mean)), cmp.Compare(a.Account, b.Account))
+		return cmp.Or(cmp.Compare(b.Demand(mean), a.Demand(mean)), cmp.Compare(a.Account, b.Account))
 	})
 	return to
 }
 
+// Stretch returns by how much service times are longer than when the upstream is idle, from
+// one, by the mean and the lowest mean of each class that has run lately.
+func (q *Queue) Stretch() float64 {
+	mean, lowest := 0.0, 0.0
+	for c := range q.meanService {
+		if v := q.Window.means[c].value; v > 0 {
+			mean += float64(q.meanService[c])
+			lowest += v
+		}
+	}
+	if lowest == 0 {
+		return 1
+	}
+	return max(mean/lowest, 1)
+}
+
 // credit returns how much service a workspace that was idle gets at once.
 func (q *Queue) credit() time.Duration {
 	return fairCredit * (q.meanService[Lookup] + q.meanService[Booking] + q.meanService[Session]) / time.Duration(classCount)
@@ -71,90 +90,86 @@
 // enterFair adds a waiting node to its workspace's account.
 func (q *Queue) enterFair(i int32, now time.Time) {
 	f, n := q.fair, &q.nodes[i]
-	n.account = f.account(&n.item, now.Sub(f.epoch))
-	n.cost = q.meanService[n.item.Class]
-	a := &f.list[n.account]
+	for len(f.nodes) < len(q.nodes) {
+		f.nodes = append(f.nodes, fairNode{})
+	}
+	f.nodes[i] = fairNode{
+		due: n.item.Deadline.Sub(f.epoch), cost: q.meanService[n.item.Class], priority: min(n.item.Priority, PriorityCount-1),
+		account: f.account(&n.item, now.Sub(f.epoch)), class: n.item.Class,
+	}
+	a := &f.list[f.nodes[i].account]
 	a.waiting++
-	a.queue(n.cost, n.item.priority())
+	a.queue(f.nodes[i].cost, f.nodes[i].priority)
 }
 
 // leaveFair takes a node that no longer waits out of its workspace's account.
-func (q *Queue) leaveFair(n *node) {
+func (q *Queue) leaveFair(i int32) {
+	n := &q.fair.nodes[i]
 	a := &q.fair.list[n.account]
 	a.waiting--
-	a.queue(-n.cost, n.item.priority())
+	a.queue(-n.cost, n.priority)
 }
 
 // grantFair charges a workspace for an item that gets a slot.
-func (q *Queue) grantFair(n *node, now time.Time) {
+func (q *Queue) grantFair(i int32, now time.Time) {
+	n := &q.fair.nodes[i]
 	a := &q.fair.list[n.account]
 	a.running++
-	a.charge(now.Sub(q.fair.epoch), n.cost, q.credit(), n.item.priority())
+	a.charge(now.Sub(q.fair.epoch), n.cost, q.credit(), n.priority)
 }
 
 // doneFair charges a workspace for what an item took beyond what was expected.
-func (q *Queue) doneFair(n *node, now time.Time) {
-	a := &q.fair.list[n.account]
+func (q *Queue) doneFair(i int32, now time.Time) {
+	n, took := &q.fair.nodes[i], now.Sub(q.nodes[i].grantedAt)
+	a, t := &q.fair.list[n.account], now.Sub(q.fair.epoch)
 	a.running--
-	took := now.Sub(n.grantedAt)
-	a.used.add(now.Sub(q.fair.epoch), took)
-	a.correct(took-n.cost, n.item.priority())
+	a.used.add(t, took)
+	a.wanted[n.priority].add(t, took)
+	a.correct(took-n.cost, n.priority)
 }
 
-// rank sets the bucket of each waiting node and the service time of each bucket.
-func (q *Queue) rank(now time.Time) {
+// rank sets the bucket of each waiting node and the service time of each bucket. It returns
+// the most urgent priority of those that wait.
+func (q *Queue) rank(now time.Time) (urgent uint8) {
 	f := q.fair
 	f.refresh(now, q.Window.Limit())
 	f.scans++
 	f.sums = [bucketCount]time.Duration{}
 	t, credit := now.Sub(f.epoch), q.credit()
+	urgent = PriorityCount
 	for _, i := range q.order {
-		n := &q.nodes[i]
-		a := &f.list[n.account]
-		if a.scan != f.scans {
-			a.scan = f.scans
-			for p := 1; p < PriorityCount; p++ {
-				a.ahead[p] = a.queued[p-1]
-			}
-			a.ahead[0] = 0
-		}
-		p := n.item.priority()
-		n.bucket = a.bucket(t, a.ahead[p], credit, p)
-		a.ahead[p] += n.cost
+		n := &q.fair.nodes[i]
+		n.bucket = f.list[n.account].next(f.scans, t, credit, n)
 		f.sums[n.bucket] += n.cost
+		urgent = min(urgent, n.priority)
 	}
+	return urgent
 }
 
-func (n *node) tier() int { return int(n.bucket) / PriorityCount }
-
 // firstLateFair returns the index of the item that is late and the first of these to be
 // served, or -1. The expected wait of a less urgent item takes the starvation floor into
 // account.
 func (q *Queue) firstLateFair(now time.Time) int {
-	q.rank(now)
+	urgent := q.rank(now)
 	f := q.fair
-	start := time.Duration(0)
+	start := q.remaining(now)
 	for b, work := range f.sums {
 		f.sums[b] = start
 		start += work
 	}
-	urgent := uint8(PriorityCount)
-	for _, i := range q.order {
-		urgent = min(urgent, q.nodes[i].item.priority())
-	}
-	slots, running := time.Duration(q.Window.Limit()), q.remaining(now)
-	first, less := -1, time.Duration(0)
+	slots, t := float64(q.Window.Limit()), now.Sub(f.epoch)
+	less := q.remaining(now)
+	first, lowest := -1, uint8(bucketCount)
 	for at, i := range q.order {
-		n := &q.nodes[i]
+		n := &q.fair.nodes[i]
 		ahead := f.sums[n.bucket]
 		f.sums[n.bucket] += n.cost
-		if n.tier() == 0 && n.item.priority() > urgent {
-			ahead = min(ahead, floorTurn*less+(floorTurn-1)*n.cost)
-			less += n.cost
+		if n.bucket < PriorityCount && n.priority > urgent {
+			ahead = min(ahead, less+(floorTurn-1)*n.cost)
+			less += floorTurn * n.cost
 		}
-		late := (running+ahead)/slots+n.cost > n.item.Deadline.Sub(now)
-		if late && (first < 0 || n.bucket < q.nodes[q.order[first]].bucket) {
-			first = at
+		if n.bucket < lowest && t+time.Duration(float64(ahead)/slots)+n.cost > n.due {
+			first, lowest = at, n.bucket
 		}
 	}
 	return first
@@ -167,7 +182,7 @@
 		q.rank(now)
 		last := 0
 		for at, i := range q.order {
-			if q.nodes[i].bucket >= q.nodes[q.order[last]].bucket {
+			if q.fair.nodes[i].bucket >= q.fair.nodes[q.order[last]].bucket {
 				last = at
 			}
 		}
@@ -189,7 +204,7 @@
 	chosen := late
 	for at := range late {
 		x, y := &q.nodes[q.order[at]], &q.nodes[q.order[chosen]]
-		if x.bucket != y.bucket {
+		if q.fair.nodes[q.order[at]].bucket != q.fair.nodes[q.order[chosen]].bucket {
 			continue
 		}
 		value := time.Duration(q.weight(x.item.Class)) * q.meanService[y.item.Class]
@@ -204,9 +219,9 @@
 // refuseFair refuses the waiting node at index at.
 func (q *Queue) refuseFair(at int, cause retrier.Cause, now time.Time) {
 	i := q.order[at]
-	n := &q.nodes[i]
+	n := &q.fair.nodes[i]
 	e := q.fairRefusal(i, cause, now)
-	q.fair.list[n.account].denied.add(now.Sub(q.fair.epoch), n.cost)
+	q.fair.list[n.account].wanted[n.priority].add(now.Sub(q.fair.epoch), n.cost)
 	q.remove(at)
 	q.release(i)
 	q.refused = append(q.refused, e)
@@ -216,22 +231,21 @@
 // work of its workspace that waits before it is done at the workspace's fair rate. The time
 // is spread by the request's hash, so that refused items don't come back together.
 func (q *Queue) fairRefusal(i int32, cause retrier.Cause, now time.Time) Event {
-	n := &q.nodes[i]
+	n := &q.fair.nodes[i]
 	e := Event{Ticket: q.ticket(i), Cause: cause}
 	ahead := time.Duration(0)
 	for _, o := range q.order {
-		other := &q.nodes[o]
+		other := &q.fair.nodes[o]
 		if o == i || other.account != n.account {
 			continue
 		}
-		earlier := other.item.priority() == n.item.priority() && !other.item.Deadline.After(n.item.Deadline)
-		if other.item.priority() < n.item.priority() || earlier {
+		if other.priority < n.priority || other.priority == n.priority && other.due <= n.due {
 			e.Place++
 			ahead += other.cost
 		}
 	}
-	rate := min(q.fair.list[n.account].rate, float64(q.Window.Limit()))
-	e.RetryAt = now.Add(n.item.spread(max(over(ahead, rate), n.cost)))
+	pace := max(q.fair.list[n.account].urgency[n.priority].pace, 1/float64(q.Window.Limit()))
+	e.RetryAt = now.Add(q.nodes[i].item.spread(max(times(ahead, pace), n.cost)))
 	return e
 }
 
@@ -239,31 +253,22 @@
 // items may use another slot.
 func (q *Queue) chooseFair(now time.Time) int {
 	q.rank(now)
-	first, urgent := -1, uint8(PriorityCount)
+	first, lowest, urgent := -1, uint8(bucketCount), uint8(PriorityCount)
 	for at, i := range q.order {
-		n := &q.nodes[i]
-		if q.classFull(n.item.Class) {
+		n := &q.fair.nodes[i]
+		if q.classFull(n.class) {
 			continue
 		}
-		urgent = min(urgent, n.item.priority())
-		if first < 0 || n.bucket < q.nodes[q.order[first]].bucket {
-			first = at
+		urgent = min(urgent, n.priority)
+		if n.bucket < lowest {
+			first, lowest = at, n.bucket
 		}
 	}
-	if first < 0 || q.nodes[q.order[first]].item.priority() > urgent {
+	if first < 0 || lowest%PriorityCount > urgent {
 		q.fair.run = 0
 		return first
 	}
-	other := -1
-	for at, i := range q.order {
-		n := &q.nodes[i]
-		if n.item.priority() <= urgent || q.classFull(n.item.Class) {
-			continue
-		}
-		if other < 0 || n.tier() < q.nodes[q.order[other]].tier() {
-			other = at
-		}
-	}
+	other := q.firstLessUrgent(urgent)
 	if other < 0 {
 		q.fair.run = 0
 		return first
@@ -276,14 +281,28 @@
 	return first
 }
 
+// firstLessUrgent returns the index of the first item in the lowest tier that is less urgent
+// than a priority, or -1.
+func (q *Queue) firstLessUrgent(than uint8) int {
+	first, lowest := -1, uint8(tierCount)
+	for at, i := range q.order {
+		n := &q.fair.nodes[i]
+		if n.priority > than && n.tier() < lowest && !q.classFull(n.class) {
+			first, lowest = at, n.tier()
+			if lowest == 0 {
+				break
+			}
+		}
+	}
+	return first
+}
+
 // classFull reports whether a class has all the slots that it may use.
 func (q *Queue) classFull(c Class) bool {
 	n := q.Classes[c].Slots
 	return n > 0 && q.runningByClass[c] >= n
 }
 
-func (it *Item) priority() uint8 { return min(it.Priority, PriorityCount-1) }
-
 // spread lengthens a delay by up to a quarter, by the request's hash.
 func (it *Item) spread(d time.Duration) time.Duration {
 	return d + d/spreadDivisor*time.Duration(it.Spread%spreadSteps)/spreadSteps
--- /dev/null
+++ b/limiter/fair_test.go
@@ -0,0 +1,322 @@
+package limiter
+
+import (
+	"context"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"basildale.example/basildale/retrier"
+)
+
+// fairQueue returns a fair queue with the given slots and a service time of 10 ms.
+func fairQueue(slots int) *Queue {
+	q := &Queue{InitialServiceTime: 10 * time.Millisecond, Window: Window{Max: slots, Fixed: true}}
+	q.SetFair(epoch, true)
+	return q
+}
+
+// serve grants, runs and ends the next item and returns its ticket, or zero.
+func serve(q *Queue, now *time.Time) Ticket {
+	e, ok := q.Next(*now)
+	if !ok || !e.Granted {
+		return 0
+	}
+	*now = now.Add(10 * time.Millisecond)
+	q.Done(*now, e.Ticket, true)
+	return e.Ticket
+}
+
+// Guards against a statement of another workspace that waits for the whole queue of a hot one.
+func TestSmallWorkspaceWaitsOneServiceTime(t *testing.T) {
+	is := is.New(t)
+	q := fairQueue(1)
+	now := epoch
+	for range 200 {
+		q.Offer(now, Item{Account: 1, Deadline: now.Add(10 * time.Second)})
+	}
+	for range 20 {
+		is.True(serve(q, &now) != 0)
+	}
+	small, _ := q.Offer(now, Item{Account: 2, Deadline: now.Add(10 * time.Second)})
+	if serve(q, &now) != small {
+		is.Equal(serve(q, &now), small)
+	}
+	for range q.Waiting() { // nobody else wants the slots
+		is.True(serve(q, &now) != 0)
+	}
+}
+
+// Guards against weights without effect: of two workspaces that want all slots, the one with
+// three times the weight gets three times the service.
+func TestServiceFollowsWeights(t *testing.T) {
+	is := is.New(t)
+	q := fairQueue(1)
+	now := epoch
+	owner, served := map[Ticket]uint32{}, [2]int{}
+	for range 400 {
+		for account := range uint32(2) {
+			ticket, _ := q.Offer(now, Item{Account: account, Weight: float64(1 + 2*account), Deadline: now.Add(100 * time.Second)})
+			owner[ticket] = account
+		}
+		served[owner[serve(q, &now)]]++
+	}
+	is.True(served[1] >= 280 && served[1] <= 320)
+}
+
+// Guards against urgent work that waits behind less urgent work, and against less urgent work
+// that is starved: one in eight of the items served is less urgent.
+func TestUrgentFirstWithStarvationFloor(t *testing.T) {
+	is := is.New(t)
+	q := fairQueue(1)
+	now := epoch
+	less := map[Ticket]bool{}
+	for i := range 160 {
+		it := Item{Account: uint32(i), Priority: uint8(i % 2 * 2), Deadline: now.Add(time.Minute)}
+		ticket, _ := q.Offer(now, it)
+		less[ticket] = it.Priority > 0
+	}
+	served := 0
+	for range 80 {
+		if less[serve(q, &now)] {
+			served++
+		}
+	}
+	is.Equal(served, 10)
+}
+
+// Guards against the use of a share by less urgent work of the same workspace before its urgent
+// work, and against a full queue that refuses urgent work.
+func TestFullQueueGivesWayToUrgentWork(t *testing.T) {
+	is := is.New(t)
+	q := fairQueue(1)
+	q.MaxLength = 4
+	for range 4 {
+		q.Offer(epoch, Item{Account: 1, Priority: 2, Deadline: epoch.Add(time.Minute)})
+	}
+	ticket, _ := q.Offer(epoch, Item{Account: 1, Deadline: epoch.Add(time.Minute)})
+	is.True(ticket != 0)
+	e, _ := q.Next(epoch)
+	is.Equal(e.Cause, retrier.Busy) // one of the less urgent items
+	now := epoch
+	is.Equal(serve(q, &now), ticket)
+	is.Equal(q.Waiting(), 3)
+}
+
+// Guards against refused callers that come back before their turn, or all at once.
+func TestRefusalNamesTurn(t *testing.T) {
+	is := is.New(t)
+	q := fairQueue(1)
+	for range 3 {
+		q.Offer(epoch, Item{Account: 1, Deadline: atMillis(40)})
+	}
+	q.Next(epoch)
+	backs := map[time.Duration]bool{}
+	for spread := range uint32(4) {
+		_, e := q.Offer(epoch, Item{Account: 1, Deadline: atMillis(25), Class: Lookup, Spread: spread * 64, Priority: 1})
+		is.Equal(e.Cause, retrier.Late)
+		is.Equal(e.Place, 2)
+		back := e.RetryAt.Sub(epoch)
+		is.True(back >= 20*time.Millisecond && back <= 25*time.Millisecond)
+		backs[back] = true
+	}
+	is.Equal(len(backs), 4)
+	_, e := q.Offer(epoch, Item{Account: 2, Deadline: atMillis(5)})
+	is.Equal(e.Place, 0)
+	is.Equal(e.RetryAt, atMillis(10)) // at least one service time
+}
+
+// Guards against workspaces that use memory for good: a configuration may have ten thousand.
+func TestAccountsAreBoundedAndForgotten(t *testing.T) {
+	is := is.New(t)
+	q := fairQueue(1)
+	now := epoch
+	for i := range uint32(10_000) {
+		q.Offer(now, Item{Account: i, Deadline: now.Add(time.Second)})
+		serve(q, &now)
+	}
+	is.True(len(q.fair.list) <= maxAccounts)
+	now = now.Add(3 * time.Second)
+	q.Offer(now, Item{Account: 1, Deadline: now.Add(time.Second)})
+	serve(q, &now)
+	is.Equal(len(q.fair.accounts), 1)
+}
+
+// TestFairQueueKeepsItsPromises checks, under random offers, ends, cancels and switches of the
+// policy, that each item gets exactly one event or is cancelled, that no bound is exceeded, and
+// that the accounts agree with what waits and runs.
+func TestFairQueueKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := &Queue{MaxLength: 8, Window: Window{Max: 3, Fixed: true}}
+		now := epoch
+		pending := map[Ticket]bool{}
+		var active []Ticket
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40_000).Draw(t, "µs")) * time.Microsecond)
+			switch rapid.IntRange(0, 5).Draw(t, "do") {
+			case 0, 1, 2:
+				ticket, _ := q.Offer(now, Item{
+					Account: uint32(rapid.IntRange(0, 3).Draw(t, "account")), Priority: uint8(rapid.IntRange(0, 20).Draw(t, "priority")),
+					Class: Class(rapid.IntRange(0, 2).Draw(t, "class")), Deadline: now.Add(time.Duration(rapid.IntRange(0, 90).Draw(t, "ms")) * time.Millisecond),
+				})
+				if ticket != 0 {
+					pending[ticket] = true
+				}
+			case 3:
+				if len(active) > 0 {
+					q.Done(now, active[0], rapid.Bool().Draw(t, "served"))
+					active = active[1:]
+				}
+			case 4:
+				q.SetFair(now, rapid.Bool().Draw(t, "fair"))
+			default:
+				for ticket := range pending {
+					q.Cancel(ticket)
+					delete(pending, ticket)
+					break
+				}
+			}
+			for e, ok := q.Next(now); ok; e, ok = q.Next(now) {
+				if !pending[e.Ticket] {
+					t.Fatalf("second event of an item")
+				}
+				delete(pending, e.Ticket)
+				if e.Granted {
+					active = append(active, e.Ticket)
+				} else if e.RetryAt.Before(now) {
+					t.Fatalf("refused until %v, before %v", e.RetryAt, now)
+				}
+			}
+			if q.Running() != len(active) || len(active) > 3 || q.Waiting() != len(pending) || len(pending) > 8 {
+				t.Fatalf("%d/%d run, %d/%d wait", q.Running(), len(active), q.Waiting(), len(pending))
+			}
+			checkAccounts(t, q)
+		}
+	})
+}
+
+func checkAccounts(t *rapid.T, q *Queue) {
+	if q.fair == nil {
+		return
+	}
+	waiting, running, queued := 0, 0, time.Duration(0)
+	for i := range q.fair.list {
+		a := &q.fair.list[i]
+		waiting, running, queued = waiting+a.waiting, running+a.running, queued+a.urgency[PriorityCount-1].queued
+	}
+	if waiting != q.Waiting() || running != q.Running() || (waiting == 0) != (queued == 0) {
+		t.Fatalf("accounts have %d waiting with %v, and %d running", waiting, queued, running)
+	}
+}
+
+// Guards against a caller that has gone and keeps its place, and against a waiter that is left
+// behind when the policy is switched.
+func TestGoneCallerLeavesQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := &Gate{Queue: *singleSlotQueue(), Now: time.Now}
+		g.SetFair(true)
+		deadline := time.Now().Add(time.Minute)
+		first := g.Enter(context.Background(), nil, Item{Deadline: deadline})
+		is.True(first.Granted)
+		gone := make(chan struct{})
+		events := make(chan Event, 2)
+		go func() { events <- g.Enter(context.Background(), gone, Item{Deadline: deadline}) }()
+		synctest.Wait()
+		is.Equal(g.Waiting(), 1)
+		close(gone)
+		is.True(!(<-events).Granted)
+		is.Equal(g.Waiting(), 0)
+		go func() { events <- g.Enter(context.Background(), nil, Item{Deadline: deadline}) }()
+		synctest.Wait()
+		g.SetFair(false)
+		g.Release(first.Ticket, true)
+		is.True((<-events).Granted)
+	})
+}
+
+// Guards against windows that add up to much more than the upstream takes, or that leave a
+// gateway with nothing, whatever the gateways report.
+func TestWindowsAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		loads := make([]Load, rapid.IntRange(2, 8).Draw(t, "gateways"))
+		for i := range loads {
+			for range rapid.IntRange(0, 6).Draw(t, "workspaces") {
+				loads[i].Used = append(loads[i].Used, Usage{
+					Account: rapid.Uint32Range(0, 9).Draw(t, "account"), Waiting: rapid.IntRange(0, 256).Draw(t, "waiting"),
+					Busy: time.Duration(rapid.Int64Range(0, math.MaxInt32).Draw(t, "busy")),
+				})
+			}
+			loads[i].Rest = time.Duration(rapid.Int64Range(0, math.MaxInt32).Draw(t, "rest"))
+			loads[i].Others = rapid.IntRange(0, math.MaxInt).Draw(t, "others")
+		}
+		d := Division{Slots: 4, Stretch: 1, Total: 6, Equal: 1, Mean: 10 * time.Millisecond, Weight: func(uint32) float64 { return 1 }}
+		sum := 0
+		for i := range loads {
+			loads[0], loads[i] = loads[i], loads[0]
+			n := d.Window(loads)
+			loads[0], loads[i] = loads[i], loads[0]
+			if n < 1 {
+				t.Fatalf("gateway %d has %d", i, n)
+			}
+			sum += n
+		}
+		if sum > headroom*6+len(loads) {
+			t.Fatalf("%d in all", sum)
+		}
+	})
+}
+
+// The gateway with the callers of a hot workspace gets what the others don't want.
+func TestWindowFollowsFairShares(t *testing.T) {
+	is := is.New(t)
+	d := Division{Slots: 4, Stretch: 1, Total: 6, Equal: 2, Mean: 10 * time.Millisecond, Weight: func(uint32) float64 { return 1 }}
+	hot := Load{Used: []Usage{{Account: 1, Busy: 2 * time.Second, Waiting: 50}}, Rest: 100 * time.Millisecond, Others: 10}
+	small := Load{Used: []Usage{{Account: 2, Busy: 200 * time.Millisecond}}, Rest: 400 * time.Millisecond, Others: 10}
+	is.Equal(d.Window([]Load{hot, small, small}), 5)
+	is.Equal(d.Window([]Load{small, hot, small}), 2)
+	is.Equal(d.Window([]Load{hot}), 2)          // no reports
+	is.Equal(d.Window([]Load{small, small}), 2) // not contended
+}
+
+// fairLoad returns a queue with 256 items of 86 workspaces and three priorities.
+func fairLoad() *Queue {
+	q := fairQueue(4)
+	for i := range uint32(260) {
+		q.Offer(epoch, Item{Account: i % 86, Priority: uint8(i % 3), Class: Class(i % 3), Deadline: atMillis(10000 + int(i*7%256))})
+		if i < 4 {
+			q.Next(epoch)
+		}
+	}
+	return q
+}
+
+func TestFairQueueAllocatesNothing(t *testing.T) {
+	is := is.New(t)
+	q := fairLoad()
+	now := epoch
+	is.Equal(testing.AllocsPerRun(100, func() { replaceOne(q, &now) }), 0.0)
+}
+
+// replaceOne ends a running item, grants the next one and offers another.
+func replaceOne(q *Queue, now *time.Time) {
+	*now = now.Add(10 * time.Microsecond)
+	q.Done(*now, q.ticket(q.active[0]), true)
+	e, _ := q.Next(*now)
+	it := q.nodes[e.Ticket.index()].item
+	q.Offer(*now, Item{Account: it.Account, Priority: it.Priority, Class: it.Class, Deadline: now.Add(10 * time.Second)})
+	q.Next(*now)
+}
+
+func BenchmarkFair256Waiting(b *testing.B) {
+	q := fairLoad()
+	now := epoch
+	b.ReportAllocs()
+	for b.Loop() {
+		replaceOne(q, &now)
+	}
+}
--- a/limiter/gate.go
+++ b/limiter/gate.go
@@ -71,6 +71,13 @@
 	g.Queue.SetPeers(peers)
 }
 
+// Stretch returns by how much service times are longer than usual; see [Queue.Stretch].
+func (g *Gate) Stretch() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Queue.Stretch()
+}
+
 // AppendUsage appends what each workspace uses; see [Queue.AppendUsage].
 func (g *Gate) AppendUsage(to []Usage) []Usage {
 	g.mu.Lock()
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -93,11 +93,6 @@
 	arrival    uint64
 	generation uint32
 	phase      phase
-	// account, cost and bucket are the item's place under the fair policy: its account, the
-	// service time that it counts with, and its rank.
-	account int32
-	cost    time.Duration
-	bucket  uint8
 	// overtaken is set when an item that was granted later has been served.
 	overtaken bool
 }
@@ -265,7 +260,7 @@
 	q.accounts[n.item.Tenant].used += q.meanService[n.item.Class]
 	n.phase, n.grantedAt, n.overtaken = running, now, false
 	if q.fair != nil {
-		q.grantFair(n, now)
+		q.grantFair(i, now)
 	}
 	q.runningByClass[n.item.Class]++
 	q.active = append(q.active, i)
@@ -288,7 +283,7 @@
 	q.active = q.active[:len(q.active)-1]
 	q.runningByClass[n.item.Class]--
 	if q.fair != nil {
-		q.doneFair(n, now)
+		q.doneFair(i, now)
 	}
 	if served {
 		q.markOvertaken(n)
