limiter: waiting work counts less in local fair shares

Cause: at gateways with few slots a few waiting items of small workspaces counted as so much demand that urgent work of a hot workspace lost its share. Change: at the gateway itself waiting work counts twice a second, beside what was refused; in reports, which don't name refused work, four times as before.

--- a/limiter/fair.go
+++ b/limiter/fair.go
@@ -23,6 +23,10 @@
 	// fair shares of more urgent work. The starvation floor serves one of eight statements,
 	// and those of less urgent work take about twice as long as others.
 	lessUrgentPart = 0.25
+	// waitingFactor is how much more than once a second waiting work counts as demand: most
+	// of it is wanted within half a second. Refused work counts beside it. With twice that, a
+	// small queue of few slots takes the share of urgent work.
+	waitingFactor = 2
 	// minRate is the least fair share, in slots; smaller ones can't be told apart.
 	minRate = 1e-4
 	// minPart bounds how little of its weight a workspace keeps at a gateway when most of
--- a/limiter/parts.go
+++ b/limiter/parts.go
@@ -54,14 +54,15 @@
 	return slots / max(weights, math.SmallestNonzeroFloat64)
 }
 
-// waitingFactor is how much more than once a second waiting work counts: it is wanted within
-// the shortest objective of most work, a quarter of a second.
-const waitingFactor = 4
+// reportedFactor is how much more than once a second the waiting work in a report counts: it
+// is wanted within the shortest objective of most work, a quarter of a second. Reports don't
+// tell what was refused.
+const reportedFactor = 4
 
 // Demand returns the service time that a workspace wants in a second, given the mean of its
 // items.
 func (u *Usage) Demand(mean time.Duration) time.Duration {
-	return u.Busy + waitingFactor*time.Duration(u.Waiting)*mean
+	return u.Busy + reportedFactor*time.Duration(u.Waiting)*mean
 }
 
 // Division divides an upstream among the gateways that use it.
