--- a/carrier/fairness_test.go
+++ b/carrier/fairness_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,10 +21,10 @@
 )
 
 // newFairGroup returns a group with one upstream of four slots, through one process whose
-// features can change.
-func newFairGroup(f *Features) *Group {
+// policy can be switched.
+func newFairGroup(fair *atomic.Bool) *Group {
 	s := &slotUpstream{free: make(chan struct{}, 4)}
-	c := &Registry{Dial: s.dial, Now: time.Now, Log: zap.NewNop(), Features: func() Features { return *f }}
+	c := &Registry{Dial: s.dial, Now: time.Now, Log: zap.NewNop(), Features: func() Features { return Features{FairAdmission: fair.Load()} }}
 	c.DivideConnections(6, []cataloger.GroupSettings{{Name: "g", MaxConnections: 56}})
 	c.SetUpstreams([]cataloger.Upstream{{ID: "a", Group: "g", Slots: 4, Address: netip.MustParseAddrPort("10.0.0.1:1"), Leads: true}})
 	g, _ := c.Group("g")
@@ -31,6 +32,12 @@
 	return g
 }
 
+func switchedOn() *atomic.Bool {
+	b := &atomic.Bool{}
+	b.Store(true)
+	return b
+}
+
 // newFairJob returns a job of a workspace that starts now.
 func newFairJob(request, workspace string, timeout time.Duration) *Job {
 	now := time.Now()
@@ -44,7 +51,7 @@
 func TestFairRefusalStatesPlaceAndTurn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		g := newFairGroup(&Features{FairAdmission: true})
+		g := newFairGroup(switchedOn())
 		var calls sync.WaitGroup
 		queued := make([]time.Duration, 4)
 		for i := range queued {
@@ -76,7 +83,7 @@
 func TestGoneCallerFreesPlace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		g := newFairGroup(&Features{FairAdmission: true})
+		g := newFairGroup(switchedOn())
 		var calls sync.WaitGroup
 		calls.Go(func() { is.Equal(g.Run(newFairJob("1", "w", 10*time.Second), slowRead).Code, OK) })
 		synctest.Wait()
@@ -101,8 +108,8 @@
 func TestSwitchUnderLoadLosesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := &Features{}
-		g := newFairGroup(f)
+		fair := &atomic.Bool{}
+		g := newFairGroup(fair)
 		var calls sync.WaitGroup
 		answered := make(chan Code, 400)
 		for i := range 400 {
@@ -112,9 +119,9 @@
 			})
 		}
 		for i := range 20 {
-			f.FairAdmission = i%2 == 0
+			fair.Store(i%2 == 0)
 			g.registry.CheckUpstreams()
-			is.Equal(g.upstreams[0].gate.Queue.Fair(), f.FairAdmission)
+			is.Equal(g.upstreams[0].gate.Queue.Fair(), fair.Load())
 			synctest.Wait()
 			time.Sleep(200*time.Millisecond + time.Microsecond)
 			synctest.Wait()
@@ -141,8 +148,8 @@
 func TestReportOfUses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := &Features{FairAdmission: true}
-		g := newFairGroup(f)
+		fair := switchedOn()
+		g := newFairGroup(fair)
 		for i := range 8 {
 			is.Equal(g.Run(newFairJob("r", fmt.Sprint("w", i), time.Second), Command{Verb: Read, ID: "r", Text: fmt.Sprint(10+i, "ms")}).Code, OK)
 		}
@@ -152,7 +159,7 @@
 		is.Equal(loads[0].Used[0], gossiper.WorkspaceUse{ID: workspaceID("w7"), Busy: 17})
 		is.Equal(loads[0].Others, 2)
 		is.Equal(loads[0].Rest, 21)
-		f.FairAdmission = false
+		fair.Store(false)
 		is.Equal(len(g.Loads(time.Now())), 0)
 		g.apply(nil)
 	})
