--- /dev/null
+++ b/limiter/fair_queue.go
@@ -0,0 +1,309 @@
+package limiter
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"basildale.example/basildale/retrier"
+)
+
+// SetFair switches the fair policy on or off. Items may be waiting and running: they stay,
+// and leave in the order of the policy in force.
+func (q *Queue) SetFair(now time.Time, on bool) {
+	if q.nodes == nil {
+		q.start()
+	}
+	if on == (q.fair != nil) {
+		return
+	}
+	if !on {
+		q.fair = nil
+		return
+	}
+	q.fair = &fair{epoch: now, accounts: map[uint32]int32{}, levelAt: now}
+	for p := range q.fair.levels {
+		q.fair.levels[p] = float64(q.Window.Limit())
+	}
+	for _, i := range q.order {
+		q.enterFair(i, now)
+	}
+	for _, i := range q.active {
+		q.enterFair(i, now)
+		q.leaveFair(i)
+		q.fair.list[q.fair.nodes[i].account].running++
+	}
+}
+
+// Fair reports whether the fair policy is on.
+func (q *Queue) Fair() bool { return q.fair != nil }
+
+// SetPeers sets, by workspace, the service time per second that workspaces want at the
+// upstream through other gateways. It has no effect while the fair policy is off.
+func (q *Queue) SetPeers(peers map[uint32]time.Duration) {
+	if q.fair != nil {
+		q.fair.peers = peers
+	}
+}
+
+// AppendUsage appends what each workspace uses, in the order of its demand. It appends
+// nothing while the fair policy is off.
+func (q *Queue) AppendUsage(now time.Time, to []Usage) []Usage {
+	if q.fair == nil {
+		return to
+	}
+	t := now.Sub(q.fair.epoch)
+	for i := range q.fair.list {
+		a := &q.fair.list[i]
+		if u := (Usage{Account: a.id, Busy: a.used.sum(t), Waiting: a.waiting}); a.inUse && (u.Busy > 0 || u.Waiting > 0) {
+			to = append(to, u)
+		}
+	}
+	mean := q.meanService[Lookup]
+	slices.SortFunc(to, func(a, b Usage) int {
+		return cmp.Or(cmp.Compare(b.Demand(mean), a.Demand(mean)), cmp.Compare(a.Account, b.Account))
+	})
+	return to
+}
+
+// Stretch returns by how much service times are longer than when the upstream is idle, from
+// one, by the mean and the lowest mean of each class that has run lately.
+func (q *Queue) Stretch() float64 {
+	mean, lowest := 0.0, 0.0
+	for c := range q.meanService {
+		if v := q.Window.means[c].value; v > 0 {
+			mean += float64(q.meanService[c])
+			lowest += v
+		}
+	}
+	if lowest == 0 {
+		return 1
+	}
+	return max(mean/lowest, 1)
+}
+
+// credit returns how much service a workspace that was idle gets at once.
+func (q *Queue) credit() time.Duration {
+	return fairCredit * (q.meanService[Lookup] + q.meanService[Booking] + q.meanService[Session]) / time.Duration(classCount)
+}
+
+// enterFair adds a waiting node to its workspace's account.
+func (q *Queue) enterFair(i int32, now time.Time) {
+	f, n := q.fair, &q.nodes[i]
+	for len(f.nodes) < len(q.nodes) {
+		f.nodes = append(f.nodes, fairNode{})
+	}
+	f.nodes[i] = fairNode{
+		due: n.item.Deadline.Sub(f.epoch), cost: q.meanService[n.item.Class], priority: min(n.item.Priority, PriorityCount-1),
+		account: f.account(&n.item, now.Sub(f.epoch)), class: n.item.Class,
+	}
+	a := &f.list[f.nodes[i].account]
+	a.waiting++
+	a.queue(f.nodes[i].cost, f.nodes[i].priority)
+}
+
+// leaveFair takes a node that no longer waits out of its workspace's account.
+func (q *Queue) leaveFair(i int32) {
+	n := &q.fair.nodes[i]
+	a := &q.fair.list[n.account]
+	a.waiting--
+	a.queue(-n.cost, n.priority)
+}
+
+// grantFair charges a workspace for an item that gets a slot.
+func (q *Queue) grantFair(i int32, now time.Time) {
+	n := &q.fair.nodes[i]
+	a := &q.fair.list[n.account]
+	a.running++
+	a.charge(now.Sub(q.fair.epoch), n.cost, q.credit(), n.priority)
+}
+
+// doneFair charges a workspace for what an item took beyond what was expected.
+func (q *Queue) doneFair(i int32, now time.Time) {
+	n, took := &q.fair.nodes[i], now.Sub(q.nodes[i].grantedAt)
+	a, t := &q.fair.list[n.account], now.Sub(q.fair.epoch)
+	a.running--
+	a.used.add(t, took)
+	a.wanted[n.priority].add(t, took)
+	a.correct(took-n.cost, n.priority)
+}
+
+// rank sets the bucket of each waiting node and the service time of each bucket. It returns
+// the most urgent priority of those that wait.
+func (q *Queue) rank(now time.Time) (urgent uint8) {
+	f := q.fair
+	f.refresh(now, q.Window.Limit())
+	f.scans++
+	f.sums = [bucketCount]time.Duration{}
+	t, credit := now.Sub(f.epoch), q.credit()
+	urgent = PriorityCount
+	for _, i := range q.order {
+		n := &q.fair.nodes[i]
+		n.bucket = f.list[n.account].next(f.scans, t, credit, n)
+		f.sums[n.bucket] += n.cost
+		urgent = min(urgent, n.priority)
+	}
+	return urgent
+}
+
+// firstLateFair returns the index of the item that is late and the first of these to be
+// served, or -1. The expected wait of a less urgent item takes the starvation floor into
+// account.
+func (q *Queue) firstLateFair(now time.Time) int {
+	urgent := q.rank(now)
+	f := q.fair
+	start := q.remaining(now)
+	for b, work := range f.sums {
+		f.sums[b] = start
+		start += work
+	}
+	slots, t := float64(q.Window.Limit()), now.Sub(f.epoch)
+	less := q.remaining(now)
+	first, lowest := -1, uint8(bucketCount)
+	for at, i := range q.order {
+		n := &q.fair.nodes[i]
+		ahead := f.sums[n.bucket]
+		f.sums[n.bucket] += n.cost
+		if n.bucket < PriorityCount && n.priority > urgent {
+			ahead = min(ahead, less+(floorTurn-1)*n.cost)
+			less += floorTurn * n.cost
+		}
+		if n.bucket < lowest && t+time.Duration(float64(ahead)/slots)+n.cost > n.due {
+			first, lowest = at, n.bucket
+		}
+	}
+	return first
+}
+
+// admitFair refuses items until no more than the maximum wait, and all that wait can meet
+// their deadlines.
+func (q *Queue) admitFair(now time.Time) {
+	for len(q.order) > q.MaxLength {
+		q.rank(now)
+		last := 0
+		for at, i := range q.order {
+			if q.fair.nodes[i].bucket >= q.fair.nodes[q.order[last]].bucket {
+				last = at
+			}
+		}
+		q.refuseFair(last, retrier.Busy, now)
+	}
+	for {
+		late := q.firstLateFair(now)
+		if late < 0 {
+			return
+		}
+		q.refuseFair(q.victimFair(late), retrier.Late, now)
+	}
+}
+
+// victimFair returns the item to refuse so that the one at index late may be in time: of
+// those that are in the same bucket and served no later, the one with the lowest value per
+// service time, then the one that arrived last.
+func (q *Queue) victimFair(late int) int {
+	chosen := late
+	for at := range late {
+		x, y := &q.nodes[q.order[at]], &q.nodes[q.order[chosen]]
+		if q.fair.nodes[q.order[at]].bucket != q.fair.nodes[q.order[chosen]].bucket {
+			continue
+		}
+		value := time.Duration(q.weight(x.item.Class)) * q.meanService[y.item.Class]
+		other := time.Duration(q.weight(y.item.Class)) * q.meanService[x.item.Class]
+		if value < other || value == other && x.arrival > y.arrival {
+			chosen = at
+		}
+	}
+	return chosen
+}
+
+// refuseFair refuses the waiting node at index at.
+func (q *Queue) refuseFair(at int, cause retrier.Cause, now time.Time) {
+	i := q.order[at]
+	n := &q.fair.nodes[i]
+	e := q.fairRefusal(i, cause, now)
+	q.fair.list[n.account].wanted[n.priority].add(now.Sub(q.fair.epoch), n.cost)
+	q.remove(at)
+	q.release(i)
+	q.refused = append(q.refused, e)
+}
+
+// fairRefusal returns the event that refuses a waiting node. Its turn can come when the
+// work of its workspace that waits before it is done at the workspace's fair rate. The time
+// is spread by the request's hash, so that refused items don't come back together.
+func (q *Queue) fairRefusal(i int32, cause retrier.Cause, now time.Time) Event {
+	n := &q.fair.nodes[i]
+	e := Event{Ticket: q.ticket(i), Cause: cause}
+	ahead := time.Duration(0)
+	for _, o := range q.order {
+		other := &q.fair.nodes[o]
+		if o == i || other.account != n.account {
+			continue
+		}
+		if other.priority < n.priority || other.priority == n.priority && other.due <= n.due {
+			e.Place++
+			ahead += other.cost
+		}
+	}
+	pace := max(q.fair.list[n.account].urgency[n.priority].pace, 1/float64(q.Window.Limit()))
+	e.RetryAt = now.Add(q.nodes[i].item.spread(max(times(ahead, pace), n.cost)))
+	return e
+}
+
+// chooseFair returns the index of the item to serve next, or -1 if no class with waiting
+// items may use another slot.
+func (q *Queue) chooseFair(now time.Time) int {
+	q.rank(now)
+	first, lowest, urgent := -1, uint8(bucketCount), uint8(PriorityCount)
+	for at, i := range q.order {
+		n := &q.fair.nodes[i]
+		if q.classFull(n.class) {
+			continue
+		}
+		urgent = min(urgent, n.priority)
+		if n.bucket < lowest {
+			first, lowest = at, n.bucket
+		}
+	}
+	if first < 0 || lowest%PriorityCount > urgent {
+		q.fair.run = 0
+		return first
+	}
+	other := q.firstLessUrgent(urgent)
+	if other < 0 {
+		q.fair.run = 0
+		return first
+	}
+	q.fair.run++
+	if q.fair.run >= floorTurn {
+		q.fair.run = 0
+		return other
+	}
+	return first
+}
+
+// firstLessUrgent returns the index of the first item in the lowest tier that is less urgent
+// than a priority, or -1.
+func (q *Queue) firstLessUrgent(than uint8) int {
+	first, lowest := -1, uint8(tierCount)
+	for at, i := range q.order {
+		n := &q.fair.nodes[i]
+		if n.priority > than && n.tier() < lowest && !q.classFull(n.class) {
+			first, lowest = at, n.tier()
+			if lowest == 0 {
+				break
+			}
+		}
+	}
+	return first
+}
+
+// classFull reports whether a class has all the slots that it may use.
+func (q *Queue) classFull(c Class) bool {
+	n := q.Classes[c].Slots
+	return n > 0 && q.runningByClass[c] >= n
+}
+
+// spread lengthens a delay by up to a quarter, by the request's hash.
+func (it *Item) spread(d time.Duration) time.Duration {
+	return d + d/spreadDivisor*time.Duration(it.Spread%spreadSteps)/spreadSteps
+}
