conductor, forwarder, carrier: say whose request ended where, and who uses an upstream

The line of a request named neither its workspace nor the process that ran it, and no process knew which workspace uses an upstream.

The line has workspace, priority, gateway, queued, ran, and place for refusals; fields that say nothing are left out. The forwarder states the peer that gave an answer.

carrier accounts the service time of the last 10 s and the running statements of up to 64 workspaces for each upstream; the least used one makes room.

--- a/carrier/job.go
+++ b/carrier/job.go
@@ -98,12 +98,15 @@
 func (g *Group) exchange(u *upstream, r *run, deadline time.Time, commands ...Command) ([]Answer, bool, error) {
 	g.mu.Lock()
 	r.exchangeStartedAt = g.registry.Now()
+	account := u.usage.begin(r.workspace, r.exchangeStartedAt)
 	g.mu.Unlock()
 	answers, sent, err := r.conn.Exchange(deadline, commands...)
 	g.mu.Lock()
-	took := g.registry.Now().Sub(r.exchangeStartedAt)
+	now := g.registry.Now()
+	took := now.Sub(r.exchangeStartedAt)
+	account.end(took, now)
 	if err != nil && r.inDoubtIfLost && took > commitStallThreshold && u.wroteAt.Before(r.exchangeStartedAt) {
-		u.writeTimedOutAt = g.registry.Now()
+		u.writeTimedOutAt = now
 	}
 	r.exchangeStartedAt = time.Time{}
 	g.mu.Unlock()
@@ -134,7 +137,7 @@
 		j.markTried(u)
 		return nil, refusal(Busy, "no connection to the upstream: "+err.Error())
 	}
-	return &run{conn: c}, Answer{}
+	return &run{conn: c, workspace: j.Workspace}, Answer{}
 }
 
 // Run runs one statement outside of a transaction.
--- a/carrier/upstream.go
+++ b/carrier/upstream.go
@@ -43,6 +43,7 @@
 	lag              lag
 	rejectedAt       time.Time // when its gate last rejected a statement
 	failures         failureRate
+	usage            usage
 	mark             tracker.Mark // furthest position of its log that it has stated
 	drainBy          time.Time    // when it gets no more new work; zero while that is not known
 	drainEndReported bool         // the end of new work was logged
@@ -64,6 +65,7 @@
 // run is an operation of this proxy on an upstream.
 type run struct {
 	conn              *conn
+	workspace         string
 	exchangeStartedAt time.Time // when the running exchange began; zero between two
 	inDoubtIfLost     bool      // if its answer is lost its outcome is in doubt, so it is not aborted
 }
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -27,6 +27,9 @@
 
 // Session is the session of one caller. Set the exported fields before the first statement.
 type Session struct {
+	// Process is the name of this process. It is stated as the gateway of requests that were
+	// not forwarded.
+	Process  string
 	Database string
 	// Key is the fingerprint of the key that the caller presented.
 	Key cataloger.Fingerprint
@@ -40,7 +43,7 @@
 	// workspace, and returns a refusal when the quota is used up.
 	Admit func(job *carrier.Job) carrier.Answer
 	// Observe, when set, is called with the answer to each request.
-	Observe func(route cataloger.Route, a carrier.Answer, took time.Duration)
+	Observe func(o Outcome)
 	Log     *zap.Logger
 
 	mu       sync.Mutex // held while a statement runs
@@ -53,6 +56,7 @@
 	scope            scope     // of the open transaction
 	began            time.Time // when the BEGIN of the open transaction arrived
 	tx               carrier.Transaction
+	fields           []zap.Field           // of the last line that a request ended with, for the next one
 	pendingRollbacks []carrier.Transaction // rolled back once the caller has its answer
 	idleTimer        *time.Timer
 	statementCount   uint64 // so that an outdated idle timer does not end a newer transaction
@@ -228,9 +232,9 @@
 	job.Writes = writes
 	answer := s.admit(job)
 	if answer.Code == carrier.OK {
-		answer = group.Run(job, cmd)
+		answer = s.atGateway(group.Run(job, cmd))
 	}
-	s.recordOutcome(st, scope.route, answer, arrived)
+	s.recordOutcome(st, &Outcome{Route: scope.route, Job: job, Answer: answer, Took: s.Now().Sub(arrived)})
 	if answer.Code == carrier.OK && writes {
 		s.advanceMark(answer.Mark)
 	}
@@ -248,11 +252,11 @@
 	case s.isKeyRevoked():
 		answer = forbiddenAnswer()
 	case s.tx != nil:
-		answer = s.tx.Do(job, cmd)
+		answer = s.atGateway(s.tx.Do(job, cmd))
 	default:
 		answer = s.startTransaction(job, cmd)
 	}
-	s.recordOutcome(st, s.scope.route, answer, arrived)
+	s.recordOutcome(st, &Outcome{Route: s.scope.route, Job: job, Answer: answer, Took: s.Now().Sub(arrived)})
 	if answer.Code != carrier.OK {
 		s.detachTransaction()
 		s.state = carrier.InFailedTransaction
@@ -274,7 +278,7 @@
 	}
 	tx, answer := group.Start(job, s.readOnly, cmd)
 	s.tx = tx
-	return answer
+	return s.atGateway(answer)
 }
 
 func (s *Session) newJob(st Statement, in scope, arrived time.Time) *carrier.Job {
@@ -315,10 +319,10 @@
 	if s.tx == nil {
 		return s.commitEmpty(st, job, cmd)
 	}
-	answer := s.tx.Commit(job, cmd)
+	answer := s.atGateway(s.tx.Commit(job, cmd))
 	s.tx = nil
 	s.endTransaction()
-	s.recordOutcome(st, s.scope.route, answer, arrived)
+	s.recordOutcome(st, &Outcome{Route: s.scope.route, Job: job, Answer: answer, Took: s.Now().Sub(arrived)})
 	if answer.Code == carrier.OK {
 		s.advanceMark(answer.Mark)
 	}
@@ -332,11 +336,11 @@
 	if group, ok := s.Group(s.scope.route.Group); ok {
 		job.Writes = !s.readOnly
 		if answer = s.admit(job); answer.Code == carrier.OK {
-			answer = group.CommitEmpty(job, s.readOnly, cmd)
+			answer = s.atGateway(group.CommitEmpty(job, s.readOnly, cmd))
 		}
 	}
 	s.endTransaction()
-	s.recordOutcome(st, s.scope.route, answer, s.began)
+	s.recordOutcome(st, &Outcome{Route: s.scope.route, Job: job, Answer: answer, Took: s.Now().Sub(s.began)})
 	return replyFrom(answer)
 }
 
@@ -383,36 +387,6 @@
 	return Reply{Rows: a.Rows, Signature: a.Signature, Code: a.Code, Text: a.Text, Mark: a.Mark}
 }
 
-// mayWrite reports whether a statement may change data: a write, the execution of a prepared
-// statement that writes, or the commit of a transaction that is not read-only.
-func (s *Session) mayWrite(st Statement) bool {
-	switch st.Verb {
-	case Write:
-		return true
-	case Execute:
-		return s.prepared[st.Name].Writes
-	case Commit:
-		return !s.readOnly
-	default:
-		return false
-	}
-}
-
-// recordOutcome logs how a request ended and why, and reports it to Observe.
-func (s *Session) recordOutcome(st Statement, route cataloger.Route, a carrier.Answer, arrived time.Time) {
-	took := s.Now().Sub(arrived)
-	if s.Observe != nil {
-		s.Observe(route, a, took)
-	}
-	if ce := s.Log.Check(zap.InfoLevel, "conductor: request ended"); ce != nil {
-		ce.Write(zap.String("request", st.ID), zap.String("database", s.Database), zap.String("group", route.Group),
-			zap.String("upstream", a.Upstream), zap.Bool("led", a.Led), zap.Stringer("freshness", route.Freshness),
-			zap.Bool("writes", s.mayWrite(st)), zap.Stringer("code", a.Code), zap.String("cause", a.Text),
-			zap.Duration("took", took), zap.Duration("waited", a.Waited), zap.Duration("objective", route.Objective),
-			zap.Duration("timeout", route.Timeout), zap.Uint64("configuration", s.View().Config.Version))
-	}
-}
-
 // startIdleTimer starts a timer that ends the open transaction when its caller leaves it idle
 // for too long: it occupies a connection that others wait for.
 func (s *Session) startIdleTimer() {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -241,3 +241,18 @@
 	f.Gateways = func(string) []Candidate { return []Candidate{cutOff(0), cutOff(1), cutOff(2), {Address: at(3)}} }
 	is.True(f.AreGatewaysIsolated("g")) // as many as a statement is offered to
 }
+
+// Guards against refusals and lost answers that nobody can trace to the process that gave
+// them, and against a peer that claims another name.
+func TestAnswersNameThePeer(t *testing.T) {
+	is := is.New(t)
+	f := newFleet("away", "home")
+	is.Equal(f.run(false).Gateway, "home")
+	f.sendErrors[at(1)] = errLost
+	is.Equal(f.run(true).Gateway, "home") // in doubt there
+	is.Equal(answerFrom(Candidate{Name: "home"}, carrier.Answer{Gateway: "another"}).Gateway, "home")
+	tx := &remoteTx{f: &f.Forwarder, peer: f.gateways("g")[0], group: "g", open: true}
+	j := &carrier.Job{Arrived: f.now, Deadline: time.Now().Add(time.Second)}
+	is.Equal(tx.Do(j, carrier.Command{}).Gateway, "away")
+	is.Equal(tx.Commit(j, carrier.Command{}).Gateway, "away")
+}
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -134,21 +134,28 @@
 	switch {
 	case err == nil && !resp.Refused && !isUnavailable(resp.Answer):
 		log.Debug("forwarder: statement run by a peer", zap.String("request", s.job.Request), zap.String("peer", peer.Name))
-		return resp.Answer, true
+		return answerFrom(peer, resp.Answer), true
 	case err == nil:
 		log.Info("forwarder: peer refused the statement", zap.String("request", s.job.Request), zap.String("peer", peer.Name))
 		return carrier.Answer{}, false
 	case errors.Is(err, ErrUnsent):
 		return carrier.Answer{}, false
 	case a == runOne && s.job.Writes || a == commitEmpty:
-		return carrier.Answer{Code: carrier.InDoubt, Text: "peer lost after the statement was sent"}, true
+		return answerFrom(peer, carrier.Answer{Code: carrier.InDoubt, Text: "peer lost after the statement was sent"}), true
 	case time.Until(s.job.Deadline) <= 0:
-		return carrier.Answer{Code: carrier.Timeout, Text: "no answer of a peer in time"}, true
+		return answerFrom(peer, carrier.Answer{Code: carrier.Timeout, Text: "no answer of a peer in time"}), true
 	default:
 		return carrier.Answer{}, false
 	}
 }
 
+// answerFrom returns the answer to a statement that was forwarded to a peer. The peer is stated
+// under the name that this process knows, whatever the answer says.
+func answerFrom(peer Candidate, a carrier.Answer) carrier.Answer {
+	a.Gateway = peer.Name
+	return a
+}
+
 // Start implements carrier.Runner.
 func (g *groupRunner) Start(j *carrier.Job, readOnly bool, cmd carrier.Command) (carrier.Transaction, carrier.Answer) {
 	s := g.newSearch(j)
@@ -224,10 +231,10 @@
 	resp, err := t.send(doTx, j, cmd)
 	if err != nil || resp.Refused {
 		t.open = false
-		return carrier.Answer{Code: carrier.Aborted, Text: "peer lost inside the transaction", State: carrier.InFailedTransaction}
+		return answerFrom(t.peer, carrier.Answer{Code: carrier.Aborted, Text: "peer lost inside the transaction", State: carrier.InFailedTransaction})
 	}
 	t.open = resp.Answer.Code == carrier.OK
-	return resp.Answer
+	return answerFrom(t.peer, resp.Answer)
 }
 
 // Commit implements carrier.Transaction.
@@ -236,11 +243,11 @@
 	resp, err := t.send(commitTx, j, cmd)
 	switch {
 	case err != nil && t.wrote && !errors.Is(err, ErrUnsent):
-		return carrier.Answer{Code: carrier.InDoubt, Text: "peer lost after the commit was sent"}
+		return answerFrom(t.peer, carrier.Answer{Code: carrier.InDoubt, Text: "peer lost after the commit was sent"})
 	case err != nil || resp.Refused:
-		return carrier.Answer{Code: carrier.Aborted, Text: "peer lost the transaction"}
+		return answerFrom(t.peer, carrier.Answer{Code: carrier.Aborted, Text: "peer lost the transaction"})
 	default:
-		return resp.Answer
+		return answerFrom(t.peer, resp.Answer)
 	}
 }
 
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -299,17 +299,10 @@
 		p.Log.Info("proxier: caller refused, key unknown", zap.String("database", database), zap.Stringer("key", key), zap.Uint64("configuration", view.Config.Version))
 		return nil, carrier.Forbidden, "the key is unknown"
 	}
-	s := &conductor.Session{Database: database, Key: key, View: p.cache.current, Group: p.group, Now: bootClock, Admit: p.quotas.admit, Observe: p.recordRequest, Log: p.Log}
+	s := &conductor.Session{Process: p.Settings.Name, Database: database, Key: key, View: p.cache.current, Group: p.group, Now: bootClock, Admit: p.quotas.admit, Observe: p.recordRequest, Log: p.Log}
 	return s, carrier.OK, ""
 }
 
-// recordRequest counts and times a request.
-func (p *Proxier) recordRequest(route cataloger.Route, a carrier.Answer, took time.Duration) {
-	class := route.Freshness.String()
-	p.meter.Series(route.Group, class).Observe(meter.Timing{Wait: a.Waited, Upstream: a.Ran, Total: took})
-	p.meter.Outcome(route.Group, class, a.Code.String())
-}
-
 // buildStoreSync creates the watchers of the store, and the syncers that fetch newer versions
 // from peers.
 func (p *Proxier) buildStoreSync() {
