--- a/adapter/reporter/seconds.go
+++ b/adapter/reporter/seconds.go
@@ -25,3 +25,6 @@
 	*s = Seconds(v * float64(time.Second))
 	return nil
 }
+
+// Seconds returns s as a number.
+func (s Seconds) Seconds() float64 { return time.Duration(s).Seconds() }
--- a/cmd/basildale/cli.go
+++ b/cmd/basildale/cli.go
@@ -33,6 +33,7 @@
 	Status   statusCmd   `cmd:"" help:"Show what a running process sees: groups, upstreams, peers, preset."`
 	Explain  explainCmd  `cmd:"" help:"Show decisions of a running process with their reasons."`
 	Losses   lossesCmd   `cmd:"" help:"Tell from logs where requests were lost, and why."`
+	Usage    usageCmd    `cmd:"" help:"Show which workspaces use which upstream, over the whole fleet."`
 	Drain    drainCmd    `cmd:"" help:"Stop a running process gracefully."`
 	Breaker  breakerCmd  `cmd:"" help:"Force an upstream's circuit breaker at a running process."`
 	Apply    applyCmd    `cmd:"" help:"Make the fleet's objects what documents say."`
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -270,6 +270,7 @@
 	mux.Handle("/", r.Handler())
 	mux.HandleFunc("GET /known", p.serveKnown)
 	mux.HandleFunc("GET /configuration", p.serveConfiguration)
+	mux.Handle("GET /usage", p.newUsageQuery())
 	return mux
 }
 
