auditor, cmd: losses by workspace, priority, group and gateway, without keeping lines

Losses told nothing of who used an upstream and who was refused, and kept each line: 456 MB for one million lines of 384 bytes.

--- a/auditor/audit.go
+++ b/auditor/audit.go
@@ -1,15 +1,11 @@
 package auditor
 
 import (
-	"bufio"
 	"cmp"
-	"io"
 	"maps"
 	"regexp"
 	"slices"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -19,8 +15,6 @@
 	// planned change of leader takes some tenths of a second away, in a group that is
 	// asked for a write each 40 ms.
 	leastGap = 300 * time.Millisecond
-	// longestLine bounds a log line; those of the processes have up to a kilobyte.
-	longestLine = 1 << 20
 )
 
 // numbers are what causes differ in that are the same: how long to wait, positions.
@@ -64,42 +58,55 @@
 	Skipped int `json:"skipped"`
 }
 
-// Audit collects lines of any number of processes, in any order. Its zero value is ready
-// for use.
+// Audit counts what lines of any number of processes tell, read in any order. Its zero value is
+// ready for use. It keeps one row for each group and span, and 16 bytes for each write; lines
+// are not kept. It must be used by one goroutine.
 type Audit struct {
-	lines   []line
+	// By, when set before the first Read, has requests counted by it, for Shares. Nothing is
+	// kept for Report then.
+	By Dimension
+
+	rows    map[rowKey]*Row
+	groups  map[string]*groupLog
+	shares  map[string]*Share
 	skipped int
 }
 
-// Read takes in the lines of one log.
-func (a *Audit) Read(r io.Reader) error {
-	s := bufio.NewScanner(r)
-	s.Buffer(nil, longestLine)
-	for s.Scan() {
-		l, ok := parse(s.Bytes())
-		switch {
-		case !ok:
-			a.skipped++
-		case relevant(l.Message):
-			a.lines = append(a.lines, l)
-		}
-	}
-	return errors.Wrap(s.Err(), "auditor: read a log")
+// rowKey identifies a row by the number of its span and its group.
+type rowKey struct {
+	span  int64
+	group string
 }
 
-func relevant(message string) bool {
-	switch message {
-	case ended, changed, verify, guard, halt, promote:
-		return true
+// add takes in a line.
+func (a *Audit) add(l *line) {
+	switch {
+	case a.By != "":
+		a.addShare(l)
+	case l.Message == ended:
+		a.addRow(l)
+		a.group(l.Group).addRequest(l)
 	default:
-		return false
+		a.group(l.Group).addStep(l)
 	}
 }
 
+func (a *Audit) addRow(l *line) {
+	k := rowKey{l.At.UnixNano() / int64(Span), l.Group}
+	r := a.rows[k]
+	if r == nil {
+		if a.rows == nil {
+			a.rows = map[rowKey]*Row{}
+		}
+		r = &Row{From: time.Unix(0, k.span*int64(Span)).UTC(), Group: l.Group, Refused: map[string]int{}}
+		a.rows[k] = r
+	}
+	r.count(l)
+}
+
 // Report returns what the lines tell.
 func (a *Audit) Report() Report {
-	slices.SortStableFunc(a.lines, func(x, y line) int { return x.At.Compare(y.At) })
-	out := Report{Rows: a.rows(), Gaps: a.gaps(), Skipped: a.skipped}
+	out := Report{Rows: a.sortedRows(), Gaps: a.gaps(), Skipped: a.skipped}
 	reads, replicas := 0, 0
 	for _, r := range out.Rows {
 		reads += r.Reads
@@ -111,36 +118,19 @@
 	return out
 }
 
-func (a *Audit) rows() []Row {
-	type key struct {
-		span  int64
-		group string
-	}
-	rows := map[key]*Row{}
-	for _, l := range a.lines {
-		if l.Message != ended {
-			continue
-		}
-		k := key{l.At.UnixNano() / int64(Span), l.Group}
-		r := rows[k]
-		if r == nil {
-			r = &Row{From: time.Unix(0, k.span*int64(Span)).UTC(), Group: l.Group, Refused: map[string]int{}}
-			rows[k] = r
-		}
-		r.count(l)
-	}
-	order := slices.SortedFunc(maps.Keys(rows), func(x, y key) int {
+func (a *Audit) sortedRows() []Row {
+	order := slices.SortedFunc(maps.Keys(a.rows), func(x, y rowKey) int {
 		return cmp.Or(cmp.Compare(x.span, y.span), cmp.Compare(x.group, y.group))
 	})
 	out := make([]Row, 0, len(order))
 	for _, k := range order {
-		out = append(out, *rows[k])
+		out = append(out, *a.rows[k])
 	}
 	return out
 }
 
 // count takes in how one request ended.
-func (r *Row) count(l line) {
+func (r *Row) count(l *line) {
 	r.Asked++
 	switch {
 	case l.Code == codeOK && l.Took <= l.Objective:
@@ -150,7 +140,7 @@
 	case l.Code == inDoubt:
 		r.Doubt++
 	default:
-		r.Refused[l.Code+": "+numbers.ReplaceAllString(l.Cause, "N")]++
+		r.Refused[l.refusal()]++
 	}
 	if l.Code == codeOK && !l.Writes {
 		r.Reads++
