proxier: a reload names only the choices and weights that changed

The line printed all choices before and after, and with weights of many workspaces nobody could see which one differed.

It lists each change with its old and new value, at most 32 of them. A default that is spelled out is no change.

--- a/proxier/load.go
+++ b/proxier/load.go
@@ -1,7 +1,10 @@
 package proxier
 
 import (
-	"reflect"
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -16,9 +19,49 @@
 func (p *Proxier) setLoad(s *loader.Settings) {
 	next := s.Load.Or(translator.Load(s.Rules))
 	previous := p.load.Swap(&next)
-	if previous != nil && !reflect.DeepEqual(*previous, next) {
-		p.Log.Info("proxier: choices under load changed", zap.Any("before", *previous), zap.Any("now", next))
+	if previous == nil {
+		return
 	}
+	if changes := changedChoices(previous, &next); len(changes) > 0 {
+		p.Log.Info("proxier: choices under load changed", zap.Strings("changes", changes))
+	}
+}
+
+// maxLoggedChanges bounds the changes that one line names.
+const maxLoggedChanges = 32
+
+// changedChoices returns the choices and weights that differ, each with its old and new value.
+func changedChoices(before, now *loader.Choices) []string {
+	var out []string
+	for _, c := range []struct {
+		name                  string
+		before, now, standard loader.Choice
+	}{
+		{"admission", before.Admission, now.Admission, loader.Plain},
+		{"quota", before.Quota, now.Quota, loader.Plain},
+		{"gateways", before.Gateways, now.Gateways, loader.Fixed},
+		{"placement", before.Placement, now.Placement, loader.Fixed},
+		{"connections", before.Connections, now.Connections, loader.Plain},
+		{"division", before.Division, now.Division, loader.Equal},
+	} {
+		if was, is := cmp.Or(c.before, c.standard), cmp.Or(c.now, c.standard); was != is {
+			out = append(out, fmt.Sprintf("%s: %s to %s", c.name, was, is))
+		}
+	}
+	names := maps.Clone(now.Weights)
+	if names == nil {
+		names = map[string]float64{}
+	}
+	maps.Copy(names, before.Weights)
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		if was, is := before.Weight(name), now.Weight(name); was != is {
+			out = append(out, fmt.Sprintf("weight of %s: %g to %g", name, was, is))
+		}
+	}
+	if more := len(out) - maxLoggedChanges; more > 0 {
+		out = append(out[:maxLoggedChanges], fmt.Sprintf("%d more", more))
+	}
+	return out
 }
 
 // loadChoices returns the choices in force.
