meter, proxier, conductor: count requests by workspace and forwarded statements

No metric told one workspace from another, nor which gateway statements went to.

The sessions of a process share the fields of the line of a request; kept by each session they took 1.3 kB of every idle one.

--- a/adapter/reporter/metrics.go
+++ b/adapter/reporter/metrics.go
@@ -99,7 +99,7 @@
 	switch value.(type) {
 	case *meter.Histogram:
 		return "histogram"
-	case metrics.Counter:
+	case metrics.Counter, *meter.Seconds:
 		return "counter"
 	case metrics.Gauge, metrics.GaugeFloat64:
 		return "gauge"
--- a/adapter/reporter/reporter_test.go
+++ b/adapter/reporter/reporter_test.go
@@ -1,6 +1,7 @@
 package reporter
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -143,3 +144,18 @@
 	_, err = c.Status(ctx)
 	is.True(errors.Is(err, ErrSilent))
 }
+
+// Guards against a sum of seconds that is served as a gauge, or cut to whole seconds.
+func TestSumsOfSecondsAreCounters(t *testing.T) {
+	is := is.New(t)
+	r := metrics.NewRegistry()
+	var s meter.Seconds
+	s.Add(1500 * time.Millisecond)
+	is.NoErr(r.Register("basildale_x_seconds_total", &s))
+	list := collect(r)
+	is.Equal(kind(list[0].value), "counter")
+	var b bytes.Buffer
+	list[0].write(&b)
+	is.Equal(b.String(), "basildale_x_seconds_total 1.5\n")
+	is.Equal(*list[0].metric().Value, 1.5)
+}
--- a/auditor/doc.go
+++ b/auditor/doc.go
@@ -6,6 +6,10 @@
 // refused and why, or in doubt; what share of reads replicas ran; and for how long no
 // write was acknowledged, with what a change of leader spent that time on.
 //
+// It also tells who used the upstreams: an audit by workspace, priority, group or gateway
+// counts for each what became of its requests, and their share of the service time. Lines
+// are counted as they are read, so that logs of any length can be audited.
+//
 // # Usage
 //
 //	var a auditor.Audit
@@ -13,4 +17,7 @@
 //		return err
 //	}
 //	report := a.Report()
+//
+//	b := auditor.Audit{By: auditor.ByWorkspace} // read likewise
+//	shares := b.Shares()
 package auditor
--- a/carrier/usage.go
+++ b/carrier/usage.go
@@ -13,7 +13,7 @@
 	// an upstream is summed.
 	usageSeconds = 10
 	// maxUsageAccounts is the number of workspaces with an account of their own at one
-	// upstream. A gateway has statements of some ten at a time; 64 accounts take 8 KiB.
+	// upstream. Together with their names' entries they take 11 kB.
 	maxUsageAccounts = 64
 )
 
--- a/carrier/usage_test.go
+++ b/carrier/usage_test.go
@@ -87,3 +87,21 @@
 	is.Equal(list[0].Workspaces[0], WorkspaceUsage{"w0", 200 * time.Millisecond, 0})
 	is.Equal(list[0].Slots, 4)
 }
+
+func BenchmarkUsage(b *testing.B) {
+	for _, n := range []int{maxUsageAccounts, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			names := make([]string, n)
+			for i := range names {
+				names[i] = fmt.Sprint("workspace-", i)
+			}
+			var u usage
+			now := time.Unix(1000, 0)
+			i := 0
+			for b.Loop() {
+				i++
+				u.begin(names[i%n], now).end(time.Millisecond, now.Add(time.Duration(i)*time.Millisecond))
+			}
+		})
+	}
+}
--- a/conductor/outcome.go
+++ b/conductor/outcome.go
@@ -41,9 +41,22 @@
 	}
 }
 
+// maxOutcomeFields is the number of fields of the line that a request ends with.
+const maxOutcomeFields = 20
+
+// takeFields returns an empty slice for the fields of a line.
+func (s *Session) takeFields() *[]zap.Field {
+	if s.Fields != nil {
+		if slice, ok := s.Fields.Get().(*[]zap.Field); ok {
+			return slice
+		}
+	}
+	slice := make([]zap.Field, 0, maxOutcomeFields)
+	return &slice
+}
+
 // recordOutcome logs how a request ended and why, and reports it to Observe. Fields that say
-// nothing are left out of the line, and the slice of fields is used again, because the line is
-// written for each request.
+// nothing are left out of the line: it is written for each request.
 func (s *Session) recordOutcome(st Statement, o *Outcome) {
 	if s.Observe != nil {
 		s.Observe(*o)
@@ -53,7 +66,8 @@
 		return
 	}
 	route, a := &o.Route, &o.Answer
-	fields := append(s.fields[:0], zap.String("request", st.ID), zap.String("database", s.Database), zap.String("group", route.Group),
+	slice := s.takeFields()
+	fields := append(*slice, zap.String("request", st.ID), zap.String("database", s.Database), zap.String("group", route.Group),
 		zap.String("upstream", a.Upstream), zap.Bool("led", a.Led), zap.Stringer("freshness", route.Freshness),
 		zap.Bool("writes", s.mayWrite(st)), zap.Stringer("code", a.Code), zap.String("cause", a.Text),
 		zap.Duration("took", o.Took), zap.Duration("waited", a.Waited), zap.Duration("objective", route.Objective),
@@ -74,5 +88,9 @@
 		fields = append(fields, zap.Int("place", a.Place))
 	}
 	ce.Write(fields...)
-	s.fields = fields
+	if s.Fields != nil {
+		clear(fields) // they refer to the answer
+		*slice = fields[:0]
+		s.Fields.Put(slice)
+	}
 }
--- a/conductor/outcome_bench_test.go
+++ b/conductor/outcome_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,7 +30,7 @@
 func BenchmarkRecordOutcome(b *testing.B) {
 	s, _ := newSession()
 	var out countingWriter
-	s.Log = logTo(&out)
+	s.Log, s.Fields = logTo(&out), &sync.Pool{}
 	route := s.View().Config.Routes[0]
 	a := carrier.Answer{Code: carrier.OK, Upstream: "i-264bb7ac34", Waited: 3 * time.Millisecond, Ran: 14 * time.Millisecond}
 	a.Gateway, a.Queued = "front-olintepeque-2", 2*time.Millisecond
--- a/conductor/outcome_test.go
+++ b/conductor/outcome_test.go
@@ -3,6 +3,7 @@
 import (
 	"regexp"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,7 +21,7 @@
 	s, g := newSession()
 	s.Process = "front-cantel-1"
 	var out strings.Builder
-	s.Log = logTo(&out)
+	s.Log, s.Fields = logTo(&out), &sync.Pool{} // a line has no fields of the one before
 	job := &carrier.Job{Workspace: "encuestas-norte", Priority: 1}
 	route := s.View().Config.Routes[0]
 	end := func(id string, a carrier.Answer) {
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -44,7 +44,10 @@
 	Admit func(job *carrier.Job) carrier.Answer
 	// Observe, when set, is called with the answer to each request.
 	Observe func(o Outcome)
-	Log     *zap.Logger
+	// Fields, when set, holds slices of log fields that the sessions of a process share, so
+	// that a line costs no new one and an idle session keeps none.
+	Fields *sync.Pool
+	Log    *zap.Logger
 
 	mu       sync.Mutex // held while a statement runs
 	values   []carrier.Value
@@ -56,7 +59,6 @@
 	scope            scope     // of the open transaction
 	began            time.Time // when the BEGIN of the open transaction arrived
 	tx               carrier.Transaction
-	fields           []zap.Field           // of the last line that a request ended with, for the next one
 	pendingRollbacks []carrier.Transaction // rolled back once the caller has its answer
 	idleTimer        *time.Timer
 	statementCount   uint64 // so that an outdated idle timer does not end a newer transaction
--- a/meter/doc.go
+++ b/meter/doc.go
@@ -17,6 +17,9 @@
 // all the same the number of series is bounded, and what is beyond the bound is
 // recorded under the tenant [Other], since each series takes about 10 KiB.
 //
+// [Workspaces] counts requests by workspace for those with the most, and [Forwards] the
+// statements that are forwarded to peers; both bound their series as well.
+//
 // # Usage
 //
 //	m := &meter.Meter{Registry: metrics.NewRegistry()}
@@ -24,4 +27,7 @@
 //	series.Observe(meter.Timing{Wait: wait, Upstream: upstream, Total: total})
 //	m.Outcome("damplinjerne", "booking", "done")
 //	m.Route("replica-fresh")
+//
+//	w := &meter.Workspaces{Registry: m.Registry}
+//	w.Record(meter.Request{Workspace: "acme", Outcome: meter.Late, Queued: queued})
 package meter
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -90,6 +90,9 @@
 	receiver        *receiver.Receiver
 	registry        metrics.Registry
 	meter           *meter.Meter
+	workspaces      *meter.Workspaces
+	forwards        *meter.Forwards
+	lineFields      sync.Pool // shared by the sessions
 	client          *http.Client
 	fullReads       readTimes
 	stopTimeout     atomic.Int64 // of a graceful stop, as a time.Duration
@@ -193,6 +196,7 @@
 	p.setLoad(s)
 	p.registry = metrics.NewRegistry()
 	p.meter = &meter.Meter{Registry: p.registry}
+	p.workspaces, p.forwards = &meter.Workspaces{Registry: p.registry}, &meter.Forwards{Registry: p.registry}
 	p.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, DisableCompression: true}}
 	p.store = &keeper.Client{Addrs: s.Platform, Transport: &translator.Transport{Base: translator.Base()}, Renewed: p.onStoreRestored, Dropped: p.onAnswerDropped}
 	dialer := &connector.Connector{Name: s.Name}
@@ -300,7 +304,7 @@
 		p.Log.Info("proxier: caller refused, key unknown", zap.String("database", database), zap.Stringer("key", key), zap.Uint64("configuration", view.Config.Version))
 		return nil, carrier.Forbidden, "the key is unknown"
 	}
-	s := &conductor.Session{Process: p.Settings.Name, Database: database, Key: key, View: p.cache.current, Group: p.group, Now: bootClock, Admit: p.quotas.admit, Observe: p.recordRequest, Log: p.Log}
+	s := &conductor.Session{Process: p.Settings.Name, Database: database, Key: key, View: p.cache.current, Group: p.group, Now: bootClock, Admit: p.quotas.admit, Observe: p.recordRequest, Fields: &p.lineFields, Log: p.Log}
 	return s, carrier.OK, ""
 }
 
--- a/proxier/usage_query_test.go
+++ b/proxier/usage_query_test.go
@@ -65,7 +65,8 @@
 	peers := []usagePeer{
 		answering(t, "front-2", http.StatusOK, reportOf(t, "front-2", append(
 			using("billet-db-1", "i-264bb7ac34", true, 9, carrier.WorkspaceUsage{Workspace: "encuestas-sur", Busy: 14200 * time.Millisecond, Running: 2}, carrier.WorkspaceUsage{Workspace: "encuestas-norte", Busy: 400 * time.Millisecond}),
-			using("billet-db-1", "i-32fb964a04", false, 0, carrier.WorkspaceUsage{Workspace: "encuestas-sur", Busy: 3100 * time.Millisecond, Running: 1})...))),
+			using("billet-db-1", "i-32fb964a04", false, 0, carrier.WorkspaceUsage{Workspace: "encuestas-sur", Busy: 3100 * time.Millisecond, Running: 1})...,
+		))),
 		answering(t, "front-3", http.StatusOK, "not a report"),
 		answering(t, "front-4", http.StatusOK, `{"upstreams":[{"group":"billet-db-1","upstream":"i-264bb7ac34","waiting":-1}]}`),
 		answering(t, "front-5", http.StatusOK, strings.Repeat(" ", 1<<20)),
--- a/proxier/usage_sum.go
+++ b/proxier/usage_sum.go
@@ -15,11 +15,11 @@
 // Bounds of the use that processes report.
 const (
 	// maxReportedWorkspaces is the number of workspaces at one upstream that a process
-	// reports. With them a report of a process that uses 100 upstreams stays below half of
+	// reports. The report of one that uses 100 upstreams then has 250 kB, half of
 	// maxUsageReport.
 	maxReportedWorkspaces = 32
 	// maxSummedUpstreams and maxSummedWorkspaces bound a sum over the whole fleet, whatever
-	// its processes report. At 300 bytes each, the workspaces take 6 MiB.
+	// its processes report. So many workspaces take 2 MB.
 	maxSummedUpstreams  = 4096
 	maxSummedWorkspaces = 20_000
 	// maxReportedBusy is more service time than one process can have at an upstream in ten
