docs: from a workspace that was slowed down to its cause

The page for operators had no way from a report of one workspace to who used the upstream.

A test compares the lines and tables with the golden files of what the program prints.

--- a/cmd/basildale/docs_test.go
+++ b/cmd/basildale/docs_test.go
@@ -85,7 +85,7 @@
 			}
 		}
 	}
-	for _, metric := range []string{meter.WaitSeconds, meter.UpstreamSeconds, meter.TotalSeconds, meter.Outcomes, meter.Routes, meter.Callers} {
+	for _, metric := range []string{meter.WaitSeconds, meter.UpstreamSeconds, meter.TotalSeconds, meter.Outcomes, meter.Routes, meter.Callers, meter.WorkspaceRequests, meter.WorkspaceRefusals, meter.WorkspaceQueued, meter.Forwarded} {
 		need("`" + metric + "`")
 	}
 	is.Equal(missing, nil) // not on the page
@@ -116,3 +116,24 @@
 		}
 	}
 }
+
+// Guards against lines and tables on the page that the program prints otherwise: those of its
+// golden files stand there word for word.
+func TestOperatorsPageShowsWhatIsPrinted(t *testing.T) {
+	is := is.New(t)
+	page := pages(t)["OPERATIONS.md"]
+	for _, name := range []string{
+		"testdata/losses-workspace.golden", "testdata/losses-priority.golden", "testdata/losses-gateway.golden", "testdata/usage.golden",
+		root + "/conductor/testdata/ended.golden", root + "/proxier/testdata/changed.golden",
+	} {
+		data, err := os.ReadFile(name)
+		is.NoErr(err)
+		var block strings.Builder
+		for line := range strings.Lines(string(data)) {
+			block.WriteString(strings.TrimRight("    "+line, " \n") + "\n")
+		}
+		if !strings.Contains(page, block.String()) {
+			t.Errorf("%s is not on the page:\n%s", name, block.String())
+		}
+	}
+}
