--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -90,6 +90,9 @@
 	receiver        *receiver.Receiver
 	registry        metrics.Registry
 	meter           *meter.Meter
+	workspaces      *meter.Workspaces
+	forwards        *meter.Forwards
+	lineFields      sync.Pool // shared by the sessions
 	client          *http.Client
 	fullReads       readTimes
 	stopTimeout     atomic.Int64 // of a graceful stop, as a time.Duration
@@ -193,6 +196,7 @@
 	p.setLoad(s)
 	p.registry = metrics.NewRegistry()
 	p.meter = &meter.Meter{Registry: p.registry}
+	p.workspaces, p.forwards = &meter.Workspaces{Registry: p.registry}, &meter.Forwards{Registry: p.registry}
 	p.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, DisableCompression: true}}
 	p.store = &keeper.Client{Addrs: s.Platform, Transport: &translator.Transport{Base: translator.Base()}, Renewed: p.onStoreRestored, Dropped: p.onAnswerDropped}
 	dialer := &connector.Connector{Name: s.Name}
@@ -271,6 +275,7 @@
 	mux.Handle("/", r.Handler())
 	mux.HandleFunc("GET /known", p.serveKnown)
 	mux.HandleFunc("GET /configuration", p.serveConfiguration)
+	mux.Handle("GET /usage", p.newUsageQuery())
 	return mux
 }
 
@@ -300,17 +305,10 @@
 		p.Log.Info("proxier: caller refused, key unknown", zap.String("database", database), zap.Stringer("key", key), zap.Uint64("configuration", view.Config.Version))
 		return nil, carrier.Forbidden, "the key is unknown"
 	}
-	s := &conductor.Session{Database: database, Key: key, View: p.cache.current, Group: p.group, Now: bootClock, Admit: p.quotas.admit, Observe: p.recordRequest, Log: p.Log}
+	s := &conductor.Session{Process: p.Settings.Name, Database: database, Key: key, View: p.cache.current, Group: p.group, Now: bootClock, Admit: p.quotas.admit, Observe: p.recordRequest, Fields: &p.lineFields, Log: p.Log}
 	return s, carrier.OK, ""
 }
 
-// recordRequest counts and times a request.
-func (p *Proxier) recordRequest(route cataloger.Route, a carrier.Answer, took time.Duration) {
-	class := route.Freshness.String()
-	p.meter.Series(route.Group, class).Observe(meter.Timing{Wait: a.Waited, Upstream: a.Ran, Total: took})
-	p.meter.Outcome(route.Group, class, a.Code.String())
-}
-
 // buildStoreSync creates the watchers of the store, and the syncers that fetch newer versions
 // from peers.
 func (p *Proxier) buildStoreSync() {
