delegator: decide about loans of connections to a group's leader

A group whose leader is unreachable from all of its gateways refuses its statements, though other processes reach the leader.

--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -23,7 +23,7 @@
 
 // decisions lists the packages that are pure functions of state, event and time.
 var decisions = []string{
-	"assigner", "breaker", "cataloger", "checker", "classifier", "configurator", "confirmer", "controller",
+	"assigner", "breaker", "cataloger", "checker", "classifier", "configurator", "confirmer", "controller", "delegator",
 	"fetcher", "framer", "leaver", "limiter", "marker", "membership", "placer", "pooler", "promoter", "replacer",
 	"retrier", "router", "throttler", "tracker", "versioner",
 }
