forwarder, carrier, proxier: substitutes for gateways cut off from the leader

With load.gateways: reach a gateway that does not reach the leader lends its connections there to a process that does, and a refusal names that process, so that the statement goes there at once. Refusals name a delay within the caller's deadline. Statements of a gateway's own callers use its substitute.

--- a/carrier/command.go
+++ b/carrier/command.go
@@ -141,8 +141,8 @@
 	Held tracker.Term
 }
 
-// Link is one connection to an upstream. All methods but Abort must be called by one
-// goroutine at a time.
+// Link is one connection to an upstream. All methods but Abort and Close must be called by
+// one goroutine at a time.
 type Link interface {
 	// Exchange sends all commands in one write and returns their answers in order. After an
 	// error the link cannot be used again; sent reports whether any byte may have reached
--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -43,6 +43,7 @@
 	workspace string
 	values    []Value // in the order in which they were set
 	prepared  map[Prepared]bool
+	cut       bool // it was closed while in use; guarded by the group's lock
 }
 
 // setupCommands returns the commands that give the connection a session's state. They are
--- a/carrier/group.go
+++ b/carrier/group.go
@@ -50,6 +50,10 @@
 	active bool
 	// peerLoads holds the latest loads that peers have reported, by name.
 	peerLoads map[string]peerLoad
+	// limit replaces the share of the connections to one upstream; nil where there is none.
+	limit *connLimit
+	// applying is held while shares are applied, so that an older one does not replace a newer.
+	applying sync.Mutex
 }
 
 // Name returns the group's name.
@@ -158,7 +162,7 @@
 	u.gate.SetWindowMin(g.registry.minWindow(g.name, u.slots))
 	u.opener = &opener{now: g.registry.Now, after: func(d time.Duration, f func()) { time.AfterFunc(d, f) }}
 	u.pool = &pooler.Pool[*conn]{
-		Limit:         g.registry.share(g.name),
+		Limit:         g.shareOf(u.id),
 		Dial:          func(ctx context.Context, workspace string) (*conn, error) { return g.dial(ctx, u, workspace) },
 		Close:         func(c *conn) { _ = c.Close() }, // the connection is discarded whether or not closing it fails
 		Owner:         func(c *conn) string { return c.workspace },
@@ -238,28 +242,40 @@
 // applyShare applies this process's share of the connections to each upstream's pool and
 // gate.
 func (g *Group) applyShare() {
-	share := g.registry.share(g.name)
+	g.applying.Lock()
+	defer g.applying.Unlock()
 	g.mu.Lock()
 	if !g.active {
 		g.mu.Unlock()
 		return
 	}
 	upstreams := append([]*upstream(nil), g.upstreams...)
+	shares := make([]int, len(upstreams))
+	for i, u := range upstreams {
+		shares[i] = g.shareOf(u.id)
+	}
 	g.registry.setBusy(g, true)
 	g.mu.Unlock()
-	for _, u := range upstreams {
-		u.gate.SetWindowMin(g.registry.minWindow(g.name, u.slots))
-		u.pool.SetLimit(share)
+	for i, u := range upstreams {
+		u.gate.SetWindowMin(g.minWindow(u, shares[i]))
+		u.pool.SetLimit(shares[i])
 	}
 }
 
 // dial opens a connection for an upstream's pool.
 func (g *Group) dial(ctx context.Context, u *upstream, workspace string) (*conn, error) {
 	g.mu.Lock()
-	entry := u.entry
+	entry, loan := u.entry, g.loanEnd(u)
 	g.mu.Unlock()
 	began := g.registry.Now()
-	l, err := g.registry.Dial(ctx, entry, workspace)
+	dial := func(ctx context.Context) (Link, error) { return g.registry.Dial(ctx, entry, workspace) }
+	var l Link
+	var err error
+	if loan != nil {
+		l, err = g.dialBorrowed(ctx, loan, dial)
+	} else {
+		l, err = dial(ctx)
+	}
 	limitReached := errors.Is(err, ErrConnectionLimit)
 	u.opener.recordEnd(limitReached)
 	if err == nil {
@@ -337,11 +353,10 @@
 	defer g.mu.Unlock()
 	now := g.registry.Now()
 	candidates := make([]placer.Candidate, len(g.upstreams))
-	share := g.registry.share(g.name)
 	upTo := g.samples.firstContaining(need.MinMark, now)
 	home := g.homeReplica(workspace)
 	for i, u := range g.upstreams {
-		candidates[i] = u.candidate(now, upTo, u == g.leader, u.entry.Zone == g.registry.Zone, tried[u], share)
+		candidates[i] = u.candidate(now, upTo, u == g.leader, u.entry.Zone == g.registry.Zone, tried[u], g.shareOf(u.id))
 		candidates[i].ConnectDelay = u.connectDelay(workspace, u == g.leader, u == home)
 	}
 	i, reason := placer.Choose(candidates, need)
--- a/carrier/health.go
+++ b/carrier/health.go
@@ -55,10 +55,9 @@
 		g.shrunkAt = now
 	}
 	g.dropExpired(now)
-	keep := keptConns(g.registry.share(g.name))
 	for _, u := range g.upstreams {
 		if shrink && g.active {
-			go u.pool.Shrink(keep)
+			go u.pool.Shrink(keptConns(g.shareOf(u.id)))
 		}
 		g.reportDrainEnded(u, now)
 		switch {
@@ -66,6 +65,8 @@
 			u.answeredAt = now
 		case u.ejected:
 			g.probe(u, now)
+		case g.isSilent(u, now) && g.loanEnd(u) != nil:
+			g.eject(u, now, "silent") // a loan has no connection for a check
 		case g.isSilent(u, now):
 			g.checkSilent(u)
 		}
@@ -73,7 +74,7 @@
 	if g.reachableLeaderLocked() == nil {
 		g.searchLeader()
 	}
-	if keep == 0 && !slices.ContainsFunc(g.upstreams, (*upstream).needsTicks) {
+	if g.limit == nil && keptConns(g.registry.share(g.name)) == 0 && !slices.ContainsFunc(g.upstreams, (*upstream).needsTicks) {
 		g.registry.setBusy(g, false) // until its upstreams or this process's share change
 	}
 }
@@ -279,8 +280,11 @@
 
 // checkLeader begins and ends an empty transaction on an upstream. It reports whether the
 // upstream leads.
-func (g *Group) checkLeader(u *upstream) bool {
-	deadline := time.Now().Add(probeTimeout)
+func (g *Group) checkLeader(u *upstream) bool { return g.checkLeaderWithin(u, probeTimeout) }
+
+// checkLeaderWithin is checkLeader with a timeout.
+func (g *Group) checkLeaderWithin(u *upstream, timeout time.Duration) bool {
+	deadline := time.Now().Add(timeout)
 	c, err := u.getConn(deadline)
 	if err != nil {
 		return false
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -97,6 +97,10 @@
 // upstream. It reports whether any byte may have reached the upstream.
 func (g *Group) exchange(u *upstream, r *run, deadline time.Time, commands ...Command) ([]Answer, bool, error) {
 	g.mu.Lock()
+	if r.conn.cut || !g.mayUse(u) {
+		g.mu.Unlock()
+		return nil, false, errNoShare
+	}
 	r.exchangeStartedAt = g.registry.Now()
 	g.mu.Unlock()
 	answers, sent, err := r.conn.Exchange(deadline, commands...)
--- a/carrier/loads.go
+++ b/carrier/loads.go
@@ -16,6 +16,8 @@
 	AdaptivePlacement bool
 	// FairConnections divides an upstream's connections among workspaces.
 	FairConnections bool
+	// ShortRetries keeps the delay that a refusal names within the caller's deadline.
+	ShortRetries bool
 	// Weight returns the weight of a workspace; nil stands for 1.
 	Weight func(workspace string) float64
 }
--- a/carrier/place.go
+++ b/carrier/place.go
@@ -120,5 +120,5 @@
 func (g *Group) refuse(j *Job, reason placer.Reason) Answer {
 	g.log().Info("carrier: statement refused", zap.String("request", j.Request), zap.String("group", g.name),
 		zap.String("reason", string(reason)), zap.Bool("latest", j.RequiresLeader()))
-	return refusal(Busy, string(reason)+"; come back in "+retryAfter.String())
+	return refusal(Busy, string(reason)+"; come back in "+g.retryDelay(j).String())
 }
--- a/carrier/runner.go
+++ b/carrier/runner.go
@@ -38,11 +38,12 @@
 // that requires the leader needs one that answers and, for writes, acknowledges them; other
 // jobs need an upstream, and a sample that is fresh enough or can be requested.
 func (g *Group) CanServe(j *Job) bool {
-	if !g.IsGateway() {
-		return false
-	}
+	isGateway := g.IsGateway()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !isGateway && !(j.RequiresLeader() && g.isSubstituteLocked()) {
+		return false
+	}
 	now := g.registry.Now()
 	leads := g.reachableLeaderLocked() != nil
 	if j.RequiresLeader() {
--- a/delegator/borrower.go
+++ b/delegator/borrower.go
@@ -266,3 +266,11 @@
 	}
 	return append(out, Respond{Reply{Refused: "doesn't reach the leader", Closed: b.held == nil}})
 }
+
+// Upstream returns the upstream of the loan; empty without one.
+func (b *Borrower) Upstream() string {
+	if b.held == nil {
+		return ""
+	}
+	return b.held.lend.Upstream
+}
--- a/delegator/lender.go
+++ b/delegator/lender.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -27,8 +28,8 @@
 // Peer is a process that can be asked.
 type Peer struct {
 	Name string
-	// Address is where it is reached; the package only passes it on.
-	Address string
+	// Address is where it takes statements of peers.
+	Address netip.AddrPort
 }
 
 // View is what a gateway sees of a group.
--- a/forwarder/affinity.go
+++ b/forwarder/affinity.go
@@ -28,7 +28,7 @@
 // prefersPeer reports whether a statement that this process could run goes to a peer
 // anyway, because that one has the workspace's connections.
 func (f *Forwarder) prefersPeer(c criteria, p Candidate) bool {
-	if c.workspace == "" || !f.leaderFault(c.group, p, f.Now()).IsLeaderReachable() {
+	if c.workspace == "" || p.isSubstitute || !f.leaderFault(c.group, p, f.Now()).IsLeaderReachable() {
 		return false
 	}
 	return affinity(c.group, c.workspace, p.Name) > affinity(c.group, c.workspace, f.Name)
--- a/forwarder/candidate.go
+++ b/forwarder/candidate.go
@@ -17,6 +17,8 @@
 	// IsFaultKnown.
 	LeaderFault  gossiper.LeaderFault
 	IsFaultKnown bool
+
+	isSubstitute bool // it is no gateway but stands in for one
 }
 
 const (
@@ -38,23 +40,24 @@
 // report is a fault that a peer reported, and until when it is used.
 type report struct {
 	fault      gossiper.LeaderFault
+	substitute *substitute // that the peer named; nil if it named none
 	validUntil time.Time
 }
 
-// addReport records the fault that a peer reported with an answer. A process that is not
+// addReport records the fault and the substitute that a peer reported with an answer. A process that is not
 // a gateway of the group learns of faults this way.
-func (f *Forwarder) addReport(group string, p Candidate, fault gossiper.LeaderFault) {
+func (f *Forwarder) addReport(group string, p Candidate, resp *response) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	key := reportKey{p.Address, group}
-	if fault == gossiper.NoFault {
+	if resp.LeaderFault == gossiper.NoFault && resp.Substitute == nil {
 		delete(f.reports, key)
 		return
 	}
 	if f.reports == nil || len(f.reports) >= maxReports {
 		f.reports = map[reportKey]report{}
 	}
-	f.reports[key] = report{fault, f.Now().Add(reportTTL)}
+	f.reports[key] = report{resp.LeaderFault, resp.Substitute, f.Now().Add(reportTTL)}
 }
 
 // reportedFault returns the fault of a group's leader that a peer reported lately, with
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -49,6 +49,10 @@
 	LeaderFault func(group string) gossiper.LeaderFault
 	// Send sends a payload to the peer at an address and returns its answer.
 	Send func(ctx context.Context, to netip.AddrPort, payload json.RawMessage) (json.RawMessage, error)
+	// Substitutes, when set, reports whether statements may go to substitutes of gateways, and
+	// Loans holds those of this process.
+	Substitutes func() bool
+	Loans       *Loans
 	// Name is this process's name, and Zone its availability zone.
 	Name string
 	Zone string
@@ -85,7 +89,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), sampleTimeout)
 	defer cancel()
-	resp, err := f.call(ctx, p, request{Action: takeSample, Group: group, Left: sampleTimeout})
+	r := request{Action: takeSample, Group: group, Left: sampleTimeout}
+	resp, err := f.call(ctx, p, r)
+	if err == nil && resp.Refused && resp.Substitute != nil && f.usesSubstitutes() {
+		resp, err = f.call(ctx, resp.Substitute.candidate(), r)
+	}
 	if err != nil || resp.Refused || resp.Answer.Code != carrier.OK {
 		return tracker.Mark{}, false
 	}
@@ -106,6 +114,9 @@
 // do when there is no other: while a leader is replaced no gateway reaches it, and their
 // position samples stay young enough for some seconds.
 func (f *Forwarder) choosePeer(c criteria) (Candidate, bool) {
+	if c.needsLeader && f.usesSubstitutes() {
+		return f.chooseWithSubstitutes(c)
+	}
 	var best []Candidate
 	bestRank := 0
 	now := f.Now()
@@ -213,7 +224,7 @@
 	if err = json.Unmarshal(answer, &resp); err != nil {
 		return response{}, errors.Wrap(err, "forwarder: decode response")
 	}
-	f.addReport(r.Group, p, resp.LeaderFault)
+	f.addReport(r.Group, p, &resp)
 	return resp, nil
 }
 
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -5,6 +5,7 @@
 
 	"basildale.example/basildale/carrier"
 	"basildale.example/basildale/cataloger"
+	"basildale.example/basildale/delegator"
 	"basildale.example/basildale/gossiper"
 	"basildale.example/basildale/tracker"
 )
@@ -20,6 +21,8 @@
 	rollbackTx
 	commitEmpty
 	takeSample
+	lend
+	returnLoan
 )
 
 // request asks a peer to run something. Times are sent as durations, since the clocks of
@@ -47,6 +50,9 @@
 	Values    []carrier.Value   `json:"values,omitempty"`
 	Prepared  *carrier.Prepared `json:"prepared,omitempty"`
 	Command   carrier.Command   `json:"command,omitzero"`
+	// Lend and Return are the messages of the actions of these names.
+	Lend   *delegator.Lend   `json:"lend,omitempty"`
+	Return *delegator.Return `json:"return,omitempty"`
 }
 
 // response is the answer to a request.
@@ -56,6 +62,10 @@
 	Refused bool `json:"refused,omitempty"`
 	// LeaderFault is the fault of the group's leader as the peer sees it.
 	LeaderFault gossiper.LeaderFault `json:"trouble,omitempty"`
+	// Substitute is the process that reaches the leader for the peer that refuses.
+	Substitute *substitute `json:"substitute,omitempty"`
+	// Loan is the reply to a message about a loan.
+	Loan *delegator.Reply `json:"loan,omitempty"`
 }
 
 // newRequest returns the request for a job.
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -23,6 +23,8 @@
 	job    *carrier.Job
 	tried  map[netip.AddrPort]bool
 	delay  time.Duration // before the next recheck of this process and the peers
+	// redirect is the substitute that the last refusal named; nil if it named none.
+	redirect *substitute
 }
 
 // newSearch returns the search for a process that runs a job, and sets the job's CanForward.
@@ -42,7 +44,11 @@
 // next returns the process to run the statement: this one, or a peer. It waits while
 // neither can, and reports false when time is over or waiting is useless.
 func (s *search) next() (peer Candidate, local, ok bool) {
+	if p, ok := s.takeRedirect(); ok {
+		return p, false, true
+	}
 	for {
+		changed := s.changed()
 		found := false
 		if len(s.tried) < maxOffers {
 			peer, found = s.runner.f.choosePeer(s.criteria())
@@ -55,9 +61,12 @@
 			return peer, false, true
 		}
 		if s.runner.group.IsGateway() {
+			if s.awaitsSubstitute() && s.wait(changed) {
+				continue
+			}
 			return peer, true, true // the statement waits for a leader in package carrier
 		}
-		if s.runner.f.AreGatewaysIsolated(s.runner.group.Name()) || !s.wait() {
+		if s.runner.f.AreGatewaysIsolated(s.runner.group.Name()) || !s.wait(changed) {
 			return peer, false, false
 		}
 	}
@@ -67,7 +76,7 @@
 // peers that refused are offered the statement again: those that start together with this
 // process refuse for some tenths of a second and serve then. Otherwise a statement that
 // three of them refused would wait for its whole second and then fail.
-func (s *search) wait() bool {
+func (s *search) wait(changed <-chan struct{}) bool {
 	s.delay = min(max(2*s.delay, minRecheckDelay), maxRecheckDelay)
 	if time.Until(s.job.Deadline) <= s.delay {
 		return false
@@ -75,6 +84,9 @@
 	select {
 	case <-s.job.CallerGone:
 		return false
+	case <-changed:
+		clear(s.tried)
+		return true
 	case <-time.After(s.delay):
 		clear(s.tried) // a lost peer stays skipped until a datagram from it is received
 		return true
@@ -104,7 +116,7 @@
 	for {
 		peer, local, ok := s.next()
 		if !ok {
-			return noGateway()
+			return s.refuse()
 		}
 		if local {
 			if answer := g.group.Run(j, cmd); !isUnavailable(answer) {
@@ -136,6 +148,7 @@
 		log.Debug("forwarder: statement run by a peer", zap.String("request", s.job.Request), zap.String("peer", peer.Name))
 		return resp.Answer, true
 	case err == nil:
+		s.redirect = resp.Substitute
 		log.Info("forwarder: peer refused the statement", zap.String("request", s.job.Request), zap.String("peer", peer.Name))
 		return carrier.Answer{}, false
 	case errors.Is(err, ErrUnsent):
@@ -155,7 +168,7 @@
 	for {
 		peer, local, ok := s.next()
 		if !ok {
-			return nil, noGateway()
+			return nil, s.refuse()
 		}
 		if local {
 			tx, answer := g.group.Start(j, readOnly, cmd)
@@ -182,7 +195,7 @@
 	for {
 		peer, local, ok := s.next()
 		if !ok {
-			return noGateway()
+			return s.refuse()
 		}
 		if local {
 			if answer := g.group.CommitEmpty(j, readOnly, cmd); !isUnavailable(answer) {
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -52,6 +52,9 @@
 	if f.LeaderFault != nil {
 		resp.LeaderFault = f.LeaderFault(r.Group)
 	}
+	if resp.Refused || isUnavailable(resp.Answer) {
+		resp.Substitute = f.ownSubstitute(r.Group)
+	}
 	out, err := json.Marshal(resp)
 	return out, errors.Wrap(err, "forwarder: response")
 }
@@ -62,8 +65,11 @@
 	case doTx, commitTx, rollbackTx:
 		return f.serveInTransaction(k, r)
 	}
+	if r.Action == lend || r.Action == returnLoan {
+		return f.serveLoan(r)
+	}
 	g, ok := f.Local(r.Group)
-	if !ok || !g.IsGateway() {
+	if !ok || !g.IsGateway() && !g.IsSubstitute() {
 		return response{Refused: true}
 	}
 	if r.Action == takeSample {
@@ -87,6 +93,16 @@
 	}
 }
 
+// serveLoan handles a message about a loan. Without loans it is answered as by a process that
+// does not know the action.
+func (f *Forwarder) serveLoan(r *request) response {
+	if f.Loans == nil {
+		return response{Refused: true}
+	}
+	reply := f.Loans.serve(r)
+	return response{Refused: reply.Refused != "", Loan: &reply}
+}
+
 func (f *Forwarder) serveStart(g *carrier.Group, k transactionKey, j *carrier.Job, r *request) response {
 	tx, answer := g.Start(j, r.ReadOnly, r.Command)
 	if tx == nil {
--- a/proxier/load.go
+++ b/proxier/load.go
@@ -37,6 +37,7 @@
 		ExpectedPlacement: l.Placement == loader.Expected,
 		AdaptivePlacement: l.Placement == loader.Adaptive,
 		FairConnections:   l.Connections == loader.Fair,
+		ShortRetries:      l.Gateways == loader.Reach,
 		Weight:            l.Weight,
 	}
 }
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -85,6 +85,7 @@
 	gossip          *gossiper.Gossiper
 	overseer        *overseer.Overseer
 	forward         *forwarder.Forwarder
+	loans           *forwarder.Loans
 	quotas          *quotaLimiter
 	messenger       *messenger.Messenger
 	receiver        *receiver.Receiver
@@ -173,6 +174,7 @@
 	running.Go(func() { p.enroll(inner) })
 	running.Go(func() { p.overseer.Run(inner) })
 	running.Go(func() { p.runMaintenance(inner) })
+	running.Go(func() { p.runLoans(inner) })
 	running.Go(func() { p.quotas.run(inner, p.knowsPeers, p.knowsFleet, p.leaving.Load) })
 	<-ctx.Done()
 	p.stop()
@@ -212,6 +214,7 @@
 		Promote: orders.Promote, NotifyPeers: p.gossip.NotifyPeers, Leaving: p.leaving.Load, Now: bootClock, Log: p.Log,
 	}
 	p.forward = &forwarder.Forwarder{Local: p.carrier.Group, Gateways: p.gateways, LeaderFault: p.overseer.LeaderFault, Send: p.forwardToPeer, Name: s.Name, Zone: s.Zone, Now: bootClock, Log: p.Log}
+	p.buildLoans()
 	p.carrier.RequestSample = p.forward.Sample
 	p.carrier.CountPlacement = p.meter.Route
 	p.carrier.ConnectionShares = p.shares
@@ -381,6 +384,9 @@
 func (p *Proxier) divideConnections(previous []string) []string {
 	names, isolated, known := p.sharingProxies(), p.isolatedGroups(), p.knowsFleet()
 	inputs := append(slices.Clone(isolated), append(names, strconv.FormatBool(known))...)
+	if p.mayHaveLent() {
+		inputs = append(inputs, "starting")
+	}
 	if slices.Equal(inputs, previous) {
 		return previous
 	}
--- a/proxier/share.go
+++ b/proxier/share.go
@@ -7,6 +7,7 @@
 
 	"basildale.example/basildale/assigner"
 	"basildale.example/basildale/carrier"
+	"basildale.example/basildale/delegator"
 	"basildale.example/basildale/forwarder"
 	"basildale.example/basildale/gossiper"
 )
@@ -71,6 +72,9 @@
 	for group, gateways := range assigned {
 		if slices.Contains(gateways, p.Settings.Name) {
 			out[group] = max(1, limits[group]*(100-reservedPercent)/100/len(gateways))
+			if p.mayHaveLent() {
+				out[group] = min(out[group], delegator.Kept)
+			}
 		}
 	}
 	for _, group := range p.isolatedGroups() {
