--- a/carrier/loan.go
+++ b/carrier/loan.go
@@ -76,10 +76,15 @@
 // shareOf returns how many connections this process may have to an upstream. The caller must
 // hold g.mu.
 func (g *Group) shareOf(id string) int {
-	if g.limit != nil && g.limit.upstream == id {
+	share := g.registry.share(g.name)
+	switch {
+	case g.limit == nil || g.limit.upstream != id:
+		return share
+	case g.limit.borrowed:
 		return g.limit.count
+	default:
+		return min(g.limit.count, share)
 	}
-	return g.registry.share(g.name)
 }
 
 // minWindow returns how many statements this process may always have at an upstream of which
--- a/carrier/runner.go
+++ b/carrier/runner.go
@@ -41,7 +41,7 @@
 	isGateway := g.IsGateway()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !isGateway && !(j.RequiresLeader() && g.isSubstituteLocked()) {
+	if !isGateway && (!j.RequiresLeader() || !g.isSubstituteLocked()) {
 		return false
 	}
 	now := g.registry.Now()
--- a/delegator/lender.go
+++ b/delegator/lender.go
@@ -69,6 +69,7 @@
 
 	seq     uint64
 	limited string // the upstream at which the own connections are limited
+	limit   int    // of the own connections there
 	share   int    // out of which the loans were made
 	loans   []*loan
 	asks    []time.Time          // when the last processes were asked
@@ -132,9 +133,14 @@
 
 // free returns how many connections can be lent on top of those that are.
 func (l *Lender) free() int {
-	n := l.view.Share - max(Kept, l.view.Open)
+	return l.view.Share - max(Kept, l.view.Open) - l.lent()
+}
+
+// lent returns how many connections count as lent.
+func (l *Lender) lent() int {
+	n := 0
 	for _, c := range l.loans {
-		n -= c.count
+		n += c.count
 	}
 	return n
 }
@@ -185,7 +191,9 @@
 			return out
 		}
 		l.limited, l.share = l.view.Leader, l.view.Share
-		return append(out, Limit{Upstream: l.limited, Count: Kept}) // what is open is counted from the next tick on
+	}
+	if l.limit != Kept {
+		return l.setLimit(out, Kept) // what is open is counted from the next tick on
 	}
 	out = l.resendReturns(out, now)
 	if c := l.current(); c != nil {
@@ -194,7 +202,8 @@
 	return l.ask(out, now)
 }
 
-// stop ends all loans and, when the connections are back, the limit of the own ones.
+// stop ends all loans, raises the limit of the own connections by those that are back, and
+// ends it when all are.
 func (l *Lender) stop(out []Command, cause string, now time.Time) []Command {
 	for _, c := range l.loans {
 		if !c.ended {
@@ -207,11 +216,19 @@
 	out = l.resendReturns(out, now)
 	if len(l.loans) == 0 && l.limited != "" {
 		out = append(out, Unlimit{Upstream: l.limited})
-		l.limited, l.refused = "", nil
+		l.limited, l.limit, l.refused = "", 0, nil
+	}
+	if own := l.view.Share - l.lent(); l.limited != "" && own > l.limit {
+		out = l.setLimit(out, own)
 	}
 	return out
 }
 
+func (l *Lender) setLimit(out []Command, n int) []Command {
+	l.limit = n
+	return append(out, Limit{Upstream: l.limited, Count: n})
+}
+
 // dropUngranted drops ended loans of which nothing was granted.
 func (l *Lender) dropUngranted() {
 	l.loans = slices.DeleteFunc(l.loans, func(c *loan) bool { return c.ended && c.expiresAt.IsZero() })
--- a/forwarder/candidate.go
+++ b/forwarder/candidate.go
@@ -18,7 +18,10 @@
 	LeaderFault  gossiper.LeaderFault
 	IsFaultKnown bool
 
-	isSubstitute bool // it is no gateway but stands in for one
+	// isSubstitute is true if it is no gateway but stands in for the one at standsFor; that is
+	// not set where it stands in for this process.
+	isSubstitute bool
+	standsFor    netip.AddrPort
 }
 
 const (
@@ -60,6 +63,18 @@
 	f.reports[key] = report{resp.LeaderFault, resp.Substitute, f.Now().Add(reportTTL)}
 }
 
+// confirmSubstitute extends the report of the gateway that named a substitute, which has just
+// run a statement.
+func (f *Forwarder) confirmSubstitute(group string, p Candidate) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	key := reportKey{p.standsFor, group}
+	if r, ok := f.reports[key]; ok && r.substitute != nil && r.substitute.Address == p.Address {
+		r.validUntil = f.Now().Add(reportTTL)
+		f.reports[key] = r
+	}
+}
+
 // reportedFault returns the fault of a group's leader that a peer reported lately, with
 // an answer or by gossip, and whether it reported any state.
 func (f *Forwarder) reportedFault(group string, p Candidate, now time.Time) (gossiper.LeaderFault, bool) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -92,7 +92,7 @@
 	r := request{Action: takeSample, Group: group, Left: sampleTimeout}
 	resp, err := f.call(ctx, p, r)
 	if err == nil && resp.Refused && resp.Substitute != nil && f.usesSubstitutes() {
-		resp, err = f.call(ctx, resp.Substitute.candidate(), r)
+		resp, err = f.call(ctx, resp.Substitute.candidate(p.Address), r)
 	}
 	if err != nil || resp.Refused || resp.Answer.Code != carrier.OK {
 		return tracker.Mark{}, false
--- a/forwarder/loans.go
+++ b/forwarder/loans.go
@@ -59,7 +59,7 @@
 			continue
 		}
 		l.execute(g, lender.Handle(delegator.Tick{View: l.view(g)}, now), nil)
-		if lender.IsIdle() && !(l.Enabled() && g.IsGateway()) {
+		if lender.IsIdle() && (!l.Enabled() || !g.IsGateway()) {
 			delete(l.lenders, name)
 		}
 	}
@@ -84,8 +84,10 @@
 // view returns what this process sees of a group that it lends connections of.
 func (l *Loans) view(g *carrier.Group) delegator.View {
 	c := g.LeaderContact()
+	borrower := l.borrowers[g.Name()]
+	isBorrowing := borrower != nil && !borrower.IsIdle()
 	v := delegator.View{
-		Enabled: l.Enabled() && !l.Leaving() && g.IsGateway(), Leader: c.Upstream, Lendable: c.Current,
+		Enabled: l.Enabled() && !l.Leaving() && g.IsGateway() && !isBorrowing, Leader: c.Upstream, Lendable: c.Current,
 		Reached: c.Answers, UnreachedSince: c.AnsweredAt, Share: c.Share, Open: c.Open,
 	}
 	if v.Enabled && v.Lendable && !v.Reached {
@@ -104,6 +106,8 @@
 		s.Refusal = "switched off"
 	case l.Leaving():
 		s.Refusal = "leaving"
+	case l.lenders[g.Name()] != nil && !l.lenders[g.Name()].IsIdle():
+		s.Refusal = "has lent connections itself"
 	}
 	return s
 }
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -23,8 +23,8 @@
 	job    *carrier.Job
 	tried  map[netip.AddrPort]bool
 	delay  time.Duration // before the next recheck of this process and the peers
-	// redirect is the substitute that the last refusal named; nil if it named none.
-	redirect *substitute
+	// redirect is the substitute that the last refusal named; zero if it named none.
+	redirect Candidate
 }
 
 // newSearch returns the search for a process that runs a job, and sets the job's CanForward.
@@ -145,10 +145,15 @@
 	log := s.runner.f.Log
 	switch {
 	case err == nil && !resp.Refused && !isUnavailable(resp.Answer):
+		if peer.isSubstitute {
+			s.runner.f.confirmSubstitute(s.runner.group.Name(), peer)
+		}
 		log.Debug("forwarder: statement run by a peer", zap.String("request", s.job.Request), zap.String("peer", peer.Name))
 		return resp.Answer, true
 	case err == nil:
-		s.redirect = resp.Substitute
+		if resp.Substitute != nil {
+			s.redirect = resp.Substitute.candidate(peer.Address)
+		}
 		log.Info("forwarder: peer refused the statement", zap.String("request", s.job.Request), zap.String("peer", peer.Name))
 		return carrier.Answer{}, false
 	case errors.Is(err, ErrUnsent):
--- a/forwarder/substitute.go
+++ b/forwarder/substitute.go
@@ -14,9 +14,9 @@
 	Address netip.AddrPort `json:"address"`
 }
 
-// candidate returns the substitute as a process that a statement can be sent to.
-func (s *substitute) candidate() Candidate {
-	return Candidate{Name: s.Name, Address: s.Address, isSubstitute: true}
+// candidate returns the substitute of a gateway as a process that a statement can be sent to.
+func (s *substitute) candidate(gateway netip.AddrPort) Candidate {
+	return Candidate{Name: s.Name, Address: s.Address, isSubstitute: true, standsFor: gateway}
 }
 
 // usesSubstitutes reports whether statements may go to substitutes.
@@ -62,13 +62,13 @@
 		}
 	}
 	if own := f.ownSubstitute(c.group); own != nil {
-		add(f.Name, option{target: own.candidate(), reaches: true})
+		add(f.Name, option{target: own.candidate(netip.AddrPort{}), reaches: true})
 	}
 	for _, p := range f.Gateways(c.group) {
 		r, reported := f.lastReport(c.group, p, now)
 		switch {
 		case reported && r.substitute != nil:
-			add(p.Name, option{target: r.substitute.candidate(), reaches: true})
+			add(p.Name, option{target: r.substitute.candidate(p.Address), reaches: true})
 		case reported && !r.fault.IsLeaderReachable(): // it has just said that it cannot
 		default:
 			add(p.Name, option{target: p, reaches: p.LeaderFault.IsLeaderReachable()})
@@ -105,13 +105,12 @@
 // takeRedirect returns the substitute that the last refusal named, if the statement may still
 // be offered to it.
 func (s *search) takeRedirect() (Candidate, bool) {
-	named := s.redirect
-	s.redirect = nil
-	if named == nil || len(s.tried) >= maxOffers || !s.runner.f.usesSubstitutes() {
+	p := s.redirect
+	s.redirect = Candidate{}
+	if !p.Address.IsValid() || len(s.tried) >= maxOffers || !s.runner.f.usesSubstitutes() {
 		return Candidate{}, false
 	}
-	p := named.candidate()
-	if !p.Address.IsValid() || p.Name == s.runner.f.Name || s.tried[p.Address] || s.runner.f.isSkipped(p, s.runner.f.Now()) {
+	if p.Name == s.runner.f.Name || s.tried[p.Address] || s.runner.f.isSkipped(p, s.runner.f.Now()) {
 		return Candidate{}, false
 	}
 	return p, true
--- /dev/null
+++ b/proxier/lend_test.go
@@ -0,0 +1,63 @@
+package proxier
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basildale.example/basildale/delegator"
+	"basildale.example/basildale/gossiper"
+	"basildale.example/basildale/loader"
+)
+
+// Guards against a process that was killed while its connections were lent, and that uses
+// its whole share after a restart although the loan has not ended. With the setting's default
+// the shares after a start are as before.
+func TestShareIsSmallAfterStartWhileLoansMayExist(t *testing.T) {
+	is := is.New(t)
+	gateway := func(choice loader.Choice, age time.Duration) int {
+		for i := range 80 {
+			p := newTestProxier(i, 80)
+			p.load.Store(&loader.Choices{Gateways: choice})
+			p.startedAt = p.startedAt.Add(-age)
+			if n := p.shares(map[string]int{"billet": 52}, 80)["billet"]; n > 0 {
+				return n
+			}
+		}
+		return 0
+	}
+	whole := gateway(loader.Fixed, 0)
+	is.True(whole > delegator.Kept)
+	is.Equal(gateway("", 0), whole)
+	is.Equal(gateway(loader.Reach, 0), delegator.Kept)
+	is.Equal(gateway(loader.Reach, delegator.StartupDelay), whole)
+}
+
+// Guards against gateways that all ask the same process first, which takes one loan of a
+// group, and against loans to gateways and to processes that are leaving.
+func TestGatewaysAskProcessesInOrdersOfTheirOwn(t *testing.T) {
+	is := is.New(t)
+	var live []gossiper.Peer
+	for i := range 20 {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7440)
+		live = append(live, gossiper.Peer{State: gossiper.State{Name: fmt.Sprint("p", i), GatewayAddr: addr}})
+	}
+	live[18].Leaving = true
+	live[19].Groups = map[string]gossiper.GroupState{"g": {IsGateway: true}}
+	gateways := []string{"p0", "p1", "p2", "p3", "p4", "p5"}
+	first := map[string]bool{}
+	for _, self := range gateways {
+		order := orderLoanPeers("g", self, gateways, live)
+		is.Equal(len(order), 12)
+		is.Equal(order, orderLoanPeers("g", self, gateways, live))
+		first[order[0].Name] = true
+		is.True(!slices.ContainsFunc(order, func(p delegator.Peer) bool {
+			return slices.Contains(gateways, p.Name) || p.Name == "p18" || p.Name == "p19"
+		}))
+	}
+	is.True(len(first) > 2)
+}
