--- a/forwarder/reach_test.go
+++ b/forwarder/reach_test.go
@@ -258,6 +258,13 @@
 				is.True(first.served > 0) // within a second of the cut
 				is.True(len(r.borrowers()) > 0)
 				is.Equal(rest.promisedLate, 0)
+				samples := 0 // for the replica reads of a gateway without the leader
+				for range 20 {
+					if _, ok := r.nodes[0].f.Sample("g"); ok {
+						samples++
+					}
+				}
+				is.True(samples >= 10) // some are asked of gateways without a substitute
 			} else {
 				is.Equal(r.logs.Len(), 0)
 			}
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -72,6 +72,9 @@
 	if !ok || !g.IsGateway() && !g.IsSubstitute() {
 		return response{Refused: true}
 	}
+	if r.Action == takeSample && f.leavesSamples(r.Group) {
+		return response{Refused: true}
+	}
 	if r.Action == takeSample {
 		mark, ok := g.SampleLeader()
 		return response{Answer: carrier.Answer{Mark: mark}, Refused: !ok}
--- a/forwarder/substitute.go
+++ b/forwarder/substitute.go
@@ -94,6 +94,13 @@
 	return weight
 }
 
+// leavesSamples reports whether a sample of a group's leader is better taken by a substitute:
+// this process does not reach the leader, and would find that out again in more time than the
+// sample may take.
+func (f *Forwarder) leavesSamples(group string) bool {
+	return f.usesSubstitutes() && f.LeaderFault != nil && !f.LeaderFault(group).IsLeaderReachable()
+}
+
 // lastReport returns what a peer has said with an answer in the last reportTTL.
 func (f *Forwarder) lastReport(group string, p Candidate, now time.Time) (report, bool) {
 	f.mu.Lock()
