delegator: a confirmation counts only for the start of the borrower that was granted

Refusals now state the start of the borrower, and the lender counts connections as returned only if that is the start of its last grant; otherwise it waits for the loan's end.

Returns are repeated every 200 ms, a borrower that has not answered is not named, and a gateway in a group that has long been without a leader offers a statement once beyond three processes before it refuses.

--- a/delegator/borrower.go
+++ b/delegator/borrower.go
@@ -171,10 +171,16 @@
 	return b.held != nil && b.held.lend.Lender == lender && b.held.lend.Seq == seq
 }
 
+// refusal returns the response that there is no loan, or no longer. It states the start of
+// this process, since a confirmation counts for no other.
+func (b *Borrower) refusal(cause string, closed bool) Respond {
+	return Respond{Reply{Token: Token{Start: b.Start}, Refused: cause, Closed: closed}}
+}
+
 // refuse refuses a loan for good.
 func (b *Borrower) refuse(out []Command, lender string, seq uint64, cause string, now time.Time) []Command {
 	b.markEnded(lender, seq, now)
-	return append(out, Respond{Reply{Refused: cause, Closed: true}})
+	return append(out, b.refusal(cause, true))
 }
 
 func (b *Borrower) lent(out []Command, l Lend, s Situation, now time.Time) []Command {
@@ -206,9 +212,9 @@
 	h := b.held
 	switch {
 	case h.cause != "":
-		return append(out, Respond{Reply{Refused: h.cause}}) // still closing
+		return append(out, b.refusal(h.cause, false)) // still closing
 	case !h.closeBy.IsZero():
-		return append(out, Respond{Reply{Refused: "being returned"}})
+		return append(out, b.refusal("being returned", false))
 	case !h.reached:
 		return append(out, Respond{Reply{Token: b.token(now)}}) // the check is running
 	}
@@ -246,9 +252,9 @@
 		}
 	}
 	if b.held == nil {
-		return append(out, Respond{Reply{Refused: "returned", Closed: true}})
+		return append(out, b.refusal("returned", true))
 	}
-	return append(out, Respond{Reply{Refused: "being returned"}})
+	return append(out, b.refusal("being returned", false))
 }
 
 func (b *Borrower) checked(out []Command, c Checked, s Situation, now time.Time) []Command {
@@ -264,7 +270,7 @@
 	case h.cause == "":
 		out = b.close(out, "doesn't reach the leader", s, now)
 	}
-	return append(out, Respond{Reply{Refused: "doesn't reach the leader", Closed: b.held == nil}})
+	return append(out, b.refusal("doesn't reach the leader", b.held == nil))
 }
 
 // Upstream returns the upstream of the loan; empty without one.
--- a/delegator/lender.go
+++ b/delegator/lender.go
@@ -19,7 +19,7 @@
 	askTimeout   = 250 * time.Millisecond
 	grantTimeout = CheckTimeout + 150*time.Millisecond
 	// returnInterval is the time between two requests to return a loan.
-	returnInterval = 100 * time.Millisecond
+	returnInterval = 200 * time.Millisecond
 	// refusedTTL is how long a process that refused is asked only after all others.
 	refusedTTL = 10 * time.Second
 )
@@ -85,19 +85,22 @@
 	// counting as lent; both are zero before the first grant.
 	count     int
 	expiresAt time.Time
+	start     int64     // of the borrower, as in the token of the last grant
 	sentAt    time.Time // of the message whose reply is awaited; zero if none is
 	granting  bool      // that message was a grant
 	renewAt   time.Time
 	// lostAt is when a loan that is not renewed counts as lost.
 	lostAt   time.Time
 	accepted bool
+	silent   bool // the last message was not answered
 	ended    bool // it is only waited for the connections
 	recalled bool
 }
 
-// Substitute returns the process that has connections to the leader on loan and reaches it.
+// Substitute returns the process that has connections to the leader on loan, reaches it, and
+// has answered the last message.
 func (l *Lender) Substitute() (Peer, bool) {
-	if c := l.current(); c != nil && c.accepted {
+	if c := l.current(); c != nil && c.accepted && !c.silent {
 		return c.peer, true
 	}
 	return Peer{}, false
@@ -327,19 +330,23 @@
 	return &Lend{Lender: l.Self, Seq: c.seq, Upstream: c.upstream, Count: max(1, c.count), Duration: Duration, Echo: echo}
 }
 
+// answered handles a reply. A confirmation counts only for the start of the borrower that the
+// last grant was made to: one that was sent before a restart says nothing of a loan that was
+// granted after it.
 func (l *Lender) answered(out []Command, e Answered, now time.Time) []Command {
 	i := slices.IndexFunc(l.loans, func(c *loan) bool { return c.seq == e.Seq })
 	if i < 0 {
 		return out
 	}
 	c := l.loans[i]
+	c.silent = e.Lost
 	if e.Lost {
 		if !c.ended && !c.accepted {
 			return l.giveUp(out, c, "no answer", now)
 		}
 		return out // sent again by the next ticks
 	}
-	if e.Reply.Closed {
+	if e.Reply.Closed && (c.expiresAt.IsZero() || e.Reply.Token.Start == c.start) {
 		return l.closed(out, i, e.Reply.Refused, now)
 	}
 	switch {
@@ -379,7 +386,7 @@
 		c.count = 1
 	}
 	c.sentAt, c.granting = now, true
-	c.expiresAt = now.Add(Duration + Margin)
+	c.expiresAt, c.start = now.Add(Duration+Margin), token.Start
 	return Send{To: c.peer, Seq: c.seq, Lend: l.lend(c, token), Timeout: grantTimeout}
 }
 
--- a/delegator/lender_test.go
+++ b/delegator/lender_test.go
@@ -78,3 +78,21 @@
 	is.Equal(counts["p0"], 1)
 	is.Equal(counts["p1"], 6-Kept-1)
 }
+
+// Guards against connections that are used twice after a restart of the borrower: it has
+// refused a loan, starts again and takes it, and then the refusal arrives.
+func TestConfirmationOfEarlierStartIsIgnored(t *testing.T) {
+	is := is.New(t)
+	l, now := &Lender{}, time.Unix(1000, 0)
+	v := cutView()
+	v.UnreachedSince = now.Add(-time.Second)
+	l.Handle(Tick{v}, now)
+	l.Handle(Tick{v}, now)
+	l.Handle(Answered{Seq: 1, Reply: Reply{Token: Token{2, 1}}}, now)
+	l.Handle(Answered{Seq: 1, Reply: Reply{Granted: true, Token: Token{2, 1}}}, now)
+	is.Equal(l.lent(), 1)
+	l.Handle(Answered{Seq: 1, Reply: Reply{Refused: "switched off", Closed: true, Token: Token{Start: 1}}}, now)
+	is.Equal(l.lent(), 1)
+	l.Handle(Answered{Seq: 1, Reply: Reply{Refused: "leader lost", Closed: true, Token: Token{Start: 2}}}, now)
+	is.Equal(l.lent(), 0)
+}
--- a/delegator/message.go
+++ b/delegator/message.go
@@ -61,7 +61,8 @@
 	Granted bool `json:"granted,omitempty"`
 	// Refused is why there is no loan, or no longer; empty otherwise.
 	Refused string `json:"refused,omitempty"`
-	// Closed means that the borrower holds no connection of this loan and will open none.
+	// Closed means that the borrower holds no connection of this loan and will open none. It
+	// holds for the start of the borrower that the token states.
 	Closed bool `json:"closed,omitempty"`
 }
 
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -25,6 +25,9 @@
 	delay  time.Duration // before the next recheck of this process and the peers
 	// redirect is the substitute that the last refusal named; zero if it named none.
 	redirect Candidate
+	// askedFurther is set once the statement has waited here only to be offered to processes
+	// beyond maxOffers.
+	askedFurther bool
 }
 
 // newSearch returns the search for a process that runs a job, and sets the job's CanForward.
--- a/forwarder/reach_test.go
+++ b/forwarder/reach_test.go
@@ -155,6 +155,9 @@
 			b.pause()
 			time.AfterFunc(3*time.Second, b.resume)
 		}},
+		// A process that is stopped must return its loans, or recall them.
+		{"borrower leaves", func(_ *reachFleet, b *node) { b.set(&b.leaving, true) }},
+		{"lender leaves", func(r *reachFleet, _ *node) { r.nodes[1].set(&r.nodes[1].leaving, true) }},
 		// Loans of the old leader must end.
 		{"leader changes", func(r *reachFleet, _ *node) { r.lead("b") }},
 		// Connections to a leader that is leaving must not be lent.
--- a/forwarder/substitute.go
+++ b/forwarder/substitute.go
@@ -135,7 +135,22 @@
 // awaitsSubstitute reports whether a statement that this process, a gateway, cannot run now
 // waits here for a substitute as well as for a leader.
 func (s *search) awaitsSubstitute() bool {
-	return s.runner.f.usesSubstitutes() && s.job.RequiresLeader() && !s.runner.group.IsUnservable(s.job)
+	if !s.runner.f.usesSubstitutes() || !s.job.RequiresLeader() {
+		return false
+	}
+	return !s.runner.group.IsUnservable(s.job) || s.hasUnasked()
+}
+
+// hasUnasked reports, once for a search, whether there are processes left that the statement
+// was not offered to because of maxOffers. A group whose gateways have not all found a
+// substitute would otherwise be refused by those that ask the wrong ones first.
+func (s *search) hasUnasked() bool {
+	if s.askedFurther || len(s.tried) < maxOffers {
+		return false
+	}
+	s.askedFurther = true
+	_, found := s.runner.f.choosePeer(s.criteria())
+	return found
 }
 
 // refuse returns the answer for a statement that no process could run in time.
