forwarder, docs: numbers of loans are used once; figures of the final code

A lender was dropped when it was idle and the setting was off, and a new one counted its loans from one again, so that a late confirmation of an earlier loan could have freed connections of a later one. Lenders now stay.

--- a/delegator/lender.go
+++ b/delegator/lender.go
@@ -61,7 +61,9 @@
 	Lost  bool
 }
 
-// Lender makes loans of one group's connections. It is not safe for concurrent use.
+// Lender makes loans of one group's connections. One Lender must serve a group for the whole
+// life of the process, because the numbers of its loans are used once. It is not safe for
+// concurrent use.
 type Lender struct {
 	// Self identifies this process and its start.
 	Self string
--- a/forwarder/doc.go
+++ b/forwarder/doc.go
@@ -9,6 +9,10 @@
 // the workspace's statements share its connections. A peer never forwards further. While
 // no process reaches a leader, the statement waits here as it would without peers.
 //
+// Where substitutes are in use, a gateway that does not reach the leader names the process that
+// has its connections on loan, and statements that need the leader go there. Loans executes
+// what package delegator decides about loans.
+//
 // A failure on the way to a peer is treated as one on the way to an upstream: a read is
 // sent again, a write or commit that was sent is in doubt, and a transaction whose commit
 // was not sent is rolled back by the peer once it has been idle for too long.
--- a/forwarder/loans.go
+++ b/forwarder/loans.go
@@ -39,9 +39,11 @@
 	Now func() time.Time
 	Log *zap.Logger
 
-	mu        sync.Mutex
-	lenders   map[string]*delegator.Lender   // by group
-	borrowers map[string]*delegator.Borrower // by group
+	mu sync.Mutex
+	// lenders and borrowers are by group. Those that are idle stay: a lender's loans are told
+	// apart by numbers that must not be used again.
+	lenders   map[string]*delegator.Lender
+	borrowers map[string]*delegator.Borrower
 }
 
 // Tick lets time pass. It should be called about 20 times a second.
@@ -56,7 +58,7 @@
 	}
 	for name, lender := range l.lenders {
 		g, ok := l.Local(name)
-		if !ok {
+		if !ok || lender.IsIdle() && (!l.Enabled() || !g.IsGateway()) {
 			continue
 		}
 		commands := lender.Handle(delegator.Tick{View: l.view(g)}, now)
@@ -64,9 +66,6 @@
 		if len(commands) > 0 { // what is lent depends on what is open under a new limit
 			l.execute(g, lender.Handle(delegator.Tick{View: l.view(g)}, now), nil)
 		}
-		if lender.IsIdle() && (!l.Enabled() || !g.IsGateway()) {
-			delete(l.lenders, name)
-		}
 	}
 	for name, borrower := range l.borrowers {
 		if g, ok := l.Local(name); ok && !borrower.IsIdle() {
