--- a/forwarder/candidate.go
+++ b/forwarder/candidate.go
@@ -17,6 +17,11 @@
 	// IsFaultKnown.
 	LeaderFault  gossiper.LeaderFault
 	IsFaultKnown bool
+
+	// isSubstitute is true if it is no gateway but stands in for the one at standsFor; that is
+	// not set where it stands in for this process.
+	isSubstitute bool
+	standsFor    netip.AddrPort
 }
 
 const (
@@ -38,23 +43,36 @@
 // report is a fault that a peer reported, and until when it is used.
 type report struct {
 	fault      gossiper.LeaderFault
+	substitute *substitute // that the peer named; nil if it named none
 	validUntil time.Time
 }
 
-// addReport records the fault that a peer reported with an answer. A process that is not
+// addReport records the fault and the substitute that a peer reported with an answer. A process that is not
 // a gateway of the group learns of faults this way.
-func (f *Forwarder) addReport(group string, p Candidate, fault gossiper.LeaderFault) {
+func (f *Forwarder) addReport(group string, p Candidate, resp *response) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	key := reportKey{p.Address, group}
-	if fault == gossiper.NoFault {
+	if resp.LeaderFault == gossiper.NoFault && resp.Substitute == nil {
 		delete(f.reports, key)
 		return
 	}
 	if f.reports == nil || len(f.reports) >= maxReports {
 		f.reports = map[reportKey]report{}
 	}
-	f.reports[key] = report{fault, f.Now().Add(reportTTL)}
+	f.reports[key] = report{resp.LeaderFault, resp.Substitute, f.Now().Add(reportTTL)}
+}
+
+// confirmSubstitute extends the report of the gateway that named a substitute, which has just
+// run a statement.
+func (f *Forwarder) confirmSubstitute(group string, p Candidate) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	key := reportKey{p.standsFor, group}
+	if r, ok := f.reports[key]; ok && r.substitute != nil && r.substitute.Address == p.Address {
+		r.validUntil = f.Now().Add(reportTTL)
+		f.reports[key] = r
+	}
 }
 
 // reportedFault returns the fault of a group's leader that a peer reported lately, with
--- /dev/null
+++ b/proxier/lend_test.go
@@ -0,0 +1,107 @@
+package proxier
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"basildale.example/basildale/delegator"
+	"basildale.example/basildale/gossiper"
+	"basildale.example/basildale/loader"
+)
+
+// Guards against a process that was killed while its connections were lent, and that uses
+// its whole share after a restart although the loan has not ended. With the setting's default
+// the shares after a start are as before.
+func TestShareIsSmallAfterStartWhileLoansMayExist(t *testing.T) {
+	is := is.New(t)
+	gateway := func(choice loader.Choice, age time.Duration) int {
+		for i := range 80 {
+			p := newTestProxier(i, 80)
+			p.load.Store(&loader.Choices{Gateways: choice})
+			p.startedAt = p.startedAt.Add(-age)
+			if n := p.shares(map[string]int{"billet": 52}, 80)["billet"]; n > 0 {
+				return n
+			}
+		}
+		return 0
+	}
+	whole := gateway(loader.Fixed, 0)
+	is.True(whole > delegator.Kept)
+	is.Equal(gateway("", 0), whole)
+	is.Equal(gateway(loader.Reach, 0), delegator.Kept)
+	is.Equal(gateway(loader.Reach, delegator.StartupDelay), whole)
+}
+
+// Guards against gateways that all ask the same process first, which takes one loan of a
+// group, and against loans to gateways and to processes that are leaving.
+func TestGatewaysAskProcessesInOrdersOfTheirOwn(t *testing.T) {
+	is := is.New(t)
+	var live []gossiper.Peer
+	for i := range 20 {
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7440)
+		live = append(live, gossiper.Peer{State: gossiper.State{Name: fmt.Sprint("p", i), GatewayAddr: addr}})
+	}
+	live[18].Leaving = true
+	live[19].Groups = map[string]gossiper.GroupState{"g": {IsGateway: true}}
+	gateways := []string{"p0", "p1", "p2", "p3", "p4", "p5"}
+	first := map[string]bool{}
+	for _, self := range gateways {
+		order := orderLoanPeers("g", self, gateways, live)
+		is.Equal(len(order), 12)
+		is.Equal(order, orderLoanPeers("g", self, gateways, live))
+		first[order[0].Name] = true
+		is.True(!slices.ContainsFunc(order, func(p delegator.Peer) bool {
+			return slices.Contains(gateways, p.Name) || p.Name == "p18" || p.Name == "p19"
+		}))
+	}
+	is.True(len(first) > 2)
+}
+
+// Guards against parts that do not fit together in a real process: four processes before a
+// group with connections for one gateway, which is cut off from all upstreams.
+func TestSubstituteOfRealProcess(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4)
+	f.platform.Write("config", "main", map[string]any{
+		"version": 100, "limits": map[string]any{"tx_idle_ms": 3000}, "services": []any{map[string]any{"name": "billet", "max_conns": 12, "sync_replicas": 1}},
+		"routes": []any{map[string]any{"name": "r-seats", "host": "seats", "route_type": "primary", "service": "billet", "timeout_ms": 1000, "objective_ms": 400, "priority": 1, "max_staleness_ms": 0}},
+	})
+	isGateway := func(m *runningProxy) bool { g, ok := m.carrier.Group("billet"); return ok && g.IsGateway() }
+	gateways := func() []*runningProxy {
+		return slices.DeleteFunc(slices.Clone(f.proxies), func(m *runningProxy) bool { return !isGateway(m) })
+	}
+	f.waitFor("one gateway", func() bool { return len(gateways()) == 1 && f.proxies[0].View().Config.Version == 100 })
+	gateway := gateways()[0]
+	other := f.proxies[slices.IndexFunc(f.proxies, func(m *runningProxy) bool { return m != gateway })]
+	settings := gateway.Settings
+	for _, m := range f.proxies {
+		settings.Load.Gateways = loader.Reach
+		m.Reload(settings)
+	}
+	c, own := f.dial(other, "seats"), f.dial(gateway, "seats")
+	f.waitFor("served by the gateway", func() bool { return c.ask("WRITE seat anna").code == "" })
+	cut := func(isCut bool) {
+		for _, u := range append(f.group.Replicas(), f.group.Leader()) {
+			u.Cut(gateway.Settings.Name, isCut)
+		}
+	}
+	leader := f.group.Leader()
+	cut(true)
+	began := time.Now()
+	f.waitFor("served through a substitute", func() bool { return c.ask("READ seat").code == "" })
+	t.Logf("first statement after %v", time.Since(began))
+	f.waitFor("served for the gateway's own caller", func() bool { return own.ask("READ seat").code == "" })
+	is.Equal(c.ask("WRITE seat bo").code, "")
+	is.Equal(gateway.loans.InUse(), int64(1))
+	is.Equal(len(gateways()), 1) // the substitute is no gateway
+	is.Equal(f.group.Leader(), leader)
+	cut(false)
+	f.waitFor("loan ended", func() bool { return gateway.loans.InUse() == 0 })
+	f.waitFor("served by the gateway again", func() bool { return c.ask("WRITE seat eva").code == "" && isGateway(gateway) })
+	is.Equal(c.askRow("READ seat"), "eva")
+}
