--- a/forwarder/reach_fleet_test.go
+++ b/forwarder/reach_fleet_test.go
@@ -198,7 +198,7 @@
 	done := make(chan result, 1)
 	go func() {
 		if n.pass(i) {
-			answer, err := n.r.nodes[i].f.Serve(n.name(), payload)
+			answer, err := n.r.nodes[i].f.Serve(context.Background(), n.name(), payload)
 			if n.pass(i) {
 				done <- result{answer, err}
 				return
