placer, carrier, connector: place reads by when they are expected to be answered

Cause: a read is sent to a replica without an estimate of the position that the replica has when the read arrives, and the cost of another zone is a constant. Latencies of all classes are averaged together, so that a leader with short statements looks faster than its replicas and gets their reads. Change: with load.placement, the lag of each replica is estimated as a log-normal distribution; a read goes to a replica now, to one in some ms, or to the leader, whose cost rises with the work that only it may do. Round trips are measured when connections open; service times are compared within a class; an upstream that is slow, sheds or fails loses its reads and regains them by slow start.

--- a/carrier/group.go
+++ b/carrier/group.go
@@ -50,6 +50,7 @@
 	active bool
 	// peerLoads holds the latest loads that peers have reported, by name.
 	peerLoads map[string]peerLoad
+	expected  expectation
 }
 
 // Name returns the group's name.
@@ -217,6 +218,9 @@
 	g.logChange("carrier: leader changed", zap.String("group", g.name), zap.String("upstream", id),
 		zap.String("before", g.lastLeader), zap.String("evidence", evidence))
 	g.leader = u
+	if u != nil {
+		u.expected.lag = placer.Lag{} // it does not lag, and is a new replica afterwards
+	}
 	if u == nil && g.leaderlessSince.IsZero() {
 		g.leaderlessSince = g.registry.Now()
 	}
@@ -271,6 +275,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "carrier: open a connection to %s", entry.ID)
 	}
+	g.recordRoundTrip(u, l)
 	g.recordAnswer(u, l.InitialMark())
 	return &conn{Link: l, workspace: workspace}, nil
 }
@@ -283,6 +288,7 @@
 	if u.mark.Less(mark) {
 		u.mark = mark
 	}
+	g.learnPosition(u, u.answeredAt, mark)
 	if u.ejected {
 		g.log().Info("carrier: upstream answers again; no longer ejected", zap.String("group", g.name), zap.String("upstream", u.id),
 			zap.Duration("barred", u.answeredAt.Sub(u.ejectedAt)))
@@ -461,7 +467,11 @@
 func (g *Group) recordFailure(u *upstream, failed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	u.failures.record(g.registry.Now(), failed)
+	now := g.registry.Now()
+	u.failures.record(now, failed)
+	if failed && u.failures.rate > maxPartialFailureRate {
+		g.loseWork(u, now, "failing")
+	}
 }
 
 // recordAnswerTime records the latency of an answer.
--- a/carrier/health.go
+++ b/carrier/health.go
@@ -166,6 +166,7 @@
 	}
 	u.ejected = true
 	u.ejectedAt = now
+	g.loseWork(u, now, "barred")
 	u.probeAt = now.Add(minProbeInterval)
 	u.probeInterval = minProbeInterval
 	g.log().Warn("carrier: upstream ejected", zap.String("group", g.name), zap.String("upstream", u.id), zap.String("cause", cause),
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -71,6 +71,9 @@
 	CallerGone <-chan struct{}
 
 	tried map[*upstream]bool
+	// markWaitUntil is until when the job may wait for a replica to get a position; zero
+	// before the first placement by expected time.
+	markWaitUntil time.Time
 }
 
 // MaxPriority is the priority of the least urgent work.
@@ -217,6 +220,7 @@
 		answer.Ran = g.registry.Now().Sub(started)
 		answer.Waited = started.Sub(j.Arrived)
 		g.recordAnswerTime(u, answer.Ran)
+		g.recordService(u, j, answer.Ran)
 		if !j.RequiresLeader() {
 			g.recordReadServed(u, since)
 		}
@@ -324,6 +328,7 @@
 		}
 	case Busy:
 		g.recordAnswerTime(u, 4*defaultLatency)
+		g.recordShed(u)
 		if j.RequiresLeader() {
 			return pause(j, busyRetryDelay)
 		}
--- a/carrier/loads.go
+++ b/carrier/loads.go
@@ -52,22 +52,24 @@
 	f := g.registry.features()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.active || !f.FairAdmission && !g.placesByExpectation(f) {
+	expected := g.active && g.placesByExpectation(f)
+	if !g.active || !f.FairAdmission && !expected {
 		return nil
 	}
 	var out []gossiper.UpstreamLoad
 	for _, u := range g.upstreams {
-		if l, ok := u.load(now); ok && len(out) < maxUpstreamLoads {
+		l, ok := u.load(now)
+		if expected && u != g.leader {
+			l.Lag = u.reportedLag(now)
+			ok = ok || l.Lag > 0
+		}
+		if ok && len(out) < maxUpstreamLoads {
 			out = append(out, l)
 		}
 	}
 	return out
 }
 
-// placesByExpectation reports whether upstreams are chosen by when they are expected to
-// answer. The caller must hold g.mu.
-func (g *Group) placesByExpectation(f Features) bool { return f.ExpectedPlacement }
-
 // load returns what this process has at an upstream, and whether that is anything. The
 // caller must hold the group's lock.
 func (u *upstream) load(_ time.Time) (gossiper.UpstreamLoad, bool) {
--- a/carrier/place.go
+++ b/carrier/place.go
@@ -23,6 +23,15 @@
 			}
 			continue
 		}
+		if wait, late := g.refusesEarly(j); late {
+			return nil, since, g.refuseLate(j, wait)
+		}
+		if u, wait := g.chooseExpected(j, since); u != nil {
+			if wait <= 0 || !pause(j, wait) {
+				return u, since, Answer{}
+			}
+			continue
+		}
 		u, reason, changed := g.choose(placer.Need{LeaderOnly: j.RequiresLeader(), MinMark: since}, j.Workspace, j.tried)
 		if u != nil && g.wouldStall(j) {
 			u, reason = nil, placer.CommitStalled
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -139,6 +139,7 @@
 	if answer.Code == OK {
 		answer.Ran = t.group.registry.Now().Sub(started)
 		t.group.recordAnswerTime(t.upstream, answer.Ran)
+		t.group.recordService(t.upstream, j, answer.Ran)
 	}
 	return answer
 }
--- a/carrier/upstream.go
+++ b/carrier/upstream.go
@@ -51,6 +51,7 @@
 	// the log of a new leader must reach because of that.
 	restartedAt time.Time
 	minReceived tracker.Mark
+	expected    replicaState
 
 	ejected        bool
 	ejectedAt      time.Time // when it was ejected
--- /dev/null
+++ b/placer/expect.go
@@ -0,0 +1,180 @@
+package placer
+
+import (
+	"time"
+
+	"basildale.example/basildale/tracker"
+)
+
+// Parameters of the expected time of an answer.
+const (
+	// refusalCost is the cost of a refusal for a missing position: the read goes through a
+	// queue and a round trip in vain, and then through those of another upstream.
+	refusalCost = 150 * time.Millisecond
+	// minChance is the smallest chance of a position with which a read is sent to a replica
+	// while another candidate is left. Few reads need a fresh position; with it, refusals
+	// stay below three in a thousand of all.
+	minChance = 0.95
+	// waitDivisor sets the longest wait for a position: the time left to the objective
+	// divided by it.
+	waitDivisor = 4
+	// waitSteps is how many waits are weighed.
+	waitSteps = 8
+	// leaderOnlyWeight is the cost at the leader of a read that a replica may serve, as a
+	// multiple of its service time, when all the leader's slots are used by work that only
+	// the leader may do.
+	leaderOnlyWeight = 10
+	// crowdWeight is the cost of a fully used upstream as a part of the service time: work
+	// arrives unevenly, and reports of other gateways are half a second old.
+	crowdWeight = 0.6
+	// limitedCost is the cost of an upstream that is not to have more reads in flight. It
+	// is less than that of a replica that probably refuses: a read that is refused there
+	// would come to the slow upstream all the same.
+	limitedCost = 500 * time.Millisecond
+	// defaultSlots is assumed where an upstream does not state its slots.
+	defaultSlots = 4
+)
+
+// Option is a candidate with what is needed to estimate the time of an answer. SameZone,
+// Lagging and Latency of the candidate are not used.
+type Option struct {
+	Candidate
+	// RoundTrip is the time to the upstream and back.
+	RoundTrip time.Duration
+	// Service is the expected service time there.
+	Service time.Duration
+	// Slots is how many statements it runs at a time; zero when unknown.
+	Slots int
+	// Others is how many statements other gateways have there on average, running and
+	// waiting.
+	Others float64
+	// LeaderOnly is the part of the leader's slots that work uses that only it may do.
+	LeaderOnly float64
+	// Lag is the estimated lag of a replica.
+	Lag Lag
+	// Limit is how many reads may be in flight; see [SlowStart.Limit].
+	Limit int
+}
+
+// Read is what a read requires.
+type Read struct {
+	// MinMark is the mark that the log must contain, and CommittedAt the earliest known time
+	// at which the leader's log contained it.
+	MinMark     tracker.Mark
+	CommittedAt time.Time
+	// MaxWait is how long the read may wait before it is sent; see [MaxWait].
+	MaxWait time.Duration
+}
+
+// Choice is where a read goes.
+type Choice struct {
+	Index  int
+	Reason Reason
+	// Wait is how long the read should wait here before it is placed anew; zero if it
+	// should be sent now.
+	Wait time.Duration
+	// Expected is the expected time of the answer, from now on.
+	Expected time.Duration
+}
+
+// The reasons of choices by expected time.
+const (
+	PositionExpected Reason = "a replica will have the position"
+	TooLate          Reason = "the leader can't answer in time"
+)
+
+// MaxWait returns how long a read may wait for a position, given the time left until its
+// objective.
+func MaxWait(left time.Duration) time.Duration { return max(0, left/waitDivisor) }
+
+// ChooseExpected returns where a read that a replica may serve is answered first: at a
+// replica now, at one that will have the position soon, or at the leader.
+func ChooseExpected(now time.Time, options []Option, read Read) Choice {
+	best := Choice{Index: None, Reason: NoneAvailable}
+	longest := max(0, read.MaxWait)
+	for i := range options {
+		o := &options[i]
+		if o.Ejected || o.DrainEnded {
+			continue
+		}
+		base := o.expected()
+		for step := range waitSteps + 1 {
+			wait := longest * time.Duration(step) / waitSteps
+			chance := o.chance(now, wait, read)
+			cost := wait + base + time.Duration((1-chance)*float64(refusalCost))
+			if chance < minChance {
+				cost += laggingCost
+			}
+			if best.Index == None || cost < best.Expected {
+				best = Choice{Index: i, Reason: LowestCost, Wait: wait, Expected: cost}
+			}
+			if chance >= 1 {
+				break
+			}
+		}
+	}
+	if best.Wait > 0 {
+		best.Reason = PositionExpected
+	}
+	return best
+}
+
+// chance returns the probability that an upstream has what a read requires when the read
+// arrives after a wait.
+func (o *Option) chance(now time.Time, wait time.Duration, read Read) float64 {
+	if o.IsLeader || read.MinMark == (tracker.Mark{}) || !o.Mark.Less(read.MinMark) {
+		return 1
+	}
+	arrival := now.Add(wait + o.RoundTrip/2)
+	return o.Lag.Within(now, arrival.Sub(read.CommittedAt))
+}
+
+// expected returns the expected time of an answer without regard to positions.
+func (o *Option) expected() time.Duration {
+	cost := o.RoundTrip + o.Service + o.SlotWait() + connectDelayWeight*o.ConnectDelay
+	slots := float64(o.slots())
+	use := min((o.Others+float64(o.InFlight))/slots, 1)
+	cost += time.Duration(crowdWeight * use * use * float64(o.Service))
+	if o.IsLeader {
+		cost += leaderCost + time.Duration(leaderOnlyWeight*o.LeaderOnly*float64(o.Service))
+	}
+	if o.InFlight >= o.MaxConnections {
+		cost += connectionWaitCost
+	}
+	if o.InFlight >= o.Limit {
+		cost += limitedCost
+	}
+	if o.Tried {
+		cost += lastResortCost / 2
+	}
+	if o.Leaving {
+		cost += lastResortCost
+	}
+	return cost
+}
+
+// SlotWait returns the expected wait for a slot, here and at the upstream.
+func (o *Option) SlotWait() time.Duration {
+	slots := float64(o.slots())
+	ahead := o.Others + float64(o.InFlight) + 1 - slots
+	there := time.Duration(max(0, ahead) * float64(o.Service) / slots)
+	return max(o.QueueWait, there)
+}
+
+// MaxOthers returns how many running and how many waiting statements of one other gateway
+// count: its slots' worth of each. A gateway that has more there is overloaded or wrong, and
+// one wrong report must not move all work.
+func (o *Option) MaxOthers() int { return o.slots() }
+
+func (o *Option) slots() int {
+	if o.Slots <= 0 {
+		return defaultSlots
+	}
+	return o.Slots
+}
+
+// IsTooLate reports whether a statement that only the leader may run, with the given time
+// left until its deadline, cannot be answered there in time.
+func (o *Option) IsTooLate(left time.Duration) bool {
+	return o.SlotWait()+o.RoundTrip > left
+}
