placer, carrier: reads that are late are sent once more

Cause: a read at an upstream that has just become slow waits for it, though another one is idle. With many reads moved off the leader, replicas also queue while the leader has free slots. Change: with placement by expected time, a read without an answer after the time in which 95 % of its class come is sent to another upstream with the position and a free slot, for at most 3 % of the reads. The first answer counts; the other attempt ends by itself, and one that is still queued is not sent. The cost of an upstream's use rises steeply only when most of its slots are used, and the cost of leader-only work is less. Tests of placer and carrier, also with -race.

--- a/carrier/expected.go
+++ b/carrier/expected.go
@@ -43,6 +43,7 @@
 	// leaderOnly is the use of the leader's slots by this process's work that only the
 	// leader may do.
 	leaderOnly placer.Use
+	hedge      placer.Hedge
 	active     bool // as last logged
 }
 
@@ -180,6 +181,7 @@
 	g.loadsOfPeers(now, u.id, func(l *gossiper.UpstreamLoad) {
 		gateways++
 		others += min(l.Running, o.MaxOthers()) + min(l.Waiting, o.MaxOthers())
+		o.OthersWait = o.OthersWait || l.Waiting > 0
 		if l.Lag > 0 {
 			lags = append(lags, l.Lag)
 		}
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -74,6 +74,9 @@
 	// markWaitUntil is until when the job may wait for a replica to get a position; zero
 	// before the first placement by expected time.
 	markWaitUntil time.Time
+	// over is closed when another attempt of the same read has been answered; nil where
+	// there is no other.
+	over <-chan struct{}
 }
 
 // MaxPriority is the priority of the least urgent work.
@@ -149,7 +152,7 @@
 			return refused
 		}
 		var again bool
-		answer, again = g.attempt(u, j, cmd, since)
+		u, answer, again = g.attemptRead(u, j, cmd, since)
 		if !again {
 			return answer
 		}
@@ -183,6 +186,9 @@
 // runAdmitted runs an attempt that the upstream's gate admitted. It reports whether the
 // answer is a refusal after which the statement may be sent again.
 func (g *Group) runAdmitted(u *upstream, j *Job, cmd Command, since tracker.Mark) (Answer, bool) {
+	if j.isOver() {
+		return refusal(Busy, "another attempt was answered"), false
+	}
 	if g.isEjected(u) {
 		return refusal(Busy, "upstream barred while the statement waited for it"), true
 	}
--- a/placer/expect.go
+++ b/placer/expect.go
@@ -22,11 +22,14 @@
 	waitSteps = 8
 	// leaderOnlyWeight is the cost at the leader of a read that a replica may serve, as a
 	// multiple of its service time, when all the leader's slots are used by work that only
-	// the leader may do.
-	leaderOnlyWeight = 10
-	// crowdWeight is the cost of a fully used upstream as a part of the service time: work
-	// arrives unevenly, and reports of other gateways are half a second old.
-	crowdWeight = 0.6
+	// the leader may do. With this weight the leader runs less than half of the reads that
+	// it ran without; with more, reads wait at replicas while the leader has free slots.
+	leaderOnlyWeight = 6
+	// crowdWeight and crowdLimit set the cost of the use of an upstream's slots, as a part
+	// of the service time: little up to half of them, and twice the service time when all
+	// are used. Work arrives unevenly, and the use by other gateways is an average.
+	crowdWeight = 0.2
+	crowdLimit  = 1.1
 	// limitedCost is the cost of an upstream that is not to have more reads in flight. It
 	// is less than that of a replica that probably refuses: a read that is refused there
 	// would come to the slow upstream all the same.
@@ -48,6 +51,8 @@
 	// Others is how many statements other gateways have there on average, running and
 	// waiting.
 	Others float64
+	// OthersWait is true if statements of other gateways wait for the upstream.
+	OthersWait bool
 	// LeaderOnly is the part of the leader's slots that work uses that only it may do.
 	LeaderOnly float64
 	// Lag is the estimated lag of a replica.
@@ -134,7 +139,7 @@
 	cost := o.RoundTrip + o.Service + o.SlotWait() + connectDelayWeight*o.ConnectDelay
 	slots := float64(o.slots())
 	use := min((o.Others+float64(o.InFlight))/slots, 1)
-	cost += time.Duration(crowdWeight * use * use * float64(o.Service))
+	cost += time.Duration(crowdWeight * use * use / (crowdLimit - use) * float64(o.Service))
 	if o.IsLeader {
 		cost += leaderCost + time.Duration(leaderOnlyWeight*o.LeaderOnly*float64(o.Service))
 	}
