carrier, docs: round trips are judged when measured; note on placement

Cause: each decision looked through the round trips of all upstreams again, and the time of writes, which contains the wait for confirmations, counted in the pace of the leader for reads. The part had no design note and operators no description of its lines.

--- a/carrier/doc.go
+++ b/carrier/doc.go
@@ -7,6 +7,10 @@
 // retried on another upstream as long as that is safe. An outcome that cannot be known is
 // reported as in doubt, never guessed.
 //
+// With [Features].ExpectedPlacement, or AdaptivePlacement where other availability zones are
+// far, reads that a replica may serve go where they are expected to be answered first, and
+// a few that are late are sent once more. See docs/design/expected-placement.md.
+//
 // Three rules keep reads correct even where this process's view is out of date:
 //
 //   - A read that must see every commit runs inside a transaction that only the
--- a/carrier/expected.go
+++ b/carrier/expected.go
@@ -59,7 +59,7 @@
 // placesByExpectation reports whether upstreams are chosen by when they are expected to
 // answer. The caller must hold g.mu.
 func (g *Group) placesByExpectation(f Features) bool {
-	on := f.ExpectedPlacement || f.AdaptivePlacement && g.isFar()
+	on := f.ExpectedPlacement || f.AdaptivePlacement && g.expected.distance.IsFar()
 	if on != g.expected.active {
 		g.expected.active = on
 		g.logChange("carrier: placement by expected time changed", zap.String("group", g.name), zap.Bool("on", on))
@@ -71,17 +71,6 @@
 // caller must hold g.mu.
 func (g *Group) expects() bool { return g.placesByExpectation(g.registry.features()) }
 
-// isFar reports whether an upstream of another zone is far. The caller must hold g.mu.
-func (g *Group) isFar() bool {
-	var others []placer.RoundTrip
-	for _, u := range g.upstreams {
-		if u.entry.Zone != g.registry.Zone {
-			others = append(others, u.expected.roundTrip)
-		}
-	}
-	return g.expected.distance.Update(others)
-}
-
 // recordRoundTrip records the time of opening a network connection to an upstream, where
 // the link states it.
 func (g *Group) recordRoundTrip(u *upstream, l Link) {
@@ -91,7 +80,20 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	u.expected.roundTrip.Record(timed.RoundTrip())
+	g.addRoundTrip(u, timed.RoundTrip())
+}
+
+// addRoundTrip adds a measured round trip, which may show that another zone is far. The
+// caller must hold g.mu.
+func (g *Group) addRoundTrip(u *upstream, d time.Duration) {
+	u.expected.roundTrip.Record(d)
+	var others []placer.RoundTrip
+	for _, u := range g.upstreams {
+		if u.entry.Zone != g.registry.Zone {
+			others = append(others, u.expected.roundTrip)
+		}
+	}
+	g.expected.distance.Update(others)
 }
 
 func (g *Group) roundTrip(u *upstream) time.Duration {
@@ -129,7 +131,8 @@
 	u.expected.lag.Observe(now, atLeast, atMost)
 }
 
-// recordService records that an upstream has answered a statement well.
+// recordService records that an upstream has answered a statement well. The time of a write
+// shows nothing about reads: it contains the wait for replicas to confirm the commit.
 func (g *Group) recordService(u *upstream, j *Job, took time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -140,6 +143,9 @@
 	if u == g.leader && j.RequiresLeader() {
 		g.expected.leaderOnly.Add(now, took)
 	}
+	if j.Writes {
+		return
+	}
 	if u.expected.pace.Record(now, &g.expected.reference, int(j.admissionClass()), took-g.roundTrip(u)) {
 		g.loseWork(u, now, "slow")
 		return
@@ -233,15 +239,19 @@
 		g.probePosition(u, now)
 	}
 	c := placer.ChooseExpected(now, options, placer.Read{MinMark: since, CommittedAt: g.committedAt(j, since, now), MaxWait: j.markWait(now)})
-	if g.registry.CountPlacement != nil && c.Index != placer.None {
-		g.registry.CountPlacement(string(c.Reason))
-	}
 	if c.Index == placer.None {
 		return nil, 0
 	}
+	g.countPlacement(c.Reason)
 	return g.upstreams[c.Index], c.Wait
 }
 
+func (g *Group) countPlacement(reason placer.Reason) {
+	if g.registry.CountPlacement != nil {
+		g.registry.CountPlacement(string(reason))
+	}
+}
+
 // markWait returns how long the job may still wait for a position.
 func (j *Job) markWait(now time.Time) time.Duration {
 	if j.markWaitUntil.IsZero() {
@@ -301,7 +311,11 @@
 		return 0, false
 	}
 	o := g.option(g.leader, j, g.registry.Now())
-	return o.SlotWait(), o.IsTooLate(time.Until(j.Deadline))
+	late := o.IsTooLate(time.Until(j.Deadline))
+	if late {
+		g.countPlacement(placer.TooLate)
+	}
+	return o.SlotWait(), late
 }
 
 // refuseLate logs that the leader cannot answer a job in time and returns the refusal.
--- a/carrier/expected_test.go
+++ b/carrier/expected_test.go
@@ -163,7 +163,7 @@
 		g.recordLeader(g.findUpstream(m.leader), m.clock.Now, m.mark(m.leader))
 		for _, u := range g.upstreams {
 			if at%time.Second == 0 {
-				u.expected.roundTrip.Record(m.oneWay(g, u) + m.oneWay(g, u))
+				g.addRoundTrip(u, m.oneWay(g, u)+m.oneWay(g, u))
 			}
 			if g.needsPosition(u, m.clock.Now) {
 				g.recordAnswer(u, m.mark(u.id))
@@ -417,3 +417,22 @@
 		is.Equal(a.Code, OK)
 	})
 }
+
+// Guards against reads that go on to an upstream that fails a part of them, sheds load, or
+// answers nothing any more.
+func TestBadUpstreamLosesReads(t *testing.T) {
+	is := is.New(t)
+	for _, bad := range []func(g *Group, u *upstream){
+		func(g *Group, u *upstream) { g.recordFailure(u, true); g.recordFailure(u, true) },
+		(*Group).recordShed,
+		func(_ *Group, u *upstream) { u.running[&run{exchangeStartedAt: time.Unix(999, 0)}] = struct{}{} },
+	} {
+		m := newZoneModel(withExpected)
+		g := m.groups[0]
+		u, j := g.upstreams[1], &Job{Freshness: cataloger.BoundedStaleness}
+		u.answeredAt = time.Unix(999, 0)
+		is.True(g.option(u, j, m.clock.Now).Limit > 0)
+		bad(g, u)
+		is.Equal(g.option(u, j, m.clock.Now).Limit, 0)
+	}
+}
--- a/carrier/hedge.go
+++ b/carrier/hedge.go
@@ -170,5 +170,6 @@
 	if i == placer.None || !g.expected.hedge.Take() {
 		return nil
 	}
+	g.countPlacement(placer.NoAnswerYet)
 	return g.upstreams[i]
 }
--- a/placer/doc.go
+++ b/placer/doc.go
@@ -5,7 +5,15 @@
 // at a time. The cost of a candidate is the expected time of an answer there; the candidate
 // with the lowest cost is chosen.
 //
-// All functions are pure: the result depends only on the arguments.
+// Where placement by expected time is in force, [ChooseExpected] chooses instead. It also
+// weighs the probability that a replica has a position when the read arrives, by the
+// estimated [Lag], and whether it is worth to wait for that; the statements that other
+// gateways have at an upstream; its [Pace] and [SlowStart]; the measured [RoundTrip]; and
+// the leader's work that only it may do. [ChooseSecond] and [Hedge] decide about second
+// attempts.
+//
+// All functions are pure: the result depends only on the arguments. Values that are
+// learned, such as Lag, change only by their methods, with the time as an argument.
 //
 // # Usage
 //
@@ -13,4 +21,10 @@
 //	if i == placer.None {
 //		return refuse(reason)
 //	}
+//
+//	lag.Observe(now, atLeast, atMost) // by each answer
+//	c := placer.ChooseExpected(now, options, placer.Read{MinMark: mark, CommittedAt: at, MaxWait: placer.MaxWait(left)})
+//	if c.Index != placer.None && c.Wait > 0 {
+//		wait(c.Wait) // and choose anew
+//	}
 package placer
--- a/placer/expect.go
+++ b/placer/expect.go
@@ -85,6 +85,7 @@
 // The reasons of choices by expected time.
 const (
 	PositionExpected Reason = "a replica will have the position"
+	NoAnswerYet      Reason = "no answer in the usual time"
 	TooLate          Reason = "the leader can't answer in time"
 )
 
--- a/placer/roundtrip.go
+++ b/placer/roundtrip.go
@@ -49,6 +49,9 @@
 // is near.
 type Distance struct{ far bool }
 
+// IsFar reports whether other zones are far, by the last update.
+func (d *Distance) IsFar() bool { return d.far }
+
 // Update takes the round trips to the upstreams of other zones and reports whether one of
 // them is far.
 func (d *Distance) Update(others []RoundTrip) bool {
