placer, carrier: probes reach unused replicas; second attempts leave the usual tail

Cause: a replica of which nothing is known got few reads, so no connection to it was open, no probe was sent, and the leader ran reads that the replica had the position for. Long statements used up the second attempts in calm, where they are as long elsewhere. Tests of carrier, placer, connector and layout with -race.

--- a/carrier/expected.go
+++ b/carrier/expected.go
@@ -281,16 +281,20 @@
 // its answers has shown that for a while. The caller must hold g.mu.
 func (g *Group) needsPosition(u *upstream, now time.Time) bool {
 	interval := slowProbeInterval
-	if u.expected.lag.Median() > longLag {
+	if lag := u.expected.lag.Median(); lag == 0 || lag > longLag {
 		interval = positionProbeInterval
 	}
 	return u != g.leader && !u.ejected && now.Sub(u.expected.lag.SeenAt()) >= interval
 }
 
 // probePosition asks a replica for its position, if that is needed and a connection is idle.
-// The caller must hold g.mu.
+// Where none is open yet it opens one: a replica of which nothing is known would get few
+// reads, and so no connection. The caller must hold g.mu.
 func (g *Group) probePosition(u *upstream, now time.Time) {
-	if u.checkingLeader || !g.needsPosition(u, now) || u.pool.Stats().Idle == 0 {
+	if u.checkingLeader || !g.needsPosition(u, now) {
+		return
+	}
+	if s := u.pool.Stats(); s.Idle == 0 && s.Open > 0 {
 		return
 	}
 	u.checkingLeader = true
--- a/carrier/expected_test.go
+++ b/carrier/expected_test.go
@@ -84,6 +84,9 @@
 		c.DivideConnections(6, []cataloger.GroupSettings{{Name: "g", MaxConnections: 58}})
 		c.SetUpstreams(list)
 		g, _ := c.Group("g")
+		for _, u := range g.upstreams {
+			u.checkingLeader = true // tick asks for positions
+		}
 		m.groups = append(m.groups, g)
 	}
 	return m
--- a/placer/hedge.go
+++ b/placer/hedge.go
@@ -11,7 +11,11 @@
 	// hedgeShare is the largest part of the reads that are sent once more, and maxHedges how
 	// many second attempts can be saved up for a moment in which an upstream becomes slow.
 	hedgeShare = 0.03
-	maxHedges  = 3
+	maxHedges  = 8
+	// hedgeMargin multiplies that time before a read is sent once more. Long statements are
+	// as long elsewhere; without a margin they use up the second attempts, and none are left
+	// when an upstream becomes slow.
+	hedgeMargin = 1.25
 	// minHedgeAnswers is how many answers of a class must have come before its time is known.
 	minHedgeAnswers = 50
 )
@@ -42,7 +46,7 @@
 // Delay returns after which time without an answer a read of a class may be sent once more,
 // and whether it may be at all now.
 func (h *Hedge) Delay(class int) (time.Duration, bool) {
-	return h.times[class], h.answers[class] >= minHedgeAnswers && h.budget >= 1
+	return time.Duration(hedgeMargin * float64(h.times[class])), h.answers[class] >= minHedgeAnswers && h.budget >= 1
 }
 
 // Take counts a second attempt. It reports false if there were too many.
