placer, carrier: early refusals go by what is sent, not by queues

Cause: the wait in the queue before the leader is that of a statement with the latest deadline. Refusing by it would refuse statements that the queue would have let in first. A single measured round trip may contain the delays of a process that starts. The time left to wait for a position could be used up in ever smaller waits. Change: a statement is refused early by the statements sent to the leader; one measurement counts for no more than the assumed round trip; waits end with 2 ms left. Tests of carrier, placer, connector and layout with -race.

--- a/carrier/expected.go
+++ b/carrier/expected.go
@@ -53,7 +53,8 @@
 	lag       placer.Lag
 	pace      placer.Pace
 	start     placer.SlowStart
-	others    placer.Average
+	running   placer.Average // by other gateways
+	waiting   placer.Average // at other gateways
 }
 
 // placesByExpectation reports whether upstreams are chosen by when they are expected to
@@ -96,14 +97,21 @@
 	g.expected.distance.Update(others)
 }
 
+// roundTrip returns the expected round trip. A single measurement counts for no more than
+// what is assumed without one: it may contain the delays of a process that starts.
 func (g *Group) roundTrip(u *upstream) time.Duration {
-	if d, n := u.expected.roundTrip.Min(); n > 0 {
-		return d
-	}
+	assumed := otherZoneRoundTrip
 	if u.entry.Zone == g.registry.Zone {
-		return sameZoneRoundTrip
+		assumed = sameZoneRoundTrip
+	}
+	switch d, n := u.expected.roundTrip.Min(); n {
+	case 0:
+		return assumed
+	case 1:
+		return min(d, assumed)
+	default:
+		return d
 	}
-	return otherZoneRoundTrip
 }
 
 // learnPosition learns from a position that an upstream has stated. The lag is the time from
@@ -182,17 +190,19 @@
 		o.Limit = 0
 	}
 	o.ConnectDelay = u.connectDelay(j.Workspace, u == g.leader, u == g.homeReplica(j.Workspace))
-	gateways, others := 1, 0
+	gateways, running, waiting := 1, 0, 0
 	var lags []int
 	g.loadsOfPeers(now, u.id, func(l *gossiper.UpstreamLoad) {
 		gateways++
-		others += min(l.Running, o.MaxOthers()) + min(l.Waiting, o.MaxOthers())
+		running += min(l.Running, o.MaxOthers())
+		waiting += min(l.Waiting, o.MaxOthers())
 		o.OthersWait = o.OthersWait || l.Waiting > 0
 		if l.Lag > 0 {
 			lags = append(lags, l.Lag)
 		}
 	})
-	o.Others = u.expected.others.Update(now, float64(others))
+	o.OthersRunning = u.expected.running.Update(now, float64(running))
+	o.Others = o.OthersRunning + u.expected.waiting.Update(now, float64(waiting))
 	if u == g.leader && u.slots > 0 {
 		o.LeaderOnly = min(1, float64(gateways)*g.expected.leaderOnly.Slots(now)/float64(u.slots))
 	}
@@ -319,7 +329,7 @@
 	if late {
 		g.countPlacement(placer.TooLate)
 	}
-	return o.SlotWait(), late
+	return o.SentWait(), late
 }
 
 // refuseLate logs that the leader cannot answer a job in time and returns the refusal.
--- a/placer/expect.go
+++ b/placer/expect.go
@@ -18,6 +18,8 @@
 	// waitDivisor sets the longest wait for a position: the time left to the objective
 	// divided by it.
 	waitDivisor = 4
+	// minWait is the shortest time left to wait that is used: shorter ones only cost CPU.
+	minWait = 2 * time.Millisecond
 	// waitSteps is how many waits are weighed.
 	waitSteps = 8
 	// leaderOnlyWeight is the cost at the leader of a read that a replica may serve, as a
@@ -51,6 +53,9 @@
 	// Others is how many statements other gateways have there on average, running and
 	// waiting.
 	Others float64
+	// OthersRunning are those of them that run or have been sent: they are served before what
+	// is sent now, while those that wait at other gateways need not be.
+	OthersRunning float64
 	// OthersWait is true if statements of other gateways wait for the upstream.
 	OthersWait bool
 	// LeaderOnly is the part of the leader's slots that work uses that only it may do.
@@ -97,7 +102,10 @@
 // replica now, at one that will have the position soon, or at the leader.
 func ChooseExpected(now time.Time, options []Option, read Read) Choice {
 	best := Choice{Index: None, Reason: NoneAvailable}
-	longest := max(0, read.MaxWait)
+	longest := read.MaxWait
+	if longest < minWait {
+		longest = 0
+	}
 	for i := range options {
 		o := &options[i]
 		if o.Ejected || o.DrainEnded {
@@ -114,7 +122,7 @@
 			if best.Index == None || cost < best.Expected {
 				best = Choice{Index: i, Reason: LowestCost, Wait: wait, Expected: cost}
 			}
-			if chance >= 1 {
+			if chance >= 1 || longest == 0 {
 				break
 			}
 		}
@@ -179,8 +187,14 @@
 	return o.Slots
 }
 
+// SentWait returns how long the statements that were sent to the upstream, here and by other
+// gateways, keep its slots from what is sent now. Queues are left out: they are not in the
+// order of arrival, and refuse by themselves.
+func (o *Option) SentWait() time.Duration {
+	slots := float64(o.slots())
+	return time.Duration(max(0, o.OthersRunning+float64(o.InFlight)+1-slots) * float64(o.Service) / slots)
+}
+
 // IsTooLate reports whether a statement that only the leader may run, with the given time
 // left until its deadline, cannot be answered there in time.
-func (o *Option) IsTooLate(left time.Duration) bool {
-	return o.SlotWait()+o.RoundTrip > left
-}
+func (o *Option) IsTooLate(left time.Duration) bool { return o.SentWait()+o.RoundTrip > left }
