--- a/carrier/job.go
+++ b/carrier/job.go
@@ -71,6 +71,12 @@
 	CallerGone <-chan struct{}
 
 	tried map[*upstream]bool
+	// markWaitUntil is until when the job may wait for a replica to get a position; zero
+	// before the first placement by expected time.
+	markWaitUntil time.Time
+	// over is closed when another attempt of the same read has been answered; nil where
+	// there is no other.
+	over <-chan struct{}
 }
 
 // MaxPriority is the priority of the least urgent work.
@@ -163,7 +169,7 @@
 			return refused
 		}
 		var again bool
-		answer, again = g.attempt(u, j, cmd, since)
+		u, answer, again = g.attemptRead(u, j, cmd, since)
 		if !again {
 			return answer
 		}
@@ -198,6 +204,9 @@
 // runAdmitted runs an attempt that the upstream's gate admitted. It reports whether the
 // answer is a refusal after which the statement may be sent again.
 func (g *Group) runAdmitted(u *upstream, j *Job, cmd Command, since tracker.Mark) (Answer, bool) {
+	if j.isOver() {
+		return refusal(Busy, "another attempt was answered"), false
+	}
 	if g.isEjected(u) {
 		return refusal(Busy, "upstream barred while the statement waited for it"), true
 	}
@@ -235,6 +244,7 @@
 		answer.Ran = g.registry.Now().Sub(started)
 		answer.Waited = started.Sub(j.Arrived)
 		g.recordAnswerTime(u, answer.Ran)
+		g.recordService(u, j, answer.Ran)
 		if !j.RequiresLeader() {
 			g.recordReadServed(u, since)
 		}
@@ -342,6 +352,7 @@
 		}
 	case Busy:
 		g.recordAnswerTime(u, 4*defaultLatency)
+		g.recordShed(u)
 		if j.RequiresLeader() {
 			return pause(j, busyRetryDelay)
 		}
