throttler: within a quota the more urgent operations go first

Cause: a workspace beyond its quota was served first come, first served. Change: an owner with load.quota ranked counts each priority's operations of the last 2 s, and leaves to the more urgent what these take in a credit interval, and one token; nothing once they haven't come for a second. A request without a rank, of an older process, counts as the least urgent; other ranks are clamped.

--- a/throttler/ledger.go
+++ b/throttler/ledger.go
@@ -40,6 +40,8 @@
 type account struct {
 	ring
 	lastUsed time.Time
+	// demand is what ranked operations have asked for; nil without any.
+	demand *demand
 }
 
 // add credits a span of time up to now of one process out of fleet. A bucket never
@@ -62,7 +64,7 @@
 	}
 }
 
-// take spends a token of a workspace, the oldest first.
+// take spends a token of a workspace.
 func (l *ledger) take(workspace string, limit tokenLimit, now time.Time) Verdict {
 	l.sweep(now)
 	latest := bucketOf(now)
@@ -70,21 +72,30 @@
 	credits.advance(latest)
 	a := l.account(workspace, now)
 	a.advance(latest)
+	if unspent := l.unspentIn(credits, a, limit, now); unspent < 1 {
+		return l.refuse(credits, limit, unspent, now)
+	}
+	l.spend(credits, a, limit, now)
+	return Verdict{Granted: true}
+}
+
+// unspentIn returns how many tokens of all buckets a workspace has not spent.
+func (l *ledger) unspentIn(credits *ring, a *account, limit tokenLimit, now time.Time) float64 {
 	unspent := 0.0
-	oldest := bucketOf(now.Add(-limit.life)) + 1
-	for bucket := oldest; bucket <= latest; bucket++ {
+	for bucket := bucketOf(now.Add(-limit.life)) + 1; bucket <= bucketOf(now); bucket++ {
 		unspent += l.unspent(credits, a, limit, bucket)
 	}
-	if unspent < 1 {
-		return l.refuse(credits, limit, unspent, now)
-	}
+	return unspent
+}
+
+// spend spends a token, the oldest first.
+func (l *ledger) spend(credits *ring, a *account, limit tokenLimit, now time.Time) {
 	price := 1.0
-	for bucket := oldest; bucket <= latest && price > 0; bucket++ {
+	for bucket := bucketOf(now.Add(-limit.life)) + 1; bucket <= bucketOf(now) && price > 0; bucket++ {
 		paid := min(price, l.unspent(credits, a, limit, bucket))
 		*a.at(bucket) += paid
 		price -= paid
 	}
-	return Verdict{Granted: true}
 }
 
 // unspent returns how many tokens of a bucket a workspace has not spent.
--- a/throttler/succession.go
+++ b/throttler/succession.go
@@ -171,7 +171,11 @@
 
 // TakeRanked takes a token for an operation at this process.
 func (n *Node) TakeRanked(a Ask, now time.Time) (Verdict, []Envelope) {
-	return n.Take(a.Workspace, a.Quota, now)
+	v := n.ledger.takeRanked(&a, n.Tolerance.tokenLimit(a.Quota), now)
+	if !v.Undecided {
+		return v, nil
+	}
+	return v, n.claimShard(Shard(a.Workspace), now)
 }
 
 // decide decides on a peer's request.
