throttler, proxier: a refusal by a quota names the caller's place in line

Cause: each refusal said 50 ms, so that each operation came three times within 0.1 s and was lost. Change: with load.quota ranked, refused operations get successive turns at the rate at which tokens come for their priority, after those of more urgent ones; a turn is forgotten 100 ms after it was due. Where the turn would be after the deadline none is given, and the refusal names the time left and says so.

--- a/proxier/quota.go
+++ b/proxier/quota.go
@@ -102,17 +102,27 @@
 }
 
 func (q *quotaLimiter) refuse(workspace string, quota cataloger.Quota, v throttler.Verdict) carrier.Answer {
+	q.logRefusal(workspace, quota, v)
+	retryAfter := max(v.RetryAfter, minRetryAfter).Round(time.Millisecond)
+	return carrier.Answer{Code: carrier.Busy, Text: quotaCause(v) + "; come back in " + retryAfter.String()}
+}
+
+func (q *quotaLimiter) logRefusal(workspace string, quota cataloger.Quota, v throttler.Verdict, more ...zap.Field) {
 	q.mu.Lock()
 	owner, _ := q.node.Owner(workspace)
 	q.mu.Unlock()
-	q.log.Info("proxier: operation refused by the workspace's quota", zap.String("workspace", workspace), zap.Float64("rate", quota.Rate), zap.Float64("burst", quota.Burst),
-		zap.String("holder", owner.Name), zap.Bool("unsure", v.Undecided), zap.Duration("back", v.RetryAfter), zap.Uint64("configuration", q.view().Config.Version))
-	cause := "the workspace's quota is used up"
+	q.log.Info("proxier: operation refused by the workspace's quota", append([]zap.Field{
+		zap.String("workspace", workspace), zap.Float64("rate", quota.Rate), zap.Float64("burst", quota.Burst),
+		zap.String("holder", owner.Name), zap.Bool("unsure", v.Undecided), zap.Duration("back", v.RetryAfter), zap.Uint64("configuration", q.view().Config.Version),
+	}, more...)...)
+}
+
+// quotaCause returns the text of a refusal.
+func quotaCause(v throttler.Verdict) string {
 	if v.Undecided {
-		cause = "what is left of the workspace's quota isn't known"
+		return "what is left of the workspace's quota isn't known"
 	}
-	retryAfter := max(v.RetryAfter, minRetryAfter).Round(time.Millisecond)
-	return carrier.Answer{Code: carrier.Busy, Text: cause + "; come back in " + retryAfter.String()}
+	return "the workspace's quota is used up"
 }
 
 // takeToken takes a token from the shard owner of a workspace.
--- a/proxier/quota_ranked.go
+++ b/proxier/quota_ranked.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"basildale.example/basildale/carrier"
 	"basildale.example/basildale/cataloger"
 	"basildale.example/basildale/throttler"
@@ -35,7 +37,20 @@
 	if q.count(v); v.Granted {
 		return carrier.Answer{}
 	}
-	return q.refuse(job.Workspace, quota, v)
+	return q.refuseRanked(job, quota, v, left)
+}
+
+// refuseRanked refuses an operation. The delay is never after the caller's deadline.
+func (q *quotaLimiter) refuseRanked(job *carrier.Job, quota cataloger.Quota, v throttler.Verdict, left time.Duration) carrier.Answer {
+	left = max(left, time.Millisecond)
+	hasTurn := v.RetryAfter < left
+	v.RetryAfter = min(max(v.RetryAfter, minRetryAfter), left).Round(time.Millisecond)
+	q.logRefusal(job.Workspace, quota, v, zap.Int("priority", job.Priority), zap.Bool("turn", hasTurn))
+	text := quotaCause(v)
+	if !hasTurn {
+		text += ", and there is no turn before the deadline"
+	}
+	return carrier.Answer{Code: carrier.Busy, Text: text + "; come back in " + v.RetryAfter.String()}
 }
 
 // verdictDue returns when the verdict on an operation is due, by the limiter's clock.
--- a/proxier/quota_test.go
+++ b/proxier/quota_test.go
@@ -173,3 +173,34 @@
 		}
 	})
 }
+
+// Guards against refusals that name a time after the caller's deadline, or the same time for
+// all: a workspace at ten times its quota.
+func TestRankedRefusalNamesTheTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newLimiters(t, 3, cataloger.Quota{Rate: 20, Burst: 20})
+		defer close(l.done)
+		time.Sleep(3 * time.Second)
+		var delays []time.Duration
+		withoutTurn := 0
+		for range 120 {
+			a := l.all[0].admit(submission(time.Now()))
+			if a.Code == carrier.OK {
+				continue
+			}
+			cause, delay, _ := strings.Cut(a.Text, "; come back in ")
+			d, err := time.ParseDuration(delay)
+			is.NoErr(err)
+			is.True(d <= 800*time.Millisecond)
+			if strings.HasSuffix(cause, "no turn before the deadline") {
+				withoutTurn++
+				continue
+			}
+			delays = append(delays, d)
+		}
+		is.True(withoutTurn > 10)
+		is.True(len(delays) > 10)
+		is.True(delays[len(delays)-1]-delays[0] > 400*time.Millisecond) // successive turns
+	})
+}
--- a/throttler/ledger.go
+++ b/throttler/ledger.go
@@ -42,6 +42,7 @@
 	lastUsed time.Time
 	// demand is what ranked operations have asked for; nil without any.
 	demand *demand
+	line   line
 }
 
 // add credits a span of time up to now of one process out of fleet. A bucket never
--- a/throttler/rank.go
+++ b/throttler/rank.go
@@ -93,8 +93,9 @@
 	priority := a.priority()
 	available := l.unspentIn(credits, acc, limit, now)
 	missing := 1 + acc.demand.reserve(priority, limit, now) - available
+	acc.line.arrive(priority, now)
 	if missing > 0 {
-		v := l.refuse(credits, limit, 1-missing, now)
+		v := l.refuseRanked(credits, acc, a, limit, missing, now)
 		if !v.Undecided {
 			acc.demand.add(priority, now)
 		}
--- a/throttler/rank_test.go
+++ b/throttler/rank_test.go
@@ -15,12 +15,16 @@
 
 // classes are the classes of requests: their share, and the deadline of their callers.
 var classes = []struct {
-	share    float64
-	deadline time.Duration
-}{{0.14, 800 * time.Millisecond}, {0.63, 800 * time.Millisecond}, {0.23, 2500 * time.Millisecond}}
+	share               float64
+	objective, deadline time.Duration
+}{
+	{0.14, 150 * time.Millisecond, 800 * time.Millisecond},
+	{0.63, 250 * time.Millisecond, 800 * time.Millisecond},
+	{0.23, 800 * time.Millisecond, 2500 * time.Millisecond},
+}
 
 // tally counts the operations of a class.
-type tally struct{ asked, granted, first, tries int }
+type tally struct{ asked, granted, inTime, tries, back, backGranted int }
 
 // call plays a caller, which tries at most three times, at the delays that it is told, and
 // not after its deadline.
@@ -32,13 +36,19 @@
 	try = func() {
 		tries++
 		t.tries++
+		if tries > 1 {
+			t.back++
+		}
 		f.ask(f.processes[at], Ask{Workspace: "w", Quota: f.quota, Rank: class + 1, Left: left}, func(v Verdict) {
 			switch {
 			case v.Granted:
 				t.granted++
 				f.granted = append(f.granted, f.now)
-				if tries == 1 {
-					t.first++
+				if tries > 1 {
+					t.backGranted++
+				}
+				if f.now.Sub(began) <= classes[class].objective {
+					t.inTime++
 				}
 			case tries < 3 && f.now.Add(v.RetryAfter).Before(began.Add(left)):
 				f.after(max(v.RetryAfter, 50*time.Millisecond), try)
@@ -76,7 +86,7 @@
 func TestOverloadByPriority(t *testing.T) {
 	is := is.New(t)
 	var out strings.Builder
-	fmt.Fprintln(&out, "demand   time  rule    granted/s  most in window (allowed)  priority: asked/s, granted, at the first try, tries each")
+	fmt.Fprintln(&out, "demand   time  rule    granted/s  most in window (allowed)  priority: asked/s, granted, within the objective, of retries, tries each")
 	for _, times := range []float64{1.3, 2, 5} {
 		for _, d := range []time.Duration{10 * time.Second, 30 * time.Second} {
 			for _, ranked := range []bool{false, true} {
@@ -86,8 +96,8 @@
 				rule := map[bool]string{false: "plain", true: "ranked"}[ranked]
 				fmt.Fprintf(&out, "%3.1f x %6s  %-6s %10.0f %16d (%.0f)     ", times, d, rule, float64(len(f.granted))/d.Seconds(), f.maxGranted(tolerance.Window), f.allowed())
 				for class, c := range got {
-					fmt.Fprintf(&out, "  %d: %3.0f %5.1f %% %5.1f %% %4.2f", class, float64(c.asked)/d.Seconds(),
-						100*float64(c.granted)/float64(c.asked), 100*float64(c.first)/float64(c.asked), float64(c.tries)/float64(c.asked))
+					fmt.Fprintf(&out, "  %d: %3.0f %5.1f %% %5.1f %% %5.1f %% %4.2f", class, float64(c.asked)/d.Seconds(),
+						100*float64(c.granted)/float64(c.asked), 100*float64(c.inTime)/float64(c.asked), 100*float64(c.backGranted)/float64(max(1, c.back)), float64(c.tries)/float64(c.asked))
 				}
 				fmt.Fprintln(&out)
 				is.True(float64(f.maxGranted(tolerance.Window)) <= f.allowed())
