proxier: ranked quotas log owners that don't answer, and start at once

Cause: the ranked path excluded owners without a log line, and a process that has just started credited its time up to 200 ms after it knew the fleet. Change: one line for each owner that is excluded, at the next tick; ticks each 25 ms while a ranked process doesn't know the fleet.

--- a/proxier/quota.go
+++ b/proxier/quota.go
@@ -18,6 +18,9 @@
 	// quotaTickInterval is the time between two passes that send credits and check shard
 	// owners.
 	quotaTickInterval = throttler.CreditInterval / 2
+	// startTickInterval replaces it while a ranked process does not know the fleet yet and so
+	// credits no time: after a start of all processes nothing is granted before that.
+	startTickInterval = 25 * time.Millisecond
 	// noQuotaInterval is the time between two checks whether any workspace has a quota.
 	noQuotaInterval = time.Second
 	// tokenRequestTimeout is how long to wait for a shard owner's reply before the request is
@@ -211,7 +214,7 @@
 			timer.Reset(noQuotaInterval)
 			continue
 		}
-		timer.Reset(quotaTickInterval)
+		timer.Reset(q.tickInterval(knowsFleet()))
 		now := q.now()
 		changed := q.gossip.Digest() != digest
 		if (changed || now.Sub(updatedAt) >= time.Minute) && knowsPeers() {
@@ -220,10 +223,17 @@
 		}
 		q.mu.Lock()
 		q.node.Leaving, q.node.IsFleetKnown, q.node.Ranked = isLeaving(), knowsFleet(), q.isRanked()
-		out := q.node.Tick(now)
 		q.mu.Unlock()
-		q.send(out)
+		q.tick()
+	}
+}
+
+// tickInterval returns the time to the next pass.
+func (q *quotaLimiter) tickInterval(knowsFleet bool) time.Duration {
+	if q.isRanked() && !knowsFleet {
+		return startTickInterval
 	}
+	return quotaTickInterval
 }
 
 // updateMembers sets which processes may own shards, and how many processes issue credits.
--- a/proxier/quota_ranked.go
+++ b/proxier/quota_ranked.go
@@ -133,10 +133,15 @@
 	}
 }
 
-// tick settles the claims of shards whose owner does not answer.
+// tick sends the credits that are due, and settles the claims of shards whose owner does not
+// answer.
 func (q *quotaLimiter) tick() {
 	q.mu.Lock()
 	out := q.node.Tick(q.now())
+	excluded := q.node.Excluded()
 	q.mu.Unlock()
 	q.send(out)
+	for _, name := range excluded {
+		q.log.Info("proxier: shard owner of workspaces' quotas does not answer", zap.String("holder", name))
+	}
 }
--- a/proxier/quota_test.go
+++ b/proxier/quota_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"basildale.example/basildale/carrier"
 	"basildale.example/basildale/cataloger"
@@ -102,9 +103,17 @@
 		is := is.New(t)
 		l := newLimiters(t, 7, cataloger.Quota{Rate: 100, Burst: 100})
 		defer close(l.done)
+		core, log := observer.New(zap.InfoLevel)
 		time.Sleep(3 * time.Second)
 		owner := l.owner()
 		l.ended[owner].Store(true)
+		for i, q := range l.all {
+			q.mu.Lock()
+			if i != owner {
+				q.log = zap.New(core)
+			}
+			q.mu.Unlock()
+		}
 		for i, q := range l.all {
 			if i == owner {
 				continue
@@ -114,6 +123,10 @@
 			is.True(time.Since(arrived) < maxVerdictTime)
 			is.Equal(len(q.inquiries), 0) // no operation is kept
 		}
+		time.Sleep(time.Second)
+		lines := log.FilterMessage("proxier: shard owner of workspaces' quotas does not answer")
+		is.Equal(lines.Len(), len(l.all)-1)
+		is.Equal(lines.FilterField(zap.String("holder", fmt.Sprint("p", owner))).Len(), len(l.all)-1)
 	})
 }
 
--- a/throttler/node.go
+++ b/throttler/node.go
@@ -81,6 +81,7 @@
 	ownerClocks   map[ID]ownerClock
 	silentSince   map[ID]time.Time // since when a process has not answered a request
 	claims        [Shards]shardClaim
+	excluded      []ID // since the last call of Excluded
 	ledger        ledger
 	lastCredit    time.Time // when credits were last sent to all owners
 	lastClaim     [Shards]time.Time
@@ -186,7 +187,11 @@
 	if n.excludedUntil == nil {
 		n.excludedUntil = map[ID]time.Time{}
 	}
+	if n.Ranked && !now.Before(n.excludedUntil[owner]) && len(n.excluded) < maxExcluded {
+		n.excluded = append(n.excluded, owner)
+	}
 	n.excludedUntil[owner] = now.Add(excludeDuration)
+	delete(n.silentSince, owner)
 	delete(n.ackDueSince, owner)
 	delete(n.ownerClocks, owner)
 }
--- a/throttler/succession.go
+++ b/throttler/succession.go
@@ -17,6 +17,8 @@
 	silenceTimeout = 120 * time.Millisecond
 	// claimTTL is how long a claim counts after it was received.
 	claimTTL = 300 * time.Millisecond
+	// maxExcluded bounds the exclusions that are kept for Excluded.
+	maxExcluded = 64
 )
 
 // shardClaim is another process's claim of a shard whose owner has not been found silent yet.
@@ -65,6 +67,21 @@
 	}
 }
 
+// Excluded returns the names of the processes that were excluded as owners since the last
+// call, because they did not answer or are leaving. It is empty while Ranked is not set.
+func (n *Node) Excluded() []string {
+	var names []string
+	for _, id := range n.excluded {
+		for i := range n.others {
+			if n.others[i].id == id {
+				names = append(names, n.others[i].Name)
+			}
+		}
+	}
+	n.excluded = nil
+	return names
+}
+
 // isSilent reports whether a process has owed an answer for a time.
 func (n *Node) isSilent(id ID, timeout time.Duration, now time.Time) bool {
 	asked, isAsked := n.silentSince[id]
