--- a/throttler/doc.go
+++ b/throttler/doc.go
@@ -20,6 +20,12 @@
 // send. It has no clock of its own; times are those of a clock that also counts the time
 // in which the machine is suspended.
 //
+// A ranked process (Node.Ranked) spends a workspace's tokens on its more urgent operations
+// first. It collects verdicts by an Inquiry, which asks the next processes while the owner
+// does not answer; these claim the time of the others. It gives refused operations successive
+// turns, and counts grants by window, so that tokens that were not spent in time are not lost
+// to a workspace with a lasting demand. The limit holds among processes of both kinds.
+//
 // # Usage
 //
 //	n := &throttler.Node{Self: name, Tolerance: tolerance, StartedAt: startedAt}
@@ -29,4 +35,9 @@
 //	send(n.Receive(message, from, quotas, now))
 //	owner, remote := n.Owner(workspace)
 //	verdict, out := n.Take(workspace, quota, now) // at the owner
+//
+// Ranked, for each operation:
+//
+//	q := &throttler.Inquiry{Ask: ask, Until: until, NewID: newID}
+//	verdict, done, out := q.Step(n, now) // at q.Wake(), and after each q.Reply(message, now)
 package throttler
