throttler: an owner that is leaving is not reported as silent

Cause: the log line on owners that don't answer also named those that announce that they leave. Change: only exclusions for silence are reported; a test for that, and for wrong claims of a shard whose owner answers.

--- a/throttler/node.go
+++ b/throttler/node.go
@@ -161,6 +161,7 @@
 	changed := false
 	for id, since := range n.ackDueSince {
 		if now.Sub(since) >= ackTimeout {
+			n.noteSilent(id, now)
 			n.exclude(id, now)
 			changed = true
 		}
@@ -179,6 +180,7 @@
 
 // OwnerTimedOut excludes an owner that did not answer a request, and chooses owners anew.
 func (n *Node) OwnerTimedOut(owner ID, now time.Time) {
+	n.noteSilent(owner, now)
 	n.exclude(owner, now)
 	n.chooseOwners(now)
 }
@@ -187,9 +189,6 @@
 	if n.excludedUntil == nil {
 		n.excludedUntil = map[ID]time.Time{}
 	}
-	if n.Ranked && !now.Before(n.excludedUntil[owner]) && len(n.excluded) < maxExcluded {
-		n.excluded = append(n.excluded, owner)
-	}
 	n.excludedUntil[owner] = now.Add(excludeDuration)
 	delete(n.silentSince, owner)
 	delete(n.ackDueSince, owner)
@@ -260,7 +259,8 @@
 func (n *Node) handleAck(m *Message, now time.Time) []Envelope {
 	delete(n.ackDueSince, m.From)
 	if m.Leaving {
-		n.OwnerTimedOut(m.From, now)
+		n.exclude(m.From, now)
+		n.chooseOwners(now)
 		return nil
 	}
 	_, known := n.ownerClocks[m.From]
--- a/throttler/succession.go
+++ b/throttler/succession.go
@@ -67,8 +67,15 @@
 	}
 }
 
+// noteSilent records a process that is about to be excluded because it does not answer.
+func (n *Node) noteSilent(id ID, now time.Time) {
+	if n.Ranked && !now.Before(n.excludedUntil[id]) && len(n.excluded) < maxExcluded {
+		n.excluded = append(n.excluded, id)
+	}
+}
+
 // Excluded returns the names of the processes that were excluded as owners since the last
-// call, because they did not answer or are leaving. It is empty while Ranked is not set.
+// call because they did not answer. It is empty while Ranked is not set.
 func (n *Node) Excluded() []string {
 	var names []string
 	for _, id := range n.excluded {
--- a/throttler/succession_test.go
+++ b/throttler/succession_test.go
@@ -134,3 +134,30 @@
 		t.Logf("owner ranked %v: %d refused and %d unsure of %d", rankedOwner, f.refused-f.unsure, f.unsure, len(f.took))
 	}
 }
+
+// Guards against a wrong claim, after a lost reply, that takes the time of the fleet from an
+// owner that answers, and against an owner that is leaving and is reported as silent.
+func TestWrongClaimsAndLeavingOwners(t *testing.T) {
+	is := is.New(t)
+	f := newRankedFleet(5, true)
+	f.run(4 * time.Second)
+	owner := f.ownerOf()
+	var claimant, other *process
+	for _, p := range f.processes {
+		if p != owner {
+			claimant, other = other, p
+		}
+	}
+	for range 20 {
+		f.send(claimant, claimant.node.claimShard(Shard("w"), f.now.Add(claimant.skew)))
+		f.run(250 * time.Millisecond)
+	}
+	now := f.now.Add(owner.skew)
+	is.True(coverage(&owner.node.ledger.credited[Shard("w")], now) > 0.99)
+	is.True(!other.node.HasClaims())
+	owner.node.Leaving = true
+	f.run(time.Second)
+	next, _ := other.node.Owner("w")
+	is.True(next.Name != f.name(owner))
+	is.Equal(len(other.node.Excluded()), 0)
+}
