--- a/proxier/quota.go
+++ b/proxier/quota.go
@@ -18,6 +18,9 @@
 	// quotaTickInterval is the time between two passes that send credits and check shard
 	// owners.
 	quotaTickInterval = throttler.CreditInterval / 2
+	// startTickInterval replaces it while a ranked process does not know the fleet yet and so
+	// credits no time: after a start of all processes nothing is granted before that.
+	startTickInterval = 25 * time.Millisecond
 	// noQuotaInterval is the time between two checks whether any workspace has a quota.
 	noQuotaInterval = time.Second
 	// tokenRequestTimeout is how long to wait for a shard owner's reply before the request is
@@ -42,7 +45,9 @@
 // quotaLimiter has each operation counted by the process that owns the shard of its workspace.
 // It is safe for concurrent use.
 type quotaLimiter struct {
-	gossip    *gossiper.Gossiper
+	gossip *gossiper.Gossiper
+	// transmit sends a datagram to a peer.
+	transmit  func(b []byte, to netip.AddrPort) error
 	view      func() *cataloger.View
 	increment func(name string, n int64)
 	now       func() time.Time
@@ -50,10 +55,15 @@
 	// millicores is this process's CPU capacity in thousandths of a core.
 	millicores int
 
+	// ranked reports whether the more urgent operations of a workspace go first; nil for never.
+	ranked func() bool
+
 	mu            sync.Mutex
 	node          throttler.Node
 	lastRequestID uint64
 	pending       map[uint64]chan throttler.Verdict
+	// inquiries holds the ranked operations by the IDs of their requests.
+	inquiries map[uint64]*inquiry
 }
 
 // admit takes a token for one operation out of a workspace's quota, or returns the refusal if
@@ -64,6 +74,9 @@
 	if quota == nil {
 		return carrier.Answer{}
 	}
+	if q.isRanked() {
+		return q.admitRanked(job, *quota)
+	}
 	waitUntil := time.Now().Add(maxTokenWait)
 	if deadline.Before(waitUntil) {
 		waitUntil = deadline
@@ -73,30 +86,46 @@
 		time.Sleep(v.RetryAfter)
 		v = q.takeToken(workspace, *quota)
 	}
+	if q.count(v); v.Granted {
+		return carrier.Answer{}
+	}
+	return q.refuse(workspace, *quota, v)
+}
+
+// count counts a verdict.
+func (q *quotaLimiter) count(v throttler.Verdict) {
 	switch {
 	case v.Granted:
 		q.increment(quotaGranted, 1)
-		return carrier.Answer{}
 	case v.Undecided:
 		q.increment(quotaUnsure, 1)
 	default:
 		q.increment(quotaRefused, 1)
 	}
-	return q.refuse(workspace, *quota, v)
 }
 
 func (q *quotaLimiter) refuse(workspace string, quota cataloger.Quota, v throttler.Verdict) carrier.Answer {
+	q.logRefusal(workspace, quota, v)
+	retryAfter := max(v.RetryAfter, minRetryAfter).Round(time.Millisecond)
+	return carrier.Answer{Code: carrier.Busy, Text: quotaCause(v) + "; come back in " + retryAfter.String()}
+}
+
+func (q *quotaLimiter) logRefusal(workspace string, quota cataloger.Quota, v throttler.Verdict, more ...zap.Field) {
 	q.mu.Lock()
 	owner, _ := q.node.Owner(workspace)
 	q.mu.Unlock()
-	q.log.Info("proxier: operation refused by the workspace's quota", zap.String("workspace", workspace), zap.Float64("rate", quota.Rate), zap.Float64("burst", quota.Burst),
-		zap.String("holder", owner.Name), zap.Bool("unsure", v.Undecided), zap.Duration("back", v.RetryAfter), zap.Uint64("configuration", q.view().Config.Version))
-	cause := "the workspace's quota is used up"
+	q.log.Info("proxier: operation refused by the workspace's quota", append([]zap.Field{
+		zap.String("workspace", workspace), zap.Float64("rate", quota.Rate), zap.Float64("burst", quota.Burst),
+		zap.String("holder", owner.Name), zap.Bool("unsure", v.Undecided), zap.Duration("back", v.RetryAfter), zap.Uint64("configuration", q.view().Config.Version),
+	}, more...)...)
+}
+
+// quotaCause returns the text of a refusal.
+func quotaCause(v throttler.Verdict) string {
 	if v.Undecided {
-		cause = "what is left of the workspace's quota isn't known"
+		return "what is left of the workspace's quota isn't known"
 	}
-	retryAfter := max(v.RetryAfter, minRetryAfter).Round(time.Millisecond)
-	return carrier.Answer{Code: carrier.Busy, Text: cause + "; come back in " + retryAfter.String()}
+	return "the workspace's quota is used up"
 }
 
 // takeToken takes a token from the shard owner of a workspace.
@@ -138,7 +167,9 @@
 		return
 	}
 	q.mu.Lock()
+	q.node.Ranked = q.isRanked()
 	if m.Kind == throttler.Reply {
+		q.replyToInquiry(&m)
 		if reply, isPending := q.pending[m.ID]; isPending && m.To == throttler.NewID(q.node.Self) {
 			delete(q.pending, m.ID)
 			reply <- m.Verdict
@@ -147,15 +178,19 @@
 		return
 	}
 	out := q.node.Receive(&m, from, q.view().Quota, q.now())
+	checkClaim := m.Kind == throttler.Claim && q.node.HasClaims()
 	q.mu.Unlock()
 	q.send(out)
+	if checkClaim {
+		time.AfterFunc(throttler.ClaimCheckDelay, q.tick)
+	}
 }
 
 func (q *quotaLimiter) send(out []throttler.Envelope) {
 	for i := range out {
 		b, err := throttler.Encode(&out[i].Message)
 		if err == nil {
-			err = q.gossip.Send(b, out[i].To)
+			err = q.transmit(b, out[i].To)
 		}
 		if err != nil {
 			q.log.Debug("proxier: datagram not sent", zap.Stringer("to", out[i].To), zap.Error(err))
@@ -179,7 +214,7 @@
 			timer.Reset(noQuotaInterval)
 			continue
 		}
-		timer.Reset(quotaTickInterval)
+		timer.Reset(q.tickInterval(knowsFleet()))
 		now := q.now()
 		changed := q.gossip.Digest() != digest
 		if (changed || now.Sub(updatedAt) >= time.Minute) && knowsPeers() {
@@ -187,11 +222,18 @@
 			q.updateMembers(now)
 		}
 		q.mu.Lock()
-		q.node.Leaving, q.node.IsFleetKnown = isLeaving(), knowsFleet()
-		out := q.node.Tick(now)
+		q.node.Leaving, q.node.IsFleetKnown, q.node.Ranked = isLeaving(), knowsFleet(), q.isRanked()
 		q.mu.Unlock()
-		q.send(out)
+		q.tick()
+	}
+}
+
+// tickInterval returns the time to the next pass.
+func (q *quotaLimiter) tickInterval(knowsFleet bool) time.Duration {
+	if q.isRanked() && !knowsFleet {
+		return startTickInterval
 	}
+	return quotaTickInterval
 }
 
 // updateMembers sets which processes may own shards, and how many processes issue credits.
