limiter, carrier, gossiper: slots are divided by urgency first

Change: reports name the urgent part of each workspace's demand (WorkspaceUse key 4, UpstreamLoad keys 8 and 9; older processes leave them out). What is urgent is cut where the less urgent work is at least one in eight. Division serves urgent demand first, leaves one slot in eight, and bounds less urgent work at a gateway; such work of workspaces above their fair share only fills the gateway's even part of the slots. The floor may exceed the bound and counts on while the bound is reached. A small excess no longer goes before the priority.

--- a/carrier/fairness.go
+++ b/carrier/fairness.go
@@ -23,6 +23,7 @@
 type fairness struct {
 	on        bool
 	updatedAt time.Time
+	cut       uint8           // the least urgent cut of all gateways
 	uses      []limiter.Usage // reused
 	weights   map[uint32]float64
 }
@@ -125,20 +126,24 @@
 		Slots: float64(u.slots), Stretch: u.gate.Stretch(), Total: slotFillFactor * float64(u.slots),
 		Equal: g.registry.minWindow(g.name, u.slots), Mean: u.gate.MeanServiceTime(limiter.Lookup), Weight: s.weight,
 	}
-	u.gate.SetWindowMin(min(d.Window(loads), maxWindow))
+	window, less := d.Window(loads)
+	u.gate.SetLessUrgent(less)
+	u.gate.SetWindowMin(min(window, maxWindow))
 }
 
 // loadsAt returns what this process, first, and its peers have at an upstream, and the
 // service time per second that workspaces want there through peers. The caller must hold
 // g.mu.
 func (g *Group) loadsAt(u *upstream, now time.Time) ([]limiter.Load, map[uint32]time.Duration) {
+	u.fairness.cut = u.gate.Cut()
+	g.loadsOfPeers(now, u.id, func(l *gossiper.UpstreamLoad) { u.fairness.cut = max(u.fairness.cut, uint8(ClampPriority(l.Cut))) })
 	loads := []limiter.Load{u.ownLoad()}
 	elsewhere := map[uint32]time.Duration{}
 	mean := u.gate.MeanServiceTime(limiter.Lookup)
 	g.loadsOfPeers(now, u.id, func(l *gossiper.UpstreamLoad) {
-		load := limiter.Load{Rest: milliseconds(l.Rest), Others: l.Others}
+		load := limiter.Load{Rest: milliseconds(l.Rest), Others: l.Others, RestUrgent: milliseconds(l.RestUrgent), Cut: uint8(ClampPriority(l.Cut))}
 		for _, w := range l.Used {
-			use := limiter.Usage{Account: w.ID, Busy: milliseconds(w.Busy), Waiting: min(w.Waiting, maxQueueLength)}
+			use := limiter.Usage{Account: w.ID, Busy: milliseconds(w.Busy), Waiting: min(w.Waiting, maxQueueLength), Urgent: milliseconds(w.Urgent)}
 			load.Used = append(load.Used, use)
 			elsewhere[w.ID] += use.Demand(mean)
 		}
@@ -155,12 +160,13 @@
 // ownLoad returns what this process has at an upstream, as it reports it. The caller must
 // hold the group's lock.
 func (u *upstream) ownLoad() limiter.Load {
-	u.fairness.uses = u.gate.AppendUsage(u.fairness.uses[:0])
+	u.fairness.uses = u.gate.AppendUsage(u.fairness.cut, u.fairness.uses[:0])
 	uses := u.fairness.uses
 	named := min(len(uses), maxReportedUses)
-	l := limiter.Load{Used: uses[:named], Others: len(uses) - named}
+	l := limiter.Load{Used: uses[:named], Others: len(uses) - named, Cut: u.gate.Cut()}
 	for _, w := range uses[named:] {
 		l.Rest += w.Busy
+		l.RestUrgent += w.Urgent
 	}
 	return l
 }
@@ -169,7 +175,8 @@
 func (u *upstream) addUses(l *gossiper.UpstreamLoad) {
 	own := u.ownLoad()
 	for _, w := range own.Used {
-		l.Used = append(l.Used, gossiper.WorkspaceUse{ID: w.Account, Busy: int(w.Busy.Milliseconds()), Waiting: w.Waiting})
+		l.Used = append(l.Used, gossiper.WorkspaceUse{ID: w.Account, Busy: int(w.Busy.Milliseconds()), Waiting: w.Waiting, Urgent: int(w.Urgent.Milliseconds())})
 	}
 	l.Rest, l.Others = int(own.Rest.Milliseconds()), own.Others
+	l.Cut, l.RestUrgent = int(own.Cut), int(own.RestUrgent.Milliseconds())
 }
--- a/carrier/loads.go
+++ b/carrier/loads.go
@@ -121,12 +121,12 @@
 		for _, u := range g.upstreams {
 			known = known || u.id == l.ID
 		}
-		if !known || len(out) >= maxUpstreamLoads || min(l.Running, l.Waiting, l.Lag, l.Rest, l.Others) < 0 {
+		if !known || len(out) >= maxUpstreamLoads || min(l.Running, l.Waiting, l.Lag, l.Rest, l.Others, l.Cut, l.RestUrgent) < 0 {
 			continue
 		}
 		used := make([]gossiper.WorkspaceUse, 0, min(len(l.Used), maxWorkspaceUses))
 		for _, w := range l.Used {
-			if len(used) < maxWorkspaceUses && min(w.Busy, w.Waiting) >= 0 {
+			if len(used) < maxWorkspaceUses && min(w.Busy, w.Waiting, w.Urgent) >= 0 {
 				used = append(used, w)
 			}
 		}
--- a/gossiper/state.go
+++ b/gossiper/state.go
@@ -118,6 +118,11 @@
 	Used   []WorkspaceUse `cbor:"5,keyasint,omitempty"`
 	Rest   int            `cbor:"6,keyasint,omitempty"`
 	Others int            `cbor:"7,keyasint,omitempty"`
+	// Cut is the priority from which the sender's own statements are less urgent; zero where
+	// all have one priority, and from older processes. RestUrgent is what the urgent
+	// statements of the workspaces that aren't listed want in a second, in milliseconds.
+	Cut        int `cbor:"8,keyasint,omitempty"`
+	RestUrgent int `cbor:"9,keyasint,omitempty"`
 }
 
 // WorkspaceUse is what one workspace uses of an upstream through one gateway.
@@ -128,6 +133,9 @@
 	Busy int `cbor:"2,keyasint,omitempty"`
 	// Waiting is how many of its statements wait in the gateway's queue.
 	Waiting int `cbor:"3,keyasint,omitempty"`
+	// Urgent is what its statements more urgent than the cut want in a second, in
+	// milliseconds of service time.
+	Urgent int `cbor:"4,keyasint,omitempty"`
 }
 
 // State is the state that a process sends to its peers.
--- a/internal/comparer/fair.go
+++ b/internal/comparer/fair.go
@@ -98,6 +98,7 @@
 	queue   limiter.Queue
 	waiting map[limiter.Ticket]*fairCall
 	reports map[int]fairReport
+	cut     uint8 // the highest of all gateways
 }
 
 type fairReport struct {
@@ -290,11 +291,12 @@
 
 // load returns what the gateway reports: six workspaces by name and the sum of the others.
 func (g *fairGateway) load() limiter.Load {
-	uses := g.queue.AppendUsage(g.world.clock.Now, nil)
+	uses := g.queue.AppendUsage(g.world.clock.Now, g.cut, nil)
 	named := min(len(uses), 6)
-	l := limiter.Load{Used: uses[:named], Others: len(uses) - named}
+	l := limiter.Load{Used: uses[:named], Others: len(uses) - named, Cut: g.queue.Cut()}
 	for _, u := range uses[named:] {
 		l.Rest += u.Busy
+		l.RestUrgent += u.Urgent
 	}
 	return l
 }
@@ -335,6 +337,12 @@
 		g.queue.Window.Min = g.equalWindow()
 		return
 	}
+	g.cut = g.queue.Cut()
+	for _, r := range g.reports {
+		if now.Sub(r.at) < reportTTL {
+			g.cut = max(g.cut, r.load.Cut)
+		}
+	}
 	loads := []limiter.Load{g.load()}
 	peers := map[uint32]time.Duration{}
 	mean := g.queue.MeanServiceTime(limiter.Lookup)
@@ -351,14 +359,15 @@
 		Slots: fairSlots, Stretch: g.queue.Stretch(), Total: fairFill * fairSlots, Equal: g.equalWindow(), Mean: mean,
 		Weight: func(uint32) float64 { return 1 },
 	}
-	g.queue.Window.Min = min(d.Window(loads), 16)
+	window, less := d.Window(loads)
+	g.queue.Window.Min = min(window, 16)
+	g.queue.SetLessUrgent(less)
 	g.pump()
 }
 
 // FairReport returns the counts as a table.
 func FairReport(c FairCase, counts map[string]*FairCount) string {
 	var b strings.Builder
-	value, possible := 0.0, 0.0
 	fmt.Fprintf(&b, "%s\n%-22s %6s %8s %6s %8s %9s %9s\n", c.Name, "", "asked", "in time", "late", "refused", "tries", "wait 99%")
 	keys := make([]string, 0, len(counts))
 	for k := range counts {
@@ -370,6 +379,15 @@
 		part := func(x int) float64 { return 100 * float64(x) / float64(max(n.Asked, 1)) }
 		fmt.Fprintf(&b, "%-22s %6d %7.1f%% %5.1f%% %7.1f%% %9.2f %9s\n", k, n.Asked, part(n.InTime), part(n.Late), part(n.Refused),
 			float64(n.Attempts)/float64(max(n.Asked, 1)), n.Wait(0.99).Round(time.Millisecond))
+	}
+	fmt.Fprintf(&b, "value %.1f%%\n\n", 100*Value(counts))
+	return b.String()
+}
+
+// Value returns the value of all answers as a part of that of all requests answered in time.
+func Value(counts map[string]*FairCount) float64 {
+	value, possible := 0.0, 0.0
+	for k, n := range counts {
 		value += n.Value
 		for _, o := range kinds() {
 			if strings.Contains(k, o.name) {
@@ -377,8 +395,7 @@
 			}
 		}
 	}
-	fmt.Fprintf(&b, "value %.1f%%\n\n", 100*value/possible)
-	return b.String()
+	return value / possible
 }
 
 // Wait returns a quantile of the time in the queue of the statements that ran.
--- a/limiter/fair.go
+++ b/limiter/fair.go
@@ -15,18 +15,16 @@
 	usageWindow = time.Second
 	// fairCredit is how many mean service times a workspace that was idle may use at once
 	// before it counts as above its fair share.
-	fairCredit = 3
+	fairCredit = 6
 	// floorTurn is the starvation floor: of so many items served, at least one is less
 	// urgent than the others, while such items wait.
 	floorTurn = 8
 	// lessUrgentPart is the part of the slots that less urgent work may claim against the
-	// fair shares of more urgent work. The starvation floor serves one of eight statements,
-	// and those of less urgent work take about twice as long as others.
-	lessUrgentPart = 0.25
-	// waitingFactor is how much more than once a second waiting work counts as demand: most
-	// of it is wanted within half a second. Refused work counts beside it. With twice that, a
-	// small queue of few slots takes the share of urgent work.
-	waitingFactor = 2
+	// fair shares of more urgent work.
+	lessUrgentPart = 1.0 / floorTurn
+	// waitingFactor is how much more than once a second waiting work counts as demand: it is
+	// wanted within the shortest objective of most work, less the service time.
+	waitingFactor = 6
 	// minRate is the least fair share, in slots; smaller ones can't be told apart.
 	minRate = 1e-4
 	// minPart bounds how little of its weight a workspace keeps at a gateway when most of
@@ -42,8 +40,19 @@
 const (
 	tierCount   = 5
 	bucketCount = tierCount * PriorityCount
+	// nearTiers is the number of tiers that are served by priority first: those up to about
+	// one service time above the fair share, which a burst of a few items reaches.
+	nearTiers = 2
 )
 
+// bucketOf returns the position of a tier and a priority in the order.
+func bucketOf(tier, priority uint8) uint8 {
+	if tier < nearTiers {
+		return priority*nearTiers + tier
+	}
+	return PriorityCount*nearTiers + (tier-nearTiers)*PriorityCount + priority
+}
+
 // excessTier returns the tier of an item by how far it is above its workspace's fair share,
 // as the nanoseconds after which the fair rate would reach it. Tier 0 is within the share.
 func excessTier(excess float64) uint8 {
@@ -67,10 +76,13 @@
 	Account uint32
 	Busy    time.Duration // service time in the last second
 	Waiting int           // waiting items
+	// Urgent is the service time that its urgent items want in a second; see [Queue.Cut].
+	Urgent time.Duration
 }
 
 // fair is the state of the fair policy of one queue. Items are served in the order of the
-// tier of their workspace's excess, then of their priority, then of their deadline.
+// tier of their workspace's excess, then of their priority, then of their deadline; among
+// those in near tiers priority comes first.
 //
 // The excess of an item counts only work of its workspace that is at least as urgent, against
 // a fair share from which less urgent work of others takes no more than lessUrgentPart of the
@@ -88,9 +100,13 @@
 	levels  [PriorityCount]float64
 	levelAt time.Time
 	demands []Demand
+	cut     uint8 // see Queue.Cut
+	less    LessUrgent
 	run     int // items served in a row while less urgent ones waited
 	scans   uint64
 	sums    [bucketCount]time.Duration
+	// lessSums are the part of sums that is bounded as less urgent.
+	lessSums [bucketCount]time.Duration
 }
 
 // fairNode is the place of an item under the fair policy.
@@ -100,11 +116,10 @@
 	account  int32
 	priority uint8
 	class    Class
+	tier     uint8
 	bucket   uint8
 }
 
-func (n *fairNode) tier() uint8 { return n.bucket / PriorityCount }
-
 // fairAccount is the account of one workspace. Times count from the epoch of the policy.
 type fairAccount struct {
 	id      uint32
@@ -245,6 +260,7 @@
 	for _, d := range wanted {
 		less += d
 	}
+	f.cut = cutOf(&wanted, less)
 	for p, d := range wanted {
 		less -= d
 		if p > 0 && d == 0 {
@@ -260,6 +276,19 @@
 	}
 }
 
+// cutOf returns the least urgent priority from which on the demand is at least what the
+// starvation floor reserves of it all, or zero.
+func cutOf(wanted *[PriorityCount]time.Duration, all time.Duration) uint8 {
+	less := time.Duration(0)
+	for p := PriorityCount - 1; p > 0; p-- {
+		less += wanted[p]
+		if less > 0 && floorTurn*less >= all {
+			return uint8(p)
+		}
+	}
+	return 0
+}
+
 // levelOf returns the fair share of work of a priority, given the demand of less urgent work.
 func (f *fair) levelOf(t time.Duration, priority int, slots float64, less time.Duration) float64 {
 	scale := 1.0
@@ -313,9 +342,9 @@
 	}
 }
 
-// next returns the bucket of the account's next item in the order of the scan. Its excess
+// next sets the tier and bucket of the account's next item in the order of the scan. Its excess
 // counts the more urgent items of the account, and those that the scan has passed.
-func (a *fairAccount) next(scan uint64, t, credit time.Duration, n *fairNode) uint8 {
+func (a *fairAccount) next(scan uint64, t, credit time.Duration, n *fairNode) {
 	u := &a.urgency[n.priority]
 	if u.scan != scan {
 		u.scan = scan
@@ -324,9 +353,9 @@
 			u.excess += float64(a.urgency[n.priority-1].queued) * u.pace
 		}
 	}
-	tier := excessTier(u.excess)
+	n.tier = excessTier(u.excess)
+	n.bucket = bucketOf(n.tier, n.priority)
 	u.excess += float64(n.cost) * u.pace
-	return tier*PriorityCount + n.priority
 }
 
 func (it *Item) weight() float64 {
--- a/limiter/fair_queue.go
+++ b/limiter/fair_queue.go
@@ -46,9 +46,10 @@
 	}
 }
 
-// AppendUsage appends what each workspace uses, in the order of its demand. It appends
-// nothing while the fair policy is off.
-func (q *Queue) AppendUsage(now time.Time, to []Usage) []Usage {
+// AppendUsage appends what each workspace uses, in the order of its demand; items more urgent
+// than the cut are urgent, all where it is zero. It appends nothing while the fair policy is
+// off.
+func (q *Queue) AppendUsage(now time.Time, cut uint8, to []Usage) []Usage {
 	if q.fair == nil {
 		return to
 	}
@@ -56,6 +57,7 @@
 	for i := range q.fair.list {
 		a := &q.fair.list[i]
 		if u := (Usage{Account: a.id, Busy: a.used.sum(t), Waiting: a.waiting}); a.inUse && (u.Busy > 0 || u.Waiting > 0) {
+			u.Urgent = a.demand(t, 0, int(cut))
 			to = append(to, u)
 		}
 	}
@@ -139,7 +141,7 @@
 	urgent = PriorityCount
 	for _, i := range q.order {
 		n := &q.fair.nodes[i]
-		n.bucket = f.list[n.account].next(f.scans, t, credit, n)
+		f.list[n.account].next(f.scans, t, credit, n)
 		f.sums[n.bucket] += n.cost
 		urgent = min(urgent, n.priority)
 	}
@@ -157,6 +159,7 @@
 		f.sums[b] = start
 		start += work
 	}
+	q.sumLessUrgent(now)
 	slots, t := float64(q.Window.Limit()), now.Sub(f.epoch)
 	less := q.remaining(now)
 	first, lowest := -1, uint8(bucketCount)
@@ -164,11 +167,12 @@
 		n := &q.fair.nodes[i]
 		ahead := f.sums[n.bucket]
 		f.sums[n.bucket] += n.cost
-		if n.bucket < PriorityCount && n.priority > urgent {
+		if n.tier == 0 && n.priority > urgent {
 			ahead = min(ahead, less+(floorTurn-1)*n.cost)
 			less += floorTurn * n.cost
 		}
-		if n.bucket < lowest && t+time.Duration(float64(ahead)/slots)+n.cost > n.due {
+		wait := max(time.Duration(float64(ahead)/slots), q.waitLessUrgent(n))
+		if n.bucket < lowest && t+wait+n.cost > n.due {
 			first, lowest = at, n.bucket
 		}
 	}
@@ -256,7 +260,7 @@
 	first, lowest, urgent := -1, uint8(bucketCount), uint8(PriorityCount)
 	for at, i := range q.order {
 		n := &q.fair.nodes[i]
-		if q.classFull(n.class) {
+		if q.fullFor(n) {
 			continue
 		}
 		urgent = min(urgent, n.priority)
@@ -264,39 +268,23 @@
 			first, lowest = at, n.bucket
 		}
 	}
-	if first < 0 || lowest%PriorityCount > urgent {
+	if first < 0 || q.fair.nodes[q.order[first]].priority > urgent {
 		q.fair.run = 0
 		return first
 	}
-	other := q.firstLessUrgent(urgent)
-	if other < 0 {
+	other, waits := q.firstLessUrgent(urgent)
+	if !waits {
 		q.fair.run = 0
 		return first
 	}
 	q.fair.run++
-	if q.fair.run >= floorTurn {
+	if q.fair.run >= floorTurn && other >= 0 {
 		q.fair.run = 0
 		return other
 	}
 	return first
 }
 
-// firstLessUrgent returns the index of the first item in the lowest tier that is less urgent
-// than a priority, or -1.
-func (q *Queue) firstLessUrgent(than uint8) int {
-	first, lowest := -1, uint8(tierCount)
-	for at, i := range q.order {
-		n := &q.fair.nodes[i]
-		if n.priority > than && n.tier() < lowest && !q.classFull(n.class) {
-			first, lowest = at, n.tier()
-			if lowest == 0 {
-				break
-			}
-		}
-	}
-	return first
-}
-
 // classFull reports whether a class has all the slots that it may use.
 func (q *Queue) classFull(c Class) bool {
 	n := q.Classes[c].Slots
--- a/limiter/gate.go
+++ b/limiter/gate.go
@@ -79,10 +79,25 @@
 }
 
 // AppendUsage appends what each workspace uses; see [Queue.AppendUsage].
-func (g *Gate) AppendUsage(to []Usage) []Usage {
+func (g *Gate) AppendUsage(cut uint8, to []Usage) []Usage {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.Queue.AppendUsage(g.Now(), to)
+	return g.Queue.AppendUsage(g.Now(), cut, to)
+}
+
+// Cut returns the priority from which items are less urgent; see [Queue.Cut].
+func (g *Gate) Cut() uint8 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Queue.Cut()
+}
+
+// SetLessUrgent bounds less urgent items; see [Queue.SetLessUrgent].
+func (g *Gate) SetLessUrgent(l LessUrgent) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Queue.SetLessUrgent(l)
+	g.deliver(0)
 }
 
 // Release gives back a slot; see [Queue.Done].
--- a/limiter/parts.go
+++ b/limiter/parts.go
@@ -15,11 +15,14 @@
 }
 
 // Load is what one gateway has at an upstream: the workspaces that use most, and the service
-// time in the last second and the number of all others.
+// time in the last second and the number of all others. RestUrgent is what the urgent items of
+// these want. Cut is the gateway's own [Queue.Cut]; where it is zero, what is urgent isn't known.
 type Load struct {
-	Used   []Usage
-	Rest   time.Duration
-	Others int
+	Used       []Usage
+	Rest       time.Duration
+	RestUrgent time.Duration
+	Others     int
+	Cut        uint8
 }
 
 // contendedFill is the part of the slots in use above which an upstream counts as contended.
@@ -54,15 +57,10 @@
 	return slots / max(weights, math.SmallestNonzeroFloat64)
 }
 
-// reportedFactor is how much more than once a second the waiting work in a report counts: it
-// is wanted within the shortest objective of most work, a quarter of a second. Reports don't
-// tell what was refused.
-const reportedFactor = 4
-
 // Demand returns the service time that a workspace wants in a second, given the mean of its
 // items.
 func (u *Usage) Demand(mean time.Duration) time.Duration {
-	return u.Busy + reportedFactor*time.Duration(u.Waiting)*mean
+	return u.Busy + waitingFactor*time.Duration(u.Waiting)*mean
 }
 
 // Division divides an upstream among the gateways that use it.
@@ -75,66 +73,3 @@
 	Mean   time.Duration // service time of a waiting request
 	Weight func(account uint32) float64
 }
-
-// Window returns how many requests the gateway with the first of the loads may always have at
-// the upstream. It divides the total by max-min fairness among workspaces, and each
-// workspace's part among the gateways by its demand. It returns Equal while there is one load
-// only or the upstream isn't contended. What the gateways with the same loads have there on
-// average adds up to the total, rounded up at each.
-func (d *Division) Window(loads []Load) int {
-	if len(loads) < 2 || d.Slots <= 0 || d.Total <= 0 {
-		return d.Equal
-	}
-	wanted := map[uint32]float64{}
-	sum := 0.0
-	demands := make([]Demand, 0, len(loads))
-	for i := range loads {
-		l := &loads[i]
-		for _, u := range l.Used {
-			wanted[u.Account] += u.Demand(d.Mean).Seconds()
-			sum += u.Demand(d.Mean).Seconds()
-		}
-		sum += l.Rest.Seconds()
-		if l.Others > 0 { // as one with the weight of all
-			demands = append(demands, Demand{Weight: float64(l.Others), Slots: l.Rest.Seconds()})
-		}
-	}
-	capacity := d.Slots * max(d.Stretch, 1)
-	if sum < contendedFill*capacity {
-		return d.Equal
-	}
-	for id, slots := range wanted {
-		demands = append(demands, Demand{Weight: d.Weight(id), Slots: slots})
-	}
-	level := fairLevel(capacity, demands)
-	all := 0.0
-	for i := range loads {
-		satisfied, hungry := d.parts(&loads[i], wanted, level)
-		all += satisfied + hungry
-	}
-	if all <= 0 {
-		return d.Equal
-	}
-	satisfied, hungry := d.parts(&loads[0], wanted, level)
-	return max(1, int(math.Ceil(d.Total*(headroom*satisfied+hungry)/all)))
-}
-
-// parts returns the slots that the workspaces of one gateway have there at a fair level: of
-// those that get all they want, and of those that want more.
-func (d *Division) parts(l *Load, wanted map[uint32]float64, level float64) (satisfied, hungry float64) {
-	if rest, most := l.Rest.Seconds(), float64(l.Others)*level; rest <= most {
-		satisfied = rest
-	} else {
-		hungry = most
-	}
-	for _, u := range l.Used {
-		w, most := wanted[u.Account], level*d.Weight(u.Account)
-		switch here := u.Demand(d.Mean).Seconds(); {
-		case w <= most:
-			satisfied += here
-		default:
-			hungry += most * here / w
-		}
-	}
-	return satisfied, hungry
-}
