limiter, carrier: promised turns and transactions count

Cause: refused callers of a workspace were all told the turn behind its waiting work and came together; statements of a transaction after its first one pass no gate and weren't counted as use. Change: a promised turn counts for later refusals of its workspace and priority until it is over, up to one second ahead; nothing is kept for callers that don't come back. The time of later statements and of the commit is charged to the workspace.

--- a/carrier/fairness.go
+++ b/carrier/fairness.go
@@ -42,8 +42,7 @@
 // admitFairly waits until a statement may be sent to an upstream that is divided among
 // workspaces. The wait ends when the caller is gone.
 func (g *Group) admitFairly(ctx context.Context, u *upstream, j *Job, f Features, item limiter.Item, left time.Duration) (limiter.Ticket, Answer) {
-	item.Account, item.Priority = workspaceID(j.Workspace), uint8(ClampPriority(j.Priority))
-	item.Spread, item.Weight = uint32(xxhash.Sum64String(j.Request)), f.weight(j.Workspace)
+	item = j.fairItem(f, item)
 	g.setWeight(u, item.Account, item.Weight)
 	began := time.Now()
 	event := u.gate.Enter(ctx, j.CallerGone, item)
@@ -68,6 +67,23 @@
 	return 0, answer
 }
 
+// fairItem adds to an item what the fair policy uses.
+func (j *Job) fairItem(f Features, item limiter.Item) limiter.Item {
+	item.Account, item.Priority = workspaceID(j.Workspace), uint8(ClampPriority(j.Priority))
+	item.Spread, item.Weight = uint32(xxhash.Sum64String(j.Request)), f.weight(j.Workspace)
+	return item
+}
+
+// charge counts the time that a statement of a transaction has taken since a moment to its
+// workspace, unless the statement has passed the upstream's gate.
+func (t *Tx) charge(j *Job, since time.Time) {
+	f := t.group.registry.features()
+	if !t.ungated || !f.FairAdmission {
+		return
+	}
+	t.upstream.gate.Charge(j.fairItem(f, limiter.Item{Class: j.admissionClass()}), t.group.registry.Now().Sub(since))
+}
+
 // isAbandoned reports whether a job need not be tried elsewhere because its caller is gone.
 func (g *Group) isAbandoned(j *Job) bool {
 	return g.registry.features().FairAdmission && j.callerGone()
--- a/carrier/fairness_test.go
+++ b/carrier/fairness_test.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"context"
 	"encoding/binary"
 	"fmt"
 	"math"
@@ -165,6 +166,47 @@
 	})
 }
 
+// openTxLink keeps a transaction open after each statement.
+type openTxLink struct{ Link }
+
+func (l openTxLink) Exchange(deadline time.Time, commands ...Command) ([]Answer, bool, error) {
+	answers, sent, err := l.Link.Exchange(deadline, commands...)
+	for i := range answers {
+		if commands[i].Verb != Commit {
+			answers[i].State = InTransaction
+		}
+	}
+	return answers, sent, err
+}
+
+// Guards against statements of a transaction after its first one, which pass no gate, that
+// aren't counted to the workspace, or are counted where the feature is off.
+func TestLaterStatementsCountAsUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fair := switchedOn()
+		g := newFairGroup(fair)
+		dial := g.registry.Dial
+		g.registry.Dial = func(ctx context.Context, u cataloger.Upstream, name string) (Link, error) {
+			l, err := dial(ctx, u, name)
+			return openTxLink{l}, err
+		}
+		j := newFairJob("r", "w", time.Second)
+		tx, a := g.Start(j, false, slowRead)
+		is.Equal(a.Code, OK)
+		used := func() int { return g.Loads(time.Now())[0].Used[0].Busy }
+		is.Equal(used(), 33)
+		is.Equal(tx.Do(j, slowRead).Code, OK)
+		is.Equal(used(), 66)
+		fair.Store(false)
+		is.Equal(tx.Do(j, slowRead).Code, OK)
+		fair.Store(true)
+		is.Equal(used(), 66)
+		is.Equal(tx.Commit(j, Command{Verb: Commit}).Code, OK)
+		g.apply(nil)
+	})
+}
+
 // Guards against reports that take a process's slots or end it: whatever a peer reports, the
 // window has its bounds, and reports that are too old don't count.
 func FuzzReportsOfPeers(f *testing.F) {
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -14,7 +14,9 @@
 	upstream *upstream
 	run      *run
 	wrote    bool
-	state    State
+	// ungated is set after the first statement: the later ones pass no gate.
+	ungated bool
+	state   State
 }
 
 // Start begins a transaction and runs its first statement. If that fails for a reason that
@@ -45,6 +47,7 @@
 		answer.Queued = admission.Queued
 		u.gate.Release(ticket, answer.Code == OK)
 		if tx != nil {
+			tx.ungated = true
 			return tx, answer
 		}
 		if !g.shouldRetry(u, j, answer) && answer.Code != Aborted {
@@ -127,6 +130,7 @@
 	setup := t.run.conn.setupCommands(j.Values, j.Prepared)
 	started := t.group.registry.Now()
 	answers, _, err := t.group.exchange(t.upstream, t.run, j.Deadline, append(setup, cmd)...)
+	t.charge(j, started)
 	if err != nil {
 		j.markTried(t.upstream)
 		if time.Until(j.Deadline) > 0 {
@@ -171,7 +175,9 @@
 		return refusal(Aborted, "the transaction has failed")
 	}
 	t.run.inDoubtIfLost = t.wrote
+	started := t.group.registry.Now()
 	answers, sent, err := t.group.exchange(t.upstream, t.run, j.Deadline, cmd)
+	t.charge(j, started)
 	t.group.removeRun(t.upstream, t.run)
 	if err != nil {
 		t.group.release(t.upstream, t.run.conn, false)
--- a/limiter/fair.go
+++ b/limiter/fair.go
@@ -25,6 +25,9 @@
 	// waitingFactor is how much more than once a second waiting work counts as demand: it is
 	// wanted within the shortest objective of most work, less the service time.
 	waitingFactor = 6
+	// promiseWindow bounds how far ahead promised turns count. Most callers that are told a
+	// later one are past their deadline by then.
+	promiseWindow = time.Second
 	// minRate is the least fair share, in slots; smaller ones can't be told apart.
 	minRate = 1e-4
 	// minPart bounds how little of its weight a workspace keeps at a gateway when most of
@@ -139,6 +142,8 @@
 	queued  time.Duration // service time of waiting items
 	scan    uint64        // number of the last scan that set excess
 	excess  float64       // that of the next item of the scan, in nanoseconds
+	// promised is when the last of the turns that refused items were promised is over.
+	promised time.Duration
 }
 
 // usage counts service time over a sliding window of two parts.
@@ -327,6 +332,25 @@
 	}
 }
 
+// promise returns the delay to the turn of a refused item whose workspace's waiting work takes
+// the given time, and that uses its turn for so long. Promised turns count while they are
+// ahead, whether or not the callers come back, and up to promiseWindow.
+func (a *fairAccount) promise(t, waiting, turn time.Duration, priority uint8) time.Duration {
+	delay := max(waiting, a.urgency[priority].promised-t)
+	for p := int(priority); p < PriorityCount; p++ {
+		u := &a.urgency[p]
+		u.promised = max(u.promised, min(t+delay+turn, t+promiseWindow))
+	}
+	return delay
+}
+
+// use counts service time received outside the queue.
+func (a *fairAccount) use(t, took, credit time.Duration, priority uint8) {
+	a.used.add(t, took)
+	a.wanted[priority].add(t, took)
+	a.charge(t, took, credit, priority)
+}
+
 // correct adds the difference between an item's service time and what was charged for it.
 func (a *fairAccount) correct(work time.Duration, priority uint8) {
 	for p := int(priority); p < PriorityCount; p++ {
--- a/limiter/fair_queue.go
+++ b/limiter/fair_queue.go
@@ -130,6 +130,17 @@
 	a.correct(took-n.cost, n.priority)
 }
 
+// Charge counts service time that an item's workspace received outside the queue. It has no
+// effect while the fair policy is off.
+func (q *Queue) Charge(now time.Time, it Item, took time.Duration) {
+	if q.fair == nil || took <= 0 {
+		return
+	}
+	t := now.Sub(q.fair.epoch)
+	a := &q.fair.list[q.fair.account(&it, t)]
+	a.use(t, took, q.credit(), min(it.Priority, PriorityCount-1))
+}
+
 // rank sets the bucket of each waiting node and the service time of each bucket. It returns
 // the most urgent priority of those that wait.
 func (q *Queue) rank(now time.Time) (urgent uint8) {
@@ -232,8 +243,9 @@
 }
 
 // fairRefusal returns the event that refuses a waiting node. Its turn can come when the
-// work of its workspace that waits before it is done at the workspace's fair rate. The time
-// is spread by the request's hash, so that refused items don't come back together.
+// work of its workspace that waits before it is done at the workspace's fair rate, and after
+// the turns that others of its workspace were promised. The time is spread by the request's
+// hash, so that refused items don't come back together.
 func (q *Queue) fairRefusal(i int32, cause retrier.Cause, now time.Time) Event {
 	n := &q.fair.nodes[i]
 	e := Event{Ticket: q.ticket(i), Cause: cause}
@@ -248,8 +260,10 @@
 			ahead += other.cost
 		}
 	}
-	pace := max(q.fair.list[n.account].urgency[n.priority].pace, 1/float64(q.Window.Limit()))
-	e.RetryAt = now.Add(q.nodes[i].item.spread(max(times(ahead, pace), n.cost)))
+	a, t := &q.fair.list[n.account], now.Sub(q.fair.epoch)
+	pace := max(a.urgency[n.priority].pace, 1/float64(q.Window.Limit()))
+	turn := a.promise(t, max(times(ahead, pace), n.cost), times(n.cost, pace), n.priority)
+	e.RetryAt = now.Add(q.nodes[i].item.spread(turn))
 	return e
 }
 
--- a/limiter/gate.go
+++ b/limiter/gate.go
@@ -100,6 +100,13 @@
 	g.deliver(0)
 }
 
+// Charge counts service time outside the queue; see [Queue.Charge].
+func (g *Gate) Charge(it Item, took time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Queue.Charge(g.Now(), it, took)
+}
+
 // Release gives back a slot; see [Queue.Done].
 func (g *Gate) Release(t Ticket, served bool) {
 	g.mu.Lock()
@@ -172,9 +179,9 @@
 	return e, ok
 }
 
-// await waits for the event of t. When the context ends first, or the caller is gone, it cancels the item. If
-// the event was already sent, it takes the event and releases a granted slot. Otherwise
-// the slot would be leaked: the window would be full with nothing running.
+// await waits for the event of t. When the context ends first, or the caller is gone, it
+// cancels the item. If the event was already sent, it takes the event and releases a granted
+// slot. Otherwise the slot would be leaked: the window would be full with nothing running.
 func (g *Gate) await(ctx context.Context, gone <-chan struct{}, t Ticket, events chan Event) Event {
 	select {
 	case e := <-events:
