--- a/limiter/fair_queue.go
+++ b/limiter/fair_queue.go
@@ -46,9 +46,10 @@
 	}
 }
 
-// AppendUsage appends what each workspace uses, in the order of its demand. It appends
-// nothing while the fair policy is off.
-func (q *Queue) AppendUsage(now time.Time, to []Usage) []Usage {
+// AppendUsage appends what each workspace uses, in the order of its demand; items more urgent
+// than the cut are urgent, all where it is zero. It appends nothing while the fair policy is
+// off.
+func (q *Queue) AppendUsage(now time.Time, cut uint8, to []Usage) []Usage {
 	if q.fair == nil {
 		return to
 	}
@@ -56,6 +57,7 @@
 	for i := range q.fair.list {
 		a := &q.fair.list[i]
 		if u := (Usage{Account: a.id, Busy: a.used.sum(t), Waiting: a.waiting}); a.inUse && (u.Busy > 0 || u.Waiting > 0) {
+			u.Urgent = a.demand(t, 0, int(cut))
 			to = append(to, u)
 		}
 	}
@@ -99,6 +101,7 @@
 	}
 	a := &f.list[f.nodes[i].account]
 	a.waiting++
+	f.queued += f.nodes[i].cost
 	a.queue(f.nodes[i].cost, f.nodes[i].priority)
 }
 
@@ -107,6 +110,7 @@
 	n := &q.fair.nodes[i]
 	a := &q.fair.list[n.account]
 	a.waiting--
+	q.fair.queued -= n.cost
 	a.queue(-n.cost, n.priority)
 }
 
@@ -128,6 +132,17 @@
 	a.correct(took-n.cost, n.priority)
 }
 
+// Charge counts service time that an item's workspace received outside the queue. It has no
+// effect while the fair policy is off.
+func (q *Queue) Charge(now time.Time, it Item, took time.Duration) {
+	if q.fair == nil || took <= 0 {
+		return
+	}
+	t := now.Sub(q.fair.epoch)
+	a := &q.fair.list[q.fair.account(&it, t)]
+	a.use(t, took, q.credit(), min(it.Priority, PriorityCount-1))
+}
+
 // rank sets the bucket of each waiting node and the service time of each bucket. It returns
 // the most urgent priority of those that wait.
 func (q *Queue) rank(now time.Time) (urgent uint8) {
@@ -139,7 +154,7 @@
 	urgent = PriorityCount
 	for _, i := range q.order {
 		n := &q.fair.nodes[i]
-		n.bucket = f.list[n.account].next(f.scans, t, credit, n)
+		f.list[n.account].next(f.scans, t, credit, n)
 		f.sums[n.bucket] += n.cost
 		urgent = min(urgent, n.priority)
 	}
@@ -157,6 +172,7 @@
 		f.sums[b] = start
 		start += work
 	}
+	q.sumLessUrgent(now)
 	slots, t := float64(q.Window.Limit()), now.Sub(f.epoch)
 	less := q.remaining(now)
 	first, lowest := -1, uint8(bucketCount)
@@ -164,11 +180,12 @@
 		n := &q.fair.nodes[i]
 		ahead := f.sums[n.bucket]
 		f.sums[n.bucket] += n.cost
-		if n.bucket < PriorityCount && n.priority > urgent {
+		if n.tier == 0 && n.priority > urgent {
 			ahead = min(ahead, less+(floorTurn-1)*n.cost)
 			less += floorTurn * n.cost
 		}
-		if n.bucket < lowest && t+time.Duration(float64(ahead)/slots)+n.cost > n.due {
+		wait := max(time.Duration(float64(ahead)/slots), q.waitLessUrgent(n))
+		if n.bucket < lowest && t+wait+n.cost > n.due {
 			first, lowest = at, n.bucket
 		}
 	}
@@ -188,7 +205,7 @@
 		}
 		q.refuseFair(last, retrier.Busy, now)
 	}
-	for {
+	for !q.fits(now) {
 		late := q.firstLateFair(now)
 		if late < 0 {
 			return
@@ -197,6 +214,22 @@
 	}
 }
 
+// fits reports whether all that wait can be served before the first deadline, so that none is
+// late in any order. It saves a scan of the queue.
+func (q *Queue) fits(now time.Time) bool {
+	f := q.fair
+	f.refresh(now, q.Window.Limit())
+	if len(q.order) == 0 {
+		return true
+	}
+	slots := q.Window.Limit()
+	if f.less.Slots > 0 {
+		slots = min(slots, f.less.Slots)
+	}
+	wait := (q.remaining(now) + f.queued) / time.Duration(slots)
+	return now.Sub(f.epoch)+wait+slices.Max(q.meanService[:]) <= f.nodes[q.order[0]].due
+}
+
 // victimFair returns the item to refuse so that the one at index late may be in time: of
 // those that are in the same bucket and served no later, the one with the lowest value per
 // service time, then the one that arrived last.
@@ -228,8 +261,9 @@
 }
 
 // fairRefusal returns the event that refuses a waiting node. Its turn can come when the
-// work of its workspace that waits before it is done at the workspace's fair rate. The time
-// is spread by the request's hash, so that refused items don't come back together.
+// work of its workspace that waits before it is done at the workspace's fair rate, and after
+// the turns that others of its workspace were promised. The time is spread by the request's
+// hash, so that refused items don't come back together.
 func (q *Queue) fairRefusal(i int32, cause retrier.Cause, now time.Time) Event {
 	n := &q.fair.nodes[i]
 	e := Event{Ticket: q.ticket(i), Cause: cause}
@@ -244,8 +278,10 @@
 			ahead += other.cost
 		}
 	}
-	pace := max(q.fair.list[n.account].urgency[n.priority].pace, 1/float64(q.Window.Limit()))
-	e.RetryAt = now.Add(q.nodes[i].item.spread(max(times(ahead, pace), n.cost)))
+	a, t := &q.fair.list[n.account], now.Sub(q.fair.epoch)
+	pace := max(a.urgency[n.priority].pace, 1/float64(q.Window.Limit()))
+	turn := a.promise(t, max(times(ahead, pace), n.cost), times(n.cost, pace), n.priority)
+	e.RetryAt = now.Add(q.nodes[i].item.spread(turn))
 	return e
 }
 
@@ -256,7 +292,7 @@
 	first, lowest, urgent := -1, uint8(bucketCount), uint8(PriorityCount)
 	for at, i := range q.order {
 		n := &q.fair.nodes[i]
-		if q.classFull(n.class) {
+		if q.fullFor(n) {
 			continue
 		}
 		urgent = min(urgent, n.priority)
@@ -264,39 +300,23 @@
 			first, lowest = at, n.bucket
 		}
 	}
-	if first < 0 || lowest%PriorityCount > urgent {
+	if first < 0 || q.fair.nodes[q.order[first]].priority > urgent {
 		q.fair.run = 0
 		return first
 	}
-	other := q.firstLessUrgent(urgent)
-	if other < 0 {
+	other, waits := q.firstLessUrgent(urgent)
+	if !waits {
 		q.fair.run = 0
 		return first
 	}
 	q.fair.run++
-	if q.fair.run >= floorTurn {
+	if q.fair.run >= floorTurn && other >= 0 {
 		q.fair.run = 0
 		return other
 	}
 	return first
 }
 
-// firstLessUrgent returns the index of the first item in the lowest tier that is less urgent
-// than a priority, or -1.
-func (q *Queue) firstLessUrgent(than uint8) int {
-	first, lowest := -1, uint8(tierCount)
-	for at, i := range q.order {
-		n := &q.fair.nodes[i]
-		if n.priority > than && n.tier() < lowest && !q.classFull(n.class) {
-			first, lowest = at, n.tier()
-			if lowest == 0 {
-				break
-			}
-		}
-	}
-	return first
-}
-
 // classFull reports whether a class has all the slots that it may use.
 func (q *Queue) classFull(c Class) bool {
 	n := q.Classes[c].Slots
--- a/limiter/gate.go
+++ b/limiter/gate.go
@@ -79,10 +79,32 @@
 }
 
 // AppendUsage appends what each workspace uses; see [Queue.AppendUsage].
-func (g *Gate) AppendUsage(to []Usage) []Usage {
+func (g *Gate) AppendUsage(cut uint8, to []Usage) []Usage {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.Queue.AppendUsage(g.Now(), to)
+	return g.Queue.AppendUsage(g.Now(), cut, to)
+}
+
+// Cut returns the priority from which items are less urgent; see [Queue.Cut].
+func (g *Gate) Cut() uint8 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.Queue.Cut()
+}
+
+// SetLessUrgent bounds less urgent items; see [Queue.SetLessUrgent].
+func (g *Gate) SetLessUrgent(l LessUrgent) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Queue.SetLessUrgent(l)
+	g.deliver(0)
+}
+
+// Charge counts service time outside the queue; see [Queue.Charge].
+func (g *Gate) Charge(it Item, took time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Queue.Charge(g.Now(), it, took)
 }
 
 // Release gives back a slot; see [Queue.Done].
@@ -157,9 +179,9 @@
 	return e, ok
 }
 
-// await waits for the event of t. When the context ends first, or the caller is gone, it cancels the item. If
-// the event was already sent, it takes the event and releases a granted slot. Otherwise
-// the slot would be leaked: the window would be full with nothing running.
+// await waits for the event of t. When the context ends first, or the caller is gone, it
+// cancels the item. If the event was already sent, it takes the event and releases a granted
+// slot. Otherwise the slot would be leaked: the window would be full with nothing running.
 func (g *Gate) await(ctx context.Context, gone <-chan struct{}, t Ticket, events chan Event) Event {
 	select {
 	case e := <-events:
