carrier: placement by expected time counts lent and borrowed connections

Cause: the expected time of an answer used the process's share of a group's connections, also at an upstream whose connections are lent to a substitute or borrowed from a gateway. A gateway that had lent its connections counted them as free, a substitute counted its borrowed ones as missing. Change: the limit is that of the upstream, as in the placement without expectations. Tests of carrier with -race.

--- a/carrier/expected.go
+++ b/carrier/expected.go
@@ -176,10 +176,9 @@
 
 // option returns an upstream as a candidate. The caller must hold g.mu.
 func (g *Group) option(u *upstream, j *Job, now time.Time) placer.Option {
-	share := g.registry.share(g.name)
 	class := int(j.admissionClass())
 	o := placer.Option{
-		Candidate: u.candidate(now, now, u == g.leader, u.entry.Zone == g.registry.Zone, j.tried[u], share),
+		Candidate: u.candidate(now, now, u == g.leader, u.entry.Zone == g.registry.Zone, j.tried[u], g.shareOf(u.id)),
 		RoundTrip: g.roundTrip(u),
 		Service:   time.Duration(u.expected.pace.Factor(now) * float64(g.expected.reference.Mean(class))),
 		Slots:     u.slots,
--- a/carrier/loan_test.go
+++ b/carrier/loan_test.go
@@ -120,3 +120,18 @@
 	is.Equal(RetryDelay(0), 50*time.Millisecond)
 	is.Equal(RetryDelay(-time.Second), 50*time.Millisecond)
 }
+
+// Guards against reads that are placed, or requests refused, as if connections that are lent
+// could be used, or as if borrowed ones could not.
+func TestExpectationCountsLoans(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, g := newBorrower()
+		defer c.Stop()
+		g.BorrowConns("a", 2, time.Now().Add(time.Second), true)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		is.Equal(g.option(g.upstreams[0], &Job{}, time.Now()).MaxConnections, 2)
+		is.Equal(g.option(g.upstreams[1], &Job{}, time.Now()).MaxConnections, 0)
+	})
+}
