carrier: a refused second attempt does not end a read

Cause: an answer after which a statement is not sent again ended both attempts of a read. That is also the case where the second attempt is refused by an admission queue, or has no share of the connections, while the first is about to be answered: the caller got the refusal. Change: an answer other than OK counts only when no other attempt runs.

--- a/carrier/hedge.go
+++ b/carrier/hedge.go
@@ -46,12 +46,13 @@
 			for tried := range r.job.tried {
 				j.markTried(tried)
 			}
-			if !r.again || running == 0 {
+			if r.answer.Code == OK || running == 0 {
 				return r.upstream, r.answer, r.again
 			}
 		case <-callerGone:
 			c.end() // what is not sent yet need not be sent
 			callerGone = nil
+			timer.Stop()
 		case <-timer.C:
 			second := g.chooseSecond(u, j, since)
 			if second == nil {
