carrier: a dropped attempt is not sent after waiting for a connection

Cause: whether an attempt still counts was checked before it got a connection, and opening one takes 12 ms of a slot and more. Change: it is checked again with the connection, which goes back to the pool; no second attempt begins once the caller is gone. Tests of carrier with -race.

--- a/carrier/contest_test.go
+++ b/carrier/contest_test.go
@@ -72,3 +72,29 @@
 		is.Equal(took, 100*time.Millisecond)
 	})
 }
+
+// Guards against a statement of a dropped attempt that is sent all the same, after it has waited
+// for a connection, and against a second attempt for a caller that has disconnected.
+func TestDroppedAttemptIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newContestants()
+		defer s.group.registry.Stop()
+		_, _, _ = s.attempt(&Job{}) // opens a connection to b
+		s.takes["b"].Store(int64(100 * time.Millisecond))
+		s.dialTakes.Store(int64(300 * time.Millisecond))
+		u, answer, _ := s.attempt(&Job{})
+		is.Equal(answer.Code, OK)
+		is.Equal(u.id, "b")
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.Equal(s.ran["a"].Load(), int64(0))
+		is.Equal(len(s.group.upstreams[0].running), 0)
+
+		gone := make(chan struct{})
+		close(gone)
+		_, _, _ = s.attempt(&Job{CallerGone: gone})
+		time.Sleep(time.Second)
+		is.Equal(s.ran["a"].Load(), int64(0))
+	})
+}
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -214,6 +214,10 @@
 	if r == nil {
 		return refused, true
 	}
+	if j.isOver() { // while it waited for the connection
+		g.release(u, r.conn, true)
+		return refusal(Busy, "another attempt was answered"), false
+	}
 	if j.Writes && !r.conn.Alive() {
 		g.release(u, r.conn, false)
 		return refusal(Busy, "connection was dead before the write"), true
