placer, carrier: exchanges correct round trips that were measured too long

Cause: round trips are measured only when connections are opened, and these stay open. On a host that was busy meanwhile all measurements of an upstream can be too long: reads then avoided it, so no other connection was opened; adaptive placement stayed on in a fleet without distances; and statements for an idle leader were refused early when the supposed round trip exceeded their time. Change: an exchange that is shorter than the measurements replaces them, without counting as one. Nothing is refused early where no statement waits for a slot. Tests of placer and carrier with -race.

--- a/carrier/expected.go
+++ b/carrier/expected.go
@@ -88,6 +88,18 @@
 // caller must hold g.mu.
 func (g *Group) addRoundTrip(u *upstream, d time.Duration) {
 	u.expected.roundTrip.Record(d)
+	g.updateDistance()
+}
+
+// boundRoundTrip takes how long an exchange with an upstream took. The caller must hold g.mu.
+func (g *Group) boundRoundTrip(u *upstream, took time.Duration) {
+	if u.expected.roundTrip.Bound(took) {
+		g.updateDistance()
+	}
+}
+
+// updateDistance updates whether another zone is far. The caller must hold g.mu.
+func (g *Group) updateDistance() {
 	var others []placer.RoundTrip
 	for _, u := range g.upstreams {
 		if u.entry.Zone != g.registry.Zone {
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -129,6 +129,9 @@
 		u.writeTimedOutAt = now
 	}
 	r.exchangeStartedAt = time.Time{}
+	if err == nil {
+		g.boundRoundTrip(u, took)
+	}
 	g.mu.Unlock()
 	if err != nil {
 		g.log().Info("carrier: connection to upstream lost", zap.String("group", g.name), zap.String("upstream", u.id), zap.String("request", commands[len(commands)-1].ID),
--- a/placer/expect.go
+++ b/placer/expect.go
@@ -196,5 +196,9 @@
 }
 
 // IsTooLate reports whether a statement that only the leader may run, with the given time
-// left until its deadline, cannot be answered there in time.
-func (o *Option) IsTooLate(left time.Duration) bool { return o.SentWait()+o.RoundTrip > left }
+// left until its deadline, cannot be answered there in time. At an idle upstream it never is: a
+// round trip that was measured too long would otherwise never be corrected.
+func (o *Option) IsTooLate(left time.Duration) bool {
+	wait := o.SentWait()
+	return wait > 0 && wait+o.RoundTrip > left
+}
--- a/placer/roundtrip.go
+++ b/placer/roundtrip.go
@@ -32,6 +32,20 @@
 	r.n++
 }
 
+// Bound takes how long an exchange took, which is no less than a round trip: measurements that
+// are longer contain a delay of this process or of the network. It reports whether there were
+// any. Connections are opened rarely, so without it a delay could count for hours.
+func (r *RoundTrip) Bound(d time.Duration) bool {
+	least, n := r.Min()
+	if n == 0 || d <= 0 || d >= least {
+		return false
+	}
+	for i := range n {
+		r.last[i] = d
+	}
+	return true
+}
+
 // Min returns the smallest of the last measurements, and how many of them there are.
 func (r *RoundTrip) Min() (time.Duration, int) {
 	n := min(r.n, keptRoundTrips)
