placer, carrier: writes in flight don't keep reads from an upstream in slow start

Cause: slow start counted everything in flight against the limit of reads, also writes and transactions. At the leader some are always in flight, so after one loss its limit of one read was never free: it got no second attempts, and reads only where every other upstream cost half a second more. Change: only reads in flight that replicas may serve count. Measured result: in the test a leader with a write in flight is used for a second attempt after the pause, and not with a read in flight; before, never. carrier/testdata/expected.golden is unchanged. Tests of placer and carrier with -race.

--- a/carrier/expected.go
+++ b/carrier/expected.go
@@ -195,6 +195,7 @@
 		Service:   time.Duration(u.expected.pace.Factor(now) * float64(g.expected.reference.Mean(class))),
 		Slots:     u.slots,
 		Lag:       u.expected.lag,
+		Reads:     u.readsInFlight(),
 		Limit:     u.expected.start.Limit(now),
 	}
 	if u.seemsHung(now, o.Service) {
@@ -225,6 +226,18 @@
 	return o
 }
 
+// readsInFlight returns how many statements and transactions are running that replicas may
+// serve. Others don't keep an upstream from regaining its reads: the leader always has some.
+func (u *upstream) readsInFlight() int {
+	n := 0
+	for r := range u.running {
+		if r.replicasMayServe {
+			n++
+		}
+	}
+	return n
+}
+
 // seemsHung reports whether an upstream answers nothing for several service times while an
 // exchange runs there that long. It gets no more reads until it answers, before it is
 // checked as silent.
--- a/carrier/expected_test.go
+++ b/carrier/expected_test.go
@@ -230,7 +230,7 @@
 	if u == nil {
 		u, _, _ = g.choose(placer.Need{LeaderOnly: j.RequiresLeader(), MinMark: since}, "", j.tried)
 	}
-	sent, r := m.clock.Now, &run{exchangeStartedAt: m.clock.Now}
+	sent, r := m.clock.Now, &run{exchangeStartedAt: m.clock.Now, replicasMayServe: !j.RequiresLeader()}
 	g.addRun(u, r)
 	m.clock.After(m.oneWay(g, u), func() {
 		if !j.RequiresLeader() && m.mark(u.id).Less(since) {
@@ -439,3 +439,25 @@
 		is.Equal(g.option(u, j, m.clock.Now).Limit, 0)
 	}
 }
+
+// Guards against a leader that never regains its reads, because a write is always in flight.
+func TestWritesDontKeepReadsFromLeader(t *testing.T) {
+	is := is.New(t)
+	m := newZoneModel(withExpected)
+	g, now := m.groups[0], m.clock.Now
+	g.recordLeader(g.upstreams[0], now, mark(1, 5))
+	g.upstreams[0].running[&run{}] = struct{}{}
+	g.upstreams[0].expected.start.Lose(now)
+	now = now.Add(time.Second) // the pause is over
+	for _, u := range g.upstreams[1:] {
+		u.ejected = true
+	}
+	m.clock.Now = now
+	is.True(g.chooseSecond(g.upstreams[1], &Job{Freshness: cataloger.BoundedStaleness}, mark(1, 5)) == nil) // no second attempts yet
+	for range 100 {
+		g.expected.hedge.Record(0, time.Millisecond)
+	}
+	is.Equal(g.chooseSecond(g.upstreams[1], &Job{Freshness: cataloger.BoundedStaleness}, mark(1, 5)), g.upstreams[0])
+	g.upstreams[0].running[&run{replicasMayServe: true}] = struct{}{}
+	is.True(g.chooseSecond(g.upstreams[1], &Job{Freshness: cataloger.BoundedStaleness}, mark(1, 5)) == nil)
+}
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -160,7 +160,7 @@
 		j.markTried(u)
 		return nil, refusal(Busy, "no connection to the upstream: "+err.Error())
 	}
-	return &run{conn: c, workspace: j.Workspace}, Answer{}
+	return &run{conn: c, workspace: j.Workspace, replicasMayServe: !j.RequiresLeader()}, Answer{}
 }
 
 // Run runs one statement outside of a transaction.
--- a/carrier/upstream.go
+++ b/carrier/upstream.go
@@ -70,6 +70,7 @@
 	conn              *conn
 	workspace         string
 	exchangeStartedAt time.Time // when the running exchange began; zero between two
+	replicasMayServe  bool      // not only the leader
 	inDoubtIfLost     bool      // if its answer is lost its outcome is in doubt, so it is not aborted
 }
 
--- a/placer/expect.go
+++ b/placer/expect.go
@@ -62,7 +62,9 @@
 	LeaderOnly float64
 	// Lag is the estimated lag of a replica.
 	Lag Lag
-	// Limit is how many reads may be in flight; see [SlowStart.Limit].
+	// Reads is how many reads of this proxy are in flight there that replicas may serve, and
+	// Limit how many may be; see [SlowStart.Limit].
+	Reads int
 	Limit int
 }
 
@@ -155,7 +157,7 @@
 	if o.InFlight >= o.MaxConnections {
 		cost += connectionWaitCost
 	}
-	if o.InFlight >= o.Limit {
+	if o.Reads >= o.Limit {
 		cost += limitedCost
 	}
 	if o.Tried {
--- a/placer/hedge.go
+++ b/placer/hedge.go
@@ -75,5 +75,5 @@
 
 // hasFreeSlot reports whether nothing waits for a slot at the upstream, and one is free.
 func (o *Option) hasFreeSlot() bool {
-	return o.QueueWait == 0 && !o.OthersWait && o.InFlight < min(o.Limit, o.MaxConnections) && o.Others+float64(o.InFlight)+1 <= float64(o.slots())
+	return o.QueueWait == 0 && !o.OthersWait && o.Reads < o.Limit && o.InFlight < o.MaxConnections && o.Others+float64(o.InFlight)+1 <= float64(o.slots())
 }
