proxier: peers that hang don't keep others from being asked for their usage

Cause: the usage of the fleet is asked from 16 peers at a time, with one second for all. 16 peers that hang, as in a cut off zone, used up that second, and the peers after them were named as missing though they would have answered. Change: the first request to a peer ends after 200 ms; those that did not answer are asked again after all others, in the time that is left.

--- a/proxier/usage_query.go
+++ b/proxier/usage_query.go
@@ -19,9 +19,13 @@
 )
 
 const (
-	// usageTimeout bounds the requests to all peers together, and maxUsageRequests those at a
-	// time.
-	usageTimeout     = time.Second
+	// usageTimeout bounds the requests to all peers together.
+	usageTimeout = time.Second
+	// firstUsageTimeout bounds the first request to a peer. Those that did not answer within
+	// it are asked again after all others, so that peers that hang don't use up the time of
+	// the others: 64 of them leave a fifth of it.
+	firstUsageTimeout = 200 * time.Millisecond
+	// maxUsageRequests bounds the requests at a time.
 	maxUsageRequests = 16
 	// maxUsageReport bounds the report of one process, in bytes.
 	maxUsageReport = 512 << 10
@@ -108,24 +112,45 @@
 	if err := sum.add(&own); err != nil {
 		silent = append(silent, reporter.Silent{Process: q.Process, Reason: usageReason(err)})
 	}
+	record := func(peer usagePeer, report *reporter.Usage, err error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if err == nil {
+			err = sum.add(report)
+		}
+		if err != nil {
+			silent = append(silent, reporter.Silent{Process: peer.Name, Reason: usageReason(err)})
+		}
+	}
+	late := q.askAll(ctx, q.Peers(), firstUsageTimeout, record)
+	q.askAll(ctx, late, usageTimeout, record)
+	return sum.usage(q.Process, silent)
+}
+
+// askAll requests the use of peers, each within a timeout. It calls record with the outcomes,
+// and returns the peers that did not answer within the timeout while there is time left.
+func (q *usageQuery) askAll(ctx context.Context, peers []usagePeer, timeout time.Duration, record func(usagePeer, *reporter.Usage, error)) []usagePeer {
+	var mu sync.Mutex // guards late
+	var late []usagePeer
 	var requests errgroup.Group
 	requests.SetLimit(maxUsageRequests)
-	for _, peer := range q.Peers() {
+	for _, peer := range peers {
 		requests.Go(func() error {
-			report, err := q.ask(ctx, peer.Address)
-			mu.Lock()
-			defer mu.Unlock()
-			if err == nil {
-				err = sum.add(&report)
-			}
-			if err != nil {
-				silent = append(silent, reporter.Silent{Process: peer.Name, Reason: usageReason(err)})
+			asking, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			report, err := q.ask(asking, peer.Address)
+			if errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				late = append(late, peer)
+				return nil
 			}
+			record(peer, &report, err)
 			return nil
 		})
 	}
-	_ = requests.Wait() // errors are in silent
-	return sum.usage(q.Process, silent)
+	_ = requests.Wait() // errors are recorded
+	return late
 }
 
 // usageReason returns why a peer's use is missing, for an operator.
--- a/proxier/usage_query_test.go
+++ b/proxier/usage_query_test.go
@@ -113,6 +113,30 @@
 	is.Equal(w.Code, http.StatusServiceUnavailable)
 }
 
+// Guards against an answer that lacks the processes that work, because many others hang and
+// are asked first, and against one that lacks a process that is only slow.
+func TestHangingPeersDontHideOthers(t *testing.T) {
+	is := is.New(t)
+	hang := make(chan struct{})
+	defer close(hang)
+	hanging := handling(t, "hanging", func(http.ResponseWriter, *http.Request) { <-hang })
+	slow := handling(t, "slow", func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(firstUsageTimeout + 50*time.Millisecond)
+		_, _ = w.Write([]byte("{}"))
+	})
+	good := make100(answering(t, "good", http.StatusOK, "{}"))[:40]
+	for _, d := range []struct {
+		hanging int
+		others  []usagePeer
+	}{{2 * maxUsageRequests, good}, {maxUsageRequests - 1, append([]usagePeer{slow}, good...)}} {
+		peers := append(make100(hanging)[:d.hanging], d.others...)
+		q := &usageQuery{Own: func() []carrier.UpstreamUsage { return nil }, Peers: func() []usagePeer { return peers }, Client: &http.Client{}, Log: zap.NewNop()}
+		u := q.fleet(t.Context())
+		is.Equal(u.Answered, 1+len(d.others)) // with the own process
+		is.Equal(len(u.Silent), d.hanging)
+	}
+}
+
 func make100(p usagePeer) []usagePeer {
 	out := make([]usagePeer, 100)
 	for i := range out {
