placer: reads don't all wait at the leader while the lag of replicas is unknown

Cause: a replica that has a position with a probability below 0.95 cost 1 s more. Change: the cost rises from 100 ms to 1 s as the probability falls to zero. Tests of placer and carrier with -race.

--- a/placer/expect.go
+++ b/placer/expect.go
@@ -15,6 +15,10 @@
 	// while another candidate is left. Few reads need a fresh position; with it, refusals
 	// stay below three in a thousand of all.
 	minChance = 0.95
+	// unlikelyCost is the least cost of a replica that has the position with a smaller chance:
+	// more than a read usually waits for a slot. Reads that all go to the leader, while the
+	// lag of its replicas is unknown after a start, wait several times as long there.
+	unlikelyCost = 100 * time.Millisecond
 	// waitDivisor sets the longest wait for a position: the time left to the objective
 	// divided by it.
 	waitDivisor = 4
@@ -119,7 +123,7 @@
 			chance := o.chance(now, wait, read)
 			cost := wait + base + time.Duration((1-chance)*float64(refusalCost))
 			if chance < minChance {
-				cost += laggingCost
+				cost += unlikely(chance)
 			}
 			if best.Index == None || cost < best.Expected {
 				best = Choice{Index: i, Reason: LowestCost, Wait: wait, Expected: cost}
@@ -145,6 +149,13 @@
 	return o.Lag.Within(now, arrival.Sub(read.CommittedAt))
 }
 
+// unlikely returns the cost of a replica that has the position with a chance below minChance:
+// little while its lag is unknown, and laggingCost where it certainly refuses.
+func unlikely(chance float64) time.Duration {
+	missing := 1 - chance/minChance
+	return unlikelyCost + time.Duration(missing*missing*float64(laggingCost-unlikelyCost))
+}
+
 // expected returns the expected time of an answer without regard to positions.
 func (o *Option) expected() time.Duration {
 	cost := o.RoundTrip + o.Service + o.SlotWait() + connectDelayWeight*o.ConnectDelay
--- a/placer/expect_test.go
+++ b/placer/expect_test.go
@@ -104,6 +104,12 @@
 		{"the leader where the wait is too long", func(_ []Option, r *Read) { r.CommittedAt, r.MaxWait = now.Add(-150*ms), 10*ms }, 0, false},
 		{"a replica for what is old", func(_ []Option, r *Read) { r.CommittedAt = now.Add(-2 * time.Second) }, 1, false},
 		{"the leader where nothing is known", func(o []Option, _ *Read) { o[1].Lag, o[2].Lag = Lag{}, Lag{} }, 0, false},
+		{"a replica of unknown lag where the leader has a queue", func(o []Option, r *Read) {
+			o[0].QueueWait, o[1].Lag, o[2].Lag, r.CommittedAt = 200*ms, Lag{}, Lag{}, now.Add(-300*ms)
+		}, 1, false},
+		{"a slow leader where the replicas certainly refuse", func(o []Option, r *Read) {
+			o[0].Limit, o[1].Limit, r.CommittedAt = 0, 0, now.Add(-10*ms)
+		}, 0, false},
 		{"the other replica where others have the first", func(o []Option, r *Read) { o[1].Others = 9; r.MinMark = tracker.Mark{} }, 2, false},
 		{"the leader where replicas are slow", func(o []Option, r *Read) { o[1].Limit, o[2].Limit, r.MinMark = 0, 0, tracker.Mark{} }, 0, false},
 		{"none that answers", func(o []Option, _ *Read) { o[0].Ejected, o[1].Ejected, o[2].DrainEnded = true, true, true }, None, false},
