meter: causes of refusals stay bounded among the other workspaces

Cause: the bound of 16 causes was applied where a request is counted, and not where the counts of a workspace that loses its place are added to the others. Change: it is applied there too. Measured result: in the test, in which one workspace after another becomes hot, the others have at most 17 causes; before, more.

--- a/meter/workspaces.go
+++ b/meter/workspaces.go
@@ -81,6 +81,14 @@
 	queued   *Seconds
 }
 
+// cause returns the cause under which a refusal is counted.
+func (s *workspaceSeries) cause(value string) string {
+	if s.causes[value] == nil && len(s.causes) >= maxRefusalCauses {
+		return Other
+	}
+	return value
+}
+
 // Record counts a request.
 func (w *Workspaces) Record(r Request) {
 	w.mu.Lock()
@@ -90,10 +98,7 @@
 	w.counter(s.outcomes, WorkspaceRequests, s, r.Workspace, "outcome", r.Outcome).Inc(1)
 	s.queued.Add(r.Queued)
 	if r.Cause != "" {
-		if s.causes[r.Cause] == nil && len(s.causes) >= maxRefusalCauses {
-			r.Cause = Other
-		}
-		w.counter(s.causes, WorkspaceRefusals, s, r.Workspace, "cause", r.Cause).Inc(1)
+		w.counter(s.causes, WorkspaceRefusals, s, r.Workspace, "cause", s.cause(r.Cause)).Inc(1)
 	}
 }
 
@@ -198,7 +203,7 @@
 		w.Registry.Unregister(fullName(WorkspaceRequests, name, "outcome", value))
 	}
 	for value, c := range from.causes {
-		w.counter(to.causes, WorkspaceRefusals, to, Other, "cause", value).Inc(c.Count())
+		w.counter(to.causes, WorkspaceRefusals, to, Other, "cause", to.cause(value)).Inc(c.Count())
 		w.Registry.Unregister(fullName(WorkspaceRefusals, name, "cause", value))
 	}
 	to.queued.Add(from.queued.Duration())
--- a/meter/workspaces_test.go
+++ b/meter/workspaces_test.go
@@ -57,6 +57,24 @@
 	is.Equal(queued, n*time.Millisecond)
 }
 
+// Guards against causes of refusals that add up without a bound among the others, as one
+// workspace after another becomes hot and loses its place.
+func TestCausesOfOthersAreBounded(t *testing.T) {
+	is := is.New(t)
+	w := &Workspaces{Registry: metrics.NewRegistry()}
+	const n = 200 * rankingInterval
+	for i := range n {
+		name := fmt.Sprint("w", i%100)
+		if i%2 == 0 {
+			name = fmt.Sprint("hot", i/(4*rankingInterval))
+		}
+		w.Record(Request{Workspace: name, Outcome: Refused, Cause: fmt.Sprint(name, i%100)})
+	}
+	is.True(len(w.series[Other].causes) <= maxRefusalCauses+1)
+	sum, _ := sumOf(w.Registry, WorkspaceRefusals)
+	is.Equal(sum, int64(n))
+}
+
 // Guards against series that change hands between workspaces with about as many requests: the
 // counters of each would start anew every time.
 func TestWorkspacesWithEqualDemandKeepTheirSeries(t *testing.T) {
