carrier: an early refusal names no time after the caller's deadline

Cause: a statement is refused early because the wait at the leader ends after its deadline, and the refusal named that wait, also where refusals are to stay within the deadline. Change: with that feature the delay is at most half of the time left, as in the other refusals; without it nothing changes.

--- a/carrier/expected.go
+++ b/carrier/expected.go
@@ -359,6 +359,9 @@
 // refuseLate logs that the leader cannot answer a job in time and returns the refusal.
 func (g *Group) refuseLate(j *Job, wait time.Duration) Answer {
 	wait = max(wait, busyRetryDelay).Round(time.Millisecond)
+	if g.registry.features().ShortRetries {
+		wait = min(wait, g.retryDelay(j)) // the wait ends after the deadline
+	}
 	g.log().Info("carrier: statement refused", zap.String("request", j.Request), zap.String("group", g.name),
 		zap.String("reason", string(placer.TooLate)), zap.Duration("wait", wait), zap.Bool("latest", true))
 	return refusal(Busy, string(placer.TooLate)+"; come back in "+wait.String())
--- a/carrier/expected_test.go
+++ b/carrier/expected_test.go
@@ -415,7 +415,10 @@
 		a, took := run()
 		is.Equal(a.Code, Busy)
 		is.Equal(took, time.Duration(0))
-		time.Sleep(2 * peerLoadTTL) // reports that are old don't count
+		f.ShortRetries = true
+		a, _ = run()
+		is.Equal(a.Text, "the leader can't answer in time; come back in 500ms") // not after the deadline
+		time.Sleep(2 * peerLoadTTL)                                             // reports that are old don't count
 		a, _ = run()
 		is.Equal(a.Code, OK)
 	})
