--- a/carrier/expected.go
+++ b/carrier/expected.go
@@ -88,6 +88,18 @@
 // caller must hold g.mu.
 func (g *Group) addRoundTrip(u *upstream, d time.Duration) {
 	u.expected.roundTrip.Record(d)
+	g.updateDistance()
+}
+
+// boundRoundTrip takes how long an exchange with an upstream took. The caller must hold g.mu.
+func (g *Group) boundRoundTrip(u *upstream, took time.Duration) {
+	if u.expected.roundTrip.Bound(took) {
+		g.updateDistance()
+	}
+}
+
+// updateDistance updates whether another zone is far. The caller must hold g.mu.
+func (g *Group) updateDistance() {
 	var others []placer.RoundTrip
 	for _, u := range g.upstreams {
 		if u.entry.Zone != g.registry.Zone {
@@ -176,14 +188,14 @@
 
 // option returns an upstream as a candidate. The caller must hold g.mu.
 func (g *Group) option(u *upstream, j *Job, now time.Time) placer.Option {
-	share := g.registry.share(g.name)
 	class := int(j.admissionClass())
 	o := placer.Option{
-		Candidate: u.candidate(now, now, u == g.leader, u.entry.Zone == g.registry.Zone, j.tried[u], share),
+		Candidate: u.candidate(now, now, u == g.leader, u.entry.Zone == g.registry.Zone, j.tried[u], g.shareOf(u.id)),
 		RoundTrip: g.roundTrip(u),
 		Service:   time.Duration(u.expected.pace.Factor(now) * float64(g.expected.reference.Mean(class))),
 		Slots:     u.slots,
 		Lag:       u.expected.lag,
+		Reads:     u.readsInFlight(),
 		Limit:     u.expected.start.Limit(now),
 	}
 	if u.seemsHung(now, o.Service) {
@@ -214,6 +226,18 @@
 	return o
 }
 
+// readsInFlight returns how many statements and transactions are running that replicas may
+// serve. Others don't keep an upstream from regaining its reads: the leader always has some.
+func (u *upstream) readsInFlight() int {
+	n := 0
+	for r := range u.running {
+		if r.replicasMayServe {
+			n++
+		}
+	}
+	return n
+}
+
 // seemsHung reports whether an upstream answers nothing for several service times while an
 // exchange runs there that long. It gets no more reads until it answers, before it is
 // checked as silent.
@@ -335,6 +359,9 @@
 // refuseLate logs that the leader cannot answer a job in time and returns the refusal.
 func (g *Group) refuseLate(j *Job, wait time.Duration) Answer {
 	wait = max(wait, busyRetryDelay).Round(time.Millisecond)
+	if g.registry.features().ShortRetries {
+		wait = min(wait, g.retryDelay(j)) // the wait ends after the deadline
+	}
 	g.log().Info("carrier: statement refused", zap.String("request", j.Request), zap.String("group", g.name),
 		zap.String("reason", string(placer.TooLate)), zap.Duration("wait", wait), zap.Bool("latest", true))
 	return refusal(Busy, string(placer.TooLate)+"; come back in "+wait.String())
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -129,6 +129,9 @@
 		u.writeTimedOutAt = now
 	}
 	r.exchangeStartedAt = time.Time{}
+	if err == nil {
+		g.boundRoundTrip(u, took)
+	}
 	g.mu.Unlock()
 	if err != nil {
 		g.log().Info("carrier: connection to upstream lost", zap.String("group", g.name), zap.String("upstream", u.id), zap.String("request", commands[len(commands)-1].ID),
@@ -157,7 +160,7 @@
 		j.markTried(u)
 		return nil, refusal(Busy, "no connection to the upstream: "+err.Error())
 	}
-	return &run{conn: c, workspace: j.Workspace}, Answer{}
+	return &run{conn: c, workspace: j.Workspace, replicasMayServe: !j.RequiresLeader()}, Answer{}
 }
 
 // Run runs one statement outside of a transaction.
@@ -214,6 +217,10 @@
 	if r == nil {
 		return refused, true
 	}
+	if j.isOver() { // while it waited for the connection
+		g.release(u, r.conn, true)
+		return refusal(Busy, "another attempt was answered"), false
+	}
 	if j.Writes && !r.conn.Alive() {
 		g.release(u, r.conn, false)
 		return refusal(Busy, "connection was dead before the write"), true
