carrier: the window of fair admission follows a loan of connections

Cause: fair admission set the window of the whole share at an upstream whose connections are lent or borrowed, a tenth of a second after the loan had set a smaller one. Change: the window is that of the connections that the process has there. Measured result: TestFairWindowFollowsLoan fails without the change (6 in place of 1).

--- a/carrier/fairness.go
+++ b/carrier/fairness.go
@@ -129,7 +129,7 @@
 		*s = fairness{on: f.FairAdmission}
 		u.gate.SetFair(s.on)
 		if !s.on {
-			u.gate.SetWindowMin(g.registry.minWindow(g.name, u.slots))
+			u.gate.SetWindowMin(g.minWindow(u, g.shareOf(u.id)))
 			return
 		}
 	case !s.on || now.Sub(s.updatedAt) < fairnessInterval && !now.Before(s.updatedAt):
@@ -140,7 +140,7 @@
 	u.gate.SetPeers(elsewhere)
 	d := limiter.Division{
 		Slots: float64(u.slots), Stretch: u.gate.Stretch(), Total: slotFillFactor * float64(u.slots),
-		Equal: g.registry.minWindow(g.name, u.slots), Mean: u.gate.MeanServiceTime(limiter.Lookup), Weight: s.weight,
+		Equal: g.minWindow(u, g.shareOf(u.id)), Mean: u.gate.MeanServiceTime(limiter.Lookup), Weight: s.weight,
 	}
 	window, less := d.Window(loads)
 	u.gate.SetLessUrgent(less)
--- a/carrier/fairness_test.go
+++ b/carrier/fairness_test.go
@@ -243,3 +243,21 @@
 		is.Equal(u.gate.Queue.Window.Min, c.minWindow("g", 4)) // the equal part
 	})
 }
+
+// Guards against a gateway that keeps the window of its whole share at an upstream whose
+// connections it has lent.
+func TestFairWindowFollowsLoan(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := &Registry{Now: func() time.Time { return now }, Log: zap.NewNop(), Features: func() Features { return Features{FairAdmission: true} }}
+	c.DivideConnections(1, []cataloger.GroupSettings{{Name: "g", MaxConnections: 56}})
+	c.SetUpstreams([]cataloger.Upstream{{ID: "a", Group: "g", Slots: 4}})
+	g, _ := c.Group("g")
+	u := g.upstreams[0]
+	g.applyFairness(u, c.features())
+	is.Equal(u.gate.Queue.Window.Min, 6) // one and a half times the slots
+	g.LimitConns("a", 2)
+	now = now.Add(fairnessInterval)
+	g.applyFairness(u, c.features())
+	is.Equal(u.gate.Queue.Window.Min, 1)
+}
