throttler: no panic of ranked quotas soon after a machine has booted

The clock of a process counts from the boot of its machine. Within the first Window after that, the oldest bucket of grants that the window rule looks at is negative, and windowTokens indexes its ring with it: a process with load.quota ranked ends with "index out of range [-1]" at its first operation with a quota. With a Window of a minute this is the whole first minute after a loss of power of the machines.

The oldest bucket is now 0 at least.

TestWindowRuleSoonAfterBoot panics before, and passes now: it plays the first 10 s after boot with a Window of one minute.

--- a/throttler/window.go
+++ b/throttler/window.go
@@ -89,8 +89,8 @@
 	}
 	width := int64(grantWidth(limit.window))
 	grants.advance(now.UnixNano() / width)
-	oldest := now.Add(-limit.window).UnixNano() / width
-	credited := bucketOf(now) + 1 // the oldest bucket whose credits are in seconds
+	oldest := max(0, now.Add(-limit.window).UnixNano()/width) // a clock that counts from boot starts at 0
+	credited := bucketOf(now) + 1                             // the oldest bucket whose credits are in seconds
 	seconds, granted, available := 0.0, 0.0, 0.0
 	for bucket := grants.latest; bucket >= oldest; bucket-- {
 		granted += float64(grants.counts[bucket%int64(len(grants.counts))])
--- a/throttler/window_test.go
+++ b/throttler/window_test.go
@@ -124,3 +124,20 @@
 	is.True(f.refused > 500)
 	is.Equal(f.unsure, 0)
 }
+
+// Guards against a panic of a process that serves within a Window of the start of its
+// machine: its clock counts from there.
+func TestWindowRuleSoonAfterBoot(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, int64(300*time.Millisecond))
+	n := Node{Self: "a", Tolerance: Tolerance{Window: time.Minute, Excess: 0.1, Slack: 20}, StartedAt: now, IsFleetKnown: true, Ranked: true}
+	n.SetFleet(Member{Name: "a"}, nil, 1, now)
+	granted := 0
+	for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(20 * time.Millisecond) {
+		n.Tick(now)
+		if v, _ := n.TakeRanked(Ask{Workspace: "w", Quota: cataloger.Quota{Rate: 30, Burst: 20}, Rank: 1, Left: time.Second}, now); v.Granted {
+			granted++
+		}
+	}
+	is.True(granted > 200)
+}
