throttler: claims of processes outside of the fleet are given no time

A ranked process recorded the clock of whoever sent a claim, and gave it the time of a shard whose owner was silent. The records of processes that aren't in the fleet were never dropped: a map that grows with each unknown sender, and 0.4 s of tokens that nobody could spend.

Such a claim is now handled as one of an older process: it only has a silent owner excluded sooner.

TestClaimsOfUnknownProcessesAreIgnored sends 1,000 claims of as many unknown processes: before, the map grew with them; now it doesn't, and none is credited.

--- a/throttler/succession.go
+++ b/throttler/succession.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"basildale.example/basildale/cataloger"
@@ -99,9 +100,10 @@
 // handleRankedClaim gives the time of a shard to the process that claims it if the owner is
 // silent, and probes the owner otherwise. A claim contains the sender's clock, without which
 // a first credit would have to wait for an ack. Time is given only once, so a wrong claim
-// takes some tokens from the owner but adds none.
+// takes some tokens from the owner but adds none. Only a process of the fleet is given time:
+// what is recorded of others would never be dropped.
 func (n *Node) handleRankedClaim(m *Message, from netip.AddrPort, now time.Time) []Envelope {
-	if !n.joined || m.OwnerClock == 0 {
+	if !n.joined || m.OwnerClock == 0 || !n.isMember(m.From) {
 		return n.handleClaim(m.Shard, now)
 	}
 	n.setOwnerClock(m, now)
@@ -123,6 +125,11 @@
 	return []Envelope{{owner.Address, Message{Kind: Credit, From: n.self.id, To: owner.id, Shard: m.Shard, Fleet: n.fleetSize}}}
 }
 
+// isMember reports whether a process is one of those that are alive.
+func (n *Node) isMember(id ID) bool {
+	return slices.ContainsFunc(n.others, func(m Member) bool { return m.id == id })
+}
+
 // settleClaims settles all claims, and drops those that are too old or whose owner answers.
 func (n *Node) settleClaims(now time.Time) []Envelope {
 	var out []Envelope
--- a/throttler/succession_test.go
+++ b/throttler/succession_test.go
@@ -161,3 +161,31 @@
 	is.True(next.Name != f.name(owner))
 	is.Equal(len(other.node.Excluded()), 0)
 }
+
+// Guards against a process whose state grows with each claim of a process that it does not
+// know, and that credits its time to one.
+func TestClaimsOfUnknownProcessesAreIgnored(t *testing.T) {
+	is := is.New(t)
+	f := newRankedFleet(3, true)
+	f.run(4 * time.Second)
+	owner := f.ownerOf()
+	p := f.processes[0]
+	if p == owner {
+		p = f.processes[1]
+	}
+	owner.down = true
+	known := len(p.node.ownerClocks)
+	credited := 0
+	for i := range 1000 {
+		now := f.now.Add(p.skew)
+		m := Message{Kind: Claim, From: ID(i + 1), To: NewID(f.name(p)), Shard: Shard("w"), OwnerClock: now.UnixNano()}
+		for _, e := range p.node.Receive(&m, p.address, nil, now) {
+			if e.Message.To == m.From && e.Message.Span > 0 {
+				credited++
+			}
+		}
+		f.run(time.Millisecond)
+	}
+	is.True(len(p.node.ownerClocks) <= known)
+	is.Equal(credited, 0)
+}
