carrier: a cut connection is subtracted once from those of a loan

BorrowedConns subtracts the connections in use that were cut from those of the pool. A statement gave its connection back to the pool before it left the list of running ones, so between the two a cut connection was subtracted though the pool didn't count it any more. While another one was being opened the borrower then counted none, confirmed that all were closed, and the lender used its share again: one connection over it.

A statement and a check of the leader leave the list before the connection goes back to the pool. In between it is counted as open, which is safe.

--- a/carrier/health.go
+++ b/carrier/health.go
@@ -296,9 +296,9 @@
 	}
 	r := &run{conn: c}
 	g.addRun(u, r)
-	defer g.removeRun(u, r)
 	requestedAt := g.registry.Now()
 	answers, _, err := g.exchange(u, r, deadline, Command{Verb: Begin}, Command{Verb: Rollback})
+	g.removeRun(u, r)
 	if err != nil {
 		g.release(u, c, false)
 		return false
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -220,9 +220,9 @@
 	}
 	r.inDoubtIfLost = j.Writes
 	g.addRun(u, r)
-	defer g.removeRun(u, r)
 	started := g.registry.Now()
 	answer, sent, err := g.send(u, r, j, cmd, since)
+	g.removeRun(u, r) // before the release: heldConns counts a connection that is cut as closed
 	if err != nil {
 		g.release(u, r.conn, false)
 		j.markTried(u)
--- a/carrier/loan_test.go
+++ b/carrier/loan_test.go
@@ -120,3 +120,29 @@
 	is.Equal(RetryDelay(0), 50*time.Millisecond)
 	is.Equal(RetryDelay(-time.Second), 50*time.Millisecond)
 }
+
+// Guards against a loan that is confirmed as closed while a connection is open: one that was
+// cut and has left the pool must not be subtracted from those that are there once more.
+func TestCutConnIsSubtractedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, g := newBorrower()
+		lowest := 0
+		c.Now = func() time.Time {
+			if g.mu.TryLock() {
+				g.mu.Unlock()
+			} else { // the caller holds it
+				lowest = min(lowest, g.upstreams[0].heldConns())
+			}
+			return time.Now()
+		}
+		g.BorrowConns("a", 2, time.Now().Add(time.Minute), true)
+		done := make(chan Answer)
+		go func() { done <- g.Run(latest(5*time.Second), Command{Verb: Read, ID: "r", Text: "1s"}) }()
+		time.Sleep(100 * time.Millisecond)
+		g.CutConns("a")
+		<-done
+		is.Equal(lowest, 0)
+		c.Stop()
+	})
+}
