throttler: a refusal without a decision names half of the time left

Where no owner could decide, a refusal named 200 ms, or the time in which the missing tokens come, whatever was left to the caller's deadline: with three tries the caller of a submission has spent its last one before its deadline, one of a dashboard after 0.85 of 2.5 s, and where few credits have arrived the time could be after the deadline.

It now names half of the time left, from 50 ms to a CreditInterval; where the deadline is unknown it is as before.

--- a/throttler/inquiry.go
+++ b/throttler/inquiry.go
@@ -18,8 +18,8 @@
 	// recheckDelay is the time after which an owner that could not decide is asked again: the
 	// credits that its claim asks for take a round trip.
 	recheckDelay = 20 * time.Millisecond
-	// undecidedRetryAfter is the delay of a refusal when no owner has decided. By then the
-	// processes have chosen another owner.
+	// undecidedRetryAfter is the delay of a refusal when no owner has decided and the caller's
+	// deadline is unknown. By then the processes have chosen another owner.
 	undecidedRetryAfter = 200 * time.Millisecond
 )
 
@@ -43,6 +43,7 @@
 	// NewID returns an ID for a request, so that the caller can pass its reply to Reply.
 	NewID func() uint64
 
+	deadline    time.Time // of the caller; zero if it is unknown
 	asked       []askedOwner
 	nextHedgeAt time.Time
 	verdict     Verdict
@@ -62,6 +63,9 @@
 // messages to send; call it again at Wake and after each Reply.
 func (q *Inquiry) Step(n *Node, now time.Time) (v Verdict, done bool, out []Envelope) {
 	n.expireSilent(now)
+	if q.deadline.IsZero() && q.Ask.Left > 0 {
+		q.deadline = now.Add(q.Ask.Left)
+	}
 	for i := range q.asked {
 		if !q.hasVerdict && !now.Before(q.asked[i].askAt) {
 			out = append(out, q.ask(n, &q.asked[i], now)...)
@@ -76,11 +80,21 @@
 	}
 	if !q.hasVerdict && !now.Before(q.Until) {
 		q.hasVerdict = true
-		q.verdict = Verdict{Undecided: true, RetryAfter: max(q.verdict.RetryAfter, undecidedRetryAfter)}
+		q.verdict = Verdict{Undecided: true, RetryAfter: q.undecidedDelay(now)}
 	}
 	return q.verdict, q.hasVerdict, out
 }
 
+// undecidedDelay returns the delay of a refusal when no owner has decided: half of the time
+// that is left, so that a caller that comes back twice does so over all of its time, and no
+// longer than a CreditInterval, after which there are credits again.
+func (q *Inquiry) undecidedDelay(now time.Time) time.Duration {
+	if q.deadline.IsZero() {
+		return max(q.verdict.RetryAfter, undecidedRetryAfter)
+	}
+	return min(max(q.deadline.Sub(now)/2, minRetryAfter), CreditInterval)
+}
+
 // Wake returns when Step is due without a reply.
 func (q *Inquiry) Wake() time.Time {
 	wake := q.Until
