delegator: a lender keeps two connections

A process with gateways set to reach uses only what a lender keeps until its uptime is 2.5 s, since an earlier start of it may have lent the rest. That was one connection to each upstream, on which each transaction and each change of the workspace (12 ms for a new connection) holds up all others, just when all callers return after a loss of power. The cost was not known.

Two are kept now; a share of two is no longer lent. The bound is the same: only what is never lent is used early.

--- a/delegator/message.go
+++ b/delegator/message.go
@@ -23,8 +23,10 @@
 	CheckTimeout = 250 * time.Millisecond
 )
 
-// Kept is how many connections a lender keeps to find out whether it reaches the leader.
-const Kept = 1
+// Kept is how many connections a lender keeps: one to find out whether it reaches the leader,
+// and one more because a process uses no others until StartupDelay has passed. With a single
+// one, each transaction and each change of the workspace holds up all others.
+const Kept = 2
 
 // Token is a moment of a borrower's clock. The zero value is no token.
 type Token struct {
