proxier: a caller that has left was not refused by its quota

An operation whose caller disconnects while its verdict is awaited was logged and counted as refused because the quota was used up (unsure false, basildale_quota_refused), though nothing had decided on it. Who looks for workspaces that are slowed down by their quota is led astray.

It counts as undecided now (unsure true, basildale_quota_unsure).

TestRankedVerdictOfNobody asks at each of three processes: at those that aren't the owner the answer said that the quota is used up, and now says that what is left isn't known.

--- a/proxier/quota_ranked.go
+++ b/proxier/quota_ranked.go
@@ -87,6 +87,7 @@
 		now := q.now()
 		v, done, out := i.Step(&q.node, now)
 		if gone := isClosed(job.CallerGone); done || gone {
+			v.Undecided = v.Undecided || !done // a caller that has left was not refused by the quota
 			for _, id := range ids {
 				delete(q.inquiries, id)
 			}
--- a/proxier/quota_test.go
+++ b/proxier/quota_test.go
@@ -153,7 +153,9 @@
 		close(gone)
 		job.CallerGone = gone
 		left := time.Now()
-		l.all[0].admit(job)
+		for _, q := range l.all {
+			is.True(strings.HasPrefix(q.admit(job).Text, "what is left of the workspace's quota isn't known")) // not that it is used up
+		}
 		is.Equal(time.Since(left), time.Duration(0))
 		is.Equal(len(l.all[0].inquiries), 0)
 	})
