pooler, carrier: connections divided among workspaces by expected demand

Cause: at its limit a pool closes the connection that has been idle longest, so workspaces with little demand close connections that others need next, and a hot workspace takes connections of others.

Change: with load.connections: fair a pool closes the connection that is expected to save the fewest openings, keeps the only connection of an owner that used it in the last 2 s while there are enough, and lets a caller wait for a connection of its owner where that is faster than opening one. With plain the decisions stay as they are.

Bounded load over gateways and pre-opening are not built.

--- a/carrier/group.go
+++ b/carrier/group.go
@@ -169,6 +169,7 @@
 		Owner:         func(c *conn) string { return c.workspace },
 		RequestPermit: u.opener.request,
 		ZeroLimitErr:  errNoShare,
+		Sharing:       g.sharing(u),
 	}
 	u.opener.permit = u.pool.Permit
 }
--- a/pooler/doc.go
+++ b/pooler/doc.go
@@ -10,6 +10,10 @@
 // when the connection was opened. GetFor and TryGetFor return only connections of one
 // owner, Get and TryGet those of any. The limit counts all of them together.
 //
+// With Sharing the connections can be divided among the owners by their expected demand: who
+// may open one, and whose idle one is closed for it. Otherwise the connection that has been
+// idle longest is closed, and callers open connections in the order of their arrival.
+//
 // # Usage
 //
 //	pool := &pooler.Pool[*Conn]{Limit: 4, Dial: dial, Close: shut}
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -36,6 +37,8 @@
 	// callers that already wait when it becomes 0. Without it they wait until the limit
 	// is raised.
 	ZeroLimitErr error
+	// Sharing, when set, can divide the connections by expected demand.
+	Sharing *Sharing
 
 	mu             sync.Mutex
 	idle           []idleConn[C] // the most recently used one is last
@@ -44,6 +47,8 @@
 	pendingPermits int // permits requested and not yet granted
 	waiters        []*waiter[C]
 	closed         bool
+	rechecking     bool // reconsider will be called
+	demand         demand
 }
 
 // idleConn is a connection that is not in use, and its owner.
@@ -63,7 +68,8 @@
 // waiter is a caller that waits. Its channel has room for one grant.
 type waiter[C any] struct {
 	request
-	bypassed int // connections that went to callers behind it
+	since    time.Time // when it began to wait; zero without Sharing
+	bypassed int       // connections that went to callers behind it
 	granted  chan grant[C]
 }
 
@@ -129,10 +135,13 @@
 func (p *Pool[C]) try(r request) (c C, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.open > p.Limit {
+	if p.closed || p.open > p.Limit || p.isReserved(r) {
 		return c, false
 	}
-	return p.popIdle(r)
+	if c, ok = p.popIdle(r); ok {
+		p.recordUse(r)
+	}
+	return c, ok
 }
 
 // deferred holds the actions to perform after the pool's lock is released, in this
@@ -141,6 +150,7 @@
 	toClose []C          // connections to close
 	toDial  []*waiter[C] // waiters that may dial
 	permits int          // permits to request
+	recheck bool         // reconsider the waiters after a while
 }
 
 func (p *Pool[C]) perform(actions deferred[C]) {
@@ -153,6 +163,9 @@
 	for range actions.permits {
 		p.RequestPermit()
 	}
+	if actions.recheck {
+		p.Sharing.After(p.Sharing.OpeningTime(), p.reconsider)
+	}
 }
 
 // acquire returns a grant at once or adds a waiter.
@@ -162,7 +175,8 @@
 	if p.closed {
 		return grant[C]{err: ErrClosed}, nil, deferred[C]{}
 	}
-	if p.open <= p.Limit {
+	p.recordUse(r)
+	if p.open <= p.Limit && !p.isReserved(r) {
 		if c, ok := p.popIdle(r); ok {
 			return grant[C]{conn: c, established: true}, nil, deferred[C]{}
 		}
@@ -171,6 +185,9 @@
 		return grant[C]{err: p.ZeroLimitErr}, nil, deferred[C]{}
 	}
 	w := &waiter[C]{request: r, granted: make(chan grant[C], 1)}
+	if p.sharing() {
+		w.since = p.Sharing.Now()
+	}
 	p.waiters = append(p.waiters, w)
 	return grant[C]{}, w, p.admitWaiters()
 }
@@ -178,35 +195,6 @@
 // failsAtZeroLimit reports whether requests fail with ZeroLimitErr.
 func (p *Pool[C]) failsAtZeroLimit() bool { return p.Limit == 0 && p.ZeroLimitErr != nil }
 
-// Permit lets the first waiter open a connection within the limit and reports whether
-// there was one that could. A permit that no caller needs any more is lost.
-func (p *Pool[C]) Permit() bool {
-	p.mu.Lock()
-	p.pendingPermits--
-	var actions deferred[C]
-	permitted := len(p.waiters) > 0 && p.makeRoom(&actions)
-	if permitted {
-		actions.toDial = append(actions.toDial, p.removeWaiter(0))
-	}
-	p.mu.Unlock()
-	p.perform(actions)
-	return permitted
-}
-
-// makeRoom reserves a place for one more connection and reports whether there is one.
-// At the limit it takes the place of the connection that has been idle longest.
-func (p *Pool[C]) makeRoom(actions *deferred[C]) bool {
-	switch {
-	case p.open < p.Limit:
-		p.open++
-		return true
-	case p.open > p.Limit || len(p.idle) == 0:
-		return false
-	}
-	actions.toClose = append(actions.toClose, p.removeIdle(0))
-	return true
-}
-
 // FailWaiting ends the wait of all waiting callers with an error, for instance when it
 // is known that no connection will become available.
 func (p *Pool[C]) FailWaiting(err error) {
@@ -237,6 +225,7 @@
 	if i < 0 {
 		return c, false
 	}
+	p.account(p.idle[i].owner).inUse++
 	return p.removeIdle(i), true
 }
 
@@ -255,6 +244,7 @@
 	p.mu.Lock()
 	n := max(0, min(p.minIdle, p.open-keep, len(p.idle)))
 	unused := connsOf(p.idle[:n]) // the front was idle longest
+	p.recordClosed(p.idle[:n]...)
 	p.idle = slices.Delete(p.idle, 0, n)
 	p.open -= n
 	p.minIdle = len(p.idle)
@@ -306,8 +296,13 @@
 		return g.conn, g.err
 	}
 	c, err := p.Dial(ctx, owner)
+	p.mu.Lock()
+	a := p.account(owner)
+	a.opening--
+	a.inUse++
+	p.mu.Unlock()
 	if err != nil {
-		p.releasePlace()
+		p.releasePlace(owner)
 		return c, errors.Wrap(err, "pooler: dial")
 	}
 	return c, nil
@@ -330,32 +325,16 @@
 	if p.closed || p.open > p.Limit {
 		return false, deferred[C]{}
 	}
-	owner := ""
-	if p.Owner != nil {
-		owner = p.Owner(c)
-	}
+	owner := p.ownerOf(c)
 	if i := p.nextWaiter(owner); i >= 0 {
 		p.removeWaiter(i).granted <- grant[C]{conn: c, established: true}
 		return true, deferred[C]{}
 	}
+	p.account(owner).inUse--
 	p.idle = append(p.idle, idleConn[C]{c, owner})
 	return true, p.admitWaiters()
 }
 
-// nextWaiter returns the index of the waiter that gets a returned connection, or a
-// negative number. Dialing takes the upstream's time, so the first waiter that accepts
-// the connection's owner goes before others, but at most maxBypassed times.
-func (p *Pool[C]) nextWaiter(owner string) int {
-	i := slices.IndexFunc(p.waiters, func(w *waiter[C]) bool { return w.matches(owner) })
-	if i > 0 {
-		if p.waiters[0].bypassed >= maxBypassed {
-			return -1
-		}
-		p.waiters[0].bypassed++
-	}
-	return i
-}
-
 // removeWaiter removes and returns the waiter at index i.
 func (p *Pool[C]) removeWaiter(i int) *waiter[C] {
 	w := p.waiters[i]
@@ -366,31 +345,7 @@
 // Discard closes a connection that must not be reused and frees its place.
 func (p *Pool[C]) Discard(c C) {
 	p.Close(c)
-	p.releasePlace()
-}
-
-// releasePlace frees one place and lets waiters dial while there is room.
-func (p *Pool[C]) releasePlace() {
-	p.mu.Lock()
-	p.open--
-	actions := p.admitWaiters()
-	p.mu.Unlock()
-	p.perform(actions)
-}
-
-// admitWaiters lets waiters open connections within the limit, or requests permits for
-// them.
-func (p *Pool[C]) admitWaiters() (actions deferred[C]) {
-	if p.RequestPermit != nil {
-		room := max(0, p.Limit-p.open) + len(p.idle)
-		actions.permits = max(0, min(len(p.waiters), room)-p.pendingPermits)
-		p.pendingPermits += actions.permits
-		return actions
-	}
-	for len(p.waiters) > 0 && p.makeRoom(&actions) {
-		actions.toDial = append(actions.toDial, p.removeWaiter(0))
-	}
-	return actions
+	p.releasePlace(p.ownerOf(c))
 }
 
 // Warm opens connections until n are open or the limit is reached, and leaves them
@@ -406,17 +361,6 @@
 	return nil
 }
 
-// reservePlace reserves a place if fewer than n connections are open, within the limit.
-func (p *Pool[C]) reservePlace(n int) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed || p.open >= min(n, p.Limit) {
-		return false
-	}
-	p.open++
-	return true
-}
-
 // SetLimit changes the limit. Idle connections above it are closed at once, connections
 // in use when they are returned.
 func (p *Pool[C]) SetLimit(n int) {
@@ -436,6 +380,7 @@
 func (p *Pool[C]) trimIdle() []C {
 	var excess []C
 	for p.open > p.Limit && len(p.idle) > 0 {
+		p.recordClosed(p.idle[0])
 		excess = append(excess, p.removeIdle(0))
 		p.open--
 	}
@@ -446,6 +391,7 @@
 func (p *Pool[C]) CloseIdle() {
 	p.mu.Lock()
 	idle := connsOf(p.idle)
+	p.recordClosed(p.idle...)
 	p.idle = nil
 	p.minIdle = 0
 	p.open -= len(idle)
@@ -465,6 +411,7 @@
 			return false
 		}
 		dead = append(dead, candidate.conn)
+		p.recordClosed(candidate)
 		return true
 	})
 	p.minIdle = min(p.minIdle, len(p.idle))
