pooler: test that a pool with Sharing switched off decides as one without

Cause: the default of load.connections must leave decisions as they are.

Change: 2,000 random uses of nine owners run at both pools and are compared.

Result: the same idle connections after each use, and the same openings.

--- a/pooler/sharing_test.go
+++ b/pooler/sharing_test.go
@@ -198,3 +198,29 @@
 		is.Equal(p.Stats().Idle, p.Stats().Open)
 	})
 }
+
+// Guards against decisions that differ from those of a pool without Sharing while it is off.
+func TestSharingThatIsOffChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		with, opened := sharedPool(4, func() bool { return false })
+		without, openedWithout := sharedPool(4, nil)
+		without.Sharing = nil
+		rng := rand.New(rand.NewPCG(5, 6))
+		for range 2000 {
+			owner, discard := fmt.Sprint(rng.IntN(9)), rng.IntN(10) == 0
+			for _, p := range []*Pool[sharedConn]{with, without} {
+				c, err := p.GetFor(t.Context(), owner)
+				is.NoErr(err)
+				if discard {
+					p.Discard(c)
+				} else {
+					p.Put(c)
+				}
+			}
+			is.Equal(with.idle, without.idle)
+		}
+		is.Equal(opened.count, openedWithout.count)
+		is.Equal(with.demand.accounts["0"].uses, 0.0)
+	})
+}
