throttler: the long tests run side by side

Cause: the package's tests took 45 s, and over four minutes under the race detector, most of it one after the other. Change: eight long tests, which share nothing, are parallel.

--- a/throttler/designs_test.go
+++ b/throttler/designs_test.go
@@ -54,6 +54,7 @@
 // Compares designs for a quota: the part of a load below the quota that is refused when it
 // arrives at one, five or all processes, and the messages that each process sends.
 func TestQuotaDesigns(t *testing.T) {
+	t.Parallel()
 	var out strings.Builder
 	const groups = 8
 	fmt.Fprintln(&out, "rate  processes  load at  equal parts  by group  one holder  messages a second of each")
--- a/throttler/node_test.go
+++ b/throttler/node_test.go
@@ -25,6 +25,7 @@
 // A workspace below its quota is served, whichever processes its operations arrive at, and
 // one above it gets its quota.
 func TestQuotasFollowTheLoad(t *testing.T) {
+	t.Parallel()
 	for _, quota := range []cataloger.Quota{small, large} {
 		for _, n := range []int{1, 9, 83} {
 			for _, at := range []int{1, 5, n} {
@@ -111,6 +112,7 @@
 // Guards against more operations than a quota allows, in any window: while processes end,
 // are partitioned or restart, and messages are lost or late, at any moment.
 func TestQuotaHoldsInEveryWindow(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(*histories) {
 		rng := rand.New(rand.NewPCG(seed, 2))
 		playHistory(t, seed, rng, 7, nil)
@@ -121,6 +123,7 @@
 // decisions of ranked processes: all of them, some beside others with the plain rule, and
 // while the setting is switched.
 func TestRankedQuotaHoldsInEveryWindow(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(*histories) {
 		rng := rand.New(rand.NewPCG(seed, 3))
 		share := []float64{1, 1, 0.5}[seed%3]
--- a/throttler/rank_test.go
+++ b/throttler/rank_test.go
@@ -84,6 +84,7 @@
 // are granted: what each priority gets of a demand beyond the quota, by the plain rule and
 // ranked, at 40 processes.
 func TestOverloadByPriority(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	var out strings.Builder
 	fmt.Fprintln(&out, "demand   time  rule    granted/s  most in window (allowed)  priority: asked/s, granted, within the objective, of retries, tries each")
--- a/throttler/restart_test.go
+++ b/throttler/restart_test.go
@@ -71,6 +71,7 @@
 // operations of the first second after all processes have lost power, in which they come back
 // within some time and know the fleet some time after that.
 func TestRetriesAfterLossOfPower(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	var out strings.Builder
 	fmt.Fprintln(&out, "starts within  fleet known after  quota   asked  granted  within 250 ms  refused  tries")
--- a/throttler/window_test.go
+++ b/throttler/window_test.go
@@ -17,6 +17,7 @@
 // Guards against a workspace with a demand beyond its quota that gets less than each window
 // allows: what is granted per second over 30 s at three times the quota, at 40 processes.
 func TestSustainedDemand(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	var out strings.Builder
 	fmt.Fprintln(&out, "quota: rate  burst   allowed/s   granted/s: plain  ranked   fullest window: plain  ranked  allowed")
@@ -85,6 +86,7 @@
 // Guards against more than a window allows while the rule is switched back and forth: what
 // one rule grants must count for the other.
 func TestSwitchedRulesHoldInEveryWindow(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	for _, every := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 2500 * time.Millisecond, 6 * time.Second} {
 		f := newRankedFleet(5, false)
