proxier: processes that start while a restored store lists nobody are found

By the count of tests that had passed it was TestFleetSurvivesStoreRestore, which waits without a limit of its own. Played 96 times, eight at a time, on the code as submitted it hung 4 times, each time waiting for the configuration at a fourth process. Its log of one more such run: it started while the restored store listed no process, wrote its entry, read the list again after 600 ms, found only itself and took itself for the whole fleet; the others wrote theirs again 0.1 to 0.5 s later. Nobody reads the list a second time, so neither side learned of the other. Ruled out: the start of the test's own platform, a deadlock at the stop (no process was stopping). Change: after a restore, two processes read the list once they have checked their own entries, and gossip tells the others. Whichever of two entries is written later, its writer or such a reader then finds the earlier one. Measured result: the new test fails without the change (1 != 2) and passes with it.

--- a/proxier/restore.go
+++ b/proxier/restore.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"basildale.example/basildale/adapter/keeper"
 	"basildale.example/basildale/versioner"
 )
 
@@ -129,7 +130,9 @@
 	}
 }
 
-// rewriteEntry checks this process's entry and writes it if needed.
+// rewriteEntry checks this process's entry and writes it if needed. Two of the processes read
+// the list afterwards: a process that started while the restored store listed nobody knows only
+// itself, and nobody else has received anything from it.
 func (p *Proxier) rewriteEntry(ctx context.Context) error {
 	written, err := p.writeEntry(ctx)
 	if err != nil {
@@ -140,6 +143,14 @@
 		return err
 	}
 	p.Log.Info("proxier: own entry checked", zap.Uint64("era", p.storeEra()), zap.Bool("written", written))
+	if p.readerRank(proxiesKind) >= minWatchers {
+		return nil
+	}
+	listed, err := hedged(ctx, func(ctx context.Context) ([]keeper.Object, error) { return p.store.AllAfter(ctx, proxiesKind, "") })
+	if err != nil {
+		return err
+	}
+	p.addPeers(listed)
 	return nil
 }
 
--- a/proxier/restore_test.go
+++ b/proxier/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -69,6 +70,21 @@
 	}
 }
 
+// Guards against a process that stays alone because it started while the restored store listed
+// nobody: it knows only itself, and the others learn of it from the list alone.
+func TestProcessThatStartsAfterRestoreIsFound(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1)
+	m := f.proxies[0]
+	is.Equal(m.fleetSize(), 1)
+	ctx := context.Background()
+	entry := proxyEntry{Zone: "zone-1", GossipAddr: netip.MustParseAddrPort("127.0.0.1:9"), GatewayAddr: netip.MustParseAddrPort("127.0.0.1:9"), Start: 1}
+	_, err := m.store.Put(ctx, proxiesKind, "proxy-alone", 0, entry)
+	is.NoErr(err)
+	is.NoErr(m.rewriteEntry(ctx))
+	is.Equal(m.fleetSize(), 2)
+}
+
 // Guards against an own entry that a call made before the restore deletes late.
 func TestOwnEntryIsCheckedTwicePerEra(t *testing.T) {
 	is := is.New(t)
