forwarder: a read that a gateway doesn't answer is offered to a second one

Change: with load.gateways: reach a forwarded read without an answer in the usual time is offered to a second gateway, at most 3 % of the reads and eight at once. Writes and transactions are not.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -56,6 +56,10 @@
 	// Loans holds those of this process.
 	Substitutes func() bool
 	Loans       *Loans
+	// HedgesReads, when set, reports whether a read that a gateway has not answered in the usual
+	// time is offered to a second one, and CountHedged, when set, counts these.
+	HedgesReads func() bool
+	CountHedged func()
 	// Name is this process's name, and Zone its availability zone.
 	Name string
 	Zone string
@@ -66,6 +70,7 @@
 	streams      atomic.Uint64
 	transactions transactionTable
 	served       servedTable
+	hedges       hedges
 
 	mu        sync.Mutex
 	lostPeers map[netip.AddrPort]time.Time // peers that did not answer, and when
--- /dev/null
+++ b/forwarder/hedge.go
@@ -0,0 +1,130 @@
+package forwarder
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/carrier"
+	"basildale.example/basildale/placer"
+)
+
+// hedges decides when a forwarded read without an answer is offered to another gateway too. Its
+// zero value is ready for use. It is safe for concurrent use.
+type hedges struct {
+	mu    sync.Mutex
+	hedge placer.Hedge
+}
+
+func (h *hedges) delay(class int) (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hedge.Delay(class)
+}
+
+func (h *hedges) record(class int, took time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hedge.Record(class, took)
+}
+
+func (h *hedges) take() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hedge.Take()
+}
+
+// offered is a call of a statement to a gateway, and its outcome.
+type offered struct {
+	peer Candidate
+	resp response
+	err  error
+}
+
+// isFinal reports whether the outcome is one that the caller gets, rather than a reason to try
+// another process.
+func (o *offered) isFinal() bool {
+	return o.err == nil && !o.resp.Refused && !isUnavailable(o.resp.Answer) && o.resp.Answer.Code != carrier.Busy
+}
+
+// mayHedge reports whether a statement may be offered to a second gateway while the first has
+// not answered: a read outside of a transaction, where the setting asks for it.
+func (s *search) mayHedge(r *request) bool {
+	f := s.runner.f
+	isRead := !r.Writes && r.Command.Verb != carrier.Write && !r.Command.Writes
+	return r.Action == runOne && isRead && f.HedgesReads != nil && f.HedgesReads()
+}
+
+// offer sends the statement to a gateway and returns the outcome. A read without an answer in
+// the usual time is offered to a second gateway as well: a gateway that has been cut off is
+// known as silent only seconds later, and until then each read sent to it would be lost. The
+// first final answer counts; the other call goes on, and its answer is dropped.
+func (s *search) offer(ctx context.Context, peer Candidate, r request) offered {
+	f := s.runner.f
+	if !s.mayHedge(&r) {
+		resp, err := f.call(ctx, peer, r)
+		return offered{peer, resp, err}
+	}
+	class := int(s.job.Freshness)
+	began := f.Now()
+	results := make(chan offered, 2)
+	start := func(peer Candidate, r request) {
+		ctx, cancel := withDeadline(s.job)
+		r.Values = slices.Clone(r.Values) // the session may change them before the slower call has ended
+		go func() {
+			defer cancel()
+			resp, err := f.call(ctx, peer, r)
+			results <- offered{peer, resp, err}
+		}()
+	}
+	start(peer, r)
+	var due <-chan time.Time
+	if delay, ok := f.hedges.delay(class); ok {
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		due = timer.C
+	}
+	var failed *offered
+	for running := 1; ; {
+		select {
+		case o := <-results:
+			running--
+			if o.isFinal() {
+				f.hedges.record(class, f.Now().Sub(began))
+				return o
+			}
+			if failed == nil || failed.err != nil {
+				failed = &o
+			}
+			if running == 0 {
+				return *failed
+			}
+		case <-due:
+			if second, ok := s.secondGateway(peer); ok {
+				own := newRequest(r.Action, r.Group, s.job, r.Command, f.Now())
+				start(second, own)
+				running++
+			}
+		}
+	}
+}
+
+// secondGateway returns the gateway to which a read that another one has not answered is offered
+// as well, within the budget of second offers.
+func (s *search) secondGateway(first Candidate) (Candidate, bool) {
+	f := s.runner.f
+	second, ok := f.choosePeer(s.criteria())
+	if !ok || !f.hedges.take() {
+		return Candidate{}, false
+	}
+	s.markTried(second)
+	f.Log.Info("forwarder: read offered to a second gateway", zap.String("request", s.job.Request), zap.String("group", s.runner.group.Name()),
+		zap.String("peer", second.Name), zap.String("slow", first.Name))
+	if f.CountHedged != nil {
+		f.CountHedged()
+	}
+	return second, true
+}
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -153,7 +153,8 @@
 	}
 	ctx, cancel := withDeadline(s.job)
 	defer cancel()
-	resp, err := s.runner.f.call(ctx, peer, r)
+	o := s.offer(ctx, peer, r)
+	peer, resp, err := o.peer, o.resp, o.err
 	log := s.runner.f.Log
 	switch {
 	case err == nil && !resp.Refused && !isUnavailable(resp.Answer):
--- a/proxier/lend.go
+++ b/proxier/lend.go
@@ -21,6 +21,8 @@
 	// gateway, and loansRefused counts the processes that refused to.
 	substitutesInUse = "basildale_substitutes"
 	loansRefused     = "basildale_loans_refused"
+	// readsHedged counts the reads that were offered to a second gateway.
+	readsHedged = "basildale_reads_offered_twice"
 )
 
 // buildLoans creates the loans of this process.
@@ -30,7 +32,8 @@
 		Enabled: p.lendsConnections, Leaving: p.leaving.Load, Peers: p.loanPeers, Send: p.forwardToPeer,
 		CountRefused: func() { p.incrementCounter(loansRefused, 1) }, Now: bootClock, Log: p.Log,
 	}
-	p.forward.Loans, p.forward.Substitutes = p.loans, p.lendsConnections
+	p.forward.Loans, p.forward.Substitutes, p.forward.HedgesReads = p.loans, p.lendsConnections, p.lendsConnections
+	p.forward.CountHedged = func() { p.incrementCounter(readsHedged, 1) }
 	p.meter.Gauge(p.loans.InUse, substitutesInUse)
 }
 
