demonstrator: callers come until each request was sent, also where the machine stood still

Cause: TestShortDemonstrationKeepsEveryPromise failed with no read in one deployment. A caller doesn't send a request whose time (1 s) is over, and all requests of the test come within 6 s. When the machine doesn't run the demonstration in these seconds, nearly all requests are missed, count as ended, and the acts go on: "reads by replicas: none", 0 bookings checked, no promise broken. Change: callers come in rounds until as many requests were sent as were asked for. Requests that were missed count as not in time and don't move the acts on. The outcome has the number of those missed. The test required that every request is accounted for; requests that were missed met that. It now requires that each of them reached a proxy, and that no fewer reads ran than lookups were answered in time, beside what it required before. TestCallersComeUntilEnoughRequestsWereSent covers the rounds.

--- a/demonstrator/callers.go
+++ b/demonstrator/callers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,7 +49,7 @@
 	return c
 }
 
-// progress counts requests that have ended.
+// progress counts requests that were sent and have ended.
 type progress struct {
 	each  int // requests to each group
 	all   int // requests to all groups
@@ -79,23 +81,47 @@
 // run lets callers use all groups and returns what became of their requests, all
 // groups together.
 func (c *callers) run(ctx context.Context) (map[generator.Class]generator.ClassReport, error) {
-	reports := make([]*generator.Report, len(c.stage.groups))
+	reports := make([][]*generator.Report, len(c.stage.groups))
 	failed := make([]error, len(c.stage.groups))
 	var running sync.WaitGroup
 	for i := range c.stage.groups {
 		running.Go(func() {
-			g := c.generator(i)
-			reports[i], failed[i] = g.Run(ctx, time.Now().Add(limit))
+			reports[i], failed[i] = untilSent(c.progress.each, func(round, requests int) (*generator.Report, error) {
+				g := c.generator(i, round)
+				g.Requests = requests
+				return g.Run(ctx, time.Now().Add(limit))
+			})
 		})
 	}
 	running.Wait()
 	if err := errors.Join(failed...); err != nil {
 		return nil, errors.Wrapf(err, "demonstrator: callers of %s", c.stage.Name)
 	}
-	return sum(reports), nil
+	return sum(slices.Concat(reports...)), nil
 }
 
-func (c *callers) generator(i int) generator.Generator {
+// untilSent lets callers come in rounds until so many requests have been sent, and returns what
+// became of each round. A caller doesn't send a request whose time is over: on a machine that
+// stands still while callers come, nearly none are sent, and a demonstration of one round would
+// show nothing and break no promise.
+func untilSent(requests int, run func(round, requests int) (*generator.Report, error)) ([]*generator.Report, error) {
+	var reports []*generator.Report
+	for round := 0; requests > 0; round++ {
+		r, err := run(round, requests)
+		if err != nil {
+			return reports, err
+		}
+		reports = append(reports, r)
+		requests = 0
+		for _, class := range r.Classes {
+			requests += class.Missed
+		}
+	}
+	return reports, nil
+}
+
+// generator returns the callers of the i-th group. Those of each round have their own names.
+func (c *callers) generator(i, round int) generator.Generator {
 	g := generator.Generator{
 		Addrs:        c.stage.addresses(),
 		User:         callerName,
@@ -112,9 +138,14 @@
 		Name:         c.stage.Groups[i].Name,
 		Ledger:       &c.ledger,
 		Seed:         c.seed + uint64(i),
-		Requests:     c.progress.each,
+	}
+	if round > 0 {
+		g.Name += "r" + strconv.Itoa(round)
 	}
 	g.Done = func(e generator.Event) {
+		if e.Outcome == generator.Missed {
+			return // it comes again in the next round
+		}
 		c.progress.done()
 		if i == faulty && e.Class == generator.Booking && e.Outcome == generator.Done {
 			c.gap.done(e.End)
--- a/demonstrator/demonstrator_test.go
+++ b/demonstrator/demonstrator_test.go
@@ -10,6 +10,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/matryer/is"
 
+	"basildale.example/basildale/generator"
 	"basildale.example/basildale/internal/faker/upstream"
 )
 
@@ -44,8 +45,10 @@
 	is.True(report.Counts.Zero())
 	is.Equal(len(report.Outcomes), 2)
 	for _, o := range report.Outcomes {
-		is.Equal(o.Classes[0].Sent+o.Classes[1].Sent, 3*requests) // every request is accounted for
-		is.True(o.Classes[0].Sent > 0)
+		bookings, lookups := o.Classes[0], o.Classes[1]
+		is.Equal(bookings.Sent-bookings.Missed+lookups.Sent-lookups.Missed, 3*requests) // every request is accounted for, and reached a proxy
+		is.True(bookings.Sent > bookings.Missed)
+		is.True(o.Reads >= lookups.InTime)
 		is.True(o.Reads > 0)
 	}
 	for _, missing := range report.Missing {
@@ -53,6 +56,27 @@
 	}
 }
 
+// Symptom: a demonstration ends without a read, and says that every promise was kept.
+// Sequence: the machine stands still for some seconds while callers come, so that the time of
+// nearly all requests is over before they are sent. Cause: those counted as if they had been.
+func TestCallersComeUntilEnoughRequestsWereSent(t *testing.T) {
+	is := is.New(t)
+	missed := []int{60, 7, 0}
+	var asked []int
+	reports, err := untilSent(requests, func(round, n int) (*generator.Report, error) {
+		asked = append(asked, n)
+		return &generator.Report{Classes: map[generator.Class]generator.ClassReport{
+			generator.Booking: {Missed: missed[round] / 2},
+			generator.Lookup:  {Missed: (missed[round] + 1) / 2},
+		}}, nil
+	})
+	is.NoErr(err)
+	is.Equal(asked, []int{60, 60, 7})
+	is.Equal(len(reports), 3)
+	_, err = untilSent(requests, func(int, int) (*generator.Report, error) { return nil, context.Canceled })
+	is.Equal(err, context.Canceled)
+}
+
 // Symptom: a booking was acknowledged and is gone, and the demonstration says
 // that all is well.
 // Sequence: callers book, a row disappears from the group, the ledger is
--- a/demonstrator/report.go
+++ b/demonstrator/report.go
@@ -15,9 +15,10 @@
 type Class struct {
 	Name string `json:"name"`
 	// Sent counts requests, InTime those answered correctly before their
-	// deadline.
+	// deadline, and Missed those whose time was over before they were sent.
 	Sent   int `json:"sent"`
 	InTime int `json:"intime"`
+	Missed int `json:"missed,omitempty"`
 	// Median and Slowest (the 99th percentile) are what callers waited.
 	Median  time.Duration `json:"median"`
 	Slowest time.Duration `json:"slowest"`
@@ -128,6 +129,7 @@
 			Name:    string(name),
 			Sent:    class.Total,
 			InTime:  class.Intime,
+			Missed:  class.Missed,
 			Median:  milliseconds(class.Latency.P50),
 			Slowest: milliseconds(class.Latency.P99),
 		})
