cmd: a process ends though nobody reads its log

Cause: at its end the process queues a mark behind the lines that wait to be written. Measured result: TestProcessEndsThoughItsLogIsNotRead fails without the change (all goroutines of its bubble are blocked) and passes with it.

--- a/cmd/basildale/bounded.go
+++ b/cmd/basildale/bounded.go
@@ -49,13 +49,21 @@
 	return len(p), nil
 }
 
-// close writes what waits, within a bound.
+// close writes what waits, within a bound. A queue that is full and isn't emptied takes no mark
+// of the end either, and the process has to end all the same.
 func (b *bounded) close() {
-	b.once.Do(func() { b.lines <- nil })
-	select {
-	case <-b.done:
-	case <-time.After(boundedClose):
-	}
+	b.once.Do(func() {
+		timeout := time.After(boundedClose)
+		select {
+		case b.lines <- nil:
+		case <-timeout:
+			return
+		}
+		select {
+		case <-b.done:
+		case <-timeout:
+		}
+	})
 }
 
 func (b *bounded) run() {
--- a/cmd/basildale/bounded_test.go
+++ b/cmd/basildale/bounded_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -41,3 +43,29 @@
 	is.True(strings.Count(text, "line\n") >= boundedLines)
 	is.True(strings.Contains(text, `"msg":"log: lines dropped"`))
 }
+
+// Symptom: a process that is told to stop never ends. Sequence: whoever reads standard output
+// stops; lines fill the queue; the process comes to its end. Cause: the mark of the end waited
+// for room in the queue, without a bound.
+func TestProcessEndsThoughItsLogIsNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &stuck{free: make(chan struct{})}
+		b := newBounded(out)
+		for range 2 * boundedLines {
+			_, err := b.Write([]byte("line\n"))
+			is.NoErr(err)
+		}
+		time.Sleep(2 * boundedPause) // the writer has a batch, and waits for the reader
+		for range boundedLines {
+			_, err := b.Write([]byte("line\n"))
+			is.NoErr(err)
+		}
+		began := time.Now()
+		b.close()
+		is.Equal(time.Since(began), boundedClose)
+		close(out.free)
+		b.lines <- nil // ends the writer
+		<-b.done
+	})
+}
