proxier: tests of fleets name the condition that they wait for without success

Cause: a condition that never held cost the 10 minutes of go test, and the panic then named only the test. Change: waitFor fails 10 s before the deadline of the test binary (a tenth of the time where that is less) and names the condition. Without a deadline it waits as before.

--- a/proxier/fleet_test.go
+++ b/proxier/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -104,11 +105,47 @@
 }
 
 // waitFor waits until a condition holds. It has no timeout of its own; that of go test
-// applies.
-func (f *fleet) waitFor(_ string, holds func() bool) {
+// applies, and shortly before it the test fails and names the condition. The panic of go test
+// names only the test.
+func (f *fleet) waitFor(what string, holds func() bool) {
+	f.t.Helper()
+	deadline, _ := f.t.Deadline()
+	if !holdsBefore(deadline, holds) {
+		f.t.Fatalf("the deadline of the test binary is near, and this does not hold: %s", what)
+	}
+}
+
+// deadlineMargin is the time that is left for the end of a test that fails: each proxy of a
+// fleet may take a second to stop.
+const deadlineMargin = 10 * time.Second
+
+// holdsBefore waits until a condition holds, and returns false if it does not shortly before a
+// deadline; the zero time stands for none.
+func holdsBefore(deadline time.Time, holds func() bool) bool {
+	margin := min(deadlineMargin, time.Until(deadline)/10)
 	for !holds() {
+		if !deadline.IsZero() && time.Until(deadline) < margin {
+			return false
+		}
 		time.Sleep(5 * time.Millisecond)
 	}
+	return true
+}
+
+// Guards against a test that hangs for the 10 minutes of go test and does not say what it
+// waited for.
+func TestWaitEndsShortlyBeforeDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		never := func() bool { return false }
+		began := time.Now()
+		is.True(!holdsBefore(began.Add(10*time.Minute), never))
+		is.Equal(time.Since(began).Round(time.Second), 10*time.Minute-deadlineMargin)
+		began = time.Now()
+		is.True(!holdsBefore(began.Add(time.Second), never))
+		is.Equal(time.Since(began).Round(100*time.Millisecond), 900*time.Millisecond)
+		is.True(holdsBefore(time.Time{}, func() bool { return time.Since(began) > time.Hour }))
+	})
 }
 
 // client is a caller.
