carrier: the stop of a process closes its connections to upstreams that answer

Cause: Registry.Stop applied an empty list of upstreams, and since upstreams that only the store has lost are kept as leaving, one that answered in the last time is kept then too. Its connections stayed open until the process ended, and each planned stop logged for every upstream that the store and the upstream don't reach each other (docs/OPERATIONS.md). Seen in the logs of soaks, while the cause of a process that ended late was looked for; it isn't that cause. Change: the stop drops all upstreams. Measured result: TestStopClosesConnectionsToUpstreamsThatAnswer fails without the change (1 connection open) and passes with it.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -221,6 +221,18 @@
 // Stop closes all connections.
 func (c *Registry) Stop() {
 	for _, g := range c.Groups() {
-		g.apply(nil)
+		g.dropAll()
 	}
 }
+
+// dropAll drops all upstreams. An empty list would not: one that answers is kept for a while
+// when it is no longer listed.
+func (g *Group) dropAll() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, u := range g.upstreams {
+		g.drop(u)
+	}
+	g.upstreams, g.listed = nil, nil
+	g.notifyWaiters()
+}
--- a/carrier/unlisted_test.go
+++ b/carrier/unlisted_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"basildale.example/basildale/cataloger"
 )
@@ -51,6 +52,29 @@
 	})
 }
 
+// Guards against a stop that keeps its connections open, and says in the log of each planned
+// stop that upstreams were lost from the store's list.
+func TestStopClosesConnectionsToUpstreamsThatAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newLaggingGroup()
+		core, logs := observer.New(zap.WarnLevel)
+		c := &Registry{Dial: s.dial, Now: time.Now, Log: zap.New(core)}
+		c.DivideConnections(1, []cataloger.GroupSettings{{Name: "g", MaxConnections: 23}})
+		leader := upstreamAtPort("a", 1)
+		leader.Leads = true
+		c.SetUpstreams([]cataloger.Upstream{leader})
+		g, _ := c.Group("g")
+		is.Equal(readLeader(g), OK)
+		u := g.findUpstream("a")
+		is.True(u.pool.Stats().Open > 0)
+		c.Stop()
+		synctest.Wait()
+		is.Equal(u.pool.Stats().Open, 0)
+		is.Equal(logs.Len(), 0)
+	})
+}
+
 func upstreamAtPort(id string, port uint16) cataloger.Upstream {
 	return cataloger.Upstream{ID: id, Group: "g", Slots: 3, Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port)}
 }
