forwarder, spreader: a workspace that is too large for one gateway is divided

Cause: with load.connections: fair all statements of a workspace in a group went to the first gateway in its affinity order, however full that one was.

Change: the new decision package spreader divides a large workspace over the next gateways in its order while its first gateway has more than 1.25 times the even share. The forwarder applies that to each statement. Gateways gossip what they have with this setting too. A process that is no gateway receives such reports by chance, so it asks for them with a forwarded statement, at most twice a second for each group. With plain nothing is asked, stated or divided.

--- a/carrier/loads.go
+++ b/carrier/loads.go
@@ -55,7 +55,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	expected := g.active && g.placesByExpectation(f)
-	if !g.active || !f.FairAdmission && !expected {
+	if !g.active || !f.FairAdmission && !f.FairConnections && !expected {
 		return nil
 	}
 	var out []gossiper.UpstreamLoad
@@ -69,15 +69,22 @@
 			out = append(out, l)
 		}
 	}
+	if len(out) == 0 && f.FairConnections && len(g.upstreams) > 0 {
+		// Without an entry a gateway that has nothing could not be told from one that does not report.
+		out = append(out, gossiper.UpstreamLoad{ID: g.upstreams[0].id})
+	}
 	return out
 }
 
 // load returns what this process has at an upstream, and whether that is anything. The
 // caller must hold the group's lock.
-func (u *upstream) load(_ time.Time, f Features) (gossiper.UpstreamLoad, bool) {
+func (u *upstream) load(now time.Time, f Features) (gossiper.UpstreamLoad, bool) {
 	l := gossiper.UpstreamLoad{ID: u.id, Running: len(u.running), Waiting: u.gate.Waiting()}
-	if f.FairAdmission {
+	switch {
+	case f.FairAdmission:
 		u.addUses(&l)
+	case f.FairConnections:
+		u.addUsage(&l, now)
 	}
 	return l, l.Running > 0 || l.Waiting > 0 || len(l.Used) > 0
 }
@@ -148,9 +155,15 @@
 			continue
 		}
 		for i := range p.upstreams {
-			if p.upstreams[i].ID == id {
+			if p.upstreams[i].ID == id && !isIdle(&p.upstreams[i]) {
 				f(&p.upstreams[i])
 			}
 		}
 	}
 }
+
+// isIdle reports whether a peer has nothing at an upstream. It states that only to show that it
+// reports.
+func isIdle(l *gossiper.UpstreamLoad) bool {
+	return l.Running == 0 && l.Waiting == 0 && l.Lag == 0 && l.Rest == 0 && len(l.Used) == 0
+}
--- a/carrier/loads_test.go
+++ b/carrier/loads_test.go
@@ -65,3 +65,39 @@
 	f.FairAdmission = true
 	is.Equal(g.Loads(time.Now()), []gossiper.UpstreamLoad{{ID: "u1", Running: 1}})
 }
+
+// Guards against a gateway without load that counts as one that does not report, against
+// shares of workspaces that cannot be told, and against reports that count for too long.
+func TestGatewayLoadsByWorkspace(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := &Registry{
+		Features: func() Features { return Features{FairConnections: true} }, Now: func() time.Time { return now }, Log: zap.NewNop(),
+		ConnectionShares: func(map[string]int, int) map[string]int { return map[string]int{"g": 1} },
+	}
+	c.DivideConnections(1, []cataloger.GroupSettings{{Name: "g", MaxConnections: 40}})
+	c.SetUpstreams([]cataloger.Upstream{{ID: "u1", Group: "g"}, {ID: "u2", Group: "g"}})
+	g, _ := c.Group("g")
+	is.Equal(g.Loads(now), []gossiper.UpstreamLoad{{ID: "u1"}})
+	u := g.upstreams[0]
+	for _, workspace := range []string{"", "w", "w", "x"} {
+		u.usage.begin(workspace, now).end(100*time.Millisecond, now)
+	}
+	now = now.Add(1250 * time.Millisecond) // a quarter of the second is not counted any more
+	u.running[&run{}] = struct{}{}
+	c.SetPeerLoads("idle", "g", []gossiper.UpstreamLoad{{ID: "u1"}}, now)
+	c.SetPeerLoads("busy", "g", []gossiper.UpstreamLoad{{ID: "u2", Running: 3, Waiting: 2, Rest: 10, Used: []gossiper.WorkspaceUse{{ID: 7, Busy: 30}}}}, now)
+	c.SetPeerLoads("plain", "g", nil, now)
+	w, x := WorkspaceID("w"), WorkspaceID("x")
+	is.Equal(g.GatewayLoads(now), []GatewayLoad{
+		{Statements: 1, Busy: 300, Uses: map[uint32]int{w: 150, x: 75}},
+		{Gateway: "busy", Statements: 5, Busy: 40, Uses: map[uint32]int{7: 30}},
+		{Gateway: "idle", Uses: map[uint32]int{}},
+	})
+	now = now.Add(peerLoadTTL)
+	is.Equal(len(g.GatewayLoads(now)), 1)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.Features = func() Features { return Features{FairAdmission: true} }
+	g.loadsOfPeers(now.Add(-peerLoadTTL), "u1", func(*gossiper.UpstreamLoad) { t.Error("an idle gateway takes part in admission") })
+}
--- a/forwarder/affinity.go
+++ b/forwarder/affinity.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,7 +23,7 @@
 	if reaches != f.leaderFault(c.group, other, now).IsLeaderReachable() {
 		return reaches
 	}
-	return affinity(c.group, c.workspace, p.Name) > affinity(c.group, c.workspace, other.Name)
+	return c.weight(p.Name) > c.weight(other.Name)
 }
 
 // prefersPeer reports whether a statement that this process could run goes to a peer
@@ -31,5 +32,14 @@
 	if c.workspace == "" || p.isSubstitute || !f.leaderFault(c.group, p, f.Now()).IsLeaderReachable() {
 		return false
 	}
-	return affinity(c.group, c.workspace, p.Name) > affinity(c.group, c.workspace, f.Name)
+	return c.weight(p.Name) > c.weight(f.Name)
+}
+
+// weight orders the gateways for a statement of a workspace: the one that was chosen by load
+// goes first, then affinity decides.
+func (c criteria) weight(gateway string) uint64 {
+	if c.preferred != "" && gateway == c.preferred {
+		return math.MaxUint64
+	}
+	return affinity(c.group, c.workspace, gateway)
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -56,6 +56,11 @@
 	// Loans holds those of this process.
 	Substitutes func() bool
 	Loans       *Loans
+	// BoundsLoad, when set, reports whether a workspace that is too large for one gateway is
+	// divided over several, and CountSpread, when set, counts a statement that goes to another
+	// one than the first in the workspace's order.
+	BoundsLoad  func() bool
+	CountSpread func()
 	// Name is this process's name, and Zone its availability zone.
 	Name string
 	Zone string
@@ -66,6 +71,7 @@
 	streams      atomic.Uint64
 	transactions transactionTable
 	served       servedTable
+	bounds       bounds
 
 	mu        sync.Mutex
 	lostPeers map[netip.AddrPort]time.Time // peers that did not answer, and when
@@ -110,6 +116,7 @@
 	workspace   string
 	needsLeader bool                    // only a peer that reaches the leader qualifies
 	tried       map[netip.AddrPort]bool // peers to skip
+	preferred   string                  // gateway chosen by load; "" where affinity decides
 }
 
 // choosePeer returns a gateway of a group that reaches its leader: one of the same
@@ -219,7 +226,9 @@
 	if err != nil {
 		return response{}, errors.Wrap(err, "forwarder: encode request")
 	}
+	end := f.trackForwarded(p, &r)
 	answer, err := f.Send(ctx, p.Address, payload)
+	end()
 	if err != nil {
 		f.markLost(p, err)
 		return response{}, err
@@ -229,6 +238,7 @@
 		return response{}, errors.Wrap(err, "forwarder: decode response")
 	}
 	f.addReport(r.Group, p, &resp)
+	f.recordLoads(r.Group, resp.Loads)
 	return resp, nil
 }
 
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -55,6 +55,8 @@
 	// Lend and Return are the messages of the actions of these names.
 	Lend   *delegator.Lend   `json:"lend,omitempty"`
 	Return *delegator.Return `json:"return,omitempty"`
+	// Loads asks for the loads of the group's gateways.
+	Loads bool `json:"loads,omitempty"`
 }
 
 // response is the answer to a request.
@@ -68,6 +70,8 @@
 	Substitute *substitute `json:"substitute,omitempty"`
 	// Loan is the reply to a message about a loan.
 	Loan *delegator.Reply `json:"loan,omitempty"`
+	// Loads are the loads of the group's gateways, if the request asks for them.
+	Loads []gatewayLoad `json:"loads,omitempty"`
 }
 
 // newRequest returns the request for a job.
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -28,11 +28,13 @@
 	// askedFurther is set once the statement has waited here only to be offered to processes
 	// beyond maxOffers.
 	askedFurther bool
+	// preferred is the gateway that was chosen by load; "" where affinity decides.
+	preferred string
 }
 
 // newSearch returns the search for a process that runs a job, and sets the job's CanForward.
 func (g *groupRunner) newSearch(j *carrier.Job) *search {
-	s := &search{runner: g, job: j}
+	s := &search{runner: g, job: j, preferred: g.f.preferredGateway(g.group, j.Workspace)}
 	j.CanForward = func() bool {
 		_, ok := g.f.choosePeer(s.criteria())
 		return ok && len(s.tried) < maxOffers
@@ -41,7 +43,7 @@
 }
 
 func (s *search) criteria() criteria {
-	return criteria{group: s.runner.group.Name(), workspace: s.job.Workspace, needsLeader: s.job.RequiresLeader(), tried: s.tried}
+	return criteria{group: s.runner.group.Name(), workspace: s.job.Workspace, needsLeader: s.job.RequiresLeader(), tried: s.tried, preferred: s.preferred}
 }
 
 // next returns the process to run the statement: this one, or a peer. It waits while
@@ -142,6 +144,7 @@
 func (s *search) forward(peer Candidate, a action, cmd carrier.Command, modify func(*request)) (carrier.Answer, bool) {
 	s.markTried(peer)
 	r := newRequest(a, s.runner.group.Name(), s.job, cmd, s.runner.f.Now())
+	r.Loads = s.runner.f.asksForLoads(s.runner.group, s.job.Workspace)
 	if modify != nil {
 		modify(&r)
 	}
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -56,6 +56,9 @@
 	if resp.Refused || isUnavailable(resp.Answer) || !resp.LeaderFault.IsLeaderReachable() {
 		resp.Substitute = f.ownSubstitute(r.Group)
 	}
+	if r.Loads {
+		resp.Loads = f.statedLoads(r.Group)
+	}
 	out, err := json.Marshal(resp)
 	return out, errors.Wrap(err, "forwarder: response")
 }
--- a/forwarder/substitute.go
+++ b/forwarder/substitute.go
@@ -85,7 +85,7 @@
 // process's zone first, at random.
 func (f *Forwarder) optionWeight(c criteria, gateway string, p Candidate) uint64 {
 	if c.workspace != "" {
-		return affinity(c.group, c.workspace, gateway)
+		return c.weight(gateway)
 	}
 	weight := rand.Uint64() >> 1
 	if p.Zone == f.Zone {
--- a/internal/comparer/connections.go
+++ b/internal/comparer/connections.go
@@ -37,6 +37,13 @@
 	ResetEvery time.Duration
 	// Duration is the time in which requests arrive.
 	Duration time.Duration
+	// Slots is the number of statements that the upstream runs at a time; zero stands for 4.
+	Slots int
+	// Forwarders is the number of processes that forward requests to the gateways; zero where
+	// the loads of gateways play no part. Spread is whether large workspaces are divided over
+	// gateways.
+	Forwarders int
+	Spread     bool
 }
 
 // ConnectionsResult is what became of a load.
@@ -165,13 +172,14 @@
 // slotQueue is an upstream that runs a few statements at a time, in the order of arrival.
 type slotQueue struct {
 	mu      sync.Mutex
+	slots   int
 	running int
 	waiting []chan struct{}
 }
 
 func (q *slotQueue) run(d time.Duration) {
 	q.mu.Lock()
-	if q.running < connectionSlots {
+	if q.running < cmp.Or(q.slots, connectionSlots) {
 		q.running++
 		q.mu.Unlock()
 	} else {
@@ -235,6 +243,7 @@
 	upstream slotQueue
 	pools    []*pooler.Pool[connection]
 	began    time.Time
+	spread   *spreading // nil without forwarders
 
 	mu      sync.Mutex
 	opening int
@@ -243,11 +252,23 @@
 
 // PlayConnections plays a load by the clock of package time, for use in virtual time.
 func PlayConnections(c ConnectionsCase, seed uint64) ConnectionsResult {
+	r, _ := playSpreading(c, seed)
+	return r
+}
+
+// playSpreading is PlayConnections, and returns the choice of gateways too, where there are
+// forwarders.
+func playSpreading(c ConnectionsCase, seed uint64) (ConnectionsResult, *spreading) {
 	requests := c.requests(seed)
 	p := &connectionsPlay{ConnectionsCase: c, began: time.Now()}
 	p.result = ConnectionsResult{
 		Requests: len(requests), Least: c.least(requests), Waits: map[string][]time.Duration{}, InTime: map[string]int{}, Asked: map[string]int{},
 	}
+	p.upstream.slots = c.Slots
+	if c.Forwarders > 0 {
+		p.spread = newSpreading(c, seed)
+		defer p.spread.measure()()
+	}
 	for range c.Gateways {
 		p.pools = append(p.pools, p.pool())
 	}
@@ -256,7 +277,7 @@
 		all.Go(func() { p.play(i, r) })
 	}
 	all.Wait()
-	return p.result
+	return p.result, p.spread
 }
 
 // fair reports whether connections are divided by demand now.
@@ -317,7 +338,13 @@
 	began := time.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(kind.deadline))
 	defer cancel()
-	pool := p.pools[p.gateway(r.workspace)]
+	gateway := p.gateway(r.workspace)
+	if p.spread != nil {
+		var end func()
+		gateway, end = p.spread.begin(&r)
+		defer end()
+	}
+	pool := p.pools[gateway]
 	c, err := pool.GetFor(ctx, fmt.Sprint(r.workspace))
 	for err == nil && p.isReset(c) {
 		pool.Discard(c)
--- a/proxier/load.go
+++ b/proxier/load.go
@@ -14,6 +14,14 @@
 	"basildale.example/basildale/platform/translator"
 )
 
+const (
+	// spreadWorkspaces is the number of workspaces that this process divides over the gateways
+	// of a group, and spreadStatements counts the statements that therefore went to another
+	// gateway than the first in their workspace's order.
+	spreadWorkspaces = "basildale_spread_workspaces"
+	spreadStatements = "basildale_spread_statements"
+)
+
 // setLoad puts the choices under load of the settings in force. What they leave open is
 // decided by the rules of the platform.
 func (p *Proxier) setLoad(s *loader.Settings) {
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -220,6 +220,9 @@
 	}
 	p.forward = &forwarder.Forwarder{Local: p.carrier.Group, Gateways: p.gateways, LeaderFault: p.overseer.LeaderFault, Send: p.forwardToPeer, Name: s.Name, Zone: s.Zone, Now: bootClock, Log: p.Log}
 	p.forward.CancelsWaiting = func() bool { return p.features().FairAdmission }
+	p.forward.BoundsLoad = func() bool { return p.features().FairConnections }
+	p.forward.CountSpread = func() { p.incrementCounter(spreadStatements, 1) }
+	p.meter.Gauge(p.forward.SpreadWorkspaces, spreadWorkspaces)
 	p.buildLoans()
 	p.carrier.RequestSample = p.forward.Sample
 	p.carrier.CountPlacement = p.meter.Route
