--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -60,6 +60,11 @@
 	// time is offered to a second one, and CountHedged, when set, counts these.
 	HedgesReads func() bool
 	CountHedged func()
+	// BoundsLoad, when set, reports whether a workspace that is too large for one gateway is
+	// divided over several, and CountSpread, when set, counts a statement that goes to another
+	// one than the first in the workspace's order.
+	BoundsLoad  func() bool
+	CountSpread func()
 	// Name is this process's name, and Zone its availability zone.
 	Name string
 	Zone string
@@ -71,6 +76,7 @@
 	transactions transactionTable
 	served       servedTable
 	hedges       hedges
+	bounds       bounds
 
 	mu        sync.Mutex
 	lostPeers map[netip.AddrPort]time.Time // peers that did not answer, and when
@@ -115,6 +121,7 @@
 	workspace   string
 	needsLeader bool                    // only a peer that reaches the leader qualifies
 	tried       map[netip.AddrPort]bool // peers to skip
+	preferred   string                  // gateway chosen by load; "" where affinity decides
 }
 
 // choosePeer returns a gateway of a group that reaches its leader: one of the same
@@ -224,7 +231,9 @@
 	if err != nil {
 		return response{}, errors.Wrap(err, "forwarder: encode request")
 	}
+	end := f.trackForwarded(p, &r)
 	answer, err := f.Send(ctx, p.Address, payload)
+	end()
 	if err != nil {
 		f.markLost(p, err)
 		return response{}, err
@@ -234,6 +243,7 @@
 		return response{}, errors.Wrap(err, "forwarder: decode response")
 	}
 	f.addReport(r.Group, p, &resp)
+	f.recordLoads(r.Group, resp.Loads)
 	return resp, nil
 }
 
