delegator: the account of loans is a part of its own

Cause: loans between gateways of a group need the same account of tokens, durations and confirmations as loans to substitutes. Change: ledger.go and receipts.go hold what does not depend on whom a loan is for; Lender and Borrower use them and decide as before.

--- a/delegator/borrower.go
+++ b/delegator/borrower.go
@@ -46,8 +46,7 @@
 	Start int64
 
 	held *held
-	// ended holds the last ended loan of each lender.
-	ended map[string]ended
+	receipts
 }
 
 // held is the loan that a borrower has.
@@ -62,11 +61,6 @@
 	cause string
 }
 
-type ended struct {
-	seq uint64
-	at  time.Time
-}
-
 // IsIdle reports whether there is no loan.
 func (b *Borrower) IsIdle() bool { return b.held == nil }
 
@@ -88,11 +82,7 @@
 
 // update ends a loan whose time is over, or that is of no use any more.
 func (b *Borrower) update(out []Command, s Situation, now time.Time) []Command {
-	for lender, e := range b.ended {
-		if now.Sub(e.at) >= 2*Duration {
-			delete(b.ended, lender)
-		}
-	}
+	b.forget(now)
 	h := b.held
 	if h == nil {
 		return out
@@ -154,56 +144,31 @@
 		Report{Kind: kind, Peer: h.lend.Lender, Upstream: h.lend.Upstream, Count: h.lend.Count, Cause: h.cause})
 }
 
-func (b *Borrower) markEnded(lender string, seq uint64, now time.Time) {
-	if b.ended == nil {
-		b.ended = map[string]ended{}
-	}
-	b.ended[lender] = ended{max(seq, b.ended[lender].seq), now}
-}
-
-// hasEnded reports whether a loan has ended here, or was refused.
-func (b *Borrower) hasEnded(lender string, seq uint64) bool {
-	e, ok := b.ended[lender]
-	return ok && seq <= e.seq
-}
-
 func (b *Borrower) isHeld(lender string, seq uint64) bool {
 	return b.held != nil && b.held.lend.Lender == lender && b.held.lend.Seq == seq
 }
 
-// refusal returns the response that there is no loan, or no longer. It states the start of
-// this process, since a confirmation counts for no other.
-func (b *Borrower) refusal(cause string, closed bool) Respond {
-	return Respond{Reply{Token: Token{Start: b.Start}, Refused: cause, Closed: closed}}
-}
-
-// refuse refuses a loan for good.
-func (b *Borrower) refuse(out []Command, lender string, seq uint64, cause string, now time.Time) []Command {
-	b.markEnded(lender, seq, now)
-	return append(out, b.refusal(cause, true))
-}
-
 func (b *Borrower) lent(out []Command, l Lend, s Situation, now time.Time) []Command {
 	if b.isHeld(l.Lender, l.Seq) {
 		return b.renew(out, l, now)
 	}
 	switch {
 	case b.hasEnded(l.Lender, l.Seq):
-		return b.refuse(out, l.Lender, l.Seq, "ended", now)
+		return b.refuse(out, b.Start, l.Lender, l.Seq, "ended", now)
 	case s.Refusal != "":
-		return b.refuse(out, l.Lender, l.Seq, s.Refusal, now)
+		return b.refuse(out, b.Start, l.Lender, l.Seq, s.Refusal, now)
 	case s.Gateway:
-		return b.refuse(out, l.Lender, l.Seq, "a gateway itself", now)
+		return b.refuse(out, b.Start, l.Lender, l.Seq, "a gateway itself", now)
 	case b.held != nil:
-		return b.refuse(out, l.Lender, l.Seq, "has another loan", now)
+		return b.refuse(out, b.Start, l.Lender, l.Seq, "has another loan", now)
 	case l.Count < 1:
-		return b.refuse(out, l.Lender, l.Seq, "nothing lent", now)
+		return b.refuse(out, b.Start, l.Lender, l.Seq, "nothing lent", now)
 	}
-	until, ok := b.until(l, now)
+	end, ok := until(l, b.Start, now)
 	if !ok {
-		return append(out, Respond{Reply{Token: b.token(now)}})
+		return append(out, Respond{Reply{Token: token(b.Start, now)}})
 	}
-	b.held = &held{lend: l, until: until}
+	b.held = &held{lend: l, until: end}
 	return append(out, b.held.hold(false), Check{Upstream: l.Upstream, Lender: l.Lender, Seq: l.Seq})
 }
 
@@ -212,38 +177,26 @@
 	h := b.held
 	switch {
 	case h.cause != "":
-		return append(out, b.refusal(h.cause, false)) // still closing
+		return append(out, refusal(b.Start, h.cause, false)) // still closing
 	case !h.closeBy.IsZero():
-		return append(out, b.refusal("being returned", false))
+		return append(out, refusal(b.Start, "being returned", false))
 	case !h.reached:
-		return append(out, Respond{Reply{Token: b.token(now)}}) // the check is running
+		return append(out, Respond{Reply{Token: token(b.Start, now)}}) // the check is running
 	}
-	until, ok := b.until(l, now)
+	end, ok := until(l, b.Start, now)
 	if !ok {
-		return append(out, Respond{Reply{Token: b.token(now)}})
+		return append(out, Respond{Reply{Token: token(b.Start, now)}})
 	}
-	if until.After(h.until) {
-		h.until = until
+	if end.After(h.until) {
+		h.until = end
 	}
 	h.lend.Count = max(h.lend.Count, l.Count)
-	return append(out, h.hold(true), Respond{Reply{Token: b.token(now), Granted: true}})
+	return append(out, h.hold(true), Respond{Reply{Token: token(b.Start, now), Granted: true}})
 }
 
-// until returns when the loan that a Lend grants ends, and whether it grants one.
-func (b *Borrower) until(l Lend, now time.Time) (time.Time, bool) {
-	if l.Echo.Start != b.Start || l.Echo.At == 0 {
-		return time.Time{}, false
-	}
-	issued := time.Unix(0, l.Echo.At)
-	until := issued.Add(min(l.Duration, Duration))
-	return until, !issued.After(now) && now.Before(until)
-}
-
-func (b *Borrower) token(now time.Time) Token { return Token{Start: b.Start, At: now.UnixNano()} }
-
 func (b *Borrower) returned(out []Command, r Return, s Situation, now time.Time) []Command {
 	if !b.isHeld(r.Lender, r.Seq) {
-		return b.refuse(out, r.Lender, r.Seq, "ended", now)
+		return b.refuse(out, b.Start, r.Lender, r.Seq, "ended", now)
 	}
 	if b.held.closeBy.IsZero() && b.held.cause == "" {
 		out = b.drain(out, now)
@@ -252,25 +205,25 @@
 		}
 	}
 	if b.held == nil {
-		return append(out, b.refusal("returned", true))
+		return append(out, refusal(b.Start, "returned", true))
 	}
-	return append(out, b.refusal("being returned", false))
+	return append(out, refusal(b.Start, "being returned", false))
 }
 
 func (b *Borrower) checked(out []Command, c Checked, s Situation, now time.Time) []Command {
 	if !b.isHeld(c.Lender, c.Seq) {
-		return b.refuse(out, c.Lender, c.Seq, "ended", now)
+		return b.refuse(out, b.Start, c.Lender, c.Seq, "ended", now)
 	}
 	h := b.held
 	switch {
 	case h.cause == "" && h.closeBy.IsZero() && c.Leads:
 		h.reached = true
-		return append(out, h.hold(true), Respond{Reply{Token: b.token(now), Granted: true}},
+		return append(out, h.hold(true), Respond{Reply{Token: token(b.Start, now), Granted: true}},
 			Report{Kind: Received, Peer: c.Lender, Upstream: h.lend.Upstream, Count: h.lend.Count})
 	case h.cause == "":
 		out = b.close(out, "doesn't reach the leader", s, now)
 	}
-	return append(out, b.refusal("doesn't reach the leader", b.held == nil))
+	return append(out, refusal(b.Start, "doesn't reach the leader", b.held == nil))
 }
 
 // Upstream returns the upstream of the loan; empty without one.
--- a/delegator/lender.go
+++ b/delegator/lender.go
@@ -68,37 +68,14 @@
 	// Self identifies this process and its start.
 	Self string
 
-	seq     uint64
-	limited string // the upstream at which the own connections are limited
-	limit   int    // of the own connections there
-	share   int    // out of which the loans were made
-	loans   []*loan
-	asks    []time.Time          // when the last processes were asked
-	refused map[string]time.Time // when a process last refused
+	ledger
+	limited string      // the upstream at which the own connections are limited
+	limit   int         // of the own connections there
+	share   int         // out of which the loans were made
+	asks    []time.Time // when the last processes were asked
 	view    View
 }
 
-// loan is one loan until its connections count as the lender's own again.
-type loan struct {
-	seq      uint64
-	peer     Peer
-	upstream string
-	// count is the largest number of connections granted so far, and expiresAt when they stop
-	// counting as lent; both are zero before the first grant.
-	count     int
-	expiresAt time.Time
-	start     int64     // of the borrower, as in the token of the last grant
-	sentAt    time.Time // of the message whose reply is awaited; zero if none is
-	granting  bool      // that message was a grant
-	renewAt   time.Time
-	// lostAt is when a loan that is not renewed counts as lost.
-	lostAt   time.Time
-	accepted bool
-	silent   bool // the last message was not answered
-	ended    bool // it is only waited for the connections
-	recalled bool
-}
-
 // Substitute returns the process that has connections to the leader on loan, reaches it, and
 // has answered the last message.
 func (l *Lender) Substitute() (Peer, bool) {
@@ -140,30 +117,6 @@
 	return l.view.Share - max(Kept, l.view.Open) - l.lent()
 }
 
-// lent returns how many connections count as lent.
-func (l *Lender) lent() int {
-	n := 0
-	for _, c := range l.loans {
-		n += c.count
-	}
-	return n
-}
-
-func (l *Lender) expire(out []Command, now time.Time) []Command {
-	l.loans = slices.DeleteFunc(l.loans, func(c *loan) bool {
-		if c.expiresAt.IsZero() || now.Before(c.expiresAt) {
-			return false
-		}
-		out = append(out, c.report(Ended, "expired"))
-		return true
-	})
-	return out
-}
-
-func (c *loan) report(kind ReportKind, cause string) Report {
-	return Report{Kind: kind, Peer: c.peer.Name, Upstream: c.upstream, Count: c.count, Cause: cause}
-}
-
 // stopCause returns why no loan is to be made, or the loans that exist are to be recalled;
 // empty if there is no such cause.
 func (l *Lender) stopCause() string {
@@ -199,9 +152,9 @@
 	if l.limit != Kept {
 		return l.setLimit(out, Kept) // what is open is counted from the next tick on
 	}
-	out = l.resendReturns(out, now)
+	out = l.resendReturns(out, l.origin(), now)
 	if c := l.current(); c != nil {
-		return l.maintain(out, c, now)
+		return l.maintain(out, c, l.origin(), now)
 	}
 	return l.ask(out, now)
 }
@@ -209,15 +162,7 @@
 // stop ends all loans, raises the limit of the own connections by those that are back, and
 // ends it when all are.
 func (l *Lender) stop(out []Command, cause string, now time.Time) []Command {
-	for _, c := range l.loans {
-		if !c.ended {
-			c.ended, c.recalled, c.sentAt = true, true, time.Time{}
-			out = append(out, c.report(Recalled, cause))
-		}
-		c.recalled = true
-	}
-	l.dropUngranted()
-	out = l.resendReturns(out, now)
+	out = l.resendReturns(l.recallAll(out, cause), l.origin(), now)
 	if len(l.loans) == 0 && l.limited != "" {
 		out = append(out, Unlimit{Upstream: l.limited})
 		l.limited, l.limit, l.refused = "", 0, nil
@@ -233,63 +178,6 @@
 	return append(out, Limit{Upstream: l.limited, Count: n})
 }
 
-// dropUngranted drops ended loans of which nothing was granted.
-func (l *Lender) dropUngranted() {
-	l.loans = slices.DeleteFunc(l.loans, func(c *loan) bool { return c.ended && c.expiresAt.IsZero() })
-}
-
-func (l *Lender) resendReturns(out []Command, now time.Time) []Command {
-	for _, c := range l.loans {
-		if c.recalled && (c.sentAt.IsZero() || now.Sub(c.sentAt) >= returnInterval) {
-			c.sentAt = now
-			out = append(out, Send{To: c.peer, Seq: c.seq, Return: &Return{Lender: l.Self, Seq: c.seq}, Timeout: askTimeout})
-		}
-	}
-	return out
-}
-
-// maintain renews the current loan, and gives up one that is not answered.
-func (l *Lender) maintain(out []Command, c *loan, now time.Time) []Command {
-	timeout := askTimeout
-	if c.granting {
-		timeout = grantTimeout
-	}
-	unanswered := !c.sentAt.IsZero() && now.Sub(c.sentAt) >= timeout
-	switch {
-	case unanswered && (!c.accepted || !now.Before(c.lostAt)):
-		return l.giveUp(out, c, "no answer", now)
-	case unanswered, c.sentAt.IsZero() && !now.Before(c.renewAt):
-		return append(out, l.sendAsk(c, now))
-	default:
-		return out
-	}
-}
-
-// giveUp ends a loan that the borrower does not confirm.
-func (l *Lender) giveUp(out []Command, c *loan, cause string, now time.Time) []Command {
-	if !c.accepted {
-		l.recordRefusal(c.peer, now)
-		out = append(out, c.report(Refused, cause))
-	} else {
-		out = append(out, c.report(Recalled, cause))
-	}
-	c.ended, c.recalled, c.sentAt = true, true, time.Time{}
-	l.dropUngranted()
-	return out
-}
-
-func (l *Lender) recordRefusal(p Peer, now time.Time) {
-	if l.refused == nil {
-		l.refused = map[string]time.Time{}
-	}
-	l.refused[p.Name] = now
-	for name, at := range l.refused {
-		if now.Sub(at) >= refusedTTL {
-			delete(l.refused, name)
-		}
-	}
-}
-
 // ask offers a loan to the next process.
 func (l *Lender) ask(out []Command, now time.Time) []Command {
 	l.asks = slices.DeleteFunc(l.asks, func(at time.Time) bool { return now.Sub(at) >= askWindow })
@@ -304,7 +192,7 @@
 	l.seq++
 	c := &loan{seq: l.seq, peer: peer, upstream: l.limited}
 	l.loans = append(l.loans, c)
-	return append(out, c.report(Offered, ""), l.sendAsk(c, now))
+	return append(out, c.report(Offered, ""), l.sendAsk(c, l.origin(), now))
 }
 
 // nextPeer returns the first process that has not refused lately, or the one that refused
@@ -323,59 +211,18 @@
 	return best, ok
 }
 
-func (l *Lender) sendAsk(c *loan, now time.Time) Send {
-	c.sentAt, c.granting = now, false
-	return Send{To: c.peer, Seq: c.seq, Lend: l.lend(c, Token{}), Timeout: askTimeout}
-}
-
-func (l *Lender) lend(c *loan, echo Token) *Lend {
-	return &Lend{Lender: l.Self, Seq: c.seq, Upstream: c.upstream, Count: max(1, c.count), Duration: Duration, Echo: echo}
-}
+func (l *Lender) origin() origin { return origin{self: l.Self} }
 
-// answered handles a reply. A confirmation counts only for the start of the borrower that the
-// last grant was made to: one that was sent before a restart says nothing of a loan that was
-// granted after it.
 func (l *Lender) answered(out []Command, e Answered, now time.Time) []Command {
-	i := slices.IndexFunc(l.loans, func(c *loan) bool { return c.seq == e.Seq })
-	if i < 0 {
-		return out
-	}
-	c := l.loans[i]
-	c.silent = e.Lost
-	if e.Lost {
-		if !c.ended && !c.accepted {
-			return l.giveUp(out, c, "no answer", now)
-		}
-		return out // sent again by the next ticks
-	}
-	if e.Reply.Closed && (c.expiresAt.IsZero() || e.Reply.Token.Start == c.start) {
-		return l.closed(out, i, e.Reply.Refused, now)
-	}
-	switch {
-	case c.ended:
-	case e.Reply.Refused != "":
-		return l.giveUp(out, c, e.Reply.Refused, now)
-	case e.Reply.Granted:
-		return l.granted(out, c, now)
-	default:
+	out, c, next := l.ledger.answered(out, e, now)
+	switch next {
+	case grantNext:
 		return append(out, l.sendGrant(c, e.Reply.Token, now))
-	}
-	return out
-}
-
-// closed handles a borrower's confirmation that it has no connections of a loan.
-func (l *Lender) closed(out []Command, i int, cause string, now time.Time) []Command {
-	c := l.loans[i]
-	if !c.ended && !c.accepted {
-		l.recordRefusal(c.peer, now)
-		out = append(out, c.report(Refused, cause))
-	} else {
-		if c.recalled {
-			cause = "returned"
+	case begun:
+		if l.free() > 0 {
+			c.renewAt = now // with all connections
 		}
-		out = append(out, c.report(Ended, cause))
 	}
-	l.loans = slices.Delete(l.loans, i, i+1)
 	return out
 }
 
@@ -387,24 +234,5 @@
 	} else {
 		c.count = 1
 	}
-	c.sentAt, c.granting = now, true
-	c.expiresAt, c.start = now.Add(Duration+Margin), token.Start
-	return Send{To: c.peer, Seq: c.seq, Lend: l.lend(c, token), Timeout: grantTimeout}
-}
-
-func (l *Lender) granted(out []Command, c *loan, now time.Time) []Command {
-	if !c.granting {
-		return out // a late reply to an earlier grant
-	}
-	c.sentAt = time.Time{}
-	c.lostAt = now.Add(Duration - DrainTime)
-	c.renewAt = now.Add(RenewInterval)
-	if c.accepted {
-		return append(out, c.report(Renewed, ""))
-	}
-	c.accepted = true
-	if l.free() > 0 {
-		c.renewAt = now // with all connections
-	}
-	return append(out, c.report(Accepted, ""))
+	return c.grant(l.origin(), token, now)
 }
--- a/delegator/message.go
+++ b/delegator/message.go
@@ -53,6 +53,8 @@
 type Return struct {
 	Lender string `json:"lender"`
 	Seq    uint64 `json:"seq"`
+	// Upstream is stated for a loan between gateways.
+	Upstream string `json:"upstream,omitempty"`
 }
 
 // Reply answers a Lend or a Return. A reply that neither grants nor refuses carries a token
@@ -92,6 +94,8 @@
 	Lend    *Lend
 	Return  *Return
 	Timeout time.Duration
+	// Spare is true for a loan between gateways.
+	Spare bool
 }
 
 // Hold gives this process connections to an upstream until a time by its clock. No connection
@@ -108,6 +112,23 @@
 // Close closes all connections to an upstream at once and allows no new ones.
 type Close struct{ Upstream string }
 
+// Extend adds the connections of loans to this process's share of those to an upstream, in
+// place of those of the last Extend. Connections above the share and the loans stated are
+// closed at once, also those in use.
+type Extend struct {
+	Upstream string
+	Extras   []Extra
+}
+
+// Extra is the connections of one loan. No connection may be used or opened on them after
+// Until, by this process's clock, even if no further command arrives. While it is not Serving,
+// they are for what already runs.
+type Extra struct {
+	Count   int
+	Until   time.Time
+	Serving bool
+}
+
 // Check asks an upstream whether it leads; the answer comes back as Checked.
 type Check struct {
 	Upstream string
@@ -149,6 +170,7 @@
 func (Send) command()    {}
 func (Hold) command()    {}
 func (Close) command()   {}
+func (Extend) command()  {}
 func (Check) command()   {}
 func (Respond) command() {}
 func (Report) command()  {}
