delegator: loans of connections between the gateways of a group

Cause: a group's connections are divided equally among its gateways, whatever the demand of each. Change: SpareLender decides what a gateway lends to others that lack connections, SpareBorrower what it takes, on the account of loans to substitutes. The drawn histories have both kinds of loans at three gateways. Nothing uses them yet.

--- a/delegator/doc.go
+++ b/delegator/doc.go
@@ -28,6 +28,17 @@
 // The connections of a borrower that is paused for longer than its loan stay open at the
 // upstream until it resumes; it closes them before it does anything else.
 //
+// # Loans between gateways
+//
+// A SpareLender lends connections to one upstream that its gateway does not use to gateways of
+// the same group that lack them, and a SpareBorrower takes such loans. Their account is the
+// same, but for three things: a lender has several loans, each of one or two connections, and
+// its limit is what they leave of its share; a borrower has its share too, and has closed a
+// loan when it holds no more than its share and its other loans; and a process does not lend
+// where it has borrowed. Loans of the two kinds never exist at one upstream at a time: the
+// caller sees to it that a Lender is idle while a SpareLender or SpareBorrower is not, and the
+// other way round.
+//
 // # Usage
 //
 //	l := &delegator.Lender{Self: "p1/17", Group: "billet-db"}
--- a/delegator/history_test.go
+++ b/delegator/history_test.go
@@ -30,11 +30,18 @@
 	fromReceipt bool
 	// noStartupDelay uses the whole share right after a start.
 	noStartupDelay bool
+	// spare has loans between three gateways too.
+	spare bool
+	// beforeSpare is called before a SpareLender handles an event, and afterSpare after that.
+	beforeSpare, afterSpare func(*SpareLender)
+	// together makes loans of both kinds at a time.
+	together bool
 }
 
 // process is one process of a history. The first is the lender, which has a share.
 type process struct {
 	name     string
+	gateway  bool
 	start    int64
 	offset   time.Duration // of its clock
 	rate     float64
@@ -51,6 +58,9 @@
 	cutUntil time.Time // the link between it and the lender is cut until then
 	enabled  bool
 	share    int
+	spare    *SpareLender
+	taker    *SpareBorrower
+	extras   []Extra
 }
 
 // history is one drawn course of events.
@@ -61,13 +71,14 @@
 	variant   variant
 	accepted  int
 	recalled  int
+	received  int // loans between gateways
 	violation string
 }
 
 func newHistory(seed uint64, v variant) *history {
 	h := &history{Clock: modeler.Clock{Now: time.Unix(1_800_000_000, 0)}, rng: rand.New(rand.NewPCG(seed, 1)), variant: v}
-	for i := range 1 + borrowers {
-		p := &process{name: fmt.Sprint("p", i), offset: time.Duration(h.rng.Int64N(int64(time.Hour))), rate: 0.99 + 0.02*h.rng.Float64(), share: testShare}
+	for i := range v.gateways() + borrowers {
+		p := &process{name: fmt.Sprint("p", i), gateway: i < v.gateways(), offset: time.Duration(h.rng.Int64N(int64(time.Hour))), rate: 0.99 + 0.02*h.rng.Float64(), share: testShare}
 		h.procs = append(h.procs, p)
 		h.boot(p)
 		h.After(h.upTo(100*time.Millisecond), func() { h.tick(p) })
@@ -92,10 +103,11 @@
 	p.reaches = h.chance(0.4)
 	p.lender = &Lender{Self: fmt.Sprint(p.name, "/", p.start)}
 	p.borrower = &Borrower{Start: p.start}
-	if p == h.procs[0] {
-		p.reaches = false
+	if p.gateway {
+		p.reaches = h.variant.spare
 		p.limit = Kept
 	}
+	p.spare, p.taker, p.extras = &SpareLender{Self: p.lender.Self, Upstream: "a"}, &SpareBorrower{Start: p.start, Upstream: "a"}, nil
 }
 
 // do runs something in a process, when it resumes if it is paused, or never if it is down.
@@ -114,12 +126,14 @@
 func (h *history) disturb() {
 	h.After(h.upTo(1500*time.Millisecond), h.disturb)
 	p := h.procs[0]
-	if h.chance(0.6) {
+	if h.variant.spare {
+		p = h.procs[h.rng.IntN(len(h.procs))]
+	} else if h.chance(0.6) {
 		p = h.procs[1+h.rng.IntN(borrowers)]
 	}
 	switch h.rng.IntN(8) {
 	case 0, 1:
-		p.reaches = !p.reaches && p != h.procs[0] || h.chance(0.3)
+		p.reaches = !p.reaches && !p.gateway || h.chance(0.3)
 	case 2:
 		p.paused = !p.down
 		h.After(h.upTo(4*time.Second), func() { h.resume(p) })
@@ -136,7 +150,7 @@
 }
 
 func (h *history) resume(p *process) {
-	p.paused = false
+	p.paused, p.open = false, min(p.open, h.bound(p)) // before anything else is done
 	todo := append(p.backlog, func() { h.pass(p) })
 	p.backlog = nil
 	h.rng.Shuffle(len(todo), func(i, j int) { todo[i], todo[j] = todo[j], todo[i] })
@@ -157,16 +171,21 @@
 
 // pass has a process handle the passing of time.
 func (h *history) pass(p *process) {
-	if p == h.procs[0] {
+	if p.gateway {
 		h.lend(p, Tick{h.view(p)})
+		if h.variant.spare {
+			h.execute(p, p.taker.Handle(Passed{}, h.spareSituation(p), h.local(p)), nil)
+			h.lendSpare(p, SpareTick{h.spareView(p)})
+		}
 		return
 	}
 	h.execute(p, p.borrower.Handle(Passed{}, h.situation(p), h.local(p)), nil)
 }
 
 func (h *history) view(p *process) View {
-	v := View{Enabled: p.enabled, Leader: "a", Lendable: true, Reached: p.reaches, Share: h.shareOf(p), Open: p.open}
-	for _, o := range h.procs[1:] {
+	isFree := p.spare.IsIdle() && p.taker.IsIdle() || h.variant.together
+	v := View{Enabled: p.enabled && isFree, Leader: "a", Lendable: true, Reached: p.reaches, Share: h.shareOf(p), Open: p.open}
+	for _, o := range h.procs[h.variant.gateways():] {
 		v.Peers = append(v.Peers, Peer{Name: o.name})
 	}
 	return v
@@ -186,21 +205,9 @@
 		h.variant.afterLender(p.lender)
 	}
 	h.execute(p, commands, nil)
-	if p.lender.limited == "" {
-		p.limit = h.shareOf(p)
-	}
 	h.use(p)
 }
 
-// use has a process open all connections that it may, and close what it may not have some
-// time later: they are in use.
-func (h *history) use(p *process) {
-	p.open = max(p.open, p.limit)
-	if p.open > p.limit && h.chance(0.3) {
-		p.open--
-	}
-}
-
 func (h *history) situation(p *process) Situation {
 	s := Situation{Reached: p.reaches, Held: p.open, Busy: p.open}
 	if p.open > 0 && h.chance(0.2) {
@@ -219,13 +226,17 @@
 		case Limit:
 			p.limit = c.Count
 		case Unlimit:
-			if p != h.procs[0] {
+			if !p.gateway {
 				p.limit, p.open = 0, 0
 			}
 		case Send:
 			h.send(p, c)
 		case Hold:
 			p.limit, p.open, p.until = c.Count, c.Count, c.Until
+		case Extend:
+			p.extras = c.Extras
+			p.open = min(p.open, h.bound(p))
+			h.use(p)
 		case Close:
 			p.limit, p.open = 0, 0
 		case Check:
@@ -251,6 +262,10 @@
 		h.accepted++
 	case Recalled:
 		h.recalled++
+	case Received:
+		if slices.ContainsFunc(h.procs[:h.variant.gateways()], func(p *process) bool { return p.spare != nil && p.spare.limited && p.spare.Self == r.Peer }) {
+			h.received++
+		}
 	}
 }
 
@@ -275,6 +290,10 @@
 	answer := func(a Answered) {
 		if p.start == start {
 			answered = true
+			if s.Spare {
+				h.lendSpare(p, a)
+				return
+			}
 			h.lend(p, a)
 		}
 	}
@@ -303,49 +322,67 @@
 		} else {
 			event = Returned{*s.Return}
 		}
+		if s.Spare {
+			h.execute(to, to.taker.Handle(event, h.spareSituation(to), h.local(to)), respond)
+			return
+		}
 		h.execute(to, to.borrower.Handle(event, h.situation(to), h.local(to)), respond)
 	})
 }
 
-// check counts the connections out of the lender's share. Those of a process that is paused
+// check counts the connections out of the lenders' shares. Those of a process that is paused
 // beyond its loan are not in use, and are closed first when it resumes.
 func (h *history) check() {
 	total := 0
 	for _, p := range h.procs {
-		if p == h.procs[0] || !p.paused || h.local(p).Before(p.until) {
+		switch {
+		case p.gateway && p.paused:
+			total += min(p.open, h.bound(p))
+		case p.gateway || !p.paused || h.local(p).Before(p.until):
 			total += p.open
 		}
 	}
-	if total > testShare && h.violation == "" {
-		h.violation = fmt.Sprint(total, " connections out of a share of ", testShare, " at ", h.Now.Sub(time.Unix(1_800_000_000, 0)))
+	if all := testShare * h.variant.gateways(); total > all && h.violation == "" {
+		h.violation = fmt.Sprint(total, " connections out of a share of ", all, " at ", h.Now.Sub(time.Unix(1_800_000_000, 0)))
 	}
 }
 
 // draw plays histories until one breaks the bound, and returns how many loans were accepted
 // and recalled.
-func draw(n int, v variant) (accepted, recalled int, violation string) {
+func draw(n int, v variant) (accepted, recalled, received int, violation string) {
 	for seed := range n {
 		h := newHistory(uint64(seed), v)
 		h.RunFor(historyTime)
-		accepted, recalled = accepted+h.accepted, recalled+h.recalled
+		accepted, recalled, received = accepted+h.accepted, recalled+h.recalled, received+h.received
 		if h.violation != "" {
-			return accepted, recalled, fmt.Sprint("history ", seed, ": ", h.violation)
+			return accepted, recalled, received, fmt.Sprint("history ", seed, ": ", h.violation)
 		}
 	}
-	return accepted, recalled, ""
+	return accepted, recalled, received, ""
 }
 
 // Guards against more connections than an upstream takes: lender and borrowers use the same
 // part of them, because a message, a process or a clock is late.
 func TestShareIsNeverExceeded(t *testing.T) {
 	is := is.New(t)
-	accepted, recalled, violation := draw(*drawn, variant{})
+	accepted, recalled, _, violation := draw(*drawn, variant{})
 	is.Equal(violation, "")
 	t.Logf("%d histories: %d loans accepted, %d recalled", *drawn, accepted, recalled)
 	is.True(accepted > *drawn) // the histories have loans
 	is.True(recalled > *drawn)
 }
 
+// Guards against more connections than the gateways of a group have together, when they lend
+// them to each other and to substitutes.
+func TestSharesOfGatewaysAreNeverExceeded(t *testing.T) {
+	is := is.New(t)
+	accepted, recalled, received, violation := draw(*drawn, variant{spare: true})
+	is.Equal(violation, "")
+	t.Logf("%d histories: %d loans accepted, %d of them between gateways, %d recalled", *drawn, accepted, received, recalled)
+	is.True(received > 2**drawn) // the histories have loans of both kinds
+	is.True(accepted-received > *drawn/2)
+}
+
 // Guards against histories that would not notice a broken rule.
 func TestHistoriesFindBrokenRules(t *testing.T) {
 	for name, v := range map[string]variant{
@@ -361,10 +398,28 @@
 		}},
 		"time counted from the receipt of a loan":  {fromReceipt: true},
 		"loans of an earlier start not waited for": {noStartupDelay: true},
+		"between gateways, no margin": {spare: true, afterSpare: func(l *SpareLender) {
+			for _, c := range l.loans {
+				if c.granting && c.expiresAt.Equal(c.sentAt.Add(Duration+Margin)) {
+					c.expiresAt = c.expiresAt.Add(-Margin)
+				}
+			}
+		}},
+		"between gateways, share used at once after a recall": {spare: true, beforeSpare: func(l *SpareLender) {
+			l.loans = slices.DeleteFunc(l.loans, func(c *loan) bool { return c.recalled })
+		}},
+		"between gateways, granted before own connections are closed": {spare: true, beforeSpare: func(l *SpareLender) {
+			for _, c := range l.loans {
+				c.ready = c.welcome
+			}
+		}},
+		"between gateways, time counted from the receipt":     {spare: true, fromReceipt: true},
+		"between gateways, loans of an earlier start unknown": {spare: true, noStartupDelay: true},
+		"of both kinds at a time":                             {spare: true, together: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			_, _, violation := draw(*drawn, v)
+			_, _, _, violation := draw(*drawn, v)
 			is.True(violation != "") // the bound is broken
 			t.Log(violation)
 		})
