carrier, forwarder, proxier: connections follow demand where the setting says so

Cause: load.division: demand was accepted without effect. Change: gateways report what they have at upstreams, lend connections to each other as package delegator decides, and close what was borrowed by the clock. Actions 10 and 11 carry the messages; processes without them refuse. A process with the setting uses two connections to each upstream in its first 2.5 s. Log lines for each loan, a counter by outcome, a gauge of lent connections by group. The tests of carrier, forwarder, delegator, proxier and internal/layout pass; the golden files of loads without the setting are as before.

--- /dev/null
+++ b/carrier/division_test.go
@@ -0,0 +1,64 @@
+package carrier
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/cataloger"
+)
+
+// Guards against connections of a loan between gateways that are used or opened after its end,
+// when a process that was paused goes on before anything else has closed them, and against own
+// connections that are closed with them.
+func TestBorrowedConnsEndByTheClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &slotUpstream{free: make(chan struct{}, 6)}
+		c := &Registry{Dial: s.dial, Now: time.Now, Log: zap.NewNop(), ConnectionShares: func(map[string]int, int) map[string]int { return map[string]int{"g": 2} }}
+		settings := []cataloger.GroupSettings{{Name: "g", MaxConnections: 40}}
+		c.DivideConnections(9, settings)
+		c.SetUpstreams([]cataloger.Upstream{{ID: "a", Group: "g", Leads: true, Slots: 6}})
+		g, _ := c.Group("g")
+		u := g.upstreams[0]
+		g.ExtendConns("a", []Extra{{Count: 1, Until: time.Now().Add(time.Second), Serving: true}, {Count: 1, Until: time.Now().Add(3 * time.Second), Serving: true}})
+		is.Equal(u.pool.Stats().Limit, 4)
+		var open []Transaction
+		for range 4 {
+			tx, answer := g.Start(latest(5*time.Second), false, Command{Verb: Begin})
+			is.Equal(answer.Code, OK)
+			open = append(open, tx)
+		}
+		run := func() (served int) {
+			for _, tx := range open {
+				if tx.Do(latest(time.Second), Command{Verb: Begin}).Code == OK {
+					served++
+				}
+			}
+			return served
+		}
+		time.Sleep(2 * time.Second)
+		is.Equal(run(), 3)
+		is.Equal(g.DivisionState("a", true).Held, 3)
+		g.LimitOwnConns("a", 1) // the loan is still there
+		c.DivideConnections(9, settings)
+		is.Equal(u.pool.Stats().Limit, 2)
+		is.Equal(run(), 3) // those in use stay until they are returned
+		g.UnlimitOwnConns("a")
+		time.Sleep(2 * time.Second)
+		is.Equal(run(), 2)
+		is.Equal(u.pool.Stats().Limit, 2)
+		is.Equal(len(g.divisions), 0)
+		for _, tx := range open {
+			tx.Rollback()
+		}
+		state := g.DivisionState("a", true)
+		is.Equal([]int{state.Busy, state.Peak}, []int{0, 4})
+		is.True(state.Held <= 2)
+		is.Equal(g.DivisionState("a", true).Peak, 0)
+		c.Stop()
+	})
+}
--- a/carrier/group.go
+++ b/carrier/group.go
@@ -52,6 +52,8 @@
 	peerLoads map[string]peerLoad
 	// limit replaces the share of the connections to one upstream; nil where there is none.
 	limit *connLimit
+	// divisions holds, by upstream, the loans between gateways of the group.
+	divisions map[string]*division
 	// applying is held while shares are applied, so that an older one does not replace a newer.
 	applying sync.Mutex
 	expected expectation
@@ -269,8 +271,12 @@
 
 // dial opens a connection for an upstream's pool.
 func (g *Group) dial(ctx context.Context, u *upstream, workspace string) (*conn, error) {
+	g.endExpiredLoans(u)
 	g.mu.Lock()
 	entry, loan := u.entry, g.loanEnd(u)
+	if loan == nil {
+		loan = g.openingEnd(u)
+	}
 	g.mu.Unlock()
 	began := g.registry.Now()
 	dial := func(ctx context.Context) (Link, error) { return g.registry.Dial(ctx, entry, workspace) }
@@ -424,6 +430,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	u.running[r] = struct{}{}
+	u.peakRunning = max(u.peakRunning, len(u.running))
 }
 
 func (g *Group) removeRun(u *upstream, r *run) {
@@ -463,14 +470,6 @@
 		zap.Duration("by", now.Sub(completeAt)), zap.Stringer("at", u.mark))
 }
 
-// recordReadServed records that an upstream's log had what a read needed.
-func (g *Group) recordReadServed(u *upstream, since tracker.Mark) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.registry.Now()
-	u.lag.recordServed(now, g.samples.firstContaining(since, now), g.ages.negligibleLag())
-}
-
 // recordOutcome records the outcome of a statement that an upstream answered. Only
 // statements that it ran show whether it works.
 func (g *Group) recordOutcome(u *upstream, code Code) {
--- a/carrier/health.go
+++ b/carrier/health.go
@@ -78,7 +78,7 @@
 	if g.reachableLeaderLocked() == nil {
 		g.searchLeader()
 	}
-	if g.limit == nil && keptConns(g.registry.share(g.name)) == 0 && !slices.ContainsFunc(g.upstreams, (*upstream).needsTicks) {
+	if g.limit == nil && len(g.divisions) == 0 && keptConns(g.registry.share(g.name)) == 0 && !slices.ContainsFunc(g.upstreams, (*upstream).needsTicks) {
 		g.registry.setBusy(g, false) // until its upstreams or this process's share change
 	}
 }
--- a/carrier/lag.go
+++ b/carrier/lag.go
@@ -1,6 +1,10 @@
 package carrier
 
-import "time"
+import (
+	"time"
+
+	"basildale.example/basildale/tracker"
+)
 
 const (
 	// lagRetryDelay is how long reads that a replica probably cannot serve are sent
@@ -63,3 +67,11 @@
 	}
 	return l.observedAt.Sub(l.completeTo)
 }
+
+// recordReadServed records that an upstream's log had what a read needed.
+func (g *Group) recordReadServed(u *upstream, since tracker.Mark) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.registry.Now()
+	u.lag.recordServed(now, g.samples.firstContaining(since, now), g.ages.negligibleLag())
+}
--- a/carrier/loads.go
+++ b/carrier/loads.go
@@ -16,6 +16,8 @@
 	AdaptivePlacement bool
 	// FairConnections divides an upstream's connections among workspaces.
 	FairConnections bool
+	// DemandDivision lets gateways of a group lend connections to each other.
+	DemandDivision bool
 	// ShortRetries keeps the delay that a refusal names within the caller's deadline.
 	ShortRetries bool
 	// Weight returns the weight of a workspace; nil stands for 1.
@@ -55,7 +57,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	expected := g.active && g.placesByExpectation(f)
-	if !g.active || !f.FairAdmission && !expected {
+	if !g.active || !f.FairAdmission && !expected && !f.DemandDivision {
 		return nil
 	}
 	var out []gossiper.UpstreamLoad
--- a/carrier/loan.go
+++ b/carrier/loan.go
@@ -79,6 +79,9 @@
 	share := g.registry.share(g.name)
 	switch {
 	case g.limit == nil || g.limit.upstream != id:
+		if d := g.divisions[id]; d != nil {
+			return d.apply(share, g.registry.Now())
+		}
 		return share
 	case g.limit.borrowed:
 		return g.limit.count
--- a/carrier/upstream.go
+++ b/carrier/upstream.go
@@ -37,6 +37,7 @@
 	fairness fairness
 
 	running          map[*run]struct{}
+	peakRunning      int           // the most that ran at a time, for loans between gateways
 	answeredAt       time.Time     // when it last answered anything
 	wroteAt          time.Time     // when it last answered a write
 	writeTimedOutAt  time.Time     // when a write there last timed out with none answered since it was sent
--- a/delegator/lender.go
+++ b/delegator/lender.go
@@ -85,6 +85,9 @@
 	return Peer{}, false
 }
 
+// Upstream returns the upstream at which the own connections are limited; empty where none is.
+func (l *Lender) Upstream() string { return l.limited }
+
 // IsIdle reports whether there is neither a loan nor a limit of own connections.
 func (l *Lender) IsIdle() bool { return l.limited == "" && len(l.loans) == 0 }
 
--- a/forwarder/loans.go
+++ b/forwarder/loans.go
@@ -33,6 +33,15 @@
 	Peers func(group string) []delegator.Peer
 	// Send sends a payload to a process, as that of Forwarder does.
 	Send func(ctx context.Context, to netip.AddrPort, payload json.RawMessage) (json.RawMessage, error)
+	// Divides, when set, reports whether gateways of a group lend connections to each other,
+	// and Division returns the other gateways of a group that divide its connections with
+	// this one, and what identifies all of them; false where this process is none of them.
+	Divides  func() bool
+	Division func(group string) (others []delegator.Peer, gateways uint64, ok bool)
+	// CountSpare, when set, counts loans between gateways by what became of them, and SetLent
+	// states how many connections of a group are lent.
+	CountSpare func(outcome string)
+	SetLent    func(group string, connections int)
 	// CountRefused, when set, counts a process that refused a loan.
 	CountRefused func()
 	// Now is the clock of package carrier.
@@ -44,6 +53,8 @@
 	// apart by numbers that must not be used again.
 	lenders   map[string]*delegator.Lender
 	borrowers map[string]*delegator.Borrower
+	spares    map[spareKey]*spares
+	lent      map[string]int // connections lent to gateways, by group, as last stated
 }
 
 // Tick lets time pass. It should be called about 20 times a second.
@@ -56,6 +67,7 @@
 			l.lender(g.Name())
 		}
 	}
+	l.tickSpares(now)
 	for name, lender := range l.lenders {
 		g, ok := l.Local(name)
 		if !ok || lender.IsIdle() && (!l.Enabled() || !g.IsGateway()) {
@@ -89,7 +101,7 @@
 func (l *Loans) view(g *carrier.Group) delegator.View {
 	c := g.LeaderContact()
 	borrower := l.borrowers[g.Name()]
-	isBorrowing := borrower != nil && !borrower.IsIdle()
+	isBorrowing := borrower != nil && !borrower.IsIdle() || !l.spares[spareKey{g.Name(), c.Upstream}].isIdle()
 	v := delegator.View{
 		Enabled: l.Enabled() && !l.Leaving() && g.IsGateway() && !isBorrowing, Leader: c.Upstream, Lendable: c.Current,
 		Reached: c.Answers, UnreachedSince: c.AnsweredAt, Share: c.Share, Open: c.Open,
@@ -145,6 +157,9 @@
 	if !ok {
 		return delegator.Reply{Refused: "group unknown", Closed: true}
 	}
+	if r.Action == lendSpare || r.Action == returnSpare {
+		return l.serveSpare(g, r)
+	}
 	var event any
 	switch {
 	case r.Lend != nil:
@@ -217,7 +232,12 @@
 
 func (l *Loans) call(ctx context.Context, group string, s *delegator.Send) (delegator.Reply, error) {
 	r := request{Action: lend, Group: group, Lend: s.Lend, Return: s.Return}
-	if s.Return != nil {
+	switch {
+	case s.Spare && s.Return != nil:
+		r.Action = returnSpare
+	case s.Spare:
+		r.Action = lendSpare
+	case s.Return != nil:
 		r.Action = returnLoan
 	}
 	payload, err := json.Marshal(r)
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -24,6 +24,8 @@
 	cancelOne
 	lend
 	returnLoan
+	lendSpare
+	returnSpare
 )
 
 // request asks a peer to run something. Times are sent as durations, since the clocks of
@@ -52,7 +54,7 @@
 	Values    []carrier.Value   `json:"values,omitempty"`
 	Prepared  *carrier.Prepared `json:"prepared,omitempty"`
 	Command   carrier.Command   `json:"command,omitzero"`
-	// Lend and Return are the messages of the actions of these names.
+	// Lend and Return are the messages of loans, to substitutes or between gateways.
 	Lend   *delegator.Lend   `json:"lend,omitempty"`
 	Return *delegator.Return `json:"return,omitempty"`
 }
--- a/forwarder/reach_fleet_test.go
+++ b/forwarder/reach_fleet_test.go
@@ -62,6 +62,7 @@
 	stopped  chan struct{}
 	running  sync.WaitGroup
 	applied  map[string]int // how often a write took effect
+	divides  bool           // connections by demand
 	core     zapcore.Core
 	logs     *observer.ObservedLogs // about loans
 }
@@ -84,7 +85,9 @@
 func (n *node) start() {
 	n.reg = &carrier.Registry{
 		Now: time.Now, Log: zap.NewNop(), Dial: n.dial, ConnectionShares: n.shares,
-		Features: func() carrier.Features { return carrier.Features{ShortRetries: n.on()} },
+		Features: func() carrier.Features {
+			return carrier.Features{ShortRetries: n.on(), DemandDivision: n.get(&n.r.divides)}
+		},
 	}
 	n.reg.DivideConnections(nodeCount, []cataloger.GroupSettings{{Name: "g", MaxConnections: 40}})
 	n.list()
@@ -92,6 +95,7 @@
 		Name: n.name(), Start: time.Now().UnixNano(), Gateways: n.reg.Gateways, Local: n.reg.Group, Enabled: n.on,
 		Leaving: func() bool { return n.get(&n.leaving) }, Peers: n.peers, Send: n.send, Now: time.Now, Log: zap.New(n.r.core),
 	}
+	loans.Divides, loans.Division = func() bool { return n.get(&n.r.divides) }, n.division
 	n.f = Forwarder{
 		Local: n.reg.Group, Gateways: n.gateways, LeaderFault: n.fault, Send: n.send, Substitutes: n.on, Loans: loans,
 		Name: n.name(), Now: time.Now, Log: zap.NewNop(),
@@ -153,6 +157,9 @@
 		if i%2 == 0 {
 			reg.CheckUpstreams()
 		}
+		if i%10 == 0 && n.get(&n.r.divides) {
+			n.report()
+		}
 	}
 }
 
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -68,7 +68,8 @@
 	case cancelOne:
 		return response{Refused: !f.served.cancel(k)}
 	}
-	if r.Action == lend || r.Action == returnLoan {
+	switch r.Action {
+	case lend, returnLoan, lendSpare, returnSpare:
 		return f.serveLoan(r)
 	}
 	g, ok := f.Local(r.Group)
--- a/proxier/lend.go
+++ b/proxier/lend.go
@@ -4,14 +4,17 @@
 	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
 
 	"basildale.example/basildale/delegator"
 	"basildale.example/basildale/forwarder"
 	"basildale.example/basildale/gossiper"
 	"basildale.example/basildale/loader"
+	"basildale.example/basildale/meter"
 )
 
 const (
@@ -21,6 +24,10 @@
 	// gateway, and loansRefused counts the processes that refused to.
 	substitutesInUse = "basildale_substitutes"
 	loansRefused     = "basildale_loans_refused"
+	// divisionLoans counts the loans between gateways of a group by what became of them, and
+	// connectionsLent is the number of connections of a group that are lent to others.
+	divisionLoans   = "basildale_division_loans_total"
+	connectionsLent = "basildale_connections_lent"
 )
 
 // buildLoans creates the loans of this process.
@@ -30,6 +37,13 @@
 		Enabled: p.lendsConnections, Leaving: p.leaving.Load, Peers: p.loanPeers, Send: p.forwardToPeer,
 		CountRefused: func() { p.incrementCounter(loansRefused, 1) }, Now: bootClock, Log: p.Log,
 	}
+	p.loans.Divides, p.loans.Division = p.dividesByDemand, p.divisionPeers
+	p.loans.CountSpare = func(outcome string) {
+		p.incrementCounter(meter.Name(divisionLoans, meter.Label{Name: "outcome", Value: outcome}), 1)
+	}
+	p.loans.SetLent = func(group string, n int) {
+		metrics.GetOrRegisterGauge(meter.Name(connectionsLent, meter.Label{Name: "group", Value: group}), p.registry).Update(int64(n))
+	}
 	p.forward.Loans, p.forward.Substitutes = p.loans, p.lendsConnections
 	p.meter.Gauge(p.loans.InUse, substitutesInUse)
 }
@@ -37,6 +51,26 @@
 // lendsConnections reports whether gateways that do not reach a leader lend their connections.
 func (p *Proxier) lendsConnections() bool { return p.loadChoices().Gateways == loader.Reach }
 
+// dividesByDemand reports whether gateways of a group lend connections to each other.
+func (p *Proxier) dividesByDemand() bool { return p.loadChoices().Division == loader.Demand }
+
+// divisionPeers returns the other gateways that divide the connections of a group with this
+// process, and a hash of all of them; false where this process is none of them.
+func (p *Proxier) divisionPeers(group string) ([]delegator.Peer, uint64, bool) {
+	assigned := p.assignedGateways.Load()
+	if assigned == nil || !slices.Contains((*assigned)[group], p.Settings.Name) {
+		return nil, 0, false
+	}
+	names := slices.Sorted(slices.Values((*assigned)[group]))
+	var others []delegator.Peer
+	for _, peer := range p.gossip.ReachablePeers(names) {
+		if peer.Name != p.Settings.Name && !peer.Leaving && peer.GatewayAddr.IsValid() {
+			others = append(others, delegator.Peer{Name: peer.Name, Address: peer.GatewayAddr})
+		}
+	}
+	return others, xxhash.Sum64String(strings.Join(names, " ")), true
+}
+
 // runLoans lets time pass for the loans.
 func (p *Proxier) runLoans(ctx context.Context) {
 	ticker := time.NewTicker(loanInterval)
@@ -78,5 +112,5 @@
 // mayHaveLent reports whether an earlier start of this process may have loans that have not
 // ended. Until then it uses only the connections that a lender never lends.
 func (p *Proxier) mayHaveLent() bool {
-	return p.lendsConnections() && bootClock().Sub(p.startedAt) < delegator.StartupDelay
+	return (p.lendsConnections() || p.dividesByDemand()) && bootClock().Sub(p.startedAt) < delegator.StartupDelay
 }
--- a/proxier/lend_test.go
+++ b/proxier/lend_test.go
@@ -22,7 +22,7 @@
 	gateway := func(choice loader.Choice, age time.Duration) int {
 		for i := range 80 {
 			p := newTestProxier(i, 80)
-			p.load.Store(&loader.Choices{Gateways: choice})
+			p.load.Store(&loader.Choices{Gateways: choice, Division: choice})
 			p.startedAt = p.startedAt.Add(-age)
 			if n := p.shares(map[string]int{"billet": 52}, 80)["billet"]; n > 0 {
 				return n
@@ -35,6 +35,8 @@
 	is.Equal(gateway("", 0), whole)
 	is.Equal(gateway(loader.Reach, 0), delegator.Kept)
 	is.Equal(gateway(loader.Reach, delegator.StartupDelay), whole)
+	is.Equal(gateway(loader.Demand, 0), delegator.Kept)
+	is.Equal(gateway(loader.Demand, delegator.StartupDelay), whole)
 }
 
 // Guards against gateways that all ask the same process first, which takes one loan of a
--- a/proxier/load.go
+++ b/proxier/load.go
@@ -81,6 +81,7 @@
 		AdaptivePlacement: l.Placement == loader.Adaptive,
 		FairConnections:   l.Connections == loader.Fair,
 		ShortRetries:      l.Gateways == loader.Reach,
+		DemandDivision:    l.Division == loader.Demand,
 		Weight:            l.Weight,
 	}
 }
