--- a/forwarder/division_test.go
+++ b/forwarder/division_test.go
@@ -72,7 +72,7 @@
 func (r *reachFleet) lent() int {
 	n := 0
 	for _, o := range r.nodes {
-		if o.dead {
+		if o.get(&o.dead) {
 			continue
 		}
 		o.f.Loans.mu.Lock()
@@ -84,6 +84,12 @@
 	return n
 }
 
+func (r *reachFleet) most() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.maxOpen
+}
+
 // Guards against connections beyond the shares, and loans that don't end, when something else
 // happens while a gateway with many callers has borrowed connections.
 func TestDivisionSurvivesFailures(t *testing.T) {
@@ -107,14 +113,14 @@
 				n.hold(8, 5*time.Second) // the lenders need all that they have
 			}
 			time.Sleep(3 * time.Second)
-			t.Logf("%s: lent %d, 3 s later %d; at most %d connections", c.name, before, r.lent(), r.maxOpen)
+			t.Logf("%s: lent %d, 3 s later %d; at most %d connections", c.name, before, r.lent(), r.most())
 			if endsAll[c.name] {
 				is.Equal(r.lent(), 0)
 			}
-			is.True(r.maxOpen <= gatewayCount*nodeShare)
+			is.True(r.most() <= gatewayCount*nodeShare)
 			time.Sleep(16 * time.Second) // the callers are gone, and the loans with them
 			is.Equal(r.lent(), 0)
-			is.True(r.maxOpen <= gatewayCount*nodeShare)
+			is.True(r.most() <= gatewayCount*nodeShare)
 			r.stop()
 		})
 	}
--- a/proxier/lend_test.go
+++ b/proxier/lend_test.go
@@ -4,14 +4,17 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"basildale.example/basildale/delegator"
 	"basildale.example/basildale/gossiper"
 	"basildale.example/basildale/loader"
+	"basildale.example/basildale/meter"
 )
 
 // Guards against a process that was killed while its connections were lent, and that uses
@@ -104,3 +107,59 @@
 	f.waitFor("served by the gateway again", func() bool { return c.ask("WRITE seat eva").code == "" && isGateway(gateway) })
 	is.Equal(c.askRow("READ seat"), "eva")
 }
+
+// Guards against parts that do not fit together in a real process: two gateways, one of which
+// has callers for more connections than its share.
+func TestDivisionOfRealProcesses(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 7)
+	f.group.Limit(0, 20)
+	isGateway := func(m *runningProxy) bool {
+		g, ok := m.carrier.Group("billet")
+		return ok && g.IsGateway() && m.assignedGateways.Load() != nil && len((*m.assignedGateways.Load())["billet"]) == 2
+	}
+	var gateways []*runningProxy
+	f.waitFor("two gateways", func() bool {
+		gateways = slices.DeleteFunc(slices.Clone(f.proxies), func(m *runningProxy) bool { return !isGateway(m) })
+		return len(gateways) == 2
+	})
+	for _, m := range f.proxies {
+		settings := m.Settings
+		settings.Load.Division = loader.Demand
+		m.Reload(settings)
+	}
+	lent := func(m *runningProxy) int64 {
+		gauge, ok := m.registry.Get(meter.Name(connectionsLent, meter.Label{Name: "group", Value: "billet"})).(metrics.Gauge)
+		if !ok {
+			return 0
+		}
+		return gauge.Value()
+	}
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for range 14 {
+		c := f.dial(gateways[0], "seats")
+		callers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					c.ask("BEGIN")
+					c.ask("READ seat") // takes a connection until the end
+					time.Sleep(100 * time.Millisecond)
+					c.ask("ROLLBACK")
+				}
+			}
+		})
+	}
+	f.waitFor("connections lent", func() bool { return lent(gateways[1]) > 0 })
+	f.waitFor("connections used", func() bool {
+		g, _ := gateways[0].carrier.Group("billet")
+		return g.LeaderContact().Open > g.LeaderContact().Share
+	})
+	is.Equal(lent(gateways[0]), int64(0))
+	close(stop)
+	callers.Wait()
+	f.waitFor("connections back", func() bool { return lent(gateways[1]) == 0 })
+}
--- a/proxier/load_test.go
+++ b/proxier/load_test.go
@@ -62,7 +62,7 @@
 	for i := range 50 {
 		s := m.Settings
 		if i%2 == 0 {
-			s.Load = loader.Choices{Admission: loader.Fair, Placement: loader.Expected, Weights: map[string]float64{"w": float64(i + 1)}}
+			s.Load = loader.Choices{Admission: loader.Fair, Placement: loader.Expected, Division: loader.Demand, Weights: map[string]float64{"w": float64(i + 1)}}
 		}
 		m.Reload(s)
 		is.Equal(m.carrier.Usage()[0].Group, "billet")
