forwarder: a test with a gateway of an earlier build

Cause: nothing showed that a gateway that does not know loans between gateways refuses them. Change: a test in the fleet in virtual time. Measured result: each offer is refused as not supported, and nothing is lent.

--- a/forwarder/division_test.go
+++ b/forwarder/division_test.go
@@ -72,7 +72,7 @@
 func (r *reachFleet) lent() int {
 	n := 0
 	for _, o := range r.nodes {
-		if o.get(&o.dead) {
+		if o.get(&o.dead) || o.old {
 			continue
 		}
 		o.f.Loans.mu.Lock()
@@ -125,3 +125,26 @@
 		})
 	}
 }
+
+// Guards against a rolling restart that fails: a gateway of an earlier build refuses what it
+// does not know, and costs the others no connection.
+func TestOldGatewayGetsNoLoan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newReachFleet(true)
+		old := r.nodes[0]
+		old.old, old.f.Loans, old.f.Substitutes = true, nil, nil
+		r.nodes[1].set(&r.divides, true)
+		old.hold(14, 10*time.Second)
+		for range 200 {
+			time.Sleep(50 * time.Millisecond)
+			is.Equal(r.lent(), 0)
+		}
+		refused := r.logs.FilterMessage("forwarder: gateway refused connections").All()
+		is.True(len(refused) > 0)
+		for _, line := range refused {
+			is.Equal(line.ContextMap()["cause"], "not supported")
+		}
+		r.stop()
+	})
+}
