--- a/carrier/group.go
+++ b/carrier/group.go
@@ -52,6 +52,8 @@
 	peerLoads map[string]peerLoad
 	// limit replaces the share of the connections to one upstream; nil where there is none.
 	limit *connLimit
+	// divisions holds, by upstream, the loans between gateways of the group.
+	divisions map[string]*division
 	// applying is held while shares are applied, so that an older one does not replace a newer.
 	applying sync.Mutex
 	expected expectation
@@ -395,6 +397,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	u.running[r] = struct{}{}
+	u.peakRunning = max(u.peakRunning, len(u.running))
 }
 
 func (g *Group) removeRun(u *upstream, r *run) {
@@ -434,14 +437,6 @@
 		zap.Duration("by", now.Sub(completeAt)), zap.Stringer("at", u.mark))
 }
 
-// recordReadServed records that an upstream's log had what a read needed.
-func (g *Group) recordReadServed(u *upstream, since tracker.Mark) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.registry.Now()
-	u.lag.recordServed(now, g.samples.firstContaining(since, now), g.ages.negligibleLag())
-}
-
 // recordOutcome records the outcome of a statement that an upstream answered. Only
 // statements that it ran show whether it works.
 func (g *Group) recordOutcome(u *upstream, code Code) {
--- a/carrier/opening.go
+++ b/carrier/opening.go
@@ -107,8 +107,12 @@
 
 // dial opens a connection for an upstream's pool.
 func (g *Group) dial(ctx context.Context, u *upstream, workspace string) (*conn, error) {
+	g.endExpiredLoans(u)
 	g.mu.Lock()
 	entry, loan := u.entry, g.loanEnd(u)
+	if loan == nil {
+		loan = g.openingEnd(u)
+	}
 	g.mu.Unlock()
 	began := g.registry.Now()
 	dial := func(ctx context.Context) (Link, error) { return g.registry.Dial(ctx, entry, workspace) }
