proxier: tests of fleets don't hang where a process doesn't start, end or answer

Cause: beside waitFor, a fleet's tests waited without a limit for a process that starts (also for one whose start had failed), for one that ends, and for each answer to a caller. Change: the first two wait as waitFor does. A caller's connection has the same deadline, shortly before that of the test binary; none where there is none. No other wait without a limit was found in the tests of proxier, carrier and gossiper but that of a fleet's cleanup for its processes to end, which a goroutine dump shows.

--- a/proxier/fleet_test.go
+++ b/proxier/fleet_test.go
@@ -85,7 +85,10 @@
 			f.t.Error(err)
 		}
 	}()
-	<-m.Started()
+	f.waitFor(m.Settings.Name+" has started or failed to", func() bool { return isClosed(m.Started()) || isClosed(m.ended) })
+	if !isClosed(m.Started()) {
+		f.t.FailNow() // Run has reported why
+	}
 	f.proxies = append(f.proxies, m)
 	f.t.Cleanup(func() {
 		cancel()
@@ -119,10 +122,13 @@
 // fleet may take a second to stop.
 const deadlineMargin = 10 * time.Second
 
+// marginOf returns the time to leave before a deadline: less where it is near already.
+func marginOf(deadline time.Time) time.Duration { return min(deadlineMargin, time.Until(deadline)/10) }
+
 // holdsBefore waits until a condition holds, and returns false if it does not shortly before a
 // deadline; the zero time stands for none.
 func holdsBefore(deadline time.Time, holds func() bool) bool {
-	margin := min(deadlineMargin, time.Until(deadline)/10)
+	margin := marginOf(deadline)
 	for !holds() {
 		if !deadline.IsZero() && time.Until(deadline) < margin {
 			return false
@@ -172,6 +178,9 @@
 	conn, err := net.Dial("tcp", m.CallersAddr().String())
 	is.NoErr(err)
 	f.t.Cleanup(func() { _ = conn.Close() })
+	if deadline, limited := f.t.Deadline(); limited {
+		is.NoErr(conn.SetDeadline(deadline.Add(-marginOf(deadline)))) // an answer that never comes fails the test as in waitFor
+	}
 	c := &client{is: is, conn: conn, in: bufio.NewReader(conn), name: fmt.Sprintf("%p", conn)}
 	fmt.Fprintf(conn, "CONNECT %s tester\r\n", database)
 	line, err := c.in.ReadString('\n')
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -232,8 +232,8 @@
 	is.NoErr(err)
 	is.NoErr(resp.Body.Close())
 	is.Equal(resp.StatusCode, http.StatusOK)
-	<-m.ended
-	<-done
+	f.waitFor("the process has ended", func() bool { return isClosed(m.ended) })
+	f.waitFor("its caller has ended", func() bool { return isClosed(done) })
 	is.True(answered > 0)
 	is.Equal(f.statementsRun()-before, answered)
 	_, err = idle.in.ReadByte()
