carrier, pooler: connections to a new leader are opened ahead

Cause: after a change of the leader all callers wait for openings, although the gateway knows which workspaces used the former leader most.

Change: with load.connections: fair a gateway takes the expected demand at the former leader and opens connections at the new one for the workspaces where they save most, at most half of its share, within a second, two at a time with those for callers, and only while no caller waits. Connections opened ahead and for callers are counted apart. With plain nothing is opened ahead or counted. A process that becomes a gateway knows no demand and opens none. dial has moved from group.go to opening.go.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -39,6 +39,9 @@
 	ConnectionShares func(maxConns map[string]int, proxies int) map[string]int
 	// CountPlacement, when set, counts each choice of an upstream by its reason.
 	CountPlacement func(reason string)
+	// CountOpening, when set, counts a connection that was opened while connections are divided
+	// by demand, and whether that was before a caller asked for it.
+	CountOpening func(ahead bool)
 	// RequestSample, when set, requests from a peer a position of the group's leader that
 	// is taken after the request.
 	RequestSample func(group string) (tracker.Mark, bool)
--- a/carrier/group.go
+++ b/carrier/group.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/cataloger"
@@ -33,6 +32,7 @@
 	provenAt time.Time
 	// lastLeader is the id of the last leader.
 	lastLeader string
+	former     formerLeader
 	// leaderlessSince is when the last leader that answered was lost; zero while one is
 	// known.
 	leaderlessSince time.Time
@@ -222,6 +222,7 @@
 	}
 	g.logChange("carrier: leader changed", zap.String("group", g.name), zap.String("upstream", id),
 		zap.String("before", g.lastLeader), zap.String("evidence", evidence))
+	g.followDemand(u)
 	g.leader = u
 	if u != nil {
 		u.expected.lag = placer.Lag{} // it does not lag, and is a new replica afterwards
@@ -267,36 +268,6 @@
 	}
 }
 
-// dial opens a connection for an upstream's pool.
-func (g *Group) dial(ctx context.Context, u *upstream, workspace string) (*conn, error) {
-	g.mu.Lock()
-	entry, loan := u.entry, g.loanEnd(u)
-	g.mu.Unlock()
-	began := g.registry.Now()
-	dial := func(ctx context.Context) (Link, error) { return g.registry.Dial(ctx, entry, workspace) }
-	var l Link
-	var err error
-	if loan != nil {
-		l, err = g.dialBorrowed(ctx, loan, dial)
-	} else {
-		l, err = dial(ctx)
-	}
-	limitReached := errors.Is(err, ErrConnectionLimit)
-	u.opener.recordEnd(limitReached)
-	if err == nil {
-		u.opener.recordTime(g.registry.Now().Sub(began))
-	}
-	if limitReached {
-		g.handleConnectionLimit(u)
-	}
-	if err != nil {
-		return nil, errors.Wrapf(err, "carrier: open a connection to %s", entry.ID)
-	}
-	g.recordRoundTrip(u, l)
-	g.recordAnswer(u, l.InitialMark())
-	return &conn{Link: l, workspace: workspace}, nil
-}
-
 // recordAnswer records that an upstream has answered, and the position of its log.
 func (g *Group) recordAnswer(u *upstream, mark tracker.Mark) {
 	g.mu.Lock()
--- a/carrier/opener.go
+++ b/carrier/opener.go
@@ -52,6 +52,26 @@
 	o.grantPermits()
 }
 
+// reserve counts one connection that no caller waits for as being opened, if it may be opened
+// now and no caller requests one. recordEnd or cancel must follow.
+func (o *opener) reserve() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.wanted > 0 || o.inProgress >= maxConcurrentOpenings || o.now().Before(o.blockedUntil) {
+		return false
+	}
+	o.inProgress++
+	return true
+}
+
+// cancel ends a reservation that was not used.
+func (o *opener) cancel() {
+	o.mu.Lock()
+	o.inProgress--
+	o.mu.Unlock()
+	o.grantPermits()
+}
+
 // recordEnd records that opening one connection has ended.
 func (o *opener) recordEnd(refused bool) {
 	o.mu.Lock()
--- a/forwarder/doc.go
+++ b/forwarder/doc.go
@@ -6,8 +6,10 @@
 // statement runs in this process where it can, else at a peer that reports no fault of the
 // leader, preferably of the same availability zone. Of the processes that can run a
 // statement of a workspace, the gateway with the highest affinity is preferred, so that
-// the workspace's statements share its connections. A peer never forwards further. While
-// no process reaches a leader, the statement waits here as it would without peers.
+// the workspace's statements share its connections. Where loads are bounded, a workspace that is
+// too large for that gateway is divided over the next ones, as package spreader decides. A peer
+// never forwards further. While no process reaches a leader, the statement waits here as it
+// would without peers.
 //
 // Where substitutes are in use, a gateway that does not reach the leader names the process that
 // has its connections on loan, and statements that need the leader go there. Loans executes
--- a/pooler/doc.go
+++ b/pooler/doc.go
@@ -12,7 +12,8 @@
 //
 // With Sharing the connections can be divided among the owners by their expected demand: who
 // may open one, and whose idle one is closed for it. Otherwise the connection that has been
-// idle longest is closed, and callers open connections in the order of their arrival.
+// idle longest is closed, and callers open connections in the order of their arrival. With the
+// demand that another pool has seen, Preopen opens connections before callers ask for them.
 //
 // # Usage
 //
--- a/proxier/load.go
+++ b/proxier/load.go
@@ -20,8 +20,21 @@
 	// gateway than the first in their workspace's order.
 	spreadWorkspaces = "basildale_spread_workspaces"
 	spreadStatements = "basildale_spread_statements"
+	// openedForCallers and openedAhead count connections to upstreams by whether a caller
+	// waited for them.
+	openedForCallers = "basildale_connections_opened_for_callers"
+	openedAhead      = "basildale_connections_opened_ahead"
 )
 
+// countOpening counts a connection that was opened.
+func (p *Proxier) countOpening(ahead bool) {
+	if ahead {
+		p.incrementCounter(openedAhead, 1)
+		return
+	}
+	p.incrementCounter(openedForCallers, 1)
+}
+
 // setLoad puts the choices under load of the settings in force. What they leave open is
 // decided by the rules of the platform.
 func (p *Proxier) setLoad(s *loader.Settings) {
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -226,6 +226,7 @@
 	p.buildLoans()
 	p.carrier.RequestSample = p.forward.Sample
 	p.carrier.CountPlacement = p.meter.Route
+	p.carrier.CountOpening = p.countOpening
 	p.carrier.ConnectionShares = p.shares
 	p.cache.onChange = p.gossip.NotifySuccessors
 	p.meter.Gauge(func() int64 { return int64(p.receiver.Count()) }, "basildale_callers")
