--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -162,3 +162,23 @@
 	is.Equal(len(f.gateways), maxGateways)
 	is.True(len(f.gateways["a"].uses) <= maxUses)
 }
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{6, 32, 128} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			g, now := &Group{}, time.Unix(1000, 0)
+			var names []string
+			for i := range n {
+				names = append(names, fmt.Sprint("proxy-", i))
+				g.Report(names[i], Load{2, 2, map[uint32]float64{hot: 0.2}}, now)
+			}
+			g.Report(names[0], Load{float64(3 * n), float64(3 * n), map[uint32]float64{hot: float64(3 * n)}}, now.Add(time.Second))
+			for b.Loop() {
+				g.Choose(hot, names, now.Add(time.Second))
+			}
+			if !g.IsSpread(hot) {
+				b.Error("not spread")
+			}
+		})
+	}
+}
