carrier: the end of a loan between gateways closes no own connections

Cause: each change of a loan closed connections in use down to the share and the loans that were left. Where the share had become smaller meanwhile (the gateways changed), all running statements and transactions above the new share were cut at the next tick, also own ones, and before the loan's time to finish was over. Change: no more connections are closed than the ended loans had. Own ones above a smaller share stay until they are returned, as without loans.

--- a/carrier/division.go
+++ b/carrier/division.go
@@ -20,6 +20,9 @@
 	lends  bool
 	limit  int // while it lends
 	extras []Extra
+	// enforced is how many connections of loans this process might have when the loans were last
+	// enforced.
+	enforced int
 	// opening is canceled when connections that are being opened are too many.
 	opening context.Context
 	cancel  context.CancelFunc
@@ -41,15 +44,16 @@
 	return share
 }
 
-// bound returns how many connections this process may have at all, with those that loans in
-// their last moments have left.
-func (d *division) bound(share int, now time.Time) int {
+// borrowed returns how many connections of loans this process may have at all, with those that
+// loans in their last moments have left.
+func (d *division) borrowed(now time.Time) int {
+	n := 0
 	for _, e := range d.extras {
 		if now.Before(e.Until) {
-			share += e.Count
+			n += e.Count
 		}
 	}
-	return share
+	return n
 }
 
 // hasExpired reports whether a loan has ended by the clock.
@@ -126,7 +130,9 @@
 
 // enforceDivision applies the limit of the connections to an upstream, and closes what is
 // beyond the loans that this process has: idle connections, then those between two statements
-// of a transaction, then others. Openings are given up last.
+// of a transaction, then others. Openings are given up last. No more are closed than loans that
+// have ended since the last call had: where the share has become smaller, own connections in
+// use stay until they are returned, as without loans.
 func (g *Group) enforceDivision(id string) {
 	g.applyShare() // closes the idle ones
 	g.mu.Lock()
@@ -136,11 +142,14 @@
 		return
 	}
 	now := g.registry.Now()
+	borrowed := d.borrowed(now)
+	ended := d.enforced - borrowed
+	d.enforced = borrowed
 	for _, u := range g.upstreams {
 		if u.id != id || u.pool == nil {
 			continue
 		}
-		excess := u.heldConns() - d.bound(g.registry.share(g.name), now)
+		excess := min(ended, u.heldConns()-g.registry.share(g.name)-borrowed)
 		excess = u.cutSome(excess, func(r *run) bool { return r.exchangeStartedAt.IsZero() })
 		excess = u.cutSome(excess, func(r *run) bool { return !r.inDoubtIfLost })
 		excess = u.cutSome(excess, func(*run) bool { return true })
--- a/carrier/division_test.go
+++ b/carrier/division_test.go
@@ -62,3 +62,45 @@
 		c.Stop()
 	})
 }
+
+// Guards against own statements that are cut when the share becomes smaller while there is a
+// loan: only as many connections as were borrowed are closed, and not before the loan ends.
+func TestSmallerShareCutsNoOwnConns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &slotUpstream{free: make(chan struct{}, 6)}
+		share := 3
+		c := &Registry{Dial: s.dial, Now: time.Now, Log: zap.NewNop(), ConnectionShares: func(map[string]int, int) map[string]int { return map[string]int{"g": share} }}
+		settings := []cataloger.GroupSettings{{Name: "g", MaxConnections: 40}}
+		c.DivideConnections(9, settings)
+		c.SetUpstreams([]cataloger.Upstream{{ID: "a", Group: "g", Leads: true, Slots: 6}})
+		g, _ := c.Group("g")
+		until := time.Now().Add(2 * time.Second)
+		g.ExtendConns("a", []Extra{{Count: 1, Until: until, Serving: true}})
+		var open []Transaction
+		for range 4 {
+			tx, answer := g.Start(latest(5*time.Second), false, Command{Verb: Begin})
+			is.Equal(answer.Code, OK)
+			open = append(open, tx)
+		}
+		run := func() (served int) {
+			for _, tx := range open {
+				if tx.Do(latest(time.Second), Command{Verb: Begin}).Code == OK {
+					served++
+				}
+			}
+			return served
+		}
+		share = 1
+		c.DivideConnections(9, settings)
+		g.ExtendConns("a", []Extra{{Count: 1, Until: until}}) // the loan is being returned
+		is.Equal(run(), 4)
+		g.ExtendConns("a", nil)
+		is.Equal(run(), 3)
+		for _, tx := range open {
+			tx.Rollback()
+		}
+		is.True(g.DivisionState("a", true).Held <= 1)
+		c.Stop()
+	})
+}
