forwarder: a former gateway becomes a substitute after its loans have ended

Cause: a process that had lent to gateways or borrowed from them, and was no gateway any more, took a loan as a substitute at once. Both kinds of loans were then at one upstream, and the end of the first closed connections of the second. Measured result: TestFormerGatewayEndsItsLoansFirst fails without the change; the tests of forwarder pass.

--- a/forwarder/division.go
+++ b/forwarder/division.go
@@ -25,6 +25,17 @@
 // isIdle reports whether there is no loan.
 func (s *spares) isIdle() bool { return s == nil || s.lender.IsIdle() && s.borrower.IsIdle() }
 
+// movesSpares reports whether there are loans between gateways of a group. A process that is no
+// gateway any more has them until they are returned. The caller must hold l.mu.
+func (l *Loans) movesSpares(group string) bool {
+	for k, s := range l.spares {
+		if k.group == group && !s.isIdle() {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Loans) divides() bool { return l.Divides != nil && l.Divides() }
 
 // spare returns the spares of an upstream. The caller must hold l.mu.
--- a/forwarder/division_test.go
+++ b/forwarder/division_test.go
@@ -148,3 +148,31 @@
 		r.stop()
 	})
 }
+
+// Guards against a process that becomes a substitute while its loans as a gateway haven't
+// ended: their end would close the connections that it got as a substitute.
+func TestFormerGatewayEndsItsLoansFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newReachFleet(true)
+		r.nodes[0].set(&r.divides, true)
+		r.nodes[0].hold(14, 12*time.Second)
+		time.Sleep(9 * time.Second)
+		is.True(r.lent() > 0)
+		for _, n := range r.nodes[:gatewayCount] {
+			n.set(&n.gateway, false)
+			r.divide(n.index)
+			lent := delegator.Lend{Lender: "p8/1", Seq: 1, Upstream: "a", Count: 1, Duration: delegator.Duration}
+			reply := n.f.Loans.serve(&request{Action: lend, Group: "g", Lend: &lent})
+			n.f.Loans.mu.Lock()
+			moves := n.f.Loans.movesSpares("g")
+			n.f.Loans.mu.Unlock()
+			is.Equal(reply.Refused != "", moves)
+		}
+		is.True(r.lent() > 0)
+		time.Sleep(6 * time.Second)
+		is.Equal(r.lent(), 0)
+		is.Equal(r.nodes[0].f.Loans.serve(&request{Action: lend, Group: "g", Lend: &delegator.Lend{Lender: "p8/1", Seq: 2, Upstream: "a", Count: 1}}).Refused, "")
+		r.stop()
+	})
+}
--- a/forwarder/loans.go
+++ b/forwarder/loans.go
@@ -124,6 +124,8 @@
 		s.Refusal = "leaving"
 	case l.lenders[g.Name()] != nil && !l.lenders[g.Name()].IsIdle():
 		s.Refusal = "has lent connections itself"
+	case l.movesSpares(g.Name()):
+		s.Refusal = "loans between gateways haven't ended"
 	}
 	return s
 }
