carrier: an opening that is given up ejects no upstream

Cause: when a loan ended while a connection was being opened on it, the opening ended with the context's error, which counted as an upstream that doesn't answer: this process ejected it, usually the leader. Change: the opening ends with the error for a missing share, of both kinds of loans. Measured result: TestGivenUpOpeningEjectsNoUpstream fails without the change; the tests of carrier and forwarder pass.

--- a/carrier/division_test.go
+++ b/carrier/division_test.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -104,3 +105,31 @@
 		c.Stop()
 	})
 }
+
+// Guards against an upstream that counts as not answering because this process gave up an
+// opening at the end of a loan.
+func TestGivenUpOpeningEjectsNoUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		share := 3
+		hang := func(ctx context.Context, _ cataloger.Upstream, _ string) (Link, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		c := &Registry{Dial: hang, Now: time.Now, Log: zap.NewNop(), ConnectionShares: func(map[string]int, int) map[string]int { return map[string]int{"g": share} }}
+		settings := []cataloger.GroupSettings{{Name: "g", MaxConnections: 40}}
+		c.DivideConnections(9, settings)
+		c.SetUpstreams([]cataloger.Upstream{{ID: "a", Group: "g", Leads: true, Slots: 6}})
+		g, _ := c.Group("g")
+		g.ExtendConns("a", []Extra{{Count: 1, Until: time.Now().Add(2 * time.Second), Serving: true}})
+		answered := make(chan Answer)
+		go func() { answered <- g.Run(latest(5*time.Second), Command{Verb: Read}) }()
+		time.Sleep(time.Second)
+		share = 0 // the opening is on the loan
+		c.DivideConnections(9, settings)
+		g.ExtendConns("a", nil)
+		is.Equal((<-answered).Code, Unavailable)
+		is.Equal(g.DivisionState("a", true).Obstacle, "")
+		c.Stop()
+	})
+}
--- a/carrier/loan.go
+++ b/carrier/loan.go
@@ -241,18 +241,21 @@
 	return g.limit == nil || g.limit.upstream != u.id || !g.limit.hasEnded(g.registry.Now())
 }
 
-// dialBorrowed opens a connection, unless the loan that it is for ends before.
+// dialBorrowed opens a connection, unless the loan that it is for ends before. That an opening
+// was given up shows nothing of the upstream.
 func (g *Group) dialBorrowed(ctx, loan context.Context, dial func(context.Context) (Link, error)) (Link, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(loan, cancel)
 	defer stop()
 	l, err := dial(ctx)
-	if err == nil && loan.Err() != nil {
+	if loan.Err() == nil {
+		return l, err
+	}
+	if err == nil {
 		_ = l.Close() // nothing has used it
-		return nil, errNoShare
 	}
-	return l, err
+	return nil, errNoShare
 }
 
 // retryDelay returns how long a refused caller should wait before it retries: with a feature,
