forwarder: of two offers of a read, a failure doesn't count while the other may succeed

Cause: any outcome but busy ended a read that was offered to two gateways. A second gateway without connections, with a lagging replica or with lost upstreams answers soon, so its failure reached the caller while the first gateway would have answered.

Change: only success, and errors that every gateway would give, end the wait for the other call. Without such an outcome that of the first gateway counts.

--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -44,10 +44,19 @@
 	err  error
 }
 
-// isFinal reports whether the outcome is one that the caller gets, rather than a reason to try
-// another process.
+// isFinal reports whether the outcome is one that every gateway would give, so that the caller
+// gets it at once. Any other, such as no room or an upstream that failed, may be that of this
+// gateway only, and one that has not answered yet may still run the read.
 func (o *offered) isFinal() bool {
-	return o.err == nil && !o.resp.Refused && !isUnavailable(o.resp.Answer) && o.resp.Answer.Code != carrier.Busy
+	if o.err != nil || o.resp.Refused {
+		return false
+	}
+	switch o.resp.Answer.Code {
+	case carrier.OK, carrier.NoStatement, carrier.NoDatabase, carrier.Forbidden, carrier.TooLarge, carrier.Malformed:
+		return true
+	default:
+		return false
+	}
 }
 
 // mayHedge reports whether a statement may be offered to a second gateway while the first has
@@ -61,7 +70,8 @@
 // offer sends the statement to a gateway and returns the outcome. A read without an answer in
 // the usual time is offered to a second gateway as well: a gateway that has been cut off is
 // known as silent only seconds later, and until then each read sent to it would be lost. The
-// first final answer counts; the other call goes on, and its answer is dropped.
+// first final answer counts; the other call goes on, and its answer is dropped. Without a final
+// answer that of the first gateway counts.
 func (s *search) offer(ctx context.Context, peer Candidate, r request) offered {
 	f := s.runner.f
 	if !s.mayHedge(&r) {
@@ -96,7 +106,7 @@
 				f.hedges.record(class, f.Now().Sub(began))
 				return o
 			}
-			if failed == nil || failed.err != nil {
+			if failed == nil || failed.err != nil || o.err == nil && o.peer.Address == peer.Address {
 				failed = &o
 			}
 			if running == 0 {
--- a/forwarder/hedge_test.go
+++ b/forwarder/hedge_test.go
@@ -95,3 +95,55 @@
 		})
 	}
 }
+
+// Guards against a caller that gets the failure of the second gateway, whose upstreams may be
+// lost or full, while the first would have answered, and against one that waits for a gateway
+// that is cut off to hear of a mistake of its own.
+func TestOutcomeOfTwoOffers(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		first, second response
+		firstTakes    time.Duration // the call is lost where that is after its deadline
+		code          carrier.Code
+	}{
+		{name: "second has no connection", second: response{Answer: carrier.Answer{Code: carrier.Overloaded}}, firstTakes: 100 * time.Millisecond},
+		{name: "second lags", second: response{Answer: carrier.Answer{Code: carrier.Lagging}}, firstTakes: 100 * time.Millisecond},
+		{name: "second fails", second: response{Answer: carrier.Answer{Code: carrier.Failed}}, firstTakes: 100 * time.Millisecond},
+		{name: "first fails later", first: response{Answer: carrier.Answer{Code: carrier.Failed}}, firstTakes: 12 * time.Millisecond},
+		{name: "both fail", first: response{Answer: carrier.Answer{Code: carrier.Failed}}, second: response{Answer: carrier.Answer{Code: carrier.Overloaded}}, firstTakes: 100 * time.Millisecond, code: carrier.Failed},
+		{name: "mistake of the caller", second: response{Answer: carrier.Answer{Code: carrier.Forbidden}}, firstTakes: time.Hour, code: carrier.Forbidden},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newHedgingFleet()
+				for range 100 {
+					f.ask(false)
+				}
+				f.answerAs(test.first, test.second, test.firstTakes)
+				code, took := f.ask(false)
+				is.Equal(code, test.code)
+				is.True(took <= 100*time.Millisecond)
+				time.Sleep(time.Second) // until the slower call has ended
+			})
+		})
+	}
+}
+
+// answerAs has the first gateway answer after a time, or not before the deadline, and the second
+// one after 10 ms.
+func (f *hedgingFleet) answerAs(first, second response, firstTakes time.Duration) {
+	f.Send = func(ctx context.Context, to netip.AddrPort, _ json.RawMessage) (json.RawMessage, error) {
+		f.calls.Add(1)
+		out, takes := second, 10*time.Millisecond
+		if to == at(0) {
+			out, takes = first, firstTakes
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errLost
+		case <-time.After(takes):
+			return json.Marshal(out)
+		}
+	}
+}
