forwarder: a read that was lost isn't refused because a second gateway refused it

Cause: where the first gateway didn't answer until the deadline and the second one refused the read, the refusal counted.

Change: at the deadline the call that was lost counts, so the caller gets a timeout as without a second offer. Before it the refusal counts as before, since it may name a substitute.

--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/carrier"
@@ -97,7 +98,7 @@
 		defer timer.Stop()
 		due = timer.C
 	}
-	var failed *offered
+	var ended []offered
 	for running := 1; ; {
 		select {
 		case o := <-results:
@@ -106,11 +107,9 @@
 				f.hedges.record(class, f.Now().Sub(began))
 				return o
 			}
-			if failed == nil || failed.err != nil || o.err == nil && o.peer.Address == peer.Address {
-				failed = &o
-			}
+			ended = append(ended, o)
 			if running == 0 {
-				return *failed
+				return s.failure(peer, ended)
 			}
 		case <-due:
 			if second, ok := s.secondGateway(peer); ok {
@@ -122,6 +121,25 @@
 	}
 }
 
+// failure returns the outcome that counts of those that are not final: that of the first gateway,
+// unless its call was lost with time left, where another gateway may have named a substitute. A
+// call that was lost at the deadline may have run, which no refusal of the other one may hide.
+func (s *search) failure(first Candidate, ended []offered) offered {
+	isOver := time.Until(s.job.Deadline) <= 0
+	for _, o := range ended {
+		if isOver && o.err != nil && !errors.Is(o.err, ErrUnsent) {
+			return o
+		}
+	}
+	best := ended[0]
+	for _, o := range ended[1:] {
+		if best.err != nil || o.err == nil && o.peer.Address == first.Address {
+			best = o
+		}
+	}
+	return best
+}
+
 // secondGateway returns the gateway to which a read that another one has not answered is offered
 // as well, within the budget of second offers.
 func (s *search) secondGateway(first Candidate) (Candidate, bool) {
