forwarder: no second offer of a read whose caller has gone

Cause: a read was offered to a second gateway though its caller had disconnected, and one that was already offered there wasn't canceled, unlike that at the first gateway. Both took places in queues for an answer that nobody reads.

Change: once the caller has gone no second offer is made, and a second one is canceled as the first is.

Measured: TestGoneCallerEndsSecondOffer fails before the change (2 calls in place of 1, 1 cancellation in place of 2) and passes with it.

--- a/forwarder/cancel.go
+++ b/forwarder/cancel.go
@@ -46,6 +46,18 @@
 
 func (f *Forwarder) cancelsWaiting() bool { return f.CancelsWaiting != nil && f.CancelsWaiting() }
 
+// watchCaller lets a request be canceled when the statement's caller disconnects, where the
+// setting asks for it. The returned function ends the watch.
+func (s *search) watchCaller(peer Candidate, r *request) (end func()) {
+	if s.job.CallerGone == nil || !s.runner.f.cancelsWaiting() {
+		return func() {}
+	}
+	if r.Stream == 0 {
+		r.Stream = s.runner.f.streams.Add(1)
+	}
+	return s.cancelWhenGone(peer, *r)
+}
+
 // cancelWhenGone cancels a statement at a peer when its caller disconnects, so that it no
 // longer takes a place in the peer's queue. The answer to the statement is still awaited: a
 // statement that was sent to the upstream goes on. The returned function ends the watch. A
--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -98,6 +98,7 @@
 		defer timer.Stop()
 		due = timer.C
 	}
+	callerGone := s.job.CallerGone
 	var ended []offered
 	for running := 1; ; {
 		select {
@@ -111,9 +112,12 @@
 			if running == 0 {
 				return s.failure(peer, ended)
 			}
+		case <-callerGone:
+			callerGone, due = nil, nil // nobody needs an answer sooner
 		case <-due:
 			if second, ok := s.secondGateway(peer); ok {
 				own := newRequest(r.Action, r.Group, s.job, r.Command, f.Now())
+				defer s.watchCaller(second, &own)()
 				start(second, own)
 				running++
 			}
--- a/forwarder/hedge_test.go
+++ b/forwarder/hedge_test.go
@@ -150,3 +150,46 @@
 		}
 	}
 }
+
+// Guards against a read that takes a place at a second gateway after its caller has gone, whether
+// it was offered there before or after that.
+func TestGoneCallerEndsSecondOffer(t *testing.T) {
+	for _, test := range []struct {
+		name            string
+		goneAfter       time.Duration
+		calls, canceled int64 // a call to the first gateway is canceled as well
+	}{
+		{name: "before the second offer", goneAfter: 3 * time.Millisecond, calls: 1, canceled: 1},
+		{name: "after it", goneAfter: 20 * time.Millisecond, calls: 2, canceled: 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newHedgingFleet()
+				f.CancelsWaiting = func() bool { return true }
+				for range 100 {
+					f.ask(false)
+				}
+				f.calls.Store(0)
+				var canceled atomic.Int64
+				f.Send = func(ctx context.Context, _ netip.AddrPort, payload json.RawMessage) (json.RawMessage, error) {
+					var r request
+					is.NoErr(json.Unmarshal(payload, &r))
+					if r.Action == cancelOne {
+						canceled.Add(1)
+						return json.Marshal(response{})
+					}
+					f.calls.Add(1)
+					<-ctx.Done()
+					return nil, errLost
+				}
+				gone := make(chan struct{})
+				time.AfterFunc(test.goneAfter, func() { close(gone) })
+				runner, _ := f.Group("g")
+				runner.Run(&carrier.Job{Arrived: time.Now(), Deadline: time.Now().Add(800 * time.Millisecond), CallerGone: gone}, carrier.Command{Verb: carrier.Read, ID: "r"})
+				is.Equal(f.calls.Load(), test.calls)
+				is.Equal(canceled.Load(), test.canceled)
+			})
+		})
+	}
+}
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -148,12 +148,7 @@
 	if modify != nil {
 		modify(&r)
 	}
-	if s.job.CallerGone != nil && s.runner.f.cancelsWaiting() {
-		if r.Stream == 0 {
-			r.Stream = s.runner.f.streams.Add(1)
-		}
-		defer s.cancelWhenGone(peer, r)()
-	}
+	defer s.watchCaller(peer, &r)()
 	ctx, cancel := withDeadline(s.job)
 	defer cancel()
 	o := s.offer(ctx, peer, r)
