spreader: a workspace stays divided where many gateways have small parts

Cause: an adjustment drops parts below 5 %. Among more than about 20 gateways each part of a workspace can be smaller, so all were dropped and every statement went to the first gateway.

Change: a part is dropped only if it is also less than half of an equal one. With ten gateways or fewer the limit is 5 % as before.

--- a/spreader/spread.go
+++ b/spreader/spread.go
@@ -191,8 +191,10 @@
 // gateway would otherwise both leave it and both return, by turns.
 func (s *spread) moveTo(parts map[string]float64, order []string) {
 	next := map[string]float64{}
+	// Of many gateways each has a small part, so less than half of an equal one is small there.
+	least := min(1-wholePart, 0.5/float64(len(order)))
 	for _, name := range order {
-		if part := (s.parts[name] + parts[name]) / 2; part >= 1-wholePart {
+		if part := (s.parts[name] + parts[name]) / 2; part >= least {
 			next[name] = part
 		}
 	}
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -162,3 +162,32 @@
 	is.Equal(len(f.gateways), maxGateways)
 	is.True(len(f.gateways["a"].uses) <= maxUses)
 }
+
+// Guards against a division that is given up where the parts of a workspace are small because
+// there are many gateways: all of it would go to the first one.
+func TestLargeWorkspaceIsDividedOverManyGateways(t *testing.T) {
+	is := is.New(t)
+	var many []string
+	for i := range 40 {
+		many = append(many, fmt.Sprintf("p%02d", i))
+	}
+	var g Group
+	now := time.Unix(1000, 0)
+	sent := map[string]float64{many[0]: 90}
+	for range 40 {
+		now = now.Add(500 * time.Millisecond)
+		for _, name := range many {
+			g.Report(name, Load{0.25 + sent[name], 0.25 + sent[name], map[uint32]float64{hot: sent[name]}}, now)
+		}
+		counts := map[string]float64{}
+		for range 900 {
+			name, _ := g.Choose(hot, many, now)
+			counts[name] += 0.1
+		}
+		sent = counts
+	}
+	even := 0.25 + 90/40.0
+	for _, name := range many {
+		is.True(0.25+sent[name] <= FullFactor*even)
+	}
+}
