spreader: reports that name many workspaces keep the largest

Cause: of a report with more than 16 workspaces (six of each of three upstreams or more) those that were read first were kept, in the random order of a map. A large workspace could be forgotten for a report, and its division with it.

Change: the 16 with the most use are kept.

Measured: TestLargestUsesAreKept fails before the change. internal/comparer/testdata/spreading.golden is unchanged.

--- a/spreader/group.go
+++ b/spreader/group.go
@@ -1,7 +1,10 @@
 package spreader
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -57,20 +60,32 @@
 	}
 	uses := make(map[uint32]float64, len(l.Uses))
 	for id, n := range l.Uses {
-		if len(uses) < maxUses {
-			uses[id] = (1 - kept) * n
-		}
+		uses[id] = (1 - kept) * n
 	}
 	for id, n := range w.uses {
-		if n *= kept; n > negligible && (uses[id] > 0 || len(uses) < maxUses) {
+		if n *= kept; n > negligible {
 			uses[id] += n
 		}
 	}
+	keepLargest(uses)
 	w.statements = kept*w.statements + (1-kept)*l.Statements
 	w.busy = kept*w.busy + (1-kept)*l.Busy
 	w.uses, w.reportedAt = uses, at
 }
 
+// keepLargest drops all but the maxUses largest uses.
+func keepLargest(uses map[uint32]float64) {
+	if len(uses) <= maxUses {
+		return
+	}
+	ids := slices.SortedFunc(maps.Keys(uses), func(a, b uint32) int {
+		return cmp.Or(cmp.Compare(uses[b], uses[a]), cmp.Compare(a, b))
+	})
+	for _, id := range ids[maxUses:] {
+		delete(uses, id)
+	}
+}
+
 // negligible is the smoothed use of a workspace that is no longer kept.
 const negligible = 0.001
 
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -191,3 +191,21 @@
 		is.True(0.25+sent[name] <= FullFactor*even)
 	}
 }
+
+// Guards against a large workspace that is forgotten because reports name more workspaces than
+// are kept.
+func TestLargestUsesAreKept(t *testing.T) {
+	is := is.New(t)
+	for range 20 { // uses are read in any order
+		var g Group
+		now := time.Unix(1000, 0)
+		uses := map[uint32]float64{hot: 1}
+		for id := range uint32(2 * maxUses) {
+			uses[10+id] = 0.01
+		}
+		g.Report("a", Load{10, 2, uses}, now)
+		g.Report("a", Load{10, 2, uses}, now.Add(100*time.Millisecond))
+		is.True(g.MayChoose(hot, now.Add(time.Second)))
+		is.True(len(g.gateways["a"].uses) <= maxUses)
+	}
+}
