--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/carrier"
@@ -44,10 +45,19 @@
 	err  error
 }
 
-// isFinal reports whether the outcome is one that the caller gets, rather than a reason to try
-// another process.
+// isFinal reports whether the outcome is one that every gateway would give, so that the caller
+// gets it at once. Any other, such as no room or an upstream that failed, may be that of this
+// gateway only, and one that has not answered yet may still run the read.
 func (o *offered) isFinal() bool {
-	return o.err == nil && !o.resp.Refused && !isUnavailable(o.resp.Answer) && o.resp.Answer.Code != carrier.Busy
+	if o.err != nil || o.resp.Refused {
+		return false
+	}
+	switch o.resp.Answer.Code {
+	case carrier.OK, carrier.NoStatement, carrier.NoDatabase, carrier.Forbidden, carrier.TooLarge, carrier.Malformed:
+		return true
+	default:
+		return false
+	}
 }
 
 // mayHedge reports whether a statement may be offered to a second gateway while the first has
@@ -61,7 +71,8 @@
 // offer sends the statement to a gateway and returns the outcome. A read without an answer in
 // the usual time is offered to a second gateway as well: a gateway that has been cut off is
 // known as silent only seconds later, and until then each read sent to it would be lost. The
-// first final answer counts; the other call goes on, and its answer is dropped.
+// first final answer counts; the other call goes on, and its answer is dropped. Without a final
+// answer that of the first gateway counts.
 func (s *search) offer(ctx context.Context, peer Candidate, r request) offered {
 	f := s.runner.f
 	if !s.mayHedge(&r) {
@@ -87,7 +98,8 @@
 		defer timer.Stop()
 		due = timer.C
 	}
-	var failed *offered
+	callerGone := s.job.CallerGone
+	var ended []offered
 	for running := 1; ; {
 		select {
 		case o := <-results:
@@ -96,15 +108,16 @@
 				f.hedges.record(class, f.Now().Sub(began))
 				return o
 			}
-			if failed == nil || failed.err != nil {
-				failed = &o
-			}
+			ended = append(ended, o)
 			if running == 0 {
-				return *failed
+				return s.failure(peer, ended)
 			}
+		case <-callerGone:
+			callerGone, due = nil, nil // nobody needs an answer sooner
 		case <-due:
 			if second, ok := s.secondGateway(peer); ok {
 				own := newRequest(r.Action, r.Group, s.job, r.Command, f.Now())
+				defer s.watchCaller(second, &own)()
 				start(second, own)
 				running++
 			}
@@ -112,6 +125,25 @@
 	}
 }
 
+// failure returns the outcome that counts of those that are not final: that of the first gateway,
+// unless its call was lost with time left, where another gateway may have named a substitute. A
+// call that was lost at the deadline may have run, which no refusal of the other one may hide.
+func (s *search) failure(first Candidate, ended []offered) offered {
+	isOver := time.Until(s.job.Deadline) <= 0
+	for _, o := range ended {
+		if isOver && o.err != nil && !errors.Is(o.err, ErrUnsent) {
+			return o
+		}
+	}
+	best := ended[0]
+	for _, o := range ended[1:] {
+		if best.err != nil || o.err == nil && o.peer.Address == first.Address {
+			best = o
+		}
+	}
+	return best
+}
+
 // secondGateway returns the gateway to which a read that another one has not answered is offered
 // as well, within the budget of second offers.
 func (s *search) secondGateway(first Candidate) (Candidate, bool) {
