limiter: the division of an upstream speaks of demand

Cause: the type want and its fields named a demand in other words than the rest of the package.

Change: want is workspaceDemand, its fields and those of claim say Demand. Nothing else changes.

--- a/limiter/division.go
+++ b/limiter/division.go
@@ -5,33 +5,35 @@
 	"time"
 )
 
-// want is what a workspace wants of an upstream, in slots, and what it gets.
-type want struct {
+// workspaceDemand is a workspace's demand at an upstream and its shares of it, in slots.
+type workspaceDemand struct {
 	weight       float64
-	urgent, rest float64
+	urgentDemand float64
+	restDemand   float64
 	urgentShare  float64
 	restShare    float64
 }
 
-// claim is the part of a workspace's want that one gateway has. Workspaces that a report does
-// not name count as one with the weight of all.
+// claim is the part of a workspace's demand that is at one gateway. Workspaces that a report
+// does not name count as one with the weight of all.
 type claim struct {
 	gateway      int
-	of           *want
-	urgent, rest float64
+	of           *workspaceDemand
+	urgentDemand float64
+	restDemand   float64
 }
 
 // division is the state of one call of [Division.Window].
 type division struct {
-	claims []claim
-	wants  []*want
-	sum    float64 // wanted in all
-	busy   float64 // used in the last second; what the upstream can do at least
+	claims     []claim
+	workspaces []*workspaceDemand
+	demand     float64 // of all workspaces
+	busy       float64 // used in the last second; what the upstream can do at least
 }
 
 // Window returns how many requests the gateway with the first of the loads may always have at
 // the upstream, and the bounds of less urgent ones. Urgent work of all gateways comes first,
-// but for one slot in eight that less urgent work keeps if it wants it. Each of the two is
+// but for one slot in eight that less urgent work keeps if it has the demand. Each of the two is
 // divided by max-min fairness among workspaces, and each workspace's part among the gateways by
 // its demand. Less urgent work of workspaces above their fair share only fills the gateway's
 // even part of the slots. The window is Equal, and nothing is bounded, while there is one load
@@ -41,8 +43,8 @@
 		return d.Equal, less
 	}
 	capacity := d.Slots * max(d.Stretch, 1)
-	s := d.wanted(loads)
-	if s.sum <= 0 || s.sum < contendedFill*capacity {
+	s := d.collect(loads)
+	if s.demand <= 0 || s.demand < contendedFill*capacity {
 		return d.Equal, less
 	}
 	served := s.share(max(capacity, s.busy))
@@ -63,28 +65,28 @@
 	return cut
 }
 
-// wanted collects what the workspaces want of the upstream. A gateway that doesn't state what
+// collect returns the demand of the workspaces at the upstream. A gateway that doesn't state what
 // is urgent counts with the mean part of those that do.
-func (d *Division) wanted(loads []Load) *division {
+func (d *Division) collect(loads []Load) *division {
 	s := &division{}
 	part := d.urgentPart(loads)
-	named := map[uint32]*want{}
+	named := map[uint32]*workspaceDemand{}
 	for i := range loads {
 		l := &loads[i]
 		for _, u := range l.Used {
 			w := named[u.Account]
 			if w == nil {
-				w = &want{weight: d.Weight(u.Account)}
+				w = &workspaceDemand{weight: d.Weight(u.Account)}
 				named[u.Account] = w
-				s.wants = append(s.wants, w)
+				s.workspaces = append(s.workspaces, w)
 			}
 			s.busy += u.Busy.Seconds()
 			s.add(i, w, u.Demand(d.Mean).Seconds(), l.urgent(u.Urgent, u.Demand(d.Mean), part))
 		}
 		if l.Others > 0 {
-			w := &want{weight: float64(l.Others)}
+			w := &workspaceDemand{weight: float64(l.Others)}
 			s.busy += l.Rest.Seconds()
-			s.wants = append(s.wants, w)
+			s.workspaces = append(s.workspaces, w)
 			s.add(i, w, l.Rest.Seconds(), l.urgent(l.RestUrgent, l.Rest, part))
 		}
 	}
@@ -120,37 +122,37 @@
 	return min(stated, demand).Seconds()
 }
 
-func (s *division) add(gateway int, w *want, all, urgent float64) {
-	w.urgent += urgent
-	w.rest += all - urgent
-	s.sum += all
+func (s *division) add(gateway int, w *workspaceDemand, all, urgent float64) {
+	w.urgentDemand += urgent
+	w.restDemand += all - urgent
+	s.demand += all
 	s.claims = append(s.claims, claim{gateway, w, urgent, all - urgent})
 }
 
 // share divides a capacity among the workspaces and returns what they get of it.
 func (s *division) share(capacity float64) (served float64) {
 	rest := 0.0
-	demands := make([]Demand, len(s.wants))
-	for i, w := range s.wants {
-		rest += w.rest
-		demands[i] = Demand{Weight: w.weight, Slots: w.urgent}
+	demands := make([]Demand, len(s.workspaces))
+	for i, w := range s.workspaces {
+		rest += w.restDemand
+		demands[i] = Demand{Weight: w.weight, Slots: w.urgentDemand}
 	}
 	level := fairLevel(capacity-min(capacity/floorTurn, rest), demands)
-	for i, w := range s.wants {
-		w.urgentShare = min(w.urgent, level*w.weight)
+	for i, w := range s.workspaces {
+		w.urgentShare = min(w.urgentDemand, level*w.weight)
 		served += w.urgentShare
-		demands[i].Slots = w.urgentShare + w.rest
+		demands[i].Slots = w.urgentShare + w.restDemand
 	}
 	level = fairLevel(capacity, demands)
 	sum := 0.0
-	for _, w := range s.wants {
-		w.restShare = min(w.rest, max(0, level*w.weight-w.urgentShare))
+	for _, w := range s.workspaces {
+		w.restShare = min(w.restDemand, max(0, level*w.weight-w.urgentShare))
 		sum += w.restShare
 	}
 	// Urgent work may exceed a workspace's share of the whole; less urgent work of others
 	// gets what remains.
 	if left := capacity - served; sum > left {
-		for _, w := range s.wants {
+		for _, w := range s.workspaces {
 			w.restShare *= left / sum
 		}
 		sum = left
@@ -162,17 +164,17 @@
 // whether any gateway has less urgent work.
 func (s *division) partOf(gateway int) (urgent, rest float64, lessUrgent bool) {
 	for _, c := range s.claims {
-		lessUrgent = lessUrgent || c.rest > 0
+		lessUrgent = lessUrgent || c.restDemand > 0
 		if c.gateway != gateway {
 			continue
 		}
-		if c.of.urgentShare < c.of.urgent {
-			urgent += c.of.urgentShare * c.urgent / c.of.urgent
+		if c.of.urgentShare < c.of.urgentDemand {
+			urgent += c.of.urgentShare * c.urgentDemand / c.of.urgentDemand
 		} else {
-			urgent += headroom * c.urgent
+			urgent += headroom * c.urgentDemand
 		}
-		if c.rest > 0 {
-			rest += c.of.restShare * c.rest / c.of.rest
+		if c.restDemand > 0 {
+			rest += c.of.restShare * c.restDemand / c.of.restDemand
 		}
 	}
 	return urgent, rest, lessUrgent
