limiter: who asks for less than its fair share is served within it

Cause: the demand behind the fair shares counted waiting work six times, and an item both while it waited and for a second after its service. At six gateways the level came from the window, which is larger than the gateway's part of the upstream.

Change: demand is counted once, when an item is offered. A workspace whose demand is below 0.55 of the fair share of the gateway's own part of the upstream is within its share; less urgent work of the others comes after that. The rate of those above it leaves what workspaces get for more urgent work. New accounts, and all in the first second, are served by their excess alone.

TestLargeWorkspaceBelowItsShare fails on the code before. The tests of the division name its third result; no bound is changed.

--- a/carrier/fairness.go
+++ b/carrier/fairness.go
@@ -142,8 +142,9 @@
 		Slots: float64(u.slots), Stretch: u.gate.Stretch(), Total: slotFillFactor * float64(u.slots),
 		Equal: g.minWindow(u, g.shareOf(u.id)), Mean: u.gate.MeanServiceTime(limiter.Lookup), Weight: s.weight,
 	}
-	window, less := d.Window(loads)
+	window, less, share := d.Window(loads)
 	u.gate.SetLessUrgent(less)
+	u.gate.SetShare(share)
 	u.gate.SetWindowMin(min(window, maxWindow))
 }
 
--- a/internal/comparer/fair.go
+++ b/internal/comparer/fair.go
@@ -360,9 +360,10 @@
 		Slots: fairSlots, Stretch: g.queue.Stretch(), Total: fairFill * fairSlots, Equal: g.equalWindow(), Mean: mean,
 		Weight: func(uint32) float64 { return 1 },
 	}
-	window, less := d.Window(loads)
+	window, less, share := d.Window(loads)
 	g.queue.Window.Min = min(window, 16)
 	g.queue.SetLessUrgent(less)
+	g.queue.SetShare(share)
 	g.pump()
 }
 
--- a/internal/comparer/fair_test.go
+++ b/internal/comparer/fair_test.go
@@ -58,6 +58,32 @@
 	matcher.Golden(t, "testdata/fair.golden", b.String())
 }
 
+// Guards against a large workspace that asks for less than its fair share and loses its
+// dashboards beside a hot one, because work that waits counts more than once in the demand of
+// small ones. The targets hold over several arrival patterns.
+func TestLargeWorkspaceBelowItsShare(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []FairCase{
+		{Gateways: 1, Fair: true},
+		{Gateways: 6, Fair: true, HotAtOne: true},
+		{Gateways: 6, Fair: true},
+	} {
+		all := map[string]float64{}
+		for seed := range uint64(4) {
+			counts, left := PlayFair(c, seed+1)
+			is.Equal(left, 0)
+			for _, k := range kinds() {
+				all[k.name+" large"] += inTime(counts, k.name, "large") / 4
+				all[k.name+" small"] += inTime(counts, k.name, "small") / 4
+			}
+		}
+		for key, part := range all {
+			t.Logf("%d gateways, hot at one %v: %s %.1f %%", c.Gateways, c.HotAtOne, key, 100*part)
+			is.True(part >= 0.99)
+		}
+	}
+}
+
 // Guards against a part of the group that suffers when the exchange of reports fails: without
 // reports each gateway is fair by itself, and none is trusted or counted beyond its bounds.
 func TestFairFailures(t *testing.T) {
--- a/limiter/division.go
+++ b/limiter/division.go
@@ -32,20 +32,20 @@
 }
 
 // Window returns how many requests the gateway with the first of the loads may always have at
-// the upstream, and the bounds of less urgent ones. Urgent work of all gateways comes first,
+// the upstream, the bounds of less urgent ones, and how many slots it gets on average. Urgent work of all gateways comes first,
 // but for one slot in eight that less urgent work keeps if it has the demand. Each of the two is
 // divided by max-min fairness among workspaces, and each workspace's part among the gateways by
 // its demand. Less urgent work of workspaces above their fair share only fills the gateway's
-// even part of the slots. The window is Equal, and nothing is bounded, while there is one load
-// only or the upstream isn't contended.
-func (d *Division) Window(loads []Load) (window int, less LessUrgent) {
+// even part of the slots. The window is Equal, nothing is bounded and the share is zero, while
+// there is one load only or the upstream isn't contended.
+func (d *Division) Window(loads []Load) (window int, less LessUrgent, share float64) {
 	if len(loads) < 2 || d.Slots <= 0 || d.Total <= 0 {
-		return d.Equal, less
+		return d.Equal, less, 0
 	}
 	capacity := d.Slots * max(d.Stretch, 1)
 	s := d.collect(loads)
 	if s.demand <= 0 || s.demand < contendedFill*capacity {
-		return d.Equal, less
+		return d.Equal, less, 0
 	}
 	served := s.share(max(capacity, s.busy))
 	urgent, rest, lessUrgent := s.partOf(0)
@@ -53,7 +53,7 @@
 	if lessUrgent {
 		less = LessUrgent{From: cutOfAll(loads), Slots: max(1, int(math.Ceil(d.Total*rest/served))), Fill: int(math.Ceil(d.Slots / float64(len(loads))))}
 	}
-	return max(1, window+less.Slots), less
+	return max(1, window+less.Slots), less, s.shareOf(0)
 }
 
 // cutOfAll returns the least urgent cut of the gateways, so that all have the same one.
@@ -179,3 +179,19 @@
 	}
 	return urgent, rest, lessUrgent
 }
+
+// shareOf returns the slots that one gateway gets on average, without headroom.
+func (s *division) shareOf(gateway int) (slots float64) {
+	for _, c := range s.claims {
+		if c.gateway != gateway {
+			continue
+		}
+		if c.urgentDemand > 0 {
+			slots += c.of.urgentShare * c.urgentDemand / c.of.urgentDemand
+		}
+		if c.restDemand > 0 {
+			slots += c.of.restShare * c.restDemand / c.of.restDemand
+		}
+	}
+	return slots
+}
--- a/limiter/fair.go
+++ b/limiter/fair.go
@@ -22,9 +22,6 @@
 	// lessUrgentPart is the part of the slots that less urgent work may claim against the
 	// fair shares of more urgent work.
 	lessUrgentPart = 1.0 / floorTurn
-	// waitingFactor is how much more than once a second waiting work counts as demand: it is
-	// wanted within the shortest objective of most work, less the service time.
-	waitingFactor = 6
 	// promiseWindow bounds how far ahead promised turns count. Most callers that are told a
 	// later one are past their deadline by then.
 	promiseWindow = time.Second
@@ -103,7 +100,9 @@
 	levels  [PriorityCount]float64
 	levelAt time.Time
 	demands []Demand
-	cut     uint8 // see Queue.Cut
+	floors  []float64
+	share   float64 // see Queue.SetShare
+	cut     uint8   // see Queue.Cut
 	less    LessUrgent
 	run     int           // items served in a row while less urgent ones waited
 	queued  time.Duration // service time of all waiting items
@@ -122,6 +121,7 @@
 	class    Class
 	tier     uint8
 	bucket   uint8
+	excess   bool // its workspace is above its fair share and has used it up
 }
 
 // fairAccount is the account of one workspace. Times count from the epoch of the policy.
@@ -133,20 +133,31 @@
 	weight  float64
 	urgency [PriorityCount]fairUrgency
 	used    usage
-	wanted  [PriorityCount]usage // service time by priority, with that of refused items
+	asked   [PriorityCount]usage // service time by priority, counted once for each item offered
+	granted float64              // slots that it gets for the priorities that a refresh has passed
 }
 
 // fairUrgency is what an account holds of items of one or a more urgent priority.
 type fairUrgency struct {
-	pace    float64       // inverse of the fair share in slots
-	reached time.Duration // when the fair share has provided the service received
-	queued  time.Duration // service time of waiting items
-	scan    uint64        // number of the last scan that set excess
-	excess  float64       // that of the next item of the scan, in nanoseconds
+	pace     float64       // inverse of the rate in slots; see fair.levelOf
+	standing standing      // what it asks for against its fair share; see fair.compare
+	reached  time.Duration // when the fair share has provided the service received
+	queued   time.Duration // service time of waiting items
+	scan     uint64        // number of the last scan that set excess
+	excess   float64       // that of the next item of the scan, in nanoseconds
 	// promised is when the last of the turns that refused items were promised is over.
 	promised time.Duration
 }
 
+// standing is what a workspace asks for against its fair share.
+type standing uint8
+
+const (
+	unknownStanding standing = iota
+	belowShare
+	aboveShare
+)
+
 // usage counts service time over a sliding window of two parts.
 type usage struct {
 	window       time.Duration // number of the current window
@@ -215,7 +226,7 @@
 		if !a.inUse || a.waiting > 0 || a.running > 0 {
 			continue
 		}
-		if all || a.demand(t, 0, PriorityCount) == 0 && a.urgency[PriorityCount-1].reached <= t {
+		if all || a.demand(t, 0, PriorityCount, 0) == 0 && a.urgency[PriorityCount-1].reached <= t {
 			delete(f.accounts, a.id)
 			a.inUse = false
 			f.free = append(f.free, int32(i))
@@ -223,18 +234,19 @@
 	}
 }
 
-// demand returns the service time that a workspace wants in a second for items of the
-// priorities from the first up to, but not including, the last.
-func (a *fairAccount) demand(t time.Duration, from, to int) time.Duration {
+// demand returns the service time that a workspace has asked for in the last second for items
+// of the priorities from the first up to, but not including, the last, and that of those that
+// wait, times the factor.
+func (a *fairAccount) demand(t time.Duration, from, to, factor int) time.Duration {
 	sum := time.Duration(0)
 	for p := from; p < to; p++ {
-		sum += a.wanted[p].sum(t)
+		sum += max(a.asked[p].sum(t), 0)
 	}
 	if to > 0 {
-		sum += waitingFactor * a.urgency[to-1].queued
+		sum += time.Duration(factor) * a.urgency[to-1].queued
 	}
 	if from > 0 {
-		sum -= waitingFactor * a.urgency[from-1].queued
+		sum -= time.Duration(factor) * a.urgency[from-1].queued
 	}
 	return sum
 }
@@ -245,81 +257,6 @@
 	}
 }
 
-// refresh computes the fair rates anew. Where a workspace also has work at other gateways,
-// its weight is divided among the gateways by its demand.
-func (f *fair) refresh(now time.Time, slots int) {
-	if now.Sub(f.levelAt) < levelInterval && !now.Before(f.levelAt) {
-		return
-	}
-	f.levelAt = now
-	t := now.Sub(f.epoch)
-	f.forget(t, false)
-	var wanted [PriorityCount]time.Duration
-	for i := range f.list {
-		for p := range wanted {
-			if a := &f.list[i]; a.inUse {
-				wanted[p] += a.demand(t, p, p+1)
-			}
-		}
-	}
-	less := time.Duration(0) // demand of less urgent work
-	for _, d := range wanted {
-		less += d
-	}
-	f.cut = cutOf(&wanted, less)
-	for p, d := range wanted {
-		less -= d
-		if p > 0 && d == 0 {
-			f.levels[p] = f.levels[p-1]
-			continue
-		}
-		f.levels[p] = f.levelOf(t, p, float64(slots), less)
-	}
-	for i := range f.list {
-		if a := &f.list[i]; a.inUse {
-			a.setPaces(&f.levels, a.weight*f.part(a.id, a.demand(t, 0, PriorityCount)))
-		}
-	}
-}
-
-// cutOf returns the least urgent priority from which on the demand is at least what the
-// starvation floor reserves of it all, or zero.
-func cutOf(wanted *[PriorityCount]time.Duration, all time.Duration) uint8 {
-	less := time.Duration(0)
-	for p := PriorityCount - 1; p > 0; p-- {
-		less += wanted[p]
-		if less > 0 && floorTurn*less >= all {
-			return uint8(p)
-		}
-	}
-	return 0
-}
-
-// levelOf returns the fair share of work of a priority, given the demand of less urgent work.
-func (f *fair) levelOf(t time.Duration, priority int, slots float64, less time.Duration) float64 {
-	scale := 1.0
-	if most := lessUrgentPart * slots; less.Seconds() > most {
-		scale = most / less.Seconds()
-	}
-	f.demands = f.demands[:0]
-	for i := range f.list {
-		if a := &f.list[i]; a.inUse {
-			urgent, rest := a.demand(t, 0, priority+1), a.demand(t, priority+1, PriorityCount)
-			f.demands = append(f.demands, Demand{Weight: a.weight * f.part(a.id, urgent+rest), Slots: urgent.Seconds() + scale*rest.Seconds()})
-		}
-	}
-	return fairLevel(slots, f.demands)
-}
-
-// part returns the part of a workspace's demand that is at this gateway.
-func (f *fair) part(id uint32, here time.Duration) float64 {
-	elsewhere := f.peers[id]
-	if elsewhere <= 0 {
-		return 1
-	}
-	return max(float64(here)/float64(here+elsewhere), minPart)
-}
-
 // times returns how long work takes at a pace.
 func times(work time.Duration, pace float64) time.Duration {
 	return time.Duration(float64(work) * pace)
@@ -348,7 +285,7 @@
 // use counts service time received outside the queue.
 func (a *fairAccount) use(t, took, credit time.Duration, priority uint8) {
 	a.used.add(t, took)
-	a.wanted[priority].add(t, took)
+	a.asked[priority].add(t, took)
 	a.charge(t, took, credit, priority)
 }
 
@@ -368,8 +305,10 @@
 }
 
 // next sets the tier and bucket of the account's next item in the order of the scan. Its excess
-// counts the more urgent items of the account, and those that the scan has passed.
-func (a *fairAccount) next(scan uint64, t, credit time.Duration, n *fairNode) {
+// counts the more urgent items of the account, and those that the scan has passed. Items of a
+// workspace below its fair share are within it, also in a burst; those of one above it come
+// after these.
+func (a *fairAccount) next(scan uint64, t, credit time.Duration, n *fairNode, cut uint8) {
 	u := &a.urgency[n.priority]
 	if u.scan != scan {
 		u.scan = scan
@@ -379,6 +318,13 @@
 		}
 	}
 	n.tier = excessTier(u.excess)
+	n.excess = n.tier > 0 && u.standing != belowShare
+	switch {
+	case u.standing == belowShare:
+		n.tier = 0
+	case u.standing == aboveShare && n.priority >= cut:
+		n.tier = max(n.tier, 1)
+	}
 	n.bucket = bucketOf(n.tier, n.priority)
 	u.excess += float64(n.cost) * u.pace
 }
--- a/limiter/fair_less.go
+++ b/limiter/fair_less.go
@@ -43,7 +43,7 @@
 		return true
 	case !l.bounds(n):
 		return false
-	case n.tier > 0 && len(q.active) >= l.Fill:
+	case n.excess && len(q.active) >= l.Fill:
 		return true
 	default:
 		return q.runningLessUrgent() >= l.Slots
--- a/limiter/fair_queue.go
+++ b/limiter/fair_queue.go
@@ -57,7 +57,7 @@
 	for i := range q.fair.list {
 		a := &q.fair.list[i]
 		if u := (Usage{Account: a.id, Busy: a.used.sum(t), Waiting: a.waiting}); a.inUse && (u.Busy > 0 || u.Waiting > 0) {
-			u.Urgent = a.demand(t, 0, int(cut))
+			u.Urgent = a.demand(t, 0, int(cut), waitingFactor)
 			to = append(to, u)
 		}
 	}
@@ -103,6 +103,7 @@
 	a.waiting++
 	f.queued += f.nodes[i].cost
 	a.queue(f.nodes[i].cost, f.nodes[i].priority)
+	a.asked[f.nodes[i].priority].add(now.Sub(f.epoch), f.nodes[i].cost)
 }
 
 // leaveFair takes a node that no longer waits out of its workspace's account.
@@ -128,7 +129,7 @@
 	a, t := &q.fair.list[n.account], now.Sub(q.fair.epoch)
 	a.running--
 	a.used.add(t, took)
-	a.wanted[n.priority].add(t, took)
+	a.asked[n.priority].add(t, took-n.cost)
 	a.correct(took-n.cost, n.priority)
 }
 
@@ -154,7 +155,7 @@
 	urgent = PriorityCount
 	for _, i := range q.order {
 		n := &q.fair.nodes[i]
-		f.list[n.account].next(f.scans, t, credit, n)
+		f.list[n.account].next(f.scans, t, credit, n, f.cut)
 		f.sums[n.bucket] += n.cost
 		urgent = min(urgent, n.priority)
 	}
@@ -252,9 +253,7 @@
 // refuseFair refuses the waiting node at index at.
 func (q *Queue) refuseFair(at int, cause retrier.Cause, now time.Time) {
 	i := q.order[at]
-	n := &q.fair.nodes[i]
 	e := q.fairRefusal(i, cause, now)
-	q.fair.list[n.account].wanted[n.priority].add(now.Sub(q.fair.epoch), n.cost)
 	q.remove(at)
 	q.release(i)
 	q.refused = append(q.refused, e)
--- a/limiter/fair_test.go
+++ b/limiter/fair_test.go
@@ -308,7 +308,7 @@
 		sum := 0
 		for i := range loads {
 			loads[0], loads[i] = loads[i], loads[0]
-			n, less := d.Window(loads)
+			n, less, _ := d.Window(loads)
 			if less.Slots > n {
 				t.Fatalf("gateway %d may have %d less urgent of %d", i, less.Slots, n)
 			}
@@ -331,7 +331,7 @@
 	hot := Load{Used: []Usage{{Account: 1, Busy: 2 * time.Second, Waiting: 50}}, Rest: 100 * time.Millisecond, Others: 10}
 	small := Load{Used: []Usage{{Account: 2, Busy: 200 * time.Millisecond}}, Rest: 400 * time.Millisecond, Others: 10}
 	window := func(loads ...Load) int {
-		n, less := d.Window(loads)
+		n, less, _ := d.Window(loads)
 		is.Equal(less, LessUrgent{}) // no report tells what is urgent
 		return n
 	}
@@ -349,20 +349,20 @@
 	load := func(id uint32, urgent time.Duration) Load {
 		return Load{Used: []Usage{{Account: id, Busy: 3 * time.Second, Urgent: urgent}}, Cut: 2}
 	}
-	window, less := d.Window([]Load{load(1, 3*time.Second), load(2, 0)})
+	window, less, _ := d.Window([]Load{load(1, 3*time.Second), load(2, 0)})
 	is.Equal(window-less.Slots, 6) // urgent work of 3 of 6 slots in use, twice its part of the total
 	is.Equal(less, LessUrgent{From: 2, Slots: 1, Fill: 2})
-	window, less = d.Window([]Load{load(2, 0), load(1, 3*time.Second)})
+	window, less, _ = d.Window([]Load{load(2, 0), load(1, 3*time.Second)})
 	is.Equal(window, less.Slots)
 	is.Equal(less.Slots, 3)
 	older := load(1, 0)
 	older.Cut = 0 // doesn't state what is urgent: counts as the others do
-	window, _ = d.Window([]Load{older, load(2, 3*time.Second)})
+	window, _, _ = d.Window([]Load{older, load(2, 3*time.Second)})
 	is.Equal(window, 6)
 	flood := load(1, 3*time.Second)
 	flood.Used[0].Busy = 40 * time.Second
 	flood.Used[0].Urgent = 40 * time.Second
-	_, less = d.Window([]Load{load(2, 0), flood})
+	_, less, _ = d.Window([]Load{load(2, 0), flood})
 	is.True(less.Slots >= 1)
 }
 
--- a/limiter/gate.go
+++ b/limiter/gate.go
@@ -71,6 +71,13 @@
 	g.Queue.SetPeers(peers)
 }
 
+// SetShare sets this gateway's share of the upstream; see [Queue.SetShare].
+func (g *Gate) SetShare(slots float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Queue.SetShare(slots)
+}
+
 // Stretch returns by how much service times are longer than usual; see [Queue.Stretch].
 func (g *Gate) Stretch() float64 {
 	g.mu.Lock()
