--- a/throttler/inquiry.go
+++ b/throttler/inquiry.go
@@ -109,9 +109,10 @@
 	return wake
 }
 
-// Reply handles the verdict of an owner.
+// Reply handles the verdict of an owner. One that comes after Until is not used: the window in
+// which the owner counted it may have ended.
 func (q *Inquiry) Reply(m *Message, now time.Time) {
-	if q.hasVerdict {
+	if q.hasVerdict || !now.Before(q.Until) {
 		return
 	}
 	q.verdict = m.Verdict
