carrier: statements that a loan's end cuts show nothing of the upstream

Cause: a statement cut at the end of a loan counted as a failure of the upstream, and a write cut after 700 ms as a commit that stalls. Both take work away from an upstream that works, the second lets others replace a leader. Change: an exchange on a connection that this process has closed ends with the error for a missing share, which counts for neither. What the caller is told stays: a write that was sent is in doubt and isn't sent again.

--- a/carrier/division_test.go
+++ b/carrier/division_test.go
@@ -133,3 +133,75 @@
 		c.Stop()
 	})
 }
+
+// hangingLink is a connection on which a write is not answered.
+type hangingLink struct {
+	slotLink
+	aborted chan struct{}
+}
+
+func (l *hangingLink) Abort() { close(l.aborted) }
+
+func (l *hangingLink) Exchange(deadline time.Time, commands ...Command) ([]Answer, bool, error) {
+	if commands[0].Verb != Write {
+		return l.slotLink.Exchange(deadline, commands...)
+	}
+	select {
+	case <-l.aborted:
+	case <-time.After(time.Until(deadline)):
+	}
+	return nil, true, context.DeadlineExceeded
+}
+
+// Guards against an upstream that counts as failing, or a leader as stalled, because this
+// process closed connections at the end of a loan, and against a write that is cut and sent
+// again.
+func TestCutStatementsShowNothingOfTheUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		dial := func(context.Context, cataloger.Upstream, string) (Link, error) {
+			return &hangingLink{aborted: make(chan struct{})}, nil
+		}
+		c := &Registry{Dial: dial, Now: time.Now, Log: zap.NewNop(), ConnectionShares: func(map[string]int, int) map[string]int { return map[string]int{"g": 1} }}
+		c.DivideConnections(9, []cataloger.GroupSettings{{Name: "g", MaxConnections: 10}})
+		c.SetUpstreams([]cataloger.Upstream{{ID: "a", Group: "g", Leads: true, Slots: 6}})
+		g, _ := c.Group("g")
+		u := g.upstreams[0]
+		loan := []Extra{{Count: 1, Until: time.Now().Add(20 * time.Second), Serving: true}}
+		g.ExtendConns("a", loan)
+		answered := make(chan Answer, 2)
+		for range 2 {
+			go func() {
+				j := latest(9 * time.Second)
+				j.Writes = true
+				answered <- g.Run(j, Command{Verb: Write})
+			}()
+		}
+		time.Sleep(5 * time.Second)
+		g.ExtendConns("a", nil)
+		is.Equal((<-answered).Code, InDoubt)
+		is.True(u.writeTimedOutAt.IsZero())
+		is.Equal(u.failures.rate, 0.0)
+		is.Equal((<-answered).Code, InDoubt) // by its deadline
+		is.True(!u.writeTimedOutAt.IsZero())
+
+		g.ExtendConns("a", loan)
+		var open []Transaction
+		for range 2 {
+			tx, answer := g.Start(latest(5*time.Second), false, Command{Verb: Begin})
+			is.Equal(answer.Code, OK)
+			open = append(open, tx)
+		}
+		g.ExtendConns("a", nil)
+		aborted := 0
+		for _, tx := range open {
+			if tx.Do(latest(time.Second), Command{Verb: Begin}).Code == Aborted {
+				aborted++
+			}
+			tx.Rollback()
+		}
+		is.Equal(aborted, 1)
+		is.Equal(u.failures.rate, 0.0)
+		c.Stop()
+	})
+}
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -126,7 +126,9 @@
 	now := g.registry.Now()
 	took := now.Sub(r.exchangeStartedAt)
 	account.end(took, now)
-	if err != nil && r.inDoubtIfLost && took > commitStallThreshold && u.wroteAt.Before(r.exchangeStartedAt) {
+	if err != nil && r.conn.cut {
+		err = errors.Mark(err, errNoShare) // closed by this process: it shows nothing of the upstream
+	} else if err != nil && r.inDoubtIfLost && took > commitStallThreshold && u.wroteAt.Before(r.exchangeStartedAt) {
 		u.writeTimedOutAt = now
 	}
 	r.exchangeStartedAt = time.Time{}
@@ -234,7 +236,7 @@
 	if err != nil {
 		g.release(u, r.conn, false)
 		j.markTried(u)
-		if sent && time.Until(j.Deadline) > 0 {
+		if sent && time.Until(j.Deadline) > 0 && !errors.Is(err, errNoShare) {
 			g.recordFailure(u, true) // lost before the deadline: an overloaded upstream, which is only late, does not count as failing
 		}
 		answer, again := lostAnswer(j, sent)
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/cataloger"
@@ -133,7 +134,7 @@
 	t.charge(j, started)
 	if err != nil {
 		j.markTried(t.upstream)
-		if time.Until(j.Deadline) > 0 {
+		if time.Until(j.Deadline) > 0 && !errors.Is(err, errNoShare) {
 			t.group.recordFailure(t.upstream, true)
 		}
 		return Answer{Code: Aborted, Text: "connection lost inside the transaction", State: InFailedTransaction}
