forwarder: loans between gateways forget upstreams that aren't listed any more

Cause: for each upstream that ever was listed a process kept a lender and a borrower, and looked at them 20 times a second; both grew as long as it ran. Change: those that are idle and of no upstream that may be lent are dropped after a minute. A reply that comes later is ignored.

--- a/delegator/spare_lender.go
+++ b/delegator/spare_lender.go
@@ -40,7 +40,8 @@
 
 // SpareLender makes loans of the connections of one gateway to one upstream, to other gateways
 // of the group that lack them. One SpareLender must serve an upstream for the whole life of
-// the process. It is not safe for concurrent use.
+// the process, because the numbers of its loans are used once; a new one may take its place
+// when it has been idle for many times Duration. It is not safe for concurrent use.
 type SpareLender struct {
 	// Self identifies this process and its start, and Upstream the upstream.
 	Self     string
--- a/forwarder/division.go
+++ b/forwarder/division.go
@@ -15,11 +15,16 @@
 // spareKey names an upstream of a group.
 type spareKey struct{ group, upstream string }
 
-// spares lends connections to one upstream to other gateways of its group, and borrows from
-// them. Those that are idle stay, because the numbers of loans must not be used again.
+// sparesTTL is how long spares stay that are idle and of no upstream that may be lent. The
+// numbers of loans begin anew after it, when no token, message or record of an earlier loan is
+// valid: these last some seconds.
+const sparesTTL = time.Minute
+
+// spares lends connections to one upstream to other gateways of its group, and borrows some.
 type spares struct {
 	lender   delegator.SpareLender
 	borrower delegator.SpareBorrower
+	neededAt time.Time // when there was last a loan, or there could have been one
 }
 
 // isIdle reports whether there is no loan.
@@ -57,10 +62,16 @@
 	if l.divides() && !l.Leaving() {
 		for _, g := range l.Gateways() {
 			for _, id := range g.UpstreamIDs() {
-				l.spare(spareKey{g.Name(), id})
+				l.spare(spareKey{g.Name(), id}).neededAt = now
 			}
 		}
 	}
+	maps.DeleteFunc(l.spares, func(_ spareKey, s *spares) bool {
+		if !s.isIdle() {
+			s.neededAt = now
+		}
+		return now.Sub(s.neededAt) >= sparesTTL
+	})
 	lent := map[string]int{}
 	for k, s := range l.spares {
 		g, ok := l.Local(k.group)
@@ -144,7 +155,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.spares[k]
-	if s == nil { // nothing was ever lent to this start of the process: a loan needs its token
+	if s == nil { // nothing is lent to this start of the process: a loan needs a recent token of it
 		return delegator.Reply{Token: delegator.Token{Start: l.Start}, Refused: "no gateway", Closed: true}
 	}
 	var reply delegator.Reply
@@ -186,9 +197,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), s.Timeout)
 	defer cancel()
 	reply, err := l.call(ctx, g.Name(), &s)
+	answered := delegator.Answered{Seq: s.Seq, Reply: reply, Lost: err != nil}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.executeSpare(g, k, l.spares[k].lender.Handle(delegator.Answered{Seq: s.Seq, Reply: reply, Lost: err != nil}, l.Now()), nil)
+	if s := l.spares[k]; s != nil {
+		l.executeSpare(g, k, s.lender.Handle(answered, l.Now()), nil)
+	}
 }
 
 // reportSpare logs and counts a change of a loan between gateways.
--- a/forwarder/division_test.go
+++ b/forwarder/division_test.go
@@ -176,3 +176,22 @@
 		r.stop()
 	})
 }
+
+// Guards against a process that keeps something for each upstream that ever was.
+func TestUnlistedUpstreamsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newReachFleet(true)
+		r.nodes[0].set(&r.divides, true)
+		n := r.nodes[0]
+		for i := range 100 {
+			n.reg.SetUpstreams([]cataloger.Upstream{{ID: "a", Group: "g", Leads: true, Slots: 4}, {ID: fmt.Sprint("b", i), Group: "g", Slots: 4}})
+			time.Sleep(2 * time.Second)
+		}
+		n.f.Loans.mu.Lock()
+		kept := len(n.f.Loans.spares)
+		n.f.Loans.mu.Unlock()
+		is.True(kept < 40)
+		r.stop()
+	})
+}
