carrier: what is lent counts against a share that has become smaller

Cause: between a change of the share and the next check of the loans (50 ms) a lender had the smaller of its limit and its new share, without what it had lent: 4 connections and 2 lent where the share had fallen to 4. Change: the limit keeps how many are lent, and these are taken off the new share. TestCutStatementsShowNothingOfTheUpstream reads what it checks under the lock.

--- a/carrier/division.go
+++ b/carrier/division.go
@@ -19,6 +19,7 @@
 type division struct {
 	lends  bool
 	limit  int // while it lends
+	lent   int // what the limit leaves of the share for which it was set
 	extras []Extra
 	// enforced is how many connections of loans this process might have when the loans were last
 	// enforced.
@@ -34,7 +35,7 @@
 		return share
 	}
 	if d.lends {
-		share = min(share, d.limit)
+		share = min(d.limit, max(0, share-d.lent))
 	}
 	for _, e := range d.extras {
 		if e.Serving && now.Before(e.Until) {
@@ -79,11 +80,12 @@
 }
 
 // LimitOwnConns limits this process to n of its share of the connections to an upstream, until
-// UnlimitOwnConns, while others are lent to gateways of the group.
+// UnlimitOwnConns, while others are lent to gateways of the group. Where the share becomes
+// smaller meanwhile, what is lent still counts against it.
 func (g *Group) LimitOwnConns(id string, n int) {
 	g.mu.Lock()
 	d := g.divisionOf(id)
-	d.lends, d.limit = true, n
+	d.lends, d.limit, d.lent = true, n, max(0, g.registry.share(g.name)-n)
 	g.mu.Unlock()
 	g.applyShare()
 }
@@ -155,6 +157,9 @@
 		excess = u.cutSome(excess, func(r *run) bool { return r.exchangeStartedAt.IsZero() })
 		excess = u.cutSome(excess, func(r *run) bool { return !r.inDoubtIfLost })
 		excess = u.cutSome(excess, func(*run) bool { return true })
+		if excess > 0 {
+			d.enforced += excess // found again by the next call
+		}
 		if excess > 0 && d.cancel != nil {
 			d.cancel()
 			d.cancel = nil
--- a/carrier/division_test.go
+++ b/carrier/division_test.go
@@ -166,7 +166,12 @@
 		c.DivideConnections(9, []cataloger.GroupSettings{{Name: "g", MaxConnections: 10}})
 		c.SetUpstreams([]cataloger.Upstream{{ID: "a", Group: "g", Leads: true, Slots: 6}})
 		g, _ := c.Group("g")
-		u := g.upstreams[0]
+		learned := func() (stalled bool, failureRate float64) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			u := g.upstreams[0]
+			return !u.writeTimedOutAt.IsZero(), u.failures.rate
+		}
 		loan := []Extra{{Count: 1, Until: time.Now().Add(20 * time.Second), Serving: true}}
 		g.ExtendConns("a", loan)
 		answered := make(chan Answer, 2)
@@ -180,10 +185,12 @@
 		time.Sleep(5 * time.Second)
 		g.ExtendConns("a", nil)
 		is.Equal((<-answered).Code, InDoubt)
-		is.True(u.writeTimedOutAt.IsZero())
-		is.Equal(u.failures.rate, 0.0)
+		stalled, rate := learned()
+		is.True(!stalled)
+		is.Equal(rate, 0.0)
 		is.Equal((<-answered).Code, InDoubt) // by its deadline
-		is.True(!u.writeTimedOutAt.IsZero())
+		stalled, _ = learned()
+		is.True(stalled)
 
 		g.ExtendConns("a", loan)
 		var open []Transaction
@@ -201,7 +208,30 @@
 			tx.Rollback()
 		}
 		is.Equal(aborted, 1)
-		is.Equal(u.failures.rate, 0.0)
+		_, rate = learned()
+		is.Equal(rate, 0.0)
 		c.Stop()
 	})
 }
+
+// Guards against a lender that uses connections that are lent, between a change of its share
+// and the next check of its loans.
+func TestLentConnsCountAgainstSmallerShare(t *testing.T) {
+	is := is.New(t)
+	share := 6
+	c := &Registry{Now: time.Now, Log: zap.NewNop(), ConnectionShares: func(map[string]int, int) map[string]int { return map[string]int{"g": share} }}
+	c.SetUpstreams([]cataloger.Upstream{{ID: "a", Group: "g", Slots: 6}})
+	limitWith := func(n int) int {
+		share = n
+		c.DivideConnections(9, []cataloger.GroupSettings{{Name: "g", MaxConnections: 40}})
+		g, _ := c.Group("g")
+		return g.upstreams[0].pool.Stats().Limit
+	}
+	is.Equal(limitWith(6), 6)
+	g, _ := c.Group("g")
+	g.LimitOwnConns("a", 4)
+	is.Equal([]int{limitWith(6), limitWith(5), limitWith(3), limitWith(0), limitWith(7)}, []int{4, 3, 1, 0, 4})
+	g.UnlimitOwnConns("a")
+	is.Equal(limitWith(7), 7)
+	c.Stop()
+}
