--- a/carrier/division_test.go
+++ b/carrier/division_test.go
@@ -133,3 +133,105 @@
 		c.Stop()
 	})
 }
+
+// hangingLink is a connection on which a write is not answered.
+type hangingLink struct {
+	slotLink
+	aborted chan struct{}
+}
+
+func (l *hangingLink) Abort() { close(l.aborted) }
+
+func (l *hangingLink) Exchange(deadline time.Time, commands ...Command) ([]Answer, bool, error) {
+	if commands[0].Verb != Write {
+		return l.slotLink.Exchange(deadline, commands...)
+	}
+	select {
+	case <-l.aborted:
+	case <-time.After(time.Until(deadline)):
+	}
+	return nil, true, context.DeadlineExceeded
+}
+
+// Guards against an upstream that counts as failing, or a leader as stalled, because this
+// process closed connections at the end of a loan, and against a write that is cut and sent
+// again.
+func TestCutStatementsShowNothingOfTheUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		dial := func(context.Context, cataloger.Upstream, string) (Link, error) {
+			return &hangingLink{aborted: make(chan struct{})}, nil
+		}
+		c := &Registry{Dial: dial, Now: time.Now, Log: zap.NewNop(), ConnectionShares: func(map[string]int, int) map[string]int { return map[string]int{"g": 1} }}
+		c.DivideConnections(9, []cataloger.GroupSettings{{Name: "g", MaxConnections: 10}})
+		c.SetUpstreams([]cataloger.Upstream{{ID: "a", Group: "g", Leads: true, Slots: 6}})
+		g, _ := c.Group("g")
+		learned := func() (stalled bool, failureRate float64) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			u := g.upstreams[0]
+			return !u.writeTimedOutAt.IsZero(), u.failures.rate
+		}
+		loan := []Extra{{Count: 1, Until: time.Now().Add(20 * time.Second), Serving: true}}
+		g.ExtendConns("a", loan)
+		answered := make(chan Answer, 2)
+		for range 2 {
+			go func() {
+				j := latest(9 * time.Second)
+				j.Writes = true
+				answered <- g.Run(j, Command{Verb: Write})
+			}()
+		}
+		time.Sleep(5 * time.Second)
+		g.ExtendConns("a", nil)
+		is.Equal((<-answered).Code, InDoubt)
+		stalled, rate := learned()
+		is.True(!stalled)
+		is.Equal(rate, 0.0)
+		is.Equal((<-answered).Code, InDoubt) // by its deadline
+		stalled, _ = learned()
+		is.True(stalled)
+
+		g.ExtendConns("a", loan)
+		var open []Transaction
+		for range 2 {
+			tx, answer := g.Start(latest(5*time.Second), false, Command{Verb: Begin})
+			is.Equal(answer.Code, OK)
+			open = append(open, tx)
+		}
+		g.ExtendConns("a", nil)
+		aborted := 0
+		for _, tx := range open {
+			if tx.Do(latest(time.Second), Command{Verb: Begin}).Code == Aborted {
+				aborted++
+			}
+			tx.Rollback()
+		}
+		is.Equal(aborted, 1)
+		_, rate = learned()
+		is.Equal(rate, 0.0)
+		c.Stop()
+	})
+}
+
+// Guards against a lender that uses connections that are lent, between a change of its share
+// and the next check of its loans.
+func TestLentConnsCountAgainstSmallerShare(t *testing.T) {
+	is := is.New(t)
+	share := 6
+	c := &Registry{Now: time.Now, Log: zap.NewNop(), ConnectionShares: func(map[string]int, int) map[string]int { return map[string]int{"g": share} }}
+	c.SetUpstreams([]cataloger.Upstream{{ID: "a", Group: "g", Slots: 6}})
+	limitWith := func(n int) int {
+		share = n
+		c.DivideConnections(9, []cataloger.GroupSettings{{Name: "g", MaxConnections: 40}})
+		g, _ := c.Group("g")
+		return g.upstreams[0].pool.Stats().Limit
+	}
+	is.Equal(limitWith(6), 6)
+	g, _ := c.Group("g")
+	g.LimitOwnConns("a", 4)
+	is.Equal([]int{limitWith(6), limitWith(5), limitWith(3), limitWith(0), limitWith(7)}, []int{4, 3, 1, 0, 4})
+	g.UnlimitOwnConns("a")
+	is.Equal(limitWith(7), 7)
+	c.Stop()
+}
