--- a/pooler/preopen_test.go
+++ b/pooler/preopen_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -63,23 +64,29 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		demands := learnedDemands(t, 4)
-		on := true
-		p, _ := sharedPool(1, func() bool { return on })
+		var on, blocked atomic.Bool
+		on.Store(true)
+		p, _ := sharedPool(1, on.Load)
+		p.RequestPermit = func() {
+			if !blocked.Load() {
+				go p.Permit()
+			}
+		}
 		is.Equal(preopenAll(t, p, &Plan{Demands: demands}), Finished) // half of one is none
 		p.SetLimit(4)
 		c, err := p.GetFor(t.Context(), "caller")
 		is.NoErr(err)
-		p.RequestPermit = func() {} // no opening may start now
+		blocked.Store(true) // no opening may start now
 		go useFor(t.Context(), p, "waiting", time.Millisecond)
 		synctest.Wait()
 		plan := &Plan{Demands: demands}
 		is.Equal(preopenAll(t, p, plan), Later)
 		go p.Permit()
 		time.Sleep(time.Second)
-		on = false
+		on.Store(false)
 		is.Equal(preopenAll(t, p, plan), Finished)
 		is.Equal(len(p.Demands()), 0)
-		on = true
+		on.Store(true)
 		is.Equal(preopenAll(t, p, plan), Finished)
 		is.Equal(p.Stats().Open, 4)
 		p.Put(c)
