pooler: a refused opening ends opening ahead

Cause: two goroutines open connections ahead. When the new leader refused one at its connection limit, the other goroutine went on once openings were allowed again, and its refusal doubled the time for which callers' openings wait.

Change: a failed opening ends the plan for both.

Measured: TestRefusedOpeningEndsPlan fails before the change and passes with it.

--- a/pooler/preopen.go
+++ b/pooler/preopen.go
@@ -23,6 +23,7 @@
 	Demands []Demand
 
 	opened int
+	failed bool // an opening has failed, so there are no others
 }
 
 // Step is the outcome of Preopen.
@@ -61,7 +62,7 @@
 }
 
 // Preopen opens one connection of a plan and leaves it idle, unless a caller wants it by then.
-// Like Warm it needs no permit; the error is that of Dial.
+// Like Warm it needs no permit; the error is that of Dial, and ends the plan.
 func (p *Pool[C]) Preopen(ctx context.Context, plan *Plan) (Step, error) {
 	owner, step := p.reservePlanned(plan)
 	if step != Opened {
@@ -69,6 +70,9 @@
 	}
 	c, err := p.connect(ctx, owner, grant[C]{})
 	if err != nil {
+		p.mu.Lock()
+		plan.failed = true
+		p.mu.Unlock()
 		return Finished, err
 	}
 	p.Put(c)
@@ -81,7 +85,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
-	case p.closed || !p.sharing() || p.open >= p.Limit || plan.opened >= p.Limit/2:
+	case p.closed || plan.failed || !p.sharing() || p.open >= p.Limit || plan.opened >= p.Limit/2:
 		return "", Finished
 	case len(p.waiters) > 0:
 		return "", Later
--- a/pooler/preopen_test.go
+++ b/pooler/preopen_test.go
@@ -1,12 +1,14 @@
 package pooler
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 )
 
@@ -106,3 +108,25 @@
 		is.Equal(o.of("w"), 1)
 	})
 }
+
+// Guards against openings of one goroutine that go on after another one's was refused: at its
+// connection limit an upstream then refuses callers for longer.
+func TestRefusedOpeningEndsPlan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, o := sharedPool(8, always)
+		open := p.Dial
+		p.Dial = func(ctx context.Context, owner string) (sharedConn, error) {
+			c, err := open(ctx, owner)
+			return c, errors.CombineErrors(err, errors.New("refused"))
+		}
+		plan := &Plan{Demands: learnedDemands(t, 4)}
+		_, err := p.Preopen(t.Context(), plan)
+		is.True(err != nil)
+		step, err := p.Preopen(t.Context(), plan) // by another goroutine
+		is.NoErr(err)
+		is.Equal(step, Finished)
+		is.Equal(o.of("o0"), 1)
+		is.Equal(p.Stats().Open, 0)
+	})
+}
