--- a/pooler/preopen_test.go
+++ b/pooler/preopen_test.go
@@ -1,12 +1,14 @@
 package pooler
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 )
 
@@ -64,14 +66,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		demands := learnedDemands(t, 4)
-		var on atomic.Bool
+		var on, blocked atomic.Bool
 		on.Store(true)
 		p, _ := sharedPool(1, on.Load)
+		p.RequestPermit = func() {
+			if !blocked.Load() {
+				go p.Permit()
+			}
+		}
 		is.Equal(preopenAll(t, p, &Plan{Demands: demands}), Finished) // half of one is none
 		p.SetLimit(4)
 		c, err := p.GetFor(t.Context(), "caller")
 		is.NoErr(err)
-		p.RequestPermit = func() {} // no opening may start now
+		blocked.Store(true) // no opening may start now
 		go useFor(t.Context(), p, "waiting", time.Millisecond)
 		synctest.Wait()
 		plan := &Plan{Demands: demands}
@@ -101,3 +108,25 @@
 		is.Equal(o.of("w"), 1)
 	})
 }
+
+// Guards against openings of one goroutine that go on after another one's was refused: at its
+// connection limit an upstream then refuses callers for longer.
+func TestRefusedOpeningEndsPlan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, o := sharedPool(8, always)
+		open := p.Dial
+		p.Dial = func(ctx context.Context, owner string) (sharedConn, error) {
+			c, err := open(ctx, owner)
+			return c, errors.CombineErrors(err, errors.New("refused"))
+		}
+		plan := &Plan{Demands: learnedDemands(t, 4)}
+		_, err := p.Preopen(t.Context(), plan)
+		is.True(err != nil)
+		step, err := p.Preopen(t.Context(), plan) // by another goroutine
+		is.NoErr(err)
+		is.Equal(step, Finished)
+		is.Equal(o.of("o0"), 1)
+		is.Equal(p.Stats().Open, 0)
+	})
+}
