--- a/proxier/fleet_test.go
+++ b/proxier/fleet_test.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -198,6 +200,9 @@
 	var a answer
 	for {
 		line, err := c.in.ReadString('\n')
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return answer{ended: true, code: "no answer before the deadline"}
+		}
 		if err != nil {
 			return answer{ended: true}
 		}
