carrier: a commit that a loan's end prevents isn't said to have written nothing

Cause: where the connection of a transaction that had written was closed at the end of a loan before the commit was sent, the caller was told, rightly, that it was aborted, and wrongly that it wrote nothing. Change: a text of its own, only for connections that this process closed. Measured result: TestCommitAfterLoanIsAborted fails without the change; the tests of carrier pass.

--- a/carrier/division_test.go
+++ b/carrier/division_test.go
@@ -235,3 +235,35 @@
 	is.Equal(limitWith(7), 7)
 	c.Stop()
 }
+
+// Guards against a caller that is told that its transaction wrote nothing, when the connection
+// was closed at the end of a loan before the commit was sent.
+func TestCommitAfterLoanIsAborted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &slotUpstream{free: make(chan struct{}, 6)}
+		c := &Registry{Dial: s.dial, Now: time.Now, Log: zap.NewNop(), ConnectionShares: func(map[string]int, int) map[string]int { return map[string]int{"g": 1} }}
+		c.DivideConnections(9, []cataloger.GroupSettings{{Name: "g", MaxConnections: 10}})
+		c.SetUpstreams([]cataloger.Upstream{{ID: "a", Group: "g", Leads: true, Slots: 6}})
+		g, _ := c.Group("g")
+		g.ExtendConns("a", []Extra{{Count: 1, Until: time.Now().Add(20 * time.Second), Serving: true}})
+		var open []Transaction
+		for range 2 {
+			j := latest(5 * time.Second)
+			j.Writes = true
+			tx, answer := g.Start(j, false, Command{Verb: Begin})
+			is.Equal(answer.Code, OK)
+			open = append(open, tx)
+		}
+		g.ExtendConns("a", nil)
+		var aborted []string
+		for _, tx := range open {
+			if answer := tx.Commit(latest(time.Second), Command{Verb: Commit}); answer.Code != OK {
+				is.Equal(answer.Code, Aborted)
+				aborted = append(aborted, answer.Text)
+			}
+		}
+		is.Equal(aborted, []string{"connection lost before the commit was sent"})
+		c.Stop()
+	})
+}
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -184,8 +184,11 @@
 	if err != nil {
 		t.group.release(t.upstream, t.run.conn, false)
 		t.state = Idle
-		if sent && t.wrote {
+		switch {
+		case sent && t.wrote:
 			return refusal(InDoubt, "connection lost after the commit was sent")
+		case t.wrote && errors.Is(err, errNoShare):
+			return refusal(Aborted, "connection lost before the commit was sent")
 		}
 		return refusal(Aborted, "connection lost at the commit of a transaction that wrote nothing")
 	}
