proxier: a list that can't be read after a restore is logged and tried later

Change: the error takes the way of those of the own entry: logged, and tried again after half a second to one and a half. Left: a restored copy may list processes that are gone for good; they count as members until they are taken for dead (30 s), which makes shares smaller meanwhile, never larger.

--- a/proxier/restore.go
+++ b/proxier/restore.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -135,6 +136,9 @@
 // itself, and nobody else has received anything from it.
 func (p *Proxier) rewriteEntry(ctx context.Context) error {
 	written, err := p.writeEntry(ctx)
+	if err == nil && p.readerRank(proxiesKind) < minWatchers {
+		err = p.readProcesses(ctx)
+	}
 	if err != nil {
 		if ctx.Err() == nil {
 			p.Log.Info("proxier: writing the own entry again failed, will retry", zap.Uint64("era", p.storeEra()), zap.Error(err))
@@ -143,12 +147,14 @@
 		return err
 	}
 	p.Log.Info("proxier: own entry checked", zap.Uint64("era", p.storeEra()), zap.Bool("written", written))
-	if p.readerRank(proxiesKind) >= minWatchers {
-		return nil
-	}
+	return nil
+}
+
+// readProcesses reads the whole list of processes.
+func (p *Proxier) readProcesses(ctx context.Context) error {
 	listed, err := hedged(ctx, func(ctx context.Context) ([]keeper.Object, error) { return p.store.AllAfter(ctx, proxiesKind, "") })
 	if err != nil {
-		return err
+		return errors.Wrap(err, "proxier: list the processes")
 	}
 	p.addPeers(listed)
 	return nil
