--- a/throttler/inquiry.go
+++ b/throttler/inquiry.go
@@ -109,10 +109,9 @@
 	return wake
 }
 
-// Reply handles the verdict of an owner. One that comes after Until is not used: the window in
-// which the owner counted it may have ended.
+// Reply handles the verdict of an owner.
 func (q *Inquiry) Reply(m *Message, now time.Time) {
-	if q.hasVerdict || !now.Before(q.Until) {
+	if q.hasVerdict {
 		return
 	}
 	q.verdict = m.Verdict
--- a/throttler/ledger.go
+++ b/throttler/ledger.go
@@ -32,7 +32,7 @@
 	// credited is, for each shard and bucket of time, the part of the fleet's time that was
 	// credited, in seconds.
 	credited [Shards]ring
-	// history holds the credits for the window rule, over a longer time.
+	// history is credited for the window rule, over a longer time.
 	history [Shards]history
 	// spent is the number of tokens of each bucket that each workspace has spent.
 	spent map[string]*account
@@ -68,6 +68,7 @@
 			from = begin
 		}
 		if seconds := r.at(bucket); seconds != nil {
+			l.history[shard].add(bucket, bucketOf(now), end.Sub(from).Seconds()/float64(fleet))
 			*seconds = min(bucketWidth.Seconds(), *seconds+end.Sub(from).Seconds()/float64(fleet))
 		}
 		end = from
@@ -84,7 +85,7 @@
 	a.advance(latest)
 	unspent := l.unspentIn(credits, a, limit, now)
 	if now.Before(a.windowedUntil) {
-		unspent = min(unspent, windowTokens(&l.history[Shard(workspace)], &a.grants, limit, reserve{}, now))
+		unspent = min(unspent, windowTokens(&l.history[Shard(workspace)], &a.grants, limit, now))
 	}
 	if unspent < 1 {
 		return l.refuse(credits, limit, unspent, now)
--- a/throttler/node.go
+++ b/throttler/node.go
@@ -204,7 +204,6 @@
 		if n.IsFleetKnown {
 			n.creditedUntil[shard] = now
 			n.ledger.add(shard, span, n.fleetSize, now)
-			n.ledger.history[shard].add(span, n.fleetSize, now, now, n.Tolerance.window())
 		}
 		return Envelope{}, false
 	}
@@ -248,19 +247,11 @@
 
 // acceptCredit adds a credit to the ledger unless it was in transit for too long.
 func (n *Node) acceptCredit(m *Message, now time.Time) {
-	// The sender has got this process's clock after it was read, so that it has sent this at
-	// sentAt or later.
-	sentAt := time.Unix(0, m.OwnerClock).Add(m.ClockAge)
-	transit := now.Sub(sentAt)
+	transit := now.Sub(time.Unix(0, m.OwnerClock).Add(m.ClockAge))
 	if m.OwnerClock == 0 || m.Fleet <= 0 || m.Span <= 0 || transit > maxTransit || transit < -maxTransit {
 		return
 	}
-	if sentAt.After(now) {
-		sentAt = now
-	}
-	span, fleet := min(m.Span, maxTokenLife), max(m.Fleet, n.fleetSize)
-	n.ledger.add(m.Shard, span, fleet, now)
-	n.ledger.history[m.Shard].add(span, fleet, sentAt, now, n.Tolerance.window())
+	n.ledger.add(m.Shard, min(m.Span, maxTokenLife), max(m.Fleet, n.fleetSize), now)
 }
 
 // handleAck records that an owner is alive, and sends it the credits that were held back
--- a/throttler/tolerance.go
+++ b/throttler/tolerance.go
@@ -34,10 +34,6 @@
 	life time.Duration
 	// window is the Window of the tolerance.
 	window time.Duration
-	// allowed is the number of operations that the tolerance allows in a window.
-	allowed float64
-	// replyDelay is the maximum time between a grant and its operation.
-	replyDelay time.Duration
 }
 
 // tokenLimit returns a quota in tokens. The tokens spent in any window were produced in
@@ -50,19 +46,13 @@
 	if q.Rate <= 0 {
 		return tokenLimit{window: defaultWindow}
 	}
-	window := t.window()
+	window := t.Window
+	if window == 0 {
+		window = defaultWindow
+	}
 	factor := 1 + grantedShare*t.Excess
-	granted := (q.Rate*window.Seconds()+q.Burst)*factor + grantedShare*t.Slack
-	life := time.Duration(granted/(q.Rate*factor)*float64(time.Second)) - window - maxTransit
+	allowed := (q.Rate*window.Seconds()+q.Burst)*factor + grantedShare*t.Slack
+	life := time.Duration(allowed/(q.Rate*factor)*float64(time.Second)) - window - maxTransit
 	life = min(max(life, minTokenLife), maxTokenLife)
-	allowed := (q.Rate*window.Seconds()+q.Burst)*(1+t.Excess) + t.Slack
-	return tokenLimit{granted / (window + life + maxTransit).Seconds(), life, window, allowed, maxReplyDelay}
-}
-
-// window returns the Window, or its default.
-func (t Tolerance) window() time.Duration {
-	if t.Window == 0 {
-		return defaultWindow
-	}
-	return t.Window
+	return tokenLimit{allowed / (window + life + maxTransit).Seconds(), life, window}
 }
