proxier: shares that a start made small are divided again

A change of the configuration had arrived between the reload that switched substitutes on and the process's first 2.5 s being over; shares are computed then too, with the two connections that a starting process may use, but only the division remembered its inputs, and these were the same before and after. So the gateway kept two connections, too few to lend, until the fleet changed. The same could leave a share of a process that was cut off, or none. Change: whoever computes shares records what they were computed from, and the division compares with that. Measured result: the new test fails on the code before (share 2 kept) and passes.

--- a/proxier/lend_test.go
+++ b/proxier/lend_test.go
@@ -10,7 +10,10 @@
 
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 
+	"basildale.example/basildale/carrier"
+	"basildale.example/basildale/cataloger"
 	"basildale.example/basildale/delegator"
 	"basildale.example/basildale/gossiper"
 	"basildale.example/basildale/loader"
@@ -42,6 +45,36 @@
 	is.Equal(gateway(loader.Demand, delegator.StartupDelay), whole)
 }
 
+// Guards against a gateway that keeps the small shares of its start: a change of the configuration
+// computed them after the inputs of the division had last been looked at.
+func TestShareOfAStartIsNotKept(t *testing.T) {
+	is := is.New(t)
+	groups := []cataloger.GroupSettings{{Name: "billet", MaxConnections: 56}}
+	for i := range 80 {
+		p := newTestProxier(i, 80)
+		p.Log, p.cache = zap.NewNop(), &stateCache{}
+		p.cache.view.Store(&cataloger.View{Config: cataloger.Config{Groups: groups}})
+		p.carrier = &carrier.Registry{ConnectionShares: p.shares, Now: bootClock, Log: zap.NewNop()}
+		p.load.Store(&loader.Choices{Gateways: loader.Fixed})
+		share := func() int {
+			g, _ := p.carrier.Group("billet")
+			return g.DivisionState("", false).Share
+		}
+		p.divideConnections()
+		if share() == 0 {
+			continue // no gateway
+		}
+		p.load.Store(&loader.Choices{Gateways: loader.Reach})
+		p.carrier.DivideConnections(80, groups) // as a configuration does
+		is.Equal(share(), delegator.Kept)
+		p.startedAt = p.startedAt.Add(-delegator.StartupDelay)
+		p.divideConnections()
+		is.True(share() > delegator.Kept)
+		return
+	}
+	t.Error("no gateway among the processes")
+}
+
 // Guards against gateways that all ask the same process first, which takes one loan of a
 // group, and against loans to gateways and to processes that are leaving.
 func TestGatewaysAskProcessesInOrdersOfTheirOwn(t *testing.T) {
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/netip"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -107,7 +106,11 @@
 	// divisionDue signals that the connections are to be divided at once: the list of the
 	// fleet has arrived, until which this process has none, or a statement has arrived for a
 	// group whose gateways are all unreachable.
-	divisionDue     chan struct{}
+	divisionDue chan struct{}
+	// dividedBy is what the shares in force were computed from, and loggedDivision what was
+	// logged last. The latter belongs to runMaintenance.
+	dividedBy       atomic.Pointer[divisionInputs]
+	loggedDivision  *divisionInputs
 	usage           groupUsage
 	ranks           rankCache
 	assigner        assigner.Assigner
@@ -365,38 +368,54 @@
 func (p *Proxier) runMaintenance(ctx context.Context) {
 	ticker := time.NewTicker(maintenanceInterval)
 	defer ticker.Stop()
-	var previous []string
 	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-p.divisionDue:
-			previous = p.divideConnections(previous)
+			p.divideConnections()
 			continue
 		case <-ticker.C:
 		}
 		p.cache.expireUnlisted(bootClock())
 		p.carrier.CheckUpstreams()
 		if n%ticksPerDivision == 0 {
-			previous = p.divideConnections(previous)
+			p.divideConnections()
 		}
 	}
 }
 
-// divideConnections divides the upstreams' connections again if its inputs have changed, and
-// returns the current inputs.
-func (p *Proxier) divideConnections(previous []string) []string {
-	names, isolated, known := p.sharingProxies(), p.isolatedGroups(), p.knowsFleet()
-	inputs := append(slices.Clone(isolated), append(names, strconv.FormatBool(known))...)
-	if p.mayHaveLent() {
-		inputs = append(inputs, "starting")
+// divideConnections divides the upstreams' connections again if the inputs of the shares in
+// force have changed.
+func (p *Proxier) divideConnections() {
+	inputs := p.divisionInputs()
+	if last := p.dividedBy.Load(); last == nil || !last.equal(inputs) {
+		p.carrier.DivideConnections(inputs.proxies, p.cache.current().Config.Groups)
 	}
-	if slices.Equal(inputs, previous) {
-		return previous
+	if p.loggedDivision != nil && p.loggedDivision.equal(inputs) {
+		return
 	}
-	p.carrier.DivideConnections(len(names), p.cache.current().Config.Groups)
-	p.Log.Info("proxier: connections divided", zap.Int("proxies", len(names)), zap.Bool("known", known), zap.Strings("alone", isolated))
-	return inputs
+	p.loggedDivision = inputs
+	p.Log.Info("proxier: connections divided", zap.Int("proxies", inputs.proxies), zap.Bool("known", inputs.knowsFleet), zap.Strings("alone", inputs.isolated))
+}
+
+// divisionInputs is what shares of connections depend on besides the configuration.
+type divisionInputs struct {
+	names       []string
+	proxies     int // for which the shares were computed
+	isolated    []string
+	knowsFleet  bool
+	mayHaveLent bool
+}
+
+func (d *divisionInputs) equal(o *divisionInputs) bool {
+	return d.proxies == o.proxies && d.knowsFleet == o.knowsFleet && d.mayHaveLent == o.mayHaveLent &&
+		slices.Equal(d.names, o.names) && slices.Equal(d.isolated, o.isolated)
+}
+
+func (p *Proxier) divisionInputs() *divisionInputs {
+	names := p.sharingProxies()
+	return &divisionInputs{names: names, proxies: len(names), isolated: p.isolatedGroups(), knowsFleet: p.knowsFleet(), mayHaveLent: p.mayHaveLent()}
 }
 
 // sharingProxies returns the processes that share the upstreams' connections, this one first:
--- a/proxier/share.go
+++ b/proxier/share.go
@@ -51,7 +51,12 @@
 // fleet has none.
 func (p *Proxier) shares(limits map[string]int, proxies int) map[string]int {
 	out := make(map[string]int, len(limits))
-	if !p.knowsFleet() {
+	// Shares are computed anew when the configuration changes, too. If only divideConnections
+	// recorded its inputs, shares of a moment in which the inputs differed would stay.
+	inputs := p.divisionInputs()
+	inputs.proxies = proxies
+	p.dividedBy.Store(inputs)
+	if !inputs.knowsFleet {
 		p.setGateways(nil)
 		return out
 	}
@@ -72,12 +77,12 @@
 	for group, gateways := range assigned {
 		if slices.Contains(gateways, p.Settings.Name) {
 			out[group] = max(1, limits[group]*(100-reservedPercent)/100/len(gateways))
-			if p.mayHaveLent() {
+			if inputs.mayHaveLent {
 				out[group] = min(out[group], delegator.Kept)
 			}
 		}
 	}
-	for _, group := range p.isolatedGroups() {
+	for _, group := range inputs.isolated {
 		if out[group] == 0 && assigned[group] != nil {
 			out[group] = isolatedShare
 		}
