--- a/cmd/basildale/bounded_test.go
+++ b/cmd/basildale/bounded_test.go
@@ -44,9 +44,8 @@
 	is.True(strings.Contains(text, `"msg":"log: lines dropped"`))
 }
 
-// Symptom: a process that is told to stop never ends. Sequence: whoever reads standard output
-// stops; lines fill the queue; the process comes to its end. Cause: the mark of the end waited
-// for room in the queue, without a bound.
+// Guards against a process that never ends because nobody reads its log: the mark of the end waited
+// for room in a full queue, without a bound.
 func TestProcessEndsThoughItsLogIsNotRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/demonstrator/demonstrator_test.go
+++ b/demonstrator/demonstrator_test.go
@@ -56,9 +56,8 @@
 	}
 }
 
-// Symptom: a demonstration ends without a read, and says that every promise was kept.
-// Sequence: the machine stands still for some seconds while callers come, so that the time of
-// nearly all requests is over before they are sent. Cause: those counted as if they had been.
+// Guards against a demonstration that shows nothing and says that every promise was kept: requests
+// whose time was over before they were sent counted as if they had been.
 func TestCallersComeUntilEnoughRequestsWereSent(t *testing.T) {
 	is := is.New(t)
 	missed := []int{60, 7, 0}
