--- a/limiter/fair_share.go
+++ b/limiter/fair_share.go
@@ -12,9 +12,7 @@
 	// share: it is wanted within the shortest objective of most work, less the service time.
 	waitingFactor = 6
 	// sharedWaitingFactor takes the place of waitingFactor in the rate of urgent work where the
-	// slots are divided among gateways, which bounds urgent work already. With 6 urgent work of
-	// a workspace above its fair share loses more than others gain; with 4 dashboards of small
-	// workspaces lose more than half a point in surges.
+	// slots are divided among gateways, which bounds urgent work already.
 	sharedWaitingFactor = 5
 	// belowPart is the part of its fair share up to which a workspace counts as below it, since
 	// the demand of a second varies: with 0.8 and more, workspaces near their share displace
