receiver: statements whose connections end before the answer are logged

Cause: the record of the incident names a statement that no log of the processes names. A session closed by the stop leaves no line, and the summary of a stop doesn't tell how it ended, so a cut at the limit, a cut of a caller that comes in last, an unsent answer and a process that ends by itself look the same.

No decision changes.

--- a/adapter/listener/conn.go
+++ b/adapter/listener/conn.go
@@ -150,6 +150,15 @@
 	}
 }
 
+// Unsent returns the number of bytes that were written and have not left for the caller; zero
+// once the connection has ended.
+func (c *Conn) Unsent() int64 {
+	if c.closed.Load() {
+		return 0
+	}
+	return c.unsent.Load()
+}
+
 // Flush waits until all that was written has left for the caller, the
 // connection has ended, or the deadline has passed. Closing drops what is
 // unsent, so a last message is flushed before it.
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -236,6 +236,7 @@
 	p.meter.Gauge(p.gossip.DecodeErrors, "basildale_datagrams_unread")
 	p.meter.Gauge(func() int64 { return int64(p.cache.current().Config.Version) }, "basildale_configuration_version")
 	p.meter.Gauge(func() int64 { return int64(p.newestConfig.Load()) }, "basildale_configuration_heard")
+	p.meter.Gauge(func() int64 { return p.receiver.Interrupted() }, "basildale_requests_cut")
 	p.receiver = &receiver.Receiver{Address: s.Listen, Open: p.openSession, Now: bootClock, Log: p.Log}
 }
 
--- a/proxier/stop.go
+++ b/proxier/stop.go
@@ -39,7 +39,11 @@
 		}
 		time.Sleep(endIdleInterval)
 	}
-	remaining := p.receiver.Count()
+	remaining, opened := p.receiver.Count(), p.receiver.Opened()
+	reason := "no session left"
+	if time.Since(began) >= limit {
+		reason = "limit"
+	}
 	p.receiver.Stop()
 	p.gossip.Stop()
 	p.messenger.Close()
@@ -47,5 +51,6 @@
 	for _, s := range p.servers {
 		_ = s.Close() // the process ends; nothing in flight on these servers matters any more
 	}
-	p.Log.Info("proxier: stopped", zap.Int("ended", ended), zap.Int("cut", remaining), zap.Duration("took", time.Since(began)))
+	p.Log.Info("proxier: stopped", zap.String("reason", reason), zap.Int("ended", ended), zap.Int("cut", remaining),
+		zap.Int64("requests", p.receiver.Interrupted()), zap.Int("late", p.receiver.Opened()-opened), zap.Duration("took", time.Since(began)))
 }
