--- a/proxier/fleet_test.go
+++ b/proxier/fleet_test.go
@@ -191,10 +191,30 @@
 	return c
 }
 
+// connect opens a session to a database at a process that may end meanwhile, and reports whether
+// it still accepts callers.
+func (f *fleet) connect(m *runningProxy, database string) (c *client, ok bool) {
+	for {
+		conn, err := net.Dial("tcp", m.CallersAddr().String())
+		if err != nil {
+			return nil, false
+		}
+		c = &client{conn: conn, in: bufio.NewReader(conn), name: conn.LocalAddr().String()}
+		fmt.Fprintf(conn, "CONNECT %s tester\r\n", database)
+		if line, err := c.in.ReadString('\n'); err == nil && line == "READY I -\r\n" {
+			return c, true
+		}
+		_ = conn.Close()
+	}
+}
+
+// lastID returns the id of the client's last statement.
+func (c *client) lastID() string { return fmt.Sprintf("%s-%d", c.name, c.n) }
+
 // ask sends a statement and reads its answer.
 func (c *client) ask(text string) answer {
 	c.n++
-	if _, err := fmt.Fprintf(c.conn, "QUERY %s-%d %s\r\n", c.name, c.n, text); err != nil {
+	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", c.lastID(), text); err != nil {
 		return answer{ended: true}
 	}
 	var a answer
--- /dev/null
+++ b/proxier/stop_test.go
@@ -0,0 +1,105 @@
+package proxier
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// work records the statements that upstreams have begun, by id.
+type work struct {
+	mu    sync.Mutex
+	begun map[string]bool
+}
+
+// watch makes the work of a fleet's upstreams be recorded.
+func (f *fleet) watch() *work {
+	w := &work{begun: map[string]bool{}}
+	f.group.Ran = func(id, _ string, _ bool) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.begun[id] = true
+	}
+	return w
+}
+
+func (w *work) has(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.begun[id]
+}
+
+// Guards against connections that end without an answer when a stop lasts to its limit.
+func TestStopAtItsLimitAnswersStatementsInFlight(t *testing.T) {
+	for _, test := range []struct {
+		name, statement, want string
+		transaction           bool
+	}{
+		{"write", "WRITE seat bo", "INDOUBT", false},
+		{"read", "READ seat", "FAILED", false},
+		{"read in a transaction", "READ seat", "ABORTED", true},
+		{"commit", "COMMIT", "INDOUBT", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 1)
+			m := f.proxies[0]
+			c := f.dial(m, "seats")
+			if test.transaction {
+				is.Equal(c.ask("BEGIN").code, "")
+				is.Equal(c.ask("WRITE seat anna").code, "")
+			}
+			const tooSlow = 2000 // no answer before the limit of the stop
+			f.group.Leader().Slow(tooSlow)
+			for _, u := range f.group.Replicas() {
+				u.Deafen(true) // nobody confirms a commit
+			}
+			w := f.watch()
+			answered := make(chan answer)
+			go func() { answered <- c.ask(test.statement) }()
+			if test.statement != "COMMIT" {
+				f.waitFor("the upstream works on it", func() bool { return w.has(c.lastID()) })
+			}
+			m.cancel()
+			a := <-answered
+			is.True(!a.ended)
+			is.Equal(a.code, test.want)
+			f.waitFor("the process has ended", func() bool { return isClosed(m.ended) })
+		})
+	}
+}
+
+// Guards against statements that are cut when callers connect to a process until it ends.
+func TestStopUnderNewCallersCutsNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2)
+	m := f.proxies[0]
+	w := f.watch()
+	var mu sync.Mutex
+	var cut []string
+	var calling sync.WaitGroup
+	for range 8 {
+		calling.Go(func() {
+			for {
+				c, ok := f.connect(m, "guards")
+				if !ok {
+					return
+				}
+				for a := (answer{}); !a.ended; {
+					if a = c.ask("READ seat"); a.ended && w.has(c.lastID()) {
+						mu.Lock()
+						cut = append(cut, c.lastID())
+						mu.Unlock()
+					}
+				}
+				_ = c.conn.Close()
+			}
+		})
+	}
+	f.waitFor("callers are served", func() bool { w.mu.Lock(); defer w.mu.Unlock(); return len(w.begun) > 100 })
+	m.cancel()
+	f.waitFor("the process has ended", func() bool { return isClosed(m.ended) })
+	calling.Wait()
+	is.Equal(cut, nil)
+}
