leaver: the last count of a stop is taken after the listener is closed

What callers saw: a connection that came in while a process ended was closed by it, whatever it had begun.

Cause: the stop of a process on the platform's wire looked for sessions, found none, and only then closed the listener. A caller that connected in between was no session yet.

Change: the steps of this stop are decided by leaver.Shutdown, which closes the listener when nothing is left and counts once more.

Why it works: the listener is closed when StopAccepting returns, so a count that is taken afterwards has every caller.

--- a/leaver/doc.go
+++ b/leaver/doc.go
@@ -19,6 +19,9 @@
 // A second signal or the deadline ends it at any point, with code 1 and a list of
 // the sessions that were interrupted.
 //
+// [Shutdown] decides the same for a process behind a load balancer that checks the
+// processes by itself, where nothing is handed over: it needs no list and no answers.
+//
 // # Upstreams that leave
 //
 // [Upstreams] reads the platform's list every second. An upstream that is listed
--- a/proxier/stop.go
+++ b/proxier/stop.go
@@ -4,46 +4,36 @@
 	"time"
 
 	"go.uber.org/zap"
-)
 
-// The steps of a graceful stop, measured from its start. The load balancer checks each second
-// and stops sending callers after two failed checks.
-const (
-	// drainDelay is how long callers are accepted and served as before: until the load
-	// balancer has seen two failed checks, and a little more.
-	drainDelay = 2300 * time.Millisecond
-	// endIdleInterval and endIdleBatch spread the end of idle sessions over time, so that
-	// their callers do not reconnect elsewhere all at once.
-	endIdleInterval = 25 * time.Millisecond
-	endIdleBatch    = 4
-	// stopTimeoutFraction is the fraction of the stop timeout after which the process ends,
-	// whatever is in flight.
-	stopTimeoutFraction = 0.92
+	"basildale.example/basildale/leaver"
 )
 
 // stop ends the process gracefully. The process is not ready from then on, but serves while the
-// load balancer still sends callers. Then it ends sessions between two requests, and exits when
-// none is left and no forwarded transaction is open, or when stopTimeoutFraction of the
-// timeout has passed.
+// load balancer still sends callers. Package leaver decides what follows.
 func (p *Proxier) stop() {
 	began := time.Now()
-	limit := time.Duration(stopTimeoutFraction * float64(p.stopTimeout.Load()))
+	shutdown := leaver.NewShutdown(began, time.Duration(p.stopTimeout.Load()))
 	p.leaving.Store(true)
-	p.Log.Info("proxier: graceful stop started", zap.Int("sessions", p.receiver.Count()), zap.Duration("limit", limit))
-	time.Sleep(min(drainDelay, limit/2))
+	p.Log.Info("proxier: graceful stop started", zap.Int("sessions", p.receiver.Count()), zap.Duration("limit", shutdown.Deadline.Sub(began)))
+	time.Sleep(time.Until(shutdown.ServeUntil))
 	ended := 0
-	for time.Since(began) < limit {
-		ended += p.receiver.EndIdle(endIdleBatch)
-		if p.receiver.Count() == 0 && p.forward.OpenTransactions() == 0 {
-			break
+	var exit *leaver.Exit
+	for exit == nil {
+		for _, cmd := range shutdown.Next(time.Now(), p.unfinished()) {
+			switch cmd := cmd.(type) {
+			case leaver.EndIdle:
+				ended += p.receiver.EndIdle(cmd.Limit)
+			case leaver.CloseListener:
+				p.receiver.StopAccepting()
+			case leaver.Exit:
+				exit = &cmd
+			}
+		}
+		if exit == nil {
+			time.Sleep(leaver.ShutdownStepInterval)
 		}
-		time.Sleep(endIdleInterval)
 	}
 	remaining, opened := p.receiver.Count(), p.receiver.Opened()
-	reason := "no session left"
-	if time.Since(began) >= limit {
-		reason = "limit"
-	}
 	p.receiver.Stop()
 	p.gossip.Stop()
 	p.messenger.Close()
@@ -51,6 +41,11 @@
 	for _, s := range p.servers {
 		_ = s.Close() // the process ends; nothing in flight on these servers matters any more
 	}
-	p.Log.Info("proxier: stopped", zap.String("reason", reason), zap.Int("ended", ended), zap.Int("cut", remaining),
+	p.Log.Info("proxier: stopped", zap.String("reason", string(exit.Summary.Reason)), zap.Int("ended", ended), zap.Int("cut", remaining),
 		zap.Int64("requests", p.receiver.Interrupted()), zap.Int("late", p.receiver.Opened()-opened), zap.Duration("took", time.Since(began)))
 }
+
+// unfinished returns what the process has left to finish.
+func (p *Proxier) unfinished() leaver.Load {
+	return leaver.Load{Sessions: p.receiver.Count(), Forwarded: p.forward.OpenTransactions()}
+}
