leaver, conductor: a stop rejects work that begins before its end

What callers saw: connections that ended without an answer, around a SIGTERM of the process that they were connected to, while an upstream ran their statements.

Cause: a stop ends when a process has no session, and until its limit it accepts callers and begins their work. As long as callers come it has one at each look, so it lasts to the limit, where all sessions are closed with whatever they have in flight. Callers come to a process that isn't ready when its load balancer has nobody else: fewer than half of a zone's processes are ready.

Change: at 0.69 of the time that a stop has, the listener is closed, and work that begins is rejected at once, with a promise that it didn't run: it might not be finished. Commits and rollbacks of open transactions are carried out, other statements of theirs are rejected and the transaction rolled back. Peers' new work is refused, so that they offer it elsewhere.

Why it works: after that moment the number of sessions and of requests in flight can only fall, and the rest of the time is longer than the timeouts of writes.

--- a/conductor/session.go
+++ b/conductor/session.go
@@ -44,6 +44,9 @@
 	Admit func(job *carrier.Job) carrier.Answer
 	// Observe, when set, is called with the answer to each request.
 	Observe func(o Outcome)
+	// IsStopping, when set, reports whether this process stops so soon that work that begins
+	// now might not be finished. Such work is rejected; a transaction may still be committed.
+	IsStopping func() bool
 	// Fields, when set, holds slices of log fields that the sessions of a process share, so
 	// that a line costs no new one and an idle session keeps none.
 	Fields *sync.Pool
@@ -122,6 +125,12 @@
 		return errorReply(carrier.Malformed, "the transaction has failed; end it first")
 	}
 	switch st.Verb {
+	case Begin, BeginReadOnly, Read, Write, Execute:
+		if s.IsStopping != nil && s.IsStopping() {
+			return s.reject(st)
+		}
+	}
+	switch st.Verb {
 	case Begin, BeginReadOnly:
 		return s.begin(st, arrived)
 	case Commit:
@@ -141,6 +150,17 @@
 	}
 }
 
+// reject rejects a statement because the process stops. The caller may return at once: other
+// processes serve it.
+func (s *Session) reject(st Statement) Reply {
+	s.Log.Info("conductor: statement rejected by the stop", zap.String("request", st.ID), zap.String("database", s.Database), zap.Bool("transaction", s.state != carrier.Idle))
+	const text = "the process is stopping; come back in 0s"
+	if s.state == carrier.Idle {
+		return errorReply(carrier.Busy, text)
+	}
+	return s.failTransaction(errorReply(carrier.Aborted, text))
+}
+
 func errorReply(code carrier.Code, text string) Reply { return Reply{Code: code, Text: text} }
 
 func okReply() Reply { return Reply{Signature: "-"} }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -65,6 +65,9 @@
 	// one than the first in the workspace's order.
 	BoundsLoad  func() bool
 	CountSpread func()
+	// IsStopping, when set, reports whether this process stops so soon that it accepts nothing
+	// new from peers.
+	IsStopping func() bool
 	// Name is this process's name, and Zone its availability zone.
 	Name string
 	Zone string
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -75,6 +75,9 @@
 	case lend, returnLoan, lendSpare, returnSpare:
 		return f.serveLoan(r)
 	}
+	if f.IsStopping != nil && f.IsStopping() {
+		return response{Refused: true}
+	}
 	g, ok := f.Local(r.Group)
 	if !ok || !g.IsGateway() && !g.IsSubstitute() {
 		return response{Refused: true}
--- a/leaver/event.go
+++ b/leaver/event.go
@@ -86,6 +86,9 @@
 // CloseListener stops accepting new callers.
 type CloseListener struct{}
 
+// RejectNew rejects work that begins from now on. Transactions may still be committed.
+type RejectNew struct{}
+
 // EndIdle ends up to Limit sessions that are between two requests. A session that
 // receives a request in the meantime answers it first.
 type EndIdle struct{ Limit int }
@@ -104,6 +107,7 @@
 func (HandOver) command()         {}
 func (CountSessions) command()    {}
 func (CloseListener) command()    {}
+func (RejectNew) command()        {}
 func (EndIdle) command()          {}
 func (ReturnShares) command()     {}
 func (Exit) command()             {}
--- a/leaver/shutdown_test.go
+++ b/leaver/shutdown_test.go
@@ -55,6 +55,15 @@
 				return Load{}
 			},
 		},
+		{
+			"callers come again and again", "2.3s EndIdle, 4.15s CloseListener, 4.15s RejectNew, 4.175s EndIdle, 4.5s Exit all work done",
+			func(at time.Duration, _ bool) Load {
+				if at < 4500*time.Millisecond {
+					return Load{Sessions: 1}
+				}
+				return Load{}
+			},
+		},
 		{
 			"a peer's statement lasts longer than all sessions", "2.3s EndIdle, 4s CloseListener, 4.025s Exit all work done",
 			func(at time.Duration, _ bool) Load {
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -97,8 +97,9 @@
 	fullReads       readTimes
 	stopTimeout     atomic.Int64 // of a graceful stop, as a time.Duration
 	leaving         atomic.Bool
-	storeBack       signal // the store answers again
-	storeRestored   signal // the store has been restored
+	rejectsNew      atomic.Bool // the stop is about to end
+	storeBack       signal      // the store answers again
+	storeRestored   signal      // the store has been restored
 	peerEra         atomic.Uint64
 	droppedLogLimit rate.Sometimes // limits log lines about dropped answers of the store
 	peersKnown      atomic.Bool    // the list of peers has arrived, from the store or from a peer
@@ -222,6 +223,7 @@
 		Promote: orders.Promote, NotifyPeers: p.gossip.NotifyPeers, Leaving: p.leaving.Load, Now: bootClock, Log: p.Log,
 	}
 	p.forward = &forwarder.Forwarder{Local: p.carrier.Group, Gateways: p.gateways, LeaderFault: p.overseer.LeaderFault, Send: p.forwardToPeer, Name: s.Name, Zone: s.Zone, Now: bootClock, Log: p.Log}
+	p.forward.IsStopping = p.rejectsNew.Load
 	p.forward.CancelsWaiting = func() bool { return p.features().FairAdmission }
 	p.forward.BoundsLoad = func() bool { return p.features().FairConnections }
 	p.forward.CountSpread = func() { p.incrementCounter(spreadStatements, 1) }
@@ -303,6 +305,9 @@
 
 // openSession creates a caller's session.
 func (p *Proxier) openSession(database string, key cataloger.Fingerprint) (*conductor.Session, carrier.Code, string) {
+	if p.rejectsNew.Load() {
+		return nil, carrier.Busy, "the process is stopping; come back in 0s"
+	}
 	view := p.cache.awaitConfig(firstConfigTimeout)
 	if view.Config.Version == 0 {
 		p.Log.Info("proxier: caller refused before the first configuration", zap.String("database", database))
@@ -317,7 +322,7 @@
 		p.Log.Info("proxier: caller refused, key unknown", zap.String("database", database), zap.Stringer("key", key), zap.Uint64("configuration", view.Config.Version))
 		return nil, carrier.Forbidden, "the key is unknown"
 	}
-	s := &conductor.Session{Process: p.Settings.Name, Database: database, Key: key, View: p.cache.current, Group: p.group, Now: bootClock, Admit: p.quotas.admit, Observe: p.recordRequest, Fields: &p.lineFields, Log: p.Log}
+	s := &conductor.Session{Process: p.Settings.Name, Database: database, Key: key, View: p.cache.current, Group: p.group, Now: bootClock, Admit: p.quotas.admit, Observe: p.recordRequest, IsStopping: p.rejectsNew.Load, Fields: &p.lineFields, Log: p.Log}
 	return s, carrier.OK, ""
 }
 
--- a/proxier/stop.go
+++ b/proxier/stop.go
@@ -25,6 +25,8 @@
 				ended += p.receiver.EndIdle(cmd.Limit)
 			case leaver.CloseListener:
 				p.receiver.StopAccepting()
+			case leaver.RejectNew:
+				p.rejectsNew.Store(true)
 			case leaver.Exit:
 				exit = &cmd
 			}
