--- a/leaver/shutdown.go
+++ b/leaver/shutdown.go
@@ -13,9 +13,8 @@
 	serveFraction  = 0.46
 	rejectFraction = 0.69
 	finishFraction = 0.92
-	// idleBatch is the number of idle sessions that one step ends, so that their callers do not
-	// reconnect elsewhere all at once.
-	idleBatch = 4
+	// minIdleBatch is the least number of idle sessions that one step may end.
+	minIdleBatch = 4
 )
 
 // ShutdownStepInterval is the time between two calls of Shutdown.Next.
@@ -67,7 +66,7 @@
 		s.rejects, s.listenerClosed = true, true
 		return []Command{CloseListener{}, RejectNew{}}
 	case left != Load{}:
-		return []Command{EndIdle{Limit: idleBatch}}
+		return []Command{EndIdle{Limit: s.idleBatch(now, left.Sessions)}}
 	case !s.listenerClosed:
 		// The load is counted again: a caller may have connected right before.
 		s.listenerClosed = true
@@ -76,3 +75,10 @@
 		return []Command{Exit{Summary: Summary{Reason: Done}}}
 	}
 }
+
+// idleBatch returns how many idle sessions to end now. They are ended at an even pace, so that
+// their callers do not all reconnect elsewhere at once, and all of them by RejectFrom.
+func (s *Shutdown) idleBatch(now time.Time, sessions int) int {
+	steps := max(int(s.RejectFrom.Sub(now)/ShutdownStepInterval), 1)
+	return max(minIdleBatch, (sessions+steps-1)/steps)
+}
--- a/leaver/shutdown_test.go
+++ b/leaver/shutdown_test.go
@@ -90,3 +90,27 @@
 	})
 	is.Equal(got, "2.3s CloseListener, 2.325s EndIdle, 2.5s Exit all work done")
 }
+
+// Guards against idle sessions that are left at the deadline because a process has more of them
+// than a fixed pace ends.
+func TestShutdownEndsAllIdleSessionsInTime(t *testing.T) {
+	for _, sessions := range []int{9, 520, 5200, 10400} {
+		t.Run(fmt.Sprint(sessions), func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1_800_000_000, 0)
+			s := NewShutdown(now, 6*time.Second)
+			left, most := sessions, 0
+			for ; left > 0; now = now.Add(ShutdownStepInterval) {
+				for _, c := range s.Next(now, Load{Sessions: left}) {
+					end, ok := c.(EndIdle)
+					is.True(ok)
+					left -= min(left, end.Limit)
+					most = max(most, end.Limit)
+				}
+			}
+			is.True(now.Before(s.RejectFrom.Add(ShutdownStepInterval)))
+			steps := int(s.RejectFrom.Sub(s.ServeUntil) / ShutdownStepInterval)
+			is.True(most <= max(minIdleBatch, sessions/steps+1))
+		})
+	}
+}
