--- a/conductor/statement.go
+++ b/conductor/statement.go
@@ -23,6 +23,9 @@
 	Deallocate
 )
 
+// IsSetup reports whether statements of this kind only set up the session.
+func (v Verb) IsSetup() bool { return v == Set || v == Prepare || v == Deallocate }
+
 // Statement is one statement of a caller.
 type Statement struct {
 	// ID identifies the request; it is passed to upstreams unchanged.
