receiver, conductor: statements in flight at the end of a stop are answered

What callers saw: a connection that ended without an answer, and for a write no word on whether it was kept.

Cause: at its deadline a stop closed all sessions at once, with whatever they had in flight.

Change: at the deadline statements that wait for an upstream are rejected, with a promise. Of those that were sent to one, callers are told what may have become of them: a write or a commit is in doubt, a transaction without its commit is aborted, a read has failed. Then the sessions end, and the process.

Why it works: the answer is sent by the stop itself and waits for nobody; a result that comes later is dropped. An abort is true since the session that could send the commit has ended.

--- a/conductor/session.go
+++ b/conductor/session.go
@@ -110,8 +110,7 @@
 // Close ends the session because the caller has disconnected. Requests that wait for an
 // upstream are cancelled, and an open transaction is rolled back.
 func (s *Session) Close() {
-	s.setup.Do(s.initialize)
-	s.closeOnce.Do(func() { close(s.callerGone) })
+	s.Cancel()
 	s.mu.Lock()
 	s.stopIdleTimer()
 	s.detachTransaction()
@@ -120,6 +119,29 @@
 	s.RollbackEnded()
 }
 
+// Cancel lets a statement that waits for an upstream be rejected. One that was sent goes on.
+func (s *Session) Cancel() {
+	s.setup.Do(s.initialize)
+	s.closeOnce.Do(func() { close(s.callerGone) })
+}
+
+// CodeWithoutResult returns the code of the answer to a statement whose result cannot be
+// awaited. It must be called before Handle: it depends on the state before the statement.
+func (s *Session) CodeWithoutResult(st Statement) carrier.Code {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case st.Verb == Commit && s.state == carrier.InTransaction && s.mayWrite(st):
+		return carrier.InDoubt
+	case s.state != carrier.Idle:
+		return carrier.Aborted // without a commit nothing of the transaction is kept
+	case s.mayWrite(st):
+		return carrier.InDoubt
+	default:
+		return carrier.Failed
+	}
+}
+
 func (s *Session) dispatch(st Statement, arrived time.Time) Reply {
 	if s.state == carrier.InFailedTransaction && st.Verb != Rollback && st.Verb != Commit {
 		return errorReply(carrier.Malformed, "the transaction has failed; end it first")
--- a/conductor/stopping_test.go
+++ b/conductor/stopping_test.go
@@ -36,3 +36,35 @@
 	is.Equal(s.State(), carrier.Idle)
 	is.Equal(g.transactionEndings(), []string{"commit", "rollback"})
 }
+
+// Guards against callers that are told that nothing is kept of what an upstream may have done, and
+// against doubt where there is none.
+func TestCodeWithoutResult(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		before []Verb
+		verb   Verb
+		want   carrier.Code
+	}{
+		{"read", nil, Read, carrier.Failed},
+		{"write", nil, Write, carrier.InDoubt},
+		{"write in a transaction", []Verb{Begin, Write}, Write, carrier.Aborted},
+		{"commit", []Verb{Begin, Write}, Commit, carrier.InDoubt},
+		{"commit of a read-only transaction", []Verb{BeginReadOnly, Read}, Commit, carrier.Aborted},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s, _ := newSession()
+			for _, verb := range test.before {
+				is.Equal(s.do(verb, "", "seat").Code, carrier.OK)
+			}
+			is.Equal(s.CodeWithoutResult(Statement{Verb: test.verb, Value: "seat"}), test.want)
+		})
+	}
+	is := is.New(t)
+	s, _ := newSession()
+	is.Equal(s.do(Prepare, "s", "shape").Code, carrier.OK)
+	is.Equal(s.CodeWithoutResult(Statement{Verb: Execute, Name: "s"}), carrier.Failed)
+	s.Handle(Statement{Verb: Prepare, Name: "s", Value: "shape", Writes: true}, s.Now())
+	is.Equal(s.CodeWithoutResult(Statement{Verb: Execute, Name: "s"}), carrier.InDoubt)
+}
--- a/leaver/event.go
+++ b/leaver/event.go
@@ -89,6 +89,10 @@
 // RejectNew rejects work that begins from now on. Transactions may still be committed.
 type RejectNew struct{}
 
+// AnswerRest answers the requests in flight without waiting for their results, and ends all
+// sessions, by a time.
+type AnswerRest struct{ By time.Time }
+
 // EndIdle ends up to Limit sessions that are between two requests. A session that
 // receives a request in the meantime answers it first.
 type EndIdle struct{ Limit int }
@@ -108,6 +112,7 @@
 func (CountSessions) command()    {}
 func (CloseListener) command()    {}
 func (RejectNew) command()        {}
+func (AnswerRest) command()       {}
 func (EndIdle) command()          {}
 func (ReturnShares) command()     {}
 func (Exit) command()             {}
--- a/leaver/shutdown.go
+++ b/leaver/shutdown.go
@@ -8,11 +8,12 @@
 
 const (
 	// Fractions of the time that the stop has: serveFraction bounds ServeFor, rejectFraction is
-	// when new work is rejected, and finishFraction when the requests in flight have to be
-	// answered.
-	serveFraction  = 0.46
-	rejectFraction = 0.69
-	finishFraction = 0.92
+	// when new work is rejected, deadlineFraction until when results are awaited, and endFraction
+	// when the last answers have been sent.
+	serveFraction    = 0.46
+	rejectFraction   = 0.69
+	deadlineFraction = 0.92
+	endFraction      = 0.97
 	// minIdleBatch is the least number of idle sessions that one step may end.
 	minIdleBatch = 4
 )
@@ -30,8 +31,9 @@
 	// sending callers, and without this there would always be a request in flight at the
 	// deadline.
 	RejectFrom time.Time
-	// Deadline is when the process ends, whatever is left.
-	Deadline time.Time
+	// Deadline is until when the results of requests in flight are awaited, and EndBy when the
+	// process ends, whatever is left.
+	Deadline, EndBy time.Time
 
 	listenerClosed bool
 	rejects        bool
@@ -44,7 +46,8 @@
 	return Shutdown{
 		ServeUntil: now.Add(min(ServeFor, fraction(serveFraction))),
 		RejectFrom: now.Add(fraction(rejectFraction)),
-		Deadline:   now.Add(fraction(finishFraction)),
+		Deadline:   now.Add(fraction(deadlineFraction)),
+		EndBy:      now.Add(fraction(endFraction)),
 	}
 }
 
@@ -61,7 +64,7 @@
 	case now.Before(s.ServeUntil):
 		return nil
 	case !now.Before(s.Deadline):
-		return []Command{Exit{Code: 1, Summary: Summary{Reason: Deadline}}}
+		return []Command{AnswerRest{By: s.EndBy}, Exit{Code: 1, Summary: Summary{Reason: Deadline}}}
 	case !now.Before(s.RejectFrom) && !s.rejects:
 		s.rejects, s.listenerClosed = true, true
 		return []Command{CloseListener{}, RejectNew{}}
--- a/leaver/shutdown_test.go
+++ b/leaver/shutdown_test.go
@@ -64,6 +64,10 @@
 				return Load{}
 			},
 		},
+		{
+			"a statement doesn't end", "2.3s EndIdle, 4.15s CloseListener, 4.15s RejectNew, 4.175s EndIdle, 5.525s AnswerRest, 5.525s Exit deadline",
+			func(time.Duration, bool) Load { return Load{Sessions: 1} },
+		},
 		{
 			"a peer's statement lasts longer than all sessions", "2.3s EndIdle, 4s CloseListener, 4.025s Exit all work done",
 			func(at time.Duration, _ bool) Load {
--- a/proxier/stop.go
+++ b/proxier/stop.go
@@ -16,7 +16,7 @@
 	p.leaving.Store(true)
 	p.Log.Info("proxier: graceful stop started", zap.Int("sessions", p.receiver.Count()), zap.Duration("limit", shutdown.Deadline.Sub(began)))
 	time.Sleep(time.Until(shutdown.ServeUntil))
-	ended := 0
+	ended, cut := 0, 0
 	var exit *leaver.Exit
 	for exit == nil {
 		for _, cmd := range shutdown.Next(time.Now(), p.unfinished()) {
@@ -27,6 +27,9 @@
 				p.receiver.StopAccepting()
 			case leaver.RejectNew:
 				p.rejectsNew.Store(true)
+			case leaver.AnswerRest:
+				cut = p.receiver.Count()
+				p.receiver.AnswerRest(cmd.By)
 			case leaver.Exit:
 				exit = &cmd
 			}
@@ -35,7 +38,7 @@
 			time.Sleep(leaver.ShutdownStepInterval)
 		}
 	}
-	remaining, opened := p.receiver.Count(), p.receiver.Opened()
+	opened := p.receiver.Opened()
 	p.receiver.Stop()
 	p.gossip.Stop()
 	p.messenger.Close()
@@ -43,7 +46,7 @@
 	for _, s := range p.servers {
 		_ = s.Close() // the process ends; nothing in flight on these servers matters any more
 	}
-	p.Log.Info("proxier: stopped", zap.String("reason", string(exit.Summary.Reason)), zap.Int("ended", ended), zap.Int("cut", remaining),
+	p.Log.Info("proxier: stopped", zap.String("reason", string(exit.Summary.Reason)), zap.Int("ended", ended), zap.Int("cut", cut),
 		zap.Int64("requests", p.receiver.Interrupted()), zap.Int("late", p.receiver.Opened()-opened), zap.Duration("took", time.Since(began)))
 }
 
