proxier: a stop awaits the statements that run for peers

What callers saw: a write in doubt at another process, when the process that ran it for that one was stopped.

Cause: the stop counted its own sessions and the transactions that it held for peers, not their single statements. A process without callers ended at once, and its peers lost the answers.

Change: the requests of peers count until their answers have been written.

Why it works: peers give a process that leaves nothing new once they know, and are refused near its end, so the number falls to zero; the deadline bounds it.

--- a/adapter/messenger/messenger.go
+++ b/adapter/messenger/messenger.go
@@ -144,6 +144,18 @@
 	return len(m.all)
 }
 
+// Serving returns the number of peers' requests that have no answer yet. One counts until its
+// answer has been written.
+func (m *Messenger) Serving() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for l := range m.all {
+		n += len(l.serving)
+	}
+	return n
+}
+
 // add starts a link and makes it the one that calls use, if it is to be.
 //
 // Two peers that dial each other at the same time end up with two connections.
--- a/leaver/shutdown.go
+++ b/leaver/shutdown.go
@@ -54,7 +54,8 @@
 // Load is what a process has left to finish.
 type Load struct {
 	Sessions int
-	// Forwarded is the number of statements and transactions that run for peers.
+	// Forwarded is the number of peers' requests that have no answer yet and of transactions that
+	// are open for peers.
 	Forwarded int
 }
 
--- a/proxier/stop.go
+++ b/proxier/stop.go
@@ -52,5 +52,5 @@
 
 // unfinished returns what the process has left to finish.
 func (p *Proxier) unfinished() leaver.Load {
-	return leaver.Load{Sessions: p.receiver.Count(), Forwarded: p.forward.OpenTransactions()}
+	return leaver.Load{Sessions: p.receiver.Count(), Forwarded: p.messenger.Serving() + p.forward.OpenTransactions()}
 }
