--- a/adapter/listener/conn.go
+++ b/adapter/listener/conn.go
@@ -163,6 +163,9 @@
 // connection has ended, or the deadline has passed. Closing drops what is
 // unsent, so a last message is flushed before it.
 func (c *Conn) Flush(deadline time.Time) {
+	if c.Unsent() == 0 {
+		return
+	}
 	space := c.spaceSignal()
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
