serve: no SIGHUP ends a process, from its start to its last line

What callers saw: a process that ended at once when its settings changed while it started, or while it wrote its last lines; with the PostgreSQL wire at any time, with all requests under way.

Cause: SIGHUP was handled only from the moment at which the settings had been read until the stop was over, and only with the wire 'lines'. Elsewhere its default action ends the process.

Change: the signal is taken over first of all. Settings are read again once the process has started; with the PostgreSQL wire a line says that they need a restart.

Why it works: a signal that comes while the process starts waits until then. What is left is the time before the command runs.

--- a/cmd/basildale/serve.go
+++ b/cmd/basildale/serve.go
@@ -30,6 +30,11 @@
 
 // Run runs the process.
 func (c *serveCmd) Run(e *env) error {
+	// Before the settings are read and until the last line of the log is written: a SIGHUP that
+	// nobody handles ends the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	settings, problems, err := loader.Load(c.File)
 	if err != nil {
 		return fail(exitUsage, err)
@@ -47,9 +52,13 @@
 	log.Info("serve: starting", zap.String("name", settings.Name), zap.String("zone", settings.Zone))
 	if settings.Wire == loader.Lines {
 		p := &proxier.Proxier{Settings: settings, Log: log}
-		defer c.reloads(p, log)()
+		go func() {
+			<-p.Started() // the process starts with the settings that were read before
+			c.reload(hangups, p, log)
+		}()
 		return p.Run(e.ctx)
 	}
+	go ignore(hangups, log)
 	d := &daemon.Daemon{Settings: settings, Log: log}
 	go announce(e.ctx, d, log)
 	defer hasten(d)()
@@ -60,25 +69,22 @@
 	return nil
 }
 
-// reloads reads the settings anew at each SIGHUP. Without it the signal would end
-// the process, and every request under way with it. Settings that are wrong change
-// nothing. The function returned ends the watch.
-func (c *serveCmd) reloads(p *proxier.Proxier, log *zap.Logger) func() {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	go func() {
-		for range signals {
-			settings, problems, err := loader.Load(c.File)
-			if err != nil || len(problems) > 0 {
-				log.Error("serve: settings not reloaded", zap.Int("problems", len(problems)), zap.Error(err))
-				continue
-			}
-			p.Reload(settings)
+// reload reads the settings anew at each SIGHUP. Settings that are wrong change nothing.
+func (c *serveCmd) reload(hangups <-chan os.Signal, p *proxier.Proxier, log *zap.Logger) {
+	for range hangups {
+		settings, problems, err := loader.Load(c.File)
+		if err != nil || len(problems) > 0 {
+			log.Error("serve: settings not reloaded", zap.Int("problems", len(problems)), zap.Error(err))
+			continue
 		}
-	}()
-	return func() {
-		signal.Stop(signals)
-		close(signals)
+		p.Reload(settings)
+	}
+}
+
+// ignore logs each SIGHUP to a process that reads its settings at its start only.
+func ignore(hangups <-chan os.Signal, log *zap.Logger) {
+	for range hangups {
+		log.Warn("serve: settings not reloaded, they need a restart")
 	}
 }
 
