relayer, server: statements in flight at the end of a stop are answered

What callers saw, with the PostgreSQL wire: a connection that ended without an answer when a stop lasted to its limit.

The waits of sessions were ended and their connections closed in the same moment.

Evidence: TestStopAtItsLimitAnswersStatementsInFlight of package server on the code before: no answer in each of 5 plays.

Why it works: closing is safe beside the session's own reads and writes, under the lock that keeps cancel requests from the next owner's statement.

Measured: 5 plays pass; server, relayer and daemon pass under the race detector.

--- a/server/server.go
+++ b/server/server.go
@@ -93,6 +93,10 @@
 
 const defaultGrace = 30 * time.Second
 
+// answerTime bounds how long the last answers may take once the results of statements are not
+// awaited any more.
+const answerTime = time.Second
+
 // Started is closed when callers can connect.
 func (s *Server) Started() <-chan struct{} {
 	s.once.Do(s.prepare)
@@ -125,7 +129,7 @@
 	if left > 0 {
 		s.Log.Warn("server: sessions cut off", zap.Int("sessions", left))
 	}
-	s.relay.Stop()
+	s.relay.AnswerRest(time.Now().Add(answerTime))
 	s.listener.Stop()
 	s.pools.stop()
 	s.Log.Info("server: stopped")
