--- a/leaver/shutdown.go
+++ b/leaver/shutdown.go
@@ -2,12 +2,11 @@
 
 import "time"
 
-// ServeFor is how long a process that stops serves as before. Its load balancer checks it each
-// second and stops sending callers after two failed checks.
-const ServeFor = 2300 * time.Millisecond
-
 const (
-	// Fractions of the time that the stop has: serveFraction bounds ServeFor, rejectFraction is
+	// serveFor is how long a process that stops serves as before. Its load balancer checks it
+	// each second and stops sending callers after two failed checks.
+	serveFor = 2300 * time.Millisecond
+	// Fractions of the time that the stop has: serveFraction bounds serveFor, rejectFraction is
 	// when new work is rejected, deadlineFraction until when results are awaited, and endFraction
 	// when the last answers have been sent.
 	serveFraction    = 0.46
@@ -44,7 +43,7 @@
 func NewShutdown(now time.Time, timeout time.Duration) Shutdown {
 	fraction := func(f float64) time.Duration { return time.Duration(f * float64(timeout)) }
 	return Shutdown{
-		ServeUntil: now.Add(min(ServeFor, fraction(serveFraction))),
+		ServeUntil: now.Add(min(serveFor, fraction(serveFraction))),
 		RejectFrom: now.Add(fraction(rejectFraction)),
 		Deadline:   now.Add(fraction(deadlineFraction)),
 		EndBy:      now.Add(fraction(endFraction)),
