proxier: the test of a stop's limit keeps away from the statement's own timeout

Cause: the stop's limit came 80 ms before the timeout of the statement in flight, so that on a busy machine a read might have ended by that first.

Change: the stop has 400 ms in this test; what it expects is as before.

--- a/proxier/stop_test.go
+++ b/proxier/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -82,6 +83,7 @@
 			if test.statement != "COMMIT" {
 				f.waitFor("the upstream works on it", w.any)
 			}
+			m.stopTimeout.Store(int64(400 * time.Millisecond)) // ends long before the statement's own timeout
 			m.cancel()
 			a := <-answered
 			is.True(!a.ended)
