review: case 3 is text that changes between proxies

Statements and rows that are no UTF-8 change when a proxy forwards them as JSON, and two seats become one. The stand-in checks the two seats too.

--- a/review/.standins/field/text.go
+++ b/review/.standins/field/text.go
@@ -14,8 +14,11 @@
 	pace   = 100 * time.Millisecond
 	// lasts is how long the caller goes on.
 	lasts = 9 * time.Second
-	// oldSeat is written before the partition.
-	oldSeat = "seat-old"
+	// oldSeat is written before the partition, and the others are two seats whose names differ in
+	// one letter that is not ASCII.
+	oldSeat    = "seat-old"
+	firstSeat  = "r\xe6kke-4"
+	secondSeat = "r\xf8kke-4"
 )
 
 // playText has one caller of one proxy write and read seats whose names are in ISO 8859-1, as
@@ -48,6 +51,19 @@
 		}
 		return r.lost
 	}
+	checkTwo := func() (lost bool) {
+		_, first := c.ask("WRITE " + firstSeat + " Hansen")
+		_, second := c.ask("WRITE " + secondSeat + " Jensen")
+		if !first.ok() || !second.ok() {
+			return first.lost || second.lost
+		}
+		_, r := c.ask("READ " + firstSeat)
+		if r.ok() && len(r.rows) == 1 && r.rows[0] != "Hansen" {
+			changedRows++
+			p.rec.line("BROKEN: a read of the first seat got %s, which was written to the second one", strconv.QuoteToASCII(r.rows[0]))
+		}
+		return r.lost
+	}
 	for n, end := 0, time.Now().Add(lasts); time.Now().Before(end); n++ {
 		item := fmt.Sprintf("seat-%d", n)
 		_, w := c.ask(fmt.Sprintf("WRITE %s K\xf8benhavn-Sk\xf8rping-%d", item, n))
@@ -64,6 +80,9 @@
 				return notRun, err
 			}
 		}
+		if n%10 == 5 && !w.lost {
+			w.lost = checkTwo()
+		}
 		time.Sleep(pace)
 	}
 	forwarded, changed := p.rec.changed(proxy.name)
