server: the stop's test waits until its statement is at the upstream

Cause: TestStopAtItsLimitAnswersStatementsInFlight waited until the session counted as busy and then began the stop. A session also counts as busy until its worker has finished the statement before, so the stop could come before the INSERT had arrived.

Change: the upstream freezes when it receives the INSERT, and the stop begins after that. The statement is then at the upstream in every play, and the answer must still be 08007. The test also requires that the session counts as busy when the stop begins.

--- a/server/stop_test.go
+++ b/server/stop_test.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"net/netip"
-	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,6 +18,13 @@
 	group, err := upstream.NewGroup(upstream.Options{Size: 1, Setup: seats})
 	is.NoErr(err)
 	t.Cleanup(group.Close)
+	atUpstream := make(chan struct{})
+	group.Upstreams[0].Observe = func(_ uint32, sql string) {
+		if strings.Contains(sql, book) {
+			group.Upstreams[0].Freeze()
+			close(atUpstream)
+		}
+	}
 	s := &Server{Groups: []Group{{Name: "billet", Upstreams: group.Addrs(), Connections: 4}}, Grace: 50 * time.Millisecond}
 	s.Listen = netip.MustParseAddrPort("127.0.0.1:0")
 	ctx, cancel := context.WithCancel(t.Context())
@@ -27,15 +34,13 @@
 	c := (&fixture{group: group, server: s}).connect(t, "")
 	_, err = c.Exec(t.Context(), "SELECT 1")
 	is.NoErr(err)
-	group.Upstreams[0].Freeze()
 	answered := make(chan error, 1)
 	go func() {
 		_, err := c.Exec(context.Background(), book)
 		answered <- err
 	}()
-	for len(s.Load().Busy) == 0 {
-		runtime.Gosched()
-	}
+	<-atUpstream
+	is.Equal(len(s.Load().Busy), 1)
 	cancel()
 	is.Equal(code(<-answered), "08007")
 	group.Upstreams[0].Thaw()
