overseer: a process that has just started knows whose log may matter

What callers saw: acknowledged bookings were gone.

Cause: a failover needs all upstreams suspended, but one, that could have confirmed a commit. Those that the store no longer lists were kept in one process's memory. A process that had just started took the listed upstreams for all there are, so one suspended replica of two upstreams was enough. In the same way it could not know that a replica had restarted without its log.

Change: the lease record in the store holds the group's roster: listed upstreams, those whose logs are not accounted for, their starts, and the position that a new leader must reach. A claim reads it in the same step and hands it on, and the holder writes it when it changes. Whoever changes a leader has claimed the lease, so it knows the roster; without the store there is no claim.

--- a/carrier/absent.go
+++ b/carrier/absent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -47,37 +48,56 @@
 func (g *Group) resolveAbsent() {
 	for _, u := range g.upstreams {
 		if a := g.absent[u.id]; a != nil && isRestart(a.entry, u.entry) {
-			g.recordRestart(u)
+			g.recordRestart(u, a.entry.Born)
 		}
 		delete(g.absent, u.id)
+		delete(g.accounted, u.id)
 		for id, a := range g.absent {
 			if a.entry.Address == u.entry.Address {
 				g.log().Info("carrier: log of absent upstream taken over by successor", zap.String("group", g.name), zap.String("upstream", id), zap.String("successor", u.id))
-				delete(g.absent, id)
+				g.setAccounted(id, tracker.Mark{})
 			}
 		}
 	}
 }
 
+// setAccounted drops an absent upstream: a new leader whose log reaches a position has
+// everything that it may have confirmed. The caller must hold g.mu.
+func (g *Group) setAccounted(id string, minReceived tracker.Mark) {
+	delete(g.absent, id)
+	if g.accounted == nil {
+		g.accounted = map[string]bool{}
+	}
+	g.accounted[id] = true
+	g.minReceived = laterMark(g.minReceived, minReceived)
+}
+
 // recordRestart records that an upstream has restarted without its log. It may have had the
 // only confirmed copy of what the leader acknowledged until then, so a new leader must have
 // all of that. Otherwise bookings are lost when the leader crashes right after such a
 // replica, and the other replica, which received less, is promoted. What the leader
-// confirms from now on is confirmed by copies that still exist. The caller must hold g.mu.
-func (g *Group) recordRestart(u *upstream) {
-	u.restartedAt = g.registry.Now()
+// confirms from now on is confirmed by copies that still exist. Where no position of the
+// leader is known, none is far enough until the leader has stated one. before is when the
+// lost log's upstream had started. The caller must hold g.mu.
+func (g *Group) recordRestart(u *upstream, before time.Time) {
+	u.restartedAt, u.lostLogOf, u.minReceived = g.registry.Now(), before, unreachableMark()
 	if newest, known := g.samples.last(); known {
 		u.minReceived = newest.mark
 	}
 }
 
+// unreachableMark returns a position that no log reaches.
+func unreachableMark() tracker.Mark {
+	return tracker.Mark{Term: tracker.Term{Epoch: math.MaxUint32}}
+}
+
 // resolveRestarts applies a position of the leader that was requested at a given time. The
 // first one requested after a restart is at or past everything that the leader had
 // acknowledged before the restart. The caller must hold g.mu.
 func (g *Group) resolveRestarts(requestedAt time.Time, mark tracker.Mark) {
 	for _, u := range g.upstreams {
 		if !u.restartedAt.IsZero() && requestedAt.After(u.restartedAt) {
-			u.restartedAt, u.minReceived = time.Time{}, mark
+			u.restartedAt, u.lostLogOf, u.minReceived = time.Time{}, time.Time{}, mark
 		}
 	}
 }
@@ -90,20 +110,30 @@
 	return a
 }
 
+// resolveExpired accounts for the upstreams that have been absent for absentTimeout, where
+// the leader has stated a position since. The caller must hold g.mu.
+func (g *Group) resolveExpired(now time.Time) {
+	newest, known := g.samples.last()
+	if !known {
+		return
+	}
+	for id, a := range g.absent {
+		if now.Sub(a.since) > absentTimeout && newest.requestedAt.Sub(a.since) > time.Second {
+			g.setAccounted(id, newest.mark)
+		}
+	}
+}
+
 // appendAbsent appends the absent upstreams that a change of leader must take into account.
 // It also returns the position that the new leader's log must reach to cover the other
 // absent upstreams and those that have restarted. The caller must hold g.mu.
 func (g *Group) appendAbsent(seen []UpstreamView, now time.Time) ([]UpstreamView, tracker.Mark) {
-	var minReceived tracker.Mark
+	g.resolveExpired(now)
+	minReceived := g.minReceived
 	for _, u := range g.upstreams {
 		minReceived = laterMark(minReceived, u.minReceived)
 	}
 	for id, a := range g.absent {
-		newest, known := g.samples.last()
-		if known && now.Sub(a.since) > absentTimeout && newest.requestedAt.Sub(a.since) > time.Second {
-			minReceived = laterMark(minReceived, newest.mark)
-			continue
-		}
 		seen = append(seen, UpstreamView{ID: id, StartedAt: a.entry.Born, Leaving: a.entry.Leaving, Ejected: true, Unlisted: true})
 	}
 	return seen, minReceived
--- a/carrier/group.go
+++ b/carrier/group.go
@@ -26,6 +26,10 @@
 	// absent holds, by id, upstreams that the store no longer lists and whose logs are not
 	// accounted for.
 	absent map[string]*absentUpstream
+	// accounted holds the ids of upstreams that were absent and are accounted for, and
+	// minReceived the position that the log of a new leader must reach because of them.
+	accounted   map[string]bool
+	minReceived tracker.Mark
 	// leader is the upstream that last proved or claimed that it leads; nil while none is
 	// known. provenAt is when the last proof was requested.
 	leader   *upstream
@@ -209,6 +213,9 @@
 	if g.leader == u {
 		g.setLeader(nil, "gone")
 	}
+	if u.minReceived != unreachableMark() {
+		g.minReceived = laterMark(g.minReceived, u.minReceived)
+	}
 	g.recordAbsent(u)
 	g.logChange("carrier: upstream removed", zap.String("group", g.name), zap.String("upstream", u.id), zap.Stringer("version", u.entry.Version))
 }
--- a/carrier/restart_test.go
+++ b/carrier/restart_test.go
@@ -104,3 +104,25 @@
 	g.recordLeader(g.upstreams[1], later.Add(time.Second), mark(1, 200))
 	is.Equal(g.Observe().MinReceived, mark(1, 120)) // what came later is confirmed by copies that still exist
 }
+
+// Guards against lost commits when a replica restarts without its log while all processes are
+// down: a process that has just started knows only its present start. Until the leader has
+// stated a position, no log is known to have what the replica had confirmed.
+func TestRecordedStartShowsRestart(t *testing.T) {
+	is := is.New(t)
+	g, setNow := newRestartGroup()
+	recorded := g.Roster()
+	g.registry.SetUpstreams([]cataloger.Upstream{upstreamStartedAt("a", 1), upstreamStartedAt("b", 2)})
+	is.Equal(g.Roster().MinReceived, mark(1, 100)) // known from the samples
+
+	restarted := &Registry{Now: g.registry.Now, Log: zap.NewNop()}
+	restarted.SetUpstreams([]cataloger.Upstream{upstreamStartedAt("a", 1), upstreamStartedAt("b", 2)})
+	r, _ := restarted.Group("g")
+	is.True(r.Observe().MinReceived.IsZero())
+	r.RestoreRoster(recorded)
+	is.Equal(r.Observe().MinReceived, unreachableMark())
+	is.True(r.Roster().Equal(recorded)) // a further process finds the restart too
+	setNow(g.registry.Now().Add(time.Second))
+	r.recordLeader(r.upstreams[0], g.registry.Now(), mark(1, 120))
+	is.Equal(r.Observe().MinReceived, mark(1, 120))
+}
--- a/carrier/upstream.go
+++ b/carrier/upstream.go
@@ -51,9 +51,11 @@
 	drainBy          time.Time    // when it gets no more new work; zero while that is not known
 	drainEndReported bool         // the end of new work was logged
 	unlistedSince    time.Time    // since when the store does not list it, though it answers
-	// restartedAt is when it was found to have restarted, and minReceived the position that
-	// the log of a new leader must reach because of that.
+	// restartedAt is when it was found to have restarted, lostLogOf when it had started
+	// before, and minReceived the position that the log of a new leader must reach because
+	// of that.
 	restartedAt time.Time
+	lostLogOf   time.Time
 	minReceived tracker.Mark
 	expected    replicaState
 
--- a/overseer/lease.go
+++ b/overseer/lease.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/adapter/keeper"
+	"basildale.example/basildale/carrier"
 	"basildale.example/basildale/gossiper"
 	"basildale.example/basildale/replacer"
 	"basildale.example/basildale/versioner"
@@ -40,9 +41,16 @@
 // leaseRecord is the value of an object of that kind.
 type leaseRecord struct {
 	Holder string `json:"holder"`
-	// Start distinguishes incarnations of the holder, and Claim its claims.
+	// Start distinguishes incarnations of the holder, and Claim its writes.
 	Start int64  `json:"start"`
 	Claim uint64 `json:"claim"`
+	// Roster is what the next holder must know of the group.
+	Roster carrier.Roster `json:"roster,omitzero"`
+}
+
+// isSameWrite reports whether two records are of the same write.
+func (r *leaseRecord) isSameWrite(o leaseRecord) bool {
+	return r.Holder == o.Holder && r.Start == o.Start && r.Claim == o.Claim
 }
 
 // revisionBits is how many bits of a token hold the revision of a claim, above those of the
@@ -70,6 +78,11 @@
 	maxToken     uint64         // highest token seen
 	claiming     bool
 	nextClaim    time.Time // earliest time of the next claim
+	// record is this process's record in the store while it holds the lease, and recordedAt
+	// its version.
+	record     leaseRecord
+	recordedAt versioner.Version
+	nextRecord time.Time // earliest time of the next write of the record
 }
 
 // update applies what the peers that report on the group say about the lease holder. A process that sees a
@@ -163,27 +176,23 @@
 type claimResult struct {
 	group string
 	token uint64
-	err   error
+	// record is what was written, and recordedAt its version.
+	record     leaseRecord
+	recordedAt versioner.Version
+	err        error
 }
 
-// claim claims the lease by a conditional update. When the answer is lost, the record is read
-// back to find out whether the update was applied.
-func (o *Overseer) claim(ctx context.Context, group string) claimResult {
+// claim claims the lease by a conditional update. The record goes on naming the members that
+// the former holder recorded.
+func (o *Overseer) claim(ctx context.Context, group string, known carrier.Roster) claimResult {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	_, at, err := o.readRecord(ctx, group)
+	held, at, err := o.readRecord(ctx, group)
 	if err != nil {
 		return claimResult{group: group, err: err}
 	}
-	next := leaseRecord{Holder: o.Name, Start: o.Start, Claim: o.claimCount.Add(1)}
-	written, err := o.Store.Put(ctx, leaseKind, group, at.Revision, next)
-	at = written.At()
-	if errors.Is(err, keeper.ErrLost) {
-		var held leaseRecord
-		if held, at, err = o.readRecord(ctx, group); err == nil && held != next {
-			err = keeper.ErrConflict
-		}
-	}
+	next := o.newRecord(known.Merge(held.Roster))
+	at, err = o.putRecord(ctx, group, next, at)
 	if err != nil {
 		return claimResult{group: group, err: err}
 	}
@@ -192,7 +201,25 @@
 		return claimResult{group: group, err: err}
 	}
 	token, err := tokenOf(at)
-	return claimResult{group: group, token: token, err: err}
+	return claimResult{group: group, token: token, record: next, recordedAt: at, err: err}
+}
+
+func (o *Overseer) newRecord(roster carrier.Roster) leaseRecord {
+	return leaseRecord{Holder: o.Name, Start: o.Start, Claim: o.claimCount.Add(1), Roster: roster}
+}
+
+// putRecord replaces the record at a version. When the answer is lost, the record is read back
+// to find out whether the update was applied.
+func (o *Overseer) putRecord(ctx context.Context, group string, next leaseRecord, replaced versioner.Version) (versioner.Version, error) {
+	written, err := o.Store.Put(ctx, leaseKind, group, replaced.Revision, next)
+	at := written.At()
+	if errors.Is(err, keeper.ErrLost) {
+		var held leaseRecord
+		if held, at, err = o.readRecord(ctx, group); err == nil && !held.isSameWrite(next) {
+			err = keeper.ErrConflict
+		}
+	}
+	return at, err
 }
 
 func (o *Overseer) readRecord(ctx context.Context, group string) (leaseRecord, versioner.Version, error) {
@@ -223,5 +250,7 @@
 	l.token = c.token
 	l.maxToken = c.token
 	l.holderSeenAt = now
+	l.record, l.recordedAt = c.record, c.recordedAt
+	o.groups[c.group].carrierGroup.RestoreRoster(c.record.Roster)
 	o.Log.Info("overseer: lease claimed", zap.String("group", c.group), zap.Uint64("token", c.token))
 }
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -189,8 +189,9 @@
 		}
 		if o.shouldClaim(g, peers, live, now) || o.shouldReclaim(g, now) {
 			g.lease.claiming = true
-			go o.claimAndReport(ctx, c.Name())
+			go o.claimAndReport(ctx, c.Name(), c.Roster())
 		}
+		o.updateRecord(ctx, g, now)
 		o.execute(ctx, g, g.replacer.Handle(replacer.Tick{View: view}, now))
 	}
 	o.mu.Lock()
@@ -234,8 +235,8 @@
 }
 
 // claimAndReport claims a lease and passes the result to the control loop.
-func (o *Overseer) claimAndReport(ctx context.Context, name string) {
-	c := o.claim(ctx, name)
+func (o *Overseer) claimAndReport(ctx context.Context, name string, known carrier.Roster) {
+	c := o.claim(ctx, name, known)
 	o.post(ctx, func(now time.Time) { o.onClaimResult(c, now) })
 }
 
--- a/overseer/restore_test.go
+++ b/overseer/restore_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 
 	"basildale.example/basildale/adapter/keeper"
+	"basildale.example/basildale/carrier"
 	"basildale.example/basildale/replacer"
 	"basildale.example/basildale/versioner"
 )
@@ -124,7 +125,7 @@
 func (d *restoredStore) claim(o *Overseer) {
 	d.clock++
 	began := d.clock
-	c := o.claim(context.Background(), "g")
+	c := o.claim(context.Background(), "g", carrier.Roster{})
 	d.clock++
 	if c.err == nil {
 		d.claims = append(d.claims, successfulClaim{o.Name, c.token, began, d.clock})
