replacer: while an order is out, only the successor may lead

Cause: an order to promote takes effect up to a second after it was accepted. Before it is sent, nothing more can be acknowledged, because the leader is dead and its replicas are suspended. Nothing kept the leader from being used when it was back before the order took effect, under another id. Writes waited there, and a replica that joined confirmed them.

Change: the lease holder tells its peers the successor from before the order until the successor leads or the order is rejected. Until then no process uses another upstream as the leader, whatever it claims or proves; commits that wait at the former leader are aborted. The holder demotes the former leader, and upstreams that join and claim to lead. This holds no matter when the leader is back or a replica joins, since no process sends a write there.

--- a/carrier/group.go
+++ b/carrier/group.go
@@ -37,6 +37,8 @@
 	// lastLeader is the id of the last leader.
 	lastLeader string
 	former     formerLeader
+	// fence is the change of leader that is under way.
+	fence Fence
 	// leaderlessSince is when the last leader that answered was lost; zero while one is
 	// known.
 	leaderlessSince time.Time
@@ -196,6 +198,7 @@
 // hold g.mu.
 func (g *Group) handleLeaderClaim(u *upstream) {
 	switch {
+	case g.fence.bars(u.id):
 	case g.reachableLeaderLocked() == nil:
 		g.setLeader(u, "listed")
 	case g.active:
@@ -304,7 +307,7 @@
 func (g *Group) recordLeader(u *upstream, requestedAt time.Time, mark tracker.Mark) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if requestedAt.Before(g.provenAt) {
+	if requestedAt.Before(g.provenAt) || g.fence.bars(u.id) {
 		return
 	}
 	g.provenAt = requestedAt
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -286,6 +286,9 @@
 func (g *Group) send(u *upstream, r *run, j *Job, cmd Command, since tracker.Mark) (Answer, bool, error) {
 	setup := r.conn.setupCommands(j.Values, j.Prepared)
 	if j.Writes {
+		if g.isBarred(u) {
+			return refusal(ReadOnly, "the leader is being replaced"), false, nil
+		}
 		requestedAt := g.registry.Now()
 		answers, sent, err := g.exchange(u, r, j.Deadline, append(setup, cmd)...)
 		if err != nil {
--- a/carrier/observe.go
+++ b/carrier/observe.go
@@ -31,6 +31,8 @@
 	StartedAt time.Time
 	Leaving   bool
 	Ejected   bool
+	// ClaimsToLead means that it leads according to its own entry.
+	ClaimsToLead bool
 	// Unlisted means that the store no longer lists it and that its log is not accounted
 	// for.
 	Unlisted bool
@@ -59,6 +61,16 @@
 	MinReceived tracker.Mark
 }
 
+// Reaches reports whether an upstream answers, as far as this process knows.
+func (o Observation) Reaches(id string) bool {
+	for _, u := range o.Upstreams {
+		if u.ID == id {
+			return !u.Ejected
+		}
+	}
+	return false
+}
+
 // Observe returns what this process sees of the group.
 func (g *Group) Observe() Observation {
 	g.mu.Lock()
@@ -66,7 +78,7 @@
 	now := g.registry.Now()
 	out := Observation{Leader: g.lastLeader}
 	for _, u := range g.upstreams {
-		out.Upstreams = append(out.Upstreams, UpstreamView{ID: u.id, StartedAt: u.entry.Born, Leaving: u.entry.Leaving, Ejected: u.ejected})
+		out.Upstreams = append(out.Upstreams, UpstreamView{ID: u.id, StartedAt: u.entry.Born, Leaving: u.entry.Leaving, Ejected: u.ejected, ClaimsToLead: u.entry.Leads})
 		if out.Term.Less(u.mark.Term) {
 			out.Term = u.mark.Term
 		}
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -176,6 +176,10 @@
 		t.Rollback()
 		return refusal(Aborted, "the transaction has failed")
 	}
+	if t.wrote && t.group.isBarred(t.upstream) {
+		t.Rollback()
+		return refusal(Aborted, "the leader is being replaced")
+	}
 	t.run.inDoubtIfLost = t.wrote
 	started := t.group.registry.Now()
 	answers, sent, err := t.group.exchange(t.upstream, t.run, j.Deadline, cmd)
--- a/gossiper/state.go
+++ b/gossiper/state.go
@@ -100,6 +100,10 @@
 	// reach that upstream demote it.
 	FencedLeader string       `cbor:"5,keyasint,omitempty"`
 	FenceTerm    tracker.Term `cbor:"6,keyasint,omitzero"`
+	// Successor is the upstream that the sender, as lease holder, has chosen to lead. While
+	// FenceTerm is zero the former leader serves until the successor leads; otherwise no
+	// other upstream may be used as the leader.
+	Successor string `cbor:"8,keyasint,omitempty"`
 	// Upstreams is the sender's load of the group's upstreams; empty unless a feature of
 	// the sender needs it.
 	Upstreams []UpstreamLoad `cbor:"7,keyasint,omitempty"`
--- a/gossiper/state_test.go
+++ b/gossiper/state_test.go
@@ -31,7 +31,7 @@
 func TestStateRoundTrip(t *testing.T) {
 	is := is.New(t)
 	sent := fullState(3)
-	sent.Groups["nyka330"] = GroupState{Leader: "i-1", LeaderFault: CommitStalled, Token: 7, FencedLeader: "i-1", FenceTerm: tracker.Term{}}
+	sent.Groups["nyka330"] = GroupState{Leader: "i-1", LeaderFault: CommitStalled, Token: 7, FencedLeader: "i-1", FenceTerm: tracker.Term{}, Successor: "i-2"}
 	sent.Updates = []Member{sent.member(), {Name: "front-vejle-hal-2", Start: 7, Incarnation: 2, Condition: Suspect}}
 	b, err := encode(sent)
 	is.NoErr(err)
--- a/overseer/demote.go
+++ b/overseer/demote.go
@@ -12,6 +12,38 @@
 	"basildale.example/basildale/tracker"
 )
 
+// applyFence tells the carrier what the lease holder has under way. A holder that is no longer
+// seen may have sent an order that is still to take effect, so what it told counts for a while.
+func (o *Overseer) applyFence(g *group, peers []gossiper.Peer, now time.Time) {
+	state, seenAt := g.holderState(peers, now)
+	if !seenAt.IsZero() {
+		g.fenceSeenAt = seenAt
+	} else if now.Sub(g.fenceSeenAt) < fenceHold {
+		return
+	}
+	g.carrierGroup.SetFence(fenceOf(state))
+}
+
+// holderState returns what the lease holder reports of the group, and when that was; zero when
+// no holder is seen.
+func (g *group) holderState(peers []gossiper.Peer, now time.Time) (gossiper.GroupState, time.Time) {
+	if g.lease.token > 0 {
+		leader, term := g.replacer.FenceTarget()
+		return gossiper.GroupState{FencedLeader: leader, FenceTerm: term, Successor: g.replacer.Successor()}, now
+	}
+	for _, p := range peers {
+		state := p.Groups[g.carrierGroup.Name()]
+		if state.Token > 0 && state.Token >= g.lease.maxToken && now.Sub(p.LastSeen) < maxPeerStateAge {
+			return state, p.LastSeen
+		}
+	}
+	return gossiper.GroupState{}, time.Time{}
+}
+
+func fenceOf(s gossiper.GroupState) carrier.Fence {
+	return carrier.Fence{Leader: s.FencedLeader, Successor: s.Successor, LeaderServes: s.Successor != "" && s.FenceTerm == tracker.Term{}}
+}
+
 // enforceFence demotes an upstream that the lease holder is replacing, if this process reaches
 // it.
 func (o *Overseer) enforceFence(g *group, peers []gossiper.Peer, now time.Time) {
@@ -24,7 +56,7 @@
 		if state.FencedLeader == "" || state.Token < g.lease.maxToken || now.Sub(g.lastDemoteAttempt) < fenceInterval {
 			continue
 		}
-		if seen := g.carrierGroup.Observe(); !seen.LeaderAnswers || seen.Leader != state.FencedLeader {
+		if !g.carrierGroup.Observe().Reaches(state.FencedLeader) {
 			continue
 		}
 		g.lastDemoteAttempt = now
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -60,6 +60,9 @@
 	// fenceInterval is the time between two attempts to demote an upstream that the lease
 	// holder is replacing.
 	fenceInterval = 200 * time.Millisecond
+	// fenceHold is how long a change of leader counts as under way after its lease holder was
+	// last seen: an order that was accepted takes effect within it.
+	fenceHold = 2500 * time.Millisecond
 	// controlTimeout bounds one control command to an upstream.
 	controlTimeout = 500 * time.Millisecond
 )
@@ -105,6 +108,7 @@
 	replacer           replacer.Replacer
 	deadSince          time.Time     // since when most voters see the leader as dead
 	stalledSince       time.Time     // since when a leader that answers here acknowledges no commits
+	fenceSeenAt        time.Time     // when a lease holder last told what it has under way
 	lastDemoteAttempt  time.Time     // when this process last tried to demote an upstream
 	degradedSince      time.Time     // since when many peers do not reach, or see fail, a leader that is reached here
 	lastLeader         string        // the leader at the last check
@@ -182,17 +186,18 @@
 			o.Log.Info("overseer: lease released, this process is no longer a gateway for the group", zap.String("group", c.Name()))
 		}
 		view := o.view(g, peers, now)
+		o.applyFence(g, peers, now)
 		o.enforceFence(g, peers, now)
 		o.demoteIfStalled(g, now)
-		if c.IsGateway() || g.lease.token > 0 {
-			states[c.Name()] = o.groupState(g, view.Leader)
-		}
 		if o.shouldClaim(g, peers, live, now) || o.shouldReclaim(g, now) {
 			g.lease.claiming = true
 			go o.claimAndReport(ctx, c.Name(), c.Roster())
 		}
 		o.updateRecord(ctx, g, now)
 		o.execute(ctx, g, g.replacer.Handle(replacer.Tick{View: view}, now))
+		if c.IsGateway() || g.lease.token > 0 {
+			states[c.Name()] = o.groupState(g, view.Leader)
+		}
 	}
 	o.mu.Lock()
 	notify := needsNotify(o.states, states)
--- a/overseer/view.go
+++ b/overseer/view.go
@@ -14,17 +14,17 @@
 	fenced, term := g.replacer.FenceTarget()
 	return gossiper.GroupState{
 		Leader: leader, LeaderFault: faultOf(g.carrierGroup.Observe()), IsGateway: g.carrierGroup.IsGateway(),
-		Token: g.lease.token, FencedLeader: fenced, FenceTerm: term, Upstreams: g.carrierGroup.Loads(o.Now()),
+		Token: g.lease.token, FencedLeader: fenced, FenceTerm: term, Successor: g.replacer.Successor(), Upstreams: g.carrierGroup.Loads(o.Now()),
 	}
 }
 
 // needsNotify reports whether peers should receive the new states at once: the fault that this
-// process sees in a leader, its lease, the leader it fences or whether it is a gateway has
-// changed.
+// process sees in a leader, its lease, the change of leader that it makes or whether it is a
+// gateway has changed.
 func needsNotify(before, after map[string]gossiper.GroupState) bool {
 	for name, state := range after {
 		old := before[name]
-		if old.LeaderFault != state.LeaderFault || old.Token != state.Token || old.FencedLeader != state.FencedLeader || old.IsGateway != state.IsGateway {
+		if old.LeaderFault != state.LeaderFault || old.Token != state.Token || old.FencedLeader != state.FencedLeader || old.Successor != state.Successor || old.IsGateway != state.IsGateway {
 			return true
 		}
 	}
@@ -89,7 +89,7 @@
 		Partitioned: o.IsPartitioned != nil && o.IsPartitioned(),
 	}
 	for _, u := range seen.Upstreams {
-		v.Upstreams = append(v.Upstreams, replacer.Upstream{ID: u.ID, StartedAt: u.StartedAt, Leaving: u.Leaving, Unlisted: u.Unlisted})
+		v.Upstreams = append(v.Upstreams, replacer.Upstream{ID: u.ID, StartedAt: u.StartedAt, Leaving: u.Leaving, ClaimsToLead: u.ClaimsToLead, Unlisted: u.Unlisted})
 	}
 	return v
 }
--- a/replacer/message.go
+++ b/replacer/message.go
@@ -48,6 +48,8 @@
 	// StartedAt is when it started; zero when it does not report that.
 	StartedAt time.Time
 	Leaving   bool
+	// ClaimsToLead says that it leads according to its own report.
+	ClaimsToLead bool
 	// Unlisted says that it is not in the store's list and the state of its log is unknown. It
 	// must be suspended like the others; a planned change never chooses it as successor.
 	Unlisted bool
--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -39,6 +39,9 @@
 	// promoting takes 300 to 1,000 ms. An order for the present leader changes nothing, unless
 	// the leader has been demoted in the meantime.
 	maxOrderEffectDelay = 1200 * time.Millisecond
+	// demoteInterval is the time between two attempts to demote a former leader that does not
+	// answer.
+	demoteInterval = 300 * time.Millisecond
 	// fenceTimeout is how long peers that reach the leader have to demote it: a round of
 	// gossip there, and one back.
 	fenceTimeout = 1200 * time.Millisecond
--- a/replacer/replacer_test.go
+++ b/replacer/replacer_test.go
@@ -419,3 +419,36 @@
 	is.Equal(s.leaseReleases, 1)
 	is.Equal(len(s.orders), 0)
 }
+
+// Guards against the loss of an acknowledged commit in a failover: the leader is back before
+// the order takes effect, under its id or another one, and a replica that joins confirms its
+// commits.
+func TestReturnedLeaderIsDemotedWhileOrderIsOut(t *testing.T) {
+	is := is.New(t)
+	for _, id := range []string{"a", "d"} {
+		for _, accepted := range []bool{false, true} {
+			s := newHarness()
+			s.crashLeader()
+			s.advance(time.Second)
+			is.True(len(s.orders) > 0)
+			if accepted {
+				s.answerOrder(Accepted)
+			}
+			s.unreachable["a"] = id != "a"
+			s.leader = id
+			s.view.Upstreams[0] = Upstream{ID: id, ClaimsToLead: true}
+			s.advance(400 * time.Millisecond)
+			is.Equal(s.leader, "") // demoted
+			fenced, term := s.r.FenceTarget()
+			is.Equal(fenced, "a")
+			is.Equal(term, tracker.Term{Epoch: 2})
+			is.Equal(s.r.Successor(), s.orders[0].Upstream)
+			s.answerOrder(Accepted)
+			s.leader = s.orders[0].Upstream
+			s.view.Leader, s.view.LeaderAnswers, s.view.Dead = s.leader, true, false
+			s.advance(time.Second)
+			is.Equal(s.leader, s.orders[0].Upstream)
+			is.Equal(s.r.Successor(), "")
+		}
+	}
+}
--- a/replacer/suspend.go
+++ b/replacer/suspend.go
@@ -191,29 +191,73 @@
 	var out []Command
 	for _, id := range r.suspendSet() {
 		s := r.state(id)
-		if !r.isSuspended(id) && s.shouldRequest(now) {
+		if r.isSuspended(id) || !s.shouldRequest(now) {
+			continue
+		}
+		leads := s.hasReport && s.Leads || !s.hasReport && r.claimsToLead(id)
+		if leads && id != r.target {
+			out = append(out, Demote{ID: id, Term: r.term})
+		} else {
 			out = append(out, Suspend{ID: id, Term: r.term})
 		}
 	}
 	return out
 }
 
+func (r *Replacer) claimsToLead(id string) bool {
+	for _, u := range r.view.Upstreams {
+		if u.ID == id {
+			return u.ClaimsToLead
+		}
+	}
+	return false
+}
+
 // suspendJoined suspends the remaining replicas while an order is in flight, unless the leader
-// was demoted first: then no upstream can confirm anything.
+// was demoted first: then no upstream can confirm anything. In a failover it demotes the former
+// leader, which may be back: under its id, or under another one as an upstream that joined. It
+// leads until the order takes effect, and a replica that joins would confirm its commits.
 func (r *Replacer) suspendJoined(now time.Time) []Command {
 	if r.partial {
 		return nil
 	}
-	return r.suspendRemaining(now)
+	out := r.suspendRemaining(now)
+	if r.planned || r.oldLeader == "" || r.target == r.oldLeader {
+		return out
+	}
+	s := r.state(r.oldLeader)
+	if s.hasReport && !s.Leads || now.Sub(s.lastRequest) < demoteInterval {
+		return out
+	}
+	s.lastRequest = now
+	return append(out, Demote{ID: r.oldLeader, Term: r.term})
 }
 
 // FenceTarget returns the upstream that peers should demote, and the term of the demotion. The
-// upstream is empty when there is none.
+// term is zero unless only the successor may be used as the leader; the upstream is empty where
+// there is none to demote.
 func (r *Replacer) FenceTarget() (string, tracker.Term) {
-	if r.phase != fencing && (r.planned || r.phase != promoting) {
+	ordered := r.isOrdered()
+	switch {
+	case r.phase != fencing && (!ordered || r.planned && !r.partial):
 		return "", tracker.Term{}
+	case ordered && r.target == r.oldLeader:
+		return "", r.term
+	default:
+		return r.oldLeader, r.term
+	}
+}
+
+// isOrdered reports whether an order to promote the target may take effect.
+func (r *Replacer) isOrdered() bool { return r.phase == promoting || r.phase == awaitingLeader }
+
+// Successor returns the upstream that was chosen to lead; empty while there is none, or while
+// other upstreams may still confirm commits.
+func (r *Replacer) Successor() string {
+	if r.isOrdered() {
+		return r.target
 	}
-	return r.oldLeader, r.term
+	return ""
 }
 
 // promoteFurthest promotes the suspended upstream with the longest log, once that reaches the
