carrier: in a planned change, acknowledgements wait for the successor

Cause: the leader serves until the order takes effect, and the change counts on the successor as the only replica that can confirm commits. An upstream that joins in that second is not suspended. When the successor received nothing any more, the one that joined confirmed commits that the successor lacked.

Change: the holder names the successor 0.1 s before the order. While the leader serves beside a named successor, an acknowledgement passes to the caller when the successor has received the commit. A commit of which that cannot be learned is in doubt. A demotion before each order would close this too, with a second without a leader in every planned change.

The tests TestCommitWaitsForSuccessor, TestCommitIsAcknowledgedWhenChangeIsCalledOff and TestSuccessorIsKnownBeforeTheOrder failed without the wait, with one that never ends well, and without the time before the order.

--- a/carrier/fence.go
+++ b/carrier/fence.go
@@ -1,6 +1,15 @@
 package carrier
 
-import "go.uber.org/zap"
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/tracker"
+)
+
+// successorPollInterval is the time between two requests for the position of a successor.
+const successorPollInterval = 5 * time.Millisecond
 
 // Fence is what this process knows of a change of leader that the lease holder has under way.
 // An order to promote an upstream takes effect up to a second after it was accepted and cannot
@@ -38,6 +47,9 @@
 	}
 	g.log().Info("carrier: change of leader", zap.String("group", g.name), zap.String("leader", f.Leader),
 		zap.String("successor", f.Successor), zap.Bool("serves", f.LeaderServes))
+	if f.Successor != g.fence.Successor {
+		g.successorMark = tracker.Mark{}
+	}
 	g.fence = f
 	if g.leader == nil || !f.bars(g.leader.id) {
 		return
@@ -56,3 +68,63 @@
 	defer g.mu.Unlock()
 	return g.fence.bars(u.id)
 }
+
+// awaitSuccessor reports whether a commit that an upstream has acknowledged outlasts a change
+// of leader that is under way. It waits until the successor has received the position; an
+// upstream that has just joined may be the only one that confirmed it.
+func (g *Group) awaitSuccessor(u *upstream, mark tracker.Mark, deadline time.Time) bool {
+	for waited := false; ; waited = true {
+		successor, decided, outlasts := g.outlastsChange(u, mark, waited)
+		if decided {
+			return outlasts
+		}
+		if !time.Now().Before(deadline) {
+			return false
+		}
+		report, err := g.Control(successor, deadline, Command{Verb: Status})
+		if err == nil && g.recordSuccessor(successor, report) {
+			continue
+		}
+		time.Sleep(successorPollInterval)
+	}
+}
+
+// outlastsChange decides what awaitSuccessor waits for, where that can be decided. Otherwise it
+// returns the successor to ask. waited is true once that has been necessary.
+func (g *Group) outlastsChange(u *upstream, mark tracker.Mark, waited bool) (successor string, decided, outlasts bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f := g.fence
+	switch {
+	case f.bars(u.id):
+		return "", true, false
+	case !f.LeaderServes || f.Successor == u.id:
+		return "", true, !waited || g.leader == u // after waiting: the change was called off
+	case g.successorMark.Term == mark.Term && !g.successorMark.Less(mark):
+		return "", true, true
+	case mark.Term.Less(g.successorMark.Term):
+		return "", true, false // it leads, and whether it had received the position is unknown
+	default:
+		return f.Successor, false, false
+	}
+}
+
+// recordSuccessor records what a successor has received, and reports whether that is more than
+// was known.
+func (g *Group) recordSuccessor(id string, report Report) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.fence.Successor != id || !g.successorMark.Less(report.Received) {
+		return false
+	}
+	g.successorMark = report.Received
+	return true
+}
+
+// lostToSuccessor returns the answer to a commit that may not outlast a change of leader.
+func (g *Group) lostToSuccessor(answer Answer) Answer {
+	g.log().Info("carrier: commit may not outlast the change of leader", zap.String("group", g.name), zap.Stringer("at", answer.Mark))
+	out := refusal(InDoubt, "committed at a leader that is being replaced, and not yet received by its successor")
+	out.State, out.Mark = answer.State, answer.Mark
+	return out
+}
--- a/carrier/fence_test.go
+++ b/carrier/fence_test.go
@@ -30,6 +30,7 @@
 type replacedLink struct {
 	group   *replacedGroup
 	id      string
+	state   State
 	aborted chan struct{}
 	once    sync.Once
 }
@@ -40,12 +41,19 @@
 	l.group.mu.Unlock()
 	answers := make([]Answer, len(commands))
 	for i, cmd := range commands {
-		answers[i] = Answer{Signature: "s", Mark: mark(1, 20)}
+		switch cmd.Verb {
+		case Begin:
+			l.state = InTransaction
+		case Commit, Rollback:
+			l.state = Idle
+		}
+		answers[i] = Answer{Signature: "s", Mark: mark(1, 20), State: l.state}
 		switch {
 		case cmd.Verb == Status:
 			answers[i].Report = Report{Leads: l.id == "a", Term: received.Term, Received: received}
 		case l.id == "b" && cmd.Verb == Begin:
-			answers[i].Code = ReadOnly
+			answers[i].Code, answers[i].State = ReadOnly, Idle
+			l.state = Idle
 		case cmd.Verb == Write:
 			l.group.mu.Lock()
 			l.group.writes = append(l.group.writes, l.id)
@@ -142,3 +150,48 @@
 		is.True(time.Since(began) < 50*time.Millisecond)
 	})
 }
+
+// Guards against acknowledged commits that a promoted replica lacks in a planned change: the
+// successor receives nothing any more while the order is out, and a replica that joins confirms
+// commits.
+func TestCommitWaitsForSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newReplacedGroup()
+		defer s.registry.Stop()
+		s.SetFence(Fence{Successor: "b", LeaderServes: true})
+		setReceived := func(m tracker.Mark) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.received = m
+		}
+		time.AfterFunc(30*time.Millisecond, func() { setReceived(mark(1, 20)) })
+		began := time.Now()
+		is.Equal(s.write().Code, OK)
+		is.True(time.Since(began) >= 30*time.Millisecond)
+		began = time.Now()
+		is.Equal(s.write().Code, OK) // known to be received
+		is.Equal(time.Since(began), time.Duration(0))
+
+		s.SetFence(Fence{})
+		s.SetFence(Fence{Successor: "b", LeaderServes: true})
+		setReceived(mark(1, 19))
+		is.Equal(s.write().Code, InDoubt)
+		time.AfterFunc(30*time.Millisecond, func() { setReceived(mark(2, 0)) }) // it leads, without the commit
+		is.Equal(s.write().Code, InDoubt)
+		s.SetFence(Fence{})
+		is.Equal(s.write().Code, OK)
+	})
+}
+
+// Guards against needless doubt: a planned change that is called off loses nothing.
+func TestCommitIsAcknowledgedWhenChangeIsCalledOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newReplacedGroup()
+		defer s.registry.Stop()
+		s.SetFence(Fence{Successor: "b", LeaderServes: true})
+		time.AfterFunc(30*time.Millisecond, func() { s.SetFence(Fence{}) })
+		is.Equal(s.write().Code, OK)
+	})
+}
--- a/carrier/group.go
+++ b/carrier/group.go
@@ -37,8 +37,10 @@
 	// lastLeader is the id of the last leader.
 	lastLeader string
 	former     formerLeader
-	// fence is the change of leader that is under way.
-	fence Fence
+	// fence is the change of leader that is under way, and successorMark the position that
+	// its successor has stated.
+	fence         Fence
+	successorMark tracker.Mark
 	// leaderlessSince is when the last leader that answered was lost; zero while one is
 	// known.
 	leaderlessSince time.Time
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -298,6 +298,9 @@
 		g.recordWrite(u)
 		if answer.Code == OK {
 			g.recordLeader(u, requestedAt, answer.Mark)
+			if !g.awaitSuccessor(u, answer.Mark, j.Deadline) {
+				return g.lostToSuccessor(answer), true, nil
+			}
 		}
 		return answer, true, nil
 	}
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -203,6 +203,9 @@
 	}
 	t.group.release(t.upstream, t.run.conn, answer.State == Idle)
 	answer.State = Idle
+	if answer.Code == OK && t.wrote && !t.group.awaitSuccessor(t.upstream, answer.Mark, j.Deadline) {
+		return t.group.lostToSuccessor(answer)
+	}
 	if answer.Code != OK && !answer.Code.GuaranteesNoEffect() && !t.wrote {
 		return refusal(Aborted, answer.Code.String()+": "+answer.Text)
 	}
--- a/replacer/plan.go
+++ b/replacer/plan.go
@@ -84,7 +84,7 @@
 // suspendOthers starts suspending all replicas but the chosen one.
 func (r *Replacer) suspendOthers(id string, now time.Time) []Command {
 	cause := id + " has received " + r.requiredMark.String()
-	r.target, r.requiredMark = id, tracker.Mark{}
+	r.target, r.chosenAt, r.requiredMark = id, now, tracker.Mark{}
 	r.resetReports(now)
 	r.enterPhase(suspending, now)
 	return append([]Command{LogStep{"halt", id, cause}}, r.suspendReplicas(now)...)
@@ -107,6 +107,8 @@
 	}
 	chosen := r.state(r.target)
 	switch {
+	case now.Sub(r.chosenAt) < announceTime:
+		return nil
 	case chosen.hasReport && !chosen.Received.Less(r.requiredMark) && r.partial:
 		return r.startStepDown(now)
 	case chosen.hasReport && !chosen.Received.Less(r.requiredMark):
--- a/replacer/plan_test.go
+++ b/replacer/plan_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"basildale.example/basildale/tracker"
 )
 
 // Guards against writes that fail until a leaving leader has stopped, or acknowledged writes
@@ -161,3 +163,28 @@
 	s.advance(2 * time.Second)
 	is.Equal(s.leader, "")
 }
+
+// Guards against the loss of an acknowledged commit in a planned change: peers must know the
+// successor before the order, so that they acknowledge only commits that it has received.
+func TestSuccessorIsKnownBeforeTheOrder(t *testing.T) {
+	is := is.New(t)
+	s := newHarness()
+	s.acceptNoops = true
+	s.view.Upstreams[0].Leaving = true
+	var known time.Time
+	for range 60 {
+		s.advance(10 * time.Millisecond)
+		if known.IsZero() && s.r.Successor() != "" {
+			known = s.now
+		}
+		if len(s.orders) > 1 {
+			break
+		}
+	}
+	is.Equal(len(s.orders), 2) // the guard, and the promotion
+	is.Equal(s.r.Successor(), s.orders[1].Upstream)
+	is.True(s.now.Sub(known) >= announceTime)
+	fenced, term := s.r.FenceTarget()
+	is.Equal(fenced, "") // the leader serves
+	is.Equal(term, tracker.Term{})
+}
--- a/replacer/replacer.go
+++ b/replacer/replacer.go
@@ -42,6 +42,9 @@
 	// demoteInterval is the time between two attempts to demote a former leader that does not
 	// answer.
 	demoteInterval = 300 * time.Millisecond
+	// announceTime is how long the peers have to learn of the successor in a planned change
+	// before the order: they vouch for its log before they acknowledge commits.
+	announceTime = 100 * time.Millisecond
 	// fenceTimeout is how long peers that reach the leader have to demote it: a round of
 	// gossip there, and one back.
 	fenceTimeout = 1200 * time.Millisecond
@@ -95,6 +98,7 @@
 	reportsSince    time.Time // reports on earlier requests do not count
 	phaseStart      time.Time // when the phase began
 	earliestChoice  time.Time // failover: no replica is chosen before this time
+	chosenAt        time.Time // planned: when the target was chosen
 	lastOrder       Order     // the last copy sent
 	firstToken      uint64    // token of the first copy of lastOrder
 	ordersDoneAt    time.Time // from when no order can take effect any more; zero while unknown
--- a/replacer/suspend.go
+++ b/replacer/suspend.go
@@ -254,10 +254,14 @@
 // Successor returns the upstream that was chosen to lead; empty while there is none, or while
 // other upstreams may still confirm commits.
 func (r *Replacer) Successor() string {
-	if r.isOrdered() {
+	switch {
+	case r.isOrdered():
+		return r.target
+	case r.planned && (r.phase == suspending || r.phase == awaitingOrders || r.phase == catchingUp || r.phase == steppingDown):
 		return r.target
+	default:
+		return ""
 	}
-	return ""
 }
 
 // promoteFurthest promotes the suspended upstream with the longest log, once that reaches the
