carrier: a replica that has left is accounted for at once

Cause: a replica that is off the list may have the only confirmed copy of a commit. It counted until it had been off the list for 15 s and the leader had stated a position since. When the leader was lost before that, no position came any more, and the holder could not suspend a replica that had gone.

Change: the lease holder checks whether an absent upstream has ended, and then requests the leader's position at once. The roster names those that are accounted for, so that the next holder knows. A leader that answers is not demoted while no suspended replica has reached what a new leader needs: otherwise replicas could receive it from nobody.

--- a/carrier/absent.go
+++ b/carrier/absent.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math"
+	"slices"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,12 +22,26 @@
 // since: the new leader's log must reach that position.
 const absentTimeout = 15 * time.Second
 
+const (
+	// absentCheckInterval is the time between two checks whether the process of an absent
+	// upstream has ended.
+	absentCheckInterval = 500 * time.Millisecond
+	// absentCheckTimeout is how long such a check may take.
+	absentCheckTimeout = 250 * time.Millisecond
+)
+
 // absentUpstream is an upstream that the store no longer lists. It may have the only
 // confirmed copy of a commit: one that is partitioned from the store loses its entry while
 // it goes on receiving, and a crashed one comes back with its log.
 type absentUpstream struct {
 	entry cataloger.Upstream
 	since time.Time
+	// left is true if it had announced that it leaves and its time was over.
+	left bool
+	// endedAt is when its process was found to have ended; zero while that is not known.
+	endedAt  time.Time
+	checkAt  time.Time // when to check that next
+	checking bool
 }
 
 // recordAbsent records that an upstream was taken off the list. The caller must hold g.mu.
@@ -33,7 +49,9 @@
 	if g.absent == nil {
 		g.absent = map[string]*absentUpstream{}
 	}
-	g.absent[u.id] = &absentUpstream{entry: u.entry, since: g.registry.Now()}
+	now := g.registry.Now()
+	left := u.entry.Leaving && u.unlistedSince.IsZero() && u.drained(now)
+	g.absent[u.id] = &absentUpstream{entry: u.entry, since: now, left: left}
 }
 
 // isRestart reports whether an entry is of a later start of the same upstream. One without
@@ -51,7 +69,7 @@
 			g.recordRestart(u, a.entry.Born)
 		}
 		delete(g.absent, u.id)
-		delete(g.accounted, u.id)
+		g.accounted = slices.DeleteFunc(g.accounted, func(id string) bool { return id == u.id })
 		for id, a := range g.absent {
 			if a.entry.Address == u.entry.Address {
 				g.log().Info("carrier: log of absent upstream taken over by successor", zap.String("group", g.name), zap.String("upstream", id), zap.String("successor", u.id))
@@ -65,10 +83,10 @@
 // everything that it may have confirmed. The caller must hold g.mu.
 func (g *Group) setAccounted(id string, minReceived tracker.Mark) {
 	delete(g.absent, id)
-	if g.accounted == nil {
-		g.accounted = map[string]bool{}
+	if !slices.Contains(g.accounted, id) {
+		g.accounted = append(g.accounted, id)
+		g.accounted = g.accounted[max(0, len(g.accounted)-maxAccounted):]
 	}
-	g.accounted[id] = true
 	g.minReceived = laterMark(g.minReceived, minReceived)
 }
 
@@ -110,6 +128,68 @@
 	return a
 }
 
+// CheckAbsent checks whether the processes of absent upstreams have ended. One that has ended
+// confirms nothing any more, so the next position that the leader states bounds everything that
+// it may have confirmed. Waiting for absentTimeout instead leaves a group without a leader when
+// the leader is lost in that time.
+func (g *Group) CheckAbsent() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.registry.Now()
+	sample := false
+	for _, a := range g.absent {
+		if a.checking || now.Before(a.checkAt) {
+			continue
+		}
+		a.checkAt = now.Add(absentCheckInterval)
+		if !a.endedAt.IsZero() {
+			sample = true
+			continue
+		}
+		a.checking = true
+		go g.checkAbsent(a)
+	}
+	if leader := g.reachableLeaderLocked(); sample && leader != nil {
+		go g.checkLeader(leader)
+	}
+}
+
+// checkAbsent checks whether the process of an absent upstream has ended, and requests the
+// leader's position if it has. The machine of one that has left may be gone too, and then
+// refuses nothing.
+func (g *Group) checkAbsent(a *absentUpstream) {
+	ctx, cancel := context.WithTimeout(context.Background(), absentCheckTimeout)
+	defer cancel()
+	l, err := g.registry.Dial(ctx, a.entry, "")
+	if err == nil {
+		_ = l.Close() // it was opened only as a check
+	}
+	g.mu.Lock()
+	a.checking = false
+	ended := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, ErrMisdirected) || err != nil && a.left
+	if !ended {
+		g.mu.Unlock()
+		return
+	}
+	a.endedAt = g.registry.Now()
+	leader := g.reachableLeaderLocked()
+	g.mu.Unlock()
+	if leader != nil {
+		g.checkLeader(leader)
+	}
+}
+
+// resolveEnded applies a position of the leader that was requested at a given time to the
+// absent upstreams whose processes had ended before. The caller must hold g.mu.
+func (g *Group) resolveEnded(requestedAt time.Time, mark tracker.Mark) {
+	for id, a := range g.absent {
+		if !a.endedAt.IsZero() && !requestedAt.Before(a.endedAt) {
+			g.log().Info("carrier: absent upstream has ended and is accounted for", zap.String("group", g.name), zap.String("upstream", id), zap.Stringer("at", mark))
+			g.setAccounted(id, mark)
+		}
+	}
+}
+
 // resolveExpired accounts for the upstreams that have been absent for absentTimeout, where
 // the leader has stated a position since. The caller must hold g.mu.
 func (g *Group) resolveExpired(now time.Time) {
--- a/carrier/group.go
+++ b/carrier/group.go
@@ -26,9 +26,9 @@
 	// absent holds, by id, upstreams that the store no longer lists and whose logs are not
 	// accounted for.
 	absent map[string]*absentUpstream
-	// accounted holds the ids of upstreams that were absent and are accounted for, and
+	// accounted holds the ids of upstreams that were absent and were accounted for last, and
 	// minReceived the position that the log of a new leader must reach because of them.
-	accounted   map[string]bool
+	accounted   []string
 	minReceived tracker.Mark
 	// leader is the upstream that last proved or claimed that it leads; nil while none is
 	// known. provenAt is when the last proof was requested.
@@ -318,6 +318,7 @@
 	}
 	g.samples.add(requestedAt, mark)
 	g.resolveRestarts(requestedAt, mark)
+	g.resolveEnded(requestedAt, mark)
 }
 
 // recordReplica records that an upstream refused a command because it is a replica.
--- a/carrier/roster.go
+++ b/carrier/roster.go
@@ -30,11 +30,17 @@
 	// MinReceived is the position that the log of a new leader must reach; zero sets no
 	// bound.
 	MinReceived tracker.Mark `json:"mark,omitzero"`
+	// Accounted are upstreams that MinReceived covers. Another process may still count them
+	// as members.
+	Accounted []string `json:"accounted,omitempty"`
 }
 
+// maxAccounted is how many upstreams of those accounted for last a roster names.
+const maxAccounted = 16
+
 // Equal reports whether two rosters are the same.
 func (r Roster) Equal(o Roster) bool {
-	return r.MinReceived == o.MinReceived && slices.EqualFunc(r.Members, o.Members, func(a, b Member) bool {
+	return r.MinReceived == o.MinReceived && slices.Equal(r.Accounted, o.Accounted) && slices.EqualFunc(r.Members, o.Members, func(a, b Member) bool {
 		return a.ID == b.ID && a.Address == b.Address && a.Born.Equal(b.Born)
 	})
 }
@@ -48,6 +54,13 @@
 			out.Members = append(out.Members, m)
 		}
 	}
+	out.Accounted = slices.Clone(r.Accounted)
+	for _, id := range o.Accounted {
+		if !slices.Contains(out.Accounted, id) {
+			out.Accounted = append(out.Accounted, id)
+		}
+	}
+	out.Members = slices.DeleteFunc(out.Members, func(m Member) bool { return slices.Contains(out.Accounted, m.ID) })
 	out.sort()
 	return out
 }
@@ -75,6 +88,7 @@
 	for _, a := range g.absent {
 		out.Members = append(out.Members, memberOf(a.entry))
 	}
+	out.Accounted = slices.Clone(g.accounted)
 	out.sort()
 	return out
 }
@@ -88,6 +102,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.minReceived = laterMark(g.minReceived, r.MinReceived)
+	for _, id := range r.Accounted {
+		if g.absent[id] != nil || !slices.ContainsFunc(g.upstreams, func(u *upstream) bool { return u.id == id }) {
+			g.setAccounted(id, r.MinReceived)
+		}
+	}
 	for _, m := range r.Members {
 		entry := cataloger.Upstream{ID: m.ID, Group: g.name, Address: m.Address, Born: m.Born}
 		if i := slices.IndexFunc(g.upstreams, func(u *upstream) bool { return u.id == m.ID }); i >= 0 {
@@ -96,7 +115,7 @@
 			}
 			continue
 		}
-		if g.absent[m.ID] != nil || g.accounted[m.ID] {
+		if g.absent[m.ID] != nil || slices.Contains(g.accounted, m.ID) {
 			continue
 		}
 		if g.absent == nil {
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -193,6 +193,9 @@
 			g.lease.claiming = true
 			go o.claimAndReport(ctx, c.Name(), c.Roster())
 		}
+		if g.lease.token > 0 {
+			c.CheckAbsent()
+		}
 		o.updateRecord(ctx, g, now)
 		o.execute(ctx, g, g.replacer.Handle(replacer.Tick{View: view}, now))
 		if c.IsGateway() || g.lease.token > 0 {
--- a/replacer/abort.go
+++ b/replacer/abort.go
@@ -17,7 +17,11 @@
 // in flight would count as that of a suspended replica. If no process claims the lease,
 // another attempt follows.
 func (r *Replacer) handOver(now time.Time) []Command {
-	out := []Command{LogStep{"resign", "", "cannot suspend from here: " + r.notSuspended()}}
+	cause := "cannot suspend from here: " + r.notSuspended()
+	if !r.reachesMinReceived() {
+		cause = "no suspended upstream has received " + r.view.MinReceived.String() + "; not suspended: " + r.notSuspended()
+	}
+	out := []Command{LogStep{"resign", "", cause}}
 	r.enterPhase(idle, now)
 	r.nextAttempt = now.Add(attemptInterval)
 	return append(append(out, r.resumeReplicas()...), ReleaseLease{})
--- a/replacer/replacer_test.go
+++ b/replacer/replacer_test.go
@@ -452,3 +452,22 @@
 		}
 	}
 }
+
+// Guards against a group that stays without a leader: the leader answers, but its commits wait
+// for a replica that lacks what another one had confirmed. If the leader were demoted, the
+// replica could receive that from nobody.
+func TestLeaderIsKeptWhileReplicasLackMinReceived(t *testing.T) {
+	is := is.New(t)
+	s := newHarness()
+	s.view.Dead, s.view.CommitStalled = true, true
+	s.view.Upstreams = s.view.Upstreams[:2]
+	s.view.MinReceived = tracker.Mark{Term: tracker.Term{Epoch: 1}, Pos: 12}
+	s.advance(10 * time.Second)
+	is.Equal(len(s.orders), 0)
+	is.Equal(s.leader, "a")
+	is.True(s.leaseReleases > 0)
+	is.Equal(s.suspended["b"], uint32(0)) // it may receive
+	s.view.Token, s.received["b"] = 2000, 12
+	s.advance(2 * time.Second)
+	is.True(len(s.orders) > 0)
+}
--- a/replacer/suspend.go
+++ b/replacer/suspend.go
@@ -119,7 +119,7 @@
 		return r.abortAndResume(now, "not suspended: "+r.notSuspended())
 	case r.planned:
 		return out
-	case r.allButOneSuspended():
+	case r.allButOneSuspended() && r.reachesMinReceived():
 		r.enterPhase(fencing, now)
 		r.earliestChoice = now
 		return append(append(out, Demote{ID: r.oldLeader, Term: r.term}), r.awaitFence(now)...)
@@ -147,6 +147,17 @@
 	return missing <= maxMissing
 }
 
+// reachesMinReceived reports whether a suspended upstream has everything that a new leader
+// needs. Otherwise the leader must not be demoted: only from it can the replicas receive that.
+func (r *Replacer) reachesMinReceived() bool {
+	for _, u := range r.view.Upstreams {
+		if r.isSuspended(u.ID) && !r.state(u.ID).Received.Less(r.view.MinReceived) {
+			return true
+		}
+	}
+	return false
+}
+
 // suspendOldLeader suspends a former leader that answers and no longer leads, in place of a
 // replica that does not answer. Otherwise a group whose leader was demoted for a planned
 // change, and whose lease holder died then, would wait for that replica.
