--- a/replacer/doc.go
+++ b/replacer/doc.go
@@ -29,6 +29,12 @@
 // has a higher fencing token, so that the platform rejects the earlier ones from then on. A
 // lease holder whose order is rejected releases the lease and never uses that token again.
 //
+// Until an order has taken effect or was rejected, what was true when it was sent must stay
+// true. Peers learn of the change by FenceTarget and Successor: after a failover's order they
+// use no other upstream as the leader, and in a planned change they acknowledge only commits
+// that the successor has received. The view must name every upstream that could have confirmed
+// a commit, also those that the store no longer lists.
+//
 // A Replacer is a pure state machine of one group: Handle takes an event and the
 // time and returns commands.
 //
