overseer: a fence outlasts its holder beside the next one

What a holder told of its order counted for 2.5 s after it was last seen, but the next holder, which claims the lease sooner and knows nothing of the order, ended that at once. A leader that is back would be used before the order takes effect. Writes were aborted at the present leader only, not where one waits at an upstream that was seen as the leader before.

Change: only the holder that told of a change, or one with a change of its own, ends it within that time. Writes are aborted wherever they wait.

--- a/carrier/fence.go
+++ b/carrier/fence.go
@@ -51,15 +51,16 @@
 		g.successorMark = tracker.Mark{}
 	}
 	g.fence = f
-	if g.leader == nil || !f.bars(g.leader.id) {
-		return
-	}
-	for r := range g.leader.running {
-		if r.inDoubtIfLost && !r.exchangeStartedAt.IsZero() {
-			r.conn.Abort()
+	for _, u := range g.upstreams {
+		for r := range u.running {
+			if f.bars(u.id) && r.inDoubtIfLost && !r.exchangeStartedAt.IsZero() {
+				r.conn.Abort()
+			}
 		}
 	}
-	g.setLeader(nil, "being replaced")
+	if g.leader != nil && f.bars(g.leader.id) {
+		g.setLeader(nil, "being replaced")
+	}
 }
 
 // isBarred reports whether an upstream must not be used as the leader.
--- a/overseer/demote.go
+++ b/overseer/demote.go
@@ -13,15 +13,18 @@
 )
 
 // applyFence tells the carrier what the lease holder has under way. A holder that is no longer
-// seen may have sent an order that is still to take effect, so what it told counts for a while.
+// seen, or was replaced, may have sent an order that is still to take effect. So what it told
+// counts for a while, unless its successor has a change of leader under way itself.
 func (o *Overseer) applyFence(g *group, peers []gossiper.Peer, now time.Time) {
 	state, seenAt := g.holderState(peers, now)
-	if !seenAt.IsZero() {
-		g.fenceSeenAt = seenAt
-	} else if now.Sub(g.fenceSeenAt) < fenceHold {
+	fence := fenceOf(state)
+	switch {
+	case fence != carrier.Fence{}:
+		g.fenceSeenAt, g.fenceToken = seenAt, state.Token
+	case state.Token != g.fenceToken && now.Sub(g.fenceSeenAt) < fenceHold:
 		return
 	}
-	g.carrierGroup.SetFence(fenceOf(state))
+	g.carrierGroup.SetFence(fence)
 }
 
 // holderState returns what the lease holder reports of the group, and when that was; zero when
@@ -29,7 +32,7 @@
 func (g *group) holderState(peers []gossiper.Peer, now time.Time) (gossiper.GroupState, time.Time) {
 	if g.lease.token > 0 {
 		leader, term := g.replacer.FenceTarget()
-		return gossiper.GroupState{FencedLeader: leader, FenceTerm: term, Successor: g.replacer.Successor()}, now
+		return gossiper.GroupState{Token: g.lease.token, FencedLeader: leader, FenceTerm: term, Successor: g.replacer.Successor()}, now
 	}
 	for _, p := range peers {
 		state := p.Groups[g.carrierGroup.Name()]
--- a/overseer/overseer.go
+++ b/overseer/overseer.go
@@ -108,7 +108,8 @@
 	replacer           replacer.Replacer
 	deadSince          time.Time     // since when most voters see the leader as dead
 	stalledSince       time.Time     // since when a leader that answers here acknowledges no commits
-	fenceSeenAt        time.Time     // when a lease holder last told what it has under way
+	fenceSeenAt        time.Time     // when a lease holder last told of a change of leader that it has under way
+	fenceToken         uint64        // the token of that holder
 	lastDemoteAttempt  time.Time     // when this process last tried to demote an upstream
 	degradedSince      time.Time     // since when many peers do not reach, or see fail, a leader that is reached here
 	lastLeader         string        // the leader at the last check
--- a/replacer/simulation_test.go
+++ b/replacer/simulation_test.go
@@ -65,6 +65,7 @@
 // simFence is what a process knows of a change of leader that is under way.
 type simFence struct {
 	seenAt    time.Time // when a lease holder last told
+	token     uint64    // of that holder
 	leader    string
 	term      tracker.Term
 	successor string
@@ -269,6 +270,8 @@
 	})
 }
 
+func (f simFence) isUnderWay() bool { return f.term.Epoch > 0 || f.successor != "" }
+
 // learnFences has the processes learn of changes of leader that are under way from the lease
 // holder, if they hear of it.
 func (sim *simulation) learnFences() {
@@ -276,7 +279,10 @@
 		for j, h := range sim.procs {
 			if h.token == sim.issuedToken && (i == j || sim.canCommunicate(i, j)) {
 				leader, term := h.r.FenceTarget()
-				p.fence = simFence{seenAt: sim.now, leader: leader, term: term, successor: h.r.Successor()}
+				told := simFence{seenAt: sim.now, token: h.token, leader: leader, term: term, successor: h.r.Successor()}
+				if told.isUnderWay() || told.token == p.fence.token {
+					p.fence = told
+				}
 			}
 		}
 		if sim.now.Sub(p.fence.seenAt) >= fenceHold {
