carrier, conductor: log lines that tell where a connection's session state comes from

Cause: three hypotheses explain statements that run with other session values than their callers', and the logs can't tell them apart. No line names the connection that a statement used, how often its session had changed, a value that an upstream refused, an answer that was dropped, or the statement that was sent to a peer that did not answer.

Change: connections have a number, stated where a statement ends, is retried or is lost; the end of a request states the number of the session's state and how long it has not changed; a refused value, a dropped answer and the statement at a lost peer are logged. Fields of zero are left out, and no line is added for a statement that has none of this. No decision changes.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,6 +53,8 @@
 	Now func() time.Time
 	Log *zap.Logger
 
+	connections atomic.Uint64 // opened so far
+
 	mu       sync.Mutex
 	groups   map[string]*Group
 	busy     map[*Group]bool // those with something to check; the others are idle
--- a/carrier/command.go
+++ b/carrier/command.go
@@ -114,8 +114,10 @@
 	// long the upstream took; both are zero where nothing ran.
 	Waited time.Duration
 	Ran    time.Duration
-	// Upstream is the id of the upstream that answered, for the log.
-	Upstream string
+	// Upstream is the id of the upstream that answered, and Connection the number of the
+	// connection to it among those of the gateway, for the log; zero where none was used.
+	Upstream   string
+	Connection uint64 `json:",omitempty"`
 	// Led reports whether that upstream led the group, as far as the process that used it
 	// knew.
 	Led bool
--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -39,6 +39,8 @@
 // conn is a connection with the session state that its earlier users left on it.
 type conn struct {
 	Link
+	// number tells the connection from the others of this process.
+	number uint64
 	// workspace is the only workspace whose statements run on the connection.
 	workspace string
 	values    []Value // in the order in which they were set
--- a/carrier/hedge.go
+++ b/carrier/hedge.go
@@ -108,6 +108,10 @@
 	go func() {
 		answer, again := g.attempt(u, &own, cmd, since)
 		g.recordAttempt(&own, cmd, answer, began)
+		if own.isOver() {
+			g.log().Info("carrier: answer dropped, the read has been answered", zap.String("request", j.Request), zap.String("group", g.name), zap.String("upstream", u.id),
+				zap.Uint64("connection", answer.Connection), zap.Stringer("code", answer.Code), zap.Duration("took", g.registry.Now().Sub(began)))
+		}
 		c.results <- attempted{&own, u, answer, again}
 	}()
 }
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -62,6 +62,9 @@
 	Deadline time.Time
 	// Values are the session's values.
 	Values []Value
+	// SessionState is the number of the session's changes to its values and prepared
+	// statements so far, for the log.
+	SessionState uint64
 	// Prepared is the prepared statement to execute, if any.
 	Prepared *Prepared
 	// CanForward, when set, reports whether another process could run the job now, so that
@@ -137,7 +140,7 @@
 	}
 	g.mu.Unlock()
 	if err != nil {
-		g.log().Info("carrier: connection to upstream lost", zap.String("group", g.name), zap.String("upstream", u.id), zap.String("request", commands[len(commands)-1].ID),
+		g.log().Info("carrier: connection to upstream lost", zap.String("group", g.name), zap.String("upstream", u.id), zap.Uint64("connection", r.conn.number), zap.String("request", commands[len(commands)-1].ID),
 			zap.Duration("took", took), zap.Bool("sent", sent), zap.Error(err))
 		return nil, sent, err
 	}
@@ -186,7 +189,7 @@
 			n-- // nothing was run; the deadline bounds these retries
 		}
 		g.log().Info("carrier: retrying statement", zap.String("request", j.Request), zap.String("group", g.name),
-			zap.String("upstream", u.id), zap.Stringer("code", answer.Code), zap.String("cause", answer.Text), zap.Int("attempt", n+1))
+			zap.String("upstream", u.id), zap.Uint64("connection", answer.Connection), zap.Stringer("code", answer.Code), zap.String("cause", answer.Text), zap.Int("attempt", n+1))
 	}
 	return answer
 }
@@ -248,7 +251,7 @@
 	usable := answer.State == Idle && answer.Code != NoStatement
 	g.release(u, r.conn, usable)
 	answer.State = Idle
-	answer.Upstream, answer.Led = u.id, g.reachableLeader() == u
+	answer.Upstream, answer.Connection, answer.Led = u.id, r.conn.number, g.reachableLeader() == u
 	g.recordOutcome(u, answer.Code)
 	if answer.Code == OK {
 		answer.Ran = g.registry.Now().Sub(started)
@@ -294,7 +297,7 @@
 		if err != nil {
 			return Answer{}, sent, err
 		}
-		answer := lastAnswer(answers, len(setup))
+		answer := g.lastAnswer(u, r, answers, setup, cmd)
 		g.recordWrite(u)
 		if answer.Code == OK {
 			g.recordLeader(u, requestedAt, answer.Mark)
@@ -312,7 +315,7 @@
 	if err != nil {
 		return Answer{}, sent, err
 	}
-	return lastAnswer(answers, len(setup)), true, nil
+	return g.lastAnswer(u, r, answers, setup, cmd), true, nil
 }
 
 // sendLeaderRead runs a read that must see every commit, as described at send.
@@ -322,7 +325,7 @@
 	if err != nil {
 		return Answer{}, sent, err
 	}
-	began := lastAnswer(answers, len(setup))
+	began := g.lastAnswer(u, r, answers, setup, cmd)
 	if began.Code != OK {
 		return began, true, nil
 	}
@@ -338,9 +341,11 @@
 
 // lastAnswer returns the answer to the last command. If a setup command failed, the state
 // of the connection is unknown and it is not used again.
-func lastAnswer(answers []Answer, setup int) Answer {
-	for _, a := range answers[:setup] {
+func (g *Group) lastAnswer(u *upstream, r *run, answers []Answer, setup []Command, cmd Command) Answer {
+	for i, a := range answers[:len(setup)] {
 		if a.Code != OK {
+			g.log().Info("carrier: session state refused", zap.String("group", g.name), zap.String("upstream", u.id), zap.Uint64("connection", r.conn.number),
+				zap.String("request", cmd.ID), zap.String("name", setup[i].Name), zap.Stringer("code", a.Code))
 			return Answer{Code: Failed, Text: "session values couldn't be set: " + a.Text, State: InFailedTransaction}
 		}
 	}
--- a/carrier/opening.go
+++ b/carrier/opening.go
@@ -137,5 +137,5 @@
 	g.countOpening(ctx)
 	g.recordRoundTrip(u, l)
 	g.recordAnswer(u, l.InitialMark())
-	return &conn{Link: l, workspace: workspace}, nil
+	return &conn{Link: l, number: g.registry.connections.Add(1), workspace: workspace}, nil
 }
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -61,7 +61,7 @@
 			n-- // nothing was run; the deadline bounds these retries
 		}
 		g.log().Info("carrier: retrying transaction", zap.String("request", j.Request), zap.String("group", g.name),
-			zap.String("upstream", u.id), zap.Stringer("code", answer.Code), zap.String("cause", answer.Text), zap.Int("attempt", n+1))
+			zap.String("upstream", u.id), zap.Uint64("connection", answer.Connection), zap.Stringer("code", answer.Code), zap.String("cause", answer.Text), zap.Int("attempt", n+1))
 	}
 	return nil, answer
 }
@@ -98,7 +98,7 @@
 		j.markTried(u)
 		return nil, refusal(Aborted, "connection lost before the transaction began")
 	}
-	answer := lastAnswer(answers, len(setup))
+	answer := g.lastAnswer(u, r, answers, setup, begin)
 	if answer.Code != OK {
 		g.removeRun(u, r)
 		g.release(u, r.conn, answer.State == Idle)
@@ -139,8 +139,8 @@
 		}
 		return Answer{Code: Aborted, Text: "connection lost inside the transaction", State: InFailedTransaction}
 	}
-	answer := lastAnswer(answers, len(setup))
-	answer.Upstream, answer.Led = t.upstream.id, t.group.reachableLeader() == t.upstream
+	answer := t.group.lastAnswer(t.upstream, t.run, answers, setup, cmd)
+	answer.Upstream, answer.Connection, answer.Led = t.upstream.id, t.run.conn.number, t.group.reachableLeader() == t.upstream
 	t.group.recordOutcome(t.upstream, answer.Code)
 	if answer.Code == OK {
 		answer.Ran = t.group.registry.Now().Sub(started)
--- a/conductor/outcome.go
+++ b/conductor/outcome.go
@@ -42,7 +42,7 @@
 }
 
 // maxOutcomeFields is the number of fields of the line that a request ends with.
-const maxOutcomeFields = 20
+const maxOutcomeFields = 23
 
 // takeFields returns an empty slice for the fields of a line.
 func (s *Session) takeFields() *[]zap.Field {
@@ -72,6 +72,12 @@
 		zap.Bool("writes", s.mayWrite(st)), zap.Stringer("code", a.Code), zap.String("cause", a.Text),
 		zap.Duration("took", o.Took), zap.Duration("waited", a.Waited), zap.Duration("objective", route.Objective),
 		zap.Duration("timeout", route.Timeout), zap.Uint64("configuration", s.View().Config.Version), zap.Int("priority", o.Job.Priority))
+	if a.Connection != 0 {
+		fields = append(fields, zap.Uint64("connection", a.Connection))
+	}
+	if o.Job.SessionState != 0 {
+		fields = append(fields, zap.Uint64("state", o.Job.SessionState), zap.Duration("unchanged", s.Now().Sub(s.stateChangedAt)))
+	}
 	if o.Job.Workspace != "" {
 		fields = append(fields, zap.String("workspace", o.Job.Workspace))
 	}
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -55,7 +55,11 @@
 	mu       sync.Mutex // held while a statement runs
 	values   []carrier.Value
 	prepared map[string]carrier.Prepared
-	mark     tracker.Mark // furthest position answered to a write or commit of the session
+	// stateNumber counts the changes of values and prepared, and stateChangedAt is when the
+	// last one was answered.
+	stateNumber    uint64
+	stateChangedAt time.Time
+	mark           tracker.Mark // furthest position answered to a write or commit of the session
 
 	state            carrier.State
 	readOnly         bool
@@ -213,7 +217,7 @@
 	default:
 		s.values = append(s.values, v)
 	}
-	return okReply()
+	return s.stateChanged()
 }
 
 func (s *Session) prepare(st Statement) Reply {
@@ -224,7 +228,7 @@
 		return errorReply(carrier.TooLarge, "too many prepared statements")
 	}
 	s.prepared[st.Name] = carrier.Prepared{Shape: st.Value, Writes: st.Writes}
-	return okReply()
+	return s.stateChanged()
 }
 
 func (s *Session) deallocate(st Statement) Reply {
@@ -232,6 +236,13 @@
 		return errorReply(carrier.NoStatement, "no prepared statement "+st.Name)
 	}
 	delete(s.prepared, st.Name)
+	return s.stateChanged()
+}
+
+// stateChanged returns the answer to a statement that has changed the session's state.
+func (s *Session) stateChanged() Reply {
+	s.stateNumber++
+	s.stateChangedAt = s.Now()
 	return okReply()
 }
 
@@ -337,6 +348,7 @@
 		ObjectiveAt:  arrived.Add(route.Objective),
 		Deadline:     time.Now().Add(route.Timeout - s.Now().Sub(arrived)),
 		Values:       s.values,
+		SessionState: s.stateNumber,
 		CallerGone:   s.callerGone,
 	}
 	if route.Freshness == cataloger.ReadYourWrites {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -218,8 +218,8 @@
 }
 
 // markLost makes a peer that did not answer be skipped for a while.
-func (f *Forwarder) markLost(p Candidate, err error) {
-	f.Log.Info("forwarder: peer did not answer", zap.String("peer", p.Name), zap.Duration("heard", f.Now().Sub(p.LastSeen)), zap.Error(err))
+func (f *Forwarder) markLost(p Candidate, request string, err error) {
+	f.Log.Info("forwarder: peer did not answer", zap.String("peer", p.Name), zap.String("request", request), zap.Duration("heard", f.Now().Sub(p.LastSeen)), zap.Error(err))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.lostPeers == nil {
@@ -238,7 +238,7 @@
 	answer, err := f.Send(ctx, p.Address, payload)
 	end()
 	if err != nil {
-		f.markLost(p, err)
+		f.markLost(p, r.Request, err)
 		return response{}, err
 	}
 	var resp response
