carrier: failing tests of statements that run with other session values

What callers saw: statements ran on upstream connections whose session values were not those that they had been acknowledged, most on former leaders that had become replicas.

--- /dev/null
+++ b/carrier/session_state_test.go
@@ -0,0 +1,351 @@
+package carrier
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"basildale.example/basildale/cataloger"
+	"basildale.example/basildale/tracker"
+)
+
+// statefulGroup is a group of a leader, a, and a replica, b, that keep the session state of their
+// connections and compare it with that of the session whose statement they run.
+type statefulGroup struct {
+	*Group
+	registry *Registry
+
+	mu sync.Mutex
+	// want is the session state of each statement, by its id.
+	want  map[string]string
+	ran   int
+	wrong []string // what ran with another state
+	// refuse, when set, returns the code that a command is answered with in place of being run.
+	refuse func(cmd Command) Code
+	// fail, when set, returns whether an exchange fails, and whether its commands were sent.
+	fail func(commands []Command) (fails, sent bool)
+}
+
+// statefulLink is a connection to one of the upstreams.
+type statefulLink struct {
+	group    *statefulGroup
+	id       string
+	state    State
+	values   map[string]string
+	prepared map[string]string
+	failed   bool
+}
+
+var errLinkFailed = errors.New("link failed")
+
+func (l *statefulLink) Exchange(_ time.Time, commands ...Command) ([]Answer, bool, error) {
+	l.group.mu.Lock()
+	defer l.group.mu.Unlock()
+	if l.failed {
+		l.group.wrong = append(l.group.wrong, "a link was used after an error")
+	}
+	fails, sent := false, true
+	if l.group.fail != nil {
+		fails, sent = l.group.fail(commands)
+	}
+	l.failed = fails
+	if fails && !sent {
+		return nil, false, errLinkFailed
+	}
+	answers := make([]Answer, len(commands))
+	for i, cmd := range commands {
+		answers[i] = l.run(cmd)
+	}
+	if fails {
+		return nil, true, errLinkFailed
+	}
+	return answers, true, nil
+}
+
+// run runs one command. The caller must hold the group's lock.
+func (l *statefulLink) run(cmd Command) Answer {
+	code := OK
+	if l.group.refuse != nil {
+		code = l.group.refuse(cmd)
+	}
+	if l.id == "b" && cmd.Verb == Begin {
+		code = ReadOnly
+	}
+	if code != OK {
+		return Answer{Code: code, State: l.state, Mark: mark(1, 20)}
+	}
+	switch cmd.Verb {
+	case Begin, BeginRead:
+		l.state = InTransaction
+	case Commit, Rollback:
+		l.state = Idle
+	case Set:
+		l.values[cmd.Name] = cmd.Value
+	case Prepare:
+		l.prepared[cmd.Name] = cmd.Value
+	case Reset:
+		clear(l.values)
+		clear(l.prepared)
+	case Execute:
+		if _, ok := l.prepared[cmd.Name]; !ok {
+			return Answer{Code: NoStatement, State: l.state, Mark: mark(1, 20)}
+		}
+		l.compare(cmd)
+	case Read, Write:
+		l.compare(cmd)
+	}
+	return Answer{Signature: "s", State: l.state, Mark: mark(1, 20), Report: Report{Leads: l.id == "a"}}
+}
+
+// compare records whether a statement runs with its session's state. The caller must hold the
+// group's lock.
+func (l *statefulLink) compare(cmd Command) {
+	l.group.ran++
+	got := make([]string, 0, len(l.values))
+	for _, name := range slices.Sorted(maps.Keys(l.values)) {
+		got = append(got, name+"="+l.values[name])
+	}
+	if has, want := strings.Join(got, " "), l.group.want[cmd.ID]; has != want {
+		l.group.wrong = append(l.group.wrong, fmt.Sprintf("%s at %s ran with %q, its session has %q", cmd.ID, l.id, has, want))
+	}
+}
+
+func (l *statefulLink) Abort()                    {}
+func (l *statefulLink) Alive() bool               { return true }
+func (l *statefulLink) InitialMark() tracker.Mark { return mark(1, 20) }
+func (l *statefulLink) Close() error              { return nil }
+
+func newStatefulGroup() *statefulGroup {
+	s := &statefulGroup{want: map[string]string{}}
+	s.registry = &Registry{Now: time.Now, Log: zap.NewNop(), Dial: func(_ context.Context, u cataloger.Upstream, _ string) (Link, error) {
+		return &statefulLink{group: s, id: u.ID, values: map[string]string{}, prepared: map[string]string{}}, nil
+	}}
+	s.registry.DivideConnections(1, []cataloger.GroupSettings{{Name: "g", MaxConnections: 23}})
+	leader := upstreamAtPort("a", 1)
+	leader.Leads = true
+	s.registry.SetUpstreams([]cataloger.Upstream{leader, upstreamAtPort("b", 2)})
+	s.Group, _ = s.registry.Group("g")
+	return s
+}
+
+// statement returns a job and the command of a session with these values, sorted by name.
+func (s *statefulGroup) statement(verb Verb, id string, values ...Value) (*Job, Command) {
+	words := make([]string, 0, len(values))
+	for _, v := range values {
+		words = append(words, v.Name+"="+v.Data)
+	}
+	s.mu.Lock()
+	s.want[id] = strings.Join(words, " ")
+	s.mu.Unlock()
+	now := time.Now()
+	j := &Job{
+		Request: id, Freshness: cataloger.BoundedStaleness, MaxStaleness: time.Hour, Writes: verb == Write,
+		Arrived: now, ObjectiveAt: now.Add(150 * time.Millisecond), Deadline: now.Add(800 * time.Millisecond), Values: values,
+	}
+	return j, Command{Verb: verb, ID: id, Text: id}
+}
+
+// runAtLeader sends a statement to the upstream a once.
+func (s *statefulGroup) runAtLeader(verb Verb, id string, values ...Value) Answer {
+	j, cmd := s.statement(verb, id, values...)
+	answer, _ := s.attempt(s.upstreams[0], j, cmd, tracker.Mark{})
+	return answer
+}
+
+// Guards against statements that run with the values of another session, because a write that was
+// not sent left its values in the record of the connection.
+func TestUnsentWriteLeavesNoSessionState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStatefulGroup()
+		defer s.registry.Stop()
+		is.Equal(s.runAtLeader(Write, "w1", Value{"tz", "utc"}).Code, OK)
+		s.SetFence(Fence{Leader: "a", Successor: "b"})
+		is.Equal(s.runAtLeader(Write, "w2", Value{"lang", "da"}, Value{"tz", "cet"}).Code, ReadOnly)
+		is.Equal(s.runAtLeader(Read, "r", Value{"lang", "da"}, Value{"tz", "cet"}).Code, OK) // a is a replica now
+		is.Equal(s.ran, 2)
+		is.Equal(s.wrong, nil)
+	})
+}
+
+// Guards against a late answer that is taken for that of a rollback, on a connection whose statement
+// got no answer.
+func TestLostConnectionIsNotUsedForRollback(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStatefulGroup()
+		defer s.registry.Stop()
+		j, cmd := s.statement(Write, "w1", Value{"tz", "utc"})
+		tx, answer := s.startTx(s.upstreams[0], j, Command{Verb: Begin}, cmd)
+		is.Equal(answer.Code, OK)
+		s.fail = func([]Command) (bool, bool) { return true, true }
+		j, cmd = s.statement(Write, "w2", Value{"tz", "utc"})
+		is.Equal(tx.Do(j, cmd).Code, Aborted)
+		tx.Rollback()
+		is.Equal(s.wrong, nil)
+	})
+}
+
+// Guards against the same after a transaction in which the upstream refused a value.
+func TestRefusedValueOfTransactionLeavesNoSessionState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStatefulGroup()
+		defer s.registry.Stop()
+		j, cmd := s.statement(Write, "w1", Value{"tz", "utc"})
+		tx, answer := s.startTx(s.upstreams[0], j, Command{Verb: Begin}, cmd)
+		is.Equal(answer.Code, OK)
+		s.refuse = func(cmd Command) Code {
+			if cmd.Verb == Set {
+				return Failed
+			}
+			return OK
+		}
+		j, cmd = s.statement(Write, "w2", Value{"tz", "cet"})
+		is.Equal(tx.Do(j, cmd).Code, Aborted)
+		s.refuse = nil
+		tx.Rollback()
+		is.Equal(s.runAtLeader(Read, "r", Value{"tz", "cet"}).Code, OK)
+		s.wrong = slices.DeleteFunc(s.wrong, func(w string) bool { return strings.HasPrefix(w, "w2 ") }) // TestStatementBehindRefusedValueIsNotRun
+		is.Equal(s.wrong, nil)
+	})
+}
+
+// Guards against a statement that runs though the upstream refused a value of its session, which
+// was sent ahead of it in the same write.
+func TestStatementBehindRefusedValueIsNotRun(t *testing.T) {
+	for _, verb := range []Verb{Read, Write} {
+		for _, refused := range []Verb{Set, Reset} {
+			for _, inTransaction := range []bool{false, true} {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					s := newStatefulGroup()
+					defer s.registry.Stop()
+					is.Equal(s.runAtLeader(verb, "1", Value{"lang", "da"}, Value{"tz", "utc"}).Code, OK)
+					refuse := func(cmd Command) Code {
+						if cmd.Verb == refused {
+							return Busy
+						}
+						return OK
+					}
+					j, cmd := s.statement(verb, "2", Value{"tz", "cet"})
+					if inTransaction {
+						first, firstCmd := s.statement(verb, "0", Value{"lang", "da"}, Value{"tz", "utc"})
+						tx, answer := s.startTx(s.upstreams[0], first, Command{Verb: Begin}, firstCmd)
+						is.Equal(answer.Code, OK)
+						s.refuse = refuse
+						is.True(tx.Do(j, cmd).Code != OK)
+						tx.Rollback()
+					} else {
+						s.refuse = refuse
+						answer, _ := s.attempt(s.upstreams[0], j, cmd, tracker.Mark{})
+						is.True(answer.Code != OK)
+					}
+					is.Equal(s.wrong, nil)
+				})
+			}
+		}
+	}
+}
+
+// Guards against any sequence of refusals, lost connections and changes of leader after which a
+// statement runs with other values than its session's.
+func TestStatementsRunWithTheirSessionsState(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := newStatefulGroup()
+			defer s.registry.Stop()
+			rng := rand.New(rand.NewPCG(seed, 64))
+			h := &history{statefulGroup: s, rng: rng}
+			for h.steps = range 400 {
+				h.step()
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			is.Equal(s.wrong, nil) // by seed
+			is.True(s.ran > 200)
+		})
+	}
+}
+
+// history draws what sessions, upstreams and the leader do.
+type history struct {
+	*statefulGroup
+	rng   *rand.Rand
+	steps int
+}
+
+func (h *history) step() {
+	rare := func(n int) bool { return h.rng.IntN(n) == 0 }
+	h.mu.Lock()
+	h.refuse = func(cmd Command) Code {
+		switch {
+		case rare(40):
+			return []Code{Busy, Failed}[h.rng.IntN(2)]
+		default:
+			return OK
+		}
+	}
+	h.fail = func([]Command) (bool, bool) { return rare(40), rare(2) }
+	h.mu.Unlock()
+	if rare(6) {
+		h.SetFence(Fence{})
+	}
+	if rare(12) {
+		h.SetFence(Fence{Leader: "a", Successor: "b"})
+	}
+	if rare(4) {
+		h.transaction()
+		return
+	}
+	j, cmd := h.draw(0)
+	h.attempt(h.upstreams[h.rng.IntN(2)], j, cmd, tracker.Mark{})
+}
+
+// draw returns a statement of one of a few sessions.
+func (h *history) draw(n int) (*Job, Command) {
+	var values []Value
+	for _, name := range []string{"v1", "v2"} {
+		if h.rng.IntN(3) > 0 {
+			values = append(values, Value{name, string(rune('a' + h.rng.IntN(3)))})
+		}
+	}
+	verb := []Verb{Read, Write, Execute}[h.rng.IntN(3)]
+	j, cmd := h.statement(verb, fmt.Sprintf("%d.%d", h.steps, n), values...)
+	if verb == Execute {
+		j.Prepared = &Prepared{Shape: string(rune('p' + h.rng.IntN(3))), Writes: h.rng.IntN(2) == 0}
+		j.Writes, cmd.Name = j.Prepared.Writes, j.Prepared.Alias()
+	}
+	return j, cmd
+}
+
+func (h *history) transaction() {
+	j, cmd := h.draw(0)
+	tx, _ := h.startTx(h.upstreams[h.rng.IntN(2)], j, Command{Verb: BeginRead}, cmd)
+	if tx == nil {
+		return
+	}
+	for n := range h.rng.IntN(3) {
+		j, cmd = h.draw(n + 1)
+		if tx.Do(j, cmd).Code != OK {
+			break
+		}
+	}
+	if h.rng.IntN(2) == 0 {
+		tx.Commit(j, Command{Verb: Commit, ID: "c", Text: "COMMIT"})
+		return
+	}
+	tx.Rollback()
+}
