carrier: a connection that was lost is not used for the rollback

What callers saw: nothing is known of it. A transaction whose statement got no answer in time was rolled back by one more exchange on the same connection, where the late answer to the statement would be read as that to the rollback.

Cause: only the caller of an exchange knew that it had failed; the later rollback did not, though a link must not be used after an error.

Evidence: TestLostConnectionIsNotUsedForRollback, whose link reports its use after an error, failed before. In a transaction a late answer states that it is still open, so the connection was closed and no mix-up is known.

Why this fix works: the connection itself records that an exchange on it has failed. The rollback then closes it at once, which has the same effect at the upstream.

--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -50,6 +50,8 @@
 	// stateUnknown is set once the upstream has refused a part of the session state: it may
 	// have applied it all the same.
 	stateUnknown bool
+	// lost is set once an exchange has failed: a late answer could be taken for the next one.
+	lost bool
 	cut          bool // it was closed while in use; guarded by the group's lock
 }
 
@@ -74,6 +76,9 @@
 	return out
 }
 
+// isUsable reports whether another statement may be sent on the connection.
+func (c *conn) isUsable() bool { return !c.lost && !c.stateUnknown }
+
 // recordState records what the answers to commands show about the session state.
 func (c *conn) recordState(commands []Command, answers []Answer) {
 	for i, cmd := range commands {
--- a/carrier/group.go
+++ b/carrier/group.go
@@ -421,7 +421,7 @@
 
 // release returns a connection to the pool, or closes it when it cannot be used again.
 func (g *Group) release(u *upstream, c *conn, usable bool) {
-	if !usable || c.stateUnknown {
+	if !usable || !c.isUsable() {
 		u.pool.Discard(c)
 		return
 	}
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -140,6 +140,7 @@
 	}
 	g.mu.Unlock()
 	if err != nil {
+		r.conn.lost = true
 		g.log().Info("carrier: connection to upstream lost", zap.String("group", g.name), zap.String("upstream", u.id), zap.Uint64("connection", r.conn.number), zap.String("request", commands[len(commands)-1].ID),
 			zap.Duration("took", took), zap.Bool("sent", sent), zap.Error(err))
 		return nil, sent, err
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -219,9 +219,13 @@
 		return
 	}
 	t.state = Idle
-	answers, _, err := t.group.exchange(t.upstream, t.run, time.Now().Add(probeTimeout), Command{Verb: Rollback})
+	usable := false
+	if t.run.conn.isUsable() {
+		answers, _, err := t.group.exchange(t.upstream, t.run, time.Now().Add(probeTimeout), Command{Verb: Rollback})
+		usable = err == nil && answers[0].State == Idle
+	}
 	t.group.removeRun(t.upstream, t.run)
-	t.group.release(t.upstream, t.run.conn, err == nil && answers[0].State == Idle)
+	t.group.release(t.upstream, t.run.conn, usable)
 }
 
 // CommitEmpty commits a transaction without statements on an upstream, for the upstream's
