carrier: a statement is sent once the values of its session are accepted

What callers saw: nothing that is known. A statement could run with another session's values where its upstream refused a SET or RESET; the caller was told that it had failed.

Cause: values were sent in the same write as the statement, ahead of it. An upstream that refuses one of them runs the statement all the same.

Evidence: TestStatementBehindRefusedValueIsNotRun failed before, for reads and writes, in and outside of a transaction.

Why this fix works: commands that change values get an exchange of their own, and the statement is sent when they are accepted. Beginnings of transactions and executions of statements that are not prepared still share the write: neither runs anything for the caller if a part is refused. Since the statement isn't sent, the refusal guarantees that nothing is kept, and the caller may return at once; a write whose connection breaks before is no longer in doubt.

--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -52,7 +52,7 @@
 	stateUnknown bool
 	// lost is set once an exchange has failed: a late answer could be taken for the next one.
 	lost bool
-	cut          bool // it was closed while in use; guarded by the group's lock
+	cut  bool // it was closed while in use; guarded by the group's lock
 }
 
 // setupCommands returns the commands that give the connection a session's state. Values that
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -140,7 +141,7 @@
 	}
 	g.mu.Unlock()
 	if err != nil {
-		r.conn.lost = true
+		r.conn.lost, r.sent = true, sent
 		g.log().Info("carrier: connection to upstream lost", zap.String("group", g.name), zap.String("upstream", u.id), zap.Uint64("connection", r.conn.number), zap.String("request", commands[len(commands)-1].ID),
 			zap.Duration("took", took), zap.Bool("sent", sent), zap.Error(err))
 		return nil, sent, err
@@ -241,7 +242,7 @@
 	if err != nil {
 		g.release(u, r.conn, false)
 		j.markTried(u)
-		if sent && time.Until(j.Deadline) > 0 && !errors.Is(err, errNoShare) {
+		if r.sent && time.Until(j.Deadline) > 0 && !errors.Is(err, errNoShare) {
 			g.recordFailure(u, true) // lost before the deadline: an overloaded upstream, which is only late, does not count as failing
 		}
 		answer, again := lostAnswer(j, sent)
@@ -289,17 +290,15 @@
 // after the begin was accepted. Sent together with a refused begin, it would run outside of
 // a transaction, on a log that may lack the newest commits.
 func (g *Group) send(u *upstream, r *run, j *Job, cmd Command, since tracker.Mark) (Answer, bool, error) {
-	setup := r.conn.setupCommands(j.Values, j.Prepared)
 	if j.Writes {
 		if g.isBarred(u) {
 			return refusal(ReadOnly, "the leader is being replaced"), false, nil
 		}
 		requestedAt := g.registry.Now()
-		answers, sent, err := g.exchange(u, r, j.Deadline, append(setup, cmd)...)
+		answer, sent, err := g.exchangeInSession(u, r, j, cmd)
 		if err != nil {
 			return Answer{}, sent, err
 		}
-		answer := g.lastAnswer(u, r, answers, setup, cmd)
 		g.recordWrite(u)
 		if answer.Code == OK {
 			g.recordLeader(u, requestedAt, answer.Mark)
@@ -310,29 +309,24 @@
 		return answer, true, nil
 	}
 	if j.Freshness == cataloger.Latest {
-		return g.sendLeaderRead(u, r, j, cmd, setup)
+		return g.sendLeaderRead(u, r, j, cmd)
 	}
 	cmd.Since = since
-	answers, sent, err := g.exchange(u, r, j.Deadline, append(setup, cmd)...)
-	if err != nil {
-		return Answer{}, sent, err
-	}
-	return g.lastAnswer(u, r, answers, setup, cmd), true, nil
+	return g.exchangeInSession(u, r, j, cmd)
 }
 
 // sendLeaderRead runs a read that must see every commit, as described at send.
-func (g *Group) sendLeaderRead(u *upstream, r *run, j *Job, cmd Command, setup []Command) (Answer, bool, error) {
+func (g *Group) sendLeaderRead(u *upstream, r *run, j *Job, cmd Command) (Answer, bool, error) {
 	requestedAt := g.registry.Now()
-	answers, sent, err := g.exchange(u, r, j.Deadline, append(setup, Command{Verb: Begin})...)
+	began, sent, err := g.exchangeInSession(u, r, j, Command{Verb: Begin})
 	if err != nil {
 		return Answer{}, sent, err
 	}
-	began := g.lastAnswer(u, r, answers, setup, cmd)
 	if began.Code != OK {
 		return began, true, nil
 	}
 	g.recordLeader(u, requestedAt, began.Mark)
-	answers, sent, err = g.exchange(u, r, j.Deadline, cmd, Command{Verb: Rollback})
+	answers, sent, err := g.exchange(u, r, j.Deadline, cmd, Command{Verb: Rollback})
 	if err != nil {
 		return Answer{}, sent, err
 	}
@@ -341,17 +335,53 @@
 	return answer, true, nil
 }
 
-// lastAnswer returns the answer to the last command. If a setup command failed, the state
-// of the connection is unknown and it is not used again.
-func (g *Group) lastAnswer(u *upstream, r *run, answers []Answer, setup []Command, cmd Command) Answer {
-	for i, a := range answers[:len(setup)] {
-		if a.Code != OK {
-			g.log().Info("carrier: session state refused", zap.String("group", g.name), zap.String("upstream", u.id), zap.Uint64("connection", r.conn.number),
-				zap.String("request", cmd.ID), zap.String("name", setup[i].Name), zap.Stringer("code", a.Code))
-			return Answer{Code: Failed, Text: "session values couldn't be set: " + a.Text, State: InFailedTransaction}
+// exchangeInSession gives the connection the session's state, sends a command and returns its
+// answer. It reports whether any byte of the command may have reached the upstream. A statement
+// that an upstream runs although it refused a value ahead of it would run with another session's
+// values, so it is sent once the values are accepted. What doesn't run in that case goes in the
+// same write: the beginning of a transaction, or the execution of a statement that is not
+// prepared.
+func (g *Group) exchangeInSession(u *upstream, r *run, j *Job, cmd Command) (Answer, bool, error) {
+	setup := r.conn.setupCommands(j.Values, j.Prepared)
+	if cmd.Verb != Begin && cmd.Verb != BeginRead && setsValues(setup) {
+		answers, _, err := g.exchange(u, r, j.Deadline, setup...)
+		if err != nil {
+			return Answer{}, false, err
+		}
+		if refused, ok := g.refusedState(u, r, j, setup, answers); ok {
+			return refused, true, nil
+		}
+		setup = nil
+	}
+	answers, sent, err := g.exchange(u, r, j.Deadline, append(setup, cmd)...)
+	if err != nil {
+		return Answer{}, sent, err
+	}
+	answer := answers[len(setup)]
+	mayHaveRun := cmd.Verb != Begin && cmd.Verb != BeginRead && answer.Code != NoStatement && !answer.Code.GuaranteesNoEffect()
+	if refused, ok := g.refusedState(u, r, j, setup, answers); ok && !mayHaveRun {
+		return refused, true, nil
+	}
+	return answer, true, nil
+}
+
+// setsValues reports whether commands change session values.
+func setsValues(commands []Command) bool {
+	return slices.ContainsFunc(commands, func(cmd Command) bool { return cmd.Verb == Set || cmd.Verb == Reset })
+}
+
+// refusedState returns the answer to a statement for which an upstream refused a part of the
+// session's state, and whether it did. The connection is not used again.
+func (g *Group) refusedState(u *upstream, r *run, j *Job, setup []Command, answers []Answer) (Answer, bool) {
+	for i, cmd := range setup {
+		if answers[i].Code == OK {
+			continue
 		}
+		g.log().Info("carrier: session state refused", zap.String("group", g.name), zap.String("upstream", u.id), zap.Uint64("connection", r.conn.number),
+			zap.String("request", j.Request), zap.String("name", cmd.Name), zap.Stringer("code", answers[i].Code))
+		return Answer{Code: Busy, Text: "session state refused: " + answers[i].Text, State: InFailedTransaction}, true
 	}
-	return answers[len(answers)-1]
+	return Answer{}, false
 }
 
 // shouldRetry records what an answer other than OK shows about the upstream, waits where
--- a/carrier/session_state_test.go
+++ b/carrier/session_state_test.go
@@ -30,8 +30,10 @@
 	// want is the session state of each statement, by its id.
 	want  map[string]string
 	ran   int
+	last  string   // id of the statement that ran last
 	wrong []string // what ran with another state
-	// refuse, when set, returns the code that a command is answered with in place of being run.
+	// refuse, when set, returns the code that a command is answered with. Session state is applied
+	// all the same if the code is Failed.
 	refuse func(cmd Command) Code
 	// fail, when set, returns whether an exchange fails, and whether its commands were sent.
 	fail func(commands []Command) (fails, sent bool)
@@ -82,14 +84,11 @@
 	if l.id == "b" && cmd.Verb == Begin {
 		code = ReadOnly
 	}
-	if code != OK {
-		return Answer{Code: code, State: l.state, Mark: mark(1, 20)}
+	refused := Answer{Code: code, State: l.state, Mark: mark(1, 20)}
+	if code != OK && code != Failed {
+		return refused
 	}
 	switch cmd.Verb {
-	case Begin, BeginRead:
-		l.state = InTransaction
-	case Commit, Rollback:
-		l.state = Idle
 	case Set:
 		l.values[cmd.Name] = cmd.Value
 	case Prepare:
@@ -97,6 +96,15 @@
 	case Reset:
 		clear(l.values)
 		clear(l.prepared)
+	}
+	if code != OK {
+		return refused
+	}
+	switch cmd.Verb {
+	case Begin, BeginRead:
+		l.state = InTransaction
+	case Commit, Rollback:
+		l.state = Idle
 	case Execute:
 		if _, ok := l.prepared[cmd.Name]; !ok {
 			return Answer{Code: NoStatement, State: l.state, Mark: mark(1, 20)}
@@ -112,6 +120,7 @@
 // group's lock.
 func (l *statefulLink) compare(cmd Command) {
 	l.group.ran++
+	l.group.last = cmd.ID
 	got := make([]string, 0, len(l.values))
 	for _, name := range slices.Sorted(maps.Keys(l.values)) {
 		got = append(got, name+"="+l.values[name])
@@ -260,7 +269,8 @@
 }
 
 // Guards against any sequence of refusals, lost connections and changes of leader after which a
-// statement runs with other values than its session's.
+// statement runs with other values than its session's, or a write runs though its caller was told
+// otherwise.
 func TestStatementsRunWithTheirSessionsState(t *testing.T) {
 	for seed := range uint64(20) {
 		synctest.Test(t, func(t *testing.T) {
@@ -311,7 +321,12 @@
 		return
 	}
 	j, cmd := h.draw(0)
-	h.attempt(h.upstreams[h.rng.IntN(2)], j, cmd, tracker.Mark{})
+	answer, _ := h.attempt(h.upstreams[h.rng.IntN(2)], j, cmd, tracker.Mark{})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if j.Writes && answer.Code.GuaranteesNoEffect() && h.last == cmd.ID {
+		h.wrong = append(h.wrong, cmd.ID+" ran, its caller was told otherwise")
+	}
 }
 
 // draw returns a statement of one of a few sessions.
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -88,17 +88,15 @@
 	if r == nil {
 		return nil, refused
 	}
-	setup := r.conn.setupCommands(j.Values, j.Prepared)
 	g.addRun(u, r)
 	requestedAt := g.registry.Now()
-	answers, _, err := g.exchange(u, r, j.Deadline, append(setup, begin)...)
+	answer, _, err := g.exchangeInSession(u, r, j, begin)
 	if err != nil {
 		g.removeRun(u, r)
 		g.release(u, r.conn, false)
 		j.markTried(u)
 		return nil, refusal(Aborted, "connection lost before the transaction began")
 	}
-	answer := g.lastAnswer(u, r, answers, setup, begin)
 	if answer.Code != OK {
 		g.removeRun(u, r)
 		g.release(u, r.conn, answer.State == Idle)
@@ -128,9 +126,8 @@
 
 // runOnce sends a statement of the transaction once.
 func (t *Tx) runOnce(j *Job, cmd Command) Answer {
-	setup := t.run.conn.setupCommands(j.Values, j.Prepared)
 	started := t.group.registry.Now()
-	answers, _, err := t.group.exchange(t.upstream, t.run, j.Deadline, append(setup, cmd)...)
+	answer, _, err := t.group.exchangeInSession(t.upstream, t.run, j, cmd)
 	t.charge(j, started)
 	if err != nil {
 		j.markTried(t.upstream)
@@ -139,7 +136,9 @@
 		}
 		return Answer{Code: Aborted, Text: "connection lost inside the transaction", State: InFailedTransaction}
 	}
-	answer := t.group.lastAnswer(t.upstream, t.run, answers, setup, cmd)
+	if answer.Code == Busy && !t.run.conn.isUsable() {
+		answer.Code = Aborted // it can't be tried again on this connection
+	}
 	answer.Upstream, answer.Connection, answer.Led = t.upstream.id, t.run.conn.number, t.group.reachableLeader() == t.upstream
 	t.group.recordOutcome(t.upstream, answer.Code)
 	if answer.Code == OK {
