carrier: a connection that does not know a prepared statement is closed

What callers saw: nothing that is known. An execution could fail with NOSTMT though its statement had been prepared.

Cause: outside of a transaction, a connection that answers NOSTMT was closed. In a transaction the rollback made it good again, and its record still had the statement.

Evidence: TestUnknownStatementOfTransactionClosesConnection failed before: the connection was used again.

Why this fix works: the answers that the record is made of now include that one; such a connection is closed when it is released, in whichever way.

--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -47,8 +47,8 @@
 	// which they were set.
 	values   []Value
 	prepared map[Prepared]bool
-	// stateUnknown is set once the upstream has refused a part of the session state: it may
-	// have applied it all the same.
+	// stateUnknown is set once the upstream has refused a part of the session state, which it
+	// may have applied all the same, or does not know a statement that is prepared.
 	stateUnknown bool
 	// lost is set once an exchange has failed: a late answer could be taken for the next one.
 	lost bool
@@ -84,12 +84,12 @@
 	for i, cmd := range commands {
 		switch cmd.Verb {
 		case Set, Prepare, Reset:
-		default:
-			continue
-		}
-		if answers[i].Code != OK {
-			c.stateUnknown = true
-			continue
+			if answers[i].Code != OK {
+				c.stateUnknown = true
+				continue
+			}
+		case Execute:
+			c.stateUnknown = c.stateUnknown || answers[i].Code == NoStatement
 		}
 		switch cmd.Verb {
 		case Set:
--- a/carrier/session_state_test.go
+++ b/carrier/session_state_test.go
@@ -30,6 +30,7 @@
 	// want is the session state of each statement, by its id.
 	want  map[string]string
 	ran   int
+	dials int
 	last  string   // id of the statement that ran last
 	wrong []string // what ran with another state
 	// refuse, when set, returns the code that a command is answered with. Session state is applied
@@ -138,6 +139,9 @@
 func newStatefulGroup() *statefulGroup {
 	s := &statefulGroup{want: map[string]string{}}
 	s.registry = &Registry{Now: time.Now, Log: zap.NewNop(), Dial: func(_ context.Context, u cataloger.Upstream, _ string) (Link, error) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.dials++
 		return &statefulLink{group: s, id: u.ID, values: map[string]string{}, prepared: map[string]string{}}, nil
 	}}
 	s.registry.DivideConnections(1, []cataloger.GroupSettings{{Name: "g", MaxConnections: 23}})
@@ -235,6 +239,42 @@
 	})
 }
 
+// refuseVerb makes the upstreams answer commands of a kind with a code.
+func (s *statefulGroup) refuseVerb(verb Verb, code Code) {
+	s.refuse = func(cmd Command) Code {
+		if cmd.Verb == verb {
+			return code
+		}
+		return OK
+	}
+}
+
+// Guards against a statement that stays unknown on a connection that counts as having it.
+func TestUnknownStatementOfTransactionClosesConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStatefulGroup()
+		defer s.registry.Stop()
+		execute := func(id string) (*Job, Command) {
+			j, cmd := s.statement(Execute, id)
+			j.Prepared = &Prepared{Shape: "q"}
+			cmd.Name = j.Prepared.Alias()
+			return j, cmd
+		}
+		tx := s.beginAtLeader(t, "w")
+		s.refuseVerb(Execute, NoStatement)
+		j, cmd := execute("e1")
+		is.True(tx.Do(j, cmd).Code != OK)
+		s.refuse = nil
+		tx.Rollback()
+		dials := s.dials
+		j, cmd = execute("e2")
+		answer, _ := s.attempt(s.upstreams[0], j, cmd, tracker.Mark{})
+		is.Equal(answer.Code, OK)
+		is.Equal(s.dials, dials+1)
+	})
+}
+
 // Guards against a statement that runs though the upstream refused a value of its session, which
 // was sent ahead of it in the same write.
 func TestStatementBehindRefusedValueIsNotRun(t *testing.T) {
