carrier: the session state of a statement has an exchange of its own

Change: applyState sends all of the state and only that, or the beginning of a transaction with it. A write is checked, marked as in doubt if lost and recorded as answered in sendWrite, after it. A statement that was not sent because of its state is aborted: it is tried on other upstreams, or again at the leader, within the bound on attempts. READONLY to a value is passed on as such, since the upstream has lost the lead.

--- a/carrier/hedge.go
+++ b/carrier/hedge.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -34,7 +35,10 @@
 		return u, answer, again
 	}
 	c := &contest{over: make(chan struct{}), results: make(chan attempted, 2)}
-	defer c.end()
+	defer func() {
+		c.answered.Store(true)
+		c.end()
+	}()
 	g.startAttempt(c, u, j, cmd, since)
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
@@ -71,6 +75,8 @@
 	results chan attempted // has room for both, so that the attempt that loses ends
 	over    chan struct{}  // closed when no further attempt counts
 
+	answered atomic.Bool // the caller has its answer
+
 	mu    sync.Mutex
 	ended bool
 }
@@ -108,7 +114,7 @@
 	go func() {
 		answer, again := g.attempt(u, &own, cmd, since)
 		g.recordAttempt(&own, cmd, answer, began)
-		if own.isOver() {
+		if c.answered.Load() && answer.Connection != 0 {
 			g.log().Info("carrier: answer dropped, the read has been answered", zap.String("request", j.Request), zap.String("group", g.name), zap.String("upstream", u.id),
 				zap.Uint64("connection", answer.Connection), zap.Stringer("code", answer.Code), zap.Duration("took", g.registry.Now().Sub(began)))
 		}
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -1,7 +1,6 @@
 package carrier
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -141,7 +140,7 @@
 	}
 	g.mu.Unlock()
 	if err != nil {
-		r.conn.lost, r.sent = true, sent
+		r.conn.lost = true
 		g.log().Info("carrier: connection to upstream lost", zap.String("group", g.name), zap.String("upstream", u.id), zap.Uint64("connection", r.conn.number), zap.String("request", commands[len(commands)-1].ID),
 			zap.Duration("took", took), zap.Bool("sent", sent), zap.Error(err))
 		return nil, sent, err
@@ -234,18 +233,17 @@
 		g.release(u, r.conn, false)
 		return refusal(Busy, "connection was dead before the write"), true
 	}
-	r.inDoubtIfLost = j.Writes
 	g.addRun(u, r)
 	started := g.registry.Now()
-	answer, sent, err := g.send(u, r, j, cmd, since)
+	answer, progress, err := g.send(u, r, j, cmd, since)
 	g.removeRun(u, r) // before the release: heldConns counts a connection that is cut as closed
 	if err != nil {
 		g.release(u, r.conn, false)
 		j.markTried(u)
-		if r.sent && time.Until(j.Deadline) > 0 && !errors.Is(err, errNoShare) {
+		if progress != nothingSent && time.Until(j.Deadline) > 0 && !errors.Is(err, errNoShare) {
 			g.recordFailure(u, true) // lost before the deadline: an overloaded upstream, which is only late, does not count as failing
 		}
-		answer, again := lostAnswer(j, sent)
+		answer, again := lostAnswer(j, progress)
 		if !again {
 			g.recordAnswerTime(u, failurePenalty*defaultLatency)
 		}
@@ -266,15 +264,36 @@
 		}
 		return answer, false
 	}
-	return answer, true
+	return answer, progress == statementSent || !j.isOver()
+}
+
+// progress is how far an attempt came.
+type progress uint8
+
+const (
+	nothingSent progress = iota
+	// stateSent means that bytes may have reached the upstream, and none of the statement.
+	stateSent
+	// statementSent means that bytes of the statement may have reached the upstream.
+	statementSent
+)
+
+// progressOf returns reached if bytes were sent.
+func progressOf(sent bool, reached progress) progress {
+	if !sent {
+		return nothingSent
+	}
+	return reached
 }
 
 // lostAnswer returns the answer to a statement whose connection broke, and whether the
 // statement may be sent again.
-func lostAnswer(j *Job, sent bool) (Answer, bool) {
+func lostAnswer(j *Job, p progress) (Answer, bool) {
 	switch {
-	case !sent:
+	case p == nothingSent:
 		return refusal(Busy, "connection lost before the statement was sent"), true
+	case p == stateSent:
+		return refusal(Aborted, "connection lost before the statement was sent"), true
 	case j.Writes:
 		return refusal(InDoubt, "connection lost after the statement was sent"), false
 	case time.Until(j.Deadline) <= 0:
@@ -284,104 +303,111 @@
 	}
 }
 
-// send runs the exchanges of one attempt. It reports whether any byte of the last one may
-// have reached the upstream. A read that must see every commit is wrapped in a transaction
-// that only the leader accepts: a former leader refuses its begin. The read is sent only
-// after the begin was accepted. Sent together with a refused begin, it would run outside of
-// a transaction, on a log that may lack the newest commits.
-func (g *Group) send(u *upstream, r *run, j *Job, cmd Command, since tracker.Mark) (Answer, bool, error) {
-	if j.Writes {
-		if g.isBarred(u) {
-			return refusal(ReadOnly, "the leader is being replaced"), false, nil
-		}
-		requestedAt := g.registry.Now()
-		answer, sent, err := g.exchangeInSession(u, r, j, cmd)
-		if err != nil {
-			return Answer{}, sent, err
-		}
-		g.recordWrite(u)
-		if answer.Code == OK {
-			g.recordLeader(u, requestedAt, answer.Mark)
-			if !g.awaitSuccessor(u, answer.Mark, j.Deadline) {
-				return g.lostToSuccessor(answer), true, nil
-			}
-		}
-		return answer, true, nil
-	}
-	if j.Freshness == cataloger.Latest {
+// send runs the exchanges of one attempt and reports how far it came. The statement is sent
+// once the upstream has accepted the session's state: it would run with another session's
+// values if one of them were refused ahead of it in the same write.
+func (g *Group) send(u *upstream, r *run, j *Job, cmd Command, since tracker.Mark) (Answer, progress, error) {
+	if !j.Writes && j.Freshness == cataloger.Latest {
 		return g.sendLeaderRead(u, r, j, cmd)
 	}
+	if j.Writes && g.isBarred(u) {
+		return leaderReplaced(), nothingSent, nil
+	}
+	answer, sent, err := g.applyState(u, r, j)
+	if err != nil || answer.Code != OK {
+		return answer, progressOf(sent, stateSent), err
+	}
+	if j.isOver() {
+		return refusal(Busy, "another attempt was answered"), stateSent, nil
+	}
+	if j.Writes {
+		return g.sendWrite(u, r, j, cmd)
+	}
 	cmd.Since = since
-	return g.exchangeInSession(u, r, j, cmd)
+	answers, sent, err := g.exchange(u, r, j.Deadline, cmd)
+	if err != nil {
+		return Answer{}, progressOf(sent, statementSent), err
+	}
+	return answers[0], statementSent, nil
 }
 
-// sendLeaderRead runs a read that must see every commit, as described at send.
-func (g *Group) sendLeaderRead(u *upstream, r *run, j *Job, cmd Command) (Answer, bool, error) {
+func leaderReplaced() Answer { return refusal(ReadOnly, "the leader is being replaced") }
+
+// sendWrite sends a write on a connection that has its session's state.
+func (g *Group) sendWrite(u *upstream, r *run, j *Job, cmd Command) (Answer, progress, error) {
+	g.mu.Lock()
+	barred := g.fence.bars(u.id)
+	r.inDoubtIfLost = !barred
+	g.mu.Unlock()
+	if barred {
+		return leaderReplaced(), stateSent, nil
+	}
 	requestedAt := g.registry.Now()
-	began, sent, err := g.exchangeInSession(u, r, j, Command{Verb: Begin})
+	answers, sent, err := g.exchange(u, r, j.Deadline, cmd)
 	if err != nil {
-		return Answer{}, sent, err
+		return Answer{}, progressOf(sent, statementSent), err
 	}
-	if began.Code != OK {
-		return began, true, nil
+	answer := answers[0]
+	g.recordWrite(u)
+	if answer.Code == OK {
+		g.recordLeader(u, requestedAt, answer.Mark)
+		if !g.awaitSuccessor(u, answer.Mark, j.Deadline) {
+			return g.lostToSuccessor(answer), statementSent, nil
+		}
+	}
+	return answer, statementSent, nil
+}
+
+// sendLeaderRead runs a read that must see every commit. It is wrapped in a transaction that
+// only the leader accepts: a former leader refuses its begin. The read is sent only after the
+// begin was accepted. Sent together with a refused begin, it would run outside of a
+// transaction, on a log that may lack the newest commits.
+func (g *Group) sendLeaderRead(u *upstream, r *run, j *Job, cmd Command) (Answer, progress, error) {
+	requestedAt := g.registry.Now()
+	began, sent, err := g.applyState(u, r, j, Command{Verb: Begin})
+	if err != nil || began.Code != OK {
+		return began, progressOf(sent, stateSent), err
 	}
 	g.recordLeader(u, requestedAt, began.Mark)
 	answers, sent, err := g.exchange(u, r, j.Deadline, cmd, Command{Verb: Rollback})
 	if err != nil {
-		return Answer{}, sent, err
+		return Answer{}, progressOf(sent, statementSent), err
 	}
 	answer := answers[0]
 	answer.State = answers[1].State
-	return answer, true, nil
+	return answer, statementSent, nil
 }
 
-// exchangeInSession gives the connection the session's state, sends a command and returns its
-// answer. It reports whether any byte of the command may have reached the upstream. A statement
-// that an upstream runs although it refused a value ahead of it would run with another session's
-// values, so it is sent once the values are accepted. What doesn't run in that case goes in the
-// same write: the beginning of a transaction, or the execution of a statement that is not
-// prepared.
-func (g *Group) exchangeInSession(u *upstream, r *run, j *Job, cmd Command) (Answer, bool, error) {
+// applyState gives the connection the session's state. The beginning of a transaction may
+// share the write, since it runs nothing for the caller; its answer is returned. After a
+// refusal the connection is not used again.
+func (g *Group) applyState(u *upstream, r *run, j *Job, begin ...Command) (Answer, bool, error) {
 	setup := r.conn.setupCommands(j.Values, j.Prepared)
-	if cmd.Verb != Begin && cmd.Verb != BeginRead && setsValues(setup) {
-		answers, _, err := g.exchange(u, r, j.Deadline, setup...)
-		if err != nil {
-			return Answer{}, false, err
-		}
-		if refused, ok := g.refusedState(u, r, j, setup, answers); ok {
-			return refused, true, nil
-		}
-		setup = nil
+	commands := append(setup, begin...)
+	if len(commands) == 0 {
+		return Answer{}, false, nil
 	}
-	answers, sent, err := g.exchange(u, r, j.Deadline, append(setup, cmd)...)
+	answers, sent, err := g.exchange(u, r, j.Deadline, commands...)
 	if err != nil {
 		return Answer{}, sent, err
 	}
-	answer := answers[len(setup)]
-	mayHaveRun := cmd.Verb != Begin && cmd.Verb != BeginRead && answer.Code != NoStatement && !answer.Code.GuaranteesNoEffect()
-	if refused, ok := g.refusedState(u, r, j, setup, answers); ok && !mayHaveRun {
-		return refused, true, nil
-	}
-	return answer, true, nil
-}
-
-// setsValues reports whether commands change session values.
-func setsValues(commands []Command) bool {
-	return slices.ContainsFunc(commands, func(cmd Command) bool { return cmd.Verb == Set || cmd.Verb == Reset })
-}
-
-// refusedState returns the answer to a statement for which an upstream refused a part of the
-// session's state, and whether it did. The connection is not used again.
-func (g *Group) refusedState(u *upstream, r *run, j *Job, setup []Command, answers []Answer) (Answer, bool) {
+	last := answers[len(answers)-1]
 	for i, cmd := range setup {
-		if answers[i].Code == OK {
+		code := answers[i].Code
+		if code == OK {
 			continue
 		}
 		g.log().Info("carrier: session state refused", zap.String("group", g.name), zap.String("upstream", u.id), zap.Uint64("connection", r.conn.number),
-			zap.String("request", j.Request), zap.String("name", cmd.Name), zap.Stringer("code", answers[i].Code))
-		return Answer{Code: Busy, Text: "session state refused: " + answers[i].Text, State: InFailedTransaction}, true
+			zap.String("request", j.Request), zap.String("name", cmd.Name), zap.Stringer("code", code))
+		switch {
+		case code == ReadOnly, len(begin) > 0 && last.Code == ReadOnly:
+			code = ReadOnly // it has lost the lead
+		default:
+			code = Aborted
+		}
+		return Answer{Code: code, Text: "session state refused: " + answers[i].Text, State: InFailedTransaction}, true, nil
 	}
-	return Answer{}, false
+	return last, true, nil
 }
 
 // shouldRetry records what an answer other than OK shows about the upstream, waits where
@@ -411,6 +437,10 @@
 		}
 		j.markTried(u)
 	case NoStatement:
+	case Aborted:
+		if !j.RequiresLeader() {
+			j.markTried(u)
+		}
 	case Failed, Timeout:
 		// An upstream that fails part of its work counts as slow, so that it gets less of
 		// it until it answers well again.
--- a/carrier/upstream.go
+++ b/carrier/upstream.go
@@ -74,7 +74,6 @@
 	workspace         string
 	exchangeStartedAt time.Time // when the running exchange began; zero between two
 	replicasMayServe  bool      // not only the leader
-	sent              bool      // bytes of the exchange that failed may have reached the upstream
 	inDoubtIfLost     bool      // if its answer is lost its outcome is in doubt, so it is not aborted
 }
 
