conductor: a closed session runs no statement

A write of a transaction could be kept although its caller never asked for the commit. A caller sends a statement of its transaction and disconnects; the process has read the statement when the connection's end closes the session, which rolls the transaction back and leaves the session without one. If that comes before the statement has its turn, the statement is run outside of the transaction, where a write takes effect at once. The same holds for a statement that the stop of the process has answered with ABORTED before its turn.

This was found by reading.

A closed session now refuses every statement. Its answer reaches nobody.

--- a/conductor/session.go
+++ b/conductor/session.go
@@ -70,6 +70,7 @@
 	idleTimer        *time.Timer
 	statementCount   uint64 // so that an outdated idle timer does not end a newer transaction
 
+	closed     bool // no statement is run any more
 	callerGone chan struct{}
 	closeOnce  sync.Once
 	setup      sync.Once
@@ -92,6 +93,10 @@
 	s.setup.Do(s.initialize)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		// Its transaction has been rolled back, so it would run outside of it.
+		return errorReply(carrier.Aborted, "the session is closed")
+	}
 	s.statementCount++
 	s.stopIdleTimer()
 	reply := s.dispatch(st, arrived)
@@ -112,10 +117,11 @@
 }
 
 // Close ends the session because the caller has disconnected. Requests that wait for an
-// upstream are cancelled, and an open transaction is rolled back.
+// upstream are cancelled, an open transaction is rolled back, and later statements are refused.
 func (s *Session) Close() {
 	s.Cancel()
 	s.mu.Lock()
+	s.closed = true
 	s.stopIdleTimer()
 	s.detachTransaction()
 	s.state = carrier.Idle
--- a/conductor/session_test.go
+++ b/conductor/session_test.go
@@ -186,6 +186,24 @@
 	<-g.jobs[0].CallerGone
 }
 
+// Guards against a statement that is run and kept outside of its transaction: its caller disconnects,
+// and the session is closed between the statement's arrival and its turn.
+func TestStatementAfterCloseIsNotRun(t *testing.T) {
+	for _, verb := range []Verb{Read, Write, Execute, Begin, Commit, Rollback, Set, Prepare, Deallocate} {
+		is := is.New(t)
+		s, g := newSession()
+		s.do(Prepare, "s", "shape")
+		s.do(Begin, "", "")
+		s.do(Write, "", "seat anna")
+		s.Close()
+		r := s.do(verb, "s", "seat bo")
+		is.Equal(r.Code, carrier.Aborted) // nothing of it is kept
+		is.Equal(len(g.jobs), 1)
+		is.Equal(g.transactionEndings(), []string{"rollback"})
+		is.Equal(s.State(), carrier.Idle)
+	}
+}
+
 // A database without a route is refused, also in the middle of a session.
 func TestUnknownRoute(t *testing.T) {
 	is := is.New(t)
