conductor: SET replaces the session's values, so jobs need no copies

A job refers to the values of its session, and SET of a known name changed them in place. Copies of a read may outlast its answer, so carrier and forwarder copied the values for each attempt of a read that may be sent twice, and each new holder of a job would have had to.

This is a change of design, not a fix: by reading, all other holders use the values before the statement's answer, while the session is locked, and peers get a copy in the request. SET now replaces the slice, and the two copies are gone.

TestJobKeepsTheValuesOfItsStatement fails without the change: the job of a statement shows the value that was set after it.

--- a/carrier/hedge.go
+++ b/carrier/hedge.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -102,7 +101,7 @@
 // the one that loses may last longer than the caller's job.
 func (g *Group) startAttempt(c *contest, u *upstream, j *Job, cmd Command, since tracker.Mark) {
 	own := *j
-	own.tried, own.Values = maps.Clone(j.tried), slices.Clone(j.Values)
+	own.tried = maps.Clone(j.tried)
 	own.CanForward, own.CallerGone, own.over = c.guard(j.CanForward), c.over, c.over
 	began := g.registry.Now()
 	go func() {
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -61,7 +61,8 @@
 	ObjectiveAt time.Time
 	// Deadline is when the time of the statement is up, by the clock of time.Now.
 	Deadline time.Time
-	// Values are the session's values.
+	// Values are the session's values. Nobody changes them: copies of the statement may outlast
+	// its answer.
 	Values []Value
 	// SessionState is the number of the session's changes to its values and prepared
 	// statements so far, for the log.
--- a/conductor/session.go
+++ b/conductor/session.go
@@ -52,8 +52,8 @@
 	Fields *sync.Pool
 	Log    *zap.Logger
 
-	mu       sync.Mutex // held while a statement runs
-	values   []carrier.Value
+	mu       sync.Mutex      // held while a statement runs
+	values   []carrier.Value // replaced, never changed: jobs refer to them
 	prepared map[string]carrier.Prepared
 	// stateNumber counts the changes of values and prepared, and stateChangedAt is when the
 	// last one was answered.
@@ -217,11 +217,12 @@
 	i := slices.IndexFunc(s.values, func(o carrier.Value) bool { return o.Name == v.Name })
 	switch {
 	case i >= 0:
+		s.values = slices.Clone(s.values)
 		s.values[i] = v
 	case len(s.values) >= maxValues:
 		return errorReply(carrier.TooLarge, "too many session values")
 	default:
-		s.values = append(s.values, v)
+		s.values = append(slices.Clip(s.values), v)
 	}
 	return s.stateChanged()
 }
--- a/conductor/session_test.go
+++ b/conductor/session_test.go
@@ -122,6 +122,24 @@
 	is.Equal(s.do(Deallocate, "s", "").Code, carrier.NoStatement)
 }
 
+// Guards against a statement that runs with values that its session has set after it was sent:
+// copies of it may outlast its answer.
+func TestJobKeepsTheValuesOfItsStatement(t *testing.T) {
+	is := is.New(t)
+	s, g := newSession()
+	s.do(Set, "tz", "utc")
+	s.do(Set, "lang", "da")
+	s.do(Read, "", "seat")
+	s.do(Set, "tz", "cet")
+	s.do(Set, "user", "anna")
+	s.do(Read, "", "seat")
+	is.Equal(g.jobs[0].Values, []carrier.Value{{Name: "tz", Data: "utc"}, {Name: "lang", Data: "da"}})
+	is.Equal(g.jobs[1].Values, []carrier.Value{{Name: "tz", Data: "cet"}, {Name: "lang", Data: "da"}, {Name: "user", Data: "anna"}})
+	appended := append(g.jobs[0].Values, carrier.Value{Name: "zone", Data: "x"})
+	is.Equal(len(appended), 3)
+	is.Equal(g.jobs[1].Values[2], carrier.Value{Name: "user", Data: "anna"})
+}
+
 // A transaction uses no upstream until its first statement, and ends with the statement that
 // ends it.
 func TestTransactionsStartWithFirstStatement(t *testing.T) {
--- a/forwarder/hedge.go
+++ b/forwarder/hedge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -84,7 +83,6 @@
 	results := make(chan offered, 2)
 	start := func(peer Candidate, r request) {
 		ctx, cancel := withDeadline(s.job)
-		r.Values = slices.Clone(r.Values) // the session may change them before the slower call has ended
 		go func() {
 			defer cancel()
 			resp, err := f.call(ctx, peer, r)
