faker: an upstream keeps the settings of its connections as PostgreSQL does

The stand-in kept a setting whatever became of its transaction, had no savepoints, ignored RESET of one setting and took any value. A proxy whose record of a connection differs from the connection could not be told from one whose record is right.

Now a rollback undoes SET and RESET, also that to a savepoint; SET LOCAL ends with its transaction; RESET ALL leaves the user and the role alone; the value 'refused' is refused. A simple query drops the unnamed statement, a portal lives as long as its transaction, and an error in a batch is sent without waiting for its Sync, all as the protocol has it.

--- a/internal/faker/upstream/ast.go
+++ b/internal/faker/upstream/ast.go
@@ -30,7 +30,16 @@
 	// plainStmt is accepted without an effect.
 	plainStmt struct{ tag string }
 
-	setStmt struct{ name, value string }
+	setStmt struct {
+		name, value string
+		local       bool
+	}
+
+	// resetStmt resets one setting, all without a name.
+	resetStmt struct{ name string }
+
+	// savepointStmt is SAVEPOINT, RELEASE or, by the tag ROLLBACK, ROLLBACK TO.
+	savepointStmt struct{ tag, name string }
 
 	showStmt struct{ name string }
 
--- a/internal/faker/upstream/extended.go
+++ b/internal/faker/upstream/extended.go
@@ -39,13 +39,15 @@
 		_ = s.end(false)
 	}
 	s.sendError(err)
-	return true
+	return s.flush()
 }
 
-// sync ends an implicit transaction.
+// sync ends an implicit transaction. Portals live as long as their transaction.
 func (s *session) sync() bool {
 	s.skipping = false
-	clear(s.portals)
+	if s.state == stateIdle {
+		clear(s.portals)
+	}
 	return s.finish(nil)
 }
 
--- a/internal/faker/upstream/parser.go
+++ b/internal/faker/upstream/parser.go
@@ -104,7 +104,7 @@
 		return commitStmt{}, nil
 	case "rollback", "abort":
 		if p.word("to") {
-			return nil, fail(codeUnsupported, "savepoints are not supported")
+			return p.savepoint("ROLLBACK")
 		}
 		p.rest()
 		return rollbackStmt{}, nil
@@ -113,7 +113,11 @@
 	case "show":
 		name, err := p.name()
 		return showStmt{name: name}, err
-	case "reset", "discard", "deallocate", "unlisten", "close":
+	case "reset":
+		return p.reset()
+	case "savepoint", "release":
+		return p.savepoint(strings.ToUpper(t.text))
+	case "discard", "deallocate", "unlisten", "close":
 		tag := t.text
 		if p.word("all") {
 			tag += " all"
@@ -130,7 +134,7 @@
 		return p.update()
 	case "delete":
 		return p.delete()
-	case "copy", "savepoint", "release", "prepare", "execute", "declare", "listen", "lock":
+	case "copy", "prepare", "execute", "declare", "listen", "lock":
 		return nil, fail(codeUnsupported, strings.ToUpper(t.text)+" is not supported")
 	}
 	p.at--
@@ -138,8 +142,14 @@
 }
 
 func (p *parser) set() (statement, error) {
-	if !p.word("session") {
-		p.word("local")
+	local := !p.word("session") && p.word("local")
+	for _, special := range specialSettings() {
+		if p.word(special.words...) {
+			if !p.punct("=") {
+				p.word("to")
+			}
+			return p.value(setStmt{name: special.name, local: local})
+		}
 	}
 	name, err := p.name()
 	if err != nil {
@@ -152,11 +162,35 @@
 	if !p.punct("=") && !p.word("to") {
 		return nil, p.syntax()
 	}
-	st := setStmt{name: name, value: p.take().text}
+	return p.value(setStmt{name: name, local: local})
+}
+
+func (p *parser) value(st setStmt) (statement, error) {
+	st.value = p.take().text
 	p.rest()
 	return st, nil
 }
 
+func (p *parser) reset() (statement, error) {
+	if p.word("all") {
+		return resetStmt{}, nil
+	}
+	p.word("session")
+	for _, special := range specialSettings() {
+		if p.word(special.words...) {
+			return resetStmt{special.name}, nil
+		}
+	}
+	name, err := p.name()
+	return resetStmt{name}, err
+}
+
+func (p *parser) savepoint(tag string) (statement, error) {
+	p.word("savepoint")
+	name, err := p.name()
+	return savepointStmt{tag, name}, err
+}
+
 // names reads a list of names up to its closing parenthesis.
 func (p *parser) names() ([]string, error) {
 	var list []string
--- a/internal/faker/upstream/run.go
+++ b/internal/faker/upstream/run.go
@@ -16,6 +16,7 @@
 // query runs a simple query. Several statements outside a transaction are one.
 func (s *session) query(sql string) bool {
 	s.observe(sql)
+	delete(s.stmts, "")
 	list, err := parse(sql)
 	if err == nil && len(list) == 0 {
 		s.be.Send(&pgproto3.EmptyQueryResponse{})
@@ -73,6 +74,9 @@
 	case rollbackStmt:
 		return &result{tag: "ROLLBACK"}, s.end(false)
 	}
+	if st, ok := st.(savepointStmt); ok {
+		return s.savepoint(st)
+	}
 	if s.state == stateFailed {
 		return nil, fail(codeAborted, "current transaction is aborted, commands ignored until end of transaction block")
 	}
@@ -83,8 +87,11 @@
 	case setStmt:
 		return s.set(st)
 	case showStmt:
-		v := textValue(s.settings[st.name])
+		v := textValue(s.settings.now[st.name])
 		return &result{columns: []column{{st.name, kindText}}, rows: [][]value{{v}}, tag: "SHOW"}, nil
+	case resetStmt:
+		s.resetSetting(st.name)
+		return &result{tag: "RESET"}, nil
 	case plainStmt:
 		s.reset(st.tag)
 		return &result{tag: st.tag}, nil
@@ -202,6 +209,7 @@
 func (s *session) end(keep bool) error {
 	t, request := s.tx, s.request
 	s.tx, s.implicit, s.state = nil, false, stateIdle
+	s.settings.end(keep)
 	if t == nil || !keep || !t.wrote() {
 		if t != nil && !keep {
 			s.request = ""
@@ -222,7 +230,11 @@
 }
 
 func (s *session) set(st setStmt) (*result, error) {
-	s.settings[st.name] = st.value
+	if st.value == refusedValue {
+		return nil, fail(codeBadParameter, "invalid value for parameter \""+st.name+"\"")
+	}
+	s.change()
+	s.settings.set(st)
 	switch st.name {
 	case "basildale.request":
 		s.request = st.value
@@ -240,15 +252,12 @@
 	return &result{tag: "SET"}, nil
 }
 
-// reset carries out DISCARD ALL, RESET ALL and DEALLOCATE ALL.
+// reset carries out DISCARD ALL and DEALLOCATE ALL.
 func (s *session) reset(tag string) {
 	switch tag {
 	case "DISCARD ALL":
 		clear(s.stmts)
-		clear(s.settings)
-		s.term, s.request = nil, ""
-	case "RESET ALL":
-		clear(s.settings)
+		s.settings = settings{}
 		s.term, s.request = nil, ""
 	case "DEALLOCATE ALL":
 		clear(s.stmts)
--- a/internal/faker/upstream/session.go
+++ b/internal/faker/upstream/session.go
@@ -38,7 +38,7 @@
 	implicit bool // the transaction ends with the query or at Sync
 	term     *tracker.Term
 	request  string
-	settings map[string]string
+	settings settings
 	stmts    map[string]*prepared
 	portals  map[string]*portal
 	skipping bool // an error in an extended batch: skip to Sync
@@ -49,14 +49,13 @@
 
 func (u *Upstream) serve(conn net.Conn) {
 	s := &session{
-		up:       u,
-		conn:     conn,
-		gone:     make(chan struct{}),
-		state:    stateIdle,
-		settings: make(map[string]string),
-		stmts:    make(map[string]*prepared),
-		portals:  make(map[string]*portal),
-		secret:   binary.BigEndian.AppendUint32(nil, rand.Uint32()),
+		up:      u,
+		conn:    conn,
+		gone:    make(chan struct{}),
+		state:   stateIdle,
+		stmts:   make(map[string]*prepared),
+		portals: make(map[string]*portal),
+		secret:  binary.BigEndian.AppendUint32(nil, rand.Uint32()),
 	}
 	defer u.forget(s)
 	if from, err := netip.ParseAddrPort(conn.RemoteAddr().String()); err == nil {
