relayer: the record of a connection's settings follows the upstream's answers

What callers saw: nothing that is known. A statement could run with another session's settings, or without its own.

Cause: SET and RESET were noted when a unit was read, and counted when its transaction ended, so far as the proxy knew. The record of a connection was ahead of the connection, or behind it, after - a transaction that the proxy itself had ended, because of a statement that it refuses or of a lost connection: what was noted waited, and counted after the next statement of the session; - ROLLBACK TO SAVEPOINT, which undoes a SET, and a failed query in front of which a SET stood that a savepoint kept; - a batch in parts, when a later part failed or rolled back; - a SET that was bound and never executed.

Why this fix works: a setting is noted when its CommandComplete arrives, in a scope that lives as long as the transaction, with the savepoints that can bring earlier settings back. The scope reaches the records of the session and of the connection by one way, a commit that the upstream has reported or a ReadyForQuery outside of a transaction without an error before it, and goes with the connection when that is given back or lost. The settings of a transaction whose COMMIT was lost and settled as done count.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -58,6 +58,7 @@
 		if len(f.Body()) == 1 {
 			s.tx = f.Body()[0]
 		}
+		s.atReady()
 		return true, nil
 	case 'E':
 		return s.errorFrame(u, f)
@@ -70,7 +71,7 @@
 		u.refused = s.lost(u, false) // a COPY that was not seen in the text
 		return false, nil
 	case 'C':
-		u.tag = append(u.tag[:0], f.Body()...)
+		s.completedNext(u, f.Body())
 	}
 	if u.waits() && u.advance(f.Type) {
 		return false, nil
@@ -105,7 +106,7 @@
 // errorFrame handles an error of the upstream. Errors that say something of the
 // upstream and not of the statement become an outcome; others are the answer.
 func (s *Session) errorFrame(u *unit, f framer.Frame) (ended bool, err error) {
-	u.failed = true
+	u.failed, s.scope.failed = true, true
 	if u.waits() && u.ops[u.head].mode == opFault {
 		s.writeFault(u.items[u.ops[u.head].item].fault)
 		s.dropOps(u)
@@ -166,7 +167,6 @@
 	if u.told {
 		return u.refused
 	}
-	s.followSettings(u)
 	if u.sync && s.tx == txIdle {
 		s.releaseUpstream() // others can use it while this write waits
 	}
@@ -191,23 +191,3 @@
 	}
 	return s.relay.Confirm(s.relay.ctx, s.to, u.mark, &u.request)
 }
-
-// followSettings follows the settings that a finished unit has made. Those made
-// inside a transaction count from its commit on.
-func (s *Session) followSettings(u *unit) {
-	if len(u.sets) > 0 && !u.failed {
-		s.pending = append(s.pending, string(u.sets))
-	}
-	if s.tx != txIdle || len(s.pending) == 0 {
-		return
-	}
-	pending := s.pending
-	s.pending = nil
-	if u.failed || bytes.HasPrefix(u.tag, []byte("ROLLBACK")) {
-		return
-	}
-	for _, text := range pending {
-		s.settings.applyAll([]byte(text))
-	}
-	s.up.settings.copyOf(&s.settings)
-}
--- a/relayer/batch.go
+++ b/relayer/batch.go
@@ -14,8 +14,9 @@
 	rest   []byte // of Bind: what follows the statement's name
 	name   []byte // of Parse, Bind, Describe and Close: the statement's name
 	st     statement
-	own    []byte // answer of the proxy's own; the message isn't sent
-	fault  *fault // answered by an error; nothing after it is sent
+	run    statement // of Execute: what it runs, if a scope follows it
+	own    []byte    // answer of the proxy's own; the message isn't sent
+	fault  *fault    // answered by an error; nothing after it is sent
 }
 
 // isBatch reports whether a message belongs to the extended protocol.
--- a/relayer/follow.go
+++ b/relayer/follow.go
@@ -59,6 +59,9 @@
 // conclude tells the caller the outcome of a unit without an answer.
 func (s *Session) conclude(u *unit, o retrier.Outcome) error {
 	s.forget(u)
+	if o.Kind == retrier.Done && u.undecided.open {
+		s.settings.copyOf(&u.undecided.now)
+	}
 	if s.up == nil && s.tx != txIdle {
 		s.bereave(u)
 	}
--- a/relayer/hold.go
+++ b/relayer/hold.go
@@ -39,6 +39,8 @@
 	s.cancelling.Lock()
 	s.target.Store(nil)
 	s.up, s.answering = nil, false
+	s.scope = scope{}
+	clear(s.bound)
 	s.cancelling.Unlock()
 }
 
--- a/relayer/items.go
+++ b/relayer/items.go
@@ -117,10 +117,14 @@
 		it.own = []byte{'2', 0, 0, 0, 4}
 		return
 	}
-	if st.kind == classifier.Set || st.kind == classifier.Reset {
-		u.sets = append(u.sets, sqlOf([]byte(st.body.Value()))...)
-		u.sets = append(u.sets, ';')
+	if !followed(1 << st.kind) {
+		delete(s.bound, string(it.portal))
+		return
+	}
+	if s.bound == nil {
+		s.bound = map[string]statement{}
 	}
+	s.bound[string(it.portal)] = st
 }
 
 // follows reports whether the open batch has ended a transaction already; see
@@ -142,6 +146,7 @@
 func (s *Session) executeItem(it *item) {
 	st, ok := s.portals[string(it.portal)]
 	if !ok {
+		it.run = s.bound[string(it.portal)]
 		return
 	}
 	if s.orphaned {
--- a/relayer/session.go
+++ b/relayer/session.go
@@ -84,7 +84,8 @@
 	count      int                  // statements bound in the open batch
 	ends       bool                 // the open batch has ended a transaction
 	portals    map[string]statement // portals of the proxy's own statements
-	pending    []string             // settings made in the open transaction
+	bound      map[string]statement // portals of statements that a scope follows
+	scope      scope
 	settings   settings
 	statements statements
 }
--- a/relayer/settings.go
+++ b/relayer/settings.go
@@ -109,13 +109,3 @@
 func quoteName(s string) string { return `"` + strings.ReplaceAll(s, `"`, `""`) + `"` }
 
 func quoteValue(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
-
-// applyAll follows all SET and RESET statements of a text that has run.
-func (l *settings) applyAll(text []byte) {
-	for len(text) > 0 {
-		st, rest := classifier.Next(text)
-		one := text[:len(text)-len(rest)]
-		text = rest
-		l.apply(&st, one)
-	}
-}
--- a/relayer/simple.go
+++ b/relayer/simple.go
@@ -42,8 +42,8 @@
 		u.raw = appendQuery(nil, text)
 	}
 	s.open(u, st)
-	if st.Kinds.Has(classifier.Set) || st.Kinds.Has(classifier.Reset) {
-		u.sets = text
+	if followed(st.Kinds) {
+		u.text = text
 	}
 	return s.perform(u)
 }
--- a/relayer/unit.go
+++ b/relayer/unit.go
@@ -20,7 +20,7 @@
 	items   []item // an extended batch's messages
 	request Request
 	retry   retrier.Request
-	sets    []byte // SET and RESET statements, to be followed when it is done
+	text    []byte // a simple query's statements, if a scope follows them
 	message string // why it was refused
 	final   bool   // the outcome stands: nothing more can be tried
 	commits bool   // may end a transaction for good, so a lost answer is in doubt
@@ -33,10 +33,12 @@
 	placed  bool // it had a connection
 	began   bool // in a transaction already when it was sent
 	mark    tracker.Mark
-	tag     []byte // the last CommandComplete's tag
+	follows []byte // what is left of text
 	refused retrier.Outcome
 	told    bool // refused is set: the upstream's error proves that it has not run
 	failed  bool // the upstream answered with an error
+
+	undecided scope // of a transaction whose connection was lost
 }
 
 // maxKept bounds the working space that a unit keeps for the next one, in bytes.
@@ -53,7 +55,7 @@
 func (r *Relay) freeUnit(u *unit) {
 	clear(u.items)
 	clear(u.ops)
-	kept := unit{items: u.items[:0], ops: u.ops[:0], flight: u.flight[:0], tag: u.tag[:0]}
+	kept := unit{items: u.items[:0], ops: u.ops[:0], flight: u.flight[:0]}
 	if cap(u.flight) > maxKept || cap(u.items) > maxKept/64 {
 		return
 	}
@@ -134,7 +136,7 @@
 	}
 	u.placed = true
 	u.began = s.tx != txIdle
-	u.mark, u.tag, u.told, u.failed = tracker.Mark{}, u.tag[:0], false, false
+	u.mark, u.follows, u.told, u.failed = tracker.Mark{}, u.text, false, false
 	s.streamed, s.cutOff = false, false
 	s.up.bound(u.request.Deadline, s.slack(u))
 	s.prelude(u)
@@ -248,6 +250,7 @@
 	if !unsent && !time.Now().Before(u.request.Deadline.Add(-s.slack(u))) {
 		s.stopStatement()
 	}
+	u.undecided = s.scope
 	s.discardUpstream()
 	switch {
 	case unsent:
