relayer: settings are recorded by the effect that their statement has

What callers saw: nothing that is known. Four kinds of statements left a connection with other settings than its record said: - RESET ALL dropped the role and the user from the record, which PostgreSQL leaves alone; SET SESSION AUTHORIZATION was recorded by a name that no RESET was sent for. The next session's statements ran as that role or user. - RESET ALL reset the proxy's own settings too. A write on that connection then ran without its term: also at an upstream that a later term leads. - a comment at the end of a SET reached into what was sent behind it on the next connection, the other settings, the term and the request ID. - SET TIME ZONE and SET timezone were two settings; which one counted elsewhere did not depend on their order.

Why this fix works: RESET ALL is carried out by the proxy, as DISCARD ALL is: the record of the connection stays as it is, and the settings of the next statement are made from it. Inside a transaction or among other statements both are refused (25001, BD102), since what follows could undo them; DISCARD ALL in a transaction was answered as done and undone by COMMIT before. The user is set before the role, which it drops. A comment ends with its line.

--- a/relayer/fault.go
+++ b/relayer/fault.go
@@ -9,17 +9,18 @@
 
 // SQLSTATEs that the proxy itself sends.
 const (
-	codeProtocol      = "08P01"
-	codeNoSuch        = "26000"
-	codeDuplicate     = "42P05"
-	codeInTransaction = "25P02"
-	codeInvalidValue  = "22023"
-	codeUnsupported   = "BD102"
-	codeTooLarge      = "54000"
-	codeTooMany       = "53300"
-	codeIdle          = "25P03"
-	codeWrongPassword = "28P01"
-	codeNoCaller      = "28000"
+	codeProtocol          = "08P01"
+	codeNoSuch            = "26000"
+	codeDuplicate         = "42P05"
+	codeInTransaction     = "25P02"
+	codeActiveTransaction = "25001"
+	codeInvalidValue      = "22023"
+	codeUnsupported       = "BD102"
+	codeTooLarge          = "54000"
+	codeTooMany           = "53300"
+	codeIdle              = "25P03"
+	codeWrongPassword     = "28P01"
+	codeNoCaller          = "28000"
 )
 
 // fault is an error message to the caller.
--- a/relayer/items.go
+++ b/relayer/items.go
@@ -49,7 +49,7 @@
 		s.bindItem(u, &it)
 	case 'E':
 		it.portal, _, ok = cstring(b)
-		s.executeItem(&it)
+		s.executeItem(u, &it)
 	default: // 'D' and 'C'
 		if len(b) < 2 {
 			return it, false
@@ -70,8 +70,8 @@
 	switch {
 	case s.orphaned && st.Kind != classifier.Commit && st.Kind != classifier.Rollback:
 		it.fault = orphanFault()
-	case refusal(&st) != nil:
-		it.fault = refusal(&st)
+	case refusal(&st, sql) != nil:
+		it.fault = refusal(&st, sql)
 	case chained(&st, sql) != nil:
 		it.fault = chained(&st, sql)
 	case len(it.name) > 0 && exists:
@@ -127,6 +127,16 @@
 	s.bound[string(it.portal)] = st
 }
 
+// binds reports whether statements of the batch are bound at the upstream.
+func (u *unit) binds() bool {
+	for i := range u.items {
+		if u.items[i].kind == 'B' && u.items[i].own == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // follows reports whether the open batch has ended a transaction already; see
 // chained.
 func (s *Session) follows(u *unit) bool {
@@ -143,7 +153,7 @@
 	return false
 }
 
-func (s *Session) executeItem(it *item) {
+func (s *Session) executeItem(u *unit, it *item) {
 	st, ok := s.portals[string(it.portal)]
 	if !ok {
 		it.run = s.bound[string(it.portal)]
@@ -156,6 +166,9 @@
 	}
 	parsed := classifier.Classify(sqlOf([]byte(st.body.Value())))
 	if tag := localTag(&parsed); tag != "" {
+		if it.fault = s.inTransaction(&parsed, u.binds()); it.fault != nil {
+			return
+		}
 		s.carryOut(&parsed)
 		it.own = appendTag(nil, tag)
 		return
--- a/relayer/settings.go
+++ b/relayer/settings.go
@@ -55,17 +55,54 @@
 	case name == "constraints":
 		// Ends with the transaction.
 	case st.Kind == classifier.Set && !st.Local:
-		l.put(setting{name: name, text: strings.TrimRight(string(text), "; \t\r\n")})
+		l.put(setting{name: name, text: replayed(text)})
+		l.dropRole(name)
 	case st.Kind == classifier.Reset && name == "":
-		l.list = nil
+		l.resetAll()
 	case st.Kind == classifier.Reset:
 		l.drop(name)
+		l.dropRole(name)
 	}
 }
 
+// dropRole drops the role when the user has changed, as PostgreSQL does.
+func (l *settings) dropRole(name string) {
+	if name == userSetting {
+		l.drop(roleSetting)
+	}
+}
+
+// resetAll drops what RESET ALL resets.
+func (l *settings) resetAll() {
+	l.list = slices.DeleteFunc(l.list, func(s setting) bool { return !s.outlastsReset() })
+}
+
+// The settings that RESET ALL leaves alone.
+const (
+	roleSetting = "role"
+	userSetting = "session authorization"
+)
+
+func (s *setting) outlastsReset() bool { return s.name == roleSetting || s.name == userSetting }
+
+// replayed returns a SET statement as it is sent again in front of others: a
+// comment at its end must not reach into them.
+func replayed(text []byte) string {
+	s := strings.TrimRight(string(text), "; \t\r\n")
+	if strings.Contains(s, "--") {
+		s += "\n"
+	}
+	return s
+}
+
 // canonical returns the name by which RESET knows a setting.
 func canonical(name string) string {
-	switch name = strings.ToLower(name); name {
+	name = strings.Join(strings.Fields(strings.ToLower(name)), " ")
+	switch name {
+	case "time zone":
+		return "timezone"
+	case "authorization", "session_authorization":
+		return userSetting
 	case "names":
 		return "client_encoding"
 	case "schema":
@@ -83,7 +120,7 @@
 			continue
 		}
 		reset = true
-		if h.name == "role" || h.name == "session authorization" {
+		if h.outlastsReset() {
 			b = append(b, "RESET "...) // RESET ALL leaves them alone
 			b = append(b, h.name...)
 			b = append(b, ';')
@@ -92,16 +129,30 @@
 	if reset {
 		b = append(b, "RESET ALL;"...)
 	}
-	for _, w := range want.list {
-		if i, found := have.find(w.name); !reset && found && have.list[i].text == w.text {
-			continue
+	// The user first: setting it drops the role.
+	user, found := want.find(userSetting)
+	fresh := false
+	if found {
+		b, fresh = appendSetting(b, have, &want.list[user], reset)
+	}
+	for i := range want.list {
+		w := &want.list[i]
+		if w.name != userSetting {
+			b, _ = appendSetting(b, have, w, reset || fresh)
 		}
-		b = append(b, w.text...)
-		b = append(b, ';')
 	}
 	return b, reset
 }
 
+// appendSetting appends a setting unless the connection has it. sent reports
+// whether it did.
+func appendSetting(b []byte, have *settings, w *setting, always bool) (_ []byte, sent bool) {
+	if i, found := have.find(w.name); !always && found && have.list[i].text == w.text {
+		return b, false
+	}
+	return append(append(b, w.text...), ';'), true
+}
+
 func (l *settings) equal(o *settings) bool { return slices.Equal(l.list, o.list) }
 
 func (l *settings) copyOf(o *settings) { l.list = append(l.list[:0:0], o.list...) }
--- a/relayer/simple.go
+++ b/relayer/simple.go
@@ -28,7 +28,7 @@
 	if tag := localTag(&st); tag != "" {
 		return s.local(&st, tag)
 	}
-	refused := refusal(&st)
+	refused := refusal(&st, text)
 	if refused == nil {
 		refused = chained(&st, text)
 	}
@@ -142,6 +142,11 @@
 	return b
 }
 
+// resetsAll reports whether a statement is RESET ALL.
+func resetsAll(st *classifier.Statement) bool {
+	return st.Kind == classifier.Reset && len(st.Name) == 0
+}
+
 // localTag returns the tag of a statement that the proxy carries out itself,
 // because the session and not the connection has what it changes.
 func localTag(st *classifier.Statement) string {
@@ -150,16 +155,38 @@
 		return "DISCARD ALL"
 	case classifier.Deallocate:
 		return "DEALLOCATE"
+	case classifier.Reset:
+		if resetsAll(st) {
+			return "RESET" // it would reset the proxy's own settings too
+		}
+		return ""
 	default:
 		return ""
 	}
 }
 
-// local carries out DISCARD and DEALLOCATE.
+// inTransaction refuses what changes all settings inside a transaction, which
+// could undo it: the proxy's record of the session has no such way back.
+// within says that statements of the same batch come before it.
+func (s *Session) inTransaction(st *classifier.Statement, within bool) *fault {
+	if st.Kind == classifier.Deallocate || s.tx == txIdle && !s.batch && !within {
+		return nil
+	}
+	return &fault{
+		code:    codeActiveTransaction,
+		message: "DISCARD ALL and RESET ALL cannot run inside a transaction block",
+		hint:    "Send it alone.",
+	}
+}
+
+// local carries out DISCARD, DEALLOCATE and RESET ALL.
 func (s *Session) local(st *classifier.Statement, tag string) error {
 	if s.tx == txFailed {
 		return s.answerFault(&fault{code: codeInTransaction, message: "current transaction is aborted"})
 	}
+	if refused := s.inTransaction(st, false); refused != nil {
+		return s.answerFault(refused)
+	}
 	s.carryOut(st)
 	s.writeTag(tag)
 	s.writeReady()
@@ -168,6 +195,8 @@
 
 func (s *Session) carryOut(st *classifier.Statement) {
 	switch {
+	case st.Kind == classifier.Reset:
+		s.settings.resetAll()
 	case st.Kind == classifier.Discard:
 		s.settings, s.statements = settings{}, statements{}
 		s.notes = Notes{Session: s.notes.Session, Mark: s.notes.Mark, Known: s.notes.Known}
@@ -179,7 +208,7 @@
 }
 
 // refusal returns why a statement can't be passed on, nil when it can.
-func refusal(st *classifier.Statement) *fault {
+func refusal(st *classifier.Statement, text []byte) *fault {
 	refuse := func(what, hint string) *fault {
 		return &fault{code: retrier.StateForbidden, message: "refused: " + what + " isn't supported", hint: hint}
 	}
@@ -193,6 +222,8 @@
 		return refuse("PREPARE in SQL", "Prepare statements by the extended protocol, as drivers do.")
 	case st.Count > 1 && (has(classifier.Discard) || has(classifier.Deallocate)):
 		return refuse("DISCARD or DEALLOCATE among other statements", "Send it alone.")
+	case st.Count > 1 && has(classifier.Reset) && resetsAllAmong(text):
+		return refuse("RESET ALL among other statements", "Send it alone.")
 	case has(classifier.Set) && bytes.EqualFold(st.Name, []byte("characteristics")):
 		return refuse("SET SESSION CHARACTERISTICS", "Set default_transaction_isolation or default_transaction_read_only.")
 	default:
@@ -200,6 +231,18 @@
 	}
 }
 
+// resetsAllAmong reports whether RESET ALL is among the statements of a text.
+func resetsAllAmong(text []byte) bool {
+	for len(text) > 0 {
+		var one classifier.Statement
+		one, text = classifier.Next(text)
+		if resetsAll(&one) {
+			return true
+		}
+	}
+	return false
+}
+
 const chainedHint = "Send what follows COMMIT or ROLLBACK as a query of its own."
 
 // chained refuses a text that goes on after the end of a transaction. Both would
