relayer: a statement is sent once the settings of its session are accepted

What callers saw: a statement ran though its upstream had refused a setting of its session, such as a wrong value in the startup packet, and ran with another session's or no settings. The caller of a write was told that its outcome is unknown (08007); the write had committed.

Cause: the settings went out in the same write as the statement. An upstream that refuses a simple query carries out the messages behind it.

Why this fix works: settings that differ have an exchange of their own, and the record of the connection changes when its ReadyForQuery arrives. What is behind them is sent after that. If they are refused, the session ends with the upstream's code and nothing has run; if the connection breaks, the statement has not been sent and may try another one. The cost is one round trip where a connection passes between sessions with other settings; the term and the request ID of a write still go out with it.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -90,15 +90,11 @@
 		}
 	case 'E':
 		// The unit has been sent with the prelude and has run without its
-		// settings or its term. What it did is not known.
+		// term. What it did is not known.
 		message := "setting up the connection failed: " + errorField(f.Body(), 'M')
-		code := errorField(f.Body(), 'C')
-		if !u.request.Read() {
-			code = retrier.StateUnknown
-		}
 		s.clearOut()
 		s.discardUpstream()
-		return &protocolError{code, message}
+		return &protocolError{retrier.StateUnknown, message}
 	}
 	return nil
 }
--- a/relayer/unit.go
+++ b/relayer/unit.go
@@ -38,6 +38,7 @@
 	told    bool // refused is set: the upstream's error proves that it has not run
 	failed  bool // the upstream answered with an error
 
+	broken    error // ends the session: the upstream refused its settings
 	undecided scope // of a transaction whose connection was lost
 }
 
@@ -139,9 +140,12 @@
 	u.mark, u.follows, u.told, u.failed = tracker.Mark{}, u.text, false, false
 	s.streamed, s.cutOff = false, false
 	s.up.bound(u.request.Deadline, s.slack(u))
+	s.answering = true
+	if !s.adapt(u) {
+		return u.refused, u.broken
+	}
 	s.prelude(u)
 	s.load(u)
-	s.answering = true
 	sent, err := s.up.Ask(u.flight)
 	if err != nil {
 		return s.lost(u, sent == 0), nil //nolint:nilerr // the loss is an outcome
@@ -175,9 +179,8 @@
 	return nil
 }
 
-// prelude begins the attempt's flight with the proxy's own statements: the
-// session's settings where the connection's differ, and the term and request
-// ID of a write. They go out with the unit and cost no round trip.
+// prelude begins the attempt's flight with the proxy's own statements: the term
+// and request ID of a write. They go out with the unit and cost no round trip.
 func (s *Session) prelude(u *unit) {
 	u.flight, u.swallow = u.flight[:0], 0
 	if s.tx != txIdle || s.batch {
@@ -186,13 +189,6 @@
 	start := len(u.flight)
 	u.flight = append(u.flight, 'Q', 0, 0, 0, 0)
 	text := len(u.flight)
-	if !s.up.settings.equal(&s.settings) {
-		var reset bool
-		if u.flight, reset = appendChanges(u.flight, &s.up.settings, &s.settings); reset {
-			s.up.term = tracker.Term{}
-		}
-		s.up.settings.copyOf(&s.settings)
-	}
 	if s.to.Primary && !u.request.Read() {
 		s.name(u)
 	}
--- a/server/session_state_test.go
+++ b/server/session_state_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/jackc/pgx/v5"
@@ -225,6 +226,27 @@
 	is.Equal(show(t, s.session(), "v"), "")
 }
 
+// Guards against a write whose outcome is unknown to its caller, although its
+// connection was lost before it was sent.
+func TestWriteIsNotSentBeforeItsSettings(t *testing.T) {
+	is := is.New(t)
+	s := startStateful(t, 1)
+	var lost atomic.Bool
+	u := s.group.Upstreams[0]
+	u.Observe = func(_ uint32, sql string) {
+		if strings.HasPrefix(sql, "SET v = 'x';") && lost.CompareAndSwap(false, true) {
+			u.Cut(upstream.Cut{})
+			u.Restore()
+		}
+	}
+	a := s.session("SET v = 'x'")
+	is.Equal(show(t, s.session("SET v = 'y'"), "v"), "y")
+	is.NoErr(run(t, a, "INSERT INTO seats (id) VALUES (1)"))
+	is.True(lost.Load())
+	is.Equal(show(t, a, "v"), "x")
+	is.Equal(len(u.Rows("seats")), 1)
+}
+
 // Guards against a bound statement that the rollback of a refused transaction has
 // dropped.
 func TestUnnamedStatementAfterRefusedTransaction(t *testing.T) {
