relayer: a retry doesn't use or give away the connection of a failed transaction

What callers saw: a query or batch with BEGIN and a write that its upstream refused, because it was fenced, was answered by 25P02, or by 08007 for a batch in parts, in place of BD100. Statements of the next session on the connection could fail or hang. Also, Bind of an unnamed statement could be answered by 26000.

Cause: before it tried again, the proxy gave the connection back as good, although BEGIN had left a failed transaction there, or the upstream skipped messages up to a Sync that was never sent. The retry took it and ran inside. The rollback of a transaction that the proxy ends itself is a simple query, which drops the unnamed statement; the record of the connection kept it.

Evidence: TestRefusedTransactionLeavesNoConnection, both rows, and TestUnnamedStatementAfterRefusedTransaction failed before. That another session hangs is read from the code; no run has shown it.

--- a/relayer/follow.go
+++ b/relayer/follow.go
@@ -33,7 +33,7 @@
 	if d.Action == retrier.Finish {
 		return false, s.conclude(u, d.Outcome)
 	}
-	s.releaseUpstream()
+	s.yieldUpstream(u)
 	s.wait(d.At)
 	u.request.Attempt++
 	if d.Avoid {
--- a/relayer/hold.go
+++ b/relayer/hold.go
@@ -21,6 +21,21 @@
 	s.relay.Release(to, up, healthy)
 }
 
+// yieldUpstream gives the connection up before a unit is sent once more. One on
+// which the unit has left a transaction, or whose upstream skips messages up to a
+// Sync, is of no use to another session.
+func (s *Session) yieldUpstream(u *unit) {
+	if s.up == nil || u.began {
+		return // an open transaction keeps its connection
+	}
+	if u.sync && s.tx == txIdle {
+		s.releaseUpstream()
+		return
+	}
+	s.discardUpstream()
+	s.tx = txIdle
+}
+
 // discardUpstream closes the connection: what may still arrive on it belongs
 // to nobody.
 func (s *Session) discardUpstream() {
@@ -63,6 +78,7 @@
 
 func (u *Upstream) rollback() bool {
 	u.bound(time.Now().Add(rollbackTime), 0)
+	u.unnamed = body{} // a simple query drops the unnamed statement
 	if _, err := u.Send([]byte("Q\x00\x00\x00\x0dROLLBACK\x00")); err != nil {
 		return false
 	}
