relayer: a Parse that its upstream has skipped prepares nothing

What callers saw: a statement whose Parse stood behind an error in a batch could not be prepared again under its name (42P05), if the connection had it for another session.

Cause: the proxy answers such a Parse itself, and only dropped those that it had passed on.

Why this fix works: after an error, the names of all Parse messages that are not answered yet are dropped.

--- a/relayer/ops.go
+++ b/relayer/ops.go
@@ -160,7 +160,11 @@
 func (s *Session) dropOps(u *unit) {
 	for i := u.head; i < len(u.ops); i++ {
 		o := &u.ops[i]
-		if o.kind != 'P' || o.mode >= opOwn {
+		if o.kind != 'P' || o.mode == opFault {
+			continue
+		}
+		if o.mode == opOwn {
+			s.statements.drop(u.items[o.item].name)
 			continue
 		}
 		s.up.forget(o.body)
--- a/server/session_state_test.go
+++ b/server/session_state_test.go
@@ -489,3 +489,15 @@
 	s.t.Cleanup(func() { _ = c.Close(context.Background()) })
 	return c
 }
+
+// Guards against a statement that can't be prepared again after the batch that was
+// to prepare it has failed before it.
+func TestParseBehindErrorPreparesNothing(t *testing.T) {
+	is := is.New(t)
+	s := startStateful(t, 1)
+	a, b := s.session(), s.session()
+	is.Equal(extended(t, a, &pgproto3.Parse{Name: "one", Query: "SELECT 1"}, &pgproto3.Sync{}), "")
+	is.Equal(extended(t, b, append(statement("SELECT id FROM nowhere"), &pgproto3.Parse{Name: "two", Query: "SELECT 1"}, &pgproto3.Sync{})...), "42P01")
+	ready(t, b)
+	is.Equal(extended(t, b, &pgproto3.Parse{Name: "two", Query: "SELECT 1"}, &pgproto3.Sync{}), "")
+}
