relayer: a setting made by set_config stays out of other sessions

What callers saw: nothing that is known. A setting that one session had made by the function set_config was in force for the statements of others.

Cause: the proxy follows SET and RESET, and gave the connection of such a function call to the next session with a record that lacks its setting.

Evidence: TestFunctionSettingStaysOutOfOtherSessions failed before, by the simple and the extended protocol, in and outside of a transaction.

Why this fix works: a connection on which a text with a call of set_config was sent is closed after the transaction, unless each call's last argument is the constant true, which ends the setting with the transaction. Functions that call set_config themselves, and DO blocks with SET, are not seen.

--- a/internal/faker/upstream/eval.go
+++ b/internal/faker/upstream/eval.go
@@ -50,6 +50,8 @@
 		return r.at(i), nil
 	case e.call == "repeat" && len(e.args) == 2:
 		return c.repeat(e, r, columns)
+	case e.call == "set_config" && c.set != nil && len(e.args) == 3:
+		return c.setConfig(e.args)
 	case e.call == "version":
 		return textValue("PostgreSQL 16.0 (basildale stand-in)"), nil
 	case e.call == "pg_sleep":
@@ -61,6 +63,15 @@
 	}
 }
 
+func (c *call) setConfig(args []expr) (value, error) {
+	cells, err := c.cells(args[:2])
+	if err != nil {
+		return value{}, err
+	}
+	c.set(setStmt{name: cells[0].text, value: cells[1].text, local: args[2].column == "true"})
+	return cells[1], nil
+}
+
 const maxRepeat = 64 << 20
 
 func (c *call) repeat(e expr, r *row, columns []column) (value, error) {
--- a/internal/faker/upstream/exec.go
+++ b/internal/faker/upstream/exec.go
@@ -21,6 +21,7 @@
 	tx     *tx
 	params []value
 	term   *tracker.Term
+	set    func(st setStmt) // carries out set_config
 }
 
 // data runs a statement on tables inside the transaction.
--- a/internal/faker/upstream/run.go
+++ b/internal/faker/upstream/run.go
@@ -145,6 +145,10 @@
 		return nil, errHangup
 	}
 	if v, ok := st.(valuesStmt); ok {
+		c.set = func(st setStmt) {
+			s.change()
+			s.settings.set(st)
+		}
 		return c.values(v)
 	}
 	if s.tx == nil {
--- a/relayer/items.go
+++ b/relayer/items.go
@@ -64,7 +64,11 @@
 func (s *Session) parseItem(it *item) {
 	sql := sqlOf(it.rest)
 	st := classifier.Classify(sql)
-	it.st = statement{body: unique.Make(string(it.rest)), kind: st.Kind}
+	it.st = statement{
+		body:    unique.Make(string(it.rest)),
+		kind:    st.Kind,
+		lasting: setsByFunction(st.Kind, sql),
+	}
 	it.st.local = isNote(&st) || localTag(&st) != "" || s.orphaned
 	_, exists := s.statements.get(it.name)
 	switch {
--- a/relayer/ops.go
+++ b/relayer/ops.go
@@ -52,6 +52,9 @@
 	case it.kind == 'P':
 		s.loadParse(u, it, i)
 	case it.kind == 'B':
+		if it.st.lasting {
+			s.up.spoiled.Store(true)
+		}
 		name := s.ensure(u, it)
 		start := len(u.flight)
 		u.flight = append(u.flight, 'B', 0, 0, 0, 0)
--- a/relayer/simple.go
+++ b/relayer/simple.go
@@ -42,6 +42,7 @@
 		u.raw = appendQuery(nil, text)
 	}
 	s.open(u, st)
+	u.lasting = setsByFunction(st.Kind, text)
 	if followed(st.Kinds) {
 		u.text = text
 	}
--- a/relayer/statements.go
+++ b/relayer/statements.go
@@ -17,6 +17,8 @@
 	body  body
 	kind  classifier.Kind
 	local bool // carried out by the proxy itself
+	// lasting says that it may change settings in a way that can't be followed.
+	lasting bool
 }
 
 // statements are a session's prepared statements. They live in the session and
--- a/relayer/unit.go
+++ b/relayer/unit.go
@@ -23,6 +23,7 @@
 	text    []byte // a simple query's statements, if a scope follows them
 	message string // why it was refused
 	final   bool   // the outcome stands: nothing more can be tried
+	lasting bool   // as of a statement
 	commits bool   // may end a transaction for good, so a lost answer is in doubt
 
 	// Of the attempt under way.
@@ -219,6 +220,9 @@
 // load appends the unit's own messages to the flight.
 func (s *Session) load(u *unit) {
 	if u.simple {
+		if u.lasting {
+			s.up.spoiled.Store(true)
+		}
 		u.flight = append(u.flight, u.raw...)
 		s.up.unnamed = body{} // as in prelude
 		return
--- a/relayer/upstream.go
+++ b/relayer/upstream.go
@@ -27,7 +27,7 @@
 	order    []body // of prepared, the oldest first
 	serial   uint64
 	unnamed  body
-	spoiled  atomic.Bool // not to be used again: a cancel request was sent for it
+	spoiled  atomic.Bool // not to be used again: a cancel request was sent for it, or its settings are not known
 }
 
 // NewUpstream wraps a fresh connection.
