server: the drawn histories have deadlines that pass

Changes of settings are sent to an upstream that does not answer, in and outside of transactions, and run there after their callers were told that their outcome is unknown.

--- a/server/session_history_test.go
+++ b/server/session_history_test.go
@@ -13,8 +13,8 @@
 	"basildale.example/basildale/internal/faker/upstream"
 )
 
-// Guards against any sequence of refusals, rollbacks and lost connections after
-// which a statement runs with other settings than its session's.
+// Guards against any sequence of refusals, rollbacks, lost connections and missed
+// deadlines after which a statement runs with other settings than its session's.
 func TestStatementsRunWithTheirSessionsSettings(t *testing.T) {
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -44,7 +44,7 @@
 }
 
 func (h *history) step(d *drawn) {
-	switch h.rng.IntN(12) {
+	switch h.rng.IntN(13) {
 	case 0:
 		h.query(d, "RESET ALL")
 	case 1:
@@ -59,13 +59,39 @@
 		h.transaction(d)
 	case 10:
 		h.flushed(d)
-	default:
+	case 11:
 		h.group.Upstreams[0].Cut(upstream.Cut{})
 		h.group.Upstreams[0].Restore()
+	default:
+		h.late(d)
 	}
 	h.compare(d)
 }
 
+// late sends a change whose deadline passes: it has no effect on its session,
+// though it may run later.
+func (h *history) late(d *drawn) {
+	if err := run(h.t, d.conn, "SET basildale.deadline = 2"); err != nil {
+		h.t.Fatal(err)
+	}
+	inside := h.rng.IntN(2) == 0
+	if inside {
+		_ = run(h.t, d.conn, "BEGIN")
+	}
+	h.group.Upstreams[0].Freeze()
+	err := run(h.t, d.conn, h.change())
+	h.group.Upstreams[0].Thaw()
+	if err == nil {
+		h.t.Fatal("answered by a frozen upstream")
+	}
+	if inside {
+		_ = run(h.t, d.conn, "COMMIT")
+	}
+	if err := run(h.t, d.conn, "RESET basildale.deadline"); err != nil {
+		h.t.Fatal(err)
+	}
+}
+
 // change returns a statement that changes a setting.
 func (h *history) change() string {
 	name := string("vw"[h.rng.IntN(2)])
