relayer: callers can't set the proxy's own settings at the upstream

What callers saw: nothing that is known. A SET or RESET of basildale.term behind another statement of a query reached the upstream. Later writes on that connection, those of other sessions too, ran without their term, also at an upstream that a later term leads.

Cause: the proxy takes such settings for itself only at the start of a query and only without quotes in their names.

Evidence: TestCallersCannotSetTermOfConnection failed before, for SET and for RESET behind a SELECT. Its rows with a quoted name and with set_config passed before: the stand-in doesn't take the first, and keeps no term by the second.

Why this fix works: a text is refused (BD102) if it sets one of these anywhere else. SET SESSION CHARACTERISTICS is now refused among other statements too, as it was alone.

--- a/relayer/simple.go
+++ b/relayer/simple.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 
 	"basildale.example/basildale/classifier"
 	"basildale.example/basildale/framer"
@@ -223,25 +224,32 @@
 		return refuse("PREPARE in SQL", "Prepare statements by the extended protocol, as drivers do.")
 	case st.Count > 1 && (has(classifier.Discard) || has(classifier.Deallocate)):
 		return refuse("DISCARD or DEALLOCATE among other statements", "Send it alone.")
-	case st.Count > 1 && has(classifier.Reset) && resetsAllAmong(text):
-		return refuse("RESET ALL among other statements", "Send it alone.")
-	case has(classifier.Set) && bytes.EqualFold(st.Name, []byte("characteristics")):
-		return refuse("SET SESSION CHARACTERISTICS", "Set default_transaction_isolation or default_transaction_read_only.")
+	case has(classifier.Set), has(classifier.Reset):
+		return refusedSetting(text, st.Count > 1, refuse)
 	default:
 		return nil
 	}
 }
 
-// resetsAllAmong reports whether RESET ALL is among the statements of a text.
-func resetsAllAmong(text []byte) bool {
+// refusedSetting returns why a text with SET or RESET can't be passed on. The proxy's
+// own settings would reach the upstream from behind other statements.
+func refusedSetting(text []byte, several bool, refuse func(what, hint string) *fault) *fault {
 	for len(text) > 0 {
 		var one classifier.Statement
 		one, text = classifier.Next(text)
-		if resetsAll(&one) {
-			return true
+		if one.Kind != classifier.Set && one.Kind != classifier.Reset {
+			continue
+		}
+		switch {
+		case bytes.EqualFold(one.Name, []byte("characteristics")):
+			return refuse("SET SESSION CHARACTERISTICS", "Set default_transaction_isolation or default_transaction_read_only.")
+		case several && resetsAll(&one):
+			return refuse("RESET ALL among other statements", "Send it alone.")
+		case strings.HasPrefix(canonical(string(one.Name)), notePrefix) && (several || !isNote(&one)):
+			return refuse("a setting of the proxy behind other statements", "Send it alone or in front of them, without quotes in its name.")
 		}
 	}
-	return false
+	return nil
 }
 
 const chainedHint = "Send what follows COMMIT or ROLLBACK as a query of its own."
--- a/server/session_state_test.go
+++ b/server/session_state_test.go
@@ -286,6 +286,24 @@
 // Guards against writes that run in a later term than that of their connection,
 // because a caller has reset the proxy's own settings.
 func TestResetKeepsTermOfConnection(t *testing.T) {
+	requireTermAfter(t, "RESET ALL")
+}
+
+// Guards against writes that run in a later term than that of their connection,
+// because a caller has set the proxy's own settings.
+func TestCallersCannotSetTermOfConnection(t *testing.T) {
+	for _, sql := range []string{
+		"SELECT 1; SET basildale.term = ''", `SET "basildale".term = ''`, "SELECT 1; RESET basildale.term",
+		"SELECT set_config('basildale.term', '', false)",
+	} {
+		t.Run(sql, func(t *testing.T) { requireTermAfter(t, sql) })
+	}
+}
+
+// requireTermAfter checks that a write is refused at an upstream of a later term
+// after a caller has sent a statement.
+func requireTermAfter(t *testing.T, sql string) {
+	t.Helper()
 	is := is.New(t)
 	f := start(t, upstream.Options{Size: 1}, func(s *Server) {
 		s.Groups[0].Connections = 1
@@ -294,7 +312,8 @@
 		}
 	})
 	s := &stateful{f, t}
-	c := s.session("SET v = 'x'", "INSERT INTO seats (id) VALUES (1)", "RESET ALL", "SET basildale.deadline = 300")
+	c := s.session("SET v = 'x'", "INSERT INTO seats (id) VALUES (1)", "SET basildale.deadline = 300")
+	_ = run(t, c, sql)
 	direct := s.direct()
 	is.NoErr(run(t, direct, "SELECT * FROM basildale_fence('1.2'); SELECT * FROM basildale_promote('1.2')"))
 	is.True(run(t, c, "INSERT INTO seats (id) VALUES (2)") != nil)
