relayer: a retry keeps the portals of its batch

Portals whose statements change settings were forgotten when the connection of an attempt was given up. A batch that was sent again could bind a SET whose execution in a later batch was then not followed. A stale entry does no harm: only a CommandComplete makes it count. Read from the code; no run has shown it.

--- a/relayer/hold.go
+++ b/relayer/hold.go
@@ -55,7 +55,6 @@
 	s.target.Store(nil)
 	s.up, s.answering = nil, false
 	s.scope = scope{}
-	clear(s.bound)
 	s.cancelling.Unlock()
 }
 
