--- a/relayer/items.go
+++ b/relayer/items.go
@@ -49,7 +49,7 @@
 		s.bindItem(u, &it)
 	case 'E':
 		it.portal, _, ok = cstring(b)
-		s.executeItem(&it)
+		s.executeItem(u, &it)
 	default: // 'D' and 'C'
 		if len(b) < 2 {
 			return it, false
@@ -64,14 +64,18 @@
 func (s *Session) parseItem(it *item) {
 	sql := sqlOf(it.rest)
 	st := classifier.Classify(sql)
-	it.st = statement{body: unique.Make(string(it.rest)), kind: st.Kind}
+	it.st = statement{
+		body:    unique.Make(string(it.rest)),
+		kind:    st.Kind,
+		lasting: setsByFunction(st.Kind, sql),
+	}
 	it.st.local = isNote(&st) || localTag(&st) != "" || s.orphaned
 	_, exists := s.statements.get(it.name)
 	switch {
 	case s.orphaned && st.Kind != classifier.Commit && st.Kind != classifier.Rollback:
 		it.fault = orphanFault()
-	case refusal(&st) != nil:
-		it.fault = refusal(&st)
+	case refusal(&st, sql) != nil:
+		it.fault = refusal(&st, sql)
 	case chained(&st, sql) != nil:
 		it.fault = chained(&st, sql)
 	case len(it.name) > 0 && exists:
@@ -117,10 +121,24 @@
 		it.own = []byte{'2', 0, 0, 0, 4}
 		return
 	}
-	if st.kind == classifier.Set || st.kind == classifier.Reset {
-		u.sets = append(u.sets, sqlOf([]byte(st.body.Value()))...)
-		u.sets = append(u.sets, ';')
+	if !followed(1 << st.kind) {
+		delete(s.bound, string(it.portal))
+		return
+	}
+	if s.bound == nil {
+		s.bound = map[string]statement{}
+	}
+	s.bound[string(it.portal)] = st
+}
+
+// binds reports whether statements of the batch are bound at the upstream.
+func (u *unit) binds() bool {
+	for i := range u.items {
+		if u.items[i].kind == 'B' && u.items[i].own == nil {
+			return true
+		}
 	}
+	return false
 }
 
 // follows reports whether the open batch has ended a transaction already; see
@@ -139,9 +157,10 @@
 	return false
 }
 
-func (s *Session) executeItem(it *item) {
+func (s *Session) executeItem(u *unit, it *item) {
 	st, ok := s.portals[string(it.portal)]
 	if !ok {
+		it.run = s.bound[string(it.portal)]
 		return
 	}
 	if s.orphaned {
@@ -151,6 +170,9 @@
 	}
 	parsed := classifier.Classify(sqlOf([]byte(st.body.Value())))
 	if tag := localTag(&parsed); tag != "" {
+		if it.fault = s.inTransaction(&parsed, u.binds()); it.fault != nil {
+			return
+		}
 		s.carryOut(&parsed)
 		it.own = appendTag(nil, tag)
 		return
--- a/relayer/ops.go
+++ b/relayer/ops.go
@@ -52,6 +52,9 @@
 	case it.kind == 'P':
 		s.loadParse(u, it, i)
 	case it.kind == 'B':
+		if it.st.lasting {
+			s.up.spoiled.Store(true)
+		}
 		name := s.ensure(u, it)
 		start := len(u.flight)
 		u.flight = append(u.flight, 'B', 0, 0, 0, 0)
@@ -160,7 +163,11 @@
 func (s *Session) dropOps(u *unit) {
 	for i := u.head; i < len(u.ops); i++ {
 		o := &u.ops[i]
-		if o.kind != 'P' || o.mode >= opOwn {
+		if o.kind != 'P' || o.mode == opFault {
+			continue
+		}
+		if o.mode == opOwn {
+			s.statements.drop(u.items[o.item].name)
 			continue
 		}
 		s.up.forget(o.body)
--- a/relayer/unit.go
+++ b/relayer/unit.go
@@ -20,9 +20,10 @@
 	items   []item // an extended batch's messages
 	request Request
 	retry   retrier.Request
-	sets    []byte // SET and RESET statements, to be followed when it is done
+	text    []byte // a simple query's statements, if a scope follows them
 	message string // why it was refused
 	final   bool   // the outcome stands: nothing more can be tried
+	lasting bool   // as of a statement
 	commits bool   // may end a transaction for good, so a lost answer is in doubt
 
 	// Of the attempt under way.
@@ -33,10 +34,13 @@
 	placed  bool // it had a connection
 	began   bool // in a transaction already when it was sent
 	mark    tracker.Mark
-	tag     []byte // the last CommandComplete's tag
+	follows []byte // what is left of text
 	refused retrier.Outcome
 	told    bool // refused is set: the upstream's error proves that it has not run
 	failed  bool // the upstream answered with an error
+
+	broken    error // ends the session: the upstream refused its settings
+	undecided scope // of a transaction whose connection was lost
 }
 
 // maxKept bounds the working space that a unit keeps for the next one, in bytes.
@@ -53,7 +57,7 @@
 func (r *Relay) freeUnit(u *unit) {
 	clear(u.items)
 	clear(u.ops)
-	kept := unit{items: u.items[:0], ops: u.ops[:0], flight: u.flight[:0], tag: u.tag[:0]}
+	kept := unit{items: u.items[:0], ops: u.ops[:0], flight: u.flight[:0]}
 	if cap(u.flight) > maxKept || cap(u.items) > maxKept/64 {
 		return
 	}
@@ -134,12 +138,15 @@
 	}
 	u.placed = true
 	u.began = s.tx != txIdle
-	u.mark, u.tag, u.told, u.failed = tracker.Mark{}, u.tag[:0], false, false
+	u.mark, u.follows, u.told, u.failed = tracker.Mark{}, u.text, false, false
 	s.streamed, s.cutOff = false, false
 	s.up.bound(u.request.Deadline, s.slack(u))
+	s.answering = true
+	if !s.adapt(u) {
+		return u.refused, u.broken
+	}
 	s.prelude(u)
 	s.load(u)
-	s.answering = true
 	sent, err := s.up.Ask(u.flight)
 	if err != nil {
 		return s.lost(u, sent == 0), nil //nolint:nilerr // the loss is an outcome
@@ -173,9 +180,8 @@
 	return nil
 }
 
-// prelude begins the attempt's flight with the proxy's own statements: the
-// session's settings where the connection's differ, and the term and request
-// ID of a write. They go out with the unit and cost no round trip.
+// prelude begins the attempt's flight with the proxy's own statements: the term
+// and request ID of a write. They go out with the unit and cost no round trip.
 func (s *Session) prelude(u *unit) {
 	u.flight, u.swallow = u.flight[:0], 0
 	if s.tx != txIdle || s.batch {
@@ -184,13 +190,6 @@
 	start := len(u.flight)
 	u.flight = append(u.flight, 'Q', 0, 0, 0, 0)
 	text := len(u.flight)
-	if !s.up.settings.equal(&s.settings) {
-		var reset bool
-		if u.flight, reset = appendChanges(u.flight, &s.up.settings, &s.settings); reset {
-			s.up.term = tracker.Term{}
-		}
-		s.up.settings.copyOf(&s.settings)
-	}
 	if s.to.Primary && !u.request.Read() {
 		s.name(u)
 	}
@@ -221,6 +220,9 @@
 // load appends the unit's own messages to the flight.
 func (s *Session) load(u *unit) {
 	if u.simple {
+		if u.lasting {
+			s.up.spoiled.Store(true)
+		}
 		u.flight = append(u.flight, u.raw...)
 		s.up.unnamed = body{} // as in prelude
 		return
@@ -248,6 +250,7 @@
 	if !unsent && !time.Now().Before(u.request.Deadline.Add(-s.slack(u))) {
 		s.stopStatement()
 	}
+	u.undecided = s.scope
 	s.discardUpstream()
 	switch {
 	case unsent:
