splitter, keeper, translator: an odd value costs only its own object

What operators saw on similar systems: another writer left one odd entry in the store, and the processes that read the list stopped following it.

Cause: encoding/json takes a text as a whole or not at all. One spec, status or list of finalizers that is nested more than 10,000 deep, or that holds a token such as Infinity, made an error of the list, watch, object or conflict around it, in translator and again in keeper. The next call returned the same. An object of the process's own could not be replaced either, since the conflict no longer stated its version.

Change: package splitter finds the extents of values by their brackets and quotes, in one pass, without recursion and without memory that grows with the nesting. translator and keeper read the envelopes by it and decode each value by itself. keeper hands on only values that are JSON and nested at most 1,000 levels deep, because one that is just within the decoder's limit can be read by itself but not within a message to other processes. An object without a value says why, and goes the way of other unreadable entries: it is logged once per version and names no upstream.

--- a/adapter/keeper/client.go
+++ b/adapter/keeper/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -87,8 +86,8 @@
 	path   string
 	match  uint64
 	body   []byte
-	out    any    // what a 200 is decoded into; nil to skip it
-	era    uint64 // of the answer
+	read   func(body []byte) error // decodes a 200; nil to skip it
+	era    uint64                  // of the answer
 }
 
 // changes reports whether the call can have an effect.
@@ -196,20 +195,20 @@
 func judge(r *request, status int, body []byte) error {
 	switch status {
 	case http.StatusOK:
-		if r.out == nil {
+		if r.read == nil {
 			return nil
 		}
-		if err := json.Unmarshal(body, r.out); err != nil {
+		if err := r.read(body); err != nil {
 			return failed(r, true, err)
 		}
 		return nil
 	case http.StatusConflict:
-		conflict := &ConflictError{}
-		if err := json.Unmarshal(body, &conflict.Current); err != nil {
+		current, err := decodeObject(body)
+		if err != nil {
 			return errors.Wrapf(ErrConflict, "and the answer can't be read: %v", err)
 		}
-		conflict.Current.Era = r.era
-		return conflict
+		current.Era = r.era
+		return &ConflictError{Current: current}
 	case http.StatusNotFound:
 		return errors.Wrapf(ErrMissing, "%s", r.path)
 	case http.StatusGone:
--- a/adapter/keeper/doc.go
+++ b/adapter/keeper/doc.go
@@ -18,6 +18,9 @@
 // Answers are read up to a bound; pages that exceed it are asked for again in
 // smaller pieces.
 //
+// Values are decoded one by one, by [Object.Decode]. One that can't be decoded
+// costs only its own object, which still has its name and version.
+//
 // # Usage
 //
 //	c := &keeper.Client{Addrs: []netip.AddrPort{addr}}
--- a/adapter/keeper/errors.go
+++ b/adapter/keeper/errors.go
@@ -28,6 +28,8 @@
 	ErrEra = errors.New("keeper: the answer is of no era that counts")
 	// ErrLarge reports an answer over the bound.
 	ErrLarge = errors.New("keeper: the answer is too large")
+	// ErrUnread reports a value that can't be decoded, by itself or within what is sent on.
+	ErrUnread = errors.New("keeper: the value can't be read")
 )
 
 // ConflictError is an ErrConflict with the object as it is now. Its Version is
--- a/adapter/keeper/object.go
+++ b/adapter/keeper/object.go
@@ -28,6 +28,9 @@
 	Version uint64          `json:"version"`
 	Value   json.RawMessage `json:"value,omitempty"`
 	Deleted bool            `json:"deleted,omitempty"`
+	// Unread is why there is no Value though the platform holds one: it is not JSON, or too
+	// deeply nested to be decoded and sent on. It is an ErrUnread.
+	Unread error `json:"-"`
 	// Era is the platform's at the answer.
 	Era uint64 `json:"-"`
 }
@@ -67,7 +70,7 @@
 	ctx, cancel := timed(ctx, 0)
 	defer cancel()
 	var o Object
-	r := &request{method: http.MethodGet, path: objectPath(kind, name), out: &o}
+	r := &request{method: http.MethodGet, path: objectPath(kind, name), read: o.read}
 	err := c.do(ctx, r)
 	o.Era = r.era
 	return o, err
@@ -85,7 +88,7 @@
 		return Object{}, errors.Wrapf(ErrRefused, "%v", err)
 	}
 	var o Object
-	r := &request{method: http.MethodPut, path: objectPath(kind, name), match: match, body: body, out: &o}
+	r := &request{method: http.MethodPut, path: objectPath(kind, name), match: match, body: body, read: o.read}
 	err = c.do(ctx, r)
 	o.Era = r.era
 	return o, err
@@ -156,7 +159,7 @@
 
 func (c *Client) pageOf(ctx context.Context, path string, limit int) (Page, error) {
 	var p Page
-	r := &request{method: http.MethodGet, path: path + "&limit=" + strconv.Itoa(limit), out: &p}
+	r := &request{method: http.MethodGet, path: path + "&limit=" + strconv.Itoa(limit), read: p.read}
 	err := c.do(ctx, r)
 	p.Era = r.era
 	for i := range p.Items {
@@ -177,6 +180,6 @@
 	if zone != "" {
 		path += "?zone=" + url.QueryEscape(zone)
 	}
-	err := c.do(ctx, &request{method: http.MethodGet, path: path, out: &page})
+	err := c.do(ctx, &request{method: http.MethodGet, path: path, read: func(body []byte) error { return json.Unmarshal(body, &page) }})
 	return page.Items, err
 }
--- a/coordinator/promotion.go
+++ b/coordinator/promotion.go
@@ -229,7 +229,7 @@
 
 func recordOf(o keeper.Object, err error) (promoter.Record, bool) {
 	var record promoter.Record
-	if err != nil || json.Unmarshal(o.Value, &record) != nil {
+	if err != nil || o.Decode(&record) != nil {
 		return promoter.Record{}, false
 	}
 	return record, true
--- a/daemon/marks.go
+++ b/daemon/marks.go
@@ -131,7 +131,7 @@
 
 func rosterOf(o keeper.Object) (marker.Roster, uint64, error) {
 	var r marker.Roster
-	err := json.Unmarshal(o.Value, &r)
+	err := o.Decode(&r)
 	return r, o.Version, errors.Wrap(err, "daemon: roster")
 }
 
--- a/daemon/share.go
+++ b/daemon/share.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"net/netip"
 	"slices"
 	"time"
@@ -123,7 +122,7 @@
 	for _, o := range page.Items {
 		one := sharer.Object{Group: o.Name, Version: o.Version, Deleted: o.Deleted}
 		if !o.Deleted {
-			if err := json.Unmarshal(o.Value, &one.Record); err != nil {
+			if err := o.Decode(&one.Record); err != nil {
 				d.Log.Error("daemon: shares not understood", zap.String("group", o.Name), zap.Error(err))
 				continue
 			}
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -25,7 +25,7 @@
 var decisions = []string{
 	"assigner", "breaker", "cataloger", "checker", "classifier", "configurator", "confirmer", "controller", "delegator",
 	"fetcher", "framer", "leaver", "limiter", "marker", "membership", "placer", "pooler", "promoter", "replacer",
-	"retrier", "router", "spreader", "throttler", "tracker", "versioner",
+	"retrier", "router", "splitter", "spreader", "throttler", "tracker", "versioner",
 }
 
 // impure lists what a decision package never imports: anything that does input
--- a/overseer/lease.go
+++ b/overseer/lease.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -231,7 +230,7 @@
 		return leaseRecord{}, versioner.Version{}, err
 	}
 	var held leaseRecord
-	err = json.Unmarshal(object.Value, &held)
+	err = object.Decode(&held)
 	return held, object.At(), errors.Wrap(err, "overseer: decode lease record")
 }
 
--- a/proxier/catalog.go
+++ b/proxier/catalog.go
@@ -88,7 +88,7 @@
 	if o.Name != translator.InForce || o.Deleted {
 		return
 	}
-	c, err := translator.ParseConfig(o.Value)
+	c, err := parseConfig(o)
 	if err != nil {
 		s.log.Error("proxier: configuration object can't be parsed", zap.Uint64("version", o.Version), zap.Error(err))
 		return
@@ -96,6 +96,13 @@
 	s.setConfig(c, "store")
 }
 
+func parseConfig(o keeper.Object) (cataloger.Config, error) {
+	if o.Unread != nil {
+		return cataloger.Config{}, o.Unread
+	}
+	return translator.ParseConfig(o.Value)
+}
+
 // applyConfigObjects applies configuration objects from a list or a watch.
 func (s *stateCache) applyConfigObjects(list []keeper.Object, _ versioner.Version) {
 	for _, o := range list {
--- a/proxier/enroll.go
+++ b/proxier/enroll.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
@@ -138,7 +137,7 @@
 // parseEntry parses the value of an object of proxiesKind.
 func parseEntry(o keeper.Object) (proxyEntry, error) {
 	var e proxyEntry
-	err := json.Unmarshal(o.Value, &e)
+	err := o.Decode(&e)
 	return e, errors.Wrap(err, "proxier: parse the entry of a proxy")
 }
 
