keeper, coordinator: an odd instance costs only its own line

What operators would see: processes that no longer learn which instances are live or leaving, and say so only at the debug level.

Cause: the list of instances is decoded as a whole, so that one line with the port 65536, or with a role that is a number, makes an error of each answer. A line without an address was taken for an instance at no address.

Change: each line is decoded by itself. One that can't be is named by an error in the log, once until it changes, and counts as not listed, as an unreadable entry of the store does.

--- a/adapter/keeper/decode.go
+++ b/adapter/keeper/decode.go
@@ -76,3 +76,41 @@
 	})
 	return p, errors.Wrap(err, "keeper: page")
 }
+
+// decodeInstances decodes the list of instances.
+func decodeInstances(body []byte) ([]Instance, error) {
+	var list []Instance
+	err := splitter.Members(body, func(name, value []byte) error {
+		if string(name) != "items" {
+			return nil
+		}
+		return splitter.Elements(value, func(line []byte) error {
+			list = append(list, decodeInstance(line))
+			return nil
+		})
+	})
+	return list, errors.Wrap(err, "keeper: instances")
+}
+
+func decodeInstance(line []byte) Instance {
+	var i Instance
+	err := splitter.Valid(line)
+	if err == nil {
+		err = json.Unmarshal(line, &i)
+	}
+	if err == nil && i.Address.Port() == 0 {
+		err = errors.New("no address")
+	}
+	if err == nil {
+		return i
+	}
+	i = Instance{Unread: errors.Mark(err, ErrUnread)}
+	// The name is for the log; a line without one has none there.
+	_ = splitter.Members(line, func(name, value []byte) error {
+		if string(name) == "name" {
+			_ = json.Unmarshal(value, &i.Name)
+		}
+		return nil
+	})
+	return i
+}
--- a/adapter/keeper/object.go
+++ b/adapter/keeper/object.go
@@ -59,6 +59,8 @@
 	Zone    string         `json:"zone"`
 	Address netip.AddrPort `json:"address"`
 	State   string         `json:"state"` // live or leaving
+	// Unread, when set, is why the line can't be decoded. Only its Name may then be known.
+	Unread error `json:"-"`
 }
 
 func objectPath(kind, name string) string {
@@ -169,17 +171,18 @@
 }
 
 // Instances returns the list of instances, of one availability zone or, for "",
-// of all.
+// of all. A line that can't be decoded costs no other one.
 func (c *Client) Instances(ctx context.Context, zone string) ([]Instance, error) {
 	ctx, cancel := timed(ctx, 0)
 	defer cancel()
-	var page struct {
-		Items []Instance `json:"items"`
-	}
+	var list []Instance
 	path := "/instances"
 	if zone != "" {
 		path += "?zone=" + url.QueryEscape(zone)
 	}
-	err := c.do(ctx, &request{method: http.MethodGet, path: path, read: func(body []byte) error { return json.Unmarshal(body, &page) }})
-	return page.Items, err
+	err := c.do(ctx, &request{method: http.MethodGet, path: path, read: func(body []byte) (err error) {
+		list, err = decodeInstances(body)
+		return err
+	}})
+	return list, err
 }
--- a/adapter/keeper/odd_test.go
+++ b/adapter/keeper/odd_test.go
@@ -54,7 +54,7 @@
 // Guards against one odd instance that costs the whole list with it.
 func TestOddInstanceLeavesList(t *testing.T) {
 	for _, odd := range []string{
-		`{"name":"b","address":"10.0.0.2:65536"}`, `{"name":"b","role":7}`, `null`, `{"name":"b","extra":` + nested(20_000) + `}`, `{"name":"b","extra":Infinity}`,
+		`{"name":"b","address":"10.0.0.2:65536"}`, `{"name":"b","role":"proxy","address":"10.0.0.2:0"}`, `{"name":"b","role":7}`, `null`, `{"name":"b","extra":` + nested(20_000) + `}`, `{"name":"b","extra":Infinity}`,
 	} {
 		is := is.New(t)
 		list := `{"items":[{"name":"a","role":"upstream","address":"10.0.0.1:1","state":"live"},` + odd + `,{"name":"c","role":"proxy","address":"10.0.0.3:3","state":"live"}]}`
--- a/coordinator/sampling.go
+++ b/coordinator/sampling.go
@@ -137,6 +137,7 @@
 // announcement learns the holders from them.
 func (c *Coordinator) list(ctx context.Context) {
 	backoff := keeper.NewBackoff()
+	var unread unreadInstances
 	for ctx.Err() == nil {
 		pause := c.Sampling.List
 		items, err := c.Platform.Instances(ctx, "")
@@ -145,6 +146,7 @@
 			c.Log.Debug("coordinator: no list of instances", zap.Error(err))
 		} else {
 			backoff.Reset()
+			unread.log(c.Log, items)
 			ev := listed(items)
 			c.Tell(ev)
 			if c.OnListed != nil {
@@ -158,6 +160,24 @@
 	}
 }
 
+// unreadInstances holds the lines of the last list that can't be decoded, by name, so that each
+// is logged once instead of with each list.
+type unreadInstances map[string]string
+
+func (u *unreadInstances) log(log *zap.Logger, items []keeper.Instance) {
+	now := unreadInstances{}
+	for _, i := range items {
+		if i.Unread == nil {
+			continue
+		}
+		now[i.Name] = i.Unread.Error()
+		if (*u)[i.Name] != now[i.Name] {
+			log.Error("coordinator: instance can't be read", zap.String("instance", i.Name), zap.String("error", now[i.Name]))
+		}
+	}
+	*u = now
+}
+
 func listed(items []keeper.Instance) controller.Listed {
 	var ev controller.Listed
 	for _, i := range items {
