keeper, translator: errors of unreadable values are short

What operators would see: a log line of a megabyte for each change of an entry that holds a number of as many digits.

Cause: the errors of encoding/json and netip quote what they can't read.

Change: the error of a value holds 200 characters of its cause.

--- a/adapter/keeper/decode.go
+++ b/adapter/keeper/decode.go
@@ -9,12 +9,19 @@
 	"basildale.example/basildale/splitter"
 )
 
-// Decode decodes the object's value as JSON.
+// maxReason bounds the text of an error of Decode, in characters.
+const maxReason = 200
+
+// Decode decodes the object's value as JSON. An error is short enough for a log line, though
+// those of encoding/json quote the value.
 func (o *Object) Decode(v any) error {
 	if o.Unread != nil {
 		return o.Unread
 	}
-	return json.Unmarshal(o.Value, v)
+	if err := json.Unmarshal(o.Value, v); err != nil {
+		return errors.Newf("%.*s", maxReason, err.Error())
+	}
+	return nil
 }
 
 // read decodes an answer with one object.
@@ -104,7 +111,7 @@
 	if err == nil {
 		return i
 	}
-	i = Instance{Unread: errors.Mark(err, ErrUnread)}
+	i = Instance{Unread: errors.Wrapf(ErrUnread, "%.*s", maxReason, err.Error())}
 	// The name is for the log; a line without one has none there.
 	_ = splitter.Members(line, func(name, value []byte) error {
 		if string(name) == "name" {
