proxier: an unreadable configuration is logged once

What operators would see: the same error about once a second at each process that reads the list of configurations, for as long as the object stands.

Cause: the list is read in full as a check, and each reading parsed the object and logged that it can't be.

Change: the version of the last one that was logged is kept.

--- a/proxier/catalog.go
+++ b/proxier/catalog.go
@@ -39,7 +39,8 @@
 	invalid map[string]versioner.Version // by name, the version at which an invalid entry was logged
 	// furtherInvalid counts the invalid entries of a list or change that are not remembered.
 	furtherInvalid int
-	invalidLimit   rate.Sometimes // limits the log lines that count them
+	invalidLimit   rate.Sometimes    // limits the log lines that count them
+	invalidConfig  versioner.Version // at which an invalid configuration was last logged
 	view           atomic.Pointer[cataloger.View]
 	restore        restoreState
 }
@@ -90,12 +91,27 @@
 	}
 	c, err := parseConfig(o)
 	if err != nil {
+		if !s.isNewInvalidConfig(o.At()) {
+			return
+		}
 		s.log.Error("proxier: configuration object can't be parsed", zap.Uint64("version", o.Version), zap.Error(err))
 		return
 	}
 	s.setConfig(c, "store")
 }
 
+// isNewInvalidConfig reports whether an invalid configuration is to be logged: it is read with
+// each list, about once a second, but logged once per version.
+func (s *stateCache) isNewInvalidConfig(at versioner.Version) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.invalidConfig.Less(at) {
+		return false
+	}
+	s.invalidConfig = at
+	return true
+}
+
 func parseConfig(o keeper.Object) (cataloger.Config, error) {
 	if o.Unread != nil {
 		return cataloger.Config{}, o.Unread
