proxier: an entry without an address adds no process to the fleet

What operators would see: a process that is counted in the fleet, and in the division of connections, until it is taken for dead.

Cause: a `proxies` entry of null or {} was decoded without an error, as a process at no address.

Change: such an entry counts as unreadable: it is logged by name, and an own entry is written again.

What the process cost a fleet was not measured.

--- a/proxier/enroll.go
+++ b/proxier/enroll.go
@@ -134,11 +134,17 @@
 	return proxyEntry{Zone: p.Settings.Zone, GossipAddr: p.gossip.LocalAddr(), GatewayAddr: p.gatewayAddr, Start: p.incarnation, Millicores: p.millicores()}
 }
 
-// parseEntry parses the value of an object of proxiesKind.
+// parseEntry parses the value of an object of proxiesKind. One without an address is another
+// writer's: a process that it added would be counted in the fleet and could not be reached.
 func parseEntry(o keeper.Object) (proxyEntry, error) {
 	var e proxyEntry
-	err := o.Decode(&e)
-	return e, errors.Wrap(err, "proxier: parse the entry of a proxy")
+	if err := o.Decode(&e); err != nil {
+		return proxyEntry{}, errors.Wrap(err, "proxier: parse the entry of a proxy")
+	}
+	if e.GossipAddr.Port() == 0 {
+		return proxyEntry{}, errors.New("proxier: entry of a proxy has no address")
+	}
+	return e, nil
 }
 
 // addPeers adds the processes that the store lists, and reports whether this process's own
