proxier, faker: a fleet follows the store despite odd entries

The stand-in of the platform can hold objects whose spec encoding/json doesn't take. The test writes odd entries of upstreams and of a process, then valid ones, and starts a process while the odd ones stand.

--- a/proxier/odd_test.go
+++ b/proxier/odd_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"encoding/json"
+	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"basildale.example/basildale/adapter/keeper"
+	"basildale.example/basildale/cataloger"
+	"basildale.example/basildale/platform/faker"
 	"basildale.example/basildale/versioner"
 )
 
@@ -53,3 +57,51 @@
 	_, err := parseEntry(newObject("p-2", 3, `{"zone":"z","peers":"10.0.0.1:1","carries":"10.0.0.1:2","start":5}`))
 	is.NoErr(err)
 }
+
+// Guards against processes that no longer follow the store, or end, because another writer has
+// left odd entries among those of the upstreams and of the processes.
+func TestFleetFollowsStoreDespiteOddEntries(t *testing.T) {
+	f := newFleet(t, 2)
+	deep := strings.Repeat("[", 500_000) + strings.Repeat("]", 500_000)
+	f.platform.WriteOdd("servers", "i-deep", deep)
+	f.platform.WriteOdd("servers", "i-port", `{"service":"billet","address":"127.0.0.1:65536","state":"ready","db_role":"primary"}`)
+	f.platform.WriteOdd("servers", "i-large", `{"service":"billet","address":"127.0.0.1:1","slots":1e999,"state":"ready","db_role":"primary"}`)
+	f.platform.WriteOdd("servers", "i-late", `{"service":"billet","address":"127.0.0.1:1","born":9223372036854775807,"state":"ready","db_role":"primary"}`)
+	f.platform.WriteOdd("servers", "i-infinite", `{"seq":-Infinity}`)
+	f.platform.WriteOdd(proxiesKind, "proxy-2", deep) // the name of a process that starts later
+	f.platform.Route("extra", "billet", "primary", 0)
+
+	address := netip.MustParseAddrPort("127.0.0.1:2")
+	for i, id := range []string{"i-later", "i-latest"} {
+		f.platform.Write("servers", id, faker.Entry("billet", address, "zone-0", false, true))
+		for _, m := range f.proxies {
+			f.waitFor(id+" known to "+m.Settings.Name, func() bool { return m.knowsUpstream(id) })
+			f.waitFor("the route", func() bool { _, ok := m.View().Route("extra"); return ok })
+		}
+		if i == 0 {
+			m := f.start(2) // reads lists in which the odd entries stand
+			f.waitFor("ready", m.isReady)
+		}
+	}
+	f.waitFor("the own entry replaced", func() bool {
+		o, err := f.proxies[0].store.Get(t.Context(), proxiesKind, "proxy-2")
+		if err != nil {
+			return false
+		}
+		_, err = parseEntry(o)
+		return err == nil
+	})
+	is := is.New(t)
+	for _, id := range []string{"i-deep", "i-port", "i-large", "i-late", "i-infinite"} {
+		for _, m := range f.proxies {
+			is.True(!m.knowsUpstream(id)) // an odd entry names no upstream
+		}
+	}
+}
+
+// knowsUpstream reports whether a process has the entry of an upstream.
+func (m *runningProxy) knowsUpstream(id string) bool {
+	m.cache.mu.Lock()
+	defer m.cache.mu.Unlock()
+	return slices.ContainsFunc(m.cache.catalog.Upstreams(), func(u cataloger.Upstream) bool { return u.ID == id })
+}
