configurator: an object without a spec is not decoded

What operators would see: a group, caller or preset of which nothing is in force after another writer has replaced its spec by null.

Cause: encoding/json takes null for any type and leaves the fields zero, so that the object replaced what was in force instead of being rejected.

Change: only a removed object may lack a spec. What was in force stays, as for other objects that can't be decoded.

--- a/configurator/kind.go
+++ b/configurator/kind.go
@@ -1,6 +1,7 @@
 package configurator
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/netip"
 	"strings"
@@ -273,6 +274,9 @@
 	if err := json.Unmarshal(o.Value, &v); err != nil {
 		return Entry{}, errors.Wrapf(err, "configurator: decode %s", id)
 	}
+	if !v.Removed && bytes.Equal(v.Spec, []byte("null")) {
+		return Entry{}, errors.Newf("configurator: decode %s: no spec", id)
+	}
 	e := Entry{ID: id, Version: o.Version, Meta: v.Meta, Removed: v.Removed, Spec: newSpec(id.Kind)}
 	if err := json.Unmarshal(v.Spec, e.Spec); err != nil {
 		return Entry{}, errors.Wrapf(err, "configurator: decode %s", id)
