daemon: a record of shares that can't be read can be replaced

What operators would see: connections that are no longer divided anew after another writer has left an odd record; a process that joins gets no share.

Cause: an unreadable record was skipped with its version, so that each later write stated an earlier one and was refused.

Change: it counts as a record without views: the views in use hold, and the next change of them replaces it.

Evidence: TestOddRecordOfSharesCanBeReplaced failed before and passes. What a whole fleet does was not run.

--- a/daemon/share.go
+++ b/daemon/share.go
@@ -123,8 +123,9 @@
 		one := sharer.Object{Group: o.Name, Version: o.Version, Deleted: o.Deleted}
 		if !o.Deleted {
 			if err := o.Decode(&one.Record); err != nil {
-				d.Log.Error("daemon: shares not understood", zap.String("group", o.Name), zap.Error(err))
-				continue
+				// The views in use hold, and the next change of them replaces this version.
+				d.Log.Error("daemon: shares not understood", zap.String("group", o.Name), zap.Uint64("version", o.Version), zap.Error(err))
+				one.Record = limiter.Record{}
 			}
 		}
 		list = append(list, one)
