--- a/daemon/share.go
+++ b/daemon/share.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"net/netip"
 	"slices"
 	"time"
@@ -123,9 +122,10 @@
 	for _, o := range page.Items {
 		one := sharer.Object{Group: o.Name, Version: o.Version, Deleted: o.Deleted}
 		if !o.Deleted {
-			if err := json.Unmarshal(o.Value, &one.Record); err != nil {
-				d.Log.Error("daemon: shares not understood", zap.String("group", o.Name), zap.Error(err))
-				continue
+			if err := o.Decode(&one.Record); err != nil {
+				// The views in use hold, and the next change of them replaces this version.
+				d.Log.Error("daemon: shares not understood", zap.String("group", o.Name), zap.Uint64("version", o.Version), zap.Error(err))
+				one.Record = limiter.Record{}
 			}
 		}
 		list = append(list, one)
