carrier: an upstream that leaves session state unanswered counts as slow

Cause: a connection that was lost before the statement was sent led to an answer for which no latency is recorded. Also, an upstream's own ABORTED to a single statement would have been tried again.

Evidence: TestLostValuesCountAsSlow failed before.

Why this fix works: lost state counts like a lost statement, and only what was not sent is tried again after ABORTED.

--- a/carrier/job.go
+++ b/carrier/job.go
@@ -245,7 +245,7 @@
 			g.recordFailure(u, true) // lost before the deadline: an overloaded upstream, which is only late, does not count as failing
 		}
 		answer, again := lostAnswer(j, progress)
-		if !again {
+		if !again || progress == stateSent {
 			g.recordAnswerTime(u, failurePenalty*defaultLatency)
 		}
 		return answer, again
@@ -265,7 +265,10 @@
 		}
 		return answer, false
 	}
-	return answer, progress == statementSent || !j.isOver()
+	if progress == statementSent {
+		return answer, answer.Code != Aborted
+	}
+	return answer, !j.isOver()
 }
 
 // progress is how far an attempt came.
--- a/carrier/session_state_test.go
+++ b/carrier/session_state_test.go
@@ -308,6 +308,19 @@
 	})
 }
 
+// Guards against an upstream that counts as fast though it leaves session state unanswered.
+func TestLostValuesCountAsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStatefulGroup()
+		defer s.registry.Stop()
+		s.fail = func(commands []Command) (bool, bool) { return commands[0].Verb == Set, true }
+		before := s.upstreams[0].expectedLatency(time.Now())
+		is.Equal(s.runAtLeader(Read, "r", Value{"tz", "utc"}).Code, Aborted)
+		is.True(s.upstreams[0].expectedLatency(time.Now()) > before)
+	})
+}
+
 // Guards against a leader that leaves writes unanswered and counts as one that answers them, because
 // it answered a value of a write that was not sent.
 func TestRefusedValueIsNoAnsweredWrite(t *testing.T) {
