carrier: a commit runs with its session's values

What callers saw: nothing that is known. A SET between the last statement of a transaction and its COMMIT was acknowledged, and the commit ran with the values before it.

Cause: a commit was sent without looking at the session's state; it was not taken for a statement that depends on it.

Evidence: TestCommitRunsWithItsSessionsState failed before.

Why this fix works: values that differ are applied like those of a statement, ahead of the commit. Where they are not accepted, nothing was committed and the transaction is rolled back and aborted. A commit whose session has not changed costs nothing more.

--- a/carrier/session_history_test.go
+++ b/carrier/session_history_test.go
@@ -104,7 +104,9 @@
 		}
 	}
 	if h.rng.IntN(2) == 0 {
-		tx.Commit(j, Command{Verb: Commit, ID: "c", Text: "COMMIT"})
+		j, cmd = h.draw(9)
+		cmd.Verb, j.Prepared, j.Writes = Commit, nil, false
+		tx.Commit(j, cmd)
 		return
 	}
 	tx.Rollback()
--- a/carrier/session_state_test.go
+++ b/carrier/session_state_test.go
@@ -103,7 +103,10 @@
 	switch cmd.Verb {
 	case Begin, BeginRead:
 		l.state = InTransaction
-	case Commit, Rollback:
+	case Commit:
+		l.compare(cmd)
+		l.state = Idle
+	case Rollback:
 		l.state = Idle
 	case Execute:
 		if _, ok := l.prepared[cmd.Name]; !ok {
@@ -246,6 +249,24 @@
 	}
 }
 
+// Guards against a commit that runs with the values that its session had before it.
+func TestCommitRunsWithItsSessionsState(t *testing.T) {
+	for _, code := range []Code{OK, Failed} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := newStatefulGroup()
+			defer s.registry.Stop()
+			tx := s.beginAtLeader(t, "w", Value{"tz", "utc"})
+			s.refuseVerb(Set, code)
+			j, cmd := s.statement(Commit, "c", Value{"tz", "cet"})
+			answer := tx.Commit(j, cmd)
+			is.Equal(answer.Code == OK, code == OK)
+			is.True(code == OK || answer.Code.GuaranteesNoEffect() && s.last == "w")
+			is.Equal(s.wrong, nil)
+		})
+	}
+}
+
 // Guards against a statement that stays unknown on a connection that counts as having it.
 func TestUnknownStatementOfTransactionClosesConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -186,12 +186,18 @@
 		t.Rollback()
 		return refusal(Aborted, "the transaction has failed")
 	}
+	started := t.group.registry.Now()
+	applied, _, err := t.group.applyState(t.upstream, t.run, j)
+	if err != nil || applied.Code != OK {
+		t.charge(j, started)
+		t.Rollback()
+		return refusal(Aborted, "the session's state was not accepted before the commit")
+	}
 	if t.wrote && t.group.isBarred(t.upstream) {
 		t.Rollback()
 		return refusal(Aborted, "the leader is being replaced")
 	}
 	t.run.inDoubtIfLost = t.wrote
-	started := t.group.registry.Now()
 	answers, sent, err := t.group.exchange(t.upstream, t.run, j.Deadline, cmd)
 	t.charge(j, started)
 	t.group.removeRun(t.upstream, t.run)
