--- a/proxier/odd_test.go
+++ b/proxier/odd_test.go
@@ -62,13 +62,8 @@
 // left odd entries among those of the upstreams and of the processes.
 func TestFleetFollowsStoreDespiteOddEntries(t *testing.T) {
 	f := newFleet(t, 2)
-	deep := strings.Repeat("[", 500_000) + strings.Repeat("]", 500_000)
-	f.platform.WriteOdd("servers", "i-deep", deep)
-	f.platform.WriteOdd("servers", "i-port", `{"service":"billet","address":"127.0.0.1:65536","state":"ready","db_role":"primary"}`)
-	f.platform.WriteOdd("servers", "i-large", `{"service":"billet","address":"127.0.0.1:1","slots":1e999,"state":"ready","db_role":"primary"}`)
-	f.platform.WriteOdd("servers", "i-late", `{"service":"billet","address":"127.0.0.1:1","born":9223372036854775807,"state":"ready","db_role":"primary"}`)
-	f.platform.WriteOdd("servers", "i-infinite", `{"seq":-Infinity}`)
-	f.platform.WriteOdd(proxiesKind, "proxy-2", deep) // the name of a process that starts later
+	odd := f.platform.WriteOddUpstreams("billet")
+	f.platform.WriteOdd(proxiesKind, "proxy-2", faker.Deep()) // the name of a process that starts later
 	f.platform.Route("extra", "billet", "primary", 0)
 
 	address := netip.MustParseAddrPort("127.0.0.1:2")
@@ -92,7 +87,7 @@
 		return err == nil
 	})
 	is := is.New(t)
-	for _, id := range []string{"i-deep", "i-port", "i-large", "i-late", "i-infinite"} {
+	for _, id := range odd {
 		for _, m := range f.proxies {
 			is.True(!m.knowsUpstream(id)) // an odd entry names no upstream
 		}
