cmd: the test of a log that nobody reads doesn't depend on the machine

It writes twice as many lines as the queue holds and expects that some are dropped. If that takes longer than the pause of 50 ms after which the queue is emptied for the first time, all of them fit: with a sleep of 100 ms after the first half it fails in 5 of 5 runs, with the same line.

Change: the test runs in virtual time, in which the pause ends only when all lines are written. What it checks is unchanged.

--- a/cmd/basildale/bounded_test.go
+++ b/cmd/basildale/bounded_test.go
@@ -28,20 +28,22 @@
 // Symptom: requests hang. Sequence: whoever reads standard output stops, under
 // load. Cause: a line is written where it is made, and waits for the reader.
 func TestSlowReaderOfTheLogHoldsNothingUp(t *testing.T) {
-	is := is.New(t)
-	out := &stuck{free: make(chan struct{})}
-	b := newBounded(out)
-	for range 2 * boundedLines {
-		n, err := b.Write([]byte("line\n"))
-		is.NoErr(err)
-		is.Equal(n, 5)
-	}
-	close(out.free)
-	b.close()
-	<-b.done
-	text := out.got.String()
-	is.True(strings.Count(text, "line\n") >= boundedLines)
-	is.True(strings.Contains(text, `"msg":"log: lines dropped"`))
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &stuck{free: make(chan struct{})}
+		b := newBounded(out)
+		for range 2 * boundedLines {
+			n, err := b.Write([]byte("line\n"))
+			is.NoErr(err)
+			is.Equal(n, 5)
+		}
+		close(out.free)
+		b.close()
+		<-b.done
+		text := out.got.String()
+		is.True(strings.Count(text, "line\n") >= boundedLines)
+		is.True(strings.Contains(text, `"msg":"log: lines dropped"`))
+	})
 }
 
 // Guards against a process that never ends because nobody reads its log: the mark of the end waited
