relayer: a caller is told of the settings that RESET ALL takes back

A driver that decodes by DateStyle or TimeZone went on with the value before the reset. DISCARD ALL had the same gap before.

Cause: the upstream reports these settings, and it isn't asked.

The stand-in reports DateStyle, as PostgreSQL does.

Why this fix works: of the settings that a session is told of at its start, those that it has set are reported with the values that it was told then.

--- a/internal/faker/upstream/run.go
+++ b/internal/faker/upstream/run.go
@@ -239,6 +239,9 @@
 	}
 	s.change()
 	s.settings.set(st)
+	if st.name == "datestyle" {
+		s.be.Send(&pgproto3.ParameterStatus{Name: "DateStyle", Value: st.value})
+	}
 	switch st.name {
 	case "basildale.request":
 		s.request = st.value
--- a/relayer/items.go
+++ b/relayer/items.go
@@ -173,8 +173,7 @@
 		if it.fault = s.inTransaction(&parsed, u.binds()); it.fault != nil {
 			return
 		}
-		s.carryOut(&parsed)
-		it.own = appendTag(nil, tag)
+		it.own = appendTag(s.carryOut(&parsed), tag)
 		return
 	}
 	it.own, it.fault = s.note(&parsed)
--- a/relayer/settings.go
+++ b/relayer/settings.go
@@ -72,6 +72,16 @@
 	}
 }
 
+// appendDefaults appends the defaults of the settings that a session is told of and that are set.
+func (l *settings) appendDefaults(b []byte) []byte {
+	for _, p := range parameters() {
+		if _, found := l.find(strings.ToLower(p[0])); found {
+			b = parameterStatus(b, p[0], p[1])
+		}
+	}
+	return b
+}
+
 // resetAll drops what RESET ALL resets.
 func (l *settings) resetAll() {
 	l.list = slices.DeleteFunc(l.list, func(s setting) bool { return !s.outlastsReset() })
--- a/relayer/simple.go
+++ b/relayer/simple.go
@@ -189,17 +189,23 @@
 	if refused := s.inTransaction(st, false); refused != nil {
 		return s.answerFault(refused)
 	}
-	s.carryOut(st)
+	s.openOut()
+	s.out = append(s.out, s.carryOut(st)...)
 	s.writeTag(tag)
 	s.writeReady()
 	return s.flush()
 }
 
-func (s *Session) carryOut(st *classifier.Statement) {
+// carryOut carries out a statement that has a localTag, and returns the values of settings that
+// the caller has to be told.
+func (s *Session) carryOut(st *classifier.Statement) []byte {
+	var told []byte
 	switch {
 	case st.Kind == classifier.Reset:
+		told = s.settings.appendDefaults(nil)
 		s.settings.resetAll()
 	case st.Kind == classifier.Discard:
+		told = s.settings.appendDefaults(nil)
 		s.settings, s.statements = settings{}, statements{}
 		s.notes = Notes{Session: s.notes.Session, Mark: s.notes.Mark, Known: s.notes.Known}
 	case len(st.Name) == 0:
@@ -207,6 +213,7 @@
 	default:
 		s.statements.drop(st.Name)
 	}
+	return told
 }
 
 // refusal returns why a statement can't be passed on, nil when it can.
--- a/server/session_state_test.go
+++ b/server/session_state_test.go
@@ -401,3 +401,23 @@
 	is.Equal(show(t, c, "c"), "")
 	is.Equal(s.group.Upstreams[0].Counts().Opened, int64(2))
 }
+
+// Guards against a driver that goes on decoding by a setting that RESET ALL or DISCARD ALL has taken
+// back, because nobody told it.
+func TestResetTellsDefaults(t *testing.T) {
+	for _, reset := range []string{"RESET ALL", "DISCARD ALL"} {
+		for _, extended := range []bool{false, true} {
+			is := is.New(t)
+			s := startStateful(t, 1)
+			c := s.session("SET datestyle = 'German'")
+			is.Equal(c.PgConn().ParameterStatus("DateStyle"), "German")
+			if extended {
+				_, err := c.PgConn().ExecParams(t.Context(), reset, nil, nil, nil, nil).Close()
+				is.NoErr(err)
+			} else {
+				is.NoErr(run(t, c, reset))
+			}
+			is.Equal(c.PgConn().ParameterStatus("DateStyle"), "ISO, MDY")
+		}
+	}
+}
