relayer: own settings are refused however their names are spelled

What callers saw: nothing that is known; found by review. A caller could set or reset the term of an upstream connection by a name with blanks, a comment, quotes around its parts or escapes.

Cause: the name was compared as it is spelled.

That PostgreSQL takes these spellings is known from its manual, not from a run.

Why this fix works: blanks, comments and quotes are left out before the comparison, and a name with escapes is refused.

--- a/relayer/simple.go
+++ b/relayer/simple.go
@@ -252,13 +252,37 @@
 			return refuse("SET SESSION CHARACTERISTICS", "Set default_transaction_isolation or default_transaction_read_only.")
 		case several && resetsAll(&one):
 			return refuse("RESET ALL among other statements", "Send it alone.")
-		case strings.HasPrefix(canonical(string(one.Name)), notePrefix) && (several || !isNote(&one)):
+		case isOwnName(string(one.Name)) && (several || !isNote(&one)):
 			return refuse("a setting of the proxy behind other statements", "Send it alone or in front of them, without quotes in its name.")
 		}
 	}
 	return nil
 }
 
+// isOwnName reports whether the upstream may read a name as that of one of the proxy's own
+// settings, whatever blanks, comments and quotes it is spelled with. One with escapes may be any.
+func isOwnName(name string) bool {
+	name = strings.ToLower(name)
+	if strings.HasPrefix(name, `u&`) {
+		return true
+	}
+	var plain strings.Builder
+	for name != "" {
+		switch {
+		case strings.HasPrefix(name, "/*"):
+			_, name, _ = strings.Cut(name, "*/")
+		case strings.HasPrefix(name, "--"):
+			_, name, _ = strings.Cut(name, "\n")
+		case strings.ContainsRune("\" \t\r\n\f", rune(name[0])):
+			name = name[1:]
+		default:
+			plain.WriteByte(name[0])
+			name = name[1:]
+		}
+	}
+	return strings.HasPrefix(plain.String(), notePrefix)
+}
+
 const chainedHint = "Send what follows COMMIT or ROLLBACK as a query of its own."
 
 // chained refuses a text that goes on after the end of a transaction. Both would
--- a/server/session_state_test.go
+++ b/server/session_state_test.go
@@ -300,6 +300,21 @@
 	}
 }
 
+// Guards against the same by a name that PostgreSQL reads as one of the proxy's settings, though it
+// is spelled in another way.
+func TestSpelledNamesOfOwnSettingsAreRefused(t *testing.T) {
+	s := startStateful(t, 1)
+	for _, sql := range []string{
+		"SET basildale . term = ''", "SET basildale/**/.term = ''", "SET basildale --\n.term = ''", "SELECT 1; SET basildale .term = ''",
+		"RESET basildale . term", `SET "basildale" . "term" = ''`, `SET U&"b\0061sildale.term" = ''`, `SET "basildale"."term" = ''`,
+	} {
+		t.Run(sql, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(code(run(t, s.session(), sql)), retrier.StateForbidden)
+		})
+	}
+}
+
 // requireTermAfter checks that a write is refused at an upstream of a later term
 // after a caller has sent a statement.
 func requireTermAfter(t *testing.T, sql string) {
