carrier: the line of a lost connection names the request also while its values are sent

Cause: the line took the id of the last command, and those that set values have none; found by review. The check of the fence after the values had no test that fails without it.

Change: a run knows the request, which the line names. Added TestWriteIsNotSentOnceLeaderIsReplaced, which fails without the check.

--- a/carrier/job.go
+++ b/carrier/job.go
@@ -142,7 +142,7 @@
 	g.mu.Unlock()
 	if err != nil {
 		r.conn.lost = true
-		g.log().Info("carrier: connection to upstream lost", zap.String("group", g.name), zap.String("upstream", u.id), zap.Uint64("connection", r.conn.number), zap.String("request", commands[len(commands)-1].ID),
+		g.log().Info("carrier: connection to upstream lost", zap.String("group", g.name), zap.String("upstream", u.id), zap.Uint64("connection", r.conn.number), zap.String("request", r.request),
 			zap.Duration("took", took), zap.Bool("sent", sent), zap.Error(err))
 		return nil, sent, err
 	}
@@ -169,7 +169,7 @@
 		j.markTried(u)
 		return nil, refusal(Busy, "no connection to the upstream: "+err.Error())
 	}
-	return &run{conn: c, workspace: j.Workspace, replicasMayServe: !j.RequiresLeader()}, Answer{}
+	return &run{conn: c, request: j.Request, workspace: j.Workspace, replicasMayServe: !j.RequiresLeader()}, Answer{}
 }
 
 // Run runs one statement outside of a transaction.
--- a/carrier/session_state_test.go
+++ b/carrier/session_state_test.go
@@ -360,6 +360,22 @@
 	})
 }
 
+// Guards against a write that is sent to a leader whose replacement was announced while the write's
+// values were sent.
+func TestWriteIsNotSentOnceLeaderIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStatefulGroup()
+		defer s.registry.Stop()
+		s.fail = func([]Command) (bool, bool) {
+			s.SetFence(Fence{Leader: "a", Successor: "b"})
+			return false, true
+		}
+		is.Equal(s.runAtLeader(Write, "w", Value{"tz", "utc"}).Code, ReadOnly)
+		is.Equal(s.ran, 0)
+	})
+}
+
 // Guards against a read that is sent though another attempt was answered while its values were.
 func TestReadIsNotSentOnceAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -148,6 +148,7 @@
 
 // send gives the connection the session's state and sends a statement of the transaction.
 func (t *Tx) send(j *Job, cmd Command) (Answer, error) {
+	t.run.request = j.Request
 	answer, _, err := t.group.applyState(t.upstream, t.run, j)
 	if err != nil || answer.Code != OK {
 		return answer, err
@@ -186,6 +187,7 @@
 		t.Rollback()
 		return refusal(Aborted, "the transaction has failed")
 	}
+	t.run.request = j.Request
 	started := t.group.registry.Now()
 	applied, _, err := t.group.applyState(t.upstream, t.run, j)
 	if err != nil || applied.Code != OK {
--- a/carrier/upstream.go
+++ b/carrier/upstream.go
@@ -71,6 +71,7 @@
 // run is an operation of this proxy on an upstream.
 type run struct {
 	conn              *conn
+	request           string // id of the caller's request, for the log
 	workspace         string
 	exchangeStartedAt time.Time // when the running exchange began; zero between two
 	replicasMayServe  bool      // not only the leader
