conductor, connector: log lines that tell changed text from foreign answers

Cause: where a statement's text changed, and whether an answer was that of an earlier statement, could not be told from the logs.

Change: the end of a request has the size and the checksum of its text as this process read it. Nothing is decided by it yet.

--- a/conductor/outcome.go
+++ b/conductor/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/carrier"
@@ -42,7 +43,7 @@
 }
 
 // maxOutcomeFields is the number of fields of the line that a request ends with.
-const maxOutcomeFields = 23
+const maxOutcomeFields = 25
 
 // takeFields returns an empty slice for the fields of a line.
 func (s *Session) takeFields() *[]zap.Field {
@@ -72,6 +73,9 @@
 		zap.Bool("writes", s.mayWrite(st)), zap.Stringer("code", a.Code), zap.String("cause", a.Text),
 		zap.Duration("took", o.Took), zap.Duration("waited", a.Waited), zap.Duration("objective", route.Objective),
 		zap.Duration("timeout", route.Timeout), zap.Uint64("configuration", s.View().Config.Version), zap.Int("priority", o.Job.Priority))
+	if st.Text != "" {
+		fields = append(fields, zap.Int("bytes", len(st.Text)), zap.Uint64("sum", xxhash.Sum64String(st.Text)))
+	}
 	if a.Connection != 0 {
 		fields = append(fields, zap.Uint64("connection", a.Connection))
 	}
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -205,7 +205,7 @@
 	p.workspaces, p.forwards = &meter.Workspaces{Registry: p.registry}, &meter.Forwards{Registry: p.registry}
 	p.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout, DisableCompression: true}}
 	p.store = &keeper.Client{Addrs: s.Platform, Transport: &translator.Transport{Base: translator.Base()}, Renewed: p.onStoreRestored, Dropped: p.onAnswerDropped}
-	dialer := &connector.Connector{Name: s.Name}
+	dialer := &connector.Connector{Name: s.Name, Log: p.Log}
 	p.carrier = &carrier.Registry{Zone: s.Zone, LeaveTimeout: s.Leave, Dial: dialer.Dial, Features: p.features, Now: bootClock, Log: p.Log}
 	p.gossip = &gossiper.Gossiper{Address: s.Peers, Self: p.ownState, OnState: p.onPeerState, OnForgotten: p.deleteEntry, Now: bootClock, Log: p.Log}
 	p.quotas = &quotaLimiter{
