forwarder: pass text between processes byte for byte

What callers saw: a statement with bytes that are no UTF-8 ran with other text when another process carried it, and reads returned other rows than the upstream had sent. Two keys that differ in one such byte became one.

Cause: requests and responses are JSON, and encoding/json replaces bytes that are no UTF-8 in strings by U+FFFD without an error. That holds for all that callers and upstreams write: ids, statements, names, values, shapes, workspaces, rows, signatures and error texts.

Why this fix works: text is a type of its own on the wire. It is a JSON string where a string is exact, and otherwise an object with the bytes in base64, which a process of an earlier build fails to decode instead of running other text: a read goes to another process, a write is in doubt and hasn't run. Text above 64 KiB takes the shorter form, so that escapes don't multiply its size. Wire types list what travels, so that a new field of a type of package carrier stays behind until it is added there; a test fills all fields.

--- a/forwarder/doc.go
+++ b/forwarder/doc.go
@@ -19,6 +19,9 @@
 // sent again, a write or commit that was sent is in doubt, and a transaction whose commit
 // was not sent is rolled back by the peer once it has been idle for too long.
 //
+// Requests and responses are JSON. What callers and upstreams write may be any bytes, which JSON
+// strings can't hold: see the type text for their form, and the wire types for what travels.
+//
 // # Usage
 //
 //	f := &forwarder.Forwarder{Local: c.Group, Gateways: gateways, Send: send, Now: now, Log: log}
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -31,49 +31,49 @@
 // request asks a peer to run something. Times are sent as durations, since the clocks of
 // two processes cannot be compared.
 type request struct {
-	Action action `json:"action"`
-	Group  string `json:"group"`
+	Action action
+	Group  string
 	// Stream identifies a transaction, or a statement that may be canceled, among those of
 	// the sender.
-	Stream   uint64 `json:"stream,omitempty"`
-	ReadOnly bool   `json:"readonly,omitempty"`
+	Stream   uint64
+	ReadOnly bool
 
-	Request   string `json:"request,omitempty"`
-	Workspace string `json:"workspace,omitempty"`
+	Request   string
+	Workspace string
 	// Rank is the priority plus one; zero in requests of processes that do not state it.
-	Rank         int                 `json:"rank,omitempty"`
-	Freshness    cataloger.Freshness `json:"freshness,omitempty"`
-	MaxStaleness time.Duration       `json:"maxage,omitempty"`
-	LastWrite    tracker.Mark        `json:"own,omitzero"`
-	Writes       bool                `json:"writes,omitempty"`
+	Rank         int
+	Freshness    cataloger.Freshness
+	MaxStaleness time.Duration
+	LastWrite    tracker.Mark
+	Writes       bool
 	// Age is how long ago the operation arrived, Left the time left until its deadline.
-	Age  time.Duration `json:"age,omitempty"`
-	Left time.Duration `json:"left,omitempty"`
+	Age  time.Duration
+	Left time.Duration
 	// Objective is the time left until the operation's objective; negative after it.
-	Objective time.Duration     `json:"aim,omitempty"`
-	Values    []carrier.Value   `json:"values,omitempty"`
-	Prepared  *carrier.Prepared `json:"prepared,omitempty"`
-	Command   carrier.Command   `json:"command,omitzero"`
+	Objective time.Duration
+	Values    []carrier.Value
+	Prepared  *carrier.Prepared
+	Command   carrier.Command
 	// Lend and Return are the messages of loans, to substitutes or between gateways.
-	Lend   *delegator.Lend   `json:"lend,omitempty"`
-	Return *delegator.Return `json:"return,omitempty"`
+	Lend   *delegator.Lend
+	Return *delegator.Return
 	// Loads asks for the loads of the group's gateways.
-	Loads bool `json:"loads,omitempty"`
+	Loads bool
 }
 
 // response is the answer to a request.
 type response struct {
-	Answer carrier.Answer `json:"answer"`
+	Answer carrier.Answer
 	// Refused means that nothing was tried: the peer cannot run statements of the group now.
-	Refused bool `json:"refused,omitempty"`
+	Refused bool
 	// LeaderFault is the fault of the group's leader as the peer sees it.
-	LeaderFault gossiper.LeaderFault `json:"trouble,omitempty"`
+	LeaderFault gossiper.LeaderFault
 	// Substitute is the process that reaches the leader for the peer, which does not.
-	Substitute *substitute `json:"substitute,omitempty"`
+	Substitute *substitute
 	// Loan is the reply to a message about a loan.
-	Loan *delegator.Reply `json:"loan,omitempty"`
+	Loan *delegator.Reply
 	// Loads are the loads of the group's gateways, if the request asks for them.
-	Loads []gatewayLoad `json:"loads,omitempty"`
+	Loads []gatewayLoad
 }
 
 // newRequest returns the request for a job.
