forwarder: refuse at once what is too large to pass between processes

What callers saw: a write that was too large to be sent to a peer was answered as in doubt although no process had received it. A read was offered to peers again and again until its deadline, and then got CONGESTED, which asks for the same once more; so did a read whose answer was too large. Each such statement made its process skip peers that were well, for the statements of all callers.

Cause: an error of Send other than "not sent" counts as a peer that is lost. The messenger's ErrSize was not told from it, an answer above the limit travelled as an error without a kind, and a request that a peer could not decode looked like a lost one.

Why this fix works: the errors have kinds of their own. What is not sent is TOOLARGE at once and nothing has run. An answer that is too large is TOOLARGE for a read and in doubt for a write or a commit, which have run; a transaction whose answer is lost so is rolled back at the peer. A request that a peer doesn't understand has not run, and goes to the next one. None of these makes a peer be skipped, and the link goes on (TestAnswerTooLargeIsTold). Processes of earlier builds read the new error code as an error without a kind, as before.

--- a/adapter/messenger/errors.go
+++ b/adapter/messenger/errors.go
@@ -17,6 +17,9 @@
 	// ErrSize means that a message is above the size limit. It wasn't sent or,
 	// if it was received, the connection is closed.
 	ErrSize = errors.New("messenger: message too large")
+	// ErrAnswer means that the peer's answer is above the size limit. The request
+	// ran.
+	ErrAnswer = errors.New("messenger: answer too large")
 	// ErrMethod means that the peer doesn't answer this method.
 	ErrMethod = errors.New("messenger: unknown method")
 	// ErrRequest means that the peer couldn't read the request.
@@ -37,8 +40,11 @@
 	ErrKey = errors.New("messenger: no key and no mutual TLS")
 )
 
-// codeBusy is the JSON-RPC error code for ErrBusy.
-const codeBusy = -32000
+// The JSON-RPC error codes for ErrBusy and ErrAnswer.
+const (
+	codeBusy   = -32000
+	codeAnswer = -32001
+)
 
 // encodeError turns the error of a handler into what travels.
 func encodeError(err error) *jsonrpc2.Error {
@@ -46,6 +52,8 @@
 	switch {
 	case errors.Is(err, ErrBusy):
 		code = codeBusy
+	case errors.Is(err, ErrAnswer):
+		code = codeAnswer
 	case errors.Is(err, ErrMethod):
 		code = jsonrpc2.CodeMethodNotFound
 	case errors.Is(err, ErrRequest):
@@ -68,6 +76,8 @@
 	switch remote.Code {
 	case codeBusy:
 		return ErrBusy
+	case codeAnswer:
+		return errors.Wrap(ErrAnswer, remote.Message)
 	case jsonrpc2.CodeMethodNotFound:
 		return errors.Wrap(ErrMethod, remote.Message)
 	case jsonrpc2.CodeInvalidParams:
--- a/adapter/messenger/link.go
+++ b/adapter/messenger/link.go
@@ -191,7 +191,7 @@
 		err = conn.Reply(ctx, req.ID, answer)
 	}
 	if errors.Is(err, ErrSize) {
-		_ = conn.ReplyWithError(ctx, req.ID, encodeError(err))
+		_ = conn.ReplyWithError(ctx, req.ID, encodeError(errors.Mark(err, ErrAnswer)))
 	}
 }
 
--- a/adapter/messenger/messenger_test.go
+++ b/adapter/messenger/messenger_test.go
@@ -293,3 +293,22 @@
 		is.True(errors.Is(err, ErrUnsent))
 	})
 }
+
+// Guards against an answer above the size limit that looks like a request that has not run.
+func TestAnswerTooLargeIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var n network.Network
+		a := join(t, &n, 1, Handler{})
+		b := join(t, &n, 2, Handler{Explain: func(context.Context, Peer, ExplainQuery) (Explanation, error) {
+			return Explanation{Payload: []byte(`"` + strings.Repeat("x", 2000) + `"`)}, nil
+		}, Cancel: func(context.Context, Peer, CancelForward) (Empty, error) { return Empty{}, nil }})
+		b.MaxMessage = 1000
+		_, err := a.Explain(context.Background(), testAddr(2), ExplainQuery{})
+		is.True(errors.Is(err, ErrAnswer))
+		is.True(!errors.Is(err, ErrSize))
+		_, err = a.Cancel(context.Background(), testAddr(2), CancelForward{})
+		is.NoErr(err)
+		is.Equal(n.Dials(), 1) // the link goes on
+	})
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -86,8 +86,18 @@
 	reports   map[reportKey]report         // faults that peers reported with answers
 }
 
-// ErrUnsent marks an error of Send after which the peer cannot have received anything.
-var ErrUnsent = errors.New("forwarder: not sent")
+// What an error of Send is marked with. Any other error leaves open what the peer has done.
+var (
+	// ErrUnsent means that the peer has run nothing.
+	ErrUnsent = errors.New("forwarder: not sent")
+	// ErrRequest means that the peer could not decode the request; ErrUnsent comes beside it.
+	ErrRequest = errors.New("forwarder: request not understood")
+	// ErrTooLarge means that the request is too large to be sent; ErrUnsent comes beside it.
+	ErrTooLarge = errors.New("forwarder: request too large")
+	// ErrAnswerTooLarge means that the peer has run the request, and that its answer is too
+	// large to be sent.
+	ErrAnswerTooLarge = errors.New("forwarder: answer too large")
+)
 
 // Group returns the runner of a group's statements, and whether the group is known.
 func (f *Forwarder) Group(name string) (carrier.Runner, bool) {
@@ -238,7 +248,9 @@
 	answer, err := f.Send(ctx, p.Address, payload)
 	end()
 	if err != nil {
-		f.markLost(p, r.Request, err)
+		if !errors.IsAny(err, ErrRequest, ErrTooLarge, ErrAnswerTooLarge) { // the peer is alive
+			f.markLost(p, r.Request, err)
+		}
 		return response{}, err
 	}
 	var resp response
--- a/forwarder/path.go
+++ b/forwarder/path.go
@@ -167,10 +167,14 @@
 		}
 		log.Info("forwarder: peer refused the statement", zap.String("request", s.job.Request), zap.String("peer", peer.Name))
 		return carrier.Answer{}, false
+	case errors.Is(err, ErrTooLarge):
+		return answerFrom(peer, tooLarge("statement and session state")), true
 	case errors.Is(err, ErrUnsent):
 		return carrier.Answer{}, false
 	case a == runOne && s.job.Writes || a == commitEmpty:
 		return answerFrom(peer, carrier.Answer{Code: carrier.InDoubt, Text: "peer lost after the statement was sent"}), true
+	case errors.Is(err, ErrAnswerTooLarge):
+		return answerFrom(peer, tooLarge("answer")), true
 	case time.Until(s.job.Deadline) <= 0:
 		return answerFrom(peer, carrier.Answer{Code: carrier.Timeout, Text: "no answer of a peer in time"}), true
 	default:
@@ -178,6 +182,11 @@
 	}
 }
 
+// tooLarge returns the answer where something is too large to pass between processes.
+func tooLarge(what string) carrier.Answer {
+	return carrier.Answer{Code: carrier.TooLarge, Text: what + " too large to be forwarded"}
+}
+
 // answerFrom returns the answer to a statement that was forwarded to a peer. The peer is stated
 // under the name that this process knows, whatever the answer says.
 func answerFrom(peer Candidate, a carrier.Answer) carrier.Answer {
@@ -205,10 +214,14 @@
 		if !done {
 			continue
 		}
+		tx := &remoteTx{f: g.f, peer: peer, group: g.group.Name(), stream: stream, wrote: j.Writes && !readOnly, open: true}
+		if answer.Code == carrier.TooLarge {
+			go tx.Rollback() // the peer holds it open if only the answer is too large
+		}
 		if answer.Code != carrier.OK {
 			return nil, answer
 		}
-		return &remoteTx{f: g.f, peer: peer, group: g.group.Name(), stream: stream, wrote: j.Writes && !readOnly, open: true}, answer
+		return tx, answer
 	}
 }
 
@@ -258,6 +271,11 @@
 func (t *remoteTx) Do(j *carrier.Job, cmd carrier.Command) carrier.Answer {
 	t.wrote = t.wrote || j.Writes
 	resp, err := t.send(doTx, j, cmd)
+	if errors.IsAny(err, ErrTooLarge, ErrAnswerTooLarge) {
+		answer := tooLarge("statement, session state or answer")
+		answer.State = carrier.InFailedTransaction
+		return answerFrom(t.peer, answer) // Rollback ends it at the peer
+	}
 	if err != nil || resp.Refused {
 		t.open = false
 		return answerFrom(t.peer, carrier.Answer{Code: carrier.Aborted, Text: "peer lost inside the transaction", State: carrier.InFailedTransaction})
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -43,11 +43,12 @@
 }
 
 // Serve runs what a peer requests. The peer's name distinguishes peers, and incarnations
-// of one peer. The context ends when the peer no longer waits.
+// of one peer. The context ends when the peer no longer waits. An error is marked with
+// ErrRequest if the payload could not be decoded; nothing has run then.
 func (f *Forwarder) Serve(ctx context.Context, peer string, payload json.RawMessage) (json.RawMessage, error) {
 	var r request
 	if err := json.Unmarshal(payload, &r); err != nil {
-		return nil, errors.Wrap(err, "forwarder: request")
+		return nil, errors.Mark(errors.Wrap(err, "forwarder: decode request"), ErrRequest)
 	}
 	resp := f.serve(ctx, peer, &r)
 	if f.LeaderFault != nil {
--- a/proxier/peers.go
+++ b/proxier/peers.go
@@ -47,16 +47,32 @@
 // serveForwarded runs a statement that a peer forwarded.
 func (p *Proxier) serveForwarded(ctx context.Context, from messenger.Peer, q messenger.Carry) (messenger.Carried, error) {
 	answer, err := p.forward.Serve(ctx, from.Addr.String()+"/"+strconv.FormatUint(from.Start, 36), q.Payload)
+	if errors.Is(err, forwarder.ErrRequest) {
+		err = errors.Mark(err, messenger.ErrRequest)
+	}
 	return messenger.Carried{Payload: answer}, err
 }
 
 // forwardToPeer sends a statement to a peer that runs it.
 func (p *Proxier) forwardToPeer(ctx context.Context, to netip.AddrPort, payload json.RawMessage) (json.RawMessage, error) {
 	answer, err := p.messenger.Carry(ctx, to, messenger.Carry{Payload: payload})
-	if errors.Is(err, messenger.ErrUnsent) || errors.Is(err, messenger.ErrBusy) {
-		err = errors.Mark(err, forwarder.ErrUnsent)
+	return answer.Payload, markForwardError(err)
+}
+
+// markForwardError marks an error of the messenger with what package forwarder knows of it.
+func markForwardError(err error) error {
+	switch {
+	case errors.Is(err, messenger.ErrSize):
+		return errors.Mark(errors.Mark(err, forwarder.ErrTooLarge), forwarder.ErrUnsent)
+	case errors.Is(err, messenger.ErrRequest):
+		return errors.Mark(errors.Mark(err, forwarder.ErrRequest), forwarder.ErrUnsent)
+	case errors.IsAny(err, messenger.ErrUnsent, messenger.ErrBusy):
+		return errors.Mark(err, forwarder.ErrUnsent)
+	case errors.Is(err, messenger.ErrAnswer):
+		return errors.Mark(err, forwarder.ErrAnswerTooLarge)
+	default:
+		return err
 	}
-	return answer.Payload, err
 }
 
 // ownState returns the state that is sent to peers.
