messenger: pass statements of the greatest size between processes

What callers saw: a statement near the size that the protocol allows got TOOLARGE where another process had to run it, and ran where its own process could. The same held for reads of several large rows.

Cause: a message between processes has at most 1 MiB, the greatest size of a statement alone, without what travels beside it and without its JSON form.

Why this fix works: proxies read messages of 4 MiB. A process of an earlier build would close the link on a message above 1 MiB, with all other requests on it, so the first such message on a link is preceded by a question, the method limit. A peer that doesn't know the method gets none (TestLargeMessageIsNotSentToPeerThatDoesNotReadIt). Smaller messages cost nothing more. What is above 4 MiB, such as a session with many values of that size, is still refused at once. A process serves 16 requests above 1 MiB at a time and refuses more as not run, which makes no peer be skipped, so that memory stays bounded (TestLargeRequestsAreBounded).

--- a/adapter/messenger/errors.go
+++ b/adapter/messenger/errors.go
@@ -17,6 +17,9 @@
 	// ErrSize means that a message is above the size limit. It wasn't sent or,
 	// if it was received, the connection is closed.
 	ErrSize = errors.New("messenger: message too large")
+	// ErrLarge means that the peer serves too many large requests. This one didn't
+	// run.
+	ErrLarge = errors.New("messenger: too many large requests")
 	// ErrAnswer means that the peer's answer is above the size limit. The request
 	// ran.
 	ErrAnswer = errors.New("messenger: answer too large")
@@ -40,10 +43,11 @@
 	ErrKey = errors.New("messenger: no key and no mutual TLS")
 )
 
-// The JSON-RPC error codes for ErrBusy and ErrAnswer.
+// The JSON-RPC error codes for ErrBusy, ErrAnswer and ErrLarge.
 const (
 	codeBusy   = -32000
 	codeAnswer = -32001
+	codeLarge  = -32002
 )
 
 // encodeError turns the error of a handler into what travels.
@@ -54,6 +58,8 @@
 		code = codeBusy
 	case errors.Is(err, ErrAnswer):
 		code = codeAnswer
+	case errors.Is(err, ErrLarge):
+		code = codeLarge
 	case errors.Is(err, ErrMethod):
 		code = jsonrpc2.CodeMethodNotFound
 	case errors.Is(err, ErrRequest):
@@ -76,6 +82,8 @@
 	switch remote.Code {
 	case codeBusy:
 		return ErrBusy
+	case codeLarge:
+		return ErrLarge
 	case codeAnswer:
 		return errors.Wrap(ErrAnswer, remote.Message)
 	case jsonrpc2.CodeMethodNotFound:
--- a/adapter/messenger/link.go
+++ b/adapter/messenger/link.go
@@ -27,6 +27,7 @@
 	serving   chan struct{} // a token for each request under way from the peer
 	abandoned atomic.Int64  // requests given up whose answer hasn't come
 	checking  atomic.Bool   // the peer is being asked whether it lives
+	limited   atomic.Bool   // the peer has answered which messages it reads
 
 	mu      sync.Mutex
 	methods map[jsonrpc2.ID]Method // of requests being served, to count answers
@@ -122,7 +123,32 @@
 	deadline, _ := ctx.Deadline()
 	wait := meta{Wait: time.Until(deadline).Milliseconds()}
 	id := jsonrpc2.ID{Num: l.m.ids.Add(1)}
-	return l.conn.Call(ctx, string(method), req, raw, jsonrpc2.PickID(id), jsonrpc2.Meta(wait))
+	err := l.conn.Call(ctx, string(method), req, raw, jsonrpc2.PickID(id), jsonrpc2.Meta(wait))
+	if errors.Is(err, ErrSize) && l.raiseLimit(ctx) {
+		err = l.conn.Call(ctx, string(method), req, raw, jsonrpc2.PickID(id), jsonrpc2.Meta(wait))
+	}
+	return err
+}
+
+// raiseLimit asks the peer which messages it reads, unless it has answered that,
+// and reports whether larger ones may be sent now. A peer of an earlier build
+// doesn't know the method, and would close the link on a larger message.
+func (l *link) raiseLimit(ctx context.Context) bool {
+	if l.m.maxMessage() <= DefaultMaxMessage || l.limited.Load() {
+		return false
+	}
+	var answer Limit
+	err := l.conn.Call(ctx, string(MethodLimit), Empty{}, &answer, jsonrpc2.PickID(jsonrpc2.ID{Num: l.m.ids.Add(1)}))
+	if err != nil && !errors.Is(decodeError(err), ErrMethod) {
+		return false
+	}
+	l.limited.Store(true)
+	limit := int64(min(answer.Bytes, l.m.maxMessage()))
+	if limit <= l.stream.limit.Load() {
+		return false
+	}
+	l.stream.limit.Store(limit)
+	return true
 }
 
 func (l *link) finish(err error, raw json.RawMessage, reply any) error {
@@ -165,9 +191,19 @@
 		return
 	}
 	l.idle.Reset(l.m.idleTimeout())
+	isLarge := l.stream.in > DefaultMaxMessage
+	if isLarge && l.m.large.Add(1) > int64(l.m.maxLarge()) {
+		l.m.large.Add(-1)
+		<-l.serving
+		_ = conn.ReplyWithError(ctx, req.ID, encodeError(ErrLarge))
+		return
+	}
 	go func() {
 		defer func() { <-l.serving }()
 		l.serve(ctx, conn, req)
+		if isLarge {
+			l.m.large.Add(-1)
+		}
 	}()
 }
 
@@ -180,7 +216,7 @@
 	if req.Params != nil {
 		raw = *req.Params
 	}
-	answer, err := l.m.Handler.dispatch(ctx, l.peer, Method(req.Method), raw)
+	answer, err := l.answer(ctx, Method(req.Method), raw)
 	if ctx.Err() != nil {
 		l.forget(req.ID)
 		return
@@ -189,12 +225,23 @@
 		err = conn.ReplyWithError(ctx, req.ID, encodeError(err))
 	} else {
 		err = conn.Reply(ctx, req.ID, answer)
+		if errors.Is(err, ErrSize) && l.raiseLimit(ctx) {
+			err = conn.Reply(ctx, req.ID, answer)
+		}
 	}
 	if errors.Is(err, ErrSize) {
 		_ = conn.ReplyWithError(ctx, req.ID, encodeError(errors.Mark(err, ErrAnswer)))
 	}
 }
 
+// answer returns the answer to one request.
+func (l *link) answer(ctx context.Context, method Method, raw []byte) (any, error) {
+	if method == MethodLimit {
+		return Limit{l.m.maxMessage()}, nil
+	}
+	return l.m.Handler.dispatch(ctx, l.peer, method, raw)
+}
+
 // wait is how long the asking side waits, at most the own limit.
 func (l *link) wait(req *jsonrpc2.Request) time.Duration {
 	limit := l.m.callTimeout()
--- a/adapter/messenger/messages.go
+++ b/adapter/messenger/messages.go
@@ -25,11 +25,18 @@
 	MethodExplain Method = "explain"
 	MethodCarry   Method = "carry"
 	MethodShare   Method = "share"
+	MethodLimit   Method = "limit"
 )
 
 // Empty is the answer to a request that asks for nothing back.
 type Empty struct{}
 
+// Limit answers a request for the size of the greatest message that a process
+// reads. The messenger itself answers it.
+type Limit struct {
+	Bytes int `json:"bytes"`
+}
+
 // Ping asks whether a member lives. From is what the sender says of itself,
 // Digest sums up its view, Updates are statements about others.
 type Ping struct {
--- a/adapter/messenger/messenger.go
+++ b/adapter/messenger/messenger.go
@@ -38,14 +38,20 @@
 	// Silence is how long a peer may send nothing while a request is under way, before
 	// it is asked whether it lives, and how long it has to answer that; zero doesn't
 	// ask.
-	Silence       time.Duration
-	IdleTimeout   time.Duration // a link without requests is closed after this
-	WriteTimeout  time.Duration // longest one message may take to be written
-	MaxInFlight   int           // requests under way on a link, each way
-	MaxMessage    int           // bytes
-	MaxHandshakes int           // inbound connections not authenticated yet
+	Silence      time.Duration
+	IdleTimeout  time.Duration // a link without requests is closed after this
+	WriteTimeout time.Duration // longest one message may take to be written
+	MaxInFlight  int           // requests under way on a link, each way
+	// MaxMessage is the size in bytes of the greatest message that is read or sent.
+	// Messages above DefaultMaxMessage are sent only to peers that read them, which
+	// costs one question on each link, and MaxLarge is how many such requests are
+	// served at a time.
+	MaxMessage    int
+	MaxLarge      int
+	MaxHandshakes int // inbound connections not authenticated yet
 
 	ids   atomic.Uint64
+	large atomic.Int64 // requests above DefaultMaxMessage that are being served
 	dials singleflight.Group
 
 	mu     sync.Mutex
--- a/adapter/messenger/messenger_test.go
+++ b/adapter/messenger/messenger_test.go
@@ -312,3 +312,73 @@
 		is.Equal(n.Dials(), 1) // the link goes on
 	})
 }
+
+// Guards against statements and rows that callers may send and that don't pass between peers.
+func TestLargeMessagesPass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var n network.Network
+		a := join(t, &n, 1, Handler{})
+		b := join(t, &n, 2, Handler{Explain: echo})
+		a.MaxMessage, b.MaxMessage = 4<<20, 4<<20
+		subject := strings.Repeat("x", 3<<20)
+		for range 2 {
+			got, err := a.Explain(context.Background(), testAddr(2), ExplainQuery{Subject: subject})
+			is.NoErr(err)
+			is.Equal(len(got.Payload), len(subject)+2)
+		}
+		_, err := a.Explain(context.Background(), testAddr(2), ExplainQuery{Subject: subject + subject})
+		is.True(errors.Is(err, ErrSize))
+		is.Equal(n.Dials(), 1)
+	})
+}
+
+// Guards against a large message that ends the link to a peer of an earlier build, with all other
+// requests on it.
+func TestLargeMessageIsNotSentToPeerThatDoesNotReadIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var n network.Network
+		large := strings.Repeat("x", 2<<20)
+		answer := func(context.Context, Peer, ExplainQuery) (Explanation, error) {
+			return Explanation{Payload: []byte(`"` + large + `"`)}, nil
+		}
+		a := join(t, &n, 1, Handler{Explain: answer})
+		b := join(t, &n, 2, Handler{Explain: answer})
+		a.MaxMessage = 4 << 20
+		_, err := a.Explain(context.Background(), testAddr(2), ExplainQuery{Subject: large})
+		is.True(errors.Is(err, ErrSize))
+		_, err = b.Explain(context.Background(), testAddr(1), ExplainQuery{})
+		is.True(errors.Is(err, ErrAnswer))
+		is.Equal(n.Dials(), 1)
+	})
+}
+
+// Guards against memory without a bound: each large request is held while it is served.
+func TestLargeRequestsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var n network.Network
+		release := make(chan struct{})
+		a := join(t, &n, 1, Handler{})
+		b := join(t, &n, 2, Handler{Explain: func(_ context.Context, _ Peer, q ExplainQuery) (Explanation, error) {
+			if len(q.Subject) > DefaultMaxMessage {
+				<-release
+			}
+			return Explanation{Payload: []byte(`"done"`)}, nil
+		}})
+		a.MaxMessage, b.MaxMessage, b.MaxLarge = 4<<20, 4<<20, 1
+		call := func(size int) error {
+			_, err := a.Explain(context.Background(), testAddr(2), ExplainQuery{Subject: strings.Repeat("x", size)})
+			return err
+		}
+		held := make(chan error)
+		go func() { held <- call(2 << 20) }()
+		synctest.Wait()
+		is.True(errors.Is(call(2<<20), ErrLarge))
+		is.NoErr(call(10)) // small ones pass
+		close(release)
+		is.NoErr(<-held)
+		is.NoErr(call(2 << 20))
+	})
+}
--- a/adapter/messenger/settings.go
+++ b/adapter/messenger/settings.go
@@ -14,6 +14,7 @@
 	DefaultMaxInFlight      = 64
 	DefaultMaxMessage       = 1 << 20
 	DefaultMaxHandshakes    = 64
+	DefaultMaxLarge         = 16
 )
 
 func (m *Messenger) callTimeout() time.Duration {
@@ -34,6 +35,7 @@
 
 func (m *Messenger) maxInFlight() int   { return orInt(m.MaxInFlight, DefaultMaxInFlight) }
 func (m *Messenger) maxMessage() int    { return orInt(m.MaxMessage, DefaultMaxMessage) }
+func (m *Messenger) maxLarge() int      { return orInt(m.MaxLarge, DefaultMaxLarge) }
 func (m *Messenger) maxHandshakes() int { return orInt(m.MaxHandshakes, DefaultMaxHandshakes) }
 
 func orDuration(d, otherwise time.Duration) time.Duration {
--- a/adapter/messenger/stream.go
+++ b/adapter/messenger/stream.go
@@ -19,7 +19,8 @@
 type stream struct {
 	conn  net.Conn
 	r     *bufio.Reader
-	max   int
+	max   int           // bytes of a message that is read
+	limit atomic.Int64  // bytes of a message that is written, as far as the peer is known to read it
 	write time.Duration // longest time one message may take to be written
 
 	mu   sync.Mutex   // one writer at a time
@@ -30,7 +31,9 @@
 }
 
 func newStream(conn net.Conn, limit int, write time.Duration) *stream {
-	return &stream{conn: conn, r: bufio.NewReader(conn), max: limit, write: write}
+	s := &stream{conn: conn, r: bufio.NewReader(conn), max: limit, write: write}
+	s.limit.Store(int64(min(limit, DefaultMaxMessage)))
+	return s
 }
 
 // WriteObject implements jsonrpc2.ObjectStream.
@@ -39,7 +42,7 @@
 	if err != nil {
 		return errors.Wrap(err, "messenger: encode")
 	}
-	if len(body) > s.max {
+	if int64(len(body)) > s.limit.Load() {
 		return errors.Wrapf(ErrSize, "%d bytes", len(body))
 	}
 	buf := make([]byte, 0, len(body)+binary.MaxVarintLen64)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -92,6 +92,8 @@
 	ErrUnsent = errors.New("forwarder: not sent")
 	// ErrRequest means that the peer could not decode the request; ErrUnsent comes beside it.
 	ErrRequest = errors.New("forwarder: request not understood")
+	// ErrBusy means that the peer runs too many large requests; ErrUnsent comes beside it.
+	ErrBusy = errors.New("forwarder: too many large requests")
 	// ErrTooLarge means that the request is too large to be sent; ErrUnsent comes beside it.
 	ErrTooLarge = errors.New("forwarder: request too large")
 	// ErrAnswerTooLarge means that the peer has run the request, and that its answer is too
@@ -248,7 +250,7 @@
 	answer, err := f.Send(ctx, p.Address, payload)
 	end()
 	if err != nil {
-		if !errors.IsAny(err, ErrRequest, ErrTooLarge, ErrAnswerTooLarge) { // the peer is alive
+		if !errors.IsAny(err, ErrRequest, ErrBusy, ErrTooLarge, ErrAnswerTooLarge) { // the peer is alive
 			f.markLost(p, r.Request, err)
 		}
 		return response{}, err
--- a/proxier/peers.go
+++ b/proxier/peers.go
@@ -34,7 +34,7 @@
 	p.messenger = &messenger.Messenger{
 		Self: messenger.Peer{Addr: p.gatewayAddr, Start: uint64(p.incarnation)}, Keys: [][]byte{key[:]},
 		Handler:          messenger.Handler{Carry: p.serveForwarded},
-		HandshakeTimeout: peerHandshakeTimeout, Silence: peerSilenceTimeout, MaxInFlight: maxPeerInFlight, Metrics: p.registry, Log: p.Log,
+		HandshakeTimeout: peerHandshakeTimeout, Silence: peerSilenceTimeout, MaxInFlight: maxPeerInFlight, MaxMessage: maxPeerMessage, Metrics: p.registry, Log: p.Log,
 	}
 	go func() {
 		if err := p.messenger.Serve(ln); err != nil {
@@ -64,6 +64,8 @@
 	switch {
 	case errors.Is(err, messenger.ErrSize):
 		return errors.Mark(errors.Mark(err, forwarder.ErrTooLarge), forwarder.ErrUnsent)
+	case errors.Is(err, messenger.ErrLarge):
+		return errors.Mark(errors.Mark(err, forwarder.ErrBusy), forwarder.ErrUnsent)
 	case errors.Is(err, messenger.ErrRequest):
 		return errors.Mark(errors.Mark(err, forwarder.ErrRequest), forwarder.ErrUnsent)
 	case errors.IsAny(err, messenger.ErrUnsent, messenger.ErrBusy):
--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -55,6 +55,9 @@
 	// statements in flight on one.
 	peerHandshakeTimeout = 300 * time.Millisecond
 	maxPeerInFlight      = 1024
+	// maxPeerMessage has room for a statement of the greatest size that callers may send, twice,
+	// in base64, as an execution of a prepared statement states its arguments also in its text.
+	maxPeerMessage = 4 << 20
 	// peerSilenceTimeout is how long a gateway may send nothing before it is pinged, and how
 	// long it then has to answer. A statement takes 20 to 80 ms there; without the ping each
 	// statement sent to an unreachable gateway takes its full second.
