messenger: give large messages time on a narrow link

What callers saw: nothing yet.

Cause: a message has one second to be written, whatever its size, which 4 MiB doesn't fit on a narrow link.

Evidence: TestLargeMessagePassesANarrowLink failed on the code before, with a write timeout.

Why this fix works: the time holds for each 256 KiB of a message. A peer that stops reading is still noticed after it, and a narrow link that works stays open.

--- a/adapter/messenger/messenger.go
+++ b/adapter/messenger/messenger.go
@@ -40,7 +40,7 @@
 	// ask.
 	Silence      time.Duration
 	IdleTimeout  time.Duration // a link without requests is closed after this
-	WriteTimeout time.Duration // longest one message may take to be written
+	WriteTimeout time.Duration // longest 256 KiB of a message may take to be written
 	MaxInFlight  int           // requests under way on a link, each way
 	// MaxMessage is the size in bytes of the greatest message that is read or sent.
 	// Messages above DefaultMaxMessage are sent only to peers that read them, which
--- a/adapter/messenger/messenger_test.go
+++ b/adapter/messenger/messenger_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -354,6 +355,40 @@
 	})
 }
 
+// slow is a connection that writes 10 Mbit/s.
+type slow struct{ net.Conn }
+
+func (c slow) Write(p []byte) (int, error) {
+	n := 0
+	for part := range slices.Chunk(p, 1<<10) {
+		time.Sleep(800 * time.Microsecond)
+		written, err := c.Conn.Write(part)
+		n += written
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+// Guards against a large message that ends a narrow link, with all other requests on it.
+func TestLargeMessagePassesANarrowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var n network.Network
+		a := join(t, &n, 1, Handler{})
+		a.Dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+			conn, err := n.Dial(ctx, to)
+			return slow{conn}, err
+		}
+		b := join(t, &n, 2, Handler{Explain: echo})
+		a.MaxMessage, b.MaxMessage = 4<<20, 4<<20
+		_, err := a.Explain(context.Background(), testAddr(2), ExplainQuery{Subject: strings.Repeat("x", 3<<20)})
+		is.NoErr(err)
+		is.Equal(n.Dials(), 1)
+	})
+}
+
 // Guards against memory without a bound: each large request is held while it is served.
 func TestLargeRequestsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/adapter/messenger/stream.go
+++ b/adapter/messenger/stream.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,10 @@
 	"github.com/cockroachdb/errors"
 )
 
+// writePart is the number of bytes of a message that the time of one write is for.
+// A larger message takes longer on a narrow link that works.
+const writePart = 256 << 10
+
 // stream carries JSON objects, each behind its length as a varint. The codecs of
 // the library believe any length that the other side names; here a length above
 // max closes the connection before memory is taken for it.
@@ -21,7 +26,7 @@
 	r     *bufio.Reader
 	max   int           // bytes of a message that is read
 	limit atomic.Int64  // bytes of a message that is written, as far as the peer is known to read it
-	write time.Duration // longest time one message may take to be written
+	write time.Duration // longest time a part of a message may take to be written
 
 	mu   sync.Mutex   // one writer at a time
 	in   int          // bytes of the message read last; only the reader uses it
@@ -50,13 +55,15 @@
 	buf = append(buf, body...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	// A peer that stopped reading would hold every writer to it for good. The
-	// deadline turns that into a closed connection: after half a message nothing
-	// that follows could be read.
-	s.conn.SetWriteDeadline(time.Now().Add(s.write))
-	if _, err := s.conn.Write(buf); err != nil {
-		s.conn.Close()
-		return errors.Wrap(err, "messenger: write")
+	for part := range slices.Chunk(buf, writePart) {
+		// A peer that stopped reading would hold every writer to it for good. The
+		// deadline turns that into a closed connection: after half a message nothing
+		// that follows could be read.
+		s.conn.SetWriteDeadline(time.Now().Add(s.write))
+		if _, err := s.conn.Write(part); err != nil {
+			s.conn.Close()
+			return errors.Wrap(err, "messenger: write")
+		}
 	}
 	if s.sent != nil {
 		s.sent(len(buf))
