--- a/adapter/messenger/stream.go
+++ b/adapter/messenger/stream.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,14 +14,19 @@
 	"github.com/cockroachdb/errors"
 )
 
+// writePart is the number of bytes of a message that the time of one write is for.
+// A larger message takes longer on a narrow link that works.
+const writePart = 256 << 10
+
 // stream carries JSON objects, each behind its length as a varint. The codecs of
 // the library believe any length that the other side names; here a length above
 // max closes the connection before memory is taken for it.
 type stream struct {
 	conn  net.Conn
 	r     *bufio.Reader
-	max   int
-	write time.Duration // longest time one message may take to be written
+	max   int           // bytes of a message that is read
+	limit atomic.Int64  // bytes of a message that is written, as far as the peer is known to read it
+	write time.Duration // longest time a part of a message may take to be written
 
 	mu   sync.Mutex   // one writer at a time
 	in   int          // bytes of the message read last; only the reader uses it
@@ -30,7 +36,9 @@
 }
 
 func newStream(conn net.Conn, limit int, write time.Duration) *stream {
-	return &stream{conn: conn, r: bufio.NewReader(conn), max: limit, write: write}
+	s := &stream{conn: conn, r: bufio.NewReader(conn), max: limit, write: write}
+	s.limit.Store(int64(min(limit, DefaultMaxMessage)))
+	return s
 }
 
 // WriteObject implements jsonrpc2.ObjectStream.
@@ -39,7 +47,7 @@
 	if err != nil {
 		return errors.Wrap(err, "messenger: encode")
 	}
-	if len(body) > s.max {
+	if int64(len(body)) > s.limit.Load() {
 		return errors.Wrapf(ErrSize, "%d bytes", len(body))
 	}
 	buf := make([]byte, 0, len(body)+binary.MaxVarintLen64)
@@ -47,13 +55,15 @@
 	buf = append(buf, body...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	// A peer that stopped reading would hold every writer to it for good. The
-	// deadline turns that into a closed connection: after half a message nothing
-	// that follows could be read.
-	s.conn.SetWriteDeadline(time.Now().Add(s.write))
-	if _, err := s.conn.Write(buf); err != nil {
-		s.conn.Close()
-		return errors.Wrap(err, "messenger: write")
+	for part := range slices.Chunk(buf, writePart) {
+		// A peer that stopped reading would hold every writer to it for good. The
+		// deadline turns that into a closed connection: after half a message nothing
+		// that follows could be read.
+		s.conn.SetWriteDeadline(time.Now().Add(s.write))
+		if _, err := s.conn.Write(part); err != nil {
+			s.conn.Close()
+			return errors.Wrap(err, "messenger: write")
+		}
 	}
 	if s.sent != nil {
 		s.sent(len(buf))
