connector: drop repeated answers

What callers saw: the rows, the success or the refusal of an earlier statement, if the upstream sent that answer a second time after the next statement was sent; "busy" for a write that ran.

Cause: an exchange took the next whole answer for that of its command. Alive sees only what has come before a statement is sent.

Why this fix works: true answers come in order and have the form that their command must get, and the signatures of signed ones differ. A known signature, an answer without one that does not fit, a second greeting and an answer that began before the commands were sent are dropped; any other answer that does not fit ends the link. An error that may be the repeat of an earlier one is marked doubtful, and the link sends nothing more after it, save for a rollback after the beginning of a transaction. An exchange takes in what has arrived, in one read that does not block, before it sends anything; Alive does the same in place of its peek.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -24,6 +24,9 @@
 	ErrMisdirected = errors.New("carrier: another upstream is at the address")
 )
 
+// ErrOutOfStep means that an exchange ended at an answer that cannot be that of its command.
+var ErrOutOfStep = errors.New("carrier: answer out of step")
+
 // Registry holds the groups. Set the exported fields before the first use.
 type Registry struct {
 	// Zone is this process's availability zone.
--- a/carrier/command.go
+++ b/carrier/command.go
@@ -130,6 +130,10 @@
 	Gateway string `json:",omitempty"`
 	// Report is the answer to Status, Suspend, Resume and Demote.
 	Report Report
+	// Doubtful is set by a Link on an error that may be the second sending of an earlier
+	// one. Such an error shows nothing about the command or the upstream. It is of no use
+	// beyond the connection and does not travel.
+	Doubtful bool `json:"-"`
 }
 
 // Report is the state that an upstream reports in answer to Status, Suspend, Resume and
