carrier: decide nothing by an answer that may be a repeat

What callers saw: "busy" or "read-only", which promise that nothing is kept, for a single write or a commit that ran, and a write that was run again after such a refusal, where an upstream sent an earlier refusal a second time. A leader counted as a former one, and a replica as lagging, by the same. A sample of the leader's log could have the position of an earlier answer, so that reads with bounded staleness ran on an older log than their route accepts.

Cause: every error counted as the answer to the command that waited, and the connection went on. The answer to a BEGIN proved the lead, though it has nothing that tells it from that to an earlier one.

Why this fix works: a write is sent only on connections that have never answered with an error, so that its error is its own; if the link doubts it all the same, the outcome is in doubt and the connection closed. Inside a transaction a doubtful error ends the transaction and its connection, which rolls back. An answer out of step after a write shows that the transaction may not be open at the upstream: in doubt, where it was aborted. Doubtful errors of reads and beginnings count as errors, close the connection and are no evidence. Transactions and leader reads prove the lead by their first signed answer, which comes after that to their BEGIN. A check of the leader has none; it counts only if nothing was dropped while it waited, and the link marks the answer to its BEGIN otherwise.

--- a/carrier/command.go
+++ b/carrier/command.go
@@ -130,9 +130,9 @@
 	Gateway string `json:",omitempty"`
 	// Report is the answer to Status, Suspend, Resume and Demote.
 	Report Report
-	// Doubtful is set by a Link on an error that may be the second sending of an earlier
-	// one. Such an error shows nothing about the command or the upstream. It is of no use
-	// beyond the connection and does not travel.
+	// Doubtful is set by a Link on an error, or on the answer to a Begin, that may be a repeat
+	// of an earlier one. It shows nothing about the command or the upstream. Those who use
+	// the link decide by it; it does not travel between processes.
 	Doubtful bool `json:"-"`
 }
 
--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -50,9 +50,13 @@
 	// stateUnknown is set once the upstream has refused a part of the session state, which it
 	// may have applied all the same, or does not know a statement that is prepared.
 	stateUnknown bool
-	// lost is set once an exchange has failed: a late answer could be taken for the next one.
+	// lost is set once an exchange has failed or its answers are doubtful: a late answer could
+	// be taken for the next one.
 	lost bool
-	cut  bool // it was closed while in use; guarded by the group's lock
+	// refused is set once a command was answered with an error: the same error may come again
+	// and be taken for the answer to a write.
+	refused bool
+	cut     bool // it was closed while in use; guarded by the group's lock
 }
 
 // setupCommands returns the commands that give the connection a session's state. Values that
@@ -79,6 +83,23 @@
 // isUsable reports whether another statement may be sent on the connection.
 func (c *conn) isUsable() bool { return !c.lost && !c.stateUnknown }
 
+// recordAnswers records what the answers to commands show about the connection.
+func (c *conn) recordAnswers(commands []Command, answers []Answer) {
+	for i := range answers {
+		c.refused = c.refused || answers[i].Code != OK
+		c.lost = c.lost || answers[i].Code != OK && answers[i].Doubtful && !isRolledBack(commands, answers, i)
+	}
+	c.recordState(commands, answers)
+}
+
+// isRolledBack reports whether a command began a transaction that has ended since, so that
+// whether it began is of no consequence.
+func isRolledBack(commands []Command, answers []Answer, i int) bool {
+	last := len(answers) - 1
+	begins := commands[i].Verb == Begin || commands[i].Verb == BeginRead
+	return begins && last == i+1 && commands[last].Verb == Rollback && answers[last].Code == OK
+}
+
 // recordState records what the answers to commands show about the session state.
 func (c *conn) recordState(commands []Command, answers []Answer) {
 	for i, cmd := range commands {
--- a/carrier/group.go
+++ b/carrier/group.go
@@ -452,9 +452,9 @@
 
 // recordOutcome records the outcome of a statement that an upstream answered. Only
 // statements that it ran show whether it works.
-func (g *Group) recordOutcome(u *upstream, code Code) {
-	if code == OK || code == Failed {
-		g.recordFailure(u, code == Failed)
+func (g *Group) recordOutcome(u *upstream, a Answer) {
+	if a.Code == OK || a.Code == Failed && !a.Doubtful {
+		g.recordFailure(u, a.Code == Failed)
 	}
 }
 
--- a/carrier/health.go
+++ b/carrier/health.go
@@ -303,11 +303,11 @@
 		g.release(u, c, false)
 		return false
 	}
-	leads := answers[0].Code == OK
+	leads := answers[0].Code == OK && !answers[0].Doubtful && answers[1].Code == OK
 	g.release(u, c, answers[len(answers)-1].State == Idle)
 	if leads {
 		g.recordLeader(u, requestedAt, answers[0].Mark)
-	} else if answers[0].Code == ReadOnly {
+	} else if answers[0].Code == ReadOnly && !answers[0].Doubtful {
 		g.recordReplica(u)
 	}
 	return leads
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -146,7 +146,7 @@
 			zap.Duration("took", took), zap.Bool("sent", sent), zap.Error(err))
 		return nil, sent, err
 	}
-	r.conn.recordState(commands, answers)
+	r.conn.recordAnswers(commands, answers)
 	g.recordAnswer(u, answers[len(answers)-1].Mark)
 	return answers, sent, nil
 }
@@ -154,6 +154,10 @@
 // acquireConn gets a connection to an upstream for a job, or returns a refusal and no run.
 func (g *Group) acquireConn(u *upstream, j *Job) (*run, Answer) {
 	c, err := u.getConnFor(j.Workspace, j.Deadline)
+	for err == nil && j.Writes && c.refused {
+		g.release(u, c, false)
+		c, err = u.getConnFor(j.Workspace, j.Deadline)
+	}
 	if err == nil && g.hasDrainEnded(u) {
 		g.release(u, c, true)
 		return nil, refusal(Busy, string(placer.LeaderDrained))
@@ -254,7 +258,10 @@
 	g.release(u, r.conn, usable)
 	answer.State = Idle
 	answer.Upstream, answer.Connection, answer.Led = u.id, r.conn.number, g.reachableLeader() == u
-	g.recordOutcome(u, answer.Code)
+	if answer.Doubtful && j.Writes && progress == statementSent {
+		return doubtfulOutcome(answer), false
+	}
+	g.recordOutcome(u, answer)
 	if answer.Code == OK {
 		answer.Ran = g.registry.Now().Sub(started)
 		answer.Waited = started.Sub(j.Arrived)
@@ -271,6 +278,13 @@
 	return answer, !j.isOver()
 }
 
+// doubtfulOutcome returns the answer to a write or a commit whose error may be the repeat of
+// an earlier one: it may have run.
+func doubtfulOutcome(a Answer) Answer {
+	a.Code, a.Text, a.Doubtful = InDoubt, "an answer that may be an earlier one: "+a.Text, false
+	return a
+}
+
 // progress is how far an attempt came.
 type progress uint8
 
@@ -352,6 +366,9 @@
 		return Answer{}, progressOf(sent, statementSent), err
 	}
 	answer := answers[0]
+	if answer.Doubtful {
+		return answer, statementSent, nil
+	}
 	g.recordWrite(u)
 	if answer.Code == OK {
 		g.recordLeader(u, requestedAt, answer.Mark)
@@ -372,12 +389,16 @@
 	if err != nil || began.Code != OK {
 		return began, progressOf(sent, stateSent), err
 	}
-	g.recordLeader(u, requestedAt, began.Mark)
 	answers, sent, err := g.exchange(u, r, j.Deadline, cmd, Command{Verb: Rollback})
 	if err != nil {
 		return Answer{}, progressOf(sent, statementSent), err
 	}
 	answer := answers[0]
+	if answer.Code == OK {
+		// The answer to the beginning may be that of an earlier one, which a signed answer
+		// cannot be.
+		g.recordLeader(u, requestedAt, answer.Mark)
+	}
 	answer.State = answers[1].State
 	return answer, statementSent, nil
 }
@@ -409,7 +430,7 @@
 		default:
 			code = Aborted
 		}
-		return Answer{Code: code, Text: "session state refused: " + answers[i].Text, State: InFailedTransaction}, true, nil
+		return Answer{Code: code, Text: "session state refused: " + answers[i].Text, State: InFailedTransaction, Doubtful: answers[i].Doubtful}, true, nil
 	}
 	return last, true, nil
 }
@@ -419,10 +440,14 @@
 func (g *Group) shouldRetry(u *upstream, j *Job, a Answer) bool {
 	switch a.Code {
 	case Lagging:
-		g.recordLag(u)
+		if !a.Doubtful {
+			g.recordLag(u)
+		}
 		j.markTried(u)
 	case ReadOnly:
-		g.handleReadOnly(u)
+		if !a.Doubtful {
+			g.handleReadOnly(u)
+		}
 		if j.RequiresLeader() {
 			return true
 		}
@@ -434,8 +459,10 @@
 			return pause(j, connLimitRetryDelay)
 		}
 	case Busy:
-		g.recordAnswerTime(u, 4*defaultLatency)
-		g.recordShed(u)
+		if !a.Doubtful {
+			g.recordAnswerTime(u, 4*defaultLatency)
+			g.recordShed(u)
+		}
 		if j.RequiresLeader() {
 			return pause(j, busyRetryDelay)
 		}
@@ -448,7 +475,9 @@
 	case Failed, Timeout:
 		// An upstream that fails part of its work counts as slow, so that it gets less of
 		// it until it answers well again.
-		g.recordAnswerTime(u, failurePenalty*defaultLatency)
+		if !a.Doubtful {
+			g.recordAnswerTime(u, failurePenalty*defaultLatency)
+		}
 		if j.Writes {
 			return false
 		}
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/cataloger"
+	"basildale.example/basildale/tracker"
 )
 
 // Tx is a caller's transaction on one connection. It must be used by one goroutine.
@@ -18,6 +19,12 @@
 	// ungated is set after the first statement: the later ones pass no gate.
 	ungated bool
 	state   State
+	// outOfStep is set once an answer has shown that the transaction is not open at the
+	// upstream: what it wrote may be kept.
+	outOfStep bool
+	// beginRequestedAt is when the transaction was begun on the leader; zero once a signed answer
+	// has shown that it was.
+	beginRequestedAt time.Time
 }
 
 // Start begins a transaction and runs its first statement. If that fails for a reason that
@@ -102,10 +109,11 @@
 		g.release(u, r.conn, answer.State == Idle)
 		return nil, answer
 	}
+	tx := &Tx{group: g, upstream: u, run: r, state: InTransaction}
 	if begin.Verb == Begin {
-		g.recordLeader(u, requestedAt, answer.Mark)
+		tx.beginRequestedAt = requestedAt
 	}
-	return &Tx{group: g, upstream: u, run: r, state: InTransaction}, Answer{}
+	return tx, Answer{}
 }
 
 // Do runs a statement inside the transaction. An answer that is not OK means that the
@@ -117,7 +125,7 @@
 	t.wrote = t.wrote || j.Writes
 	for {
 		answer := t.runOnce(j, cmd)
-		busy := answer.Code == Busy && answer.State == InTransaction
+		busy := answer.Code == Busy && answer.State == InTransaction && t.run.conn.isUsable()
 		if !busy || !pause(j, busyRetryDelay) {
 			return t.applyAnswer(answer)
 		}
@@ -131,14 +139,16 @@
 	t.charge(j, started)
 	if err != nil {
 		j.markTried(t.upstream)
+		t.outOfStep = t.outOfStep || errors.Is(err, ErrOutOfStep)
 		if time.Until(j.Deadline) > 0 && !errors.Is(err, errNoShare) {
 			t.group.recordFailure(t.upstream, true)
 		}
 		return Answer{Code: Aborted, Text: "connection lost inside the transaction", State: InFailedTransaction}
 	}
 	answer.Upstream, answer.Connection, answer.Led = t.upstream.id, t.run.conn.number, t.group.reachableLeader() == t.upstream
-	t.group.recordOutcome(t.upstream, answer.Code)
+	t.group.recordOutcome(t.upstream, answer)
 	if answer.Code == OK {
+		t.recordBegun(answer.Mark)
 		answer.Ran = t.group.registry.Now().Sub(started)
 		t.group.recordAnswerTime(t.upstream, answer.Ran)
 		t.group.recordService(t.upstream, j, answer.Ran)
@@ -146,6 +156,15 @@
 	return answer
 }
 
+// recordBegun records that the upstream led when the transaction was begun there, once a signed
+// answer shows it. The answer to the beginning may be that of an earlier one.
+func (t *Tx) recordBegun(mark tracker.Mark) {
+	if !t.beginRequestedAt.IsZero() {
+		t.group.recordLeader(t.upstream, t.beginRequestedAt, mark)
+		t.beginRequestedAt = time.Time{}
+	}
+}
+
 // send gives the connection the session's state and sends a statement of the transaction.
 func (t *Tx) send(j *Job, cmd Command) (Answer, error) {
 	t.run.request = j.Request
@@ -168,6 +187,9 @@
 	case a.Code == OK && a.State == InTransaction:
 	case a.Code == OK:
 		t.state = InFailedTransaction
+	case t.isInDoubt():
+		t.state = InFailedTransaction
+		return notOpen()
 	default:
 		t.state = InFailedTransaction
 		if !a.Code.GuaranteesNoEffect() {
@@ -180,6 +202,13 @@
 	return a
 }
 
+// isInDoubt reports whether something of the transaction may be kept that was not committed.
+func (t *Tx) isInDoubt() bool { return t.outOfStep && t.wrote }
+
+func notOpen() Answer {
+	return Answer{Code: InDoubt, Text: "the upstream had no open transaction", State: InFailedTransaction}
+}
+
 // Commit commits the transaction. If the commit was sent and its answer is lost, the
 // outcome of a transaction that wrote is in doubt.
 func (t *Tx) Commit(j *Job, cmd Command) Answer {
@@ -192,7 +221,11 @@
 	applied, _, err := t.group.applyState(t.upstream, t.run, j)
 	if err != nil || applied.Code != OK {
 		t.charge(j, started)
+		t.outOfStep = t.outOfStep || errors.Is(err, ErrOutOfStep)
 		t.Rollback()
+		if t.isInDoubt() {
+			return notOpen()
+		}
 		return refusal(Aborted, "the session's state was not accepted before the commit")
 	}
 	if t.wrote && t.group.isBarred(t.upstream) {
@@ -207,7 +240,7 @@
 		t.group.release(t.upstream, t.run.conn, false)
 		t.state = Idle
 		switch {
-		case sent && t.wrote:
+		case sent && t.wrote, t.wrote && errors.Is(err, ErrOutOfStep):
 			return refusal(InDoubt, "connection lost after the commit was sent")
 		case t.wrote && errors.Is(err, errNoShare):
 			return refusal(Aborted, "connection lost before the commit was sent")
@@ -216,7 +249,9 @@
 	}
 	t.state = Idle
 	answer := answers[0]
-	if t.wrote {
+	if t.wrote && answer.Doubtful {
+		answer = doubtfulOutcome(answer)
+	} else if t.wrote {
 		t.group.recordWrite(t.upstream)
 	}
 	t.group.release(t.upstream, t.run.conn, answer.State == Idle)
