carrier, connector: request one report of each connection

What callers saw: nothing yet. The position in a report decides which upstream leads next, so an old report could cost acknowledged commits.

Cause: reports have no signature. On a connection that had carried one, its repeat was taken for the answer to the next request.

Why this fix works: the first report of a connection cannot be a repeat. A control command takes a connection that has carried none. An upstream that is not listed gets a connection for each command as before.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -24,8 +24,13 @@
 	ErrMisdirected = errors.New("carrier: another upstream is at the address")
 )
 
-// ErrOutOfStep means that an exchange ended at an answer that cannot be that of its command.
-var ErrOutOfStep = errors.New("carrier: answer out of step")
+// Errors with which an exchange can end, besides network errors.
+var (
+	// ErrOutOfStep means that an answer cannot be that of its command.
+	ErrOutOfStep = errors.New("carrier: answer out of step")
+	// ErrReported means that the link can carry no further report. Nothing was sent.
+	ErrReported = errors.New("carrier: the connection has carried a report")
+)
 
 // Registry holds the groups. Set the exported fields before the first use.
 type Registry struct {
--- a/carrier/conn.go
+++ b/carrier/conn.go
@@ -56,7 +56,10 @@
 	// refused is set once a command was answered with an error: the same error may come again
 	// and be taken for the answer to a write.
 	refused bool
-	cut     bool // it was closed while in use; guarded by the group's lock
+	// reported is set once a report was requested and not refused: it may come again and be
+	// taken for a later one.
+	reported bool
+	cut      bool // it was closed while in use; guarded by the group's lock
 }
 
 // setupCommands returns the commands that give the connection a session's state. Values that
@@ -87,6 +90,7 @@
 func (c *conn) recordAnswers(commands []Command, answers []Answer) {
 	for i := range answers {
 		c.refused = c.refused || answers[i].Code != OK
+		c.reported = c.reported || commands[i].Verb >= Status && (answers[i].Code == OK || answers[i].Doubtful)
 		c.lost = c.lost || answers[i].Code != OK && answers[i].Doubtful && !isRolledBack(commands, answers, i)
 	}
 	c.recordState(commands, answers)
--- a/carrier/doubtful_test.go
+++ b/carrier/doubtful_test.go
@@ -241,3 +241,28 @@
 		tx.Rollback()
 	})
 }
+
+// Guards against believing a report that a repeat of an earlier one could be.
+func TestConnectionCarriesOneReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		links := map[int]int{}
+		s := newScriptedGroup(func(n int, cmd Command) (Answer, error) {
+			if cmd.Verb == Status {
+				links[n]++
+			}
+			return accept(cmd), nil
+		})
+		ask := func() {
+			_, err := s.Control("a", time.Now().Add(time.Second), Command{Verb: Status})
+			is.NoErr(err)
+		}
+		ask()
+		is.Equal(s.Run(s.job(false), Command{Verb: Read, ID: "r"}).Code, OK)
+		is.Equal(s.opened, 1) // statements may still use it
+		ask()
+		synctest.Wait()
+		is.Equal(links, map[int]int{0: 1, 1: 1})
+		is.Equal(s.closed, []int{0})
+	})
+}
--- a/carrier/observe.go
+++ b/carrier/observe.go
@@ -116,6 +116,10 @@
 		return g.controlAbsent(id, deadline, cmd)
 	}
 	c, err := u.getConn(deadline)
+	for err == nil && c.reported {
+		g.release(u, c, false)
+		c, err = u.getConn(deadline)
+	}
 	if err != nil {
 		g.handleOpenError(u, err)
 		return Report{}, err
