--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -28,6 +28,9 @@
 var (
 	// ErrOutOfStep means that an answer cannot be that of its command.
 	ErrOutOfStep = errors.New("carrier: answer out of step")
+	// ErrTooLong means that the upstream accepts no message of a command's length. Nothing was
+	// sent, and the link goes on.
+	ErrTooLong = errors.New("carrier: command too long")
 	// ErrReported means that the link can carry no further report. Nothing was sent.
 	ErrReported = errors.New("carrier: the connection has carried a report")
 )
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -140,6 +140,9 @@
 		g.boundRoundTrip(u, took)
 	}
 	g.mu.Unlock()
+	if errors.Is(err, ErrTooLong) {
+		return nil, false, err
+	}
 	if err != nil {
 		r.conn.lost = true
 		g.log().Info("carrier: connection to upstream lost", zap.String("group", g.name), zap.String("upstream", u.id), zap.Uint64("connection", r.conn.number), zap.String("request", r.request),
@@ -242,6 +245,10 @@
 	started := g.registry.Now()
 	answer, progress, err := g.send(u, r, j, cmd, since)
 	g.removeRun(u, r) // before the release: heldConns counts a connection that is cut as closed
+	if errors.Is(err, ErrTooLong) {
+		g.release(u, r.conn, answer.State == Idle)
+		return tooLarge(), false
+	}
 	if err != nil {
 		g.release(u, r.conn, false)
 		j.markTried(u)
@@ -278,6 +285,10 @@
 	return answer, !j.isOver()
 }
 
+// tooLarge returns the answer to a statement that is longer with what the upstream needs beside
+// it than the upstream accepts.
+func tooLarge() Answer { return refusal(TooLarge, "the statement is too long for the upstream") }
+
 // doubtfulOutcome returns the answer to a write or a commit whose error may be the repeat of
 // an earlier one: it may have run.
 func doubtfulOutcome(a Answer) Answer {
@@ -379,30 +390,6 @@
 	return answer, statementSent, nil
 }
 
-// sendLeaderRead runs a read that must see every commit. It is wrapped in a transaction that
-// only the leader accepts: a former leader refuses its begin. The read is sent only after the
-// begin was accepted. Sent together with a refused begin, it would run outside of a
-// transaction, on a log that may lack the newest commits.
-func (g *Group) sendLeaderRead(u *upstream, r *run, j *Job, cmd Command) (Answer, progress, error) {
-	requestedAt := g.registry.Now()
-	began, sent, err := g.applyState(u, r, j, Command{Verb: Begin})
-	if err != nil || began.Code != OK {
-		return began, progressOf(sent, stateSent), err
-	}
-	answers, sent, err := g.exchange(u, r, j.Deadline, cmd, Command{Verb: Rollback})
-	if err != nil {
-		return Answer{}, progressOf(sent, statementSent), err
-	}
-	answer := answers[0]
-	if answer.Code == OK {
-		// The answer to the beginning may be that of an earlier one, which a signed answer
-		// cannot be.
-		g.recordLeader(u, requestedAt, answer.Mark)
-	}
-	answer.State = answers[1].State
-	return answer, statementSent, nil
-}
-
 // applyState gives the connection the session's state. The beginning of a transaction may
 // share the write, since it runs nothing for the caller; its answer is returned. After a
 // refusal the connection is not used again.
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -98,6 +98,11 @@
 	g.addRun(u, r)
 	requestedAt := g.registry.Now()
 	answer, _, err := g.applyState(u, r, j, begin)
+	if errors.Is(err, ErrTooLong) {
+		g.removeRun(u, r)
+		g.release(u, r.conn, true) // nothing was sent
+		return nil, tooLarge()
+	}
 	if err != nil {
 		g.removeRun(u, r)
 		g.release(u, r.conn, false)
@@ -137,6 +142,9 @@
 	started := t.group.registry.Now()
 	answer, err := t.send(j, cmd)
 	t.charge(j, started)
+	if errors.Is(err, ErrTooLong) {
+		return tooLarge()
+	}
 	if err != nil {
 		j.markTried(t.upstream)
 		t.outOfStep = t.outOfStep || errors.Is(err, ErrOutOfStep)
@@ -190,6 +198,8 @@
 	case t.isInDoubt():
 		t.state = InFailedTransaction
 		return notOpen()
+	case a.Code == TooLarge:
+		t.state = InFailedTransaction
 	default:
 		t.state = InFailedTransaction
 		if !a.Code.GuaranteesNoEffect() {
