carrier: doubt only statements that were sent

What callers saw: "in doubt" for a statement of a transaction that was not sent, where the connection was out of step before it.

Cause: any answer out of step counted against what the transaction wrote. Its earlier statements were answered inside the open transaction, and closing the connection rolls them back.

Evidence: TestOutOfStepBeforeAStatementAborts failed before with in doubt in place of aborted.

Why this fix works: only the exchange of the statement itself, once bytes of it were sent, may have run it outside of the transaction.

--- a/carrier/doubtful_test.go
+++ b/carrier/doubtful_test.go
@@ -168,6 +168,26 @@
 	})
 }
 
+// Guards against doubt where none is: nothing of a transaction is kept whose connection is out
+// of step before a statement is sent.
+func TestOutOfStepBeforeAStatementAborts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScriptedGroup(func(_ int, cmd Command) (Answer, error) {
+			if cmd.Verb == Set {
+				return Answer{}, errors.Mark(errors.New("state"), ErrOutOfStep)
+			}
+			return accept(cmd), nil
+		})
+		j := s.job(true)
+		tx, answer := s.Start(j, false, inTransaction)
+		is.Equal(answer.Code, OK)
+		j.Values = []Value{{Name: "a", Data: "b"}}
+		is.Equal(tx.Do(j, inTransaction).Code, Aborted)
+		is.Equal(s.ran, []Verb{Begin, Write, Set})
+	})
+}
+
 // Guards against a write whose refusal could be that of an earlier command.
 func TestWritesUseConnectionsWithoutErrors(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -19,8 +19,8 @@
 	// ungated is set after the first statement: the later ones pass no gate.
 	ungated bool
 	state   State
-	// outOfStep is set once an answer has shown that the transaction is not open at the
-	// upstream: what it wrote may be kept.
+	// outOfStep is set once the answer to a statement has shown that the transaction may not
+	// be open at the upstream: what the statement wrote may be kept.
 	outOfStep bool
 	// beginRequestedAt is when the transaction was begun on the leader; zero once a signed answer
 	// has shown that it was.
@@ -147,7 +147,6 @@
 	}
 	if err != nil {
 		j.markTried(t.upstream)
-		t.outOfStep = t.outOfStep || errors.Is(err, ErrOutOfStep)
 		if time.Until(j.Deadline) > 0 && !errors.Is(err, errNoShare) {
 			t.group.recordFailure(t.upstream, true)
 		}
@@ -180,8 +179,9 @@
 	if err != nil || answer.Code != OK {
 		return answer, err
 	}
-	answers, _, err := t.group.exchange(t.upstream, t.run, j.Deadline, cmd)
+	answers, sent, err := t.group.exchange(t.upstream, t.run, j.Deadline, cmd)
 	if err != nil {
+		t.outOfStep = sent && errors.Is(err, ErrOutOfStep)
 		return Answer{}, err
 	}
 	return answers[0], nil
@@ -195,9 +195,9 @@
 	case a.Code == OK && a.State == InTransaction:
 	case a.Code == OK:
 		t.state = InFailedTransaction
-	case t.isInDoubt():
+	case t.outOfStep && t.wrote:
 		t.state = InFailedTransaction
-		return notOpen()
+		return Answer{Code: InDoubt, Text: "the upstream had no open transaction", State: InFailedTransaction}
 	case a.Code == TooLarge:
 		t.state = InFailedTransaction
 	default:
@@ -212,13 +212,6 @@
 	return a
 }
 
-// isInDoubt reports whether something of the transaction may be kept that was not committed.
-func (t *Tx) isInDoubt() bool { return t.outOfStep && t.wrote }
-
-func notOpen() Answer {
-	return Answer{Code: InDoubt, Text: "the upstream had no open transaction", State: InFailedTransaction}
-}
-
 // Commit commits the transaction. If the commit was sent and its answer is lost, the
 // outcome of a transaction that wrote is in doubt.
 func (t *Tx) Commit(j *Job, cmd Command) Answer {
@@ -231,11 +224,7 @@
 	applied, _, err := t.group.applyState(t.upstream, t.run, j)
 	if err != nil || applied.Code != OK {
 		t.charge(j, started)
-		t.outOfStep = t.outOfStep || errors.Is(err, ErrOutOfStep)
 		t.Rollback()
-		if t.isInDoubt() {
-			return notOpen()
-		}
 		return refusal(Aborted, "the session's state was not accepted before the commit")
 	}
 	if t.wrote && t.group.isBarred(t.upstream) {
@@ -250,7 +239,7 @@
 		t.group.release(t.upstream, t.run.conn, false)
 		t.state = Idle
 		switch {
-		case sent && t.wrote, t.wrote && errors.Is(err, ErrOutOfStep):
+		case sent && t.wrote:
 			return refusal(InDoubt, "connection lost after the commit was sent")
 		case t.wrote && errors.Is(err, errNoShare):
 			return refusal(Aborted, "connection lost before the commit was sent")
