carrier: ask a leader again whose answer is doubtful

What callers saw: nothing yet. A process that only checks a leader, for samples of its log, would not have noticed that it lost the lead: each refusal on a connection that has had one is doubtful, and the pool gives the same connection again.

Cause: a doubtful refusal is no evidence, and its connection was kept.

Evidence: TestDoubtfulRefusalOfLeaderIsAskedForAgain failed before: the upstream still counted as the leader.

Why this fix works: a check of the upstream that counts as the leader closes the connection and asks again on another; a new one leaves no doubt. Checks in search of a leader keep their connection, as the rollback has ended whatever was begun.

--- a/carrier/doubtful_test.go
+++ b/carrier/doubtful_test.go
@@ -219,7 +219,6 @@
 		u := s.reachableLeader()
 		is.True(!s.checkLeader(u))
 		is.Equal(s.reachableLeader(), u)
-		is.Equal(s.closed, nil) // the rollback has ended whatever was begun
 		refusals := []Code{ReadOnly, Lagging, Busy, Failed}
 		for _, code := range refusals {
 			is.True(s.shouldRetry(u, s.job(false), Answer{Code: code, Doubtful: true}))
@@ -232,6 +231,40 @@
 	})
 }
 
+// Guards against a former leader that is never noticed, because its refusals on a connection are
+// all doubtful.
+func TestDoubtfulRefusalOfLeaderIsAskedForAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScriptedGroup(func(n int, cmd Command) (Answer, error) {
+			if cmd.Verb == Begin {
+				return Answer{Code: ReadOnly, Doubtful: n == 0, Mark: mark(1, 2)}, nil
+			}
+			return accept(cmd), nil
+		})
+		u := s.reachableLeader()
+		is.True(!s.checkLeader(u))
+		is.True(s.reachableLeader() == nil)
+		synctest.Wait()
+		is.Equal(s.closed, []int{0})
+	})
+}
+
+// Guards against a new connection for each check of a replica.
+func TestDoubtfulRefusalOfReplicaCostsNoConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScriptedGroup(doubt(Begin, ReadOnly, Idle))
+		u := s.reachableLeader()
+		s.recordReplica(u)
+		is.True(!s.checkLeader(u))
+		is.True(!s.checkLeader(u))
+		synctest.Wait()
+		is.Equal(s.opened, 1)
+		is.Equal(s.closed, nil) // the rollback has ended whatever was begun
+	})
+}
+
 // Guards against reads with bounded staleness on a log that is older than they accept: the
 // position in the repeated answer to a beginning is an old one.
 func TestSamplesAreOfAnswersThatAreNoRepeats(t *testing.T) {
--- a/carrier/health.go
+++ b/carrier/health.go
@@ -38,6 +38,8 @@
 	maxProbeInterval = 800 * time.Millisecond
 	// probeTimeout is how long a probe may take.
 	probeTimeout = 500 * time.Millisecond
+	// maxLeaderChecks is how often a check asks again whose answers are doubtful.
+	maxLeaderChecks = 3
 	// leaderSearchInterval is the minimum time between two searches for the leader.
 	leaderSearchInterval = 50 * time.Millisecond
 )
@@ -287,12 +289,24 @@
 // upstream leads.
 func (g *Group) checkLeader(u *upstream) bool { return g.checkLeaderWithin(u, probeTimeout) }
 
-// checkLeaderWithin is checkLeader with a timeout.
+// checkLeaderWithin is checkLeader with a timeout. Doubtful answers of the leader are asked for
+// again.
 func (g *Group) checkLeaderWithin(u *upstream, timeout time.Duration) bool {
 	deadline := time.Now().Add(timeout)
+	for range maxLeaderChecks {
+		leads, doubtful := g.checkLeaderOnce(u, deadline)
+		if !doubtful || g.reachableLeader() != u {
+			return leads
+		}
+	}
+	return false
+}
+
+// checkLeaderOnce asks an upstream whether it leads, and reports whether the answer is doubtful.
+func (g *Group) checkLeaderOnce(u *upstream, deadline time.Time) (leads, doubtful bool) {
 	c, err := u.getConn(deadline)
 	if err != nil {
-		return false
+		return false, false
 	}
 	r := &run{conn: c}
 	g.addRun(u, r)
@@ -301,16 +315,22 @@
 	g.removeRun(u, r)
 	if err != nil {
 		g.release(u, c, false)
-		return false
+		return false, false
 	}
-	leads := answers[0].Code == OK && !answers[0].Doubtful && answers[1].Code == OK
-	g.release(u, c, answers[len(answers)-1].State == Idle)
-	if leads {
-		g.recordLeader(u, requestedAt, answers[0].Mark)
-	} else if answers[0].Code == ReadOnly && !answers[0].Doubtful {
+	began, ended := answers[0], answers[1]
+	// The next refusal would be as doubtful on this connection.
+	refused := began.Doubtful && began.Code != OK && g.reachableLeader() == u
+	g.release(u, c, ended.State == Idle && !refused)
+	switch {
+	case began.Doubtful:
+		return false, true
+	case began.Code == OK && ended.Code == OK:
+		g.recordLeader(u, requestedAt, began.Mark)
+		return true, false
+	case began.Code == ReadOnly:
 		g.recordReplica(u)
 	}
-	return leads
+	return false, false
 }
 
 // VerifyLeader asks the leader whether it leads. If it does not confirm that and a new
