--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -24,6 +24,17 @@
 	ErrMisdirected = errors.New("carrier: another upstream is at the address")
 )
 
+// Errors with which an exchange can end, besides network errors.
+var (
+	// ErrOutOfStep means that an answer cannot be that of its command.
+	ErrOutOfStep = errors.New("carrier: answer out of step")
+	// ErrTooLong means that the upstream accepts no message of a command's length. Nothing was
+	// sent, and the link goes on.
+	ErrTooLong = errors.New("carrier: command too long")
+	// ErrReported means that the link can carry no further report. Nothing was sent.
+	ErrReported = errors.New("carrier: the connection has carried a report")
+)
+
 // Registry holds the groups. Set the exported fields before the first use.
 type Registry struct {
 	// Zone is this process's availability zone.
--- a/carrier/command.go
+++ b/carrier/command.go
@@ -130,6 +130,10 @@
 	Gateway string `json:",omitempty"`
 	// Report is the answer to Status, Suspend, Resume and Demote.
 	Report Report
+	// Doubtful is set by a Link on an error, or on the answer to a Begin, that may be a repeat
+	// of an earlier one. It shows nothing about the command or the upstream. Those who use
+	// the link decide by it; it does not travel between processes.
+	Doubtful bool `json:"-"`
 }
 
 // Report is the state that an upstream reports in answer to Status, Suspend, Resume and
@@ -147,8 +151,9 @@
 // one goroutine at a time.
 type Link interface {
 	// Exchange sends all commands in one write and returns their answers in order. After an
-	// error the link cannot be used again; sent reports whether any byte may have reached
-	// the upstream.
+	// error other than ErrTooLong the link cannot be used again; sent reports whether any
+	// byte may have reached the upstream. Once a report was requested and not refused, the link fails with
+	// ErrReported at the next request: the earlier report could be taken for the later one.
 	Exchange(deadline time.Time, commands ...Command) (answers []Answer, sent bool, err error)
 	// Abort makes a running Exchange fail at once.
 	Abort()
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -140,13 +140,16 @@
 		g.boundRoundTrip(u, took)
 	}
 	g.mu.Unlock()
+	if errors.Is(err, ErrTooLong) {
+		return nil, false, err
+	}
 	if err != nil {
 		r.conn.lost = true
 		g.log().Info("carrier: connection to upstream lost", zap.String("group", g.name), zap.String("upstream", u.id), zap.Uint64("connection", r.conn.number), zap.String("request", r.request),
 			zap.Duration("took", took), zap.Bool("sent", sent), zap.Error(err))
 		return nil, sent, err
 	}
-	r.conn.recordState(commands, answers)
+	r.conn.recordAnswers(commands, answers)
 	g.recordAnswer(u, answers[len(answers)-1].Mark)
 	return answers, sent, nil
 }
@@ -154,6 +157,10 @@
 // acquireConn gets a connection to an upstream for a job, or returns a refusal and no run.
 func (g *Group) acquireConn(u *upstream, j *Job) (*run, Answer) {
 	c, err := u.getConnFor(j.Workspace, j.Deadline)
+	for err == nil && j.Writes && c.refused {
+		g.release(u, c, false)
+		c, err = u.getConnFor(j.Workspace, j.Deadline)
+	}
 	if err == nil && g.hasDrainEnded(u) {
 		g.release(u, c, true)
 		return nil, refusal(Busy, string(placer.LeaderDrained))
@@ -238,6 +245,10 @@
 	started := g.registry.Now()
 	answer, progress, err := g.send(u, r, j, cmd, since)
 	g.removeRun(u, r) // before the release: heldConns counts a connection that is cut as closed
+	if errors.Is(err, ErrTooLong) {
+		g.release(u, r.conn, answer.State == Idle)
+		return tooLarge(), false
+	}
 	if err != nil {
 		g.release(u, r.conn, false)
 		j.markTried(u)
@@ -254,7 +265,10 @@
 	g.release(u, r.conn, usable)
 	answer.State = Idle
 	answer.Upstream, answer.Connection, answer.Led = u.id, r.conn.number, g.reachableLeader() == u
-	g.recordOutcome(u, answer.Code)
+	if answer.Doubtful && j.Writes && progress == statementSent {
+		return doubtfulOutcome(answer), false
+	}
+	g.recordOutcome(u, answer)
 	if answer.Code == OK {
 		answer.Ran = g.registry.Now().Sub(started)
 		answer.Waited = started.Sub(j.Arrived)
@@ -271,6 +285,17 @@
 	return answer, !j.isOver()
 }
 
+// tooLarge returns the answer to a statement that is longer with what the upstream needs beside
+// it than the upstream accepts.
+func tooLarge() Answer { return refusal(TooLarge, "the statement is too long for the upstream") }
+
+// doubtfulOutcome returns the answer to a write or a commit whose error may be the repeat of
+// an earlier one: it may have run.
+func doubtfulOutcome(a Answer) Answer {
+	a.Code, a.Text, a.Doubtful = InDoubt, "an answer that may be an earlier one: "+a.Text, false
+	return a
+}
+
 // progress is how far an attempt came.
 type progress uint8
 
@@ -352,6 +377,9 @@
 		return Answer{}, progressOf(sent, statementSent), err
 	}
 	answer := answers[0]
+	if answer.Doubtful {
+		return answer, statementSent, nil
+	}
 	g.recordWrite(u)
 	if answer.Code == OK {
 		g.recordLeader(u, requestedAt, answer.Mark)
@@ -362,26 +390,6 @@
 	return answer, statementSent, nil
 }
 
-// sendLeaderRead runs a read that must see every commit. It is wrapped in a transaction that
-// only the leader accepts: a former leader refuses its begin. The read is sent only after the
-// begin was accepted. Sent together with a refused begin, it would run outside of a
-// transaction, on a log that may lack the newest commits.
-func (g *Group) sendLeaderRead(u *upstream, r *run, j *Job, cmd Command) (Answer, progress, error) {
-	requestedAt := g.registry.Now()
-	began, sent, err := g.applyState(u, r, j, Command{Verb: Begin})
-	if err != nil || began.Code != OK {
-		return began, progressOf(sent, stateSent), err
-	}
-	g.recordLeader(u, requestedAt, began.Mark)
-	answers, sent, err := g.exchange(u, r, j.Deadline, cmd, Command{Verb: Rollback})
-	if err != nil {
-		return Answer{}, progressOf(sent, statementSent), err
-	}
-	answer := answers[0]
-	answer.State = answers[1].State
-	return answer, statementSent, nil
-}
-
 // applyState gives the connection the session's state. The beginning of a transaction may
 // share the write, since it runs nothing for the caller; its answer is returned. After a
 // refusal the connection is not used again.
@@ -409,7 +417,7 @@
 		default:
 			code = Aborted
 		}
-		return Answer{Code: code, Text: "session state refused: " + answers[i].Text, State: InFailedTransaction}, true, nil
+		return Answer{Code: code, Text: "session state refused: " + answers[i].Text, State: InFailedTransaction, Doubtful: answers[i].Doubtful}, true, nil
 	}
 	return last, true, nil
 }
@@ -419,10 +427,14 @@
 func (g *Group) shouldRetry(u *upstream, j *Job, a Answer) bool {
 	switch a.Code {
 	case Lagging:
-		g.recordLag(u)
+		if !a.Doubtful {
+			g.recordLag(u)
+		}
 		j.markTried(u)
 	case ReadOnly:
-		g.handleReadOnly(u)
+		if !a.Doubtful {
+			g.handleReadOnly(u)
+		}
 		if j.RequiresLeader() {
 			return true
 		}
@@ -434,8 +446,10 @@
 			return pause(j, connLimitRetryDelay)
 		}
 	case Busy:
-		g.recordAnswerTime(u, 4*defaultLatency)
-		g.recordShed(u)
+		if !a.Doubtful {
+			g.recordAnswerTime(u, 4*defaultLatency)
+			g.recordShed(u)
+		}
 		if j.RequiresLeader() {
 			return pause(j, busyRetryDelay)
 		}
@@ -448,7 +462,9 @@
 	case Failed, Timeout:
 		// An upstream that fails part of its work counts as slow, so that it gets less of
 		// it until it answers well again.
-		g.recordAnswerTime(u, failurePenalty*defaultLatency)
+		if !a.Doubtful {
+			g.recordAnswerTime(u, failurePenalty*defaultLatency)
+		}
 		if j.Writes {
 			return false
 		}
--- a/carrier/tx.go
+++ b/carrier/tx.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"basildale.example/basildale/cataloger"
+	"basildale.example/basildale/tracker"
 )
 
 // Tx is a caller's transaction on one connection. It must be used by one goroutine.
@@ -18,6 +19,12 @@
 	// ungated is set after the first statement: the later ones pass no gate.
 	ungated bool
 	state   State
+	// outOfStep is set once the answer to a statement has shown that the transaction may not
+	// be open at the upstream: what the statement wrote may be kept.
+	outOfStep bool
+	// beginRequestedAt is when the transaction was begun on the leader; zero once a signed answer
+	// has shown that it was.
+	beginRequestedAt time.Time
 }
 
 // Start begins a transaction and runs its first statement. If that fails for a reason that
@@ -91,6 +98,11 @@
 	g.addRun(u, r)
 	requestedAt := g.registry.Now()
 	answer, _, err := g.applyState(u, r, j, begin)
+	if errors.Is(err, ErrTooLong) {
+		g.removeRun(u, r)
+		g.release(u, r.conn, true) // nothing was sent
+		return nil, tooLarge()
+	}
 	if err != nil {
 		g.removeRun(u, r)
 		g.release(u, r.conn, false)
@@ -102,10 +114,11 @@
 		g.release(u, r.conn, answer.State == Idle)
 		return nil, answer
 	}
+	tx := &Tx{group: g, upstream: u, run: r, state: InTransaction}
 	if begin.Verb == Begin {
-		g.recordLeader(u, requestedAt, answer.Mark)
+		tx.beginRequestedAt = requestedAt
 	}
-	return &Tx{group: g, upstream: u, run: r, state: InTransaction}, Answer{}
+	return tx, Answer{}
 }
 
 // Do runs a statement inside the transaction. An answer that is not OK means that the
@@ -117,7 +130,7 @@
 	t.wrote = t.wrote || j.Writes
 	for {
 		answer := t.runOnce(j, cmd)
-		busy := answer.Code == Busy && answer.State == InTransaction
+		busy := answer.Code == Busy && answer.State == InTransaction && t.run.conn.isUsable()
 		if !busy || !pause(j, busyRetryDelay) {
 			return t.applyAnswer(answer)
 		}
@@ -129,6 +142,9 @@
 	started := t.group.registry.Now()
 	answer, err := t.send(j, cmd)
 	t.charge(j, started)
+	if errors.Is(err, ErrTooLong) {
+		return tooLarge()
+	}
 	if err != nil {
 		j.markTried(t.upstream)
 		if time.Until(j.Deadline) > 0 && !errors.Is(err, errNoShare) {
@@ -137,8 +153,9 @@
 		return Answer{Code: Aborted, Text: "connection lost inside the transaction", State: InFailedTransaction}
 	}
 	answer.Upstream, answer.Connection, answer.Led = t.upstream.id, t.run.conn.number, t.group.reachableLeader() == t.upstream
-	t.group.recordOutcome(t.upstream, answer.Code)
+	t.group.recordOutcome(t.upstream, answer)
 	if answer.Code == OK {
+		t.recordBegun(answer.Mark)
 		answer.Ran = t.group.registry.Now().Sub(started)
 		t.group.recordAnswerTime(t.upstream, answer.Ran)
 		t.group.recordService(t.upstream, j, answer.Ran)
@@ -146,6 +163,15 @@
 	return answer
 }
 
+// recordBegun records that the upstream led when the transaction was begun there, once a signed
+// answer shows it. The answer to the beginning may be that of an earlier one.
+func (t *Tx) recordBegun(mark tracker.Mark) {
+	if !t.beginRequestedAt.IsZero() {
+		t.group.recordLeader(t.upstream, t.beginRequestedAt, mark)
+		t.beginRequestedAt = time.Time{}
+	}
+}
+
 // send gives the connection the session's state and sends a statement of the transaction.
 func (t *Tx) send(j *Job, cmd Command) (Answer, error) {
 	t.run.request = j.Request
@@ -153,8 +179,9 @@
 	if err != nil || answer.Code != OK {
 		return answer, err
 	}
-	answers, _, err := t.group.exchange(t.upstream, t.run, j.Deadline, cmd)
+	answers, sent, err := t.group.exchange(t.upstream, t.run, j.Deadline, cmd)
 	if err != nil {
+		t.outOfStep = sent && errors.Is(err, ErrOutOfStep)
 		return Answer{}, err
 	}
 	return answers[0], nil
@@ -168,6 +195,11 @@
 	case a.Code == OK && a.State == InTransaction:
 	case a.Code == OK:
 		t.state = InFailedTransaction
+	case t.outOfStep && t.wrote:
+		t.state = InFailedTransaction
+		return Answer{Code: InDoubt, Text: "the upstream had no open transaction", State: InFailedTransaction}
+	case a.Code == TooLarge:
+		t.state = InFailedTransaction
 	default:
 		t.state = InFailedTransaction
 		if !a.Code.GuaranteesNoEffect() {
@@ -216,7 +248,9 @@
 	}
 	t.state = Idle
 	answer := answers[0]
-	if t.wrote {
+	if t.wrote && answer.Doubtful {
+		answer = doubtfulOutcome(answer)
+	} else if t.wrote {
 		t.group.recordWrite(t.upstream)
 	}
 	t.group.release(t.upstream, t.run.conn, answer.State == Idle)
