faker: stand-ins end a line at CR LF only

The stand-in upstream, the soak's caller and the test callers of proxier ended a line at each LF and dropped the CRs before it, so a text with LF, or with CR at its end, was cut in the stand-in itself, and no test could see whether the program had cut it.

They read with faker.ReadLine now, which ends a line at CR LF, refuses one above 1 MiB, and leaves all else as it came.

Comparisons in existing tests are as strict as before; the line comes without its end.

--- a/proxier/fleet_test.go
+++ b/proxier/fleet_test.go
@@ -185,9 +185,9 @@
 	}
 	c := &client{is: is, conn: conn, in: bufio.NewReader(conn), name: fmt.Sprintf("%p", conn)}
 	fmt.Fprintf(conn, "CONNECT %s tester\r\n", database)
-	line, err := c.in.ReadString('\n')
+	line, err := faker.ReadLine(c.in)
 	is.NoErr(err)
-	is.Equal(line, "READY I -\r\n")
+	is.Equal(line, "READY I -")
 	return c
 }
 
@@ -201,7 +201,7 @@
 		}
 		c = &client{conn: conn, in: bufio.NewReader(conn), name: conn.LocalAddr().String()}
 		fmt.Fprintf(conn, "CONNECT %s tester\r\n", database)
-		if line, err := c.in.ReadString('\n'); err == nil && line == "READY I -\r\n" {
+		if line, err := faker.ReadLine(c.in); err == nil && line == "READY I -" {
 			return c, true
 		}
 		_ = conn.Close()
@@ -219,14 +219,14 @@
 	}
 	var a answer
 	for {
-		line, err := c.in.ReadString('\n')
+		line, err := faker.ReadLine(c.in)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return answer{ended: true, code: "no answer before the deadline"}
 		}
 		if err != nil {
 			return answer{ended: true}
 		}
-		word, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
+		word, rest, _ := strings.Cut(line, " ")
 		switch word {
 		case "ROW":
 			a.rows = append(a.rows, rest)
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -11,6 +11,7 @@
 
 	"basildale.example/basildale/cataloger"
 	"basildale.example/basildale/gossiper"
+	"basildale.example/basildale/platform/faker"
 )
 
 func TestStatementsAndTransactions(t *testing.T) {
@@ -56,10 +57,10 @@
 	is.Equal(c.ask("DANCE").code, "MALFORMED")
 	is.Equal(c.askRow("READ seat"), "none") // the session continues
 	fmt.Fprint(c.conn, "NONSENSE\r\n")
-	line, err := c.in.ReadString('\n')
+	line, err := faker.ReadLine(c.in)
 	is.NoErr(err)
-	is.Equal(line, "ERROR MALFORMED not a message\r\n")
-	_, err = c.in.ReadString('\n')
+	is.Equal(line, "ERROR MALFORMED not a message")
+	_, err = faker.ReadLine(c.in)
 	is.True(err != nil) // closed
 	session, code, _ := f.proxies[0].openSession("nowhere", cataloger.Fingerprint{})
 	is.True(session == nil)
