relayer, server: close connections on which bytes wait before a statement

What callers saw: the rows or the acknowledgement of an earlier statement, with the answer of each later one on the connection one behind.

Cause: an answer is known by its order only. In a transaction nothing looked whether bytes had arrived since the last ReadyForQuery, neither in the buffer nor on the socket, and neither did the change of a connection's settings. Of idle connections only those for writes were looked at; a read was thought safe, as it may run again elsewhere, but a wrong answer isn't run again.

Evidence: TestSecondAnswerIsNotThatOfTheNextStatement failed before, with the second answer in the same packet and later: the second INSERT got the answer of the first.

Why this fix works: a connection on which anything waits before a statement is sent is closed. The statement has not been sent, so not run is true of it, and an open transaction is rolled back by the close.

--- a/relayer/adapt.go
+++ b/relayer/adapt.go
@@ -39,6 +39,9 @@
 		case 'E':
 			return s.notAdapted(u, &f)
 		case 'Z':
+			if !s.up.Alive() {
+				return s.notAdapted(u, nil) // a second answer
+			}
 			s.up.settings.copyOf(&s.settings)
 			s.up.unnamed = body{} // a simple query drops the unnamed statement
 			if reset {
--- /dev/null
+++ b/relayer/step_test.go
@@ -0,0 +1,172 @@
+package relayer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"basildale.example/basildale/adapter/dialer"
+	"basildale.example/basildale/framer"
+)
+
+// replier is an upstream whose answers are given beforehand, one for each simple query and
+// each Sync. Statements of the proxy's own are answered as they should be.
+type replier struct {
+	listener net.Listener
+	conn     chan net.Conn
+	replies  []string
+}
+
+func newReplier(t *testing.T, replies ...string) *replier {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &replier{listener: l, conn: make(chan net.Conn, 1), replies: replies}
+	t.Cleanup(func() { l.Close() })
+	go r.serve()
+	return r
+}
+
+func (r *replier) serve() {
+	c, err := r.listener.Accept()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	var buf []byte
+	part := make([]byte, 1<<12)
+	started := false
+	for {
+		n, err := c.Read(part)
+		if err != nil {
+			return
+		}
+		buf = append(buf, part[:n]...)
+		if !started {
+			if _, n, _ = framer.CutStartup(buf); n > 0 {
+				started, buf = true, buf[n:]
+				_, _ = c.Write([]byte(packet('R', "\x00\x00\x00\x00") + idle))
+				r.conn <- c
+			}
+			continue
+		}
+		for {
+			f, n, _ := framer.Cut(buf, 0)
+			if n == 0 {
+				break
+			}
+			_, _ = c.Write([]byte(r.reply(f)))
+			buf = buf[n:]
+		}
+	}
+}
+
+func (r *replier) reply(f framer.Frame) string {
+	if f.Type != 'Q' && f.Type != 'S' {
+		return ""
+	}
+	if f.Type == 'Q' && strings.HasPrefix(string(f.Body()), "SET basildale.") {
+		return complete("SET") + idle
+	}
+	if len(r.replies) == 0 {
+		return ""
+	}
+	reply := r.replies[0]
+	r.replies = r.replies[1:]
+	return reply
+}
+
+// The messages of the answers.
+var (
+	idle = packet('Z', "I")
+	open = packet('Z', "T")
+)
+
+func packet(kind byte, body string) string {
+	b := append([]byte{kind, 0, 0, 0, 0}, body...)
+	putLength(b, 0)
+	return string(b)
+}
+
+func complete(tag string) string { return packet('C', tag+"\x00") }
+
+func rows(value string) string {
+	return packet('T', "\x00\x00") + string(appendRow(nil, value)) + complete("SELECT 1")
+}
+
+func query(text string) string { return packet('Q', text+"\x00") }
+
+// stepped is a session with one connection to a replier.
+type stepped struct {
+	session *Session
+	caller  *script
+	conn    *dialer.Conn
+	up      net.Conn // the upstream's end
+	healthy bool     // the connection was given back for others
+}
+
+func newStepped(t *testing.T, replies ...string) *stepped {
+	t.Helper()
+	r := newReplier(t, replies...)
+	conn, err := (&dialer.Dialer{User: "u"}).Dial(t.Context(), netip.MustParseAddrPort(r.listener.Addr().String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(conn.Close)
+	s := &stepped{conn: conn, up: <-r.conn, caller: &script{in: []byte(startupPacket)}}
+	up := NewUpstream(conn)
+	relay := closedRelay()
+	relay.Route = func(context.Context, *Request) (Target, *Refusal) {
+		return Target{Address: conn.Address(), Primary: true}, nil
+	}
+	relay.Acquire = func(context.Context, Target, *Request) (*Upstream, *Refusal) { return up, nil }
+	relay.Release = func(_ Target, _ *Upstream, healthy bool) { s.healthy = healthy }
+	s.session = relay.Open(s.caller)
+	s.session.work()
+	return s
+}
+
+// send hands in what the caller sends and returns what it is answered.
+func (s *stepped) send(in string) string {
+	s.caller.in, s.caller.out = []byte(in), nil
+	s.session.work()
+	return string(s.caller.out)
+}
+
+// Guards against a second answer that is taken for that of the transaction's next statement.
+func TestSecondAnswerIsNotThatOfTheNextStatement(t *testing.T) {
+	first := complete("INSERT 0 1") + open
+	for _, test := range []struct {
+		name  string
+		reply string
+		late  string
+	}{
+		{"at once", first + first, ""},
+		{"late", first, first},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newStepped(t, complete("BEGIN")+open, test.reply, rows("new")+open)
+			is.True(strings.HasSuffix(s.send(query("BEGIN")), open))
+			is.Equal(s.send(query("INSERT INTO seats VALUES (1)")), first)
+			if test.late != "" {
+				_, err := s.up.Write([]byte(test.late))
+				is.NoErr(err)
+				for s.conn.Alive() {
+					runtime.Gosched()
+				}
+			}
+			answer := s.send(query("INSERT INTO seats VALUES (2)"))
+			is.True(strings.Contains(answer, "CBD100\x00")) // not run
+			is.True(strings.HasSuffix(answer, packet('Z', "E")))
+			is.True(!s.healthy)
+		})
+	}
+}
--- a/relayer/unit.go
+++ b/relayer/unit.go
@@ -123,7 +123,8 @@
 
 // attempt sends a unit once and gathers its answer.
 func (s *Session) attempt(u *unit) (retrier.Outcome, error) {
-	u.placed = s.up != nil
+	bound := s.up != nil
+	u.placed = bound
 	if !u.placed {
 		if refusal := s.place(u); refusal != nil {
 			u.message = refusal.Message
@@ -142,6 +143,10 @@
 	s.streamed, s.cutOff = false, false
 	s.up.bound(u.request.Deadline, s.slack(u))
 	s.answering = true
+	// What has arrived already would be taken for the answer to this unit.
+	if bound && !s.up.Alive() {
+		return s.lost(u, true), nil
+	}
 	if !s.adapt(u) {
 		return u.refused, u.broken
 	}
--- a/server/pools.go
+++ b/server/pools.go
@@ -190,7 +190,8 @@
 }
 
 // acquire takes a connection for one transaction. Idle connections that have
-// died are dropped, so that no statement is sent into one.
+// died are dropped, so that no statement is sent into one, and so are those on
+// which a second answer has arrived, which would be taken for the statement's.
 func (p *pools) acquire(ctx context.Context, t relayer.Target, r *relayer.Request) (*relayer.Upstream, *relayer.Refusal) {
 	one := p.get(t.Group, t.Address)
 	if one == nil {
@@ -201,7 +202,7 @@
 		if !ok {
 			return wait(ctx, one, r)
 		}
-		if usable(u, r) {
+		if u.Alive() {
 			return u, nil
 		}
 		one.Discard(u)
@@ -221,19 +222,13 @@
 			return nil, refuse(retrier.Refused, "the upstream takes no connection")
 		case err != nil:
 			return nil, refuse(retrier.NeverSent, "the upstream can't be reached")
-		case usable(u, r):
+		case u.Alive():
 			return u, nil
 		}
 		one.Discard(u)
 	}
 }
 
-// usable looks whether a connection has died while it was idle. A read isn't
-// worth the look: it may run again elsewhere.
-func usable(u *relayer.Upstream, r *relayer.Request) bool {
-	return r.Read() && r.Attempt == 0 || u.Alive()
-}
-
 func refuse(cause retrier.Cause, message string) *relayer.Refusal {
 	return &relayer.Refusal{
 		Outcome: retrier.Outcome{Kind: retrier.NotRun, Cause: cause, Back: time.Now().Add(retryAfter)},
