relayer: read the spelling of own settings as an upstream does

What callers saw: nothing. A caller could set basildale.term or basildale.request on an upstream connection by a spelling that the proxy takes for another name; a later write on that connection then runs in a term, or under a request ID, that the proxy hasn't chosen.

Cause: the proxy ended a nested comment at the first "*/" and a line comment at a line feed only, and didn't take a vertical tab for a blank. An upstream nests comments, ends a line at CR too, and reads vertical tabs as blanks.

Evidence: three of the five spellings of TestOwnSettingIsKnownInEverySpelling failed before: the statement was passed on in place of BD102.

--- a/relayer/simple.go
+++ b/relayer/simple.go
@@ -270,10 +270,14 @@
 	for name != "" {
 		switch {
 		case strings.HasPrefix(name, "/*"):
-			_, name, _ = strings.Cut(name, "*/")
+			name = afterComment(name)
 		case strings.HasPrefix(name, "--"):
-			_, name, _ = strings.Cut(name, "\n")
-		case strings.ContainsRune("\" \t\r\n\f", rune(name[0])):
+			end := strings.IndexAny(name, "\r\n")
+			if end < 0 {
+				end = len(name)
+			}
+			name = name[end:]
+		case strings.IndexByte("\" \t\r\n\v\f", name[0]) >= 0:
 			name = name[1:]
 		default:
 			plain.WriteByte(name[0])
@@ -283,6 +287,27 @@
 	return strings.HasPrefix(plain.String(), notePrefix)
 }
 
+// afterComment returns what follows the comment at the start of a text. Comments nest.
+func afterComment(text string) string {
+	depth := 0
+	for text != "" {
+		switch {
+		case strings.HasPrefix(text, "/*"):
+			depth++
+			text = text[2:]
+		case strings.HasPrefix(text, "*/"):
+			depth--
+			text = text[2:]
+			if depth == 0 {
+				return text
+			}
+		default:
+			text = text[1:]
+		}
+	}
+	return ""
+}
+
 const chainedHint = "Send what follows COMMIT or ROLLBACK as a query of its own."
 
 // chained refuses a text that goes on after the end of a transaction. Both would
--- a/relayer/step_test.go
+++ b/relayer/step_test.go
@@ -170,3 +170,21 @@
 		})
 	}
 }
+
+// Guards against a setting of the proxy that reaches the upstream by a spelling that only the
+// upstream reads as its name.
+func TestOwnSettingIsKnownInEverySpelling(t *testing.T) {
+	for _, name := range []string{
+		"basildale/* /* */ */.term",
+		"basildale--\r.term",
+		"basildale--x\r\n.term",
+		"basildale\v.term",
+		"basildale . /**/ term",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newStepped(t, complete("SET")+idle)
+			is.True(strings.Contains(s.send(query("SET "+name+" TO '9.9'")), "CBD102\x00"))
+		})
+	}
+}
