relayer: take own settings in the startup packet in every case of letters

What callers saw: nothing. A startup parameter such as BASILDALE.term was taken for a setting of the database and set on the upstream connection, where names of settings don't depend on the case of their letters: a write could run in a term that the caller has named. SET BASILDALE.Class was refused as unknown.

Cause: the prefix of own settings was compared byte by byte in the startup packet, and cut off byte by byte in SET and SHOW.

Evidence: TestOwnSettingInStartupIsKnownInEveryCase failed before: both parameters were kept as settings for the upstream, and SET BASILDALE.Class got 42704.

Why this fix works: the name is folded to lower case before the prefix is looked for, in the one place where annotations are set and in the startup packet.

--- a/relayer/notes.go
+++ b/relayer/notes.go
@@ -57,7 +57,7 @@
 
 // set takes one annotation. The name has its prefix.
 func (n *Notes) set(name, value string) *fault {
-	short := strings.ToLower(strings.TrimPrefix(name, notePrefix))
+	short := strings.TrimPrefix(strings.ToLower(name), notePrefix)
 	if value == "" || strings.EqualFold(value, "default") {
 		return n.reset(short)
 	}
@@ -137,7 +137,7 @@
 
 // show returns an annotation's value as callers write it.
 func (n *Notes) show(name string) (string, *fault) {
-	short := strings.ToLower(strings.TrimPrefix(name, notePrefix))
+	short := strings.TrimPrefix(strings.ToLower(name), notePrefix)
 	switch short {
 	case "class":
 		return n.Class.String(), nil
--- a/relayer/startup.go
+++ b/relayer/startup.go
@@ -113,7 +113,7 @@
 // startupParameter takes a parameter other than user and database.
 func (s *Session) startupParameter(name, value string) error {
 	switch {
-	case strings.HasPrefix(name, notePrefix):
+	case strings.HasPrefix(strings.ToLower(name), notePrefix):
 		if f := s.notes.set(name, value); f != nil {
 			return &protocolError{f.code, f.message}
 		}
--- a/relayer/step_test.go
+++ b/relayer/step_test.go
@@ -188,3 +188,22 @@
 		})
 	}
 }
+
+// Guards against a startup parameter that sets the proxy's own settings at the upstream.
+func TestOwnSettingInStartupIsKnownInEveryCase(t *testing.T) {
+	for _, parameter := range []string{"BASILDALE.term\x009.9", "options\x00-c Basildale.term=9.9"} {
+		t.Run(parameter, func(t *testing.T) {
+			is := is.New(t)
+			body := "\x00\x03\x00\x00user\x00u\x00" + parameter + "\x00\x00"
+			c := &script{in: []byte("\x00\x00\x00" + string(rune(len(body)+4)) + body)}
+			s := closedRelay().Open(c)
+			s.work()
+			is.True(strings.Contains(string(c.out), "C42704\x00")) // no such setting
+			is.Equal(len(s.settings.list), 0)
+		})
+	}
+	is := is.New(t)
+	s := newStepped(t)
+	is.Equal(s.send(query("SET BASILDALE.Class TO lookup")), complete("SET")+idle)
+	is.Equal(s.session.notes.Class, Lookup)
+}
