tracker: carry session names between proxies byte for byte

What callers saw: a read that doesn't show the session's own last write, if the name in basildale.session is no UTF-8, the write ran through another proxy than the read, and the reading proxy is the session's home.

Cause: a key travels as JSON, whose strings can't hold such bytes: each becomes U+FFFD. The write was put to the home under another name than the one under which the home answers its own reads, and two such names became one.

Evidence: TestSessionNamesTravelByteForByte failed before: "\xe9" came back as U+FFFD in Get, Put and Complete. The stale read itself was read in the code, not played.

--- a/marker/marker_test.go
+++ b/marker/marker_test.go
@@ -135,3 +135,17 @@
 	// The promise of 2010 has ended an eighth of a lease after the home's count.
 	is.Equal(of[Acknowledge](m.Step(Tick{}, at(3136))), []Acknowledge{{ID: 5}})
 }
+
+// Guards against a write that is put to its home under the name of another session.
+func TestSessionNamesTravelByteForByte(t *testing.T) {
+	for _, name := range []string{"", "kiosk-7", "a\x00b\r\n", "<&>\u2028\ufffd", "\xe9", "k\xf8benhavn", "\xed\xa0\x80"} {
+		is := is.New(t)
+		k := tracker.Key{Tenant: "damplinjerne", Session: name, Group: "g"}
+		sent := []Message{Get{Serial: 1, Key: k}, Put{Serial: 2, Key: k, Mark: mark(1, 2)}, Complete{Key: k, Token: 3}}
+		raw, err := Encode(sent)
+		is.NoErr(err)
+		got, err := Decode(raw)
+		is.NoErr(err)
+		is.Equal(got, sent)
+	}
+}
--- a/tracker/sessions.go
+++ b/tracker/sessions.go
@@ -15,9 +15,9 @@
 
 // Key names a session of a tenant in one database group.
 type Key struct {
-	Tenant  string `json:"tenant,omitempty"`
-	Session string `json:"session"`
-	Group   string `json:"group"`
+	Tenant  string
+	Session string
+	Group   string
 }
 
 // Answer is what is known of a session's mark.
