relayer: check that an answer can be that of its unit

What callers saw: rows, tags, errors or a transaction state of an earlier statement. Where the state was wrong, the proxy took a transaction for open or ended that wasn't.

Cause: answers were counted and not looked at. Any message was passed on, a ReadyForQuery ended the answer whatever came before it and whatever state it carried, and a mark that the connection had reported before was taken for that of the next write.

Why this fix works: the message must be one that can come next for the unit; the tag of a single statement must be of its kind; the state at the end must be one that the statement can lead to; a mark must be later than the last one of the connection, as the log's positions only rise. Otherwise the connection is closed and logged, and the outcome is unknown, or not run inside a transaction that hasn't been asked to commit. An answer of another statement with the same form can't be told: a read's rows among them, as no name goes with an answer. The states after extended batches aren't checked, since a portal may come from an earlier batch.

--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -22,7 +22,7 @@
 		if err != nil {
 			return s.lost(u, false), nil //nolint:nilerr // the loss is an outcome
 		}
-		if h.Size > bufferSize && (h.Type == 'D' || h.Type == 'V') {
+		if h.Size > bufferSize && h.Type == 'D' && u.swallow == 0 && u.fits('D') {
 			if err := s.stream(h.Size); err != nil && !s.cutOff {
 				return retrier.Outcome{}, err
 			}
@@ -53,11 +53,13 @@
 	if u.swallow > 0 {
 		return false, s.preludeFrame(u, f)
 	}
+	if !s.inStep(u, f) {
+		u.refused = s.outOfStep(u, f.Type)
+		return false, nil
+	}
 	switch f.Type {
 	case 'Z':
-		if len(f.Body()) == 1 {
-			s.tx = f.Body()[0]
-		}
+		s.tx = f.Body()[0]
 		s.atReady()
 		return true, nil
 	case 'E':
@@ -71,7 +73,10 @@
 		u.refused = s.lost(u, false) // a COPY that was not seen in the text
 		return false, nil
 	case 'C':
+		u.completed++
 		s.completedNext(u, f.Body())
+	case 'I':
+		u.completed++
 	}
 	if u.waits() && u.advance(f.Type) {
 		return false, nil
@@ -83,11 +88,19 @@
 func (s *Session) preludeFrame(u *unit, f framer.Frame) error {
 	switch f.Type {
 	case 'Z':
+		if !bytes.Equal(f.Body(), []byte{txIdle}) {
+			u.refused = s.outOfStep(u, f.Type)
+			return nil
+		}
 		u.swallow--
 	case 'S':
 		if !isMark(f) {
 			return s.gather(f)
 		}
+	case 'C':
+		if !bytes.Equal(f.Body(), []byte("SET\x00")) {
+			u.refused = s.outOfStep(u, f.Type)
+		}
 	case 'E':
 		// The unit has been sent with the prelude and has run without its
 		// term. What it did is not known.
@@ -95,6 +108,9 @@
 		s.clearOut()
 		s.discardUpstream()
 		return &protocolError{retrier.StateUnknown, message}
+	case 'N', 'A':
+	default:
+		u.refused = s.outOfStep(u, f.Type)
 	}
 	return nil
 }
@@ -144,17 +160,21 @@
 	return ok && string(name) == markParameter
 }
 
+// markOf returns the mark that a parameter status reports.
+func markOf(f framer.Frame) (m tracker.Mark, ok bool) {
+	value := bytes.TrimRight(f.Body()[len(markParameter)+1:], "\x00")
+	m, err := tracker.ParseMark(string(value))
+	return m, err == nil
+}
+
 // noteMark keeps the mark that the upstream reports after a commit.
 func (s *Session) noteMark(u *unit, f framer.Frame) {
 	if !isMark(f) {
 		return
 	}
-	value := bytes.TrimRight(f.Body()[len(markParameter)+1:], "\x00")
-	m, err := tracker.ParseMark(string(value))
-	if err != nil {
-		return
+	if m, ok := markOf(f); ok {
+		u.mark, s.up.mark = m, m
 	}
-	u.mark = m
 }
 
 // finish ends an answered attempt: a write waits for its confirmation.
--- a/relayer/simple.go
+++ b/relayer/simple.go
@@ -38,7 +38,7 @@
 	}
 	u := s.relay.newUnit()
 	defer s.relay.freeUnit(u)
-	u.simple, u.sync, u.raw = true, true, f.Raw
+	u.simple, u.sync, u.raw, u.sql = true, true, f.Raw, text
 	if own {
 		u.raw = appendQuery(nil, text)
 	}
--- a/relayer/step_test.go
+++ b/relayer/step_test.go
@@ -207,3 +207,76 @@
 	is.Equal(s.send(query("SET BASILDALE.Class TO lookup")), complete("SET")+idle)
 	is.Equal(s.session.notes.Class, Lookup)
 }
+
+// Guards against an answer of another statement that is taken for the unit's own.
+func TestAnswerOutOfStepIsNobodys(t *testing.T) {
+	marked := complete("INSERT 0 1") + string(parameterStatus(nil, markParameter, "1.0/7")) + idle
+	insert := query("INSERT INTO seats VALUES (1)")
+	batch := packet('P', "\x00SELECT 1\x00\x00\x00") + packet('B', "\x00\x00\x00\x00\x00\x00\x00\x00") +
+		packet('E', "\x00\x00\x00\x00\x00") + packet('S', "")
+	for _, test := range []struct {
+		name   string
+		before string // what the caller sends first
+		first  string // and its answer
+		send   string
+		answer string
+		code   string
+	}{
+		{"end without an answer", "", "", query("SELECT 1"), idle, "08007"},
+		{"end of a cut form", "", "", query("SELECT 1"), rows("a") + packet('Z', ""), "08007"},
+		{"end in an unknown state", "", "", query("SELECT 1"), rows("a") + packet('Z', "X"), "08007"},
+		{"read answered as a write", "", "", query("SELECT 1"), complete("INSERT 0 1") + idle, "08007"},
+		{"read that begins a transaction", "", "", query("SELECT 1"), rows("a") + open, "08007"},
+		{"half of two reads", "", "", query("SELECT 1; SELECT 2"), rows("a") + idle, "08007"},
+		{"write answered as a read", "", "", insert, rows("a") + idle, "08007"},
+		{"write with a mark seen before", insert, marked, insert, marked, "08007"},
+		{"begin without a transaction", "", "", query("BEGIN"), complete("BEGIN") + idle, "08007"},
+		{"commit that leaves it open", query("BEGIN"), complete("BEGIN") + open, query("COMMIT"), complete("COMMIT") + open, "08007"},
+		{"commit answered as a write", query("BEGIN"), complete("BEGIN") + open, query("COMMIT"), complete("INSERT 0 1") + idle, "08007"},
+		{"statement after which no transaction is open", query("BEGIN"), complete("BEGIN") + open, query("SELECT 1"), rows("a") + idle, "BD100"},
+		{"something after an error", "", "", query("SELECT 1"), string((&fault{code: "42P01"}).append(nil)) + rows("a") + idle, "08007"},
+		{"simple answer to a batch", "", "", batch, rows("a") + idle, "08007"},
+		{"batch answered in part", "", "", batch, packet('1', "") + packet('2', "") + idle, "08007"},
+		{"unknown message", "", "", query("SELECT 1"), packet('R', "\x00\x00\x00\x00") + rows("a") + idle, "08007"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			replies := []string{test.answer}
+			if test.before != "" {
+				replies = []string{test.first, test.answer}
+			}
+			s := newStepped(t, replies...)
+			if test.before != "" {
+				is.Equal(s.send(test.before), test.first)
+			}
+			answer := s.send(test.send)
+			is.True(strings.Contains(answer, "C"+test.code+"\x00"))
+			is.True(!s.healthy)
+		})
+	}
+}
+
+// Guards against an answer in step that is taken for another's.
+func TestAnswersInStepPass(t *testing.T) {
+	is := is.New(t)
+	wrong := string((&fault{code: "42P01"}).append(nil))
+	steps := []struct{ send, answer string }{
+		{query("SELECT 1; SELECT 2;"), rows("a") + rows("b") + idle},
+		{query("EXPLAIN SELECT 1"), complete("EXPLAIN") + idle},
+		{query("INSERT INTO seats VALUES (1)"), complete("INSERT 0 1") + string(parameterStatus(nil, markParameter, "1.0/7")) + idle},
+		{query("INSERT INTO seats VALUES (1)"), complete("INSERT 0 1") + string(parameterStatus(nil, markParameter, "1.0/8")) + idle},
+		{query("CREATE TABLE a AS SELECT 1"), complete("SELECT 1") + idle},
+		{query("SELECT 1; SELECT nothing"), rows("a") + wrong + idle},
+		{query("BEGIN"), complete("BEGIN") + open},
+		{query("SELECT nothing"), wrong + packet('Z', "E")},
+		{query("COMMIT"), complete("ROLLBACK") + idle},
+	}
+	var replies []string
+	for _, step := range steps {
+		replies = append(replies, step.answer)
+	}
+	s := newStepped(t, replies...)
+	for _, step := range steps {
+		is.Equal(s.send(step.send), step.answer)
+	}
+}
--- a/relayer/unit.go
+++ b/relayer/unit.go
@@ -21,6 +21,7 @@
 	request Request
 	retry   retrier.Request
 	text    []byte // a simple query's statements, if a scope follows them
+	sql     []byte // a simple query's text
 	message string // why it was refused
 	final   bool   // the outcome stands: nothing more can be tried
 	lasting bool   // as of a statement
@@ -39,6 +40,8 @@
 	told    bool // refused is set: the upstream's error proves that it has not run
 	failed  bool // the upstream answered with an error
 
+	completed int // statements of a simple query whose end has arrived
+
 	broken    error // ends the session: the upstream refused its settings
 	undecided scope // of a transaction whose connection was lost
 }
@@ -140,6 +143,7 @@
 	u.placed = true
 	u.began = s.tx != txIdle
 	u.mark, u.follows, u.told, u.failed = tracker.Mark{}, u.text, false, false
+	u.completed = 0
 	s.streamed, s.cutOff = false, false
 	s.up.bound(u.request.Deadline, s.slack(u))
 	s.answering = true
--- a/relayer/upstream.go
+++ b/relayer/upstream.go
@@ -22,6 +22,7 @@
 
 	deadline time.Time // set on the connection
 	term     tracker.Term
+	mark     tracker.Mark // of the last write; each has a later one
 	settings settings
 	prepared map[body]string
 	order    []body // of prepared, the oldest first
