relayer: quote backslashes in values of the startup packet

What callers saw: a session whose startup packet has a value with a backslash could fail while its connection was set up, or run what its value goes on with.

Cause: only quotes were doubled. With standard_conforming_strings off, which a session can set, a backslash hides the quote after it: the value \'; DELETE FROM seats; -- ended its string and went on as a statement, sent by the proxy ahead of the session's own.

Evidence: TestDeclaredValueIsNoStatement failed before: the text was read as a write in place of one SET.

Why this fix works: a value with a backslash becomes an E'' constant with doubled backslashes, which is read the same with the setting on and off.

--- a/relayer/settings.go
+++ b/relayer/settings.go
@@ -169,4 +169,12 @@
 
 func quoteName(s string) string { return `"` + strings.ReplaceAll(s, `"`, `""`) + `"` }
 
-func quoteValue(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
+// quoteValue returns a string constant that reads the same whatever
+// standard_conforming_strings is.
+func quoteValue(s string) string {
+	quoted := "'" + strings.ReplaceAll(s, "'", "''") + "'"
+	if !strings.Contains(s, `\`) {
+		return quoted
+	}
+	return "E" + strings.ReplaceAll(quoted, `\`, `\\`)
+}
