relayer: keep the values of startup options whole

What callers saw: options=-c search_path=abc-c set search_path to abc, and a-cb was refused. A blank after a backslash ended a value.

Cause: every "-c" in the options was taken out before they were cut into words.

Why this fix works: options are cut as an upstream cuts them: at blanks, with a backslash for the next byte, and -c only at the start of a word. Dashes in names stand for underscores there too.

--- a/relayer/startup.go
+++ b/relayer/startup.go
@@ -127,21 +127,51 @@
 	return nil
 }
 
-// options takes settings of the form "-c name=value".
+// options takes settings of the forms "-c name=value" and "--name=value".
 func (s *Session) options(value string) error {
-	words := strings.Fields(strings.ReplaceAll(value, "-c", " "))
-	for _, w := range words {
+	for _, w := range optionWords(value) {
+		w = strings.TrimPrefix(w, "-c")
+		if w == "" {
+			continue // its setting is the next word
+		}
 		name, v, ok := strings.Cut(strings.TrimPrefix(w, "--"), "=")
-		if !ok {
+		if !ok || name == "" {
 			return &protocolError{codeInvalidValue, "options must be of the form -c name=value"}
 		}
-		if err := s.startupParameter(name, v); err != nil {
+		if err := s.startupParameter(strings.ReplaceAll(name, "-", "_"), v); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// optionWords cuts options at their blanks; a backslash takes the next byte as it
+// is.
+func optionWords(value string) []string {
+	var words []string
+	var word []byte
+	within := false
+	for i := 0; i < len(value); i++ {
+		c := value[i]
+		if strings.IndexByte(" \t\r\n\v\f", c) >= 0 {
+			if within {
+				words = append(words, string(word))
+			}
+			word, within = word[:0], false
+			continue
+		}
+		if c == '\\' && i+1 < len(value) {
+			i++
+			c = value[i]
+		}
+		word, within = append(word, c), true
+	}
+	if within {
+		words = append(words, string(word))
+	}
+	return words
+}
+
 // welcome ends the startup: the session is ready for its first statement.
 func (s *Session) welcome() error {
 	var secret [4]byte
