relayer: compare names of settings and savepoints as PostgreSQL does

What callers saw: a session setting that was acknowledged and is gone after the session has changed its connection, or a ROLLBACK TO that brings back the settings of another savepoint, for names with letters that are no ASCII.

Cause: names were folded by Unicode's rules, which turn each byte that is no UTF-8 into U+FFFD and a capital letter with an accent into the small one. PostgreSQL keeps such settings apart; the proxy kept one of them and dropped the others.

Why this fix works: only ASCII letters are folded, and every other byte counts.

--- a/relayer/scope.go
+++ b/relayer/scope.go
@@ -124,5 +124,5 @@
 	if len(name) > 1 && name[0] == '"' {
 		return string(bytes.ReplaceAll(name[1:len(name)-1], []byte(`""`), []byte(`"`)))
 	}
-	return string(bytes.ToLower(name))
+	return lower(string(name))
 }
--- a/relayer/settings.go
+++ b/relayer/settings.go
@@ -24,7 +24,7 @@
 
 // declare takes a setting of the startup packet.
 func (l *settings) declare(name, value string) {
-	l.put(setting{name: strings.ToLower(name), text: "SET " + quoteName(name) + " TO " + quoteValue(value)})
+	l.put(setting{name: lower(name), text: "SET " + quoteName(name) + " TO " + quoteValue(value)})
 }
 
 func (l *settings) put(s setting) {
@@ -107,7 +107,7 @@
 
 // canonical returns the name by which RESET knows a setting.
 func canonical(name string) string {
-	name = strings.Join(strings.Fields(strings.ToLower(name)), " ")
+	name = strings.Join(strings.Fields(lower(name)), " ")
 	switch name {
 	case "time zone":
 		return "timezone"
@@ -167,6 +167,18 @@
 
 func (l *settings) copyOf(o *settings) { l.list = append(l.list[:0:0], o.list...) }
 
+// lower folds a name as PostgreSQL compares names of settings: ASCII letters
+// only, and all other bytes as they are.
+func lower(name string) string {
+	b := []byte(name)
+	for i, c := range b {
+		if c >= 'A' && c <= 'Z' {
+			b[i] = c | 0x20
+		}
+	}
+	return string(b)
+}
+
 func quoteName(s string) string { return `"` + strings.ReplaceAll(s, `"`, `""`) + `"` }
 
 // quoteValue returns a string constant that reads the same whatever
