classifier, relayer: leave no setting behind from a text that can't be read

What callers saw: SET search_path TO 'a\' was acknowledged, the session's next statement ran without it, and another session's ran with it.

Cause: a backslash before a quote ends a string or doesn't, by standard_conforming_strings, so such a text counts as a write of unknown end. So did SET TIME ZONE INTERVAL(6) '...'. Neither was followed as a setting, and the connection was given back with what the text had set.

Why this fix works: a SET or RESET that can't be read is refused before it is sent, with how to write it instead. After any other text that can't be read to its end the connection isn't used by another session, unless the upstream has refused it and so undone what it set.

--- a/classifier/control.go
+++ b/classifier/control.go
@@ -155,6 +155,7 @@
 	for !p.ended() {
 		if p.token == tokenOpen {
 			p.finish()
+			p.st.Unclear = true
 			return
 		}
 		to = p.pos
--- a/classifier/statement.go
+++ b/classifier/statement.go
@@ -69,6 +69,9 @@
 	Local bool
 	// Chain marks COMMIT AND CHAIN and ROLLBACK AND CHAIN.
 	Chain bool
+	// Unclear marks a Write whose text may hold more than what is known of it: its
+	// end is ambiguous, or it sets something in a form that isn't read.
+	Unclear bool
 	// Count is the number of statements in the text, empty ones left out, and
 	// Kinds the set of what they are.
 	Count int
@@ -133,7 +136,7 @@
 
 // join returns what a text is that does a and then b.
 func join(a, b Statement) Statement {
-	both := Statement{Count: a.Count + b.Count, Kinds: a.Kinds | b.Kinds}
+	both := Statement{Count: a.Count + b.Count, Kinds: a.Kinds | b.Kinds, Unclear: a.Unclear || b.Unclear}
 	switch {
 	case both.Kinds.Has(Write):
 		both.Kind = Write
@@ -153,7 +156,7 @@
 	p.statement()
 	if p.broken {
 		// The end of the statement is not known: nothing after it is looked at.
-		return Statement{Kind: Write, Count: 1, Kinds: 1 << Write}, nil
+		return Statement{Kind: Write, Count: 1, Kinds: 1 << Write, Unclear: true}, nil
 	}
 	if p.st.Kind != Empty {
 		p.st.Count = 1
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -60,6 +60,9 @@
 	switch f.Type {
 	case 'Z':
 		s.tx = f.Body()[0]
+		if u.request.Statement.Unclear && !u.failed {
+			s.up.spoiled.Store(true) // it may have changed settings
+		}
 		s.atReady()
 		return true, nil
 	case 'E':
--- a/relayer/items.go
+++ b/relayer/items.go
@@ -67,7 +67,7 @@
 	it.st = statement{
 		body:    unique.Make(string(it.rest)),
 		kind:    st.Kind,
-		lasting: setsByFunction(st.Kind, sql),
+		lasting: st.Unclear || setsByFunction(st.Kind, sql),
 	}
 	it.st.local = isNote(&st) || localTag(&st) != "" || s.orphaned
 	_, exists := s.statements.get(it.name)
--- a/relayer/simple.go
+++ b/relayer/simple.go
@@ -223,6 +223,8 @@
 	}
 	has := st.Kinds.Has
 	switch {
+	case st.Unclear && setsFirst(text):
+		return refuse("this form of SET or RESET", `Write the value as one constant; E'...' with doubled backslashes.`)
 	case has(classifier.Copy):
 		return refuse("COPY", "Use INSERT with several rows, or SELECT.")
 	case has(classifier.Listen):
@@ -238,6 +240,23 @@
 	}
 }
 
+// setsFirst reports whether a text begins with SET or RESET.
+func setsFirst(text []byte) bool {
+	rest := string(text)
+	for before := ""; rest != before; {
+		before = rest
+		rest = strings.TrimLeft(rest, " \t\r\n\v\f;")
+		switch {
+		case strings.HasPrefix(rest, "/*"):
+			rest = afterComment(rest)
+		case strings.HasPrefix(rest, "--"):
+			rest = strings.TrimLeftFunc(rest, func(c rune) bool { return c != '\r' && c != '\n' })
+		}
+	}
+	verb := lower(rest[:min(len(rest), len("reset"))])
+	return strings.HasPrefix(verb, "set") || verb == "reset"
+}
+
 // refusedSetting returns why a text with SET or RESET can't be passed on. The proxy's
 // own settings would reach the upstream from behind other statements.
 func refusedSetting(text []byte, several bool, refuse func(what, hint string) *fault) *fault {
