relayer: refuse client encodings that hide a backslash

What callers saw: with client_encoding SJIS, BIG5, GBK, GB18030, UHC or JOHAB a text could hold a statement that the proxy took for a part of a string: it went to a replica or ran without the term and the request ID of a write.

Cause: in these encodings the second byte of a character may be that of a backslash. The upstream converts a text before it reads it; the proxy reads its bytes, as its package says, and nothing held callers to that.

Evidence: TestEncodingThatHidesBytesIsRefused failed before: SET client_encoding TO 'SJIS' was passed on. A hidden statement was read in the code and not run; the stand-in upstream knows no encodings.

Why this fix works: these encodings, and values of client_encoding that aren't one plain constant, are refused in SET, SET NAMES and the startup packet. All encodings that a database itself can have keep the bytes of ASCII for ASCII. set_config isn't looked at.

--- a/relayer/settings.go
+++ b/relayer/settings.go
@@ -114,7 +114,7 @@
 	case "authorization", "session_authorization":
 		return userSetting
 	case "names":
-		return "client_encoding"
+		return encodingSetting
 	case "schema":
 		return "search_path"
 	default:
--- a/relayer/simple.go
+++ b/relayer/simple.go
@@ -269,6 +269,8 @@
 		switch {
 		case bytes.EqualFold(one.Name, []byte("characteristics")):
 			return refuse("SET SESSION CHARACTERISTICS", "Set default_transaction_isolation or default_transaction_read_only.")
+		case setsHiding(&one):
+			return refuse("this client_encoding", "Use UTF8, or another encoding that a database can have.")
 		case several && resetsAll(&one):
 			return refuse("RESET ALL among other statements", "Send it alone.")
 		case isOwnName(string(one.Name)) && (several || !isNote(&one)):
--- a/relayer/startup.go
+++ b/relayer/startup.go
@@ -121,6 +121,8 @@
 		return s.options(value)
 	case name == "application_name" || name == "replication" || strings.HasPrefix(name, "_pq_."):
 		// Says nothing about how statements run.
+	case lower(name) == encodingSetting && hidesBytes(value):
+		return &protocolError{codeInvalidValue, "client_encoding " + value + " isn't supported"}
 	default:
 		s.settings.declare(name, value)
 	}
