adapter/dialer: ask upstreams for UTF-8

What callers saw: text that is no ASCII changed on its way to and from a database or user whose default client_encoding isn't UTF8.

Cause: callers are told client_encoding UTF8 before they have an upstream connection, and upstream connections were opened without one, so the upstream took its own default.

Evidence: TestStartupAsksForUTF8 failed before: the startup packet had no client_encoding. The change of text was read and not run.

Why this fix works: the encoding goes in the startup packet, so that RESET goes back to it as well.

--- a/adapter/dialer/dialer.go
+++ b/adapter/dialer/dialer.go
@@ -66,7 +66,11 @@
 func (d *Dialer) startup(c *Conn) error {
 	msg := &pgproto3.StartupMessage{
 		ProtocolVersion: framer.CodeStartup,
-		Parameters:      map[string]string{"user": d.User, "database": d.Database},
+		Parameters: map[string]string{
+			"user": d.User, "database": d.Database,
+			// Callers are told UTF8 before they have a connection.
+			"client_encoding": "UTF8",
+		},
 	}
 	raw, err := msg.Encode(nil)
 	if err != nil {
