relayer: replay settings in the encoding that they were made in

What callers saw: a setting with letters that are no ASCII, or with a backslash, had another value after its session had changed its connection, or the session ended because the value couldn't be converted.

Cause: all settings went in one query, which the upstream converts and reads by the settings in force before it: those of the connection's last session.

Evidence: TestSettingsAreReplayedInTheirEncoding failed before, with its call adapted to the one result less: client_encoding and standard_conforming_strings went in the same query behind the value. TestSettingsInTwoQueriesAreBothAwaited failed before. The changed value was read in the code; the stand-in upstream knows no encodings.

Why this fix works: where these two settings differ, they go in a query of their own ahead of the others, and both answers are awaited. A session that changes them after it has made other settings isn't helped: a setting doesn't keep how its text was read.

--- a/relayer/adapt.go
+++ b/relayer/adapt.go
@@ -15,11 +15,9 @@
 	if s.tx != txIdle || s.batch || s.up.settings.equal(&s.settings) {
 		return true
 	}
-	u.flight = append(u.flight[:0], 'Q', 0, 0, 0, 0)
+	var queries int
 	var reset bool
-	u.flight, reset = appendChanges(u.flight, &s.up.settings, &s.settings)
-	u.flight = append(u.flight, 0)
-	putLength(u.flight, 0)
+	u.flight, queries, reset = appendChanges(u.flight[:0], &s.up.settings, &s.settings)
 	if _, err := s.up.Ask(u.flight); err != nil {
 		return s.notAdapted(u, nil)
 	}
@@ -39,6 +37,9 @@
 		case 'E':
 			return s.notAdapted(u, &f)
 		case 'Z':
+			if queries--; queries > 0 {
+				continue
+			}
 			if !s.up.Alive() {
 				return s.notAdapted(u, nil) // a second answer
 			}
--- a/relayer/settings.go
+++ b/relayer/settings.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"basildale.example/basildale/classifier"
+	"basildale.example/basildale/framer"
 )
 
 // setting is one session setting and the statement that makes it.
@@ -122,9 +123,61 @@
 	}
 }
 
-// appendChanges appends the statements that turn the settings have into want.
-// reset is true when all settings were reset, the proxy's own among them.
-func appendChanges(b []byte, have, want *settings) (_ []byte, reset bool) {
+// conformingSetting says what a backslash means in a string.
+const conformingSetting = "standard_conforming_strings"
+
+// isReading reports whether a setting changes how an upstream reads texts.
+func (s *setting) isReading() bool { return s.name == encodingSetting || s.name == conformingSetting }
+
+// appendChanges appends the queries that turn the settings have into want, and
+// returns their number. reset is true when all settings were reset, the proxy's
+// own among them.
+//
+// An upstream reads a query by the settings in force before it, so a change of
+// those that say how goes in a query of its own.
+func appendChanges(b []byte, have, want *settings) (_ []byte, queries int, reset bool) {
+	start := len(b)
+	end := func() {
+		if len(b) == start+framer.HeaderSize {
+			b = b[:start]
+			return
+		}
+		b = append(b, 0)
+		putLength(b, start)
+		queries++
+	}
+	b = append(b, 'Q', 0, 0, 0, 0)
+	b, reset = appendResets(b, have, want)
+	apart := readsOtherwise(have, want)
+	if apart {
+		for i := range want.list {
+			if w := &want.list[i]; w.isReading() {
+				b, _ = appendSetting(b, have, w, reset)
+			}
+		}
+		end()
+		start = len(b)
+		b = append(b, 'Q', 0, 0, 0, 0)
+	}
+	b = appendValues(b, have, want, reset, apart)
+	end()
+	return b, queries, reset
+}
+
+// readsOtherwise reports whether texts are read otherwise with want than with have.
+func readsOtherwise(have, want *settings) bool {
+	for _, name := range []string{encodingSetting, conformingSetting} {
+		h, in := have.find(name)
+		w, wanted := want.find(name)
+		if in != wanted || in && have.list[h].text != want.list[w].text {
+			return true
+		}
+	}
+	return false
+}
+
+// appendResets appends what takes away the settings that want lacks.
+func appendResets(b []byte, have, want *settings) (_ []byte, reset bool) {
 	for _, h := range have.list {
 		if _, found := want.find(h.name); found {
 			continue
@@ -139,6 +192,12 @@
 	if reset {
 		b = append(b, "RESET ALL;"...)
 	}
+	return b, reset
+}
+
+// appendValues appends the settings that the connection lacks; apart says that
+// those for the reading of texts have been sent.
+func appendValues(b []byte, have, want *settings, reset, apart bool) []byte {
 	// The user first: setting it drops the role.
 	user, found := want.find(userSetting)
 	fresh := false
@@ -147,11 +206,11 @@
 	}
 	for i := range want.list {
 		w := &want.list[i]
-		if w.name != userSetting {
+		if w.name != userSetting && (!apart || !w.isReading()) {
 			b, _ = appendSetting(b, have, w, reset || fresh)
 		}
 	}
-	return b, reset
+	return b
 }
 
 // appendSetting appends a setting unless the connection has it. sent reports
