adapter/commander: tell the answer to a command from that of another

What callers saw: a request that had been done could be told as not run, and sent again, because it was settled by the answer to another request.

Cause: the control connection took the next answer on it for that of its command. After one answer that came twice, each command got that of the one before: an old state, an old position, or the settlement of another request.

Evidence: TestSecondAnswerSettlesNoOtherRequest failed before: request b, which had not run, was settled as done by the second answer for request a.

Why this fix works: each command asks for a number of its own ahead of its row in the same query. An answer with another number closes the connection and counts as lost; on a connection that was used before, the command is sent once more over a new one, as all commands are idempotent.

--- a/adapter/commander/link.go
+++ b/adapter/commander/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -22,6 +23,9 @@
 	// in order, so nobody is overtaken for ever.
 	turn chan struct{}
 	conn *pgconn.PgConn // guarded by turn
+	// serial numbers the commands; each asks for its number along with its answer,
+	// which tells the answer from that of another. Guarded by turn.
+	serial uint64
 
 	mu     sync.Mutex
 	closed bool
@@ -102,11 +106,17 @@
 		}
 		l.conn = conn
 	}
-	results, err := l.conn.Exec(ctx, sql).ReadAll()
+	l.serial++
+	echo := strconv.FormatUint(l.serial, 10)
+	results, err := l.conn.Exec(ctx, "SELECT '"+echo+"'; "+sql).ReadAll()
 	var refused *pgconn.PgError
 	switch {
-	case err == nil && len(results) == 1 && len(results[0].Rows) == 1:
-		return results[0].Rows[0], nil
+	case (err == nil || errors.As(err, &refused)) && !l.conn.IsClosed() && !echoes(results, echo):
+		// A second answer to an earlier command: all that come after it are one behind.
+		l.hangup()
+		return nil, errors.Mark(errors.New("commander: answer of another command"), ErrLost)
+	case err == nil && len(results) == 2 && len(results[1].Rows) == 1:
+		return results[1].Rows[0], nil
 	case err == nil:
 		return nil, errors.Wrap(ErrAnswer, "not one row")
 	case errors.As(err, &refused) && !l.conn.IsClosed():
@@ -120,6 +130,12 @@
 	return nil, errors.Mark(errors.Wrap(err, "commander: receive"), ErrLost)
 }
 
+// echoes reports whether an answer begins with the echo of its command.
+func echoes(results []*pgconn.Result, echo string) bool {
+	return len(results) > 0 && len(results[0].Rows) == 1 && len(results[0].Rows[0]) == 1 &&
+		string(results[0].Rows[0][0]) == echo
+}
+
 func refusal(err *pgconn.PgError) error {
 	switch err.Code {
 	case codeStaleTerm:
