--- a/adapter/commander/link.go
+++ b/adapter/commander/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -23,9 +22,6 @@
 	// in order, so nobody is overtaken for ever.
 	turn chan struct{}
 	conn *pgconn.PgConn // guarded by turn
-	// serial numbers the commands; each asks for its number along with its answer,
-	// which tells the answer from that of another. Guarded by turn.
-	serial uint64
 
 	mu     sync.Mutex
 	closed bool
@@ -106,17 +102,11 @@
 		}
 		l.conn = conn
 	}
-	l.serial++
-	echo := strconv.FormatUint(l.serial, 10)
-	results, err := l.conn.Exec(ctx, "SELECT '"+echo+"'; "+sql).ReadAll()
+	results, err := l.conn.Exec(ctx, sql).ReadAll()
 	var refused *pgconn.PgError
 	switch {
-	case (err == nil || errors.As(err, &refused)) && !l.conn.IsClosed() && !echoes(results, echo):
-		// A second answer to an earlier command: all that come after it are one behind.
-		l.hangup()
-		return nil, errors.Mark(errors.New("commander: answer of another command"), ErrLost)
-	case err == nil && len(results) == 2 && len(results[1].Rows) == 1:
-		return results[1].Rows[0], nil
+	case err == nil && len(results) == 1 && len(results[0].Rows) == 1:
+		return results[0].Rows[0], nil
 	case err == nil:
 		return nil, errors.Wrap(ErrAnswer, "not one row")
 	case errors.As(err, &refused) && !l.conn.IsClosed():
@@ -130,12 +120,6 @@
 	return nil, errors.Mark(errors.Wrap(err, "commander: receive"), ErrLost)
 }
 
-// echoes reports whether an answer begins with the echo of its command.
-func echoes(results []*pgconn.Result, echo string) bool {
-	return len(results) > 0 && len(results[0].Rows) == 1 && len(results[0].Rows[0]) == 1 &&
-		string(results[0].Rows[0][0]) == echo
-}
-
 func refusal(err *pgconn.PgError) error {
 	switch err.Code {
 	case codeStaleTerm:
