conductor: the commit of a transaction in doubt promises nothing

What callers saw: ABORTED to the COMMIT of a transaction whose statement had been answered as in doubt. It promises that nothing is kept.

Cause: a failed transaction was always answered as rolled back. Since a write may have run outside of its transaction, a statement in one can be in doubt.

Evidence: TestCommitOfTransactionInDoubtPromisesNothing failed before.

Why this fix works: the session remembers the doubt until the transaction ends, and answers its commit with it.

--- a/conductor/session.go
+++ b/conductor/session.go
@@ -66,6 +66,7 @@
 	scope            scope     // of the open transaction
 	began            time.Time // when the BEGIN of the open transaction arrived
 	tx               carrier.Transaction
+	inDoubt          bool                  // something of the failed transaction may be kept
 	pendingRollbacks []carrier.Transaction // rolled back once the caller has its answer
 	idleTimer        *time.Timer
 	statementCount   uint64 // so that an outdated idle timer does not end a newer transaction
@@ -322,6 +323,7 @@
 	if answer.Code != carrier.OK {
 		s.detachTransaction()
 		s.state = carrier.InFailedTransaction
+		s.inDoubt = answer.Code == carrier.InDoubt
 	}
 	return replyFrom(answer)
 }
@@ -368,6 +370,10 @@
 	if s.state == carrier.Idle {
 		return errorReply(carrier.Malformed, "no transaction is open")
 	}
+	if s.state == carrier.InFailedTransaction && s.inDoubt {
+		s.endTransaction()
+		return errorReply(carrier.InDoubt, "the transaction has failed and something of it may be kept")
+	}
 	if s.state == carrier.InFailedTransaction {
 		s.endTransaction()
 		return errorReply(carrier.Aborted, "the transaction has failed and was rolled back")
@@ -420,6 +426,7 @@
 func (s *Session) endTransaction() {
 	s.detachTransaction()
 	s.state = carrier.Idle
+	s.inDoubt = false
 }
 
 // detachTransaction leaves the rollback of the transaction to RollbackEnded, if it is open at an
--- a/conductor/session_test.go
+++ b/conductor/session_test.go
@@ -175,6 +175,21 @@
 	is.Equal(g.transactionEndings(), []string{"rollback"})
 }
 
+// Guards against a promise for a transaction of which something may be kept.
+func TestCommitOfTransactionInDoubtPromisesNothing(t *testing.T) {
+	is := is.New(t)
+	s, g := newSession()
+	is.Equal(s.do(Begin, "", "BEGIN").Code, carrier.OK)
+	is.Equal(s.do(Write, "", "seat anna").Code, carrier.OK)
+	g.answer = carrier.Answer{Code: carrier.InDoubt}
+	is.Equal(s.do(Write, "", "seat otto").Code, carrier.InDoubt)
+	is.Equal(s.do(Commit, "", "COMMIT").Code, carrier.InDoubt)
+	g.answer = carrier.Answer{Code: carrier.Failed}
+	is.Equal(s.do(Begin, "", "BEGIN").Code, carrier.OK)
+	is.Equal(s.do(Write, "", "seat anna").Code, carrier.Failed)
+	is.Equal(s.do(Commit, "", "COMMIT").Code, carrier.Aborted) // the next one is in no doubt
+}
+
 // Guards against a group that runs out of connections: callers begin transactions, write and
 // go idle, and each transaction occupies a connection.
 func TestIdleTransactionIsEnded(t *testing.T) {
