--- a/relayer/simple.go
+++ b/relayer/simple.go
@@ -38,7 +38,7 @@
 	}
 	u := s.relay.newUnit()
 	defer s.relay.freeUnit(u)
-	u.simple, u.sync, u.raw = true, true, f.Raw
+	u.simple, u.sync, u.raw, u.sql = true, true, f.Raw, text
 	if own {
 		u.raw = appendQuery(nil, text)
 	}
@@ -223,6 +223,8 @@
 	}
 	has := st.Kinds.Has
 	switch {
+	case st.Unclear && setsFirst(text):
+		return refuse("this form of SET or RESET", `Write the value as one constant; E'...' with doubled backslashes.`)
 	case has(classifier.Copy):
 		return refuse("COPY", "Use INSERT with several rows, or SELECT.")
 	case has(classifier.Listen):
@@ -238,6 +240,23 @@
 	}
 }
 
+// setsFirst reports whether a text begins with SET or RESET.
+func setsFirst(text []byte) bool {
+	rest := string(text)
+	for before := ""; rest != before; {
+		before = rest
+		rest = strings.TrimLeft(rest, " \t\r\n\v\f;")
+		switch {
+		case strings.HasPrefix(rest, "/*"):
+			rest = afterComment(rest)
+		case strings.HasPrefix(rest, "--"):
+			rest = strings.TrimLeftFunc(rest, func(c rune) bool { return c != '\r' && c != '\n' })
+		}
+	}
+	verb := lower(rest[:min(len(rest), len("reset"))])
+	return strings.HasPrefix(verb, "set") || verb == "reset"
+}
+
 // refusedSetting returns why a text with SET or RESET can't be passed on. The proxy's
 // own settings would reach the upstream from behind other statements.
 func refusedSetting(text []byte, several bool, refuse func(what, hint string) *fault) *fault {
@@ -250,6 +269,8 @@
 		switch {
 		case bytes.EqualFold(one.Name, []byte("characteristics")):
 			return refuse("SET SESSION CHARACTERISTICS", "Set default_transaction_isolation or default_transaction_read_only.")
+		case setsHiding(&one):
+			return refuse("this client_encoding", "Use UTF8, or another encoding that a database can have.")
 		case several && resetsAll(&one):
 			return refuse("RESET ALL among other statements", "Send it alone.")
 		case isOwnName(string(one.Name)) && (several || !isNote(&one)):
@@ -270,10 +291,14 @@
 	for name != "" {
 		switch {
 		case strings.HasPrefix(name, "/*"):
-			_, name, _ = strings.Cut(name, "*/")
+			name = afterComment(name)
 		case strings.HasPrefix(name, "--"):
-			_, name, _ = strings.Cut(name, "\n")
-		case strings.ContainsRune("\" \t\r\n\f", rune(name[0])):
+			end := strings.IndexAny(name, "\r\n")
+			if end < 0 {
+				end = len(name)
+			}
+			name = name[end:]
+		case strings.IndexByte("\" \t\r\n\v\f", name[0]) >= 0:
 			name = name[1:]
 		default:
 			plain.WriteByte(name[0])
@@ -283,6 +308,27 @@
 	return strings.HasPrefix(plain.String(), notePrefix)
 }
 
+// afterComment returns what follows the comment at the start of a text. Comments nest.
+func afterComment(text string) string {
+	depth := 0
+	for text != "" {
+		switch {
+		case strings.HasPrefix(text, "/*"):
+			depth++
+			text = text[2:]
+		case strings.HasPrefix(text, "*/"):
+			depth--
+			text = text[2:]
+			if depth == 0 {
+				return text
+			}
+		default:
+			text = text[1:]
+		}
+	}
+	return ""
+}
+
 const chainedHint = "Send what follows COMMIT or ROLLBACK as a query of its own."
 
 // chained refuses a text that goes on after the end of a transaction. Both would
