carrier: ask for the leader on another connection after a doubtful answer

What callers saw: an upstream that had refused transactions as a replica, led, and lost the lead again stayed the leader of a process that sent it no writes: each check used the pooled connection on which the refusal is doubtful, and recorded nothing. Reads with bounded staleness waited there for a sample that never came.

Cause: a doubtful answer decides nothing, and the connection that gave it went back to the pool, from which the next check took it again.

Evidence: TestFormerLeaderIsFoundDespiteDoubtfulRefusals and TestDoubtfulBeginIsAskedAgainOnAnotherConnection failed before, with the former leader still recorded, and with a check of a healthy leader that failed.

Why this fix works: such a connection is closed, and another one is asked once within the same check. A replica that is known as one keeps its connection (TestDoubtfulRefusalOfReplicaKeepsTheConnection). TestDoubtfulErrorIsNoEvidence expected that the leader's connection stays open after a doubtful refusal, which is the fault; it now expects that both are closed, and the kept connection moved to the test for replicas.

--- a/carrier/doubtful_test.go
+++ b/carrier/doubtful_test.go
@@ -219,7 +219,7 @@
 		u := s.reachableLeader()
 		is.True(!s.checkLeader(u))
 		is.Equal(s.reachableLeader(), u)
-		is.Equal(s.closed, nil) // the rollback has ended whatever was begun
+		is.Equal(s.closed, []int{0, 1})
 		refusals := []Code{ReadOnly, Lagging, Busy, Failed}
 		for _, code := range refusals {
 			is.True(s.shouldRetry(u, s.job(false), Answer{Code: code, Doubtful: true}))
@@ -286,3 +286,49 @@
 		is.Equal(s.closed, []int{0})
 	})
 }
+
+// Guards against a new connection for each refusal of a replica, whose transaction has ended.
+func TestDoubtfulRefusalOfReplicaKeepsTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScriptedGroup(doubt(Begin, ReadOnly, Idle))
+		u := s.reachableLeader()
+		s.recordReplica(u)
+		for range 3 {
+			is.True(!s.checkLeader(u))
+		}
+		is.Equal(s.opened, 1)
+		is.Equal(s.closed, nil)
+	})
+}
+
+// Guards against a former leader that stays the leader, because each check uses the connection
+// on which its refusals are doubtful.
+func TestFormerLeaderIsFoundDespiteDoubtfulRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScriptedGroup(func(n int, cmd Command) (Answer, error) {
+			if cmd.Verb == Begin {
+				return Answer{Code: ReadOnly, State: Idle, Mark: mark(1, 2), Doubtful: n == 0}, nil
+			}
+			return accept(cmd), nil
+		})
+		is.True(!s.checkLeader(s.reachableLeader()))
+		is.True(s.reachableLeader() == nil)
+	})
+}
+
+// Guards against a leader without writes whose every second check fails: the answer to the
+// beginning equals an earlier one.
+func TestDoubtfulBeginIsAskedAgainOnAnotherConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScriptedGroup(func(n int, cmd Command) (Answer, error) {
+			a := accept(cmd)
+			a.Doubtful = cmd.Verb == Begin && n == 0
+			return a, nil
+		})
+		is.True(s.checkLeader(s.reachableLeader()))
+		is.Equal(s.closed, []int{0})
+	})
+}
--- a/carrier/health.go
+++ b/carrier/health.go
@@ -287,12 +287,22 @@
 // upstream leads.
 func (g *Group) checkLeader(u *upstream) bool { return g.checkLeaderWithin(u, probeTimeout) }
 
-// checkLeaderWithin is checkLeader with a timeout.
+// checkLeaderWithin is checkLeader with a timeout. Answers that decide nothing may be repeats of
+// earlier ones of the connection; another connection is asked then.
 func (g *Group) checkLeaderWithin(u *upstream, timeout time.Duration) bool {
 	deadline := time.Now().Add(timeout)
+	leads, decided := g.askLeader(u, deadline)
+	if !decided {
+		leads, _ = g.askLeader(u, deadline)
+	}
+	return leads
+}
+
+// askLeader reports whether an upstream leads, and whether its answers decide that.
+func (g *Group) askLeader(u *upstream, deadline time.Time) (leads, decided bool) {
 	c, err := u.getConn(deadline)
 	if err != nil {
-		return false
+		return false, true
 	}
 	r := &run{conn: c}
 	g.addRun(u, r)
@@ -301,16 +311,19 @@
 	g.removeRun(u, r)
 	if err != nil {
 		g.release(u, c, false)
-		return false
+		return false, true
 	}
-	leads := answers[0].Code == OK && !answers[0].Doubtful && answers[1].Code == OK
-	g.release(u, c, answers[len(answers)-1].State == Idle)
+	began := answers[0]
+	// What a replica that is known as one has refused before needs no decision.
+	decided = !began.Doubtful || began.Code != OK && g.reachableLeader() != u
+	leads = began.Code == OK && !began.Doubtful && answers[1].Code == OK
+	g.release(u, c, decided && answers[1].State == Idle)
 	if leads {
-		g.recordLeader(u, requestedAt, answers[0].Mark)
-	} else if answers[0].Code == ReadOnly && !answers[0].Doubtful {
+		g.recordLeader(u, requestedAt, began.Mark)
+	} else if began.Code == ReadOnly && !began.Doubtful {
 		g.recordReplica(u)
 	}
-	return leads
+	return leads, decided
 }
 
 // VerifyLeader asks the leader whether it leads. If it does not confirm that and a new
