carrier: take the position of a sample from all answers of the check

What callers saw: nothing yet. A process without a way to the leader asks a peer for the position of the leader's log; reads with bounded staleness there could run on a log that is older than they accept.

Cause: of the answers of an exchange only the position of the last one counted. That is the end of the check, and an answer without a signature, which may be a repeat with an old position, while the answer to its beginning was told from repeats.

Evidence: TestSampleForPeerIsAsLateAsTheBeginning failed before, with position 2 instead of 9.

Why this fix works: positions of an upstream's answers only grow within an exchange, so the latest is right whichever of them is a repeat.

--- a/carrier/doubtful_test.go
+++ b/carrier/doubtful_test.go
@@ -332,3 +332,20 @@
 		is.Equal(s.closed, []int{0})
 	})
 }
+
+// Guards against an old position for a peer, when the end of the check gets a repeated answer.
+func TestSampleForPeerIsAsLateAsTheBeginning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScriptedGroup(func(_ int, cmd Command) (Answer, error) {
+			a := accept(cmd)
+			if cmd.Verb == Rollback {
+				a.Mark = mark(1, 2)
+			}
+			return a, nil
+		})
+		sampled, ok := s.SampleLeader()
+		is.True(ok)
+		is.Equal(sampled, mark(1, 9))
+	})
+}
--- a/carrier/job.go
+++ b/carrier/job.go
@@ -150,10 +150,20 @@
 		return nil, sent, err
 	}
 	r.conn.recordAnswers(commands, answers)
-	g.recordAnswer(u, answers[len(answers)-1].Mark)
+	g.recordAnswer(u, latestMark(answers))
 	return answers, sent, nil
 }
 
+// latestMark returns the latest position in answers. One that repeats an earlier answer has an
+// earlier position than those before it.
+func latestMark(answers []Answer) tracker.Mark {
+	var latest tracker.Mark
+	for i := range answers {
+		latest = laterMark(latest, answers[i].Mark)
+	}
+	return latest
+}
+
 // acquireConn gets a connection to an upstream for a job, or returns a refusal and no run.
 func (g *Group) acquireConn(u *upstream, j *Job) (*run, Answer) {
 	c, err := u.getConnFor(j.Workspace, j.Deadline)
