carrier: let waiting commits share the reports of a successor

What callers saw: nothing yet. In a planned change of leader, each commit that waits asks the successor for its position every 5 ms, and since a connection carries one report, each of these requests opens a connection to the upstream that is about to lead, and closes one that statements could use.

Cause: the requests were cheap when they shared pooled connections.

Evidence: TestWaitingCommitsShareReportsOfSuccessor failed before, with 56 reports for ten commits in 50 ms.

Why this fix works: one request at a time is under way for all that wait, 12 in that test. What they wait for is a position, which is the same for all.

--- a/carrier/fence.go
+++ b/carrier/fence.go
@@ -82,12 +82,33 @@
 		if !time.Now().Before(deadline) {
 			return false
 		}
-		report, err := g.Control(successor, deadline, Command{Verb: Status})
-		if err == nil && g.recordSuccessor(successor, report) {
-			continue
+		g.pollSuccessor(successor, deadline)
+	}
+}
+
+// pollSuccessor asks a successor for its position, or waits while another commit does that:
+// each request needs a connection of its own.
+func (g *Group) pollSuccessor(id string, deadline time.Time) {
+	g.mu.Lock()
+	if polling := g.polling; polling != nil {
+		g.mu.Unlock()
+		select {
+		case <-polling:
+		case <-time.After(time.Until(deadline)):
 		}
+		return
+	}
+	done := make(chan struct{})
+	g.polling = done
+	g.mu.Unlock()
+	report, err := g.Control(id, deadline, Command{Verb: Status})
+	if err != nil || !g.recordSuccessor(id, report) {
 		time.Sleep(successorPollInterval)
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.polling = nil
+	close(done)
 }
 
 // outlastsChange decides what awaitSuccessor waits for, where that can be decided. Otherwise it
--- a/carrier/fence_test.go
+++ b/carrier/fence_test.go
@@ -23,6 +23,7 @@
 	mu       sync.Mutex
 	received tracker.Mark // at b
 	writes   []string     // the upstreams that ran a write
+	reports  int          // that were requested
 	stalled  bool         // commits wait until the connection is aborted
 }
 
@@ -50,6 +51,9 @@
 		answers[i] = Answer{Signature: "s", Mark: mark(1, 20), State: l.state}
 		switch {
 		case cmd.Verb == Status:
+			l.group.mu.Lock()
+			l.group.reports++
+			l.group.mu.Unlock()
 			answers[i].Report = Report{Leads: l.id == "a", Term: received.Term, Received: received}
 		case l.id == "b" && cmd.Verb == Begin:
 			answers[i].Code, answers[i].State = ReadOnly, Idle
@@ -195,3 +199,30 @@
 		is.Equal(s.write().Code, OK)
 	})
 }
+
+// Guards against a storm of connections, one for each report, while many commits wait.
+func TestWaitingCommitsShareReportsOfSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newReplacedGroup()
+		defer s.registry.Stop()
+		is.Equal(s.write().Code, OK)
+		s.SetFence(Fence{Successor: "b", LeaderServes: true})
+		const commits = 10
+		answered := make(chan Code, commits)
+		for range commits {
+			go func() { answered <- s.write().Code }()
+		}
+		const wait = 50 * time.Millisecond
+		time.Sleep(wait)
+		synctest.Wait()
+		s.mu.Lock()
+		s.received = mark(1, 20)
+		reports := s.reports
+		s.mu.Unlock()
+		for range commits {
+			is.Equal(<-answered, OK)
+		}
+		is.True(reports <= int(wait/successorPollInterval)+2) // one at each end
+	})
+}
--- a/carrier/group.go
+++ b/carrier/group.go
@@ -41,6 +41,7 @@
 	// its successor has stated.
 	fence         Fence
 	successorMark tracker.Mark
+	polling       chan struct{} // closed when the successor was asked; nil while it is not
 	// leaderlessSince is when the last leader that answered was lost; zero while one is
 	// known.
 	leaderlessSince time.Time
