--- a/carrier/health.go
+++ b/carrier/health.go
@@ -38,8 +38,6 @@
 	maxProbeInterval = 800 * time.Millisecond
 	// probeTimeout is how long a probe may take.
 	probeTimeout = 500 * time.Millisecond
-	// maxLeaderChecks is how often a check asks again whose answers are doubtful.
-	maxLeaderChecks = 3
 	// leaderSearchInterval is the minimum time between two searches for the leader.
 	leaderSearchInterval = 50 * time.Millisecond
 )
@@ -289,24 +287,22 @@
 // upstream leads.
 func (g *Group) checkLeader(u *upstream) bool { return g.checkLeaderWithin(u, probeTimeout) }
 
-// checkLeaderWithin is checkLeader with a timeout. Doubtful answers of the leader are asked for
-// again.
+// checkLeaderWithin is checkLeader with a timeout. Answers that decide nothing may be repeats of
+// earlier ones of the connection; another connection is asked then.
 func (g *Group) checkLeaderWithin(u *upstream, timeout time.Duration) bool {
 	deadline := time.Now().Add(timeout)
-	for range maxLeaderChecks {
-		leads, doubtful := g.checkLeaderOnce(u, deadline)
-		if !doubtful || g.reachableLeader() != u {
-			return leads
-		}
+	leads, decided := g.askLeader(u, deadline)
+	if !decided {
+		leads, _ = g.askLeader(u, deadline)
 	}
-	return false
+	return leads
 }
 
-// checkLeaderOnce asks an upstream whether it leads, and reports whether the answer is doubtful.
-func (g *Group) checkLeaderOnce(u *upstream, deadline time.Time) (leads, doubtful bool) {
+// askLeader reports whether an upstream leads, and whether its answers decide that.
+func (g *Group) askLeader(u *upstream, deadline time.Time) (leads, decided bool) {
 	c, err := u.getConn(deadline)
 	if err != nil {
-		return false, false
+		return false, true
 	}
 	r := &run{conn: c}
 	g.addRun(u, r)
@@ -315,22 +311,19 @@
 	g.removeRun(u, r)
 	if err != nil {
 		g.release(u, c, false)
-		return false, false
-	}
-	began, ended := answers[0], answers[1]
-	// The next refusal would be as doubtful on this connection.
-	refused := began.Doubtful && began.Code != OK && g.reachableLeader() == u
-	g.release(u, c, ended.State == Idle && !refused)
-	switch {
-	case began.Doubtful:
 		return false, true
-	case began.Code == OK && ended.Code == OK:
+	}
+	began := answers[0]
+	// What a replica that is known as one has refused before needs no decision.
+	decided = !began.Doubtful || began.Code != OK && g.reachableLeader() != u
+	leads = began.Code == OK && !began.Doubtful && answers[1].Code == OK
+	g.release(u, c, decided && answers[1].State == Idle)
+	if leads {
 		g.recordLeader(u, requestedAt, began.Mark)
-		return true, false
-	case began.Code == ReadOnly:
+	} else if began.Code == ReadOnly && !began.Doubtful {
 		g.recordReplica(u)
 	}
-	return false, false
+	return leads, decided
 }
 
 // VerifyLeader asks the leader whether it leads. If it does not confirm that and a new
