proxier: the test of large statements doesn't depend on the machine

The routes of the stand-in give a statement one second, and with the race detector and a load of 30 the large statement took longer.

Change: the stand-in's timeout can be set, and this test has one of a minute. What it checks is as before.

--- a/carrier/command.go
+++ b/carrier/command.go
@@ -152,8 +152,9 @@
 type Link interface {
 	// Exchange sends all commands in one write and returns their answers in order. After an
 	// error other than ErrTooLong the link cannot be used again; sent reports whether any
-	// byte may have reached the upstream. Once a report was requested and not refused, the link fails with
-	// ErrReported at the next request: the earlier report could be taken for the later one.
+	// byte may have reached the upstream. Once a report was requested and not refused, the
+	// link fails with ErrReported at the next request: the earlier report could be taken for
+	// the later one.
 	Exchange(deadline time.Time, commands ...Command) (answers []Answer, sent bool, err error)
 	// Abort makes a running Exchange fail at once.
 	Abort()
--- a/proxier/forwarded_size_test.go
+++ b/proxier/forwarded_size_test.go
@@ -3,15 +3,18 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"basildale.example/basildale/platform/faker"
 )
 
 // Guards against statements that a proxy runs itself and that don't pass to a peer, because of
 // their bytes or their size, and against large ones that harm others on the same link.
 func TestLargeStatementsOfAnyBytesAreForwarded(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t, 2)
+	f := newFleetWith(t, &faker.Platform{Timeout: time.Minute}, 2)
 	m := f.proxies[0]
 	c, other := f.dial(m, "seats"), f.dial(m, "seats")
 	f.group.Leader().Cut("proxy-0", true)
