--- a/review/.standins-2/memory/main.go
+++ b/review/.standins-2/memory/main.go
@@ -29,6 +29,7 @@
 	rounds      = 3
 	rest        = 5 * time.Second
 	restartWait = 500 * time.Millisecond
+	pace        = 150 * time.Millisecond // between two sessions' statements at a machine
 	service     = "billet"
 	database    = "timetable"
 )
@@ -203,6 +204,7 @@
 		}
 	}()
 	for n := range sessions {
+		time.Sleep(pace)
 		s, err := connect(callers, 10*time.Second)
 		if killed.Load() {
 			return true, nil
